Lay out the packages, errors, settings and style checks

Cause: the repository was empty, and several people are to work on it side by side.

Ruled out: hacking's import order (H306), which disagrees with ruff's for 'from a import b' beside 'from a.b import c'; one of the two had to go.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# VENV may name an environment that already holds the locked packages.
+VENV ?= .venv
+PYTHON := $(VENV)/bin/python
+WORKERS ?= 6
+SEEDS ?= 1 2 3
+OUT ?= bench-out/bench.json
+
+.PHONY: demo test env lint format unit bench bench-short bench-relay docs
+
+env: $(VENV)/.ready
+
+$(VENV)/.ready: requirements.lock
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check \
+	    -r requirements.lock
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check \
+	    --no-deps --no-build-isolation -e .
+	touch $@
+
+demo: env
+	$(PYTHON) -m toucanrudder demo
+
+test: lint unit
+
+lint: env
+	$(PYTHON) -m ruff format --check .
+	$(PYTHON) -m ruff check .
+	$(PYTHON) -m flake8 toucanrudder
+
+unit: env
+	$(PYTHON) -m pytest -n $(WORKERS)
+
+format: env
+	$(PYTHON) -m ruff format .
+	$(PYTHON) -m ruff check --fix .
--- /dev/null
+++ b/toucanrudder/__main__.py
@@ -0,0 +1,6 @@
+"""Entry point of ``python -m toucanrudder``."""
+
+from toucanrudder.cli import main
+
+if __name__ == "__main__":
+    main.main()
--- /dev/null
+++ b/toucanrudder/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' HTTP API."""
--- /dev/null
+++ b/toucanrudder/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Priority queue, fair shares and rate limits."""
--- /dev/null
+++ b/toucanrudder/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements with real processes."""
--- /dev/null
+++ b/toucanrudder/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once execution of requests that may not be repeated."""
--- /dev/null
+++ b/toucanrudder/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/toucanrudder/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that keep the state which filters decide on."""
--- /dev/null
+++ b/toucanrudder/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A whole system on loopback, in one process."""
--- /dev/null
+++ b/toucanrudder/filters/__init__.py
@@ -0,0 +1,1 @@
+"""The chain of filters that each request passes through."""
--- /dev/null
+++ b/toucanrudder/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Leases in the store, and orders given under them."""
--- /dev/null
+++ b/toucanrudder/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which routers and upstreams are live."""
--- /dev/null
+++ b/toucanrudder/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics."""
--- /dev/null
+++ b/toucanrudder/observability/metrics.py
@@ -0,0 +1,53 @@
+"""The process's OpenTelemetry meter, its Prometheus page and counters."""
+
+import functools
+
+from opentelemetry import metrics
+from opentelemetry.exporter import prometheus
+from opentelemetry.sdk import metrics as sdk_metrics
+import prometheus_client
+
+
+@functools.cache
+def meter() -> metrics.Meter:
+    """Return the process's meter; the first call sets up the exporter."""
+    reader = prometheus.PrometheusMetricReader()
+    provider = sdk_metrics.MeterProvider(metric_readers=[reader])
+    metrics.set_meter_provider(provider)
+    return metrics.get_meter("toucanrudder")
+
+
+@functools.cache
+def counter(name: str, description: str) -> metrics.Counter:
+    """Return the counter of this name, made on first use.
+
+    Adding to a counter costs about ten microseconds: once per request or
+    per batch of events, never per token.
+    """
+    return meter().create_counter(name, description=description)
+
+
+@functools.cache
+def histogram(name: str, unit: str, description: str) -> metrics.Histogram:
+    """Return the histogram of this name, made on first use."""
+    return meter().create_histogram(name, unit=unit, description=description)
+
+
+def refused(code: str, step: str) -> None:
+    """Count a refusal by its code and step."""
+    counter("toucanrudder_refusals", "Refused requests").add(
+        1, {"code": code, "step": step}
+    )
+
+
+def retried(reason: str) -> None:
+    """Count a retry by its reason."""
+    counter("toucanrudder_retries", "Retries of upstream calls").add(
+        1, {"reason": reason}
+    )
+
+
+def page() -> bytes:
+    """Return the metrics in the Prometheus text format."""
+    meter()
+    return prometheus_client.generate_latest()
--- /dev/null
+++ b/toucanrudder/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Exchange between routers, over gRPC."""
--- /dev/null
+++ b/toucanrudder/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash the engines which run them."""
--- /dev/null
+++ b/toucanrudder/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Passing an answer on, event by event."""
--- /dev/null
+++ b/toucanrudder/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retry budgets, back-off and deadlines."""
--- /dev/null
+++ b/toucanrudder/router/__init__.py
@@ -0,0 +1,1 @@
+"""The router daemon."""
--- /dev/null
+++ b/toucanrudder/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Processes and a fault-injecting proxy for tests."""
--- /dev/null
+++ b/toucanrudder/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of engines and services, and what is known of each."""
