--- a/toucanrudder/placement/types.py
+++ b/toucanrudder/placement/types.py
@@ -37,6 +37,8 @@
         Tokens this router sent there that have given no first token yet.
     peer_prefill_tokens : int
         The same as told by the other routers.
+    peer_in_flight : int
+        Requests of the other routers that are there, as they told.
     believed_tokens : int
         Leading prompt tokens believed cached there, at this incarnation,
         for this organisation and these weights.
@@ -55,6 +57,7 @@
     own_in_flight: int = 0
     own_prefill_tokens: int = 0
     peer_prefill_tokens: int = 0
+    peer_in_flight: int = 0
     believed_tokens: int = 0
 
 
@@ -72,12 +75,15 @@
         Live routers, this one included.
     heat : mapping of bytes to float
         Requests a second seen for a prefix key, over all routers.
+    total_rate_per_s : float
+        Requests a second of any prefix, over all routers; 0 if unknown.
     """
 
     upstreams: tuple[UpstreamView, ...]
     zone: str = ""
     routers: int = 1
     heat: Mapping[bytes, float] = attrs.field(factory=dict)
+    total_rate_per_s: float = 0.0
 
 
 @attrs.frozen
@@ -107,7 +113,17 @@
 
 @attrs.frozen
 class Context:
-    """What a policy may use besides the fleet and the request."""
+    """What a policy may use besides the fleet and the request.
+
+    Parameters
+    ----------
+    policy : model.Policy
+        Trade-offs set by the operators.
+    rng : random.Random
+        Source of tie-breaking randomness, seeded by the daemon.
+    excluded : frozenset of str
+        Upstreams not to use, for example those a retry has tried.
+    """
 
     policy: model.Policy
     rng: random.Random
@@ -116,7 +132,15 @@
 
 @attrs.frozen
 class Query:
-    """The part of a request that placement looks at."""
+    """The part of a request that placement looks at.
+
+    Parameters
+    ----------
+    request_id, organisation, priority, prefix_keys, prompt_tokens
+        As in `messages.ModelRequest`.
+    deadline_s : float
+        Monotonic time by which the first token must be sent.
+    """
 
     request_id: str
     organisation: str
--- /dev/null
+++ b/toucanrudder/prefix/identity.py
@@ -0,0 +1,164 @@
+"""Identities of prompt blocks, as engines publish them.
+
+The definition stands in ``docs/protocols.md``.  All identities are keyed
+hashes under a salt that only the fleet knows, so that a caller can neither
+name another organisation's block nor construct two texts that share one.
+"""
+
+from collections.abc import Sequence
+import hashlib
+import json
+
+BYTES_PER_TOKEN = 4
+BLOCK_TOKENS = 2000
+BLOCK_BYTES = BLOCK_TOKENS * BYTES_PER_TOKEN
+KEY_BYTES = 16
+_SALT_PERSON = b"cache-salt"
+
+
+def salt(fleet_key: str, organisation: str) -> bytes:
+    """Return the cache salt of an organisation.
+
+    Parameters
+    ----------
+    fleet_key : str
+        Secret shared by all routers.
+    organisation : str
+        Name of the organisation.
+
+    Returns
+    -------
+    bytes
+        16 bytes; they go to engines as ``X-Cache-Salt`` in hex.
+
+    Examples
+    --------
+    >>> one = salt("0123456789abcdef", "hal-een")
+    >>> one == salt("0123456789abcdef", "hal-twee")
+    False
+    >>> len(one)
+    16
+    """
+    # The same secret also signs resume tokens.  Without the separate
+    # personalisation a token could be replayed as a salt.
+    secret = hashlib.blake2b(fleet_key.encode(), digest_size=32).digest()
+    return hashlib.blake2b(
+        organisation.encode("utf-8", "surrogatepass"),
+        key=secret,
+        digest_size=KEY_BYTES,
+        person=_SALT_PERSON,
+    ).digest()
+
+
+def keys(
+    organisation_salt: bytes,
+    model: str,
+    adapter: str,
+    weights_version: str,
+    text: str,
+) -> tuple[bytes, ...]:
+    """Return the identities of the full blocks of a prompt.
+
+    Parameters
+    ----------
+    organisation_salt : bytes
+        From `salt`.
+    model, adapter, weights_version : str
+        What computes the blocks; blocks of other weights never match.
+    text : str
+        Canonical text of the prompt.
+
+    Returns
+    -------
+    tuple of bytes
+        One identity a block, outermost first; each stands for the whole
+        prefix up to its end.
+
+    Examples
+    --------
+    >>> first = keys(b"s" * 16, "m", "", "1", "x" * 16000)
+    >>> len(first)
+    2
+    >>> first[:1] == keys(b"s" * 16, "m", "", "1", "x" * 8001)
+    True
+    >>> set(first) & set(keys(b"s" * 16, "m", "", "2", "x" * 16000))
+    set()
+    """
+    data = text.encode("utf-8", "surrogatepass")
+    parent = _digest(
+        f"{model}\n{adapter}\n{weights_version}".encode(), organisation_salt
+    )
+    chain = []
+    for start in range(0, len(data) - BLOCK_BYTES + 1, BLOCK_BYTES):
+        piece = data[start : start + BLOCK_BYTES]
+        parent = _digest(parent + piece, organisation_salt)
+        chain.append(parent)
+    return tuple(chain)
+
+
+def canonical_text(path: str, body: dict) -> str:
+    """Return the text whose blocks engines cache.
+
+    Parameters
+    ----------
+    path : str
+        ``/v1/completions`` or ``/v1/chat/completions``.
+    body : dict
+        The caller's JSON body.
+
+    Returns
+    -------
+    str
+        The prompt, or the messages joined as the engines join them.
+
+    Examples
+    --------
+    >>> canonical_text("/v1/completions", {"prompt": "hallo"})
+    'hallo'
+    >>> canonical_text("/v1/chat/completions", {
+    ...     "messages": [{"role": "user", "content": "hallo"}]})
+    'user\\nhallo\\n'
+    """
+    if path.endswith("/chat/completions"):
+        messages = body.get("messages") or ()
+        return "".join(_message_text(message) for message in messages)
+    return _content_text(body.get("prompt"))
+
+
+def prompt_tokens(text: str) -> int:
+    """Estimate the tokens of a canonical text.
+
+    Examples
+    --------
+    >>> prompt_tokens("x" * 9)
+    3
+    """
+    size_bytes = len(text.encode("utf-8", "surrogatepass"))
+    return -(-size_bytes // BYTES_PER_TOKEN)
+
+
+def _digest(data: bytes, key: bytes) -> bytes:
+    return hashlib.blake2b(data, key=key, digest_size=KEY_BYTES).digest()
+
+
+def _message_text(message: object) -> str:
+    if not isinstance(message, dict):
+        return _content_text(message)
+    content = _content_text(message.get("content"))
+    return f"{message.get('role', '')}\n{content}\n"
+
+
+def _content_text(content: object) -> str:
+    if content is None:
+        return ""
+    if isinstance(content, str):
+        return content
+    if _is_parts(content):
+        return "".join(str(part.get("text", "")) for part in content)
+    return json.dumps(content, ensure_ascii=False)
+
+
+def _is_parts(content: object) -> bool:
+    return isinstance(content, Sequence) and all(
+        isinstance(part, dict) for part in content
+    )
