--- /dev/null
+++ b/toucanrudder/filters/dispatch.py
@@ -0,0 +1,329 @@
+"""Last step of a model request: place it, run it, relay the answer."""
+
+import logging
+import uuid
+
+from aiohttp import web
+import attrs
+
+from toucanrudder import errors
+from toucanrudder import relay
+from toucanrudder import retries
+from toucanrudder.document import model
+from toucanrudder.filters import exchange as exchanges
+from toucanrudder.filters import headers
+from toucanrudder.observability import metrics
+from toucanrudder.placement import types
+from toucanrudder.quarantine import suspicion
+from toucanrudder.relay import attempt as attempts
+from toucanrudder.relay import sinks
+from toucanrudder.relay import tokens
+from toucanrudder.upstreams import engine
+from toucanrudder.upstreams import failures
+from toucanrudder.upstreams import in_flight
+
+LOG = logging.getLogger(__name__)
+
+STEP = "dispatch"
+
+_RETRY_KINDS = {
+    failures.Kind.NOT_REACHED: retries.Failure.NOT_CONNECTED,
+    failures.Kind.REFUSED: retries.Failure.REFUSED,
+    failures.Kind.CRASHED: retries.Failure.BROKEN,
+    failures.Kind.LOST: retries.Failure.BROKEN,
+    failures.Kind.SILENT: retries.Failure.TIMEOUT,
+    failures.Kind.CROSSED: retries.Failure.CROSSED,
+    failures.Kind.ERROR: retries.Failure.FAILED,
+}
+
+
+@attrs.define
+class ModelCall:
+    """One request's way over one or more engines.
+
+    Parameters
+    ----------
+    exchange : exchanges.Exchange
+        The request.
+    sink : sinks.Sink
+        Where its answer goes.
+    engine_id : str
+        Its identity at engines; a caller's own identity may not be unique.
+    """
+
+    exchange: exchanges.Exchange
+    sink: sinks.Sink
+    engine_id: str
+    order: relay.Sequencer
+    tried: set[str] = attrs.field(factory=set)
+    tries: int = 0
+    may_have_run: bool = False
+
+    @property
+    def fingerprint(self) -> str:
+        """Identity of the request over resends, for the quarantine."""
+        request = self.exchange.request
+        return suspicion.fingerprint(
+            request.organisation, request.body_sha256
+        )
+
+    async def run(self) -> None:
+        """Try engines until the answer is whole, or raise RudderError."""
+        while True:
+            decision, upstream = self._place()
+            self.tried.add(upstream.name)
+            self.tries += 1
+            try:
+                await self._try(decision, upstream)
+                return
+            except failures.UpstreamFailure as failure:
+                step = await self._after(failure, upstream)
+            await self.exchange.state.sleep(step.delay_s)
+
+    def _place(self) -> tuple[types.Decision, model.Upstream]:
+        state = self.exchange.state
+        now_s = state.now_s()
+        isolate = state.suspicions.check(self.fingerprint, now_s)
+        decision = state.fleet.decide(
+            self.exchange.request,
+            frozenset(self.tried),
+            isolate=isolate,
+            now_s=now_s,
+        )
+        return decision, state.upstream(decision.upstream)
+
+    async def _try(
+        self, decision: types.Decision, upstream: model.Upstream
+    ) -> None:
+        exchange = self.exchange
+        state = exchange.state
+        now_s = state.now_s()
+        request = exchange.request
+        state.budget(upstream.pool).request(now_s)
+        missing = request.prompt_tokens - decision.expected_hit_tokens
+        entry = in_flight.Entry(
+            self.fingerprint,
+            prefill_tokens=max(0, missing),
+            isolated=state.suspicions.is_suspect(self.fingerprint, now_s),
+        )
+        with state.in_flight.entry(upstream.name, entry):
+            attempt = self._attempt(decision, upstream, entry)
+            async with attempts.cancelled_if_unfinished(attempt, state.spawn):
+                self._believe_sent(decision, upstream)
+                self.sink.at(upstream.name)
+                await attempt.run()
+        self._learn(decision, upstream, attempt)
+
+    def _attempt(self, decision, upstream, entry) -> attempts.Attempt:
+        state = self.exchange.state
+
+        def first() -> None:
+            entry.prefill_tokens = 0
+            self._record_first_token()
+
+        return attempts.Attempt(
+            client=state.engines,
+            upstream=upstream,
+            call=self._engine_call(),
+            order=self.order,
+            sink=self.sink,
+            patience=state.patience(
+                upstream.name, self.exchange.request.first_token_by_s
+            ),
+            incarnation=decision.incarnation,
+            rng=state.rng,
+            on_first=first,
+        )
+
+    def _engine_call(self) -> engine.EngineCall:
+        request = self.exchange.request
+        body = {
+            **request.body,
+            "stream": True,
+            "stream_options": {"include_usage": True},
+        }
+        if self.order.last:
+            body["continue_from"] = {
+                "text": self.sink.text_so_far(),
+                "events": self.order.last,
+            }
+        return engine.EngineCall(
+            engine_id=self.engine_id,
+            path=request.path,
+            body=body,
+            priority=int(request.priority),
+            salt_hex=self.exchange.state.salt(request.organisation).hex(),
+        )
+
+    def _record_first_token(self) -> None:
+        exchange = self.exchange
+        metrics.histogram(
+            "toucanrudder_first_token_seconds", "s", "Time to first token"
+        ).record(
+            exchange.state.now_s() - exchange.arrived_s,
+            {"priority": exchange.request.priority.label},
+        )
+
+    def _believe_sent(self, decision, upstream) -> None:
+        state = self.exchange.state
+        state.beliefs.dispatched(
+            upstream.name,
+            decision.incarnation,
+            self.exchange.request.prefix_keys,
+            state.now_s(),
+        )
+
+    def _learn(self, decision, upstream, attempt) -> None:
+        usage = self.sink.usage() or {}
+        details = usage.get("prompt_tokens_details") or {}
+        cached = details.get("cached_tokens")
+        if cached is None or self.tries > 1:
+            # A continued answer's usage speaks of a longer prompt.
+            return
+        state = self.exchange.state
+        state.beliefs.answered(
+            upstream.name,
+            attempt.answered_by,
+            self.exchange.request.prefix_keys,
+            expected_tokens=decision.expected_hit_tokens,
+            cached_tokens=int(cached),
+            now_s=state.now_s(),
+        )
+
+    async def _after(
+        self, failure: failures.UpstreamFailure, upstream: model.Upstream
+    ) -> retries.Retry | retries.Continue:
+        exchange = self.exchange
+        state = exchange.state
+        LOG.warning(
+            "try failed: %s",
+            failure,
+            extra={
+                "request_id": exchange.request_id,
+                "organisation": exchange.request.organisation,
+                "step": STEP,
+                "peer": upstream.name,
+                "code": failure.kind.value,
+            },
+        )
+        if failure.kind is failures.Kind.REJECTED:
+            raise _Rejected(failure)
+        await state.note_failure(failure, upstream)
+        step = self._decide(failure)
+        if isinstance(step, retries.Refuse):
+            raise errors.RudderError(
+                step.code,
+                step.message,
+                step=STEP,
+                peer=upstream.name,
+                ran=step.ran,
+                retry_after_s=step.retry_after_s,
+            ) from failure
+        if failure.kind not in failures.PROVES_NOT_RUN:
+            self.may_have_run = True
+        metrics.retried(failure.kind.value)
+        return step
+
+    def _decide(self, failure: failures.UpstreamFailure):
+        exchange = self.exchange
+        state = exchange.state
+        request = exchange.request
+        now_s = state.now_s()
+        answer = retries.Answer(
+            repeatable=True,
+            sent_events=self.order.last,
+            can_continue=(
+                self.order.last > 0 and self.sink.text_so_far() is not None
+            ),
+            may_have_run=self.may_have_run,
+        )
+        policy = exchange.document.policy
+        # A stream that flows has met its deadline; it may be continued.
+        deadline_s = (
+            now_s + policy.first_token_deadline_s
+            if self.order.last
+            else request.first_token_by_s
+        )
+        return retries.decide(
+            _RETRY_KINDS[failure.kind],
+            answer,
+            tries=self.tries,
+            max_tries=policy.max_tries,
+            deadline_s=deadline_s,
+            budget=state.budget(_pool_of(state, failure.upstream)),
+            rng=state.rng,
+            now_s=now_s,
+        )
+
+
+class _Rejected(Exception):
+    """The engine found the request itself wrong; its words go back."""
+
+    def __init__(self, failure: failures.UpstreamFailure):
+        super().__init__(str(failure))
+        self.failure = failure
+
+
+def _pool_of(state, name: str) -> str:
+    upstream = state.upstream(name)
+    return upstream.pool if upstream else ""
+
+
+async def dispatch(exchange: exchanges.Exchange) -> web.StreamResponse:
+    """Answer a model request."""
+    engine_id = uuid.uuid4().hex
+    sink = _sink(exchange, engine_id)
+    call = ModelCall(
+        exchange=exchange,
+        sink=sink,
+        engine_id=engine_id,
+        order=relay.Sequencer(engine_id.encode()),
+    )
+    try:
+        await call.run()
+    except _Rejected as rejected:
+        return _rejection(rejected.failure, exchange)
+    except errors.RudderError as error:
+        if not sink.started:
+            raise
+        metrics.refused(error.code.value, error.step)
+        await sink.fail(error, exchange.request_id)
+    return await _finished(exchange, sink)
+
+
+def _sink(exchange: exchanges.Exchange, engine_id: str) -> sinks.Sink:
+    if not exchange.request.stream:
+        return sinks.WholeSink()
+    state = exchange.state
+
+    def token_for(upstream: str) -> str:
+        return tokens.sign(
+            state.conf.router.fleet_key,
+            tokens.Stream(upstream, engine_id, exchange.organisation.name),
+        )
+
+    return sinks.StreamSink(
+        exchange.http,
+        {headers.REQUEST_ID: exchange.request_id},
+        state.conf.router.write_timeout_s,
+        token_for=token_for,
+    )
+
+
+async def _finished(exchange, sink) -> web.StreamResponse:
+    if isinstance(sink, sinks.StreamSink):
+        await sink.response.write_eof()
+        return sink.response
+    return web.json_response(
+        sink.answer(), headers={headers.REQUEST_ID: exchange.request_id}
+    )
+
+
+def _rejection(failure, exchange) -> web.Response:
+    metrics.refused("rejected_by_engine", STEP)
+    return web.Response(
+        body=failure.body,
+        status=failure.status,
+        content_type="application/json",
+        headers={headers.REQUEST_ID: exchange.request_id},
+    )
--- /dev/null
+++ b/toucanrudder/filters/guard.py
@@ -0,0 +1,86 @@
+"""Outermost filter: identity, counting, and errors as answers."""
+
+import asyncio
+import logging
+import math
+
+from aiohttp import web
+
+from toucanrudder import errors
+from toucanrudder.filters import chain
+from toucanrudder.filters import exchange as exchanges
+from toucanrudder.filters import headers
+from toucanrudder.observability import metrics
+from toucanrudder.relay import sinks
+
+LOG = logging.getLogger(__name__)
+
+#: Status in logs for a caller who left; nobody receives it.
+CLIENT_CLOSED = 499
+
+
+def error_response(
+    error: errors.RudderError, request_id: str
+) -> web.Response:
+    """Return the answer that tells the caller of the error."""
+    answer_headers = {headers.REQUEST_ID: request_id}
+    if error.retry_after_s is not None:
+        answer_headers["Retry-After"] = str(math.ceil(error.retry_after_s))
+    if error.code is errors.Code.UNAUTHORIZED:
+        answer_headers["WWW-Authenticate"] = "Bearer"
+    return web.json_response(
+        error.as_body(request_id), status=error.status, headers=answer_headers
+    )
+
+
+async def guard(
+    exchange: exchanges.Exchange, call_next: chain.Handler
+) -> web.StreamResponse:
+    """Count the exchange in, and turn each error into its answer."""
+    with exchange.state.exchanges.counted():
+        try:
+            return await call_next(exchange)
+        except errors.RudderError as error:
+            _report(error, exchange)
+            return error_response(error, exchange.request_id)
+        except sinks.CallerGone:
+            metrics.counter(
+                "toucanrudder_callers_gone", "Callers who left or stalled"
+            ).add(1)
+            return web.Response(status=CLIENT_CLOSED)
+        except asyncio.CancelledError:
+            metrics.counter(
+                "toucanrudder_callers_gone", "Callers who left or stalled"
+            ).add(1)
+            raise
+        except Exception:
+            LOG.exception(
+                "unexpected failure",
+                extra={"request_id": exchange.request_id, "step": "guard"},
+            )
+            # Whether an upstream ran the request cannot be known here.
+            error = errors.RudderError(
+                errors.Code.INTERNAL,
+                "the router failed",
+                step="guard",
+                ran=errors.Ran.UNKNOWN,
+            )
+            _report(error, exchange)
+            return error_response(error, exchange.request_id)
+
+
+def _report(
+    error: errors.RudderError, exchange: exchanges.Exchange
+) -> None:
+    metrics.refused(error.code.value, error.step)
+    organisation = exchange.organisation
+    LOG.info(
+        "refused",
+        extra={
+            "request_id": exchange.request_id,
+            "organisation": organisation.name if organisation else "",
+            "step": error.step,
+            "peer": error.peer,
+            "code": error.code.value,
+        },
+    )
--- /dev/null
+++ b/toucanrudder/router/fleet.py
@@ -0,0 +1,126 @@
+"""Joins what is known of engines into the view that placement needs."""
+
+import random
+
+from toucanrudder.document import model
+from toucanrudder.messages import request as requests
+from toucanrudder.placement import policies
+from toucanrudder.placement import types
+from toucanrudder.prefix import beliefs
+from toucanrudder.prefix import heat
+from toucanrudder.upstreams import in_flight
+from toucanrudder.upstreams import loads
+
+
+class Fleet:
+    """Engines as this router sees them.
+
+    Parameters
+    ----------
+    zone : str
+        This router's availability zone.
+    policy_name : str
+        Placement policy by its name in the settings.
+    load_table : loads.LoadTable
+        Reports.
+    own : in_flight.InFlight
+        This router's own work.
+    believed : beliefs.Beliefs
+        Where prefixes are believed cached.
+    hot : heat.Heat
+        Rates of prefixes.
+    rng : random.Random
+        For ties.
+    """
+
+    def __init__(
+        self,
+        *,
+        zone: str,
+        policy_name: str,
+        load_table: loads.LoadTable,
+        own: in_flight.InFlight,
+        believed: beliefs.Beliefs,
+        hot: heat.Heat,
+        rng: random.Random,
+    ):
+        self._zone = zone
+        self._policy = policies.by_name(policy_name)
+        self._loads = load_table
+        self._own = own
+        self._beliefs = believed
+        self._heat = hot
+        self._rng = rng
+
+    def decide(
+        self,
+        request: requests.ModelRequest,
+        engines: tuple[model.Upstream, ...],
+        *,
+        excluded: frozenset[str],
+        policy: model.Policy,
+        routers: int,
+        now_s: float,
+    ) -> types.Decision:
+        """Choose among `engines`; errors as `policies.decide`."""
+        views = tuple(self._view(each, request, now_s) for each in engines)
+        keys = request.prefix_keys
+        self._heat.add(keys, now_s)
+        fleet = types.FleetView(
+            upstreams=views,
+            zone=self._zone,
+            routers=routers,
+            heat=self._heat.rates(keys, now_s),
+            total_rate_per_s=self._heat.total_rate_per_s(now_s),
+        )
+        query = types.Query(
+            request_id=request.request_id,
+            organisation=request.organisation,
+            priority=request.priority,
+            prefix_keys=keys,
+            prompt_tokens=request.prompt_tokens,
+            deadline_s=request.first_token_by_s,
+        )
+        context = types.Context(
+            policy=policy, rng=self._rng, excluded=excluded
+        )
+        return policies.decide(self._policy, fleet, query, context, now_s)
+
+    def _view(
+        self,
+        upstream: model.Upstream,
+        request: requests.ModelRequest,
+        now_s: float,
+    ) -> types.UpstreamView:
+        known = self._loads.get(upstream.name)
+        own_requests = self._own.requests(upstream.name)
+        own_tokens = self._own.prefill_tokens(upstream.name)
+        if known is None:
+            return types.UpstreamView(
+                name=upstream.name,
+                zone=upstream.zone,
+                incarnation="",
+                weights_version="",
+                slots=upstream.slots,
+                own_in_flight=own_requests,
+                own_prefill_tokens=own_tokens,
+                reported_at_s=now_s,
+            )
+        report = known.report
+        return types.UpstreamView(
+            name=upstream.name,
+            zone=upstream.zone,
+            incarnation=report.incarnation,
+            weights_version=report.models.get(request.model, ""),
+            slots=report.slots,
+            running=report.running,
+            waiting=report.waiting,
+            queued_prefill_tokens=report.queued_prefill_tokens,
+            prefill_tokens_per_s=report.prefill_tokens_per_s,
+            reported_at_s=known.received_s,
+            own_in_flight=own_requests,
+            own_prefill_tokens=own_tokens,
+            believed_tokens=self._beliefs.believed_tokens(
+                upstream.name, report.incarnation, request.prefix_keys, now_s
+            ),
+        )
--- /dev/null
+++ b/toucanrudder/upstreams/engine.py
@@ -0,0 +1,213 @@
+"""Client of one model engine: start, resume and cancel streams."""
+
+from collections.abc import AsyncIterator
+import contextlib
+
+import aiohttp
+import attrs
+
+from toucanrudder.document import model
+from toucanrudder.upstreams import failures
+
+#: Cancelling is a courtesy to the engine; nobody waits longer for it.
+CANCEL_TIMEOUT_S = 2.0
+
+#: A rejection's body is shown to the caller up to this size.
+MAX_ERROR_BYTES = 16_384
+
+
+@attrs.frozen
+class EngineCall:
+    """A request as an engine is asked.
+
+    Parameters
+    ----------
+    engine_id : str
+        Identity of the request at the engine; the engine repeats it in
+        its answer and in each chunk.
+    path : str
+        Path of the API.
+    body : dict
+        JSON body.
+    priority : int
+        0 urgent, 1 normal, 2 background.
+    salt_hex : str
+        Cache salt of the organisation, 32 hex digits.
+    """
+
+    engine_id: str
+    path: str
+    body: dict = attrs.field(repr=False)
+    priority: int
+    salt_hex: str = attrs.field(repr=False)
+
+
+@attrs.frozen
+class Answer:
+    """An engine's open answer, its headers checked."""
+
+    incarnation: str
+    weights_version: str
+    content: aiohttp.StreamReader = attrs.field(repr=False)
+
+
+class EngineClient:
+    """Calls engines over a shared session.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Owned by the daemon.
+    connect_timeout_s : float
+        Seconds for opening a connection.
+    headers_timeout_s : float
+        Seconds until the headers of a resumed stream must have come.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        connect_timeout_s: float,
+        headers_timeout_s: float,
+    ):
+        self._session = session
+        self._opening = aiohttp.ClientTimeout(
+            total=None, sock_connect=connect_timeout_s
+        )
+        self._resuming = aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=connect_timeout_s,
+            sock_read=headers_timeout_s,
+        )
+
+    @contextlib.asynccontextmanager
+    async def start(
+        self, upstream: model.Upstream, call: EngineCall
+    ) -> AsyncIterator[Answer]:
+        """Send the request and yield the open answer.
+
+        Raises
+        ------
+        UpstreamFailure
+            Of kind ``not_reached``, ``refused``, ``rejected``, ``error``,
+            ``crossed``; or ``silent`` when the connection broke after the
+            request may have been sent, so that resuming will tell.
+        """
+        request = self._session.post(
+            f"http://{upstream.address}{call.path}",
+            json=call.body,
+            headers={
+                "X-Request-Id": call.engine_id,
+                "X-Priority": str(call.priority),
+                "X-Cache-Salt": call.salt_hex,
+            },
+            timeout=self._opening,
+        )
+        async with self._answer(request, upstream, call.engine_id) as answer:
+            yield answer
+
+    @contextlib.asynccontextmanager
+    async def resume(
+        self, upstream: model.Upstream, engine_id: str, after: int
+    ) -> AsyncIterator[Answer]:
+        """Open the stream again, on a connection of its own, after an event.
+
+        A new connection matters: the pool's idle ones may run over the
+        same path that lost track of the first.
+
+        Raises
+        ------
+        UpstreamFailure
+            As `start`; ``lost`` when the engine does not know the stream.
+        """
+        request = self._session.get(
+            f"http://{upstream.address}/v1/streams/{engine_id}",
+            params={"after": str(after)},
+            headers={"Connection": "close"},
+            timeout=self._resuming,
+        )
+        async with self._answer(request, upstream, engine_id) as answer:
+            yield answer
+
+    async def cancel(self, upstream: model.Upstream, engine_id: str) -> bool:
+        """Stop the work; return whether the engine confirmed."""
+        try:
+            async with self._session.post(
+                f"http://{upstream.address}/v1/requests/{engine_id}/cancel",
+                timeout=aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_S),
+            ) as response:
+                return response.status < 300
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return False
+
+    @contextlib.asynccontextmanager
+    async def _answer(self, request, upstream, engine_id):
+        name = upstream.name
+        try:
+            response = await request
+        except aiohttp.ClientConnectorError as error:
+            raise failures.UpstreamFailure(
+                failures.Kind.NOT_REACHED,
+                name,
+                str(error),
+                connection_refused=isinstance(
+                    error.os_error, ConnectionRefusedError
+                ),
+            ) from error
+        except aiohttp.ConnectionTimeoutError as error:
+            raise failures.UpstreamFailure(
+                failures.Kind.NOT_REACHED, name, "no connection in time"
+            ) from error
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise failures.UpstreamFailure(
+                failures.Kind.SILENT, name, repr(error)
+            ) from error
+        try:
+            if response.status != 200:
+                raise await _refusal(response, name)
+            yield _checked(response, name, engine_id)
+        finally:
+            # An answer that was left half read must not go back to the
+            # pool: the next request on it would read this one's bytes.
+            if not response.content.at_eof():
+                response.close()
+            response.release()
+
+
+def _checked(response, name: str, engine_id: str) -> Answer:
+    # A proxy or an engine that mixes up pipelined answers hands us another
+    # caller's stream.  The identity it repeats is the only witness.
+    if response.headers.get("X-Request-Id") != engine_id:
+        response.close()
+        raise failures.UpstreamFailure(
+            failures.Kind.CROSSED, name, "answer to another request"
+        )
+    return Answer(
+        incarnation=response.headers.get("X-Incarnation", ""),
+        weights_version=response.headers.get("X-Weights-Version", ""),
+        content=response.content,
+    )
+
+
+async def _refusal(response, name: str) -> failures.UpstreamFailure:
+    try:
+        body = await response.content.read(MAX_ERROR_BYTES)
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        body = b""
+    status = response.status
+    if status == 503 and response.headers.get("X-Not-Run") == "1":
+        kind = failures.Kind.REFUSED
+    elif status == 404 and response.method == "GET":
+        kind = failures.Kind.LOST
+    elif 400 <= status < 500 and status != 429:
+        kind = failures.Kind.REJECTED
+    else:
+        kind = failures.Kind.ERROR
+    return failures.UpstreamFailure(
+        kind,
+        name,
+        f"status {status}",
+        status=status,
+        body=body,
+        incarnation=response.headers.get("X-Incarnation", ""),
+    )
--- /dev/null
+++ b/toucanrudder/upstreams/in_flight.py
@@ -0,0 +1,78 @@
+"""This router's own work at each upstream."""
+
+from collections.abc import Iterator
+import contextlib
+
+import attrs
+
+
+@attrs.define(eq=False)
+class Entry:
+    """One request that is at an upstream now.
+
+    Parameters
+    ----------
+    fingerprint : str
+        Organisation and body digest, as the quarantine knows it.
+    prefill_tokens : int
+        Prompt tokens it still has to compute there, expected; 0 once the
+        first token has come.
+    isolated : bool
+        Whether it is a suspect that runs alone among suspects.
+    """
+
+    fingerprint: str
+    prefill_tokens: int
+    isolated: bool = False
+
+
+class InFlight:
+    """Entries by upstream.
+
+    Examples
+    --------
+    >>> from toucanrudder.upstreams import in_flight
+    >>> table = in_flight.InFlight()
+    >>> with table.entry("e1", in_flight.Entry("f", 100)):
+    ...     table.requests("e1"), table.prefill_tokens("e1")
+    (1, 100)
+    >>> table.requests("e1")
+    0
+    """
+
+    def __init__(self):
+        self._entries: dict[str, set[Entry]] = {}
+
+    @contextlib.contextmanager
+    def entry(self, upstream: str, entry: Entry) -> Iterator[Entry]:
+        """Count the entry for as long as the context is open."""
+        entries = self._entries.setdefault(upstream, set())
+        entries.add(entry)
+        try:
+            yield entry
+        finally:
+            entries.discard(entry)
+
+    def requests(self, upstream: str) -> int:
+        """Return how many requests are there."""
+        return len(self._entries.get(upstream, ()))
+
+    def prefill_tokens(self, upstream: str) -> int:
+        """Return the tokens sent there that gave no first token yet."""
+        return sum(
+            entry.prefill_tokens for entry in self._entries.get(upstream, ())
+        )
+
+    def entries(self, upstream: str) -> tuple[Entry, ...]:
+        """Return the entries at the upstream."""
+        return tuple(self._entries.get(upstream, ()))
+
+    def has_isolated(self, upstream: str) -> bool:
+        """Whether a suspect runs there."""
+        return any(
+            entry.isolated for entry in self._entries.get(upstream, ())
+        )
+
+    def total(self) -> int:
+        """Return the requests at all upstreams."""
+        return sum(len(entries) for entries in self._entries.values())
