Add claims, admission and retry decisions

Non-repeatable requests need a claim before dispatch, waiting requests an order and failed tries a bound. A claim costs one conditional create on the common path; a second write that marks the dispatch was ruled out, since it doubles the store's writes and only turns some 'outcome unknown' answers into 'not run'. Admission keeps one lane per organisation with a tally of its service, in which a class counts as a bounded lead; strict classes would let an urgent flood starve seven small organisations.

Adds the code already_done for a request that ran and whose answer was too large to keep.

--- /dev/null
+++ b/toucanrudder/claims/record.py
@@ -0,0 +1,147 @@
+"""The stored form of a claim."""
+
+import base64
+import enum
+import hashlib
+
+import attrs
+
+KIND = "claims"
+
+
+class State(enum.Enum):
+    """What is known about the execution of a claimed request.
+
+    ``STARTED`` covers everything from the claim's creation to its result:
+    whoever reads it must assume that the request may have run.
+    """
+
+    STARTED = "started"
+    NOT_RUN = "not_run"
+    DONE = "done"
+
+
+@attrs.frozen
+class Result:
+    """An upstream's answer, kept so that a resend gets it.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    headers : tuple of (str, str)
+        Headers that the caller was given.
+    body : bytes
+        Whole body.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = attrs.field(default=b"", repr=False)
+
+
+@attrs.frozen
+class Record:
+    """The value of a claim object.
+
+    Parameters
+    ----------
+    attempt : str
+        Identity of the try that holds the claim.
+    body_sha256 : str
+        Digest of what the caller asked for.
+    state : State
+        What is known about the execution.
+    router : str
+        Router that holds the claim.
+    created_unix_s : float
+        Wall clock of that router at the claim's creation.
+    result : Result or None
+        The retained answer of a ``DONE`` claim; None if it was too large.
+    """
+
+    attempt: str
+    body_sha256: str
+    state: State
+    router: str
+    created_unix_s: float
+    result: Result | None = None
+
+    def to_value(self) -> dict:
+        """Return the JSON value to store."""
+        value = {
+            "attempt": self.attempt,
+            "body_sha256": self.body_sha256,
+            "state": self.state.value,
+            "router": self.router,
+            "created_unix_s": self.created_unix_s,
+        }
+        if self.result is not None:
+            value["result"] = {
+                "status": self.result.status,
+                "headers": [list(pair) for pair in self.result.headers],
+                "body_base64": base64.b64encode(self.result.body).decode(),
+            }
+        return value
+
+    @classmethod
+    def from_value(cls, value: dict) -> "Record":
+        """Read a stored value.
+
+        Raises
+        ------
+        ValueError, KeyError, TypeError
+            The value isn't one that this version can read.
+        """
+        result = value.get("result")
+        if result is not None:
+            result = Result(
+                int(result["status"]),
+                tuple((name, text) for name, text in result["headers"]),
+                base64.b64decode(result["body_base64"]),
+            )
+        return cls(
+            attempt=str(value["attempt"]),
+            body_sha256=str(value["body_sha256"]),
+            state=State(value["state"]),
+            router=str(value["router"]),
+            created_unix_s=float(value["created_unix_s"]),
+            result=result,
+        )
+
+
+@attrs.frozen
+class Found:
+    """A claim as it was read from the store.
+
+    `record` is None when this version cannot read the value.
+    """
+
+    version: int
+    record: Record | None
+
+
+def name_of(organisation: str, key: str) -> str:
+    """Return the object name of a claim.
+
+    Parameters
+    ----------
+    organisation : str
+        Owner of the idempotency key.
+    key : str
+        The idempotency key; only its digest leaves the router, since
+        callers put personal data into keys.
+
+    Returns
+    -------
+    str
+        ``organisation.digest``.  The digest's length is fixed, so no two
+        organisations can meet in one name.
+
+    Examples
+    --------
+    >>> name_of("acme", "booking-7")[:12]
+    'acme.587263d'
+    """
+    digest = hashlib.sha256(key.encode()).hexdigest()
+    return f"{organisation}.{digest}"
--- a/toucanrudder/errors/codes.py
+++ b/toucanrudder/errors/codes.py
@@ -33,6 +33,7 @@
     IDEMPOTENCY_KEY_REQUIRED = "idempotency_key_required"
     IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
     ALREADY_STARTED = "already_started"
+    ALREADY_DONE = "already_done"
     OUTCOME_UNKNOWN = "outcome_unknown"
     CLAIM_EXPIRED = "claim_expired"
     STORE_UNAVAILABLE = "store_unavailable"
@@ -96,6 +97,7 @@
     Code.IDEMPOTENCY_KEY_REQUIRED: _BAD_REQUEST,
     Code.IDEMPOTENCY_KEY_REUSED: Traits(http.HTTPStatus.UNPROCESSABLE_ENTITY),
     Code.ALREADY_STARTED: _CONFLICT,
+    Code.ALREADY_DONE: _CONFLICT,
     Code.OUTCOME_UNKNOWN: _CONFLICT,
     Code.CLAIM_EXPIRED: _UNAVAILABLE,
     Code.STORE_UNAVAILABLE: _UNAVAILABLE,
--- a/toucanrudder/retries/__init__.py
+++ b/toucanrudder/retries/__init__.py
@@ -1,1 +1,19 @@
-"""Retry budgets, back-off and deadlines."""
+"""Whether a failed try is worth another."""
+
+from toucanrudder.retries.budget import RetryBudget
+from toucanrudder.retries.decision import Answer
+from toucanrudder.retries.decision import Continue
+from toucanrudder.retries.decision import decide
+from toucanrudder.retries.decision import Failure
+from toucanrudder.retries.decision import Refuse
+from toucanrudder.retries.decision import Retry
+
+__all__ = (
+    "Answer",
+    "Continue",
+    "Failure",
+    "Refuse",
+    "Retry",
+    "RetryBudget",
+    "decide",
+)
