--- /dev/null
+++ b/toucanrudder/router/exchanges.py
@@ -0,0 +1,48 @@
+"""Requests that are open at this router."""
+
+import asyncio
+from collections.abc import Iterator
+import contextlib
+
+
+class OpenExchanges:
+    """Counts open requests and remembers when the last one arrived."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._open = 0
+        self._changed = asyncio.Event()
+        self.last_arrival_s = clock()
+
+    @property
+    def open(self) -> int:
+        """Requests open now."""
+        return self._open
+
+    @contextlib.contextmanager
+    def counted(self) -> Iterator[None]:
+        """Count one request for as long as the context is open."""
+        self._open += 1
+        self.last_arrival_s = self._clock()
+        try:
+            yield
+        finally:
+            self._open -= 1
+            self._changed.set()
+
+    async def quiet(self, for_s: float) -> None:
+        """Wait until nothing is open and nothing has come for `for_s`.
+
+        A caller's pooled connection may bring a request just as the router
+        decides to leave; leaving only after a quiet time, in which answers
+        have told callers to close, is what keeps such requests whole.
+        """
+        while True:
+            since_s = self._clock() - self.last_arrival_s
+            if self._open == 0 and since_s >= for_s:
+                return
+            self._changed.clear()
+            wait_s = max(0.01, for_s - since_s) if self._open == 0 else 1.0
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait_s):
+                    await self._changed.wait()
--- /dev/null
+++ b/toucanrudder/router/state.py
@@ -0,0 +1,205 @@
+"""What the filters of one router share."""
+
+import asyncio
+import functools
+import random
+import time
+
+import attrs
+from oslo_config import cfg
+
+from toucanrudder import admission
+from toucanrudder import claims
+from toucanrudder import errors
+from toucanrudder import retries
+from toucanrudder import store
+from toucanrudder.controllers import configuration
+from toucanrudder.document import model
+from toucanrudder.membership import routers as router_tables
+from toucanrudder.messages import request as requests
+from toucanrudder.placement import types
+from toucanrudder.prefix import beliefs
+from toucanrudder.prefix import heat
+from toucanrudder.prefix import identity
+from toucanrudder.quarantine import suspicion
+from toucanrudder.relay import attempt as attempts
+from toucanrudder.router import background
+from toucanrudder.router import exchanges
+from toucanrudder.router import fleet
+from toucanrudder.upstreams import engine
+from toucanrudder.upstreams import failures
+from toucanrudder.upstreams import in_flight
+from toucanrudder.upstreams import loads
+
+STEP = "state"
+NOT_CONFIGURED_RETRY_S = 1.0
+
+
+@attrs.frozen
+class _Index:
+    """Tables derived from one document."""
+
+    accepted: model.Accepted
+    by_digest: dict[str, model.Organisation]
+    upstreams: dict[str, model.Upstream]
+
+
+def _index(accepted: model.Accepted) -> _Index:
+    document = accepted.document
+    return _Index(
+        accepted,
+        {
+            digest: organisation
+            for organisation in document.organisations
+            for digest in organisation.api_key_sha256s
+        },
+        {upstream.name: upstream for upstream in document.upstreams},
+    )
+
+
+@attrs.define(eq=False)
+class RouterState:
+    """Tables and clients of one router; each has one owner that writes it.
+
+    Built by :func:`toucanrudder.router.assembly.build`.
+    """
+
+    conf: cfg.ConfigOpts
+    rng: random.Random
+    objects: store.ObjectStore
+    configuration: configuration.ConfigurationController
+    routers: router_tables.RouterTable
+    engines: engine.EngineClient
+    loads: loads.LoadTable
+    in_flight: in_flight.InFlight
+    beliefs: beliefs.Beliefs
+    heat: heat.Heat
+    fleet: fleet.Fleet
+    admission: admission.AdmissionQueue
+    limiter: admission.RateLimiter
+    claims: claims.ClaimKeeper
+    suspicions: suspicion.Suspicions
+    exchanges: exchanges.OpenExchanges
+    background: background.Background
+    stopping: bool = False
+    _budgets: dict[str, retries.RetryBudget] = attrs.field(factory=dict)
+    _indexed: _Index | None = None
+
+    @staticmethod
+    def now_s() -> float:
+        """Monotonic time; the loop's timeouts count by the same clock."""
+        return time.monotonic()
+
+    async def sleep(self, delay_s: float) -> None:
+        """Wait between two tries."""
+        await asyncio.sleep(delay_s)
+
+    def spawn(self, coroutine) -> None:
+        """Run a coroutine in the background."""
+        self.background.spawn(coroutine)
+
+    def _index(self) -> _Index:
+        accepted = self.configuration.current
+        if accepted is None:
+            raise errors.RudderError(
+                errors.Code.NOT_CONFIGURED,
+                "no configuration has been obtained yet",
+                step=STEP,
+                peer="store",
+                retry_after_s=NOT_CONFIGURED_RETRY_S,
+            )
+        indexed = self._indexed
+        if indexed is None or indexed.accepted is not accepted:
+            indexed = self._indexed = _index(accepted)
+        return indexed
+
+    def document(self) -> model.Document:
+        """Return the configuration in force."""
+        return self._index().accepted.document
+
+    def organisations_by_digest(self) -> dict[str, model.Organisation]:
+        """Return organisations by the SHA-256 of their API keys."""
+        return self._index().by_digest
+
+    def upstream(self, name: str) -> model.Upstream | None:
+        """Return the upstream of this name, if it is configured."""
+        return self._index().upstreams.get(name)
+
+    def salt(self, organisation: str) -> bytes:
+        """Return the organisation's cache salt."""
+        return _salt(self.conf.router.fleet_key, organisation)
+
+    def live_routers(self, now_s: float) -> int:
+        """Return the number of live routers, this one included."""
+        return self.routers.count(now_s)
+
+    def budget(self, pool: str) -> retries.RetryBudget:
+        """Return the retry budget of an upstream pool."""
+        budget = self._budgets.get(pool)
+        if budget is None:
+            ratio = self.document().policy.retry_ratio
+            budget = self._budgets[pool] = retries.RetryBudget(ratio=ratio)
+        return budget
+
+    def patience(
+        self, upstream: str, first_token_by_s: float
+    ) -> attempts.Patience:
+        """Return how long a try at the upstream may be silent."""
+        known = self.loads.get(upstream)
+        pace_s = known.report.decode_s_per_token if known else 0.0
+        return attempts.Patience(
+            silent_event_s=self.conf.upstreams.silent_event_s,
+            decode_s_per_token=pace_s,
+            first_token_by_s=first_token_by_s,
+        )
+
+    def usable(self, upstream: model.Upstream, now_s: float) -> bool:
+        """Whether new work may be sent to the upstream."""
+        if upstream.drained or not self.loads.healthy(upstream.name, now_s):
+            return False
+        known = self.loads.get(upstream.name)
+        return known is None or known.report.state == "live"
+
+    def engines_for(
+        self, model_name: str, now_s: float
+    ) -> tuple[model.Upstream, ...]:
+        """Return the engines that may be given work for the model."""
+        return tuple(
+            upstream
+            for upstream in self._index().upstreams.values()
+            if upstream.kind == model.ENGINE
+            and model_name in upstream.models
+            and self.usable(upstream, now_s)
+        )
+
+    def place(
+        self,
+        request: requests.ModelRequest,
+        tried: frozenset[str],
+        now_s: float,
+    ) -> types.Decision:
+        """Choose an engine; errors as `placement.policies.decide`."""
+        return self.fleet.decide(
+            request,
+            self.engines_for(request.model, now_s),
+            excluded=tried,
+            policy=self.document().policy,
+            routers=self.live_routers(now_s),
+            now_s=now_s,
+        )
+
+    async def note_failure(
+        self, failure: failures.UpstreamFailure, upstream: model.Upstream
+    ) -> None:
+        """Take in what a failed try says of the upstream."""
+        now_s = self.now_s()
+        if failure.kind in (
+            failures.Kind.NOT_REACHED,
+            failures.Kind.CRASHED,
+        ):
+            self.loads.failed(upstream.name, now_s)
+
+
+@functools.lru_cache(maxsize=4096)
+def _salt(fleet_key: str, organisation: str) -> bytes:
+    return identity.salt(fleet_key, organisation)
