--- /dev/null
+++ b/toucanrudder/store/http.py
@@ -0,0 +1,253 @@
+"""The platform's object API over HTTP; see docs/protocols.md."""
+
+import collections
+import http
+import json
+import urllib.parse
+
+import aiohttp
+
+from toucanrudder.observability import metrics
+from toucanrudder.store import interface
+
+WATCH_MARGIN_S = 2.0
+
+_REFUSED = (
+    http.HTTPStatus.TOO_MANY_REQUESTS,
+    http.HTTPStatus.SERVICE_UNAVAILABLE,
+)
+_CONDITION_FAILED = (
+    http.HTTPStatus.NOT_FOUND,
+    http.HTTPStatus.CONFLICT,
+    http.HTTPStatus.PRECONDITION_FAILED,
+)
+_NEVER_SENT = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+)
+
+
+async def _send_once(request, handler):
+    # aiohttp repeats a PUT or DELETE by itself when a kept connection
+    # breaks.  If the first one took effect, the repetition's failed
+    # condition would read as "no effect".  An exception that aiohttp does
+    # not know ends the call after one sending.
+    try:
+        return await handler(request)
+    except _NEVER_SENT as error:
+        raise interface.StoreUnavailable(str(error)) from error
+    except (aiohttp.ClientError, OSError) as error:
+        raise interface.OutcomeUnknown(
+            f"{type(error).__name__}: {error}"
+        ) from error
+
+
+class HttpObjectStore(interface.ObjectStore):
+    """Objects of the platform.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:port`` of the object API.
+    session : aiohttp.ClientSession
+        Session whose connections are used; the caller closes it.
+
+    Attributes
+    ----------
+    counts : collections.Counter
+        Calls made so far, by ``(kind of object, operation)``.
+    """
+
+    def __init__(self, address: str, session: aiohttp.ClientSession):
+        self.counts: collections.Counter = collections.Counter()
+        self._base = f"http://{address}/objects"
+        self._session = session
+
+    def _url(self, kind: str, name: str = "") -> str:
+        url = f"{self._base}/{urllib.parse.quote(kind, safe='')}"
+        if name:
+            url += f"/{urllib.parse.quote(name, safe='')}"
+        return url
+
+    def _count(self, kind: str, operation: str) -> None:
+        self.counts[kind, operation] += 1
+        metrics.counter("toucanrudder_store_calls", "Store calls").add(
+            1, {"kind": kind, "operation": operation}
+        )
+
+    async def _call(
+        self, method: str, url: str, timeout_s: float, **options
+    ) -> tuple[int, dict]:
+        timeout = aiohttp.ClientTimeout(
+            total=timeout_s, sock_connect=timeout_s
+        )
+        try:
+            async with self._session.request(
+                method,
+                url,
+                timeout=timeout,
+                middlewares=(_send_once,),
+                **options,
+            ) as response:
+                text = await response.text()
+                return response.status, _decode(response.status, text)
+        except _NEVER_SENT as error:
+            raise interface.StoreUnavailable(str(error)) from error
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            # TimeoutError is an OSError.
+            raise interface.OutcomeUnknown(
+                f"{type(error).__name__}: {error}"
+            ) from error
+
+    async def _read(
+        self, url: str, timeout_s: float, **options
+    ) -> tuple[int, dict]:
+        try:
+            status, body = await self._call("GET", url, timeout_s, **options)
+        except interface.OutcomeUnknown as error:
+            raise interface.StoreUnavailable(str(error)) from error
+        if status >= http.HTTPStatus.BAD_REQUEST and (
+            status != http.HTTPStatus.NOT_FOUND
+        ):
+            raise interface.StoreUnavailable(f"answered {status}")
+        return status, body
+
+    async def _write(
+        self, method: str, url: str, timeout_s: float, **options
+    ) -> dict:
+        status, body = await self._call(method, url, timeout_s, **options)
+        if status < http.HTTPStatus.BAD_REQUEST:
+            return body
+        if status in _CONDITION_FAILED:
+            raise interface.ConditionFailed(f"answered {status}")
+        if (
+            status in _REFUSED
+            or status < http.HTTPStatus.INTERNAL_SERVER_ERROR
+        ):
+            raise interface.StoreUnavailable(f"answered {status}")
+        raise interface.OutcomeUnknown(f"answered {status}")
+
+    async def get(
+        self, kind: str, name: str, *, timeout_s: float
+    ) -> interface.StoredObject | None:
+        """Return the object, or None when there is none."""
+        self._count(kind, "get")
+        status, body = await self._read(self._url(kind, name), timeout_s)
+        if status == http.HTTPStatus.NOT_FOUND:
+            return None
+        return _object(kind, body)
+
+    async def create(
+        self, kind: str, name: str, value: dict, *, timeout_s: float
+    ) -> int:
+        """Create the object if there is none; return its version."""
+        self._count(kind, "create")
+        body = await self._write(
+            "PUT",
+            self._url(kind, name),
+            timeout_s,
+            json=value,
+            headers={"If-None-Match": "*"},
+        )
+        return _version(body)
+
+    async def update(
+        self,
+        kind: str,
+        name: str,
+        value: dict,
+        version: int,
+        *,
+        timeout_s: float,
+    ) -> int:
+        """Replace the object if it has `version`; return the new one."""
+        self._count(kind, "update")
+        body = await self._write(
+            "PUT",
+            self._url(kind, name),
+            timeout_s,
+            json=value,
+            headers={"If-Match": str(version)},
+        )
+        return _version(body)
+
+    async def delete(
+        self, kind: str, name: str, version: int, *, timeout_s: float
+    ) -> None:
+        """Delete the object if it has `version`."""
+        self._count(kind, "delete")
+        await self._write(
+            "DELETE",
+            self._url(kind, name),
+            timeout_s,
+            headers={"If-Match": str(version)},
+        )
+
+    async def list(
+        self,
+        kind: str,
+        *,
+        prefix: str = "",
+        after: str = "",
+        limit: int = 100,
+        timeout_s: float,
+    ) -> list[interface.StoredObject]:
+        """Return up to `limit` objects by name, after the name `after`."""
+        self._count(kind, "list")
+        _, body = await self._read(
+            self._url(kind),
+            timeout_s,
+            params={"prefix": prefix, "after": after, "limit": str(limit)},
+        )
+        return [_object(kind, item) for item in body.get("items", ())]
+
+    async def watch(
+        self,
+        kind: str,
+        name: str,
+        version: int,
+        *,
+        wait_s: float,
+    ) -> interface.StoredObject | None:
+        """Wait until the version differs; None if `wait_s` passed first.
+
+        A deleted object is not distinguished from an unchanged one.
+        """
+        self._count(kind, "watch")
+        # Something between the ends may have lost the connection: then
+        # no answer ever comes, which looks like "no change".  The store
+        # answers after wait_s at the latest, so more silence than that
+        # and a margin means a dead path.
+        status, body = await self._read(
+            self._url(kind, name),
+            wait_s + WATCH_MARGIN_S,
+            params={"after_version": str(version), "wait_s": str(wait_s)},
+        )
+        if status in (http.HTTPStatus.NOT_MODIFIED, http.HTTPStatus.NOT_FOUND):
+            return None
+        return _object(kind, body)
+
+
+def _decode(status: int, text: str) -> dict:
+    if status >= http.HTTPStatus.BAD_REQUEST or not text:
+        return {}
+    body = json.loads(text)
+    if not isinstance(body, dict):
+        raise ValueError("the answer is not an object")
+    return body
+
+
+def _version(body: dict) -> int:
+    version = body.get("version")
+    if not isinstance(version, int):
+        raise interface.OutcomeUnknown("the answer holds no version")
+    return version
+
+
+def _object(kind: str, body: dict) -> interface.StoredObject:
+    try:
+        return interface.StoredObject(
+            kind, str(body["name"]), int(body["version"]), dict(body["value"])
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise interface.StoreUnavailable(f"bad answer: {error!r}") from error
