Validate the configuration document and ship three examples

Cause: a document takes effect everywhere or not at all, so it has to be checked wholly, with everything wrong named at once.

Change: a JSON Schema with titles, descriptions, bounds, defaults and units, from which forms can be generated; checks of references, unique names and addresses; serialisation; differences by entry; documents of both deployments and of the demo. Names with a trailing newline and numbers that are not finite pass a naive schema; both are refused here.

--- /dev/null
+++ b/toucanrudder/document/serialisation.py
@@ -0,0 +1,56 @@
+"""The document as JSON values, and back."""
+
+import json
+
+from cattrs.preconf import json as cattrs_json
+
+from toucanrudder.document import model
+
+MAX_BYTES = 1_000_000
+
+_converter = cattrs_json.make_converter(forbid_extra_keys=True)
+
+
+def to_json(document: model.Document) -> dict:
+    """Return the document as JSON values, every default spelt out.
+
+    Examples
+    --------
+    >>> from toucanrudder.document import model
+    >>> to_json(model.Document())["policy"]["max_tries"]
+    3
+    """
+    return _converter.unstructure(document)
+
+
+def from_json(data: dict) -> model.Document:
+    """Return the document from JSON values that were checked before."""
+    return _converter.structure(data, model.Document)
+
+
+def accepted_to_json(accepted: model.Accepted) -> dict:
+    """Return the value of the store's object ``configuration/current``."""
+    return _converter.unstructure(accepted)
+
+
+def accepted_from_json(data: dict) -> model.Accepted:
+    """Return what a store or a peer holds as the accepted document.
+
+    Raises
+    ------
+    Exception
+        Of several types, when `data` has another form.
+    """
+    return _converter.structure(data, model.Accepted)
+
+
+def encode(accepted: model.Accepted) -> bytes:
+    """Return the accepted document as bytes, for peers."""
+    return json.dumps(
+        accepted_to_json(accepted), separators=(",", ":")
+    ).encode()
+
+
+def decode(data: bytes) -> model.Accepted:
+    """Return the accepted document from `encode`'s bytes."""
+    return accepted_from_json(json.loads(data))
--- /dev/null
+++ b/toucanrudder/document/tests/test_documents.py
@@ -0,0 +1,171 @@
+import copy
+import json
+import pathlib
+
+import attrs
+import pytest
+
+from toucanrudder import errors
+from toucanrudder.document import difference
+from toucanrudder.document import model
+from toucanrudder.document import schema
+from toucanrudder.document import serialisation
+from toucanrudder.document import validation
+
+EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
+
+
+def example(name):
+    return json.loads((EXAMPLES / f"{name}.json").read_text())
+
+
+@pytest.mark.parametrize(
+    ("name", "engines", "services", "zones", "loads"),
+    [("celbouw", 5, 3, 3, 2), ("swarlipi", 9, 3, 3, 3), ("demo", 3, 2, 3, 1)],
+)
+def test_examples_have_the_deployments_sizes(
+    name, engines, services, zones, loads
+):
+    document = validation.parse(example(name))
+    kinds = [upstream.kind for upstream in document.upstreams]
+    assert kinds.count(model.ENGINE) == engines
+    assert kinds.count(model.SERVICE) == services
+    assert len({upstream.zone for upstream in document.upstreams}) == zones
+    assert len(document.organisations) == 8
+    assert document.policy.weight_loads_at_once == loads
+    assert validation.parse(serialisation.to_json(document)) == document
+
+
+def test_an_accepted_document_survives_the_wire():
+    accepted = model.Accepted(
+        7, "a1", "ann", validation.parse(example("celbouw"))
+    )
+    assert serialisation.decode(serialisation.encode(accepted)) == accepted
+
+
+def _edited(path, value):
+    data = copy.deepcopy(example("demo"))
+    target = data
+    for part in path[:-1]:
+        target = target[part]
+    target[path[-1]] = value
+    return data
+
+
+BAD = [
+    (("upstreams", 0, "address"), "engine-1:80", "$.upstreams[0].address"),
+    (("upstreams", 0, "address"), "1.2.3.4:0", "$.upstreams[0].address"),
+    (
+        ("upstreams", 1, "address"),
+        "127.0.0.1:18001",
+        "$.upstreams[1].address",
+    ),
+    (("upstreams", 1, "name"), "engine-1", "$.upstreams[1].name"),
+    (("upstreams", 0, "models"), ["gpt"], "$.upstreams[0].models[0]"),
+    (("upstreams", 0, "models"), [], "$.upstreams[0].models"),
+    (("upstreams", 0, "slots"), 0, "$.upstreams[0].slots"),
+    (("upstreams", 3, "pool"), "office", "$.upstreams[3].pool"),
+    (("upstreams", 3, "models"), ["demo-model"], "$.upstreams[3].models"),
+    (("organisations", 1, "name"), "north", "$.organisations[1].name"),
+    (("organisations", 1, "name"), "a b", "$.organisations[1].name"),
+    (("organisations", 1, "models"), ["gpt"], "$.organisations[1].models[0]"),
+    (("organisations", 1, "name"), "ab\n", "$.organisations[1].name"),
+    (("organisations", 1, "weight"), float("nan"), "$"),
+    (("organisations", 1, "weight"), -1, "$.organisations[1].weight"),
+    (
+        ("organisations", 1, "max_priority"),
+        "background",
+        "$.organisations[1].default_priority",
+    ),
+    (
+        ("organisations", 1, "api_key_sha256s"),
+        example("demo")["organisations"][0]["api_key_sha256s"],
+        "$.organisations[1].api_key_sha256s[0]",
+    ),
+    (("services", 0, "routes", 0, "path_prefix"), "x", ".path_prefix"),
+    (
+        ("services", 0, "routes", 1),
+        example("demo")["services"][0]["routes"][0],
+        "$.services[0].routes[1].path_prefix",
+    ),
+    (("policy", "max_trys"), 3, "$.policy"),
+    (("policy", "retry_ratio"), "much", "$.policy.retry_ratio"),
+    (("models",), [], "$.upstreams[0].models[0]"),
+    (("models", 0, "context_tokens"), 1.5, "$.models[0].context_tokens"),
+]
+
+
+@pytest.mark.parametrize(("path", "value", "named"), BAD)
+def test_a_mistake_is_named_by_its_path(path, value, named):
+    with pytest.raises(validation.DocumentInvalid) as caught:
+        validation.parse(_edited(path, value))
+    assert caught.value.code is errors.Code.CONFIG_INVALID
+    paths = [problem.path for problem in caught.value.problems]
+    assert any(found.endswith(named) for found in paths), paths
+
+
+def test_all_mistakes_are_named_at_once():
+    data = _edited(("upstreams", 0, "slots"), 0)
+    data["models"][0]["name"] = ""
+    data["organisations"][2]["weight"] = "x"
+    with pytest.raises(validation.DocumentInvalid) as caught:
+        validation.parse(data)
+    body = caught.value.as_body()["error"]["problems"]
+    assert [problem["path"] for problem in body] == [
+        "$.models[0].name",
+        "$.organisations[2].weight",
+        "$.upstreams[0].slots",
+    ]
+
+
+def test_a_document_that_the_store_cannot_hold_is_refused():
+    data = example("demo")
+    data["organisations"] = [{"name": f"o{i}"} for i in range(6000)]
+    with pytest.raises(validation.DocumentInvalid, match="bytes long"):
+        validation.parse(data)
+
+
+@pytest.mark.parametrize("data", [None, [], {}, "x", {"organisations": 3}])
+def test_other_json_is_refused(data):
+    with pytest.raises(validation.DocumentInvalid):
+        validation.parse(data)
+
+
+TYPES = {
+    "organisation": model.Organisation,
+    "model": model.Model,
+    "upstream": model.Upstream,
+    "route": model.Route,
+    "service": model.Service,
+    "policy": model.Policy,
+}
+
+
+@pytest.mark.parametrize("name", TYPES)
+def test_the_schema_describes_each_field_for_a_form(name):
+    entry = schema.SCHEMA["$defs"][name]
+    fields = attrs.fields_dict(TYPES[name])
+    assert set(entry["properties"]) == set(fields)
+    for field, options in entry["properties"].items():
+        assert options["title"]
+        assert options["description"]
+        default = fields[field].default
+        if default is attrs.NOTHING:
+            assert field in entry["required"]
+        elif field != "routes":
+            assert options["default"] == ([] if default == () else default)
+        if field.endswith(("_s", "_bytes", "_tokens")):
+            assert "x-unit" in options
+
+
+def test_a_difference_names_entries():
+    old = validation.parse(example("demo"))
+    data = _edited(("upstreams", 0, "drained"), True)
+    del data["organisations"][7]
+    new = validation.parse(data)
+    changes = difference.compare(old, new)
+    assert [(change.path, change.after) for change in changes] == [
+        ("organisations[small-6]", None),
+        ("upstreams[engine-1].drained", True),
+    ]
+    assert difference.compare(old, old) == ()
--- /dev/null
+++ b/toucanrudder/document/validation.py
@@ -0,0 +1,210 @@
+"""Checks a document wholly before it is taken."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import ipaddress
+import json
+
+import attrs
+import jsonschema
+
+from toucanrudder import errors
+from toucanrudder.document import model
+from toucanrudder.document import schema
+from toucanrudder.document import serialisation
+from toucanrudder.messages import request
+
+STEP = "configuration"
+MAX_PROBLEMS = 200
+
+_validator = jsonschema.Draft202012Validator(schema.SCHEMA)
+
+
+@attrs.frozen
+class Problem:
+    """Something wrong with a document.
+
+    Parameters
+    ----------
+    path : str
+        JSON path, for example ``$.upstreams[3].address``.
+    message : str
+        What is wrong there.
+    """
+
+    path: str
+    message: str
+
+
+@attrs.define(eq=False)
+class DocumentInvalid(errors.RudderError):
+    """The document is refused whole; `problems` holds everything wrong."""
+
+    problems: tuple[Problem, ...] = attrs.field(default=(), kw_only=True)
+
+    def as_body(self, request_id: str = "") -> dict:
+        """Return the error body, with the list of problems."""
+        body = super().as_body(request_id)
+        body["error"]["problems"] = [
+            attrs.asdict(problem) for problem in self.problems
+        ]
+        return body
+
+
+def parse(data: object) -> model.Document:
+    """Check JSON values and return the document that they describe.
+
+    Parameters
+    ----------
+    data : object
+        The document as decoded JSON.
+
+    Returns
+    -------
+    model.Document
+        The document; all its references hold.
+
+    Raises
+    ------
+    DocumentInvalid
+        ``config_invalid``, listing everything that is wrong at once.
+
+    Examples
+    --------
+    >>> from toucanrudder.document import validation
+    >>> try:
+    ...     validation.parse({"organisations": [], "models": 3})
+    ... except validation.DocumentInvalid as error:
+    ...     [problem.path for problem in error.problems]
+    ['$', '$.models']
+    """
+    problems = list(_schema_problems(data))
+    if not problems:
+        document = serialisation.from_json(data)
+        problems = list(_document_problems(document))
+        if not problems:
+            return document
+    problems.sort(key=lambda problem: (problem.path, problem.message))
+    raise DocumentInvalid(
+        errors.Code.CONFIG_INVALID,
+        f"{len(problems)} problems; first: {problems[0].path}: "
+        f"{problems[0].message}",
+        step=STEP,
+        problems=tuple(problems[:MAX_PROBLEMS]),
+    )
+
+
+def _schema_problems(data: object) -> Iterator[Problem]:
+    for error in _validator.iter_errors(data):
+        yield Problem(error.json_path, _shortened(error.message))
+    try:
+        json.dumps(data, allow_nan=False)
+    except ValueError:
+        # Python reads NaN, which is below no bound and above none.
+        yield Problem("$", "holds a number that is not finite")
+
+
+def _shortened(message: str) -> str:
+    return message if len(message) <= 300 else message[:297] + "..."
+
+
+def _document_problems(document: model.Document) -> Iterator[Problem]:
+    yield from _size_problems(document)
+    for kind in ("organisations", "models", "upstreams", "services"):
+        names = [entry.name for entry in getattr(document, kind)]
+        yield from _repeated(f"$.{kind}", "name", names)
+    yield from _organisation_problems(document)
+    yield from _upstream_problems(document)
+    yield from _route_problems(document)
+
+
+def _size_problems(document: model.Document) -> Iterator[Problem]:
+    text = json.dumps(serialisation.to_json(document))
+    if len(text) > serialisation.MAX_BYTES:
+        yield Problem(
+            "$",
+            f"is {len(text)} bytes long; the store holds at most "
+            f"{serialisation.MAX_BYTES}",
+        )
+
+
+def _repeated(
+    path: str, field: str, values: Iterable[object]
+) -> Iterator[Problem]:
+    first: dict[object, int] = {}
+    for index, value in enumerate(values):
+        if value in first:
+            yield Problem(
+                f"{path}[{index}].{field}",
+                f"{value!r} is already at {path}[{first[value]}]",
+            )
+        first.setdefault(value, index)
+
+
+def _unknown(
+    path: str, kind: str, names: Iterable[str], known: set[str]
+) -> Iterator[Problem]:
+    for index, name in enumerate(names):
+        if name not in known:
+            yield Problem(f"{path}[{index}]", f"no {kind} named {name!r}")
+
+
+def _organisation_problems(document: model.Document) -> Iterator[Problem]:
+    models = {entry.name for entry in document.models}
+    holders: dict[str, str] = {}
+    for index, organisation in enumerate(document.organisations):
+        path = f"$.organisations[{index}]"
+        yield from _unknown(
+            f"{path}.models", "model", organisation.models, models
+        )
+        default = request.Priority[organisation.default_priority.upper()]
+        if default < request.Priority[organisation.max_priority.upper()]:
+            yield Problem(f"{path}.default_priority", "is above max_priority")
+        for place, digest in enumerate(organisation.api_key_sha256s):
+            if digest in holders:
+                yield Problem(
+                    f"{path}.api_key_sha256s[{place}]",
+                    f"key belongs to {holders[digest]!r} already",
+                )
+            holders.setdefault(digest, organisation.name)
+
+
+def _upstream_problems(document: model.Document) -> Iterator[Problem]:
+    models = {entry.name for entry in document.models}
+    services = {entry.name for entry in document.services}
+    for index, upstream in enumerate(document.upstreams):
+        path = f"$.upstreams[{index}]"
+        yield from _unknown(f"{path}.models", "model", upstream.models, models)
+        if not _is_address(upstream.address):
+            yield Problem(f"{path}.address", "is not IP:port")
+        if upstream.kind == model.ENGINE and not upstream.models:
+            yield Problem(f"{path}.models", "an engine needs a model")
+        if upstream.kind == model.SERVICE and upstream.models:
+            yield Problem(f"{path}.models", "a service has no models")
+        if upstream.kind == model.SERVICE and upstream.pool not in services:
+            yield Problem(
+                f"{path}.pool", f"no service named {upstream.pool!r}"
+            )
+    yield from _repeated(
+        "$.upstreams",
+        "address",
+        [upstream.address for upstream in document.upstreams],
+    )
+
+
+def _route_problems(document: model.Document) -> Iterator[Problem]:
+    for index, service in enumerate(document.services):
+        yield from _repeated(
+            f"$.services[{index}].routes",
+            "path_prefix",
+            [(route.method, route.path_prefix) for route in service.routes],
+        )
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+    except ValueError:
+        return False
+    return port.isdecimal() and 0 < int(port) < 65536
