--- /dev/null
+++ b/toucanrudder/controllers/cache_events.py
@@ -0,0 +1,146 @@
+"""Follows the cache events of all engines."""
+
+import asyncio
+from collections.abc import Callable
+import json
+import logging
+import random
+
+import aiohttp
+
+from toucanrudder.document import model
+from toucanrudder.observability import metrics
+from toucanrudder.prefix import beliefs
+
+LOG = logging.getLogger(__name__)
+
+#: Engines send a heartbeat each second: longer silence is a dead path.
+SILENT_S = 5.0
+RECONNECT_S = (0.2, 1.0)
+CHECK_S = 0.5
+MAX_LINE_BYTES = 1_048_576
+
+
+class CacheEventController:
+    """Feeds beliefs from the engines' event streams, one task each.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        For the streams.
+    believed : beliefs.Beliefs
+        Takes the events.
+    upstreams : callable
+        Returns the configured upstreams.
+    rng : random.Random
+        For jitter.
+    clock : callable
+        Monotonic time.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        believed: beliefs.Beliefs,
+        upstreams: Callable[[], tuple[model.Upstream, ...]],
+        rng: random.Random,
+        clock: Callable[[], float],
+    ):
+        self._session = session
+        self._beliefs = believed
+        self._upstreams = upstreams
+        self._rng = rng
+        self._clock = clock
+        self._following: dict[tuple[str, str], asyncio.Task] = {}
+
+    async def run(self) -> None:
+        """Follow the configured engines for ever."""
+        async with asyncio.TaskGroup() as group:
+            while True:
+                self._adjust(group)
+                await asyncio.sleep(CHECK_S)
+
+    def _adjust(self, group: asyncio.TaskGroup) -> None:
+        wanted = {
+            (each.name, each.address): each
+            for each in self._upstreams()
+            if each.kind == model.ENGINE
+        }
+        for key in self._following.keys() - wanted.keys():
+            self._following.pop(key).cancel()
+        for key, upstream in wanted.items():
+            if key not in self._following:
+                self._following[key] = group.create_task(
+                    self._follow(upstream)
+                )
+
+    async def _follow(self, upstream: model.Upstream) -> None:
+        after = 0
+        while True:
+            try:
+                after = await self._read(upstream, after)
+            except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+                metrics.counter(
+                    "toucanrudder_event_streams_lost",
+                    "Cache event streams that broke or fell silent",
+                ).add(1, {"upstream": upstream.name})
+            await asyncio.sleep(self._rng.uniform(*RECONNECT_S))
+
+    async def _read(self, upstream: model.Upstream, after: int) -> int:
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=1.0, sock_read=SILENT_S
+        )
+        async with self._session.get(
+            f"http://{upstream.address}/cache/events",
+            params={"after": str(after)},
+            timeout=timeout,
+        ) as response:
+            response.raise_for_status()
+            rest = b""
+            async for chunk in response.content.iter_any():
+                *lines, rest = (rest + chunk).split(b"\n")
+                if len(rest) > MAX_LINE_BYTES:
+                    raise ValueError("event line too long")
+                for line in lines:
+                    after = self._take(upstream.name, line, after)
+        return after
+
+    def _take(self, upstream: str, line: bytes, after: int) -> int:
+        if not line.strip():
+            return after
+        event = json.loads(line)
+        sequence = int(event["seq"])
+        take = _TAKE.get(str(event["kind"]))
+        if take is not None:
+            keys = tuple(bytes.fromhex(each) for each in event.get("blocks", ()))
+            take(
+                self._beliefs,
+                (upstream, str(event["incarnation"]), sequence),
+                keys,
+                self._clock(),
+            )
+        return sequence
+
+
+def _stored(believed, place, keys, now_s):
+    believed.stored(*place, keys, now_s)
+
+
+def _evicted(believed, place, keys, now_s):
+    believed.evicted(*place, keys, now_s)
+
+
+def _cleared(believed, place, keys, now_s):
+    believed.cleared(*place, now_s)
+
+
+def _heartbeat(believed, place, keys, now_s):
+    believed.heartbeat(*place, now_s)
+
+
+_TAKE = {
+    "stored": _stored,
+    "evicted": _evicted,
+    "cleared": _cleared,
+    "heartbeat": _heartbeat,
+}
--- /dev/null
+++ b/toucanrudder/filters/admit.py
@@ -0,0 +1,17 @@
+"""Lets the request wait its turn."""
+
+from aiohttp import web
+
+from toucanrudder.filters import chain
+from toucanrudder.filters import exchange as exchanges
+
+
+async def admit(
+    exchange: exchanges.Exchange, call_next: chain.Handler
+) -> web.StreamResponse:
+    """Hold a place at this router while the request runs."""
+    request = exchange.request
+    async with exchange.state.admission.admitted(
+        exchange.organisation, request.priority, request.first_token_by_s
+    ):
+        return await call_next(exchange)
--- a/toucanrudder/filters/body.py
+++ b/toucanrudder/filters/body.py
@@ -15,7 +15,6 @@
 from toucanrudder.prefix import identity
 
 STEP = "body"
-MAX_JSON_DEPTH_HINT = "nested too deeply"
 
 
 def _refusal(code: errors.Code, message: str) -> errors.RudderError:
--- a/toucanrudder/filters/dispatch.py
+++ b/toucanrudder/filters/dispatch.py
@@ -7,6 +7,7 @@
 import attrs
 
 from toucanrudder import errors
+from toucanrudder import quarantine
 from toucanrudder import relay
 from toucanrudder import retries
 from toucanrudder.document import model
@@ -14,10 +15,10 @@
 from toucanrudder.filters import headers
 from toucanrudder.observability import metrics
 from toucanrudder.placement import types
-from toucanrudder.quarantine import suspicion
 from toucanrudder.relay import attempt as attempts
 from toucanrudder.relay import sinks
 from toucanrudder.relay import tokens
+from toucanrudder.router import state as states
 from toucanrudder.upstreams import engine
 from toucanrudder.upstreams import failures
 from toucanrudder.upstreams import in_flight
@@ -59,59 +60,82 @@
     tries: int = 0
     may_have_run: bool = False
 
-    @property
-    def fingerprint(self) -> str:
-        """Identity of the request over resends, for the quarantine."""
-        request = self.exchange.request
-        return suspicion.fingerprint(
-            request.organisation, request.body_sha256
-        )
-
     async def run(self) -> None:
         """Try engines until the answer is whole, or raise RudderError."""
+        state = self.exchange.state
+        state.budget(self._pool()).request(state.now_s())
         while True:
-            decision, upstream = self._place()
-            self.tried.add(upstream.name)
+            decision, isolated = await self._place()
+            upstream = state.upstream(decision.upstream)
+            self.tried.add(decision.upstream)
             self.tries += 1
             try:
-                await self._try(decision, upstream)
+                await self._try(decision, upstream, isolated)
                 return
             except failures.UpstreamFailure as failure:
-                step = await self._after(failure, upstream)
-            await self.exchange.state.sleep(step.delay_s)
+                step = self._after(failure)
+            await state.sleep(step.delay_s)
+
+    def _pool(self) -> str:
+        # The budget bounds retries of the engines that serve one model.
+        return self.exchange.request.model
 
-    def _place(self) -> tuple[types.Decision, model.Upstream]:
+    async def _place(self) -> tuple[types.Decision, bool]:
         state = self.exchange.state
+        request = self.exchange.request
+        standing = state.standing(request)
         now_s = state.now_s()
-        isolate = state.suspicions.check(self.fingerprint, now_s)
-        decision = state.fleet.decide(
-            self.exchange.request,
-            frozenset(self.tried),
-            isolate=isolate,
-            now_s=now_s,
+        engines = state.engines_for(request.model, now_s)
+        if standing is quarantine.Standing.SUSPECT:
+            trial = state.trial(
+                request, self._untried(engines) or engines
+            )
+            if trial is not None:
+                await state.sleep(trial.wait_s)
+                # A copy of it may have crashed another engine meanwhile.
+                state.standing(request)
+                return _on_trial(state, trial), True
+        decision = state.place(
+            request, engines, frozenset(self.tried), now_s
         )
-        return decision, state.upstream(decision.upstream)
+        return decision, False
+
+    def _untried(self, engines):
+        return tuple(each for each in engines if each.name not in self.tried)
 
     async def _try(
-        self, decision: types.Decision, upstream: model.Upstream
+        self,
+        decision: types.Decision,
+        upstream: model.Upstream,
+        isolated: bool,
     ) -> None:
-        exchange = self.exchange
-        state = exchange.state
-        now_s = state.now_s()
-        request = exchange.request
-        state.budget(upstream.pool).request(now_s)
+        state = self.exchange.state
+        request = self.exchange.request
         missing = request.prompt_tokens - decision.expected_hit_tokens
         entry = in_flight.Entry(
-            self.fingerprint,
+            states.fingerprint_of(request),
             prefill_tokens=max(0, missing),
-            isolated=state.suspicions.is_suspect(self.fingerprint, now_s),
+            incarnation=decision.incarnation,
+            isolated=isolated,
         )
+        attempt = self._attempt(decision, upstream, entry)
         with state.in_flight.entry(upstream.name, entry):
-            attempt = self._attempt(decision, upstream, entry)
-            async with attempts.cancelled_if_unfinished(attempt, state.spawn):
-                self._believe_sent(decision, upstream)
-                self.sink.at(upstream.name)
-                await attempt.run()
+            try:
+                async with attempts.cancelled_if_unfinished(
+                    attempt, state.spawn
+                ):
+                    self._believe_sent(decision, upstream)
+                    self.sink.at(upstream.name)
+                    await attempt.run()
+            except failures.UpstreamFailure as failure:
+                if failure.kind is failures.Kind.CRASHED:
+                    state.crashed(
+                        upstream.name,
+                        attempt.answered_by or decision.incarnation,
+                    )
+                raise
+        if isolated:
+            state.suspicions.completed(entry.fingerprint, state.wall_s())
         self._learn(decision, upstream, attempt)
 
     def _attempt(self, decision, upstream, entry) -> attempts.Attempt:
@@ -119,9 +143,10 @@
 
         def first() -> None:
             entry.prefill_tokens = 0
+            entry.incarnation = attempt.answered_by
             self._record_first_token()
 
-        return attempts.Attempt(
+        attempt = attempts.Attempt(
             client=state.engines,
             upstream=upstream,
             call=self._engine_call(),
@@ -134,6 +159,7 @@
             rng=state.rng,
             on_first=first,
         )
+        return attempt
 
     def _engine_call(self) -> engine.EngineCall:
         request = self.exchange.request
@@ -190,11 +216,10 @@
             now_s=state.now_s(),
         )
 
-    async def _after(
-        self, failure: failures.UpstreamFailure, upstream: model.Upstream
+    def _after(
+        self, failure: failures.UpstreamFailure
     ) -> retries.Retry | retries.Continue:
         exchange = self.exchange
-        state = exchange.state
         LOG.warning(
             "try failed: %s",
             failure,
@@ -202,20 +227,20 @@
                 "request_id": exchange.request_id,
                 "organisation": exchange.request.organisation,
                 "step": STEP,
-                "peer": upstream.name,
+                "peer": failure.upstream,
                 "code": failure.kind.value,
             },
         )
         if failure.kind is failures.Kind.REJECTED:
             raise _Rejected(failure)
-        await state.note_failure(failure, upstream)
+        exchange.state.unreachable(failure)
         step = self._decide(failure)
         if isinstance(step, retries.Refuse):
             raise errors.RudderError(
                 step.code,
                 step.message,
                 step=STEP,
-                peer=upstream.name,
+                peer=failure.upstream,
                 ran=step.ran,
                 retry_after_s=step.retry_after_s,
             ) from failure
@@ -250,7 +275,7 @@
             tries=self.tries,
             max_tries=policy.max_tries,
             deadline_s=deadline_s,
-            budget=state.budget(_pool_of(state, failure.upstream)),
+            budget=state.budget(self._pool()),
             rng=state.rng,
             now_s=now_s,
         )
@@ -264,9 +289,15 @@
         self.failure = failure
 
 
-def _pool_of(state, name: str) -> str:
-    upstream = state.upstream(name)
-    return upstream.pool if upstream else ""
+def _on_trial(state, trial: quarantine.Trial) -> types.Decision:
+    known = state.loads.get(trial.upstream)
+    return types.Decision(
+        upstream=trial.upstream,
+        incarnation=known.report.incarnation if known else "",
+        expected_hit_tokens=0,
+        expected_wait_s=0.0,
+        reason="trial",
+    )
 
 
 async def dispatch(exchange: exchanges.Exchange) -> web.StreamResponse:
--- a/toucanrudder/relay/sinks.py
+++ b/toucanrudder/relay/sinks.py
@@ -1,6 +1,7 @@
 """Where an answer goes: to the caller as it comes, or as a whole."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 import json
 
@@ -123,18 +124,27 @@
         return self._transcript.text()
 
     async def _guarded(self, awaitable) -> None:
-        # A caller that never reads would hold its buffers, a slot in the
-        # engine and this task for ever.  aiohttp's write waits once its
-        # own bounded buffer is full, so a deadline on it bounds all three.
-        try:
-            async with asyncio.timeout(self._write_timeout_s):
-                await awaitable
-        except TimeoutError as error:
-            if self._http.transport is not None:
-                self._http.transport.abort()
-            raise CallerGone("caller does not read") from error
-        except (ConnectionError, RuntimeError) as error:
-            raise CallerGone("caller left") from error
+        await guarded(self._http, awaitable, self._write_timeout_s)
+
+
+async def guarded(
+    http_request: web.Request, awaitable: Awaitable, timeout_s: float
+) -> None:
+    """Await a write to the caller; raise `CallerGone` if it does not read.
+
+    A caller that never reads would hold its buffers, a slot in the engine
+    and this task for ever.  aiohttp's write waits once its own bounded
+    buffer is full, so a deadline on it bounds all three.
+    """
+    try:
+        async with asyncio.timeout(timeout_s):
+            await awaitable
+    except TimeoutError as error:
+        if http_request.transport is not None:
+            http_request.transport.abort()
+        raise CallerGone("caller does not read") from error
+    except (ConnectionError, RuntimeError) as error:
+        raise CallerGone("caller left") from error
 
 
 class WholeSink(Sink):
--- /dev/null
+++ b/toucanrudder/router/application.py
@@ -0,0 +1,104 @@
+"""The HTTP application that callers see."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import uuid
+
+from aiohttp import web
+
+from toucanrudder import errors
+from toucanrudder import filters
+from toucanrudder.filters import admit
+from toucanrudder.filters import body
+from toucanrudder.filters import chain
+from toucanrudder.filters import dispatch
+from toucanrudder.filters import guard
+from toucanrudder.filters import headers
+from toucanrudder.filters import identify
+from toucanrudder.filters import models
+from toucanrudder.filters import quarantine
+from toucanrudder.filters import resume
+from toucanrudder.filters import service
+from toucanrudder.filters import share
+from toucanrudder.router import state as states
+
+#: aiohttp's own bounds on a request's head.
+MAX_LINE_BYTES = 8190
+MAX_FIELD_BYTES = 8190
+
+MODEL_FILTERS = (
+    guard.guard,
+    identify.identify,
+    body.read_body,
+    body.parse,
+    share.limit,
+    quarantine.quarantine,
+    admit.admit,
+)
+PLAIN_FILTERS = (guard.guard, identify.identify)
+SERVICE_FILTERS = (guard.guard, identify.identify, share.limit)
+
+
+def _handler(
+    state: states.RouterState, handle: chain.Handler
+) -> Callable[[web.Request], Awaitable[web.StreamResponse]]:
+    async def handler(request: web.Request) -> web.StreamResponse:
+        try:
+            request_id = headers.single(request, headers.REQUEST_ID)
+        except errors.RudderError as error:
+            return guard.error_response(error, "")
+        exchange = filters.Exchange(
+            http=request,
+            state=state,
+            request_id=request_id or uuid.uuid4().hex,
+            arrived_s=state.now_s(),
+        )
+        response = await handle(exchange)
+        if state.stopping and not response.prepared:
+            # Told to close, a caller opens its next connection at a router
+            # that stays.
+            response.force_close()
+        return response
+
+    return handler
+
+
+def build(state: states.RouterState) -> web.Application:
+    """Return the callers' application.
+
+    Parameters
+    ----------
+    state : states.RouterState
+        Shared by all filters.
+    """
+
+    def handler(chosen, last):
+        return _handler(state, filters.chain(chosen, last))
+
+    async def healthy(request: web.Request) -> web.Response:
+        return web.Response(text="ok\n")
+
+    async def ready(request: web.Request) -> web.Response:
+        if state.stopping or state.configuration.current is None:
+            return web.Response(status=503, text="not ready\n")
+        return web.Response(text="ok\n")
+
+    # Bodies are read, and bounded, by the filters.
+    app = web.Application(client_max_size=0)
+    run_model = handler(MODEL_FILTERS, dispatch.dispatch)
+    app.router.add_post("/v1/chat/completions", run_model)
+    app.router.add_post("/v1/completions", run_model)
+    app.router.add_get(
+        "/v1/models", handler(PLAIN_FILTERS, models.list_models)
+    )
+    app.router.add_get(
+        "/v1/streams/{token}", handler(PLAIN_FILTERS, resume.resume)
+    )
+    app.router.add_route(
+        "*",
+        "/services/{name}/{rest:.*}",
+        handler(SERVICE_FILTERS, service.call_service),
+    )
+    app.router.add_get("/healthz", healthy)
+    app.router.add_get("/readyz", ready)
+    return app
--- a/toucanrudder/router/state.py
+++ b/toucanrudder/router/state.py
@@ -1,6 +1,7 @@
 """What the filters of one router share."""
 
 import asyncio
+from collections.abc import Callable
 import functools
 import random
 import time
@@ -15,13 +16,12 @@
 from toucanrudder import store
 from toucanrudder.controllers import configuration
 from toucanrudder.document import model
-from toucanrudder.membership import routers as router_tables
 from toucanrudder.messages import request as requests
 from toucanrudder.placement import types
 from toucanrudder.prefix import beliefs
 from toucanrudder.prefix import heat
 from toucanrudder.prefix import identity
-from toucanrudder.quarantine import suspicion
+from toucanrudder import quarantine
 from toucanrudder.relay import attempt as attempts
 from toucanrudder.router import background
 from toucanrudder.router import exchanges
@@ -30,6 +30,7 @@
 from toucanrudder.upstreams import failures
 from toucanrudder.upstreams import in_flight
 from toucanrudder.upstreams import loads
+from toucanrudder.upstreams import service
 
 STEP = "state"
 NOT_CONFIGURED_RETRY_S = 1.0
@@ -68,8 +69,8 @@
     rng: random.Random
     objects: store.ObjectStore
     configuration: configuration.ConfigurationController
-    routers: router_tables.RouterTable
     engines: engine.EngineClient
+    services: service.ServiceClient
     loads: loads.LoadTable
     in_flight: in_flight.InFlight
     beliefs: beliefs.Beliefs
@@ -78,10 +79,11 @@
     admission: admission.AdmissionQueue
     limiter: admission.RateLimiter
     claims: claims.ClaimKeeper
-    suspicions: suspicion.Suspicions
+    suspicions: quarantine.Suspicions
     exchanges: exchanges.OpenExchanges
     background: background.Background
     stopping: bool = False
+    count_routers: Callable[[float], int] = lambda now_s: 1
     _budgets: dict[str, retries.RetryBudget] = attrs.field(factory=dict)
     _indexed: _Index | None = None
 
@@ -90,6 +92,11 @@
         """Monotonic time; the loop's timeouts count by the same clock."""
         return time.monotonic()
 
+    @staticmethod
+    def wall_s() -> float:
+        """Wall clock, for what routers tell each other."""
+        return time.time()
+
     async def sleep(self, delay_s: float) -> None:
         """Wait between two tries."""
         await asyncio.sleep(delay_s)
@@ -131,7 +138,7 @@
 
     def live_routers(self, now_s: float) -> int:
         """Return the number of live routers, this one included."""
-        return self.routers.count(now_s)
+        return self.count_routers(now_s)
 
     def budget(self, pool: str) -> retries.RetryBudget:
         """Return the retry budget of an upstream pool."""
@@ -175,29 +182,79 @@
     def place(
         self,
         request: requests.ModelRequest,
+        engines: tuple[model.Upstream, ...],
         tried: frozenset[str],
         now_s: float,
     ) -> types.Decision:
         """Choose an engine; errors as `placement.policies.decide`."""
         return self.fleet.decide(
             request,
-            self.engines_for(request.model, now_s),
+            engines,
             excluded=tried,
             policy=self.document().policy,
             routers=self.live_routers(now_s),
             now_s=now_s,
         )
 
-    async def note_failure(
-        self, failure: failures.UpstreamFailure, upstream: model.Upstream
-    ) -> None:
-        """Take in what a failed try says of the upstream."""
-        now_s = self.now_s()
+    def standing(
+        self, request: requests.ModelRequest
+    ) -> quarantine.Standing:
+        """Return how the quarantine treats the request.
+
+        Raises
+        ------
+        RudderError
+            ``quarantined``: engines died of it; it is not tried again.
+        """
+        standing = self.suspicions.check(
+            fingerprint_of(request), self.wall_s()
+        )
+        if standing is quarantine.Standing.QUARANTINED:
+            raise errors.RudderError(
+                errors.Code.QUARANTINED,
+                "engines crashed while they ran this request",
+                step="quarantine",
+                ran=errors.Ran.UNKNOWN,
+            )
+        return standing
+
+    def trial(
+        self,
+        request: requests.ModelRequest,
+        engines: tuple[model.Upstream, ...],
+    ) -> quarantine.Trial | None:
+        """Return where and when a suspect may run."""
+        return self.suspicions.trial(
+            fingerprint_of(request),
+            [engine.name for engine in engines],
+            self.wall_s(),
+        )
+
+    def crashed(self, upstream: str, incarnation: str) -> None:
+        """Note that an engine process died with our requests in it.
+
+        Entries that were sent to a later process are none of this crash.
+        """
+        there = [
+            quarantine.InFlight(entry.fingerprint, entry.isolated)
+            for entry in self.in_flight.entries(upstream)
+            if entry.incarnation in ("", incarnation)
+        ]
+        self.suspicions.crashed(upstream, incarnation, there, self.wall_s())
+        self.beliefs.forget(upstream, incarnation)
+
+    def unreachable(self, failure: failures.UpstreamFailure) -> None:
+        """Send nothing there until a poll gets through again."""
         if failure.kind in (
             failures.Kind.NOT_REACHED,
             failures.Kind.CRASHED,
         ):
-            self.loads.failed(upstream.name, now_s)
+            self.loads.failed(failure.upstream, self.now_s())
+
+
+def fingerprint_of(request: requests.ModelRequest) -> str:
+    """Return the identity by which the quarantine knows the request."""
+    return quarantine.fingerprint(request.organisation, request.body_sha256)
 
 
 @functools.lru_cache(maxsize=4096)
--- a/toucanrudder/upstreams/engine.py
+++ b/toucanrudder/upstreams/engine.py
@@ -58,6 +58,8 @@
     ----------
     session : aiohttp.ClientSession
         Owned by the daemon.
+    fresh_session : aiohttp.ClientSession
+        The same with a connector that uses each connection once.
     connect_timeout_s : float
         Seconds for opening a connection.
     headers_timeout_s : float
@@ -67,10 +69,12 @@
     def __init__(
         self,
         session: aiohttp.ClientSession,
+        fresh_session: aiohttp.ClientSession,
         connect_timeout_s: float,
         headers_timeout_s: float,
     ):
         self._session = session
+        self._fresh = fresh_session
         self._opening = aiohttp.ClientTimeout(
             total=None, sock_connect=connect_timeout_s
         )
@@ -120,10 +124,9 @@
         UpstreamFailure
             As `start`; ``lost`` when the engine does not know the stream.
         """
-        request = self._session.get(
+        request = self._fresh.get(
             f"http://{upstream.address}/v1/streams/{engine_id}",
             params={"after": str(after)},
-            headers={"Connection": "close"},
             timeout=self._resuming,
         )
         async with self._answer(request, upstream, engine_id) as answer:
@@ -132,7 +135,7 @@
     async def cancel(self, upstream: model.Upstream, engine_id: str) -> bool:
         """Stop the work; return whether the engine confirmed."""
         try:
-            async with self._session.post(
+            async with self._fresh.post(
                 f"http://{upstream.address}/v1/requests/{engine_id}/cancel",
                 timeout=aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_S),
             ) as response:
--- a/toucanrudder/upstreams/in_flight.py
+++ b/toucanrudder/upstreams/in_flight.py
@@ -17,12 +17,16 @@
     prefill_tokens : int
         Prompt tokens it still has to compute there, expected; 0 once the
         first token has come.
+    incarnation : str
+        Incarnation of the upstream that it was sent to, or empty while
+        that is not known.
     isolated : bool
-        Whether it is a suspect that runs alone among suspects.
+        Whether it was sent there as a suspect on trial.
     """
 
     fingerprint: str
     prefill_tokens: int
+    incarnation: str = ""
     isolated: bool = False
 
 
@@ -67,12 +71,6 @@
         """Return the entries at the upstream."""
         return tuple(self._entries.get(upstream, ()))
 
-    def has_isolated(self, upstream: str) -> bool:
-        """Whether a suspect runs there."""
-        return any(
-            entry.isolated for entry in self._entries.get(upstream, ())
-        )
-
     def total(self) -> int:
         """Return the requests at all upstreams."""
         return sum(len(entries) for entries in self._entries.values())
--- /dev/null
+++ b/toucanrudder/upstreams/service.py
@@ -0,0 +1,138 @@
+"""Client of plain services: passes one HTTP call through."""
+
+from collections.abc import AsyncIterator
+import contextlib
+
+import aiohttp
+from multidict import CIMultiDict
+from multidict import CIMultiDictProxy
+
+from toucanrudder.document import model
+from toucanrudder.upstreams import failures
+
+#: Headers that belong to one connection, and those that are ours.
+_NOT_PASSED = frozenset(
+    name.lower()
+    for name in (
+        "Authorization",
+        "Connection",
+        "Content-Length",
+        "Expect",
+        "Host",
+        "Keep-Alive",
+        "Proxy-Authenticate",
+        "Proxy-Authorization",
+        "Proxy-Connection",
+        "TE",
+        "Trailer",
+        "Transfer-Encoding",
+        "Upgrade",
+        "X-Request-Id",
+    )
+)
+
+
+def passed_headers(headers: CIMultiDictProxy) -> CIMultiDict:
+    """Return the headers that go on to the other side.
+
+    Those that ``Connection`` names are left out too: they speak of one
+    connection, and would be false on the next.
+    """
+    named = {
+        name.strip().lower()
+        for value in headers.getall("Connection", [])
+        for name in value.split(",")
+    }
+    return CIMultiDict(
+        (name, value)
+        for name, value in headers.items()
+        if name.lower() not in _NOT_PASSED and name.lower() not in named
+    )
+
+
+class ServiceClient:
+    """Calls services over a shared session.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Owned by the daemon; its connector must use each connection once
+        and it must not decompress answers.
+    connect_timeout_s : float
+        Seconds for opening a connection.
+    """
+
+    def __init__(
+        self, session: aiohttp.ClientSession, connect_timeout_s: float
+    ):
+        self._session = session
+        self._connect_timeout_s = connect_timeout_s
+
+    @contextlib.asynccontextmanager
+    async def call(
+        self,
+        upstream: model.Upstream,
+        method: str,
+        path: str,
+        *,
+        headers: CIMultiDict,
+        body: bytes,
+        timeout_s: float,
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        """Send the call and yield the open answer.
+
+        Raises
+        ------
+        UpstreamFailure
+            ``not_reached`` or ``refused`` prove that nothing ran;
+            ``silent`` and ``error`` leave it open.
+        """
+        # A pooled connection may have been closed by the service while the
+        # call was written to it: whether it ran would be unknown, and
+        # aiohttp would even send a PUT again by itself.  A connection used
+        # once leaves no such doubt, and is worth the round trip.
+        timeout = aiohttp.ClientTimeout(
+            total=timeout_s, sock_connect=self._connect_timeout_s
+        )
+        request = self._session.request(
+            method,
+            f"http://{upstream.address}{path}",
+            headers=headers,
+            data=body,
+            timeout=timeout,
+            allow_redirects=False,
+        )
+        response = await _opened(request, upstream.name)
+        try:
+            if (
+                response.status == 503
+                and response.headers.get("X-Not-Run") == "1"
+            ):
+                raise failures.UpstreamFailure(
+                    failures.Kind.REFUSED, upstream.name, "refused"
+                )
+            yield response
+        finally:
+            response.close()
+
+
+async def _opened(request, name: str) -> aiohttp.ClientResponse:
+    try:
+        return await request
+    except aiohttp.ClientConnectorError as error:
+        raise failures.UpstreamFailure(
+            failures.Kind.NOT_REACHED,
+            name,
+            str(error),
+            connection_refused=isinstance(
+                error.os_error, ConnectionRefusedError
+            ),
+        ) from error
+    except aiohttp.ConnectionTimeoutError as error:
+        raise failures.UpstreamFailure(
+            failures.Kind.NOT_REACHED, name, "no connection in time"
+        ) from error
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        raise failures.UpstreamFailure(
+            failures.Kind.SILENT, name, repr(error)
+        ) from error
