Add the command line and the admin API

Cause: operators need commands and an HTTP API for the configuration. Change: one module a concept; commands import what they need when they run, so that version answers at once. The token comes from a file or the environment, never from an option, which other users could read.

--- a/toucanrudder/admin/__init__.py
+++ b/toucanrudder/admin/__init__.py
@@ -1,1 +1,1 @@
-"""The operators' HTTP API."""
+"""The operators' HTTP API, served on a port of its own."""
--- /dev/null
+++ b/toucanrudder/admin/handlers.py
@@ -0,0 +1,215 @@
+"""Handlers of the admin API, one a call."""
+
+import asyncio
+import json
+
+from aiohttp import web
+import attrs
+
+from toucanrudder import errors
+from toucanrudder.admin import audit
+from toucanrudder.admin import changes
+from toucanrudder.admin import middleware
+from toucanrudder.admin import status
+from toucanrudder.document import difference
+from toucanrudder.document import model
+from toucanrudder.document import schema
+from toucanrudder.document import serialisation
+from toucanrudder.document import validation
+
+MAX_AUTHOR_CHARS = 128
+CLAIMS_TIMEOUT_S = 2.0
+
+
+def _author(request: web.Request) -> str:
+    name = request.headers.get("X-Operator", "")
+    if not name:
+        return f"address {request.remote}"
+    if len(name) > MAX_AUTHOR_CHARS or not name.isprintable():
+        raise errors.RudderError(
+            errors.Code.BAD_HEADER,
+            f"X-Operator holds at most {MAX_AUTHOR_CHARS} printable "
+            "characters",
+            step=middleware.STEP,
+        )
+    return name
+
+
+async def _json_object(request: web.Request) -> dict:
+    try:
+        data = json.loads(await request.text())
+    except ValueError as error:
+        raise errors.RudderError(
+            errors.Code.MALFORMED_JSON, str(error), step=middleware.STEP
+        ) from error
+    if not isinstance(data, dict):
+        raise errors.RudderError(
+            errors.Code.INVALID_REQUEST,
+            "the body must be a JSON object",
+            step=middleware.STEP,
+        )
+    return data
+
+
+def _current(request: web.Request) -> model.Accepted:
+    accepted = request.app[middleware.STATE].current()
+    if accepted is None:
+        raise errors.RudderError(
+            errors.Code.NOT_CONFIGURED,
+            "no configuration has been accepted yet",
+            step=middleware.STEP,
+            retry_after_s=1.0,
+        )
+    return accepted
+
+
+def _generation(request: web.Request) -> int:
+    accepted = request.app[middleware.STATE].current()
+    return accepted.generation if accepted else 0
+
+
+async def healthz(request: web.Request) -> web.Response:
+    """Say that the process is up."""
+    return web.json_response({"ok": True})
+
+
+async def get_schema(request: web.Request) -> web.Response:
+    """Return the JSON Schema of the document."""
+    return web.json_response(schema.SCHEMA)
+
+
+async def get_configuration(request: web.Request) -> web.Response:
+    """Return the document in force and its generation."""
+    accepted = _current(request)
+    return web.json_response(serialisation.accepted_to_json(accepted))
+
+
+async def validate(request: web.Request) -> web.Response:
+    """Check a document; every problem is listed with its JSON path."""
+    data = await _json_object(request)
+    try:
+        validation.parse(data)
+    except validation.DocumentInvalid as error:
+        problems = [
+            {"path": problem.path, "message": problem.message}
+            for problem in error.problems
+        ]
+        return web.json_response({"valid": False, "problems": problems})
+    return web.json_response({"valid": True, "problems": []})
+
+
+async def diff(request: web.Request) -> web.Response:
+    """Compare a document with the one in force."""
+    proposed = validation.parse(await _json_object(request))
+    accepted = request.app[middleware.STATE].current()
+    old = accepted.document if accepted else model.Document()
+    return web.json_response(
+        {
+            "generation": _generation(request),
+            "changes": [
+                attrs.asdict(change)
+                for change in difference.compare(old, proposed)
+            ],
+        }
+    )
+
+
+async def apply(request: web.Request) -> web.Response:
+    """Put a document in force if the expected generation still is."""
+    data = await _json_object(request)
+    expected = data.get("expected_generation")
+    document = data.get("document")
+    if type(expected) is not int or not isinstance(document, dict):
+        raise errors.RudderError(
+            errors.Code.INVALID_REQUEST,
+            "expected_generation (integer) and document (object) are needed",
+            step=middleware.STEP,
+        )
+    author = _author(request)
+    known = request.app[middleware.STATE]
+    with changes.audited(known, author, "apply"):
+        accepted = await known.apply(document, expected, author)
+    return web.json_response(
+        {
+            "generation": accepted.generation,
+            "apply_id": accepted.apply_id,
+            "author": accepted.author,
+        }
+    )
+
+
+async def _set_drained(request: web.Request, drained: bool) -> web.Response:
+    name = request.match_info["name"]
+    author = _author(request)
+    _current(request)
+    known = request.app[middleware.STATE]
+    change = f"{'drain' if drained else 'undrain'} {name}"
+    with changes.audited(known, author, change):
+        accepted = await changes.set_drained(known, name, drained, author)
+    return web.json_response(
+        {
+            "upstream": name,
+            "drained": drained,
+            "generation": accepted.generation,
+        }
+    )
+
+
+async def drain(request: web.Request) -> web.Response:
+    """Take an upstream out of use."""
+    return await _set_drained(request, True)
+
+
+async def undrain(request: web.Request) -> web.Response:
+    """Take an upstream back into use."""
+    return await _set_drained(request, False)
+
+
+async def release(request: web.Request) -> web.Response:
+    """End the quarantine of a request."""
+    fingerprint = request.match_info["fingerprint"]
+    author = _author(request)
+    known = request.app[middleware.STATE]
+    if not await known.release(fingerprint):
+        raise errors.RudderError(
+            errors.Code.NOT_FOUND,
+            "no such quarantined request",
+            step=middleware.STEP,
+        )
+    audit.record(
+        author, f"release {fingerprint}", _generation(request), "done"
+    )
+    return web.json_response({"released": fingerprint})
+
+
+async def get_status(request: web.Request) -> web.Response:
+    """Return what this router knows of the fleet."""
+    known = request.app[middleware.STATE]
+    unavailable = []
+    claims = ()
+    # Claims are read from the store.  During its outage the rest of the
+    # page, which operators need most then, must still come at once.
+    try:
+        async with asyncio.timeout(CLAIMS_TIMEOUT_S):
+            claims = await known.unknown_claims()
+    except (errors.RudderError, TimeoutError):
+        unavailable.append("unknown_claims")
+    page = status.Status(
+        router=known.router,
+        generation=_generation(request),
+        routers=tuple(known.routers()),
+        upstreams=tuple(known.upstreams()),
+        leases=tuple(known.leases()),
+        quarantined=tuple(known.quarantined()),
+        unknown_claims=tuple(claims),
+        unavailable=tuple(unavailable),
+    )
+    return web.json_response(attrs.asdict(page))
+
+
+async def get_metrics(request: web.Request) -> web.Response:
+    """Return the metrics in the Prometheus text format."""
+    page = request.app[middleware.STATE].metrics_page()
+    return web.Response(
+        body=page, headers={"Content-Type": "text/plain; version=0.0.4"}
+    )
--- /dev/null
+++ b/toucanrudder/admin/middleware.py
@@ -0,0 +1,84 @@
+"""Authentication of operators, and errors as JSON."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import hmac
+import logging
+
+from aiohttp import web
+
+from toucanrudder import errors
+from toucanrudder.admin import state
+
+STEP = "admin"
+STATE = web.AppKey("state", state.State)
+PUBLIC = frozenset({"/healthz", "/metrics", "/openapi.json", "/schema"})
+
+LOG = logging.getLogger(__name__)
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+def _authorised(request: web.Request, token: str) -> bool:
+    scheme, _, given = request.headers.get("Authorization", "").partition(" ")
+    # Comparing in constant time keeps the token from being guessed
+    # character by character by the time that an answer takes.
+    same = hmac.compare_digest(given.encode(), token.encode())
+    return bool(token) and scheme.lower() == "bearer" and same
+
+
+def error_response(error: errors.RudderError) -> web.Response:
+    """Return the error as JSON, with all problems of a document."""
+    body = error.as_body()
+    problems = getattr(error, "problems", None)
+    if problems is not None:
+        body["error"]["problems"] = [
+            {"path": problem.path, "message": problem.message}
+            for problem in problems
+        ]
+    headers = {}
+    if error.retry_after_s is not None:
+        headers["Retry-After"] = str(max(1, round(error.retry_after_s)))
+    return web.json_response(body, status=error.status, headers=headers)
+
+
+def _from_http(error: web.HTTPException) -> errors.RudderError:
+    code = errors.Code.INVALID_REQUEST
+    if isinstance(error, web.HTTPNotFound):
+        code = errors.Code.NOT_FOUND
+    elif isinstance(error, web.HTTPRequestEntityTooLarge):
+        code = errors.Code.BODY_TOO_LARGE
+    return errors.RudderError(code, str(error.reason), step=STEP)
+
+
+@web.middleware
+async def answer_errors(
+    request: web.Request, handler: Handler
+) -> web.StreamResponse:
+    """Turn every failure into a JSON answer with a code."""
+    try:
+        return await handler(request)
+    except errors.RudderError as error:
+        return error_response(error)
+    except web.HTTPException as error:
+        return error_response(_from_http(error))
+    except Exception:
+        LOG.exception("admin call failed")
+        return error_response(
+            errors.RudderError(
+                errors.Code.INTERNAL, "see the router's log", step=STEP
+            )
+        )
+
+
+@web.middleware
+async def authenticate(
+    request: web.Request, handler: Handler
+) -> web.StreamResponse:
+    """Refuse callers without the token, but for the public pages."""
+    known = request.app[STATE]
+    if request.path not in PUBLIC and not _authorised(request, known.token):
+        raise errors.RudderError(
+            errors.Code.UNAUTHORIZED, "wrong or missing token", step=STEP
+        )
+    return await handler(request)
--- /dev/null
+++ b/toucanrudder/cli/commands.py
@@ -0,0 +1,154 @@
+"""The commands; each imports what it needs, so that others start quickly."""
+
+import toucanrudder
+from toucanrudder.cli import configuration
+from toucanrudder.cli import exits
+from toucanrudder.cli import output
+from toucanrudder.cli import standins
+
+
+class Commands:
+    """Router for language-model traffic with long shared prompts.
+
+    Exit codes: 0 done, 1 failed, 2 mistake in the input, 3 another
+    operator's change came first, 4 not available now, 5 outcome unknown.
+    """
+
+    def __init__(self) -> None:
+        self.config = configuration.Configuration()
+        self.standin = standins.Standins()
+
+    def version(self) -> exits.Exit:
+        """Print the version.
+
+        Example: toucanrudder version
+        """
+        print(toucanrudder.__version__)
+        return exits.Exit.DONE
+
+    def router(self, settings: str) -> exits.Exit:
+        """Run a router in the foreground until SIGTERM or SIGINT.
+
+        Prints one JSON line once it serves.
+
+        Example: toucanrudder router /etc/toucanrudder/router.ini
+        """
+        from toucanrudder.router import daemon
+
+        daemon.run(str(settings))
+        return exits.Exit.DONE
+
+    def check(self, settings: str, json: bool = False) -> exits.Exit:
+        """Check a settings file, and the files it names, before a start.
+
+        Example: toucanrudder check /etc/toucanrudder/router.ini
+        Exits with 2 when the router would not start with it.
+        """
+        from toucanrudder.cli import checks
+
+        found = checks.check_settings(str(settings))
+        if json:
+            output.emit_json(found)
+            return exits.Exit.DONE
+        for warning in found["warnings"]:
+            output.complain(f"warning: {warning}")
+        print(f"{settings}: valid, router {found['name']}")
+        return exits.Exit.DONE
+
+    def status(
+        self,
+        json: bool = False,
+        admin: str | None = None,
+        token_file: str | None = None,
+    ) -> exits.Exit:
+        """Show routers, upstreams, leases, quarantine and unknown outcomes.
+
+        Example: toucanrudder status --admin http://10.0.0.4:8081
+        """
+        from toucanrudder.cli import client
+        from toucanrudder.cli import statuspage
+
+        answer = client.call(
+            client.target(admin, token_file), "GET", "/status"
+        )
+        if json:
+            output.emit_json(answer)
+        else:
+            print(statuspage.text(answer))
+        return exits.Exit.DONE
+
+    def drain(
+        self,
+        upstream: str,
+        json: bool = False,
+        admin: str | None = None,
+        token_file: str | None = None,
+    ) -> exits.Exit:
+        """Give an upstream no new work; its running work ends by itself.
+
+        Example: toucanrudder drain celbouw-llm-2
+        """
+        return self._set_drained(upstream, "drain", json, admin, token_file)
+
+    def undrain(
+        self,
+        upstream: str,
+        json: bool = False,
+        admin: str | None = None,
+        token_file: str | None = None,
+    ) -> exits.Exit:
+        """Take a drained upstream back into use.
+
+        Example: toucanrudder undrain celbouw-llm-2
+        """
+        return self._set_drained(upstream, "undrain", json, admin, token_file)
+
+    def release(
+        self,
+        fingerprint: str,
+        admin: str | None = None,
+        token_file: str | None = None,
+    ) -> exits.Exit:
+        """End the quarantine of a request, by its fingerprint in `status`.
+
+        Example: toucanrudder release 5f0c…
+        """
+        from toucanrudder.cli import client
+
+        where = client.target(admin, token_file)
+        client.call(where, "DELETE", f"/quarantine/{fingerprint}")
+        print(f"{fingerprint} released")
+        return exits.Exit.DONE
+
+    def demo(self, serve: bool = False) -> exits.Exit:
+        """Run a whole small system on loopback and print what happened.
+
+        With --serve it stays up until SIGINT or SIGTERM and prints first
+        one JSON line with addresses and keys.
+
+        Example: toucanrudder demo --serve
+        """
+        from toucanrudder.demo import run
+
+        return exits.Exit(int(run.main(serve=serve) or 0))
+
+    def _set_drained(
+        self,
+        upstream: str,
+        verb: str,
+        json: bool,
+        admin: str | None,
+        token_file: str | None,
+    ) -> exits.Exit:
+        from toucanrudder.cli import client
+
+        where = client.target(admin, token_file)
+        answer = configuration.set_drained(where, str(upstream), verb)
+        if json:
+            output.emit_json(answer)
+        else:
+            print(
+                f"{upstream}: {verb}ed, generation {answer['generation']} "
+                "is in force"
+            )
+        return exits.Exit.DONE
--- a/toucanrudder/cli/main.py
+++ b/toucanrudder/cli/main.py
@@ -1,27 +1,48 @@
-"""The command ``toucanrudder``."""
+"""Entry point of the command ``toucanrudder``."""
 
 import sys
 
 import fire
 
-import toucanrudder
 from toucanrudder import errors
+from toucanrudder.cli import commands
+from toucanrudder.cli import exits
+from toucanrudder.cli import output
 
-EXIT_MISTAKE = 2
 
+def _complain(error: errors.RudderError) -> None:
+    output.complain(str(error))
+    for problem in getattr(error, "problems", ()):
+        if isinstance(problem, dict):
+            path, message = problem["path"], problem["message"]
+        else:
+            path, message = problem.path, problem.message
+        output.complain(f"  {path}: {message}")
 
-class Commands:
-    """Router for language-model traffic with long shared prompts."""
 
-    def version(self) -> str:
-        """Print the version."""
-        return toucanrudder.__version__
+def main(arguments: list[str] | None = None) -> None:
+    """Run one command and exit with its code.
 
-
-def main() -> None:
-    """Run the command line; exit 2 on a user's mistake."""
+    Parameters
+    ----------
+    arguments : list of str, optional
+        Words after the program's name; by default those of the process.
+    """
     try:
-        fire.Fire(Commands, name="toucanrudder")
+        result = fire.Fire(
+            commands.Commands,
+            command=arguments,
+            name="toucanrudder",
+            serialize=_without_exits,
+        )
     except errors.RudderError as error:
-        print(error, file=sys.stderr)
-        sys.exit(EXIT_MISTAKE)
+        _complain(error)
+        sys.exit(exits.for_code(error.code))
+    except KeyboardInterrupt:
+        sys.exit(exits.Exit.FAILED)
+    if isinstance(result, exits.Exit):
+        sys.exit(int(result))
+
+
+def _without_exits(value: object) -> object:
+    return None if isinstance(value, exits.Exit) else value
