--- /dev/null
+++ b/toucanrudder/router/assembly.py
@@ -0,0 +1,200 @@
+"""Builds a router's state from its settings."""
+
+from collections.abc import AsyncIterator
+import contextlib
+import random
+
+import aiohttp
+import attrs
+from oslo_config import cfg
+
+from toucanrudder import admission
+from toucanrudder import claims
+from toucanrudder import quarantine
+from toucanrudder.controllers import cache_events
+from toucanrudder.controllers import configuration
+from toucanrudder.controllers import loads as load_controllers
+from toucanrudder.document import model
+from toucanrudder.prefix import beliefs
+from toucanrudder.prefix import heat
+from toucanrudder.router import background
+from toucanrudder.router import exchanges
+from toucanrudder.router import fleet
+from toucanrudder.router import services
+from toucanrudder.router import state as states
+from toucanrudder.store import http as http_store
+from toucanrudder.upstreams import engine
+from toucanrudder.upstreams import in_flight
+from toucanrudder.upstreams import loads
+from toucanrudder.upstreams import service
+
+#: Work let through beyond the engines' slots, so that an engine which has
+#: just freed a slot finds its next request there.
+ADMISSION_FACTOR = 2.0
+
+#: Until the engines are known, this much is let through.
+FIRST_CAPACITY = 256
+
+
+@attrs.frozen
+class _Sessions:
+    shared: aiohttp.ClientSession
+    fresh: aiohttp.ClientSession
+
+
+@contextlib.asynccontextmanager
+async def _sessions() -> AsyncIterator[_Sessions]:
+    timeout = aiohttp.ClientTimeout(total=None)
+    shared = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=15.0),
+        timeout=timeout,
+        auto_decompress=False,
+    )
+    fresh = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        timeout=timeout,
+        auto_decompress=False,
+    )
+    async with shared, fresh:
+        yield _Sessions(shared, fresh)
+
+
+def _random(seed: int) -> random.Random:
+    return random.Random(seed) if seed else random.Random()
+
+
+def _configured_upstreams(
+    controller: configuration.ConfigurationController,
+) -> tuple[model.Upstream, ...]:
+    current = controller.current
+    return current.document.upstreams if current else ()
+
+
+def capacity(document: model.Document, routers: int) -> int:
+    """Return the requests that one of `routers` may let through at once.
+
+    Parameters
+    ----------
+    document : model.Document
+        Names the engines and their slots.
+    routers : int
+        Live routers; they share the slots evenly.
+
+    Examples
+    --------
+    >>> from toucanrudder.document import model
+    >>> from toucanrudder.router import assembly
+    >>> engine = model.Upstream("e", "engine", "127.0.0.1:1", "z", "p")
+    >>> assembly.capacity(model.Document(upstreams=(engine,)), 4)
+    4
+    """
+    slots = sum(
+        upstream.slots
+        for upstream in document.upstreams
+        if upstream.kind == model.ENGINE and not upstream.drained
+    )
+    return max(1, round(ADMISSION_FACTOR * slots / max(1, routers)))
+
+
+@contextlib.asynccontextmanager
+async def built(conf: cfg.ConfigOpts) -> AsyncIterator[states.RouterState]:
+    """Yield the state of a router; close its clients afterwards.
+
+    Parameters
+    ----------
+    conf : oslo_config.cfg.ConfigOpts
+        Checked settings.
+    """
+    async with _sessions() as sessions:
+        yield _state(conf, sessions)
+
+
+def _state(conf, sessions: _Sessions) -> states.RouterState:
+    rng = _random(conf.policy.seed)
+    objects = http_store.HttpObjectStore(conf.store.address, sessions.shared)
+    load_table = loads.LoadTable()
+    own = in_flight.InFlight()
+    believed = beliefs.Beliefs()
+    hot = heat.Heat()
+    connect_timeout_s = conf.upstreams.connect_timeout_s
+    return states.RouterState(
+        conf=conf,
+        rng=rng,
+        objects=objects,
+        session=sessions.shared,
+        configuration=configuration.ConfigurationController(
+            objects,
+            timeout_s=conf.store.timeout_s,
+            watch_wait_s=conf.store.watch_wait_s,
+            rng=rng,
+        ),
+        engines=engine.EngineClient(
+            sessions.shared,
+            sessions.fresh,
+            connect_timeout_s,
+            conf.upstreams.silent_event_s,
+        ),
+        services=service.ServiceClient(sessions.fresh, connect_timeout_s),
+        loads=load_table,
+        in_flight=own,
+        beliefs=believed,
+        heat=hot,
+        fleet=fleet.Fleet(
+            zone=conf.router.zone,
+            policy_name=conf.policy.placement,
+            load_table=load_table,
+            own=own,
+            believed=believed,
+            hot=hot,
+            rng=rng,
+        ),
+        admission=admission.AdmissionQueue(
+            FIRST_CAPACITY, conf.router.max_queued
+        ),
+        limiter=admission.RateLimiter(),
+        claims=claims.ClaimKeeper(
+            objects,
+            conf.router.name,
+            timeout_s=conf.store.timeout_s,
+            rng=rng,
+        ),
+        suspicions=quarantine.Suspicions(),
+        exchanges=exchanges.OpenExchanges(states.RouterState.now_s),
+        background=background.Background(),
+    )
+
+
+def controllers(
+    state: states.RouterState,
+) -> tuple[services.TaskService, ...]:
+    """Return the tasks that keep the state."""
+
+    def upstreams() -> tuple[model.Upstream, ...]:
+        return _configured_upstreams(state.configuration)
+
+    load_controller = load_controllers.LoadController(
+        state.session,
+        state.loads,
+        upstreams,
+        state.conf.upstreams.load_interval_s,
+        on_restart=state.crashed,
+        rng=state.rng,
+        clock=state.now_s,
+    )
+    events = cache_events.CacheEventController(
+        state.session, state.beliefs, upstreams, state.rng, state.now_s
+    )
+
+    def adjust_capacity(accepted: model.Accepted) -> None:
+        routers = state.live_routers(state.now_s())
+        state.admission.capacity = capacity(accepted.document, routers)
+
+    state.configuration.subscribe(adjust_capacity)
+    return tuple(
+        services.TaskService(run=run, label=label)
+        for label, run in (
+            ("configuration", state.configuration.run),
+            ("loads", load_controller.run),
+            ("cache events", events.run),
+        )
+    )
--- /dev/null
+++ b/toucanrudder/router/daemon.py
@@ -0,0 +1,132 @@
+"""The router's process: start, signals and planned stop."""
+
+import asyncio
+import json
+import logging
+import os
+import signal
+import sys
+
+import aiomisc
+from oslo_config import cfg
+
+from toucanrudder import settings
+from toucanrudder.admin import application as admin_application
+from toucanrudder.observability import logs
+from toucanrudder.router import admin_state
+from toucanrudder.router import application
+from toucanrudder.router import assembly
+from toucanrudder.router import services
+from toucanrudder.router import state as states
+
+LOG = logging.getLogger(__name__)
+
+#: Threads are needed for checks of documents only.
+POOL_SIZE = 2
+
+#: Exit status when a second signal cut a planned stop short.
+EXIT_IMPATIENT = 70
+
+
+def use_no_io_uring() -> None:
+    """Keep libuv from opening a ring; call before the first loop exists."""
+    os.environ["UV_USE_IO_URING"] = "0"
+
+
+def run(settings_path: str) -> None:
+    """Serve until a signal has led to a planned stop.
+
+    Parameters
+    ----------
+    settings_path : str
+        Path of the INI file.
+
+    Raises
+    ------
+    RudderError
+        ``settings_invalid``.
+    """
+    use_no_io_uring()
+    conf = settings.load(settings_path)
+    logs.set_up(conf.logging.format, conf.logging.level)
+    # Imported late: importing it must not come before the line above.
+    import uvloop
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(serve(conf))
+
+
+def _catch_signals() -> asyncio.Event:
+    stop = asyncio.Event()
+
+    def caught() -> None:
+        if stop.is_set():
+            LOG.warning("second signal: leaving at once")
+            os._exit(EXIT_IMPATIENT)
+        stop.set()
+
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, caught)
+    return stop
+
+
+async def serve(conf: cfg.ConfigOpts) -> None:
+    """Serve in this loop; returns after a planned stop."""
+    stop = _catch_signals()
+    async with assembly.built(conf) as state:
+        async with served(state) as listeners:
+            _announce(listeners)
+            await stop.wait()
+            await drained(state)
+        await state.background.drain(1.0)
+    LOG.info("stopped")
+
+
+def listeners_of(
+    state: states.RouterState,
+) -> dict[str, services.ListenService]:
+    """Return the router's listeners by the name of their port."""
+    conf = state.conf.router
+    admin = admin_application.build(admin_state.providers(state))
+    return {
+        "port": services.ListenService(
+            application=application.build(state),
+            host=str(conf.host),
+            port=conf.port,
+        ),
+        "admin_port": services.ListenService(
+            application=admin,
+            host=str(conf.host),
+            port=conf.admin_port,
+            tls=admin_state.tls(state.conf.admin),
+        ),
+    }
+
+
+class served:  # noqa: N801
+    pass
+
+
+def _announce(listeners: dict[str, services.ListenService]) -> None:
+    ports = {name: each.port_in_use for name, each in listeners.items()}
+    print(json.dumps({"ready": True, **ports}), flush=True)
+    sys.stdout.flush()
+
+
+async def drained(state: states.RouterState) -> None:
+    """Wait until no request is open and no more are coming.
+
+    The router first says that it is not ready and tells callers to close,
+    but goes on serving whatever still arrives: refusing or cutting those
+    requests is what a planned stop must not do.
+    """
+    LOG.info("stopping")
+    state.stopping = True
+    conf = state.conf.router
+    try:
+        async with asyncio.timeout(conf.stop_timeout_s):
+            await state.exchanges.quiet(conf.drain_s)
+    except TimeoutError:
+        LOG.warning("requests still open after stop_timeout_s")
+    await state.claims.drain(conf.drain_s)
