Add the suspicions that bound a poison request to two engines

A request that crashes each engine takes one engine per resend, through whichever router it meets. Each request in flight at a crash becomes a suspect everywhere; the routers rank the suspects alike and so send one at a time to an engine. Ruled out: convicting everything seen at two crashes, which blames the batch, and a lease per engine in the store, which would stop trials in an outage. In a model fleet of 1 to 8 engines and 1 to 7 routers two engines die, and every bystander is answered.

--- a/toucanrudder/admission/fair.py
+++ b/toucanrudder/admission/fair.py
@@ -1,5 +1,7 @@
 """The order in which waiting requests are served.  No I/O."""
 
+import itertools
+
 import attrs
 import sortedcontainers
 
@@ -32,13 +34,16 @@
     priority: request.Priority
     deadline_s: float
     arrived_s: float
+    _sequence: int = attrs.field(
+        factory=itertools.count().__next__, init=False
+    )
 
     @property
     def due(self) -> tuple[float, int]:
         """Order among the requests of one organisation."""
         return (
             self.arrived_s + self.priority * AGEING_S,
-            id(self),
+            self._sequence,
         )
 
 
--- /dev/null
+++ b/toucanrudder/quarantine/tests/test_suspicion.py
@@ -0,0 +1,186 @@
+import itertools
+import random
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from toucanrudder.quarantine import entry
+from toucanrudder.quarantine import suspicion
+
+FREE, SUSPECT, QUARANTINED = suspicion.Standing
+NOW_S = 100.0
+
+
+def crash(name, at_s=NOW_S, engine="e1", isolated=False):
+    return entry.Entry(
+        entry.Kind.CRASH, name, at_s, engine, f"{engine}-1", isolated
+    )
+
+
+def fact(kind, name, at_s):
+    return entry.Entry(kind, name, at_s)
+
+
+def trial(name, at_s=NOW_S + 1, engine="e2"):
+    return crash(name, at_s, engine, isolated=True)
+
+
+CLEARED, RELEASED = entry.Kind.CLEARED, entry.Kind.RELEASED
+
+TABLE = [
+    ([crash("p"), crash("o")], {"p": SUSPECT, "o": SUSPECT, "x": FREE}),
+    # The second crash names the one suspect; its batch is cleared, also
+    # those that had joined it at the second engine.
+    (
+        [crash("p"), crash("o"), trial("p"), crash("n", 101.0, "e2")],
+        {"p": QUARANTINED, "o": FREE, "n": FREE},
+    ),
+    # Two crashes without isolation name nobody.
+    (
+        [crash("p"), crash("o"), crash("p", 101, "e2"), crash("o", 101, "e2")],
+        {"p": SUSPECT, "o": SUSPECT},
+    ),
+    # Two suspects at one engine: nobody is blamed for the other.
+    (
+        [crash("p"), crash("o"), trial("p"), trial("o")],
+        {"p": SUSPECT, "o": SUSPECT},
+    ),
+    # One crash told twice, by two routers, is one crash.
+    ([crash("p"), crash("p", 100.2)], {"p": SUSPECT}),
+    ([crash("p"), fact(CLEARED, "p", 101.0)], {"p": FREE}),
+    ([crash("p"), fact(CLEARED, "p", 99.0)], {"p": SUSPECT}),
+    # A copy that happened to end well lifts no quarantine; an operator
+    # does, and what crashed after that counts anew.
+    (
+        [crash("p"), trial("p"), fact(CLEARED, "p", 103.0)],
+        {"p": QUARANTINED},
+    ),
+    ([crash("p"), trial("p"), fact(RELEASED, "p", 103.0)], {"p": FREE}),
+    (
+        [
+            crash("p"),
+            trial("p"),
+            fact(RELEASED, "p", 103.0),
+            crash("p", 104.0, "e3"),
+        ],
+        {"p": SUSPECT},
+    ),
+]
+
+
+@pytest.mark.parametrize(("entries", "want"), TABLE)
+def test_standing_follows_from_the_entries_in_any_order(entries, want):
+    orders = list(itertools.permutations(entries))
+    for order in orders[:24]:
+        suspicions = suspicion.Suspicions()
+        for one in order:
+            suspicions.merge([one, one], NOW_S)
+        got = {name: suspicions.check(name, NOW_S + 9) for name in want}
+        assert got == want
+
+
+ENTRIES = strategies.lists(
+    strategies.builds(
+        entry.Entry,
+        strategies.sampled_from(entry.Kind),
+        strategies.sampled_from("abc"),
+        strategies.sampled_from([NOW_S - 1, NOW_S, NOW_S + 1]),
+        strategies.sampled_from(["", "e1", "e2"]),
+        strategies.sampled_from(["", "i1"]),
+        strategies.booleans(),
+    ),
+    max_size=12,
+)
+
+
+@hypothesis.settings(derandomize=True, deadline=None)
+@hypothesis.given(ENTRIES, ENTRIES)
+def test_merging_is_commutative_and_idempotent(ours, theirs):
+    a, b = suspicion.Suspicions(), suspicion.Suspicions()
+    a.merge(ours, NOW_S)
+    b.merge(theirs, NOW_S)
+    told = a.entries(NOW_S), b.entries(NOW_S)
+    for one, other in ((a, told[1]), (b, told[0]), (a, told[1])):
+        one.merge(other, NOW_S)
+    assert set(a.entries(NOW_S)) == set(b.entries(NOW_S))
+    assert not a.merge(b.entries(NOW_S), NOW_S)
+    assert [a.check(n, NOW_S) for n in "abc"] == [
+        b.check(n, NOW_S) for n in "abc"
+    ]
+
+
+def test_entries_expire_and_are_bounded():
+    suspicions = suspicion.Suspicions(expiry_s=10.0, max_entries=3)
+    suspicions.merge([crash(f"r{i}", NOW_S + i) for i in range(5)], NOW_S)
+    assert [suspicions.check(f"r{i}", NOW_S) for i in (1, 2)] == [
+        FREE,
+        SUSPECT,
+    ]
+    assert suspicions.check("r4", NOW_S + 15) is FREE
+    assert suspicions.entries(NOW_S + 15) == ()
+    assert not suspicions.merge([crash("late", NOW_S)], NOW_S + 15)
+
+
+FLEETS = [(4, 3, 1), (4, 8, 3), (2, 8, 7), (8, 8, 7), (1, 3, 2)]
+
+
+@pytest.mark.parametrize(("engines", "batch", "routers"), FLEETS)
+@pytest.mark.parametrize("seed", range(5))
+def test_a_poison_request_takes_two_engines_and_no_bystander(
+    engines, batch, routers, seed
+):
+    """A batch holds one request that crashes each engine that runs it.
+
+    All callers send again until they are answered or refused for good,
+    each time at another router.  At most two engines may die, only the
+    poison may be quarantined, and each bystander must be answered.  With
+    more suspects than engines the rounds keep them apart.
+    """
+    rng = random.Random(seed)
+    fleet = [suspicion.Suspicions() for _ in range(routers)]
+    names = [f"{rng.getrandbits(32):08x}" for _ in range(batch)]
+    poison = names[0]
+    alive = [f"e{i}" for i in range(engines)]
+    for name in names:
+        rng.choice(fleet).crashed(
+            "e-first", "1", [entry.InFlight(name)], NOW_S
+        )
+    spread(fleet)
+    deaths, answered, now_s = 1, set(), NOW_S + 1
+    for _ in range(200):
+        running = {}
+        for name in names:
+            router = rng.choice(fleet)
+            standing = router.check(name, now_s)
+            if name in answered or standing is QUARANTINED:
+                continue
+            engine = rng.choice(alive)
+            if standing is SUSPECT:
+                place = router.trial(name, alive, now_s)
+                if place.wait_s > 0:
+                    continue
+                engine = place.upstream
+            running.setdefault(engine, []).append(
+                (router, name, standing is SUSPECT)
+            )
+        for engine, requests in running.items():
+            died = any(name == poison for _, name, _ in requests)
+            deaths += died
+            for router, name, isolated in requests:
+                flight = entry.InFlight(name, isolated)
+                if died:
+                    router.crashed(engine, str(deaths), [flight], now_s)
+                else:
+                    router.completed(name, now_s)
+                    answered.add(name)
+        spread(fleet)
+        now_s += 0.7
+    assert deaths == 2
+    assert answered == set(names[1:])
+    assert {r.quarantined(now_s) for r in fleet} == {(poison,)}
+
+
+def spread(fleet):
+    for one, other in itertools.permutations(fleet, 2):
+        one.merge(other.entries(NOW_S), NOW_S)
