--- a/toucanrudder/cli/main.py
+++ b/toucanrudder/cli/main.py
@@ -6,13 +6,26 @@
 
 import toucanrudder
 from toucanrudder import errors
+from toucanrudder.standins import engine
+from toucanrudder.standins import platform
+from toucanrudder.standins import service
 
 EXIT_MISTAKE = 2
 
 
+class StandIns:
+    """Stand-ins for what surrounds the routers, for tests and trials."""
+
+    platform = staticmethod(platform.main)
+    engine = staticmethod(engine.main)
+    service = staticmethod(service.main)
+
+
 class Commands:
     """Router for language-model traffic with long shared prompts."""
 
+    standin = StandIns
+
     def version(self) -> str:
         """Print the version."""
         return toucanrudder.__version__
