Join filters, relay and controllers into a router daemon

A request now passes from a caller over a router process to an engine or a service stand-in process and back, configured from the platform stand-in.

--- a/toucanrudder/filters/__init__.py
+++ b/toucanrudder/filters/__init__.py
@@ -1,6 +1,5 @@
 """The chain of filters that each request passes through."""
 
-from toucanrudder.filters.chain import chain
 from toucanrudder.filters.exchange import Exchange
 
-__all__ = ("Exchange", "chain")
+__all__ = ("Exchange",)
--- a/toucanrudder/filters/chain.py
+++ b/toucanrudder/filters/chain.py
@@ -24,12 +24,12 @@
     Examples
     --------
     >>> import asyncio
-    >>> from toucanrudder import filters
+    >>> from toucanrudder.filters import chain
     >>> async def add(exchange, call_next):
     ...     return 1 + await call_next(exchange)
     >>> async def last(exchange):
     ...     return exchange
-    >>> asyncio.run(filters.chain((add, add), last)(40))
+    >>> asyncio.run(chain.chain((add, add), last)(40))
     42
     """
     handler = last
--- /dev/null
+++ b/toucanrudder/router/admin_state.py
@@ -0,0 +1,77 @@
+"""What the admin API is told of this router."""
+
+import ssl
+
+from oslo_config import cfg
+
+from toucanrudder.admin import state as admin_states
+from toucanrudder.admin import status
+from toucanrudder.admin import tls as admin_tls
+from toucanrudder.document import model
+from toucanrudder.router import state as states
+
+
+def tls(conf: cfg.ConfigOpts) -> ssl.SSLContext | None:
+    """Return the admin listener's TLS context, if settings name one."""
+    if not conf.admin.tls_certificate:
+        return None
+    return admin_tls.server_context(
+        conf.admin.tls_certificate, conf.admin.tls_key
+    )
+
+
+def _upstream(
+    state: states.RouterState, upstream: model.Upstream, now_s: float
+) -> status.UpstreamStatus:
+    known = state.loads.get(upstream.name)
+    report = known.report if known else None
+    reachable = state.loads.healthy(upstream.name, now_s)
+    unknown = "unknown" if reachable else "unreachable"
+    return status.UpstreamStatus(
+        name=upstream.name,
+        kind=upstream.kind,
+        zone=upstream.zone,
+        state=report.state if report and reachable else unknown,
+        drained=upstream.drained,
+        incarnation=report.incarnation if report else "",
+        running=report.running if report else 0,
+        waiting=report.waiting if report else 0,
+        own_in_flight=state.in_flight.requests(upstream.name),
+        report_age_s=now_s - known.received_s if known else None,
+    )
+
+
+def providers(state: states.RouterState) -> admin_states.State:
+    """Return the callables that the admin API reads from."""
+
+    def upstreams() -> list[status.UpstreamStatus]:
+        if state.configuration.current is None:
+            return []
+        now_s = state.now_s()
+        return [
+            _upstream(state, each, now_s)
+            for each in state.document().upstreams
+        ]
+
+    def quarantined() -> list[status.QuarantineStatus]:
+        return [
+            status.QuarantineStatus(fingerprint, 2, 0.0)
+            for fingerprint in state.suspicions.quarantined(state.wall_s())
+        ]
+
+    async def release(fingerprint: str) -> bool:
+        now_s = state.wall_s()
+        held = fingerprint in state.suspicions.quarantined(now_s)
+        if held:
+            state.suspicions.release(fingerprint, now_s)
+        return held
+
+    return admin_states.State(
+        router=state.conf.router.name,
+        token=state.conf.admin.token,
+        current=lambda: state.configuration.current,
+        apply=state.configuration.apply,
+        upstreams=upstreams,
+        quarantined=quarantined,
+        release=release,
+    )
--- a/toucanrudder/router/application.py
+++ b/toucanrudder/router/application.py
@@ -73,7 +73,7 @@
     """
 
     def handler(chosen, last):
-        return _handler(state, filters.chain(chosen, last))
+        return _handler(state, chain.chain(chosen, last))
 
     async def healthy(request: web.Request) -> web.Response:
         return web.Response(text="ok\n")
--- a/toucanrudder/router/daemon.py
+++ b/toucanrudder/router/daemon.py
@@ -1,14 +1,16 @@
 """The router's process: start, signals and planned stop."""
 
 import asyncio
+from collections.abc import AsyncIterator
+import contextlib
 import json
 import logging
 import os
 import signal
-import sys
 
 import aiomisc
 from oslo_config import cfg
+import uvloop
 
 from toucanrudder import settings
 from toucanrudder.admin import application as admin_application
@@ -49,9 +51,6 @@
     use_no_io_uring()
     conf = settings.load(settings_path)
     logs.set_up(conf.logging.format, conf.logging.level)
-    # Imported late: importing it must not come before the line above.
-    import uvloop
-
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(serve(conf))
 
@@ -86,32 +85,44 @@
 def listeners_of(
     state: states.RouterState,
 ) -> dict[str, services.ListenService]:
-    """Return the router's listeners by the name of their port."""
+    """Return the router's listeners by the name of their address."""
     conf = state.conf.router
     admin = admin_application.build(admin_state.providers(state))
     return {
-        "port": services.ListenService(
+        "address": services.ListenService(
             application=application.build(state),
             host=str(conf.host),
             port=conf.port,
         ),
-        "admin_port": services.ListenService(
+        "admin_address": services.ListenService(
             application=admin,
             host=str(conf.host),
             port=conf.admin_port,
-            tls=admin_state.tls(state.conf.admin),
+            tls=admin_state.tls(state.conf),
         ),
     }
 
 
-class served:  # noqa: N801
-    pass
+@contextlib.asynccontextmanager
+async def served(
+    state: states.RouterState,
+) -> AsyncIterator[dict[str, services.ListenService]]:
+    """Run the controllers and listeners; yield the listeners."""
+    listeners = listeners_of(state)
+    entrypoint = aiomisc.entrypoint(
+        *assembly.controllers(state),
+        *listeners.values(),
+        catch_signals=(),
+        log_config=False,
+        pool_size=POOL_SIZE,
+    )
+    async with entrypoint:
+        yield listeners
 
 
 def _announce(listeners: dict[str, services.ListenService]) -> None:
-    ports = {name: each.port_in_use for name, each in listeners.items()}
-    print(json.dumps({"ready": True, **ports}), flush=True)
-    sys.stdout.flush()
+    addresses = {name: each.address for name, each in listeners.items()}
+    print(json.dumps({"ready": True, **addresses}), flush=True)
 
 
 async def drained(state: states.RouterState) -> None:
--- a/toucanrudder/router/services.py
+++ b/toucanrudder/router/services.py
@@ -54,7 +54,7 @@
     host : str
         IP address.
     port : int
-        TCP port; 0 picks a free one, told by `port_in_use`.
+        TCP port; 0 picks a free one, told by `address`.
     tls : ssl.SSLContext, optional
         For HTTPS.
     """
@@ -64,7 +64,7 @@
     port: int
     tls: ssl.SSLContext | None = None
 
-    port_in_use: int = 0
+    address: str = ""
     _runner: web.AppRunner | None = None
 
     async def start(self) -> None:
@@ -87,7 +87,7 @@
             backlog=1024,
         )
         await site.start()
-        self.port_in_use = self._runner.addresses[0][1]
+        self.address = "{}:{}".format(*self._runner.addresses[0][:2])
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Close the listener and what connections are left."""
--- a/toucanrudder/router/state.py
+++ b/toucanrudder/router/state.py
@@ -6,12 +6,14 @@
 import random
 import time
 
+import aiohttp
 import attrs
 from oslo_config import cfg
 
 from toucanrudder import admission
 from toucanrudder import claims
 from toucanrudder import errors
+from toucanrudder import quarantine
 from toucanrudder import retries
 from toucanrudder import store
 from toucanrudder.controllers import configuration
@@ -21,7 +23,6 @@
 from toucanrudder.prefix import beliefs
 from toucanrudder.prefix import heat
 from toucanrudder.prefix import identity
-from toucanrudder import quarantine
 from toucanrudder.relay import attempt as attempts
 from toucanrudder.router import background
 from toucanrudder.router import exchanges
@@ -68,6 +69,7 @@
     conf: cfg.ConfigOpts
     rng: random.Random
     objects: store.ObjectStore
+    session: aiohttp.ClientSession
     configuration: configuration.ConfigurationController
     engines: engine.EngineClient
     services: service.ServiceClient
@@ -196,9 +198,7 @@
             now_s=now_s,
         )
 
-    def standing(
-        self, request: requests.ModelRequest
-    ) -> quarantine.Standing:
+    def standing(self, request: requests.ModelRequest) -> quarantine.Standing:
         """Return how the quarantine treats the request.
 
         Raises
--- a/toucanrudder/upstreams/engine.py
+++ b/toucanrudder/upstreams/engine.py
@@ -8,6 +8,7 @@
 
 from toucanrudder.document import model
 from toucanrudder.upstreams import failures
+from toucanrudder.upstreams import sending
 
 #: Cancelling is a courtesy to the engine; nobody waits longer for it.
 CANCEL_TIMEOUT_S = 2.0
@@ -106,6 +107,7 @@
                 "X-Cache-Salt": call.salt_hex,
             },
             timeout=self._opening,
+            middlewares=(sending.once(upstream.name),),
         )
         async with self._answer(request, upstream, call.engine_id) as answer:
             yield answer
@@ -128,6 +130,7 @@
             f"http://{upstream.address}/v1/streams/{engine_id}",
             params={"after": str(after)},
             timeout=self._resuming,
+            middlewares=(sending.once(upstream.name),),
         )
         async with self._answer(request, upstream, engine_id) as answer:
             yield answer
@@ -146,25 +149,8 @@
     @contextlib.asynccontextmanager
     async def _answer(self, request, upstream, engine_id):
         name = upstream.name
-        try:
+        with sending.mapped(name):
             response = await request
-        except aiohttp.ClientConnectorError as error:
-            raise failures.UpstreamFailure(
-                failures.Kind.NOT_REACHED,
-                name,
-                str(error),
-                connection_refused=isinstance(
-                    error.os_error, ConnectionRefusedError
-                ),
-            ) from error
-        except aiohttp.ConnectionTimeoutError as error:
-            raise failures.UpstreamFailure(
-                failures.Kind.NOT_REACHED, name, "no connection in time"
-            ) from error
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise failures.UpstreamFailure(
-                failures.Kind.SILENT, name, repr(error)
-            ) from error
         try:
             if response.status != 200:
                 raise await _refusal(response, name)
--- a/toucanrudder/upstreams/service.py
+++ b/toucanrudder/upstreams/service.py
@@ -9,6 +9,7 @@
 
 from toucanrudder.document import model
 from toucanrudder.upstreams import failures
+from toucanrudder.upstreams import sending
 
 #: Headers that belong to one connection, and those that are ours.
 _NOT_PASSED = frozenset(
@@ -87,10 +88,6 @@
             ``not_reached`` or ``refused`` prove that nothing ran;
             ``silent`` and ``error`` leave it open.
         """
-        # A pooled connection may have been closed by the service while the
-        # call was written to it: whether it ran would be unknown, and
-        # aiohttp would even send a PUT again by itself.  A connection used
-        # once leaves no such doubt, and is worth the round trip.
         timeout = aiohttp.ClientTimeout(
             total=timeout_s, sock_connect=self._connect_timeout_s
         )
@@ -101,8 +98,10 @@
             data=body,
             timeout=timeout,
             allow_redirects=False,
+            middlewares=(sending.once(upstream.name),),
         )
-        response = await _opened(request, upstream.name)
+        with sending.mapped(upstream.name):
+            response = await request
         try:
             if (
                 response.status == 503
@@ -114,25 +113,3 @@
             yield response
         finally:
             response.close()
-
-
-async def _opened(request, name: str) -> aiohttp.ClientResponse:
-    try:
-        return await request
-    except aiohttp.ClientConnectorError as error:
-        raise failures.UpstreamFailure(
-            failures.Kind.NOT_REACHED,
-            name,
-            str(error),
-            connection_refused=isinstance(
-                error.os_error, ConnectionRefusedError
-            ),
-        ) from error
-    except aiohttp.ConnectionTimeoutError as error:
-        raise failures.UpstreamFailure(
-            failures.Kind.NOT_REACHED, name, "no connection in time"
-        ) from error
-    except (aiohttp.ClientError, TimeoutError, OSError) as error:
-        raise failures.UpstreamFailure(
-            failures.Kind.SILENT, name, repr(error)
-        ) from error
