Keep the accepted configuration in force

Cause: a document that was accepted must be in force on all routers and never revert: not by a store that came back older, a lost answer, a hung watch or two operators at once.

Ruled out: reading the store once more after each watch (double the calls), and settling by reading only, since the write may still be under way.

--- /dev/null
+++ b/toucanrudder/document/acceptance.py
@@ -0,0 +1,115 @@
+"""Decides which accepted document is in force."""
+
+import enum
+
+import attrs
+
+from toucanrudder import errors
+from toucanrudder.document import model
+
+
+class Source(enum.Enum):
+    """Where a candidate came from."""
+
+    STORE = "store"
+    PEER = "peer"
+    APPLY = "apply"
+
+
+class Settled(enum.Enum):
+    """What became of a write whose answer was lost."""
+
+    DONE = "done"
+    LOST_RACE = "lost_race"
+    NOT_YET = "not_yet"
+    UNKNOWN = "unknown"
+
+
+@attrs.define(eq=False)
+class ConfigurationConflict(errors.RudderError):
+    """Another document was accepted first; says which and whose."""
+
+    generation: int = attrs.field(default=0, kw_only=True)
+    author: str = attrs.field(default="", kw_only=True)
+
+    def as_body(self, request_id: str = "") -> dict:
+        """Return the error body, with the winner's generation and author."""
+        body = super().as_body(request_id)
+        body["error"]["generation"] = self.generation
+        body["error"]["author"] = self.author
+        return body
+
+
+def generation_of(accepted: model.Accepted | None) -> int:
+    """Return the generation, 0 when there is no document."""
+    return accepted.generation if accepted else 0
+
+
+def supersedes(
+    candidate: model.Accepted,
+    current: model.Accepted | None,
+    source: Source,
+) -> bool:
+    """Say whether the candidate takes the place of the current document.
+
+    A lower generation never does.  Two documents of one generation exist
+    only if the store came back older and was written meanwhile by routers
+    that knew no better; then the store's wins, so that all agree.
+
+    Parameters
+    ----------
+    candidate : model.Accepted
+        What was read, told or written.
+    current : model.Accepted or None
+        What is in force on this router.
+    source : Source
+        Where the candidate came from.
+
+    Examples
+    --------
+    >>> from toucanrudder.document import model
+    >>> old = model.Accepted(1, "a", "ann", model.Document())
+    >>> new = model.Accepted(2, "b", "bob", model.Document())
+    >>> supersedes(new, old, Source.PEER), supersedes(old, new, Source.STORE)
+    (True, False)
+    """
+    if current is None or candidate.generation > current.generation:
+        return True
+    return (
+        source is Source.STORE
+        and candidate.generation == current.generation
+        and candidate.apply_id != current.apply_id
+    )
+
+
+def settle(
+    written: model.Accepted,
+    stored: model.Accepted | None,
+    seen: dict[int, str],
+) -> Settled:
+    """Say what became of `written`, given what the store holds now.
+
+    Parameters
+    ----------
+    written : model.Accepted
+        The document whose write got no answer.
+    stored : model.Accepted or None
+        What the store holds now.
+    seen : dict of int to str
+        The ``apply_id`` of generations that this router has seen.
+
+    Returns
+    -------
+    Settled
+        ``NOT_YET`` may still take effect: the write can be on its way.
+    """
+    if stored is not None and stored.apply_id == written.apply_id:
+        return Settled.DONE
+    if generation_of(stored) < written.generation:
+        return Settled.NOT_YET
+    if stored.generation == written.generation:
+        return Settled.LOST_RACE
+    holder = seen.get(written.generation)
+    if holder is None:
+        return Settled.UNKNOWN
+    return Settled.DONE if holder == written.apply_id else Settled.LOST_RACE
--- a/toucanrudder/store/memory.py
+++ b/toucanrudder/store/memory.py
@@ -172,6 +172,8 @@
                     present = self._objects.get((kind, name))
                     if present is not None and present.version != version:
                         return copy.deepcopy(present)
+                    if present is None and version:
+                        return None
                     await changed.wait()
         except TimeoutError:
             return None
