--- a/toucanrudder/demo/run.py
+++ b/toucanrudder/demo/run.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import signal
-import sys
 
 import aiohttp
 import uvloop
@@ -64,17 +63,22 @@
         )
 
 
-def main(serve: bool = False) -> None:
-    """Run the demo; exit 0 only if each answer was right.
+def main(serve: bool = False) -> int:
+    """Run the demo; 0 only if each answer was right.
 
     Parameters
     ----------
     serve : bool
         Print one JSON line that tells how to reach the system, and serve
         until SIGINT or SIGTERM.
+
+    Returns
+    -------
+    int
+        Exit status.
     """
     daemon.use_no_io_uring()
     logs.set_up("text", "warning")
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         good = runner.run(_serve() if serve else _show())
-    sys.exit(0 if good else 1)
+    return 0 if good else 1
--- a/toucanrudder/demo/system.py
+++ b/toucanrudder/demo/system.py
@@ -64,7 +64,6 @@
     """Everything that runs, and how to reach it."""
 
     routers: tuple[Router, ...]
-    engines: tuple[engines.Engine, ...]
     services: tuple[services.Service, ...]
     platform: platforms.Platform
     document: model.Document
@@ -98,25 +97,23 @@
         return probe.getsockname()[1]
 
 
-def _moved(
-    document: model.Document, addresses: dict[str, str]
-) -> model.Document:
+def _moved(document: model.Document, upstreams: dict) -> model.Document:
     return attrs.evolve(
         document,
         upstreams=tuple(
-            attrs.evolve(each, address=addresses[each.name])
+            attrs.evolve(each, address=upstreams[each.name].address)
             for each in document.upstreams
         ),
     )
 
 
-async def _opened_standins(
+async def _opened_upstreams(
     stack: contextlib.AsyncExitStack, document: model.Document
-) -> tuple[list[engines.Engine], list[services.Service]]:
+) -> dict[str, engines.Engine | services.Service]:
     weights = ",".join(
         f"{each.name}={each.weights_version}" for each in document.models
     )
-    opened_engines, opened_services = [], []
+    opened = {}
     for upstream in document.upstreams:
         if upstream.kind == model.ENGINE:
             opening = engines.opened(
@@ -127,11 +124,10 @@
                 decode_s_per_token=DECODE_S_PER_TOKEN,
                 checks_fencing=upstream.checks_fencing,
             )
-            opened_engines.append(await stack.enter_async_context(opening))
         else:
             opening = services.opened(name=upstream.name)
-            opened_services.append(await stack.enter_async_context(opening))
-    return opened_engines, opened_services
+        opened[upstream.name] = await stack.enter_async_context(opening)
+    return opened
 
 
 def _settings(
@@ -172,10 +168,8 @@
     example = validation.parse(json.loads(EXAMPLE.read_text("utf-8")))
     async with contextlib.AsyncExitStack() as stack:
         platform = await stack.enter_async_context(platforms.opened())
-        found = await _opened_standins(stack, example)
-        addresses = {each.name: each.address for each in found[0]}
-        addresses |= {each.name: each.address for each in found[1]}
-        document = _moved(example, addresses)
+        upstreams = await _opened_upstreams(stack, example)
+        document = _moved(example, upstreams)
         platform.store.create(
             "configuration",
             "current",
@@ -201,8 +195,11 @@
         ]
         yield System(
             routers=tuple(routers),
-            engines=tuple(found[0]),
-            services=tuple(found[1]),
+            services=tuple(
+                each
+                for each in upstreams.values()
+                if isinstance(each, services.Service)
+            ),
             platform=platform,
             document=document,
         )
