--- a/toucanrudder/controllers/loads.py
+++ b/toucanrudder/controllers/loads.py
@@ -108,8 +108,13 @@
         try:
             async with self._open:
                 await self._take(upstream, await self._report(upstream))
+        except aiohttp.ClientConnectorError as error:
+            if isinstance(error.os_error, ConnectionRefusedError):
+                self._table.gone(upstream.name)
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
-            self._table.failed(upstream.name, self._clock())
+            # One poll that fails says little: a busy router misses some
+            # itself.  The report's age tells when it has been too many.
+            LOG.debug("poll failed", extra={"peer": upstream.name})
         finally:
             self._polling.discard(upstream.name)
 
--- a/toucanrudder/filters/dispatch.py
+++ b/toucanrudder/filters/dispatch.py
@@ -48,13 +48,12 @@
         The request.
     sink : sinks.Sink
         Where its answer goes.
-    engine_id : str
-        Its identity at engines; a caller's own identity may not be unique.
+    order : relay.Sequencer
+        Order of the answer's events.
     """
 
     exchange: exchanges.Exchange
     sink: sinks.Sink
-    engine_id: str
     order: relay.Sequencer
     tried: set[str] = attrs.field(factory=set)
     tries: int = 0
@@ -86,14 +85,16 @@
         standing = state.standing(request)
         now_s = state.now_s()
         engines = state.engines_for(request.model, now_s)
+        # A second try goes elsewhere if there is an elsewhere.
+        engines = self._untried(engines) or engines
         if standing is quarantine.Standing.SUSPECT:
-            trial = state.trial(request, self._untried(engines) or engines)
+            trial = state.trial(request, engines)
             if trial is not None:
                 await state.sleep(trial.wait_s)
                 # A copy of it may have crashed another engine meanwhile.
                 state.standing(request)
                 return _on_trial(state, trial), True
-        decision = state.place(request, engines, frozenset(self.tried), now_s)
+        decision = state.place(request, engines, now_s)
         return decision, False
 
     def _untried(self, engines):
@@ -121,7 +122,7 @@
                     attempt, state.spawn
                 ):
                     self._believe_sent(decision, upstream)
-                    self.sink.at(upstream.name)
+                    self.sink.at(upstream.name, attempt.call.engine_id)
                     await attempt.run()
             except failures.UpstreamFailure as failure:
                 if failure.kind is failures.Kind.CRASHED:
@@ -159,6 +160,11 @@
 
     def _engine_call(self) -> engine.EngineCall:
         request = self.exchange.request
+        # Each try has an identity of its own: a caller's may not be
+        # unique, and an engine that is tried again may still hold the
+        # first try's stream.
+        engine_id = uuid.uuid4().hex
+        self.order.moved(engine_id.encode())
         body = {
             **request.body,
             "stream": True,
@@ -170,7 +176,7 @@
                 "events": self.order.last,
             }
         return engine.EngineCall(
-            engine_id=self.engine_id,
+            engine_id=engine_id,
             path=request.path,
             body=body,
             priority=int(request.priority),
@@ -298,14 +304,8 @@
 
 async def dispatch(exchange: exchanges.Exchange) -> web.StreamResponse:
     """Answer a model request."""
-    engine_id = uuid.uuid4().hex
-    sink = _sink(exchange, engine_id)
-    call = ModelCall(
-        exchange=exchange,
-        sink=sink,
-        engine_id=engine_id,
-        order=relay.Sequencer(engine_id.encode()),
-    )
+    sink = _sink(exchange)
+    call = ModelCall(exchange=exchange, sink=sink, order=relay.Sequencer(b""))
     try:
         await call.run()
     except _Rejected as rejected:
@@ -318,12 +318,12 @@
     return await _finished(exchange, sink)
 
 
-def _sink(exchange: exchanges.Exchange, engine_id: str) -> sinks.Sink:
+def _sink(exchange: exchanges.Exchange) -> sinks.Sink:
     if not exchange.request.stream:
         return sinks.WholeSink()
     state = exchange.state
 
-    def token_for(upstream: str) -> str:
+    def token_for(upstream: str, engine_id: str) -> str:
         return tokens.sign(
             state.conf.router.fleet_key,
             tokens.Stream(upstream, engine_id, exchange.organisation.name),
--- a/toucanrudder/filters/resume.py
+++ b/toucanrudder/filters/resume.py
@@ -44,9 +44,9 @@
         exchange.http,
         {headers.REQUEST_ID: exchange.request_id},
         state.conf.router.write_timeout_s,
-        token_for=lambda _: exchange.http.match_info["token"],
+        token_for=lambda *_: exchange.http.match_info["token"],
     )
-    sink.at(upstream.name)
+    sink.at(upstream.name, stream.engine_id)
     return attempts.Attempt(
         client=state.engines,
         upstream=upstream,
--- a/toucanrudder/filters/service.py
+++ b/toucanrudder/filters/service.py
@@ -101,14 +101,18 @@
     """Return the least busy instance of the service that was not tried."""
     state = exchange.state
     now_s = state.now_s()
-    usable = [
-        upstream
-        for upstream in exchange.document.upstreams
-        if upstream.kind == model.SERVICE
-        and upstream.pool == call.service.name
-        and upstream.name not in tried
-        and state.usable(upstream, now_s)
-    ]
+    usable = list(
+        state.usable(
+            (
+                upstream
+                for upstream in exchange.document.upstreams
+                if upstream.kind == model.SERVICE
+                and upstream.pool == call.service.name
+                and upstream.name not in tried
+            ),
+            now_s,
+        )
+    )
     if not usable:
         raise errors.RudderError(
             errors.Code.NO_UPSTREAM,
--- a/toucanrudder/relay/sequencer.py
+++ b/toucanrudder/relay/sequencer.py
@@ -49,6 +49,11 @@
         """Forget the half event that a broken connection left behind."""
         self._rest = b""
 
+    def moved(self, identity: bytes) -> None:
+        """Expect the events that follow under another identity."""
+        self._identity = identity
+        self._rest = b""
+
     def feed(self, chunk: bytes) -> list[bytes]:
         """Take bytes and return the fresh events that they complete.
 
--- a/toucanrudder/relay/sinks.py
+++ b/toucanrudder/relay/sinks.py
@@ -28,8 +28,8 @@
 
     started = False
 
-    def at(self, upstream: str) -> None:
-        """Note the engine from which the next events come."""
+    def at(self, upstream: str, engine_id: str) -> None:
+        """Note the engine, and the stream there, that gives what follows."""
 
     async def write(self, events: list[bytes]) -> None:
         """Take events."""
@@ -56,7 +56,7 @@
     write_timeout_s : float
         Seconds a chunk may stay unread.
     token_for : callable
-        Gives the resume token of this stream at an engine.
+        Gives the resume token of a stream at an engine.
     """
 
     def __init__(
@@ -64,7 +64,7 @@
         http_request: web.Request,
         headers: dict[str, str],
         write_timeout_s: float,
-        token_for: Callable[[str], str],
+        token_for: Callable[[str, str], str],
     ):
         self._token_for = token_for
         self._moved = b""
@@ -80,14 +80,14 @@
         )
         self._last_data = b""
 
-    def at(self, upstream: str) -> None:
+    def at(self, upstream: str, engine_id: str) -> None:
         """Tell the caller where to resume.
 
         The token stands in a header until that is sent, and in a comment
         once the stream goes on at another engine; readers of events skip
         comments, and those who resume look for the latest.
         """
-        token = self._token_for(upstream)
+        token = self._token_for(upstream, engine_id)
         if self.started:
             self._moved = b": resume-token " + token.encode() + b"\n\n"
         else:
--- a/toucanrudder/router/fleet.py
+++ b/toucanrudder/router/fleet.py
@@ -57,7 +57,6 @@
         request: requests.ModelRequest,
         engines: tuple[model.Upstream, ...],
         *,
-        excluded: frozenset[str],
         policy: model.Policy,
         routers: int,
         now_s: float,
@@ -81,9 +80,7 @@
             prompt_tokens=request.prompt_tokens,
             deadline_s=request.first_token_by_s,
         )
-        context = types.Context(
-            policy=policy, rng=self._rng, excluded=excluded
-        )
+        context = types.Context(policy=policy, rng=self._rng)
         return policies.decide(self._policy, fleet, query, context, now_s)
 
     def _view(
--- a/toucanrudder/router/state.py
+++ b/toucanrudder/router/state.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 import functools
 import random
 import time
@@ -162,37 +163,63 @@
             first_token_by_s=first_token_by_s,
         )
 
-    def usable(self, upstream: model.Upstream, now_s: float) -> bool:
-        """Whether new work may be sent to the upstream."""
-        if upstream.drained or not self.loads.healthy(upstream.name, now_s):
-            return False
+    def _takes_work(self, upstream: model.Upstream) -> bool:
         known = self.loads.get(upstream.name)
-        return known is None or known.report.state == "live"
+        live = known is None or known.report.state == "live"
+        return (
+            live
+            and not upstream.drained
+            and self.loads.reachable(upstream.name)
+        )
+
+    def usable(
+        self, upstreams: Iterable[model.Upstream], now_s: float
+    ) -> tuple[model.Upstream, ...]:
+        """Return those of the upstreams that may be given new work.
+
+        Parameters
+        ----------
+        upstreams : iterable of model.Upstream
+            Candidates.
+        now_s : float
+            Present monotonic time.
+
+        Notes
+        -----
+        When the reports of all have grown old, it is this router or its
+        network that is slow, not each of them: refusing everything would
+        turn a slow second into an outage, so all are used.
+        """
+        taking = tuple(filter(self._takes_work, upstreams))
+        healthy = tuple(
+            each for each in taking if self.loads.healthy(each.name, now_s)
+        )
+        return healthy or taking
 
     def engines_for(
         self, model_name: str, now_s: float
     ) -> tuple[model.Upstream, ...]:
         """Return the engines that may be given work for the model."""
-        return tuple(
-            upstream
-            for upstream in self._index().upstreams.values()
-            if upstream.kind == model.ENGINE
-            and model_name in upstream.models
-            and self.usable(upstream, now_s)
+        return self.usable(
+            (
+                upstream
+                for upstream in self._index().upstreams.values()
+                if upstream.kind == model.ENGINE
+                and model_name in upstream.models
+            ),
+            now_s,
         )
 
     def place(
         self,
         request: requests.ModelRequest,
         engines: tuple[model.Upstream, ...],
-        tried: frozenset[str],
         now_s: float,
     ) -> types.Decision:
         """Choose an engine; errors as `placement.policies.decide`."""
         return self.fleet.decide(
             request,
             engines,
-            excluded=tried,
             policy=self.document().policy,
             routers=self.live_routers(now_s),
             now_s=now_s,
@@ -245,11 +272,8 @@
 
     def unreachable(self, failure: failures.UpstreamFailure) -> None:
         """Send nothing there until a poll gets through again."""
-        if failure.kind in (
-            failures.Kind.NOT_REACHED,
-            failures.Kind.CRASHED,
-        ):
-            self.loads.failed(failure.upstream, self.now_s())
+        if failure.connection_refused:
+            self.loads.gone(failure.upstream)
 
 
 def fingerprint_of(request: requests.ModelRequest) -> str:
--- a/toucanrudder/standins/serving.py
+++ b/toucanrudder/standins/serving.py
@@ -47,7 +47,7 @@
     )
     await runner.setup()
     try:
-        site = web.TCPSite(runner, host, port)
+        site = web.TCPSite(runner, host, port, backlog=1024)
         await site.start()
         yield "{}:{}".format(*runner.addresses[0][:2])
     finally:
--- a/toucanrudder/testing/processes.py
+++ b/toucanrudder/testing/processes.py
@@ -80,9 +80,11 @@
 
 @contextlib.asynccontextmanager
 async def started(
-    *arguments: str, environment: dict[str, str] | None = None
+    *arguments: str,
+    environment: dict[str, str] | None = None,
+    module: str = "toucanrudder",
 ) -> AsyncIterator[Process]:
-    """Run ``python -m toucanrudder`` with `arguments` during the block.
+    """Run ``python -m`` a module with `arguments` during the block.
 
     Parameters
     ----------
@@ -90,6 +92,8 @@
         Command line.
     environment : dict, optional
         Variables to add.
+    module : str
+        What is run.
 
     Yields
     ------
@@ -103,7 +107,7 @@
     """
     with tempfile.TemporaryDirectory() as directory:
         log = pathlib.Path(directory, "stderr")
-        process = await _spawn(arguments, environment or {}, log)
+        process = await _spawn((module, *arguments), environment or {}, log)
         running = Process(process, {}, log)
         reader = None
         try:
@@ -147,7 +151,6 @@
         return await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "toucanrudder",
             *arguments,
             cwd=ROOT,
             env=os.environ | environment,
--- a/toucanrudder/upstreams/loads.py
+++ b/toucanrudder/upstreams/loads.py
@@ -61,39 +61,42 @@
 
     def __init__(self):
         self._known: dict[str, Known] = {}
-        self._failing_since_s: dict[str, float] = {}
+        self._gone: set[str] = set()
 
     def heard(self, name: str, report: LoadReport, now_s: float) -> bool:
         """Take a report; return whether the incarnation is a new one."""
         before = self._known.get(name)
         self._known[name] = Known(report, now_s)
-        self._failing_since_s.pop(name, None)
+        self._gone.discard(name)
         return (
             before is not None
             and before.report.incarnation != report.incarnation
         )
 
-    def failed(self, name: str, now_s: float) -> None:
-        """Note that a poll or a connection to the upstream failed."""
-        self._failing_since_s.setdefault(name, now_s)
+    def gone(self, name: str) -> None:
+        """Note that nothing listens there; holds until the next report."""
+        self._gone.add(name)
 
     def get(self, name: str) -> Known | None:
         """Return the last report, or None before the first one."""
         return self._known.get(name)
 
+    def reachable(self, name: str) -> bool:
+        """Whether nothing has shown that the upstream is gone."""
+        return name not in self._gone
+
     def healthy(self, name: str, now_s: float) -> bool:
         """Whether new work may be sent there, as far as polls tell.
 
         An upstream that was never heard of counts as healthy: a router
         that has just started must serve before its first polls are back.
         """
-        if name in self._failing_since_s:
-            return False
         known = self._known.get(name)
-        return known is None or now_s - known.received_s <= STALE_S
+        fresh = known is None or now_s - known.received_s <= STALE_S
+        return fresh and self.reachable(name)
 
     def keep(self, names: frozenset[str]) -> None:
         """Forget upstreams that the configuration no longer holds."""
-        for table in (self._known, self._failing_since_s):
-            for name in table.keys() - names:
-                del table[name]
+        self._gone &= names
+        for name in self._known.keys() - names:
+            del self._known[name]
