Wire peers, live routers and the instance list into the router

Cause: the daemon counted itself as the only router, knew nothing of other routers' work, and sent work to upstreams that the platform lists as leaving.

Change: a listener for peers and a client task; other routers' prompt tokens in placement; limits and admission capacity divided by the live routers, also when routers come and go without a change of the configuration; the platform's instance list beside the upstream's own word; a crash is told to peers at once; [peers] advertise for addresses behind a port mapping.

--- /dev/null
+++ b/toucanrudder/controllers/instances.py
@@ -0,0 +1,100 @@
+"""Polls the platform's list of live and leaving instances."""
+
+import asyncio
+from collections.abc import Callable
+import random
+
+import aiohttp
+import attrs
+
+from toucanrudder.controllers import backoff
+from toucanrudder.membership import instances
+from toucanrudder.observability import metrics
+
+#: Seconds between two polls; also what it adds to the list's own lag.
+INTERVAL_S = 1.0
+
+#: Polls a second by all routers together, a twentieth of the store's
+#: reads; the store's rates grow more slowly than the fleet.
+MAX_POLLS_PER_S = 100.0
+
+
+def interval_s(routers: int) -> float:
+    """Return the seconds between two polls of one router.
+
+    Examples
+    --------
+    >>> interval_s(8), interval_s(400)
+    (1.0, 4.0)
+    """
+    return max(INTERVAL_S, routers / MAX_POLLS_PER_S)
+
+
+class InstanceController:
+    """Owns the instance table.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        For the polls.
+    address : str
+        ``IP:port`` of the platform's object API.
+    table : instances.InstanceTable
+        Written here only.
+    routers : callable
+        Returns the number of live routers.
+    timeout_s : float
+        Seconds that a poll may take.
+    rng : random.Random
+        For jitter.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        address: str,
+        table: instances.InstanceTable,
+        routers: Callable[[], int],
+        timeout_s: float,
+        rng: random.Random,
+    ):
+        self._session = session
+        self._url = f"http://{address}/instances"
+        self._table = table
+        self._routers = routers
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+        self._rng = rng
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        failures = 0
+        while True:
+            try:
+                self._table.listed(await self._list())
+                failures = 0
+                pause_s = interval_s(self._routers())
+                await asyncio.sleep(pause_s * self._rng.uniform(0.75, 1.0))
+            except (
+                aiohttp.ClientError,
+                OSError,
+                KeyError,
+                TypeError,
+                ValueError,
+            ) as error:
+                failures += 1
+                metrics.counter(
+                    "toucanrudder_instance_list_failures",
+                    "Failed polls of the platform's instance list",
+                ).add(1, {"reason": type(error).__name__})
+                await asyncio.sleep(backoff.delay_s(failures, self._rng))
+
+    async def _list(self) -> list[instances.Instance]:
+        async with self._session.get(
+            self._url, timeout=self._timeout, raise_for_status=True
+        ) as response:
+            body = await response.json()
+        names = {field.name for field in attrs.fields(instances.Instance)}
+        return [
+            instances.Instance(**{name: str(row[name]) for name in names})
+            for row in body["instances"]
+        ]
--- a/toucanrudder/peers/node.py
+++ b/toucanrudder/peers/node.py
@@ -37,6 +37,8 @@
         Returns this router's own work at upstreams.
     quarantine : callable
         Given the wall clock, returns all entries.
+    leaving : callable
+        Says whether this router is stopping.
     hot_prefixes : callable
         Given a count and the monotonic time, returns the hottest.
     total_rate_per_s : callable
@@ -48,6 +50,7 @@
     """
 
     loads: Callable[[], tuple[messages.UpstreamLoad, ...]] = tuple
+    leaving: Callable[[], bool] = lambda: False
     quarantine: Callable[[float], tuple[entry.Entry, ...]] = lambda _: ()
     hot_prefixes: Callable[[int, float], tuple[heat.HotPrefix, ...]] = (
         lambda count, now_s: ()
@@ -94,7 +97,6 @@
     ):
         self.name = name
         self.address = ""
-        self.leaving = False
         self.table = table
         self.current = current
         self._incarnation = incarnation
@@ -137,7 +139,7 @@
                 self.address,
                 self._incarnation,
                 self._beat,
-                self.leaving,
+                self._sources.leaving(),
             ),
             generation=self.generation(),
             loads=self._sources.loads(),
--- a/toucanrudder/peers/tests/test_peers.py
+++ b/toucanrudder/peers/tests/test_peers.py
@@ -29,6 +29,7 @@
         self.table = routers.RouterTable(silent_s)
         self.loads = loads.PeerLoads(silent_s)
         self.entries, self.hot = [], {}
+        self.leaving = False
         self.silent_s = silent_s
         self.document = model.Accepted(
             generation, f"id{generation}", name, model.Document()
@@ -43,6 +44,7 @@
             lambda: self.document if self.document.generation else None,
             nodes.Sources(
                 loads=lambda: self.own,
+                leaving=lambda: self.leaving,
                 quarantine=lambda _: tuple(self.entries),
                 merge=lambda new, _: self.entries.extend(
                     each for each in new if each not in self.entries
@@ -108,7 +110,7 @@
         assert one.loads.prefill_tokens("e1", now_s) == 4000
         assert three.loads.requests("e1", now_s) == 2
         await until(lambda: crash in one.entries)
-        two.node.leaving = True
+        two.leaving = True
         await until(lambda: one.live() == {"r3"})
 
 
--- a/toucanrudder/router/assembly.py
+++ b/toucanrudder/router/assembly.py
@@ -1,5 +1,6 @@
 """Builds a router's state from its settings."""
 
+import asyncio
 from collections.abc import AsyncIterator
 import contextlib
 import random
@@ -13,13 +14,18 @@
 from toucanrudder import quarantine
 from toucanrudder.controllers import cache_events
 from toucanrudder.controllers import configuration
+from toucanrudder.controllers import instances as instance_controllers
 from toucanrudder.controllers import loads as load_controllers
 from toucanrudder.document import model
+from toucanrudder.membership import instances
+from toucanrudder.membership import routers
+from toucanrudder.peers import loads as peer_loads
 from toucanrudder.prefix import beliefs
 from toucanrudder.prefix import heat
 from toucanrudder.router import background
 from toucanrudder.router import exchanges
 from toucanrudder.router import fleet
+from toucanrudder.router import peering
 from toucanrudder.router import services
 from toucanrudder.router import state as states
 from toucanrudder.store import http as http_store
@@ -116,6 +122,7 @@
     own = in_flight.InFlight()
     believed = beliefs.Beliefs()
     hot = heat.Heat()
+    others = peer_loads.PeerLoads(conf.peers.silent_s)
     connect_timeout_s = conf.upstreams.connect_timeout_s
     return states.RouterState(
         conf=conf,
@@ -147,6 +154,7 @@
             believed=believed,
             hot=hot,
             rng=rng,
+            others=others,
         ),
         admission=admission.AdmissionQueue(
             FIRST_CAPACITY, conf.router.max_queued
@@ -161,11 +169,14 @@
         suspicions=quarantine.Suspicions(),
         exchanges=exchanges.OpenExchanges(states.RouterState.now_s),
         background=background.Background(),
+        routers=routers.RouterTable(conf.peers.silent_s),
+        peer_loads=others,
+        instances=instances.InstanceTable(),
     )
 
 
 def controllers(
-    state: states.RouterState,
+    state: states.RouterState, peers: peering.Peering
 ) -> tuple[services.TaskService, ...]:
     """Return the tasks that keep the state."""
 
@@ -185,16 +196,37 @@
         state.session, state.beliefs, upstreams, state.rng, state.now_s
     )
 
-    def adjust_capacity(accepted: model.Accepted) -> None:
-        routers = state.live_routers(state.now_s())
-        state.admission.capacity = capacity(accepted.document, routers)
-
-    state.configuration.subscribe(adjust_capacity)
+    instance_controller = instance_controllers.InstanceController(
+        state.session,
+        state.conf.store.address,
+        state.instances,
+        lambda: state.live_routers(state.now_s()),
+        state.conf.store.timeout_s,
+        state.rng,
+    )
     return tuple(
         services.TaskService(run=run, label=label)
         for label, run in (
             ("configuration", state.configuration.run),
             ("loads", load_controller.run),
             ("cache events", events.run),
+            ("instances", instance_controller.run),
+            ("peers", peers.run),
+            ("capacity", lambda: _share_capacity(state)),
         )
     )
+
+
+async def _share_capacity(state: states.RouterState) -> None:
+    """Keep this router's share of the engines' slots up to date."""
+
+    def share(accepted: model.Accepted) -> None:
+        live = state.live_routers(state.now_s())
+        state.admission.capacity = capacity(accepted.document, live)
+
+    state.configuration.subscribe(share)
+    while True:
+        # Routers come and go without a change of the configuration.
+        await asyncio.sleep(state.conf.peers.interval_s)
+        if state.configuration.current is not None:
+            share(state.configuration.current)
--- a/toucanrudder/router/daemon.py
+++ b/toucanrudder/router/daemon.py
@@ -18,6 +18,7 @@
 from toucanrudder.router import admin_state
 from toucanrudder.router import application
 from toucanrudder.router import assembly
+from toucanrudder.router import peering
 from toucanrudder.router import services
 from toucanrudder.router import state as states
 
@@ -83,8 +84,8 @@
 
 
 def listeners_of(
-    state: states.RouterState,
-) -> dict[str, services.ListenService]:
+    state: states.RouterState, peers: peering.Peering
+) -> dict[str, services.ListenService | peering.PeerService]:
     """Return the router's listeners by the name of their address."""
     conf = state.conf.router
     admin = admin_application.build(admin_state.providers(state))
@@ -100,17 +101,21 @@
             port=conf.admin_port,
             tls=admin_state.tls(state.conf),
         ),
+        "peer_address": peering.PeerService(
+            peering=peers, host=str(conf.host), port=conf.peer_port
+        ),
     }
 
 
 @contextlib.asynccontextmanager
 async def served(
     state: states.RouterState,
-) -> AsyncIterator[dict[str, services.ListenService]]:
+) -> AsyncIterator[dict[str, services.ListenService | peering.PeerService]]:
     """Run the controllers and listeners; yield the listeners."""
-    listeners = listeners_of(state)
+    peers = peering.peering(state)
+    listeners = listeners_of(state, peers)
     entrypoint = aiomisc.entrypoint(
-        *assembly.controllers(state),
+        *assembly.controllers(state, peers),
         *listeners.values(),
         catch_signals=(),
         log_config=False,
--- a/toucanrudder/router/fleet.py
+++ b/toucanrudder/router/fleet.py
@@ -4,6 +4,7 @@
 
 from toucanrudder.document import model
 from toucanrudder.messages import request as requests
+from toucanrudder.peers import loads as peer_loads
 from toucanrudder.placement import policies
 from toucanrudder.placement import types
 from toucanrudder.prefix import beliefs
@@ -31,6 +32,8 @@
         Rates of prefixes.
     rng : random.Random
         For ties.
+    others : peer_loads.PeerLoads
+        Other routers' work.
     """
 
     def __init__(
@@ -43,6 +46,7 @@
         believed: beliefs.Beliefs,
         hot: heat.Heat,
         rng: random.Random,
+        others: peer_loads.PeerLoads,
     ):
         self._zone = zone
         self._policy = policies.by_name(policy_name)
@@ -51,6 +55,7 @@
         self._beliefs = believed
         self._heat = hot
         self._rng = rng
+        self._others = others
 
     def decide(
         self,
@@ -92,6 +97,7 @@
         known = self._loads.get(upstream.name)
         own_requests = self._own.requests(upstream.name)
         own_tokens = self._own.prefill_tokens(upstream.name)
+        peer_tokens = self._others.prefill_tokens(upstream.name, now_s)
         if known is None:
             return types.UpstreamView(
                 name=upstream.name,
@@ -101,6 +107,7 @@
                 slots=upstream.slots,
                 own_in_flight=own_requests,
                 own_prefill_tokens=own_tokens,
+                peer_prefill_tokens=peer_tokens,
                 reported_at_s=now_s,
             )
         report = known.report
@@ -117,6 +124,7 @@
             reported_at_s=known.received_s,
             own_in_flight=own_requests,
             own_prefill_tokens=own_tokens,
+            peer_prefill_tokens=peer_tokens,
             believed_tokens=self._beliefs.believed_tokens(
                 upstream.name, report.incarnation, request.prefix_keys, now_s
             ),
--- a/toucanrudder/router/state.py
+++ b/toucanrudder/router/state.py
@@ -19,7 +19,10 @@
 from toucanrudder import store
 from toucanrudder.controllers import configuration
 from toucanrudder.document import model
+from toucanrudder.membership import instances
+from toucanrudder.membership import routers
 from toucanrudder.messages import request as requests
+from toucanrudder.peers import loads as peer_loads
 from toucanrudder.placement import types
 from toucanrudder.prefix import beliefs
 from toucanrudder.prefix import heat
@@ -85,8 +88,11 @@
     suspicions: quarantine.Suspicions
     exchanges: exchanges.OpenExchanges
     background: background.Background
+    routers: routers.RouterTable
+    peer_loads: peer_loads.PeerLoads
+    instances: instances.InstanceTable
     stopping: bool = False
-    count_routers: Callable[[float], int] = lambda now_s: 1
+    hasten: Callable[[], None] = lambda: None
     _budgets: dict[str, retries.RetryBudget] = attrs.field(factory=dict)
     _indexed: _Index | None = None
 
@@ -141,7 +147,7 @@
 
     def live_routers(self, now_s: float) -> int:
         """Return the number of live routers, this one included."""
-        return self.count_routers(now_s)
+        return self.routers.count(now_s)
 
     def budget(self, pool: str) -> retries.RetryBudget:
         """Return the retry budget of an upstream pool."""
@@ -165,9 +171,10 @@
 
     def _takes_work(self, upstream: model.Upstream) -> bool:
         known = self.loads.get(upstream.name)
-        live = known is None or known.report.state == "live"
+        own_state = known.report.state if known else None
         return (
-            live
+            own_state in (None, instances.LIVE)
+            and not self.instances.is_leaving(upstream.name, own_state)
             and not upstream.drained
             and self.loads.reachable(upstream.name)
         )
@@ -269,6 +276,8 @@
         ]
         self.suspicions.crashed(upstream, incarnation, there, self.wall_s())
         self.beliefs.forget(upstream, incarnation)
+        # The caller's resend may meet another router at once.
+        self.hasten()
 
     def unreachable(self, failure: failures.UpstreamFailure) -> None:
         """Send nothing there until a poll gets through again."""
--- a/toucanrudder/settings/options.py
+++ b/toucanrudder/settings/options.py
@@ -103,6 +103,12 @@
         default="",
         help="PEM file of the authority that signs peers' certificates.",
     ),
+    cfg.StrOpt(
+        "advertise",
+        default="",
+        help="IP:port at which other routers reach the peer port; empty "
+        "for the address that it listens on.",
+    ),
     cfg.FloatOpt(
         "interval_s",
         default=0.5,
--- a/toucanrudder/upstreams/in_flight.py
+++ b/toucanrudder/upstreams/in_flight.py
@@ -71,6 +71,10 @@
         """Return the entries at the upstream."""
         return tuple(self._entries.get(upstream, ()))
 
+    def busy(self) -> tuple[str, ...]:
+        """Return the upstreams at which there are requests."""
+        return tuple(name for name, there in self._entries.items() if there)
+
     def total(self) -> int:
         """Return the requests at all upstreams."""
         return sum(len(entries) for entries in self._entries.values())
