--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 PYTHON := $(VENV)/bin/python
 WORKERS ?= 6
 SEEDS ?= 1 2 3
+SHORT_SEEDS ?= 1
 OUT ?= bench-out/bench.json
 
 .PHONY: demo test env lint format unit bench bench-short bench-relay docs
@@ -33,3 +34,15 @@
 format: env
 	$(PYTHON) -m ruff format .
 	$(PYTHON) -m ruff check --fix .
+
+# Options for subsets: DEPLOYMENTS= SCENARIOS= POLICIES=, names separated by
+# spaces.
+bench: env
+	$(PYTHON) -m toucanrudder.bench --seeds="$(SEEDS)" --out="$(OUT)" \
+	    --deployments="$(DEPLOYMENTS)" --scenarios="$(SCENARIOS)" \
+	    --policies="$(POLICIES)"
+
+bench-short: env
+	$(PYTHON) -m toucanrudder.bench --short --seeds="$(SHORT_SEEDS)" \
+	    --out="$(OUT)" --deployments="$(DEPLOYMENTS)" \
+	    --scenarios="$(SCENARIOS)" --policies="$(POLICIES)"
--- a/toucanrudder/bench/__init__.py
+++ b/toucanrudder/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements with real processes."""
+"""The policy bench: real routers and stand-ins under a seeded workload."""
--- a/toucanrudder/filters/dispatch.py
+++ b/toucanrudder/filters/dispatch.py
@@ -113,6 +113,7 @@
             prefill_tokens=max(0, missing),
             incarnation=decision.incarnation,
             isolated=isolated,
+            priority=int(request.priority),
         )
         attempt = self._attempt(decision, upstream, entry)
         with state.in_flight.entry(upstream.name, entry):
@@ -210,7 +211,9 @@
             expected_tokens=decision.expected_hit_tokens,
             cached_tokens=int(cached),
             now_s=state.now_s(),
+            prompt_tokens=int(usage.get("prompt_tokens") or 0),
         )
+        _count_hits(decision.expected_hit_tokens, int(cached))
 
     def _after(
         self, failure: failures.UpstreamFailure
@@ -277,6 +280,17 @@
         )
 
 
+def _count_hits(expected_tokens: int, cached_tokens: int) -> None:
+    metrics.counter(
+        "toucanrudder_expected_hit_tokens",
+        "Prompt tokens expected to be cached where requests were sent",
+    ).add(expected_tokens)
+    metrics.counter(
+        "toucanrudder_false_hit_tokens",
+        "Those of the expected tokens that were not cached",
+    ).add(max(0, expected_tokens - cached_tokens))
+
+
 class _Rejected(Exception):
     """The engine found the request itself wrong; its words go back."""
 
--- a/toucanrudder/placement/policies.py
+++ b/toucanrudder/placement/policies.py
@@ -39,9 +39,9 @@
         Costs within this of the least are equal.
     """
 
-    away_share: float = 0.1
+    away_share: float = 0.05
     rank_share: float = 0.02
-    crowding: float = 2.0
+    crowding: float = 4.0
     tie_s: float = 0.002
 
 
@@ -204,8 +204,7 @@
     # caches, which makes it compute more and crowds it further; it stays
     # so after the cause is gone.
     beyond = sum(
-        max(0.0, waiting.requests(each, now_s) - 1)
-        for each in fleet.upstreams
+        max(0.0, waiting.requests(each, now_s) - 1) for each in fleet.upstreams
     )
     crowd = beyond / len(fleet.upstreams)
     return context.policy.recompute_weight * (1 + policy.crowding * crowd)
--- a/toucanrudder/placement/types.py
+++ b/toucanrudder/placement/types.py
@@ -38,9 +38,9 @@
         that have given no first token yet.
     peer_prefill_tokens : int
         The same as told by the other routers.
-    ahead_prefill_tokens : int or None
-        Of these two, what goes before the request: its own class and more
-        urgent ones.  None if the classes are not known.
+    ahead_share : float
+        Part of the queued work that goes before the request, being of its
+        own class or a more urgent one.
     peer_in_flight : int
         Requests of the other routers that are there, as they told.
     believed_tokens : int
@@ -64,7 +64,7 @@
     own_in_flight: int = 0
     own_prefill_tokens: int = 0
     peer_prefill_tokens: int = 0
-    ahead_prefill_tokens: int | None = None
+    ahead_share: float = 1.0
     peer_in_flight: int = 0
     believed_tokens: int = 0
     computed_share: float = 1.0
--- a/toucanrudder/placement/waiting.py
+++ b/toucanrudder/placement/waiting.py
@@ -42,16 +42,10 @@
         reported = upstream.queued_prefill_tokens * upstream.computed_share
         reported -= age_s * _speed(upstream)
     sent = upstream.own_prefill_tokens + upstream.peer_prefill_tokens
-    return max(0.0, reported, sent) * _ahead_share(upstream, sent)
-
-
-def _ahead_share(upstream: types.UpstreamView, sent: int) -> float:
     # Engines run urgent work first.  Counting what a request overtakes as
     # wait would drive urgent requests away from their cached prefixes
     # whenever background work is queued there.
-    if upstream.ahead_prefill_tokens is None or sent <= 0:
-        return 1.0
-    return min(1.0, upstream.ahead_prefill_tokens / sent)
+    return max(0.0, reported, sent) * upstream.ahead_share
 
 
 def requests(upstream: types.UpstreamView, now_s: float) -> float:
--- a/toucanrudder/prefix/beliefs.py
+++ b/toucanrudder/prefix/beliefs.py
@@ -15,6 +15,8 @@
 
 from toucanrudder.prefix import identity
 
+SHARE_SMOOTHING = 0.05
+
 
 @attrs.define
 class Accuracy:
@@ -50,6 +52,7 @@
         factory=collections.OrderedDict
     )
     sequence: int | None = None
+    computed_share: float = 1.0
     distrusted_before_s: float = float("-inf")
 
 
@@ -149,6 +152,7 @@
         expected_tokens: int,
         cached_tokens: int,
         now_s: float,
+        prompt_tokens: int = 0,
     ) -> None:
         """Learn from an answer how much of the prompt was cached.
 
@@ -165,13 +169,29 @@
             ``usage.prompt_tokens_details.cached_tokens`` of the answer.
         now_s : float
             Present monotonic time.
+        prompt_tokens : int
+            Length of the prompt; 0 if unknown.
         """
         accuracy = self.accuracy
         accuracy.expected_tokens += expected_tokens
         accuracy.false_hit_tokens += max(0, expected_tokens - cached_tokens)
         accuracy.missed_hit_tokens += max(0, cached_tokens - expected_tokens)
         # The engine has just computed or used each block of the prompt.
-        self._use(self._engine(upstream, incarnation), keys, now_s)
+        engine = self._engine(upstream, incarnation)
+        self._use(engine, keys, now_s)
+        if prompt_tokens:
+            share = 1.0 - min(1.0, cached_tokens / prompt_tokens)
+            change = share - engine.computed_share
+            engine.computed_share += SHARE_SMOOTHING * change
+
+    def computed_share(self, upstream: str, incarnation: str) -> float:
+        """Return the part of late prompts that the engine had to compute.
+
+        Load reports count queued prompts whole; this tells how much work
+        they stand for.  1 while nothing is known.
+        """
+        engine = self._engines.get((upstream, incarnation))
+        return 1.0 if engine is None else engine.computed_share
 
     def failed(
         self, upstream: str, incarnation: str, keys: Sequence[bytes]
--- a/toucanrudder/router/fleet.py
+++ b/toucanrudder/router/fleet.py
@@ -2,6 +2,8 @@
 
 import random
 
+import attrs
+
 from toucanrudder.document import model
 from toucanrudder.messages import request as requests
 from toucanrudder.placement import policies
@@ -63,7 +65,13 @@
         now_s: float,
     ) -> types.Decision:
         """Choose among `engines`; errors as `policies.decide`."""
-        views = tuple(self._view(each, request, now_s) for each in engines)
+        ahead_share = self._own.ahead_share(int(request.priority))
+        views = tuple(
+            attrs.evolve(
+                self._view(each, request, now_s), ahead_share=ahead_share
+            )
+            for each in engines
+        )
         keys = request.prefix_keys
         self._heat.add(keys, now_s)
         fleet = types.FleetView(
@@ -123,4 +131,7 @@
             believed_tokens=self._beliefs.believed_tokens(
                 upstream.name, report.incarnation, request.prefix_keys, now_s
             ),
+            computed_share=self._beliefs.computed_share(
+                upstream.name, report.incarnation
+            ),
         )
--- a/toucanrudder/upstreams/in_flight.py
+++ b/toucanrudder/upstreams/in_flight.py
@@ -22,12 +22,15 @@
         that is not known.
     isolated : bool
         Whether it was sent there as a suspect on trial.
+    priority : int
+        Its class; the smaller goes first.
     """
 
     fingerprint: str
     prefill_tokens: int
     incarnation: str = ""
     isolated: bool = False
+    priority: int = 0
 
 
 class InFlight:
@@ -67,6 +70,19 @@
             entry.prefill_tokens for entry in self._entries.get(upstream, ())
         )
 
+    def ahead_share(self, priority: int) -> float:
+        """Return the part of the prefill work that goes before a class.
+
+        Over all upstreams, as one router has little work at any one.
+        """
+        ahead, total = 0, 0
+        for entries in self._entries.values():
+            for entry in entries:
+                total += entry.prefill_tokens
+                if entry.priority <= priority:
+                    ahead += entry.prefill_tokens
+        return ahead / total if total else 1.0
+
     def entries(self, upstream: str) -> tuple[Entry, ...]:
         """Return the entries at the upstream."""
         return tuple(self._entries.get(upstream, ()))
