Read a restarted engine's cache events from the start

The event stream was reopened from the start whenever the connection broke, and with the old process's number when it ended cleanly. Now the position survives any break, and a change of the incarnation resets it.

Seen red without the reset (no event of the new process is believed for 30 s), green with it.

--- a/toucanrudder/controllers/cache_events.py
+++ b/toucanrudder/controllers/cache_events.py
@@ -7,6 +7,7 @@
 import random
 
 import aiohttp
+import attrs
 
 from toucanrudder.document import model
 from toucanrudder.observability import metrics
@@ -21,6 +22,23 @@
 MAX_LINE_BYTES = 1_048_576
 
 
+@attrs.define
+class _Position:
+    """The last line read of an engine's event stream."""
+
+    incarnation: str = ""
+    sequence: int = 0
+
+    def advance(self, incarnation: str, sequence: int) -> None:
+        # A restarted engine counts from one again.  Asked for the lines
+        # after the old process's last number it would stay silent until
+        # its own numbers are as high, and its cache would not be used.
+        if self.incarnation not in ("", incarnation):
+            self.incarnation, self.sequence = "", 0
+            raise ValueError("the engine has restarted")
+        self.incarnation, self.sequence = incarnation, sequence
+
+
 class CacheEventController:
     """Feeds beliefs from the engines' event streams, one task each.
 
@@ -75,10 +93,10 @@
                 )
 
     async def _follow(self, upstream: model.Upstream) -> None:
-        after = 0
+        position = _Position()
         while True:
             try:
-                after = await self._read(upstream, after)
+                await self._read(upstream, position)
             except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
                 metrics.counter(
                     "toucanrudder_event_streams_lost",
@@ -86,13 +104,15 @@
                 ).add(1, {"upstream": upstream.name})
             await asyncio.sleep(self._rng.uniform(*RECONNECT_S))
 
-    async def _read(self, upstream: model.Upstream, after: int) -> int:
+    async def _read(
+        self, upstream: model.Upstream, position: "_Position"
+    ) -> None:
         timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=1.0, sock_read=SILENT_S
         )
         async with self._session.get(
             f"http://{upstream.address}/cache/events",
-            params={"after": str(after)},
+            params={"after": str(position.sequence)},
             timeout=timeout,
         ) as response:
             response.raise_for_status()
@@ -102,14 +122,14 @@
                 if len(rest) > MAX_LINE_BYTES:
                     raise ValueError("event line too long")
                 for line in lines:
-                    after = self._take(upstream.name, line, after)
-        return after
+                    self._take(upstream.name, line, position)
 
-    def _take(self, upstream: str, line: bytes, after: int) -> int:
+    def _take(self, upstream: str, line: bytes, position: "_Position") -> None:
         if not line.strip():
-            return after
+            return
         event = json.loads(line)
         sequence = int(event["seq"])
+        position.advance(str(event["incarnation"]), sequence)
         take = _TAKE.get(str(event["kind"]))
         if take is not None:
             keys = tuple(
@@ -121,7 +141,6 @@
                 keys,
                 self._clock(),
             )
-        return sequence
 
 
 def _stored(believed, place, keys, now_s):
