--- a/toucanrudder/router/fleet.py
+++ b/toucanrudder/router/fleet.py
@@ -6,6 +6,7 @@
 
 from toucanrudder.document import model
 from toucanrudder.messages import request as requests
+from toucanrudder.peers import loads as peer_loads
 from toucanrudder.placement import policies
 from toucanrudder.placement import types
 from toucanrudder.prefix import beliefs
@@ -33,6 +34,8 @@
         Rates of prefixes.
     rng : random.Random
         For ties.
+    others : peer_loads.PeerLoads
+        Other routers' work.
     """
 
     def __init__(
@@ -45,6 +48,7 @@
         believed: beliefs.Beliefs,
         hot: heat.Heat,
         rng: random.Random,
+        others: peer_loads.PeerLoads,
     ):
         self._zone = zone
         self._policy = policies.by_name(policy_name)
@@ -53,6 +57,7 @@
         self._beliefs = believed
         self._heat = hot
         self._rng = rng
+        self._others = others
 
     def decide(
         self,
@@ -100,6 +105,7 @@
         known = self._loads.get(upstream.name)
         own_requests = self._own.requests(upstream.name)
         own_tokens = self._own.prefill_tokens(upstream.name)
+        peer_tokens = self._others.prefill_tokens(upstream.name, now_s)
         if known is None:
             return types.UpstreamView(
                 name=upstream.name,
@@ -109,6 +115,7 @@
                 slots=upstream.slots,
                 own_in_flight=own_requests,
                 own_prefill_tokens=own_tokens,
+                peer_prefill_tokens=peer_tokens,
                 reported_at_s=now_s,
             )
         report = known.report
@@ -125,6 +132,7 @@
             reported_at_s=known.received_s,
             own_in_flight=own_requests,
             own_prefill_tokens=own_tokens,
+            peer_prefill_tokens=peer_tokens,
             believed_tokens=self._beliefs.believed_tokens(
                 upstream.name, report.incarnation, request.prefix_keys, now_s
             ),
