--- a/toucanrudder/router/daemon.py
+++ b/toucanrudder/router/daemon.py
@@ -42,7 +42,7 @@
     """
     gc.collect()
     gc.freeze()
-    gc.set_threshold(20_000, 20, 50)
+    gc.set_threshold(5_000, 20, 100)
 
 
 def use_no_io_uring() -> None:
