--- a/toucanrudder/controllers/cache_events.py
+++ b/toucanrudder/controllers/cache_events.py
@@ -112,7 +112,9 @@
         sequence = int(event["seq"])
         take = _TAKE.get(str(event["kind"]))
         if take is not None:
-            keys = tuple(bytes.fromhex(each) for each in event.get("blocks", ()))
+            keys = tuple(
+                bytes.fromhex(each) for each in event.get("blocks", ())
+            )
             take(
                 self._beliefs,
                 (upstream, str(event["incarnation"]), sequence),
--- a/toucanrudder/filters/dispatch.py
+++ b/toucanrudder/filters/dispatch.py
@@ -87,17 +87,13 @@
         now_s = state.now_s()
         engines = state.engines_for(request.model, now_s)
         if standing is quarantine.Standing.SUSPECT:
-            trial = state.trial(
-                request, self._untried(engines) or engines
-            )
+            trial = state.trial(request, self._untried(engines) or engines)
             if trial is not None:
                 await state.sleep(trial.wait_s)
                 # A copy of it may have crashed another engine meanwhile.
                 state.standing(request)
                 return _on_trial(state, trial), True
-        decision = state.place(
-            request, engines, frozenset(self.tried), now_s
-        )
+        decision = state.place(request, engines, frozenset(self.tried), now_s)
         return decision, False
 
     def _untried(self, engines):
--- a/toucanrudder/relay/attempt.py
+++ b/toucanrudder/relay/attempt.py
@@ -227,7 +227,7 @@
             known and failure.incarnation and failure.incarnation != known
         )
         gone = resuming and failure.connection_refused
-        if failure.kind is failures.Kind.LOST and restarted or gone:
+        if (failure.kind is failures.Kind.LOST and restarted) or gone:
             return attrs.evolve(failure, kind=failures.Kind.CRASHED)
         if resuming and failure.kind in failures.PROVES_NOT_RUN:
             # The request went out on an earlier connection: that this one
--- a/toucanrudder/relay/sinks.py
+++ b/toucanrudder/relay/sinks.py
@@ -12,7 +12,6 @@
 from toucanrudder.relay import sequencer
 from toucanrudder.relay import transcript
 
-
 RESUME_TOKEN = "X-Resume-Token"
 
 
--- a/toucanrudder/router/daemon.py
+++ b/toucanrudder/router/daemon.py
@@ -7,7 +7,6 @@
 import signal
 import sys
 
-import aiomisc
 from oslo_config import cfg
 
 from toucanrudder import settings
@@ -104,7 +103,7 @@
     }
 
 
-class served:  # noqa: N801
+class served:
     pass
 
 
--- a/toucanrudder/router/state.py
+++ b/toucanrudder/router/state.py
@@ -12,6 +12,7 @@
 from toucanrudder import admission
 from toucanrudder import claims
 from toucanrudder import errors
+from toucanrudder import quarantine
 from toucanrudder import retries
 from toucanrudder import store
 from toucanrudder.controllers import configuration
@@ -21,7 +22,6 @@
 from toucanrudder.prefix import beliefs
 from toucanrudder.prefix import heat
 from toucanrudder.prefix import identity
-from toucanrudder import quarantine
 from toucanrudder.relay import attempt as attempts
 from toucanrudder.router import background
 from toucanrudder.router import exchanges
@@ -196,9 +196,7 @@
             now_s=now_s,
         )
 
-    def standing(
-        self, request: requests.ModelRequest
-    ) -> quarantine.Standing:
+    def standing(self, request: requests.ModelRequest) -> quarantine.Standing:
         """Return how the quarantine treats the request.
 
         Raises
--- a/toucanrudder/standins/engine.py
+++ b/toucanrudder/standins/engine.py
@@ -235,15 +235,15 @@
         self, request: web.Request, body: dict
     ) -> web.Response | None:
         if self.faults.refuse or self.faults.leaving:
-            return serving.not_run("leaving")
+            return serving.not_run(request, "leaving")
         if self.orders.loading:
-            return serving.not_run("loading weights")
+            return serving.not_run(request, "loading weights")
         if body.get("model") not in self.orders.weights:
-            return serving.not_run("unknown model", 404)
+            return serving.not_run(request, "unknown model", 404)
         if request.headers.get("X-Request-Id") in self.journal:
-            return serving.not_run("request id used before", 409)
+            return serving.not_run(request, "request id used before", 409)
         if self.batch.full():
-            return serving.not_run("queue full")
+            return serving.not_run(request, "queue full")
         return None
 
     def _accept(self, request: web.Request, body: dict) -> batching.Run:
--- a/toucanrudder/standins/service.py
+++ b/toucanrudder/standins/service.py
@@ -129,7 +129,7 @@
         body = await request.read()
         failure = self.faults.take()
         if self.faults.leaving or failure == "before":
-            return serving.not_run("not now")
+            return serving.not_run(request, "not now")
         run = self._start(request, body)
         self.running += 1
         try:
--- a/toucanrudder/standins/serving.py
+++ b/toucanrudder/standins/serving.py
@@ -101,10 +101,15 @@
         sys.exit(1)
 
 
-def not_run(reason: str, status: int = 503) -> web.Response:
+def not_run(
+    request: web.Request, reason: str, status: int = 503
+) -> web.Response:
     """Return a refusal that proves that nothing has been run."""
     return web.json_response(
         {"error": {"message": reason}},
         status=status,
-        headers={"X-Not-Run": "1"},
+        headers={
+            "X-Not-Run": "1",
+            "X-Request-Id": request.headers.get("X-Request-Id", ""),
+        },
     )
