--- a/toucanrudder/standins/faults.py
+++ b/toucanrudder/standins/faults.py
@@ -7,6 +7,9 @@
 class Faults:
     """Faults of the engine; all are off by default.
 
+    Faults at an event strike the connection on which a stream was asked
+    for, not those that resume it, nor streams that continue another's.
+
     Parameters
     ----------
     crash_marker : str
--- a/toucanrudder/standins/streams.py
+++ b/toucanrudder/standins/streams.py
@@ -10,6 +10,7 @@
 from toucanrudder.standins import faults as engine_faults
 
 CRASH_STATUS = 70
+CRASH_DELAY_S = 0.02
 OTHER_REQUEST = "somebody-elses-request"
 
 
@@ -47,10 +48,9 @@
         if ready and not faults.strikes_events:
             await response.write(b"".join(ready))
         else:
+            first = first_connection and run.after == 0
             for offset, event in enumerate(ready, position + run.after + 1):
-                await _write_one(
-                    response, event, offset, faults, first_connection
-                )
+                await _write_one(response, event, offset, faults, first)
         position += len(ready)
         if run.state == "cancelled":
             raise ConnectionError("cancelled")
@@ -67,6 +67,9 @@
     faults: engine_faults.Faults,
     first_connection: bool,
 ) -> None:
+    if not first_connection:
+        await response.write(event)
+        return
     if number == faults.crossed_event:
         event = _crossed(event)
     if number != faults.skipped_event:
@@ -75,13 +78,13 @@
         await response.write(event)
     if number == faults.crash_after_event:
         # Time for the event to leave the socket's buffer.
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(CRASH_DELAY_S)
         os._exit(CRASH_STATUS)
     if number == faults.end_after_event:
         raise EndsEarly
-    if first_connection and number == faults.cut_after_event:
+    if number == faults.cut_after_event:
         raise ConnectionError("cut")
-    if first_connection and number == faults.stall_after_event:
+    if number == faults.stall_after_event:
         await asyncio.Event().wait()
 
 
--- a/toucanrudder/testing/callers.py
+++ b/toucanrudder/testing/callers.py
@@ -121,6 +121,24 @@
     return await _read(call, stop_after)
 
 
+async def whole(
+    session: aiohttp.ClientSession,
+    url: str,
+    body: dict,
+    *,
+    path: str = "/v1/completions",
+    organisation: str = fleet.ORGANISATIONS[0],
+    headers: dict[str, str] | None = None,
+) -> tuple[int, dict]:
+    """Ask for an answer in one piece; return its status and its body."""
+    async with session.post(
+        url + path,
+        json=body,
+        headers=fleet.authorization(organisation) | (headers or {}),
+    ) as response:
+        return response.status, await response.json()
+
+
 async def resume(
     session: aiohttp.ClientSession,
     url: str,
