--- a/toucanrudder/router/state.py
+++ b/toucanrudder/router/state.py
@@ -6,6 +6,7 @@
 import random
 import time
 
+import aiohttp
 import attrs
 from oslo_config import cfg
 
@@ -68,6 +69,7 @@
     conf: cfg.ConfigOpts
     rng: random.Random
     objects: store.ObjectStore
+    session: aiohttp.ClientSession
     configuration: configuration.ConfigurationController
     engines: engine.EngineClient
     services: service.ServiceClient
