End a stream only at a whole closing line

Cause: the sequencer took any event that contains 'data: [DONE]' for the last one. A model that is asked to write these words writes them into a chunk; the stream then ended there, cut, and looked complete. Ruled out: looking at the JSON of each event, too dear per token. JSON holds no bare line feed, so the whole last line is enough to tell. test_generated_text_cannot_end_the_stream: 2 of its 3 cases failed before, pass now.

--- a/toucanrudder/relay/sequencer.py
+++ b/toucanrudder/relay/sequencer.py
@@ -1,7 +1,7 @@
 """Splits a stream into numbered events and lets each pass once."""
 
 SEPARATOR = b"\n\n"
-DONE = b"data: [DONE]"
+DONE_LINE = b"\ndata: [DONE]"
 MAX_EVENT_BYTES = 1_048_576
 
 
@@ -82,7 +82,7 @@
             if number is None or number <= self.last:
                 return False
             raise SequenceGap(f"{number} follows {self.last}")
-        if DONE in event:
+        if closes(event):
             self.done = True
         elif self._identity not in event:
             raise ForeignEvent(f"event {expected}")
@@ -90,6 +90,16 @@
         return True
 
 
+def closes(event: bytes) -> bool:
+    """Tell whether the event closes its stream.
+
+    Only a whole last line does: a model can be brought to write the words
+    into a chunk, which would then pass for the end of a cut answer.  JSON
+    holds no bare line feed, so no chunk can end like this.
+    """
+    return event.rstrip(b"\n").endswith(DONE_LINE)
+
+
 def _number(event: bytes) -> int | None:
     first, _, _ = event.partition(b"\n")
     name, _, value = first.partition(b": ")
--- a/toucanrudder/relay/sinks.py
+++ b/toucanrudder/relay/sinks.py
@@ -100,7 +100,7 @@
             await self._guarded(self.response.prepare(self._http))
         self._transcript.add(events)
         for event in reversed(events):
-            if sequencer.DONE not in event:
+            if not sequencer.closes(event):
                 self._last_data = event
                 break
         data = self._moved + b"".join(events)
