--- /dev/null
+++ b/toucanrudder/quarantine/tests/test_poison_fleet.py
@@ -0,0 +1,74 @@
+import asyncio
+
+from toucanrudder.standins import output
+from toucanrudder.testing import callers
+from toucanrudder.testing import fleet as fleets
+
+MARKER = "poison"
+ENGINES = 5
+RESENDS = 6
+BYSTANDERS = 6
+
+
+def _dead(fleet):
+    return [
+        name
+        for name, process in fleet.upstreams.items()
+        if process.process.returncode is not None
+    ]
+
+
+async def test_poison_request_kills_two_engines_at_most():
+    """A request crashes each engine that runs it, and its caller sends it
+    again, each time to another router.  Others run in the same batches.
+
+    After the second engine the request is quarantined in all routers: the
+    caller gets a final coded answer at once.  The others are answered, and
+    may be sent again: none of them is blamed.
+    """
+    plan = fleets.Plan(
+        engines=ENGINES,
+        routers=3,
+        engine_options={"decode_s_per_token": 0.05},
+    )
+    async with fleets.running(plan) as fleet:
+        for name in fleet.upstreams:
+            await fleet.put_faults(name, crash_marker=MARKER)
+        urls = [router.url for router in fleet.routers]
+        bodies = [
+            {"model": "demo", "prompt": f"innocent {n}", "max_tokens": 40}
+            for n in range(BYSTANDERS)
+        ]
+        others = [
+            asyncio.ensure_future(
+                callers.stream(fleet.session, urls[n % 3], body)
+            )
+            for n, body in enumerate(bodies)
+        ]
+        async with asyncio.timeout(60):
+            while len(await fleet.runs()) < BYSTANDERS:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        poison = {"model": "demo", "prompt": f"{MARKER} !", "max_tokens": 4}
+        answers = []
+        for number in range(RESENDS):
+            answers.append(
+                await callers.stream(fleet.session, urls[number % 3], poison)
+            )
+        assert len(_dead(fleet)) <= 2
+        for answer in answers:
+            assert answer.end is callers.End.ERROR, answer
+        final = answers[-1]
+        assert (final.status, final.error["code"]) == (422, "quarantined")
+        for body, answer in zip(
+            bodies, await asyncio.gather(*others), strict=True
+        ):
+            assert answer.end is callers.End.DONE, answer
+            assert answer.text == output.expected_text(
+                "/v1/completions", body
+            )
+        for number, body in enumerate(bodies):
+            answer = await callers.stream(
+                fleet.session, urls[number % 3], body | {"max_tokens": 40}
+            )
+            assert answer.end is callers.End.DONE, answer
+        assert len(_dead(fleet)) <= 2
--- a/toucanrudder/standins/engine.py
+++ b/toucanrudder/standins/engine.py
@@ -108,9 +108,11 @@
             self.batch.cancel(run)
             return web.json_response({"error": "failed"}, status=500)
         await asyncio.sleep(self.faults.late_s)
-        if self.faults.stale_answers > 0:
-            self.faults.stale_answers -= 1
-            streams.write_stale_answer(request)
+        for fault in ("stale_answers", "stale_refusals"):
+            left = getattr(self.faults, fault)
+            if left > 0:
+                setattr(self.faults, fault, left - 1)
+                streams.write_stale_answer(request, fault != "stale_answers")
         if body.get("stream"):
             return await self._stream(request, run, run.after, True)
         return await self._whole(request, run)
--- a/toucanrudder/standins/faults.py
+++ b/toucanrudder/standins/faults.py
@@ -20,7 +20,7 @@
         So many next answers are those to somebody else's request.
     crossed_event : int
         This event of each stream comes from somebody else's answer.
-    stale_answers : int
+    stale_answers, stale_refusals : int
         Before so many next answers, the late answer to an earlier request
         is written on the same connection.
     late_s : float
@@ -53,6 +53,7 @@
     crossed_answers: int = 0
     crossed_event: int = 0
     stale_answers: int = 0
+    stale_refusals: int = 0
     late_s: float = 0.0
     duplicated_event: int = 0
     skipped_event: int = 0
--- a/toucanrudder/standins/streams.py
+++ b/toucanrudder/standins/streams.py
@@ -101,21 +101,21 @@
     return head + b"data: " + json.dumps(chunk).encode() + b"\n\n"
 
 
-def write_stale_answer(request: web.Request) -> None:
+def write_stale_answer(request: web.Request, refusal: bool) -> None:
     """Write a late answer to another request on this connection."""
-    body = json.dumps(
-        {
-            "id": f"chatcmpl-{OTHER_REQUEST}",
-            "object": "chat.completion",
-            "created": 0,
-            "model": "",
-            "choices": [],
-        }
-    ).encode()
+    answer = {
+        "id": f"chatcmpl-{OTHER_REQUEST}",
+        "object": "chat.completion",
+        "created": 0,
+        "model": "",
+        "choices": [],
+    }
+    body = json.dumps(answer).encode()
+    status = "503 Service Unavailable\r\nX-Not-Run: 1" if refusal else "200 OK"
     head = (
-        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+        f"HTTP/1.1 {status}\r\nContent-Type: application/json\r\n"
         f"X-Request-Id: {OTHER_REQUEST}\r\nX-Incarnation: stale\r\n"
         f"Content-Length: {len(body)}\r\n\r\n"
-    ).encode()
+    )
     if request.transport is not None:
-        request.transport.write(head + body)
+        request.transport.write(head.encode() + body)
