--- a/toucanrudder/quarantine/tests/test_poison_fleet.py
+++ b/toucanrudder/quarantine/tests/test_poison_fleet.py
@@ -63,9 +63,7 @@
             bodies, await asyncio.gather(*others), strict=True
         ):
             assert answer.end is callers.End.DONE, answer
-            assert answer.text == output.expected_text(
-                "/v1/completions", body
-            )
+            assert answer.text == output.expected_text("/v1/completions", body)
         for number, body in enumerate(bodies):
             answer = await callers.stream(
                 fleet.session, urls[number % 3], body | {"max_tokens": 40}
--- a/toucanrudder/testing/fleet.py
+++ b/toucanrudder/testing/fleet.py
@@ -74,12 +74,12 @@
     @property
     def address(self) -> str:
         """``IP:port`` for callers."""
-        return f"127.0.0.1:{self.process.ready['port']}"
+        return self.process.address
 
     @property
     def admin_url(self) -> str:
         """Base URL of the admin API."""
-        return f"http://127.0.0.1:{self.process.ready['admin_port']}"
+        return f"http://{self.process.ready['admin_address']}"
 
 
 @attrs.define(eq=False)
