--- a/toucanrudder/relay/attempt.py
+++ b/toucanrudder/relay/attempt.py
@@ -166,30 +166,27 @@
             if not chunk:
                 # Closed before [DONE]: never to be taken for the end.
                 raise _PathLost("closed before the end")
-            events = self._ordered(chunk)
+            events = self.order.feed(chunk)
             if events:
                 self._progress()
                 await self.sink.write(events)
+            self._check_order()
 
     async def _read(self, content: aiohttp.StreamReader) -> bytes:
         # A path that lost track of the connection gives neither data nor
         # an error, for good.  Only silence tells, and only a connection of
         # its own gets through.
         try:
-            async with asyncio.timeout(
-                self.patience.silence_s(self._flowing)
-            ) as silence:
+            async with asyncio.timeout(self.patience.silence_s(self._flowing)):
                 return await content.readany()
         except TimeoutError as error:
-            if not silence.expired():
-                raise
-            raise _PathLost("silent") from error
+            raise _PathLost(engine.NOTHING_CAME) from error
         except (aiohttp.ClientError, OSError) as error:
             raise _PathLost(repr(error)) from error
 
-    def _ordered(self, chunk: bytes) -> list[bytes]:
+    def _check_order(self) -> None:
         try:
-            return self.order.feed(chunk)
+            self.order.check()
         except (sequencer.SequenceGap, sequencer.ForeignEvent) as error:
             raise _PathLost(repr(error)) from error
         except sequencer.EventTooLarge as error:
@@ -209,7 +206,7 @@
         # An engine that is computing a long prompt is silent, answers each
         # reconnection, and must not be given up; the deadline of the first
         # token bounds that.  All else is bounded by the count.
-        if self._flowing or reason != "silent":
+        if self._flowing or reason != engine.NOTHING_CAME:
             self._fruitless += 1
         if self._fruitless > MAX_FRUITLESS:
             raise failures.UpstreamFailure(
@@ -242,6 +239,8 @@
 ):
     """Cancel the engine's work if the attempt ends before its answer does.
 
+    Not so for a caller that left in the middle of a stream.
+
     Parameters
     ----------
     attempt : Attempt
@@ -251,8 +250,19 @@
     """
     try:
         yield attempt
-    finally:
-        if attempt.may_hold and not attempt.order.done:
-            spawn(
-                attempt.client.cancel(attempt.upstream, attempt.call.engine_id)
-            )
+    except (sinks.CallerGone, asyncio.CancelledError):
+        # A caller that has begun to read a stream has its token, and may
+        # already be resuming at another router: a cancel from here would
+        # take the stream from under it.  Without a reader the engine ends
+        # the work by itself after its resume window.
+        if not attempt.sink.started:
+            _cancel(attempt, spawn)
+        raise
+    except BaseException:
+        _cancel(attempt, spawn)
+        raise
+
+
+def _cancel(attempt: Attempt, spawn: Callable[[object], None]) -> None:
+    if attempt.may_hold and not attempt.order.done:
+        spawn(attempt.client.cancel(attempt.upstream, attempt.call.engine_id))
--- a/toucanrudder/relay/sequencer.py
+++ b/toucanrudder/relay/sequencer.py
@@ -44,15 +44,37 @@
         self.done = False
         self._identity = identity
         self._rest = b""
+        self._wrong: Exception | None = None
 
     def reconnected(self) -> None:
-        """Forget the half event that a broken connection left behind."""
+        """Forget what a broken connection left behind."""
         self._rest = b""
+        self._wrong = None
 
     def feed(self, chunk: bytes) -> list[bytes]:
         """Take bytes and return the fresh events that they complete.
 
-        Events that the caller has already are left out.
+        Events that the caller has already are left out.  At a wrong event
+        it stops; `check` raises for it once the events before it, which
+        count as passed on, have been.
+        """
+        parts = (self._rest + chunk).split(SEPARATOR)
+        self._rest = parts.pop()
+        fresh = []
+        try:
+            if len(self._rest) > MAX_EVENT_BYTES:
+                raise EventTooLarge(str(len(self._rest)))
+            for part in parts:
+                if self._passes(part):
+                    fresh.append(part + SEPARATOR)
+        except (SequenceGap, ForeignEvent, EventTooLarge) as error:
+            # Raised from here, it would lose the good events that came in
+            # the same chunk: the stream would go on after them.
+            self._wrong = error
+        return fresh
+
+    def check(self) -> None:
+        """Raise if a wrong event has come.
 
         Raises
         ------
@@ -63,15 +85,8 @@
         EventTooLarge
             An event exceeds `MAX_EVENT_BYTES`.
         """
-        parts = (self._rest + chunk).split(SEPARATOR)
-        self._rest = parts.pop()
-        if len(self._rest) > MAX_EVENT_BYTES:
-            raise EventTooLarge(str(len(self._rest)))
-        fresh = []
-        for part in parts:
-            if self._passes(part):
-                fresh.append(part + SEPARATOR)
-        return fresh
+        if self._wrong is not None:
+            raise self._wrong
 
     def _passes(self, event: bytes) -> bool:
         expected = self.last + 1
--- a/toucanrudder/testing/fleet.py
+++ b/toucanrudder/testing/fleet.py
@@ -1,5 +1,6 @@
 """A small deployment of real processes, each behind a proxy where asked."""
 
+import asyncio
 from collections.abc import AsyncIterator
 import configparser
 import contextlib
@@ -123,9 +124,19 @@
             processes.started("router", str(path))
         )
         router = Router(name, process)
+        await self._until_ready(router)
         self.routers.append(router)
         return router
 
+    async def _until_ready(self, router: Router) -> None:
+        async with asyncio.timeout(processes.READY_WITHIN_S):
+            while True:
+                url = f"{router.url}/readyz"
+                async with self.session.get(url) as response:
+                    if response.status == 200:
+                        return
+                await asyncio.sleep(0.01)
+
     async def put_document(self) -> None:
         """Store the configuration document as generation 1."""
         value = {
--- a/toucanrudder/testing/proxy.py
+++ b/toucanrudder/testing/proxy.py
@@ -9,6 +9,7 @@
 import attrs
 
 CHUNK_BYTES = 65536
+MATCH_BYTES = 256
 EVENT_START = re.compile(rb"(?:^|\n)id: (\d+)\n")
 EVENT_END = b"\n\n"
 
@@ -30,7 +31,7 @@
     action : Action
         What happens.
     match : bytes
-        Text that the client must have sent on the connection.
+        Text in the request that is struck.
     after_event : int
         Number of the last server-sent event that gets through; 0 strikes
         before any byte of the answer.
@@ -60,7 +61,7 @@
     rule: Rule | None = None
     frozen: bool = False
     tail: bytes = b""
-    requests: bytes = b""
+    sent: bytes = b""
 
     def abort(self) -> None:
         """Break both sides with a reset."""
@@ -146,14 +147,17 @@
         connection.server.write_eof()
 
     def _match(self, part: bytes, connection: Connection) -> None:
-        connection.requests = connection.requests[-CHUNK_BYTES:] + part
         if connection.rule is not None:
             return
         for rule in self.rules:
-            if rule.times > 0 and rule.match in connection.requests:
+            # Only what is new: an earlier request on the same connection
+            # is not the one that is meant.
+            text = connection.sent[-len(rule.match) :] + part
+            if rule.times > 0 and text.find(rule.match) >= 0:
                 rule.times -= 1
-                connection.rule = rule
-                return
+                connection.rule, connection.tail = rule, b""
+                break
+        connection.sent = part[-MATCH_BYTES:]
 
     async def _downwards(
         self, reader: asyncio.StreamReader, connection: Connection
--- a/toucanrudder/upstreams/engine.py
+++ b/toucanrudder/upstreams/engine.py
@@ -13,6 +13,9 @@
 #: Cancelling is a courtesy to the engine; nobody waits longer for it.
 CANCEL_TIMEOUT_S = 2.0
 
+#: Message of the failure after silence, as opposed to a broken connection.
+NOTHING_CAME = "silent"
+
 #: A rejection's body is shown to the caller up to this size.
 MAX_ERROR_BYTES = 16_384
 
@@ -64,7 +67,7 @@
     connect_timeout_s : float
         Seconds for opening a connection.
     headers_timeout_s : float
-        Seconds until the headers of a resumed stream must have come.
+        Seconds until the headers of an answer must have come.
     """
 
     def __init__(
@@ -76,14 +79,10 @@
     ):
         self._session = session
         self._fresh = fresh_session
-        self._opening = aiohttp.ClientTimeout(
+        self._headers_timeout_s = headers_timeout_s
+        self._timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=connect_timeout_s
         )
-        self._resuming = aiohttp.ClientTimeout(
-            total=None,
-            sock_connect=connect_timeout_s,
-            sock_read=headers_timeout_s,
-        )
 
     @contextlib.asynccontextmanager
     async def start(
@@ -106,7 +105,7 @@
                 "X-Priority": str(call.priority),
                 "X-Cache-Salt": call.salt_hex,
             },
-            timeout=self._opening,
+            timeout=self._timeout,
             middlewares=(sending.once(upstream.name),),
         )
         async with self._answer(request, upstream, call.engine_id) as answer:
@@ -129,7 +128,7 @@
         request = self._fresh.get(
             f"http://{upstream.address}/v1/streams/{engine_id}",
             params={"after": str(after)},
-            timeout=self._resuming,
+            timeout=self._timeout,
             middlewares=(sending.once(upstream.name),),
         )
         async with self._answer(request, upstream, engine_id) as answer:
@@ -152,9 +151,14 @@
         with sending.mapped(name):
             response = await request
         try:
+            _check_identity(response, name, engine_id)
             if response.status != 200:
                 raise await _refusal(response, name)
-            yield _checked(response, name, engine_id)
+            yield Answer(
+                incarnation=response.headers.get("X-Incarnation", ""),
+                weights_version=response.headers.get("X-Weights-Version", ""),
+                content=response.content,
+            )
         finally:
             # An answer that was left half read must not go back to the
             # pool: the next request on it would read this one's bytes.
@@ -163,19 +167,16 @@
             response.release()
 
 
-def _checked(response, name: str, engine_id: str) -> Answer:
-    # A proxy or an engine that mixes up pipelined answers hands us another
-    # caller's stream.  The identity it repeats is the only witness.
+def _check_identity(response, name: str, engine_id: str) -> None:
+    # A proxy or an engine that mixes up pipelined answers, or answers late,
+    # hands us another request's.  The identity it repeats is the only
+    # witness.  A refusal needs it as well: somebody else's "not run" proves
+    # nothing about our request.
     if response.headers.get("X-Request-Id") != engine_id:
         response.close()
         raise failures.UpstreamFailure(
             failures.Kind.CROSSED, name, "answer to another request"
         )
-    return Answer(
-        incarnation=response.headers.get("X-Incarnation", ""),
-        weights_version=response.headers.get("X-Weights-Version", ""),
-        content=response.content,
-    )
 
 
 async def _refusal(response, name: str) -> failures.UpstreamFailure:
