--- a/toucanrudder/relay/sequencer.py
+++ b/toucanrudder/relay/sequencer.py
@@ -51,6 +51,11 @@
         self._rest = b""
         self._wrong = None
 
+    def moved(self, identity: bytes) -> None:
+        """Expect the events that follow under another identity."""
+        self._identity = identity
+        self._rest = b""
+
     def feed(self, chunk: bytes) -> list[bytes]:
         """Take bytes and return the fresh events that they complete.
 
