--- a/toucanrudder/relay/attempt.py
+++ b/toucanrudder/relay/attempt.py
@@ -180,7 +180,7 @@
             async with asyncio.timeout(self.patience.silence_s(self._flowing)):
                 return await content.readany()
         except TimeoutError as error:
-            raise _PathLost(engine.NOTHING_CAME) from error
+            raise _PathLost(failures.NOTHING_CAME) from error
         except (aiohttp.ClientError, OSError) as error:
             raise _PathLost(repr(error)) from error
 
@@ -206,7 +206,7 @@
         # An engine that is computing a long prompt is silent, answers each
         # reconnection, and must not be given up; the deadline of the first
         # token bounds that.  All else is bounded by the count.
-        if self._flowing or reason != engine.NOTHING_CAME:
+        if self._flowing or reason != failures.NOTHING_CAME:
             self._fruitless += 1
         if self._fruitless > MAX_FRUITLESS:
             raise failures.UpstreamFailure(
--- a/toucanrudder/upstreams/engine.py
+++ b/toucanrudder/upstreams/engine.py
@@ -1,5 +1,6 @@
 """Client of one model engine: start, resume and cancel streams."""
 
+import asyncio
 from collections.abc import AsyncIterator
 import contextlib
 
@@ -13,9 +14,6 @@
 #: Cancelling is a courtesy to the engine; nobody waits longer for it.
 CANCEL_TIMEOUT_S = 2.0
 
-#: Message of the failure after silence, as opposed to a broken connection.
-NOTHING_CAME = "silent"
-
 #: A rejection's body is shown to the caller up to this size.
 MAX_ERROR_BYTES = 16_384
 
@@ -148,12 +146,16 @@
     @contextlib.asynccontextmanager
     async def _answer(self, request, upstream, engine_id):
         name = upstream.name
+        # A request written into a pooled connection whose path is lost
+        # vanishes without an error; only the deadline tells.
         with sending.mapped(name):
-            response = await request
+            async with asyncio.timeout(self._headers_timeout_s):
+                response = await request
         try:
             _check_identity(response, name, engine_id)
             if response.status != 200:
-                raise await _refusal(response, name)
+                body = await _error_body(response, self._headers_timeout_s)
+                raise _refusal(response, name, body)
             yield Answer(
                 incarnation=response.headers.get("X-Incarnation", ""),
                 weights_version=response.headers.get("X-Weights-Version", ""),
@@ -179,11 +181,15 @@
         )
 
 
-async def _refusal(response, name: str) -> failures.UpstreamFailure:
+async def _error_body(response, timeout_s: float) -> bytes:
     try:
-        body = await response.content.read(MAX_ERROR_BYTES)
+        async with asyncio.timeout(timeout_s):
+            return await response.content.read(MAX_ERROR_BYTES)
     except (aiohttp.ClientError, TimeoutError, OSError):
-        body = b""
+        return b""
+
+
+def _refusal(response, name: str, body: bytes) -> failures.UpstreamFailure:
     status = response.status
     if status == 503 and response.headers.get("X-Not-Run") == "1":
         kind = failures.Kind.REFUSED
--- a/toucanrudder/upstreams/failures.py
+++ b/toucanrudder/upstreams/failures.py
@@ -20,6 +20,9 @@
     REJECTED = "rejected"
 
 
+#: Message of the failure after silence, as opposed to a broken connection.
+NOTHING_CAME = "nothing came in time"
+
 #: No byte of the request can have been executed after these.
 PROVES_NOT_RUN = frozenset({Kind.NOT_REACHED, Kind.REFUSED})
 
--- a/toucanrudder/upstreams/sending.py
+++ b/toucanrudder/upstreams/sending.py
@@ -38,7 +38,11 @@
         raise failures.UpstreamFailure(
             failures.Kind.NOT_REACHED, name, "no connection in time"
         ) from error
-    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+    except TimeoutError as error:
+        raise failures.UpstreamFailure(
+            failures.Kind.SILENT, name, failures.NOTHING_CAME
+        ) from error
+    except (aiohttp.ClientError, OSError) as error:
         raise failures.UpstreamFailure(
             failures.Kind.SILENT, name, repr(error)
         ) from error
