--- a/toucanrudder/cli/commands.py
+++ b/toucanrudder/cli/commands.py
@@ -132,6 +132,15 @@
 
         return exits.Exit(int(run.main(serve=serve) or 0))
 
+    def capacity(self, *names: str, out: str = "docs/capacity") -> exits.Exit:
+        """Measure how costs grow with size; write a record of each run.
+
+        Example: toucanrudder capacity beliefs documents
+        """
+        from toucanrudder.cli import capacity
+
+        return capacity.measure(tuple(map(str, names)), str(out))
+
     def _set_drained(
         self,
         upstream: str,
--- a/toucanrudder/cli/tests/test_commands.py
+++ b/toucanrudder/cli/tests/test_commands.py
@@ -31,6 +31,7 @@
     ["release"],
     ["demo"],
     ["standin"],
+    ["capacity"],
 ]
 
 
@@ -58,6 +59,7 @@
     (["nonsense"], 2, "nonsense"),
     (["check", "missing.ini"], 2, "settings_invalid"),
     (["config", "validate", "missing.json"], 2, "not_found"),
+    (["capacity", "nonsense"], 2, "not_found"),
     (["standin", "nonsense"], 2, "nonsense"),
     (["status", "--admin", "http://127.0.0.1:1"], 4, "not_reached"),
     (["status", "--token_file", "missing"], 2, "not_found"),
--- a/toucanrudder/filters/dispatch.py
+++ b/toucanrudder/filters/dispatch.py
@@ -63,9 +63,7 @@
     def fingerprint(self) -> str:
         """Identity of the request over resends, for the quarantine."""
         request = self.exchange.request
-        return suspicion.fingerprint(
-            request.organisation, request.body_sha256
-        )
+        return suspicion.fingerprint(request.organisation, request.body_sha256)
 
     async def run(self) -> None:
         """Try engines until the answer is whole, or raise RudderError."""
--- a/toucanrudder/upstreams/in_flight.py
+++ b/toucanrudder/upstreams/in_flight.py
@@ -69,9 +69,7 @@
 
     def has_isolated(self, upstream: str) -> bool:
         """Whether a suspect runs there."""
-        return any(
-            entry.isolated for entry in self._entries.get(upstream, ())
-        )
+        return any(entry.isolated for entry in self._entries.get(upstream, ()))
 
     def total(self) -> int:
         """Return the requests at all upstreams."""
