--- a/toucanrudder/bench/capacity/isolation.py
+++ b/toucanrudder/bench/capacity/isolation.py
@@ -6,6 +6,7 @@
 import multiprocessing
 import os
 import pathlib
+import statistics
 import time
 
 import attrs
@@ -44,12 +45,22 @@
     return ticks / os.sysconf("SC_CLK_TCK")
 
 
-def point(function: Callable[[int], dict], size: int) -> dict:
-    """Call the function in a process of its own.
+def point(
+    function: Callable[[int], dict], size: int, repeats: int = 3
+) -> dict:
+    """Call the function in fresh processes; return medians.
 
     Memory that an earlier point gave back to the interpreter would hide
-    the growth of a later one, so that each point has its own process.
+    the growth of a later one, so that each call has its own process.  The
+    median leaves out a call that shared its core with other work.
     """
     context = multiprocessing.get_context("spawn")
-    with futures.ProcessPoolExecutor(1, mp_context=context) as pool:
-        return {"x": size, **pool.submit(function, size).result()}
+    found = []
+    for _ in range(repeats):
+        with futures.ProcessPoolExecutor(1, mp_context=context) as pool:
+            found.append(pool.submit(function, size).result())
+    medians = {
+        name: statistics.median(each[name] for each in found)
+        for name in found[0]
+    }
+    return {"x": size, **medians}
