--- a/toucanrudder/filters/guard.py
+++ b/toucanrudder/filters/guard.py
@@ -19,7 +19,9 @@
 CLIENT_CLOSED = 499
 
 
-def error_response(error: errors.RudderError, request_id: str) -> web.Response:
+def error_response(
+    error: errors.RudderError, request_id: str
+) -> web.Response:
     """Return the answer that tells the caller of the error."""
     answer_headers = {headers.REQUEST_ID: request_id}
     if error.retry_after_s is not None:
@@ -67,7 +69,9 @@
             return error_response(error, exchange.request_id)
 
 
-def _report(error: errors.RudderError, exchange: exchanges.Exchange) -> None:
+def _report(
+    error: errors.RudderError, exchange: exchanges.Exchange
+) -> None:
     metrics.refused(error.code.value, error.step)
     organisation = exchange.organisation
     LOG.info(
--- a/toucanrudder/relay/tokens.py
+++ b/toucanrudder/relay/tokens.py
@@ -40,9 +40,7 @@
     True
     """
     payload = json.dumps(attrs.astuple(stream)).encode()
-    return base64.urlsafe_b64encode(
-        _mac(fleet_key, payload) + payload
-    ).decode()
+    return base64.urlsafe_b64encode(_mac(fleet_key, payload) + payload).decode()
 
 
 def verify(fleet_key: str, token: str) -> Stream:
