Measure routers, reports, streams and watchers with real daemons

Real routers and the platform stand-in run as processes; light engines are ports of the measuring process, so that hundreds cost one process.

--- /dev/null
+++ b/toucanrudder/bench/capacity/engines.py
@@ -0,0 +1,133 @@
+"""Many light engines in one process: reports, heartbeats and streams."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import json
+import time
+
+from aiohttp import web
+import attrs
+
+HEARTBEAT_S = 1.0
+INCARNATION = "light"
+MODEL = "model-0"
+WEIGHTS = "2026-0"
+
+
+@attrs.define
+class Engines:
+    """Light engines, one a port of the same application.
+
+    Parameters
+    ----------
+    events : int
+        Token events of each streamed answer.
+    addresses : list of str
+        ``IP:port`` of each engine.
+    """
+
+    events: int = 100
+    addresses: list[str] = attrs.field(factory=list)
+
+    async def load(self, request: web.Request) -> web.Response:
+        """Answer with an idle engine's report."""
+        port = request.transport.get_extra_info("sockname")[1]
+        return web.json_response(
+            {
+                "name": f"light-{port}",
+                "incarnation": INCARNATION,
+                "at_s": time.time(),
+                "state": "live",
+                "running": 0,
+                "waiting": 0,
+                "queued_prefill_tokens": 0,
+                "prefill_tokens_per_s": 10000.0,
+                "decode_s_per_token": 0.02,
+                "slots": 64,
+                "models": {MODEL: WEIGHTS},
+                "role": "serve",
+                "fencing": 0,
+            }
+        )
+
+    async def cache_events(self, request: web.Request) -> web.StreamResponse:
+        """Send heartbeats for ever."""
+        response = web.StreamResponse()
+        await response.prepare(request)
+        beat = {"seq": 0, "incarnation": INCARNATION, "kind": "heartbeat"}
+        while True:
+            await response.write(json.dumps(beat).encode() + b"\n")
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def complete(self, request: web.Request) -> web.StreamResponse:
+        """Send the events of one answer, in writes of ten."""
+        await request.read()
+        response = web.StreamResponse(
+            headers={
+                "Content-Type": "text/event-stream",
+                "X-Request-Id": request.headers["X-Request-Id"],
+                "X-Incarnation": INCARNATION,
+                "X-Weights-Version": WEIGHTS,
+            }
+        )
+        await response.prepare(request)
+        for first in range(1, self.events + 1, 10):
+            last = min(first + 10, self.events + 1)
+            lines = (
+                _event(number, self.events) for number in range(first, last)
+            )
+            await response.write(b"".join(lines))
+            await asyncio.sleep(0)
+        await response.write(b"id: %d\ndata: [DONE]\n\n" % (self.events + 1))
+        return response
+
+    def application(self) -> web.Application:
+        """Return the application that all ports share."""
+        application = web.Application(client_max_size=2**24)
+        application.add_routes(
+            [
+                web.get("/load", self.load),
+                web.get("/cache/events", self.cache_events),
+                web.post("/v1/completions", self.complete),
+            ]
+        )
+        return application
+
+
+def _event(number: int, count: int) -> bytes:
+    chunk = {
+        "id": "cmpl-1",
+        "object": "text_completion",
+        "created": 1,
+        "model": MODEL,
+        "choices": [{"index": 0, "text": " word", "finish_reason": None}],
+    }
+    if number == count:
+        chunk["choices"][0]["finish_reason"] = "length"
+        chunk["usage"] = {
+            "prompt_tokens": 10,
+            "completion_tokens": count,
+            "total_tokens": count + 10,
+            "prompt_tokens_details": {"cached_tokens": 0},
+        }
+    return b"id: %d\ndata: %s\n\n" % (number, json.dumps(chunk).encode())
+
+
+@contextlib.asynccontextmanager
+async def serving(count: int, events: int = 100) -> AsyncIterator[Engines]:
+    """Serve `count` light engines in this process during the block."""
+    engines = Engines(events)
+    runner = web.AppRunner(
+        engines.application(), access_log=None, shutdown_timeout=0.1
+    )
+    await runner.setup()
+    try:
+        for _ in range(count):
+            await web.TCPSite(runner, "127.0.0.1", 0).start()
+        engines.addresses += [
+            f"{host}:{port}" for host, port in runner.addresses
+        ]
+        yield engines
+    finally:
+        await runner.cleanup()
--- /dev/null
+++ b/toucanrudder/bench/capacity/live.py
@@ -0,0 +1,148 @@
+"""Measurements with real routers."""
+
+import asyncio
+import json
+import time
+
+import aiohttp
+
+from toucanrudder.bench.capacity import daemons
+from toucanrudder.bench.capacity import engines as light
+from toucanrudder.bench.capacity import isolation
+from toucanrudder.testing import processes
+
+SETTLE_S = 5.0
+WINDOW_S = 10.0
+ENGINES = 8
+REQUESTS = 200
+AT_ONCE = 16
+WATCHED = "/objects/configuration/current"
+WATCH_WAIT_S = 60
+
+
+async def _counts(platform: str) -> dict:
+    async with (
+        aiohttp.ClientSession() as session,
+        session.get(f"http://{platform}/counts") as answer,
+    ):
+        return await answer.json()
+
+
+async def _routers(size: int) -> dict:
+    async with daemons.system(size, ENGINES) as (running, platform):
+        await asyncio.sleep(SETTLE_S)
+        before = await _counts(platform)
+        used = await daemons.rates([each.pid for each in running], WINDOW_S)
+        after = await _counts(platform)
+    calls = sum(
+        after[kind] - before[kind] for kind in ("reads", "writes", "watches")
+    )
+    return {**used, "store_calls_per_s": calls / WINDOW_S}
+
+
+async def _reports(size: int) -> dict:
+    async with daemons.system(1, size) as (running, _):
+        await asyncio.sleep(SETTLE_S)
+        return await daemons.rates([each.pid for each in running], WINDOW_S)
+
+
+async def _ask(session: aiohttp.ClientSession, url: str) -> int:
+    body = {"model": light.MODEL, "prompt": "x" * 400, "stream": True}
+    async with session.post(url, json=body) as answer:
+        text = await answer.read()
+        if answer.status != 200 or b"[DONE]" not in text:
+            raise RuntimeError(f"no whole answer: {text[:300]!r}")
+        return text.count(b"\nid: ") + 1
+
+
+async def _load(session: aiohttp.ClientSession, url: str, count: int) -> None:
+    async def worker(number: int) -> None:
+        for _ in range(number, count, AT_ONCE):
+            await _ask(session, url)
+
+    await asyncio.gather(*map(worker, range(AT_ONCE)))
+
+
+async def _streams(size: int) -> dict:
+    headers = {"Authorization": f"Bearer {daemons.KEY}"}
+    async with (
+        daemons.system(1, ENGINES, events=size) as (running, _),
+        aiohttp.ClientSession(headers=headers) as session,
+    ):
+        (router,) = running
+        url = f"http://127.0.0.1:{router.ready['port']}/v1/completions"
+        await asyncio.sleep(1.0)
+        await _load(session, url, AT_ONCE)
+        began_s = time.monotonic()
+        before_s = isolation.processor_s(router.pid)
+        await _load(session, url, REQUESTS)
+        spent_s = isolation.processor_s(router.pid) - before_s
+        took_s = time.monotonic() - began_s
+    return {
+        "request_s": spent_s / REQUESTS,
+        "events_per_s": REQUESTS * size / took_s,
+    }
+
+
+async def _watch(
+    session: aiohttp.ClientSession, url: str, version: int
+) -> float:
+    query = {"after_version": str(version), "wait_s": str(WATCH_WAIT_S)}
+    async with session.get(url, params=query) as answer:
+        await answer.read()
+        answer.raise_for_status()
+        return time.monotonic()
+
+
+async def _watchers(size: int) -> dict:
+    """Change a watched document of 2,000 organisations once."""
+    connector = aiohttp.TCPConnector(limit=0)
+    async with (
+        processes.standin("platform") as platform,
+        aiohttp.ClientSession(connector=connector) as session,
+    ):
+        addresses = [f"10.0.{n // 250}.{n % 250 + 1}:80" for n in range(1100)]
+        wanted = daemons.document(addresses, 2000)
+        await daemons.put_document(platform.address, wanted)
+        url = platform.url + WATCHED
+        async with session.get(url) as answer:
+            current = await answer.json()
+        text = json.dumps(current["value"])
+        waiting = [
+            asyncio.create_task(_watch(session, url, current["version"]))
+            for _ in range(size)
+        ]
+        await asyncio.sleep(1.0)
+        before_s = isolation.processor_s(platform.pid)
+        began_s = time.monotonic()
+        async with session.put(
+            url, data=text, headers={"If-Match": str(current["version"])}
+        ) as answer:
+            answer.raise_for_status()
+        ended_s = max(await asyncio.gather(*waiting))
+        spent_s = isolation.processor_s(platform.pid) - before_s
+    return {
+        "all_told_s": ended_s - began_s,
+        "platform_s": spent_s,
+        "sent_bytes": float(size * len(text)),
+    }
+
+
+def routers(size: int) -> dict:
+    """Run `size` routers without traffic."""
+    return asyncio.run(_routers(size))
+
+
+def reports(size: int) -> dict:
+    """Run one router that follows `size` engines, without traffic."""
+    return asyncio.run(_reports(size))
+
+
+def streams(size: int) -> dict:
+    """Relay answers of `size` token events through one router."""
+    return asyncio.run(_streams(size))
+
+
+def watchers(size: int) -> dict:
+    """Tell `size` watchers of one change of a large document."""
+    return asyncio.run(_watchers(size))
--- a/toucanrudder/bench/capacity/measurements.py
+++ b/toucanrudder/bench/capacity/measurements.py
@@ -5,6 +5,7 @@
 import attrs
 
 from toucanrudder.bench.capacity import isolation
+from toucanrudder.bench.capacity import live
 from toucanrudder.bench.capacity import pure
 from toucanrudder.bench.capacity import records
 
@@ -101,7 +102,46 @@
         },
     ),
 )
-MEASUREMENTS = {each.name: each for each in _PURE}
+_USED = {
+    "core_share": "processors",
+    "resident_bytes": "bytes",
+    "wire_bytes_per_s": "bytes/s",
+}
+_LIVE = (
+    Measurement(
+        "routers",
+        live.routers,
+        "routers, with 8 engines",
+        (8, 16, 32, 64, 100),
+        {**_USED, "store_calls_per_s": "calls/s"},
+        isolated=False,
+    ),
+    Measurement(
+        "reports",
+        live.reports,
+        "engines that one router follows",
+        (8, 32, 100, 300, 1100),
+        _USED,
+        isolated=False,
+    ),
+    Measurement(
+        "streams",
+        live.streams,
+        "token events in an answer",
+        (10, 50, 100, 200, 400),
+        {"request_s": "s", "events_per_s": "events/s"},
+        isolated=False,
+    ),
+    Measurement(
+        "watchers",
+        live.watchers,
+        "watchers of a document of 2,000 organisations",
+        (1, 50, 100, 200, 400),
+        {"all_told_s": "s", "platform_s": "s", "sent_bytes": "bytes"},
+        isolated=False,
+    ),
+)
+MEASUREMENTS = {each.name: each for each in (*_PURE, *_LIVE)}
 
 
 def take(
--- a/toucanrudder/bench/capacity/synthetic.py
+++ b/toucanrudder/bench/capacity/synthetic.py
@@ -9,11 +9,15 @@
 MODELS = tuple(model.Model(f"model-{n}", f"2026-{n}") for n in range(3))
 
 
+def digest(key: str) -> str:
+    """Return the digest of an API key, as documents hold it."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
 def organisation(number: int) -> model.Organisation:
     """Return an organisation with one API key."""
     name = f"organisation-{number:04d}"
-    digest = hashlib.sha256(name.encode()).hexdigest()
-    return model.Organisation(name, (digest,), requests_per_s=20.0)
+    return model.Organisation(name, (digest(name),), requests_per_s=20.0)
 
 
 def engine(number: int) -> model.Upstream:
