--- a/toucanrudder/bench/capacity/engines.py
+++ b/toucanrudder/bench/capacity/engines.py
@@ -23,11 +23,14 @@
     ----------
     events : int
         Token events of each streamed answer.
+    pace_s : float
+        Seconds between two of them.
     addresses : list of str
         ``IP:port`` of each engine.
     """
 
     events: int = 100
+    pace_s: float = 0.0
     addresses: list[str] = attrs.field(factory=list)
 
     async def load(self, request: web.Request) -> web.Response:
@@ -56,29 +59,28 @@
         response = web.StreamResponse()
         await response.prepare(request)
         beat = {"seq": 0, "incarnation": INCARNATION, "kind": "heartbeat"}
-        while True:
-            await response.write(json.dumps(beat).encode() + b"\n")
-            await asyncio.sleep(HEARTBEAT_S)
+        with contextlib.suppress(ConnectionResetError):
+            while True:
+                await response.write(json.dumps(beat).encode() + b"\n")
+                await asyncio.sleep(HEARTBEAT_S)
+        return response
 
     async def complete(self, request: web.Request) -> web.StreamResponse:
-        """Send the events of one answer, in writes of ten."""
+        """Send the events of one answer, each in a write of its own."""
         await request.read()
+        identity = request.headers["X-Request-Id"]
         response = web.StreamResponse(
             headers={
                 "Content-Type": "text/event-stream",
-                "X-Request-Id": request.headers["X-Request-Id"],
+                "X-Request-Id": identity,
                 "X-Incarnation": INCARNATION,
                 "X-Weights-Version": WEIGHTS,
             }
         )
         await response.prepare(request)
-        for first in range(1, self.events + 1, 10):
-            last = min(first + 10, self.events + 1)
-            lines = (
-                _event(number, self.events) for number in range(first, last)
-            )
-            await response.write(b"".join(lines))
-            await asyncio.sleep(0)
+        for number in range(1, self.events + 1):
+            await response.write(_event(identity, number, self.events))
+            await asyncio.sleep(self.pace_s)
         await response.write(b"id: %d\ndata: [DONE]\n\n" % (self.events + 1))
         return response
 
@@ -95,9 +97,9 @@
         return application
 
 
-def _event(number: int, count: int) -> bytes:
+def _event(identity: str, number: int, count: int) -> bytes:
     chunk = {
-        "id": "cmpl-1",
+        "id": identity,
         "object": "text_completion",
         "created": 1,
         "model": MODEL,
@@ -115,9 +117,11 @@
 
 
 @contextlib.asynccontextmanager
-async def serving(count: int, events: int = 100) -> AsyncIterator[Engines]:
+async def serving(
+    count: int, events: int = 100, pace_s: float = 0.0
+) -> AsyncIterator[Engines]:
     """Serve `count` light engines in this process during the block."""
-    engines = Engines(events)
+    engines = Engines(events, pace_s)
     runner = web.AppRunner(
         engines.application(), access_log=None, shutdown_timeout=0.1
     )
--- a/toucanrudder/bench/capacity/live.py
+++ b/toucanrudder/bench/capacity/live.py
@@ -1,6 +1,8 @@
 """Measurements with real routers."""
 
 import asyncio
+from collections.abc import AsyncIterator
+import contextlib
 import json
 import time
 
@@ -14,8 +16,8 @@
 SETTLE_S = 5.0
 WINDOW_S = 10.0
 ENGINES = 8
-REQUESTS = 200
 AT_ONCE = 16
+TOKEN_PACE_S = 0.031
 WATCHED = "/objects/configuration/current"
 WATCH_WAIT_S = 60
 
@@ -47,40 +49,69 @@
 
 
 async def _ask(session: aiohttp.ClientSession, url: str) -> int:
+    """Return the token events of one whole answer."""
     body = {"model": light.MODEL, "prompt": "x" * 400, "stream": True}
+    events, tail = 0, b""
     async with session.post(url, json=body) as answer:
-        text = await answer.read()
-        if answer.status != 200 or b"[DONE]" not in text:
-            raise RuntimeError(f"no whole answer: {text[:300]!r}")
-        return text.count(b"\nid: ") + 1
+        async for chunk in answer.content.iter_any():
+            events += chunk.count(b"data: ")
+            tail = (tail + chunk)[-200:]
+    if answer.status != 200 or b"[DONE]" not in tail:
+        raise RuntimeError(f"no whole answer: {tail!r}")
+    return events - 1
 
 
-async def _load(session: aiohttp.ClientSession, url: str, count: int) -> None:
+async def _ask_often(
+    session: aiohttp.ClientSession, url: str, count: int, at_once: int
+) -> None:
     async def worker(number: int) -> None:
-        for _ in range(number, count, AT_ONCE):
+        for _ in range(number, count, at_once):
             await _ask(session, url)
 
-    await asyncio.gather(*map(worker, range(AT_ONCE)))
+    await asyncio.gather(*map(worker, range(at_once)))
 
 
-async def _streams(size: int) -> dict:
+@contextlib.asynccontextmanager
+async def _one_router(
+    events: int, pace_s: float
+) -> AsyncIterator[tuple[int, aiohttp.ClientSession, str]]:
     headers = {"Authorization": f"Bearer {daemons.KEY}"}
+    connector = aiohttp.TCPConnector(limit=0)
     async with (
-        daemons.system(1, ENGINES, events=size) as (running, _),
-        aiohttp.ClientSession(headers=headers) as session,
+        daemons.system(1, ENGINES, events, pace_s) as (running, _),
+        aiohttp.ClientSession(headers=headers, connector=connector) as session,
     ):
         (router,) = running
-        url = f"http://127.0.0.1:{router.ready['port']}/v1/completions"
+        url = f"{router.url}/v1/completions"
         await asyncio.sleep(1.0)
-        await _load(session, url, AT_ONCE)
+        await _ask_often(session, url, AT_ONCE, AT_ONCE)
+        yield router.pid, session, url
+
+
+async def _requests(size: int) -> dict:
+    async with _one_router(1, 0.0) as (pid, session, url):
+        before_s, began_s = isolation.processor_s(pid), time.monotonic()
+        await _ask_often(session, url, size, AT_ONCE)
+        return {
+            "processor_s": isolation.processor_s(pid) - before_s,
+            "took_s": time.monotonic() - began_s,
+        }
+
+
+async def _streams(size: int) -> dict:
+    events = round(WINDOW_S / TOKEN_PACE_S)
+    async with _one_router(events, TOKEN_PACE_S) as (pid, session, url):
+        asked = asyncio.gather(*(_ask(session, url) for _ in range(size)))
+        # The answers' beginning and end are left out: both cost more than
+        # their token events.
+        await asyncio.sleep(WINDOW_S * 0.2)
+        used = await daemons.rates([pid], WINDOW_S * 0.6)
         began_s = time.monotonic()
-        before_s = isolation.processor_s(router.pid)
-        await _load(session, url, REQUESTS)
-        spent_s = isolation.processor_s(router.pid) - before_s
-        took_s = time.monotonic() - began_s
+        counts = await asked
+    late_s = time.monotonic() - began_s - WINDOW_S * 0.2
     return {
-        "request_s": spent_s / REQUESTS,
-        "events_per_s": REQUESTS * size / took_s,
+        **used,
+        "events_per_s": sum(counts) / (WINDOW_S + late_s),
     }
 
 
@@ -138,8 +169,13 @@
     return asyncio.run(_reports(size))
 
 
+def requests(size: int) -> dict:
+    """Pass `size` requests with one token event through one router."""
+    return asyncio.run(_requests(size))
+
+
 def streams(size: int) -> dict:
-    """Relay answers of `size` token events through one router."""
+    """Relay `size` streams at a time at the pace of the target size."""
     return asyncio.run(_streams(size))
 
 
--- a/toucanrudder/bench/capacity/measurements.py
+++ b/toucanrudder/bench/capacity/measurements.py
@@ -124,12 +124,20 @@
         _USED,
         isolated=False,
     ),
+    Measurement(
+        "requests",
+        live.requests,
+        "requests with one token event",
+        (200, 400, 800, 1600),
+        {"processor_s": "s", "took_s": "s"},
+        isolated=False,
+    ),
     Measurement(
         "streams",
         live.streams,
-        "token events in an answer",
-        (10, 50, 100, 200, 400),
-        {"request_s": "s", "events_per_s": "events/s"},
+        "streams at a time, a token event each 31 ms",
+        (10, 50, 100, 200, 330),
+        {**_USED, "events_per_s": "events/s"},
         isolated=False,
     ),
     Measurement(
