--- a/toucanrudder/bench/capacity/measurements.py
+++ b/toucanrudder/bench/capacity/measurements.py
@@ -102,6 +102,13 @@
         },
     ),
 )
+_EVENTS = Measurement(
+    "events",
+    pure.events,
+    "lines of cache events, four blocks each",
+    (2000, 5000, 10_000, 20_000, 40_000),
+    {"spent_s": "s", "line_bytes": "bytes"},
+)
 _USED = {
     "core_share": "processors",
     "resident_bytes": "bytes",
@@ -149,7 +156,7 @@
         isolated=False,
     ),
 )
-MEASUREMENTS = {each.name: each for each in (*_PURE, *_LIVE)}
+MEASUREMENTS = {each.name: each for each in (*_PURE, _EVENTS, *_LIVE)}
 
 
 def take(
--- a/toucanrudder/bench/capacity/pure.py
+++ b/toucanrudder/bench/capacity/pure.py
@@ -194,3 +194,34 @@
         "page_s": meter.spent_s(),
         "page_wall_s": time.monotonic() - began_s,
     }
+
+
+def events(size: int) -> dict:
+    """Take `size` lines of cache events of four blocks, from bytes on."""
+    from toucanrudder import prefix
+    from toucanrudder.controllers import cache_events
+
+    draw = random.Random(1)
+    lines = [
+        json.dumps(
+            {
+                "seq": number + 1,
+                "incarnation": "i",
+                "kind": "stored",
+                "blocks": [
+                    draw.randbytes(16).hex() for _ in range(BLOCKS_PER_EVENT)
+                ],
+            }
+        ).encode()
+        for number in range(size)
+    ]
+    controller = cache_events.CacheEventController(
+        None, prefix.Beliefs(), tuple, draw, lambda: 0.0
+    )
+    meter = isolation.Meter()
+    for line in lines:
+        controller._take("e1", line, 0)
+    return {
+        "spent_s": meter.spent_s(),
+        "line_bytes": float(sum(map(len, lines)) / size),
+    }
--- a/toucanrudder/cli/main.py
+++ b/toucanrudder/cli/main.py
@@ -1,5 +1,6 @@
 """Entry point of the command ``toucanrudder``."""
 
+import os
 import sys
 
 import fire
@@ -38,6 +39,11 @@
     except errors.RudderError as error:
         _complain(error)
         sys.exit(exits.for_code(error.code))
+    except BrokenPipeError:
+        # The reader of a pipe has left.  Without another standard output
+        # the interpreter would complain once more while it ends.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        sys.exit(exits.Exit.FAILED)
     except KeyboardInterrupt:
         sys.exit(exits.Exit.FAILED)
     if isinstance(result, exits.Exit):
