--- a/toucanrudder/bench/capacity/daemons.py
+++ b/toucanrudder/bench/capacity/daemons.py
@@ -117,6 +117,17 @@
     )
 
 
+def with_service(address: str) -> model.Document:
+    """Return a document with a service whose calls may not be repeated."""
+    upstream = model.Upstream(
+        "desk-1", model.SERVICE, address, "zone-00", "desk"
+    )
+    service = model.Service("desk", (model.Route("POST", "/", False),))
+    return attrs.evolve(
+        document([]), upstreams=(upstream,), services=(service,)
+    )
+
+
 async def put_document(platform: str, wanted: model.Document) -> None:
     """Write the document into the store as the first generation."""
     accepted = model.Accepted(1, "capacity", "capacity", wanted)
--- a/toucanrudder/bench/capacity/live.py
+++ b/toucanrudder/bench/capacity/live.py
@@ -30,15 +30,17 @@
         return await answer.json()
 
 
+async def _calls(platform: str) -> int:
+    counts = await _counts(platform)
+    return sum(counts[kind] for kind in ("reads", "writes", "watches"))
+
+
 async def _routers(size: int) -> dict:
     async with daemons.system(size, ENGINES) as (running, platform):
         await asyncio.sleep(SETTLE_S)
-        before = await _counts(platform)
+        before = await _calls(platform)
         used = await daemons.rates([each.pid for each in running], WINDOW_S)
-        after = await _counts(platform)
-    calls = sum(
-        after[kind] - before[kind] for kind in ("reads", "writes", "watches")
-    )
+        calls = await _calls(platform) - before
     return {**used, "store_calls_per_s": calls / WINDOW_S}
 
 
@@ -115,6 +117,57 @@
     }
 
 
+async def _starts(size: int) -> dict:
+    headers = {"Authorization": f"Bearer {daemons.KEY}"}
+    async with (
+        processes.standin("platform") as platform,
+        light.serving(ENGINES, events=1) as engines,
+        aiohttp.ClientSession(headers=headers) as session,
+    ):
+        document = daemons.document(engines.addresses)
+        await daemons.put_document(platform.address, document)
+        before = await _calls(platform.address)
+        began_s = time.monotonic()
+        async with daemons.routers(size, platform.address) as running:
+            urls = [f"{each.url}/v1/completions" for each in running]
+            await asyncio.gather(*(_ask(session, url) for url in urls))
+            took_s = time.monotonic() - began_s
+            calls = await _calls(platform.address) - before
+            pids = [each.pid for each in running]
+            spent_s = sum(map(isolation.processor_s, pids)) / size
+    return {
+        "all_answered_s": took_s,
+        "processor_s": spent_s,
+        "store_calls": float(calls),
+    }
+
+
+async def _claims(size: int) -> dict:
+    headers = {"Authorization": f"Bearer {daemons.KEY}"}
+    async with (
+        processes.standin("platform") as platform,
+        processes.standin("service") as service,
+        aiohttp.ClientSession(headers=headers) as session,
+    ):
+        document = daemons.with_service(service.address)
+        await daemons.put_document(platform.address, document)
+        async with daemons.routers(1, platform.address) as (router,):
+            url = f"{router.url}/services/desk/bookings"
+            before = await _counts(platform.address)
+            for number in range(size):
+                async with session.post(
+                    url, headers={"Idempotency-Key": f"k{number}"}
+                ) as answer:
+                    answer.raise_for_status()
+            after = await _counts(platform.address)
+            spent_s = isolation.processor_s(router.pid)
+    return {
+        "writes": float(after["writes"] - before["writes"]),
+        "reads": float(after["reads"] - before["reads"]),
+        "processor_s": spent_s,
+    }
+
+
 async def _watch(
     session: aiohttp.ClientSession, url: str, version: int
 ) -> float:
@@ -179,6 +232,16 @@
     return asyncio.run(_streams(size))
 
 
+def starts(size: int) -> dict:
+    """Start `size` routers at once; each answers one request."""
+    return asyncio.run(_starts(size))
+
+
+def claims(size: int) -> dict:
+    """Make `size` calls that may not be repeated."""
+    return asyncio.run(_claims(size))
+
+
 def watchers(size: int) -> dict:
     """Tell `size` watchers of one change of a large document."""
     return asyncio.run(_watchers(size))
--- a/toucanrudder/bench/capacity/measurements.py
+++ b/toucanrudder/bench/capacity/measurements.py
@@ -147,6 +147,22 @@
         {**_USED, "events_per_s": "events/s"},
         isolated=False,
     ),
+    Measurement(
+        "starts",
+        live.starts,
+        "routers started at once",
+        (1, 2, 4, 8),
+        {"all_answered_s": "s", "processor_s": "s", "store_calls": "calls"},
+        isolated=False,
+    ),
+    Measurement(
+        "claims",
+        live.claims,
+        "calls that may not be repeated",
+        (50, 100, 200, 400),
+        {"writes": "calls", "reads": "calls", "processor_s": "s"},
+        isolated=False,
+    ),
     Measurement(
         "watchers",
         live.watchers,
