--- a/docs/tests/test_pages.py
+++ b/docs/tests/test_pages.py
@@ -6,11 +6,13 @@
 import pytest
 
 from toucanrudder.errors import codes
+from toucanrudder.settings import options
 
 ROOT = pathlib.Path(__file__).parents[2]
 DOCS = ROOT / "docs"
 PAGES = sorted([*DOCS.rglob("*.md"), *ROOT.glob("*.md")])
 LINK = re.compile(r"\]\((?!https?:|#)([^)#]+)")
+METRIC = re.compile(r"(?:counter|histogram)\(\s*\"(toucanrudder_\w+)\"")
 ROW = re.compile(r"^\| `(\w+)` \| (\d+) \|", re.MULTILINE)
 
 
@@ -33,3 +35,32 @@
         if not (page.parent / target).exists()
     ]
     assert not missing
+
+
+def test_metrics_that_pages_name_exist():
+    text = "\n".join(page.read_text(encoding="utf-8") for page in PAGES)
+    named = set(re.findall(r"`(toucanrudder_\w+?)(?:_total)?[`{]", text))
+    sources = "\n".join(
+        path.read_text(encoding="utf-8")
+        for path in sorted((ROOT / "toucanrudder").rglob("*.py"))
+    )
+    assert named
+    assert not {name for name in named if f'"{name}"' not in sources}
+
+
+def test_settings_that_pages_name_exist():
+    for page in PAGES:
+        text = page.read_text(encoding="utf-8")
+        for group, name in re.findall(r"`\[(\w+)\] (\w+)`", text):
+            known = {option.dest for option in options.GROUPS[group]}
+            assert name in known, page
+
+
+def test_each_metric_in_the_code_is_explained():
+    page = (DOCS / "operators" / "alerts.md").read_text(encoding="utf-8")
+    made = set()
+    for path in (ROOT / "toucanrudder").rglob("*.py"):
+        if "tests" not in path.parts:
+            text = path.read_text(encoding="utf-8")
+            made |= set(METRIC.findall(text))
+    assert not {name for name in made if f"| `{name}` |" not in page}
