--- a/toucanrudder/claims/keeper.py
+++ b/toucanrudder/claims/keeper.py
@@ -202,7 +202,7 @@
         trial = _Trial()
         try:
             action = await self._settle_claim(name, wanted, trial)
-        except BaseException:
+        except (Exception, asyncio.CancelledError):
             # Also when the caller leaves: a write that was under way may
             # still take effect.  Left alone it would read as started for
             # the whole retention, though nothing will ever be sent.
--- /dev/null
+++ b/toucanrudder/claims/tests/test_at_most_once.py
@@ -0,0 +1,345 @@
+"""Claims under crashes, pauses and lost, late and doubled store calls."""
+
+import asyncio
+import itertools
+import random
+
+import attrs
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from toucanrudder import errors
+from toucanrudder.claims import decision
+from toucanrudder.claims import keeper
+from toucanrudder.claims import reaper
+from toucanrudder.claims import record
+from toucanrudder.store import interface
+from toucanrudder.store import memory
+
+ROUTERS = 3
+RETENTION_S = 1000.0
+PICK = strategies.integers(0, 63)
+ROUTER = strategies.integers(0, ROUTERS - 1)
+FATE = strategies.sampled_from(
+    [
+        "answered",
+        "answer lost",
+        "lost",
+        "refused",
+        "held up",
+        "killed before",
+        "killed after",
+    ]
+)
+
+
+@attrs.define(eq=False)
+class Call:
+    """A store call on its way; effect and answer are separate events."""
+
+    router: int
+    write: bool
+    effect: object
+    answer: asyncio.Future
+    result: object = None
+    applied: bool = False
+    held_up: bool = False
+
+    def apply(self):
+        """Let the call take effect, perhaps long after it was given up."""
+        if self.applied:
+            return
+        self.applied = True
+        try:
+            self.effect.send(None)
+        except StopIteration as done:
+            self.result = done.value
+        except interface.ConditionFailed as failed:
+            self.result = failed
+
+
+class Network(interface.ObjectStore):
+    """One router's way to the store; the machine moves each call."""
+
+    def __init__(self, objects, router, calls):
+        self._objects, self._router, self._calls = objects, router, calls
+
+    async def _call(self, write, effect):
+        answer = asyncio.get_running_loop().create_future()
+        self._calls.append(Call(self._router, write, effect, answer))
+        return await answer
+
+    async def get(self, *args, **options):
+        return await self._call(False, self._objects.get(*args, **options))
+
+    async def create(self, *args, **options):
+        return await self._call(True, self._objects.create(*args, **options))
+
+    async def update(self, *args, **options):
+        return await self._call(True, self._objects.update(*args, **options))
+
+    async def delete(self, *args, **options):
+        return await self._call(True, self._objects.delete(*args, **options))
+
+    async def list(self, *args, **options):
+        return await self._call(False, self._objects.list(*args, **options))
+
+    async def watch(self, *args, **options):
+        raise NotImplementedError
+
+
+class AtMostOnce(stateful.RuleBasedStateMachine):
+    """Three routers, two keys, and a service that counts its runs.
+
+    The machine chooses when each store call takes effect, whether and
+    when its answer comes, which router dies or sleeps at which point, and
+    when claims are reaped.  A service never sees two runs under one key
+    within the retention.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.objects = memory.MemoryObjectStore()
+        self.now_s = 0.0
+        self.calls: list[Call] = []
+        self.dead: list[object] = []
+        self.fates: list[list[str]] = [[] for _ in range(ROUTERS)]
+        self.keepers = [self.start_router(i) for i in range(ROUTERS)]
+        self.tasks: list[tuple[int, str, str, asyncio.Task]] = []
+        self.held: list[tuple[int, str, keeper.Claim]] = []
+        self.runs: dict[str, list[tuple[float, str]]] = {}
+        self.sweep = reaper.Reaper(
+            self.objects, lambda: RETENTION_S, lambda: True
+        )
+
+    def start_router(self, index):
+        return keeper.ClaimKeeper(
+            Network(self.objects, index, self.calls),
+            f"r{index}",
+            save_within_s=1e9,
+            rng=random.Random(0),
+            wall_s=lambda: self.now_s,
+        )
+
+    def step(self):
+        """Run every router until it waits for calls that were held up."""
+
+        async def idle():
+            for _ in range(12):
+                await asyncio.sleep(0)
+
+        for _ in range(40):
+            self.loop.run_until_complete(idle())
+            fresh = [c for c in self.open_calls() if not c.held_up]
+            for call in fresh:
+                fates = self.fates[call.router]
+                self.meet(call, fates.pop(0) if fates else "answered")
+            if not fresh:
+                break
+        self.collect()
+
+    def meet(self, call, fate):
+        """Let one call meet its fate."""
+        if fate == "held up":
+            call.held_up = True
+        elif fate == "refused":
+            call.applied = True
+            call.effect.close()
+            call.answer.set_exception(interface.StoreUnavailable("down"))
+        elif fate == "answered":
+            call.apply()
+            if isinstance(call.result, Exception):
+                call.answer.set_exception(call.result)
+            else:
+                call.answer.set_result(call.result)
+        elif fate in ("killed before", "killed after"):
+            if fate == "killed after":
+                call.apply()
+            self.stop_router(call.router)
+        else:
+            if fate == "answer lost":
+                call.apply()
+            error = (
+                interface.OutcomeUnknown
+                if call.write
+                else interface.StoreUnavailable
+            )
+            call.answer.set_exception(error("no answer"))
+
+    def collect(self):
+        for entry in [t for t in self.tasks if t[3].done()]:
+            self.tasks.remove(entry)
+            router, key, body, task = entry
+            if task.cancelled():
+                continue
+            if task.exception() is not None:
+                self.refused(key, body, task.exception())
+            elif isinstance(task.result(), keeper.Claim):
+                self.held.append((router, key, task.result()))
+            else:
+                self.replayed(key, body, task.result())
+
+    def refused(self, key, body, error):
+        assert isinstance(error, errors.RudderError)
+        if error.ran is errors.Ran.DONE:
+            assert self.runs.get(key)
+
+    def replayed(self, key, body, replay):
+        assert (replay.result.body.decode()) in [
+            ran for _, ran in self.runs[key]
+        ]
+        assert replay.result.body.decode() == body
+
+    def pick(self, options, index):
+        return options[index % len(options)]
+
+    def open_calls(self):
+        return [c for c in self.calls if not c.answer.done()]
+
+    @stateful.rule(
+        router=ROUTER,
+        key=strategies.sampled_from("kkkl"),
+        body=strategies.sampled_from(["same", "same", "other"]),
+    )
+    def request(self, router, key, body):
+        holder = self.keepers[router]
+        task = self.loop.create_task(
+            holder.acquire("acme", key, body, self.now_s)
+        )
+        self.tasks.append((router, key, body, task))
+        self.step()
+
+    @stateful.rule(router=ROUTER, fates=strategies.lists(FATE, max_size=4))
+    def faults(self, router, fates):
+        """What the router's next store calls will meet."""
+        self.fates[router] = fates
+
+    @stateful.precondition(lambda self: self.open_calls())
+    @stateful.rule(index=PICK, fate=FATE)
+    def held_up_call(self, index, fate):
+        call = self.pick(self.open_calls(), index)
+        if not (call.applied and fate == "refused"):
+            self.meet(call, fate)
+            self.step()
+
+    @stateful.precondition(lambda self: any(not c.applied for c in self.calls))
+    @stateful.rule(index=PICK)
+    def arrive(self, index):
+        """A call takes effect, though its router may have given it up."""
+        self.pick([c for c in self.calls if not c.applied], index).apply()
+
+    @stateful.precondition(lambda self: self.held)
+    @stateful.rule(
+        index=PICK,
+        end=strategies.sampled_from(
+            ["answered", "large", "lost", "not_sent", "not_sent_retry"]
+        ),
+    )
+    def dispatch(self, index, end):
+        """Dispatch a held claim, perhaps long after it was acquired."""
+        entry = self.pick(self.held, index)
+        _, key, claim = entry
+        try:
+            claim.check(self.now_s)
+        except errors.RudderError as error:
+            assert error.code is errors.Code.CLAIM_EXPIRED
+            self.held.remove(entry)
+            return
+        if end.startswith("not_sent"):
+            claim.proved_not_run()
+            if end == "not_sent":
+                # The claim stays in `held`: a faulty caller that tries to
+                # dispatch it again must be stopped by the claim itself.
+                self.background(claim.release())
+            return
+        self.held.remove(entry)
+        body = claim.record.body_sha256
+        self.runs.setdefault(key, []).append((self.now_s, body))
+        if end == "answered":
+            self.background(
+                claim.finish(record.Result(200, (), body.encode()))
+            )
+        elif end == "large":
+            self.background(claim.finish(record.Result(200, (), b"x" * 99999)))
+
+    def background(self, work):
+        self.loop.create_task(work)
+        self.step()
+
+    @stateful.precondition(lambda self: self.tasks)
+    @stateful.rule(index=PICK)
+    def caller_leaves(self, index):
+        self.pick(self.tasks, index)[3].cancel()
+        self.step()
+
+    @stateful.rule(router=ROUTER)
+    def kill(self, router):
+        self.stop_router(router)
+        self.step()
+
+    def stop_router(self, router):
+        """SIGKILL: its calls may still arrive, its memory is gone."""
+        self.dead += [t for t in self.tasks if t[0] == router]
+        self.dead.append(self.keepers[router])
+        self.tasks = [t for t in self.tasks if t[0] != router]
+        self.held = [h for h in self.held if h[0] != router]
+        for call in self.calls:
+            if call.router == router and not call.answer.done():
+                # Never answered: the dead router does nothing any more.
+                self.dead.append(call.answer)
+                call.answer = self.loop.create_future()
+                call.answer.cancel()
+        self.fates[router] = []
+        self.keepers[router] = self.start_router(router)
+
+    @stateful.rule(
+        seconds=strategies.sampled_from([1.0, 9.0, 70.0, RETENTION_S])
+    )
+    def time_passes(self, seconds):
+        self.now_s += seconds
+
+    @stateful.rule()
+    def retention_passes(self):
+        """All claims end, also those whose holder sleeps."""
+        self.now_s += RETENTION_S + reaper.SKEW_S + 1
+        self.reap()
+        self.now_s += reaper.WATCHED_S
+        self.reap()
+
+    @stateful.rule()
+    def reap(self):
+        self.loop.run_until_complete(
+            self.sweep.reap(
+                lambda: self.now_s, lambda: self.now_s, pause_s=0.0
+            )
+        )
+
+    @stateful.invariant()
+    def runs_at_most_once(self):
+        for key, runs in self.runs.items():
+            for (first_s, _), (second_s, _) in itertools.pairwise(runs):
+                assert second_s - first_s >= RETENTION_S, (key, runs)
+
+    def teardown(self):
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.step()
+        for call in self.calls:
+            if not call.applied:
+                call.effect.close()
+        self.loop.close()
+
+
+keeper.BACKOFF_S = (0.0, 0.0)
+TestAtMostOnce = AtMostOnce.TestCase
+TestAtMostOnce.settings = hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=200,
+    stateful_step_count=50,
+    suppress_health_check=list(hypothesis.HealthCheck),
+    database=None,
+)
+assert decision.Limits().dispatch_within_s < reaper.WATCHED_S
