--- a/toucanrudder/upstreams/engine.py
+++ b/toucanrudder/upstreams/engine.py
@@ -8,6 +8,7 @@
 
 from toucanrudder.document import model
 from toucanrudder.upstreams import failures
+from toucanrudder.upstreams import sending
 
 #: Cancelling is a courtesy to the engine; nobody waits longer for it.
 CANCEL_TIMEOUT_S = 2.0
@@ -58,6 +59,8 @@
     ----------
     session : aiohttp.ClientSession
         Owned by the daemon.
+    fresh_session : aiohttp.ClientSession
+        The same with a connector that uses each connection once.
     connect_timeout_s : float
         Seconds for opening a connection.
     headers_timeout_s : float
@@ -67,10 +70,12 @@
     def __init__(
         self,
         session: aiohttp.ClientSession,
+        fresh_session: aiohttp.ClientSession,
         connect_timeout_s: float,
         headers_timeout_s: float,
     ):
         self._session = session
+        self._fresh = fresh_session
         self._opening = aiohttp.ClientTimeout(
             total=None, sock_connect=connect_timeout_s
         )
@@ -102,6 +107,7 @@
                 "X-Cache-Salt": call.salt_hex,
             },
             timeout=self._opening,
+            middlewares=(sending.once(upstream.name),),
         )
         async with self._answer(request, upstream, call.engine_id) as answer:
             yield answer
@@ -120,11 +126,11 @@
         UpstreamFailure
             As `start`; ``lost`` when the engine does not know the stream.
         """
-        request = self._session.get(
+        request = self._fresh.get(
             f"http://{upstream.address}/v1/streams/{engine_id}",
             params={"after": str(after)},
-            headers={"Connection": "close"},
             timeout=self._resuming,
+            middlewares=(sending.once(upstream.name),),
         )
         async with self._answer(request, upstream, engine_id) as answer:
             yield answer
@@ -132,7 +138,7 @@
     async def cancel(self, upstream: model.Upstream, engine_id: str) -> bool:
         """Stop the work; return whether the engine confirmed."""
         try:
-            async with self._session.post(
+            async with self._fresh.post(
                 f"http://{upstream.address}/v1/requests/{engine_id}/cancel",
                 timeout=aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_S),
             ) as response:
@@ -143,25 +149,8 @@
     @contextlib.asynccontextmanager
     async def _answer(self, request, upstream, engine_id):
         name = upstream.name
-        try:
+        with sending.mapped(name):
             response = await request
-        except aiohttp.ClientConnectorError as error:
-            raise failures.UpstreamFailure(
-                failures.Kind.NOT_REACHED,
-                name,
-                str(error),
-                connection_refused=isinstance(
-                    error.os_error, ConnectionRefusedError
-                ),
-            ) from error
-        except aiohttp.ConnectionTimeoutError as error:
-            raise failures.UpstreamFailure(
-                failures.Kind.NOT_REACHED, name, "no connection in time"
-            ) from error
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise failures.UpstreamFailure(
-                failures.Kind.SILENT, name, repr(error)
-            ) from error
         try:
             if response.status != 200:
                 raise await _refusal(response, name)
