--- a/docs/tests/test_pages.py
+++ b/docs/tests/test_pages.py
@@ -63,4 +63,5 @@
         if "tests" not in path.parts:
             text = path.read_text(encoding="utf-8")
             made |= set(METRIC.findall(text))
+    assert made
     assert not {name for name in made if f"| `{name}` |" not in page}
--- a/toucanrudder/bench/capacity/tests/test_capacity.py
+++ b/toucanrudder/bench/capacity/tests/test_capacity.py
@@ -9,6 +9,7 @@
 
 ROOT = pathlib.Path(__file__).parents[4]
 RECORDS = ROOT / records.DIRECTORY
+SMALL = 400
 PURE = [
     name for name, each in measurements.MEASUREMENTS.items() if each.isolated
 ]
@@ -26,10 +27,10 @@
 @pytest.mark.parametrize("name", PURE)
 def test_a_measurement_runs_and_is_kept(name, tmp_path):
     measurement = measurements.MEASUREMENTS[name]
-    point = measurement.run(50)
+    point = measurement.run(SMALL)
     assert set(point) == set(measurement.units)
     record = records.Record(
-        name, "c", "t", {}, "s", measurement.units, [{"x": 50, **point}]
+        name, "c", "t", {}, "s", measurement.units, [{"x": SMALL, **point}]
     )
     records.save(record, tmp_path)
     assert records.load(name, tmp_path) == record
--- a/toucanrudder/cli/commands.py
+++ b/toucanrudder/cli/commands.py
@@ -1,11 +1,24 @@
 """The commands; each imports what it needs, so that others start quickly."""
 
+from fire import decorators
+
 import toucanrudder
 from toucanrudder.cli import configuration
 from toucanrudder.cli import exits
 from toucanrudder.cli import output
 from toucanrudder.cli import standins
 
+# fire reads words that look like numbers as numbers; a fingerprint such as
+# 12e45 would become another one, and the release would miss its target.
+_AS_TEXT = decorators.SetParseFns(
+    settings=str,
+    upstream=str,
+    fingerprint=str,
+    admin=str,
+    token_file=str,
+    out=str,
+)
+
 
 class Commands:
     """Router for language-model traffic with long shared prompts.
@@ -26,6 +39,7 @@
         print(toucanrudder.__version__)
         return exits.Exit.DONE
 
+    @_AS_TEXT
     def router(self, settings: str) -> exits.Exit:
         """Run a router in the foreground until SIGTERM or SIGINT.
 
@@ -35,9 +49,10 @@
         """
         from toucanrudder.router import daemon
 
-        daemon.run(str(settings))
+        daemon.run(settings)
         return exits.Exit.DONE
 
+    @_AS_TEXT
     def check(self, settings: str, json: bool = False) -> exits.Exit:
         """Check a settings file, and the files it names, before a start.
 
@@ -46,7 +61,7 @@
         """
         from toucanrudder.cli import checks
 
-        found = checks.check_settings(str(settings))
+        found = checks.check_settings(settings)
         if json:
             output.emit_json(found)
             return exits.Exit.DONE
@@ -55,6 +70,7 @@
         print(f"{settings}: valid, router {found['name']}")
         return exits.Exit.DONE
 
+    @_AS_TEXT
     def status(
         self,
         json: bool = False,
@@ -77,6 +93,7 @@
             print(statuspage.text(answer))
         return exits.Exit.DONE
 
+    @_AS_TEXT
     def drain(
         self,
         upstream: str,
@@ -90,6 +107,7 @@
         """
         return self._set_drained(upstream, "drain", json, admin, token_file)
 
+    @_AS_TEXT
     def undrain(
         self,
         upstream: str,
@@ -103,6 +121,7 @@
         """
         return self._set_drained(upstream, "undrain", json, admin, token_file)
 
+    @_AS_TEXT
     def release(
         self,
         fingerprint: str,
@@ -132,6 +151,7 @@
 
         return exits.Exit(int(run.main(serve=serve) or 0))
 
+    @_AS_TEXT
     def capacity(self, *names: str, out: str = "docs/capacity") -> exits.Exit:
         """Measure how costs grow with size; write a record of each run.
 
@@ -139,7 +159,7 @@
         """
         from toucanrudder.cli import capacity
 
-        return capacity.measure(tuple(map(str, names)), str(out))
+        return capacity.measure(tuple(map(str, names)), out)
 
     def _set_drained(
         self,
@@ -152,7 +172,7 @@
         from toucanrudder.cli import client
 
         where = client.target(admin, token_file)
-        answer = configuration.set_drained(where, str(upstream), verb)
+        answer = configuration.set_drained(where, upstream, verb)
         if json:
             output.emit_json(answer)
         else:
--- a/toucanrudder/cli/configuration.py
+++ b/toucanrudder/cli/configuration.py
@@ -3,6 +3,7 @@
 import urllib.parse
 
 import attrs
+from fire import decorators
 
 from toucanrudder import errors
 from toucanrudder.cli import client
@@ -26,6 +27,9 @@
     return []
 
 
+_AS_TEXT = decorators.SetParseFns(file=str, admin=str, token_file=str)
+
+
 class Configuration:
     """Show, check, compare and apply the configuration document.
 
@@ -34,13 +38,14 @@
     or TOUCANRUDDER_TOKEN.
     """
 
+    @_AS_TEXT
     def validate(self, file: str, json: bool = False) -> exits.Exit:
         """Check a document without a router; list all problems.
 
         Example: toucanrudder config validate config.json
         Exits with 0, or with 2 when the document has problems.
         """
-        problems = _validated(str(file))
+        problems = _validated(file)
         if json:
             output.emit_json({"valid": not problems, "problems": problems})
         elif problems:
@@ -49,6 +54,7 @@
             print(f"{file}: valid")
         return exits.Exit.MISTAKE if problems else exits.Exit.DONE
 
+    @_AS_TEXT
     def show(
         self, admin: str | None = None, token_file: str | None = None
     ) -> exits.Exit:
@@ -60,6 +66,7 @@
         output.emit_json(client.call(where, "GET", "/configuration"))
         return exits.Exit.DONE
 
+    @_AS_TEXT
     def diff(
         self,
         file: str,
@@ -72,7 +79,7 @@
         Example: toucanrudder config diff config.json
         """
         where = client.target(admin, token_file)
-        proposal = files.read_proposal(str(file))
+        proposal = files.read_proposal(file)
         answer = client.call(where, "POST", "/diff", proposal.document)
         if json:
             output.emit_json(answer)
@@ -84,6 +91,7 @@
             print("  no changes")
         return exits.Exit.DONE
 
+    @_AS_TEXT
     def apply(
         self,
         file: str,
@@ -102,7 +110,7 @@
         when the outcome is unknown: look with `config show`.
         """
         where = client.target(admin, token_file)
-        proposal = files.read_proposal(str(file))
+        proposal = files.read_proposal(file)
         expected = proposal.generation if generation is None else generation
         if type(expected) is not int:
             raise errors.RudderError(
--- a/toucanrudder/cli/main.py
+++ b/toucanrudder/cli/main.py
@@ -2,6 +2,7 @@
 
 import os
 import sys
+import warnings
 
 import fire
 
@@ -29,6 +30,8 @@
     arguments : list of str, optional
         Words after the program's name; by default those of the process.
     """
+    # fire tries each word as a Python literal, which warns of some paths.
+    warnings.filterwarnings("ignore", category=SyntaxWarning)
     try:
         result = fire.Fire(
             commands.Commands,
--- a/toucanrudder/cli/tests/test_commands.py
+++ b/toucanrudder/cli/tests/test_commands.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from toucanrudder.cli import client
 from toucanrudder.cli import exits
 from toucanrudder.cli import main
 from toucanrudder.errors import codes
@@ -109,3 +110,13 @@
 @pytest.mark.parametrize("code", list(codes.Code))
 def test_no_error_ends_as_done(code):
     assert exits.for_code(code) is not exits.Exit.DONE
+
+
+@pytest.mark.parametrize("word", ["12e45", "007", "1_000", "True"])
+def test_words_that_look_like_values_stay_text(word, monkeypatch):
+    called = []
+    monkeypatch.setattr(
+        client, "call", lambda where, method, path: called.append(path) or {}
+    )
+    assert run("release", word) == 0
+    assert called == [f"/quarantine/{word}"]
