--- a/toucanrudder/bench/capacity/daemons.py
+++ b/toucanrudder/bench/capacity/daemons.py
@@ -198,15 +198,12 @@
 
 @contextlib.asynccontextmanager
 async def system(
-    router_count: int,
-    engine_count: int,
-    events: int = 100,
-    pace_s: float = 0.0,
+    router_count: int, engine_count: int, **options: float
 ) -> AsyncIterator[tuple[list[processes.Process], str]]:
     """Run a platform, light engines and routers; yield routers, platform."""
     async with (
         processes.standin("platform") as platform,
-        light.serving(engine_count, events, pace_s) as engines,
+        light.serving(engine_count, **options) as engines,
     ):
         await put_document(platform.address, document(engines.addresses))
         async with routers(router_count, platform.address) as running:
--- a/toucanrudder/bench/capacity/engines.py
+++ b/toucanrudder/bench/capacity/engines.py
@@ -2,14 +2,17 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Sequence
 import contextlib
+import itertools
 import json
+import os
 import time
 
 from aiohttp import web
 import attrs
 
-HEARTBEAT_S = 1.0
+BATCHES_PER_S = 20
 INCARNATION = "light"
 MODEL = "model-0"
 WEIGHTS = "2026-0"
@@ -25,12 +28,15 @@
         Token events of each streamed answer.
     pace_s : float
         Seconds between two of them.
+    cache_events_per_s : float
+        Cache events that each engine publishes.
     addresses : list of str
         ``IP:port`` of each engine.
     """
 
     events: int = 100
     pace_s: float = 0.0
+    cache_events_per_s: float = 0.0
     addresses: list[str] = attrs.field(factory=list)
 
     async def load(self, request: web.Request) -> web.Response:
@@ -55,14 +61,24 @@
         )
 
     async def cache_events(self, request: web.Request) -> web.StreamResponse:
-        """Send heartbeats for ever."""
+        """Send events at the chosen rate, and heartbeats, for ever."""
         response = web.StreamResponse()
         await response.prepare(request)
-        beat = {"seq": 0, "incarnation": INCARNATION, "kind": "heartbeat"}
+        sequence = 0
+        due = 0.0
         with contextlib.suppress(ConnectionResetError):
-            while True:
-                await response.write(json.dumps(beat).encode() + b"\n")
-                await asyncio.sleep(HEARTBEAT_S)
+            for turn in itertools.count():
+                if turn % BATCHES_PER_S == 0:
+                    await response.write(_line("heartbeat", sequence))
+                due += self.cache_events_per_s / BATCHES_PER_S
+                lines = []
+                while sequence < int(due):
+                    sequence += 1
+                    blocks = [os.urandom(16).hex() for _ in range(4)]
+                    lines.append(_line("stored", sequence, blocks))
+                if lines:
+                    await response.write(b"".join(lines))
+                await asyncio.sleep(1 / BATCHES_PER_S)
         return response
 
     async def complete(self, request: web.Request) -> web.StreamResponse:
@@ -97,6 +113,16 @@
         return application
 
 
+def _line(kind: str, sequence: int, blocks: Sequence[str] = ()) -> bytes:
+    event = {
+        "seq": sequence,
+        "incarnation": INCARNATION,
+        "kind": kind,
+        "blocks": list(blocks),
+    }
+    return json.dumps(event).encode() + b"\n"
+
+
 def _event(identity: str, number: int, count: int) -> bytes:
     chunk = {
         "id": identity,
@@ -117,11 +143,12 @@
 
 
 @contextlib.asynccontextmanager
-async def serving(
-    count: int, events: int = 100, pace_s: float = 0.0
-) -> AsyncIterator[Engines]:
-    """Serve `count` light engines in this process during the block."""
-    engines = Engines(events, pace_s)
+async def serving(count: int, **options: float) -> AsyncIterator[Engines]:
+    """Serve `count` light engines in this process during the block.
+
+    Options are the attributes of `Engines`.
+    """
+    engines = Engines(**options)
     runner = web.AppRunner(
         engines.application(), access_log=None, shutdown_timeout=0.1
     )
--- a/toucanrudder/bench/capacity/extrapolation.py
+++ b/toucanrudder/bench/capacity/extrapolation.py
@@ -139,7 +139,7 @@
         "slope of `events`, times 1 M/s",
         "cores",
         lambda known: (
-            _slope(known, "events", "spent_s") * target.CACHE_EVENTS_PER_S
+            _slope(known, "events", "core_share") * target.CACHE_EVENTS_PER_S
         ),
         target.CONTROL_CORE_SHARE,
     ),
@@ -148,7 +148,7 @@
         "slope of `events`, times 2,500/s",
         "cores",
         lambda known: (
-            _slope(known, "events", "spent_s")
+            _slope(known, "events", "core_share")
             * target.CACHE_EVENTS_PER_S
             / target.ROUTERS
         ),
@@ -156,10 +156,10 @@
     ),
     Line(
         "a 400th of the cache events at each router",
-        "bytes a line of `events`, times 2,500/s",
+        "slope of `events`, times 2,500/s",
         "KB/s",
         lambda known: (
-            known["events"].points[-1]["line_bytes"]
+            _slope(known, "events", "wire_bytes_per_s")
             * target.CACHE_EVENTS_PER_S
             / target.ROUTERS
             / 1e3
@@ -245,6 +245,68 @@
         ),
         target.STORE_READS_PER_S,
     ),
+    Line(
+        "members: the table of 400 routers",
+        "`membership` at 400",
+        "MB",
+        lambda known: _at("membership", "memory_bytes", 400)(known) / 1e6,
+        target.CONTROL_BYTES / 1e6,
+    ),
+    Line(
+        "members: the list of live routers, once a request",
+        f"`membership` at 400, times {_REQUESTS:.0f}/s",
+        "cores",
+        lambda known: _at("membership", "live_s", 400)(known) * _REQUESTS,
+        target.CONTROL_CORE_SHARE,
+    ),
+    Line(
+        "a router without traffic, 8 engines, today's fleet of 8",
+        "`routers`, the point of 8",
+        "cores",
+        lambda known: known["routers"].points[0]["core_share"],
+        target.CONTROL_CORE_SHARE,
+    ),
+    Line(
+        "a router without traffic, 8 engines, today's fleet of 8",
+        "`routers`, the point of 8",
+        "KB/s",
+        lambda known: known["routers"].points[0]["wire_bytes_per_s"] / 1e3,
+        target.CONTROL_BYTES_PER_S / 1e3,
+    ),
+    Line(
+        "a router without traffic, 8 engines, fleet of 400",
+        "`routers` at 400",
+        "cores",
+        _at("routers", "core_share", 400),
+        target.CONTROL_CORE_SHARE,
+    ),
+    Line(
+        "a router without traffic, 8 engines, fleet of 400",
+        "`routers` at 400",
+        "KB/s",
+        lambda known: _at("routers", "wire_bytes_per_s", 400)(known) / 1e3,
+        target.CONTROL_BYTES_PER_S / 1e3,
+    ),
+    Line(
+        "a router without traffic, 8 engines, fleet of 400",
+        "`routers` at 400",
+        "MB",
+        lambda known: _at("routers", "resident_bytes", 400)(known) / 1e6,
+        target.CONTROL_BYTES / 1e6,
+    ),
+    Line(
+        "store calls of 400 routers without traffic",
+        "`routers` at 400",
+        "calls/s",
+        _at("routers", "store_calls_per_s", 400),
+        target.STORE_READS_PER_S,
+    ),
+    Line(
+        "31 routers of a zone started at once, processor time of each",
+        "`starts` at 31",
+        "s",
+        _at("starts", "processor_s", 31),
+    ),
     Line(
         "limits of 2,000 organisations",
         "`limits` at 2,000",
--- a/toucanrudder/bench/capacity/live.py
+++ b/toucanrudder/bench/capacity/live.py
@@ -80,7 +80,10 @@
     headers = {"Authorization": f"Bearer {daemons.KEY}"}
     connector = aiohttp.TCPConnector(limit=0)
     async with (
-        daemons.system(1, ENGINES, events, pace_s) as (running, _),
+        daemons.system(1, ENGINES, events=events, pace_s=pace_s) as (
+            running,
+            _,
+        ),
         aiohttp.ClientSession(headers=headers, connector=connector) as session,
     ):
         (router,) = running
@@ -90,6 +93,16 @@
         yield router.pid, session, url
 
 
+async def _events(size: int) -> dict:
+    rate = size / ENGINES
+    async with daemons.system(1, ENGINES, cache_events_per_s=rate) as (
+        running,
+        _,
+    ):
+        await asyncio.sleep(SETTLE_S)
+        return await daemons.rates([each.pid for each in running], WINDOW_S)
+
+
 async def _requests(size: int) -> dict:
     async with _one_router(1, 0.0) as (pid, session, url):
         before_s, began_s = isolation.processor_s(pid), time.monotonic()
@@ -222,6 +235,11 @@
     return asyncio.run(_reports(size))
 
 
+def events(size: int) -> dict:
+    """Send `size` cache events a second to one router."""
+    return asyncio.run(_events(size))
+
+
 def requests(size: int) -> dict:
     """Pass `size` requests with one token event through one router."""
     return asyncio.run(_requests(size))
--- a/toucanrudder/bench/capacity/measurements.py
+++ b/toucanrudder/bench/capacity/measurements.py
@@ -53,7 +53,6 @@
         (8, 100, 500, 1000, 2000),
         {
             "size_bytes": "bytes",
-            "valid": "1 if accepted",
             "decode_s": "s",
             "validate_s": "s",
             "structure_s": "s",
@@ -102,13 +101,6 @@
         },
     ),
 )
-_EVENTS = Measurement(
-    "events",
-    pure.events,
-    "lines of cache events, four blocks each",
-    (2000, 5000, 10_000, 20_000, 40_000),
-    {"spent_s": "s", "line_bytes": "bytes"},
-)
 _USED = {
     "core_share": "processors",
     "resident_bytes": "bytes",
@@ -131,6 +123,14 @@
         _USED,
         isolated=False,
     ),
+    Measurement(
+        "events",
+        live.events,
+        "cache events a second at one router, four blocks each",
+        (100, 500, 1000, 2000, 4000),
+        _USED,
+        isolated=False,
+    ),
     Measurement(
         "requests",
         live.requests,
@@ -172,7 +172,7 @@
         isolated=False,
     ),
 )
-MEASUREMENTS = {each.name: each for each in (*_PURE, _EVENTS, *_LIVE)}
+MEASUREMENTS = {each.name: each for each in (*_PURE, *_LIVE)}
 
 
 def take(
--- a/toucanrudder/bench/capacity/pure.py
+++ b/toucanrudder/bench/capacity/pure.py
@@ -61,12 +61,7 @@
     data = json.loads(text)
     decode_s = meter.spent_s()
     meter = isolation.Meter()
-    try:
-        parsed = validation.parse(data)
-        valid = 1
-    except validation.DocumentInvalid:
-        parsed = serialisation.from_json(data)
-        valid = 0
+    parsed = validation.parse(data)
     parse_s = meter.spent_s()
     meter = isolation.Meter()
     kept = [serialisation.from_json(json.loads(text)) for _ in range(4)]
@@ -76,7 +71,6 @@
     difference.compare(parsed, kept[0])
     return {
         "size_bytes": len(text),
-        "valid": valid,
         "decode_s": decode_s,
         "validate_s": parse_s,
         "structure_s": structure_s,
@@ -194,34 +188,3 @@
         "page_s": meter.spent_s(),
         "page_wall_s": time.monotonic() - began_s,
     }
-
-
-def events(size: int) -> dict:
-    """Take `size` lines of cache events of four blocks, from bytes on."""
-    from toucanrudder import prefix
-    from toucanrudder.controllers import cache_events
-
-    draw = random.Random(1)
-    lines = [
-        json.dumps(
-            {
-                "seq": number + 1,
-                "incarnation": "i",
-                "kind": "stored",
-                "blocks": [
-                    draw.randbytes(16).hex() for _ in range(BLOCKS_PER_EVENT)
-                ],
-            }
-        ).encode()
-        for number in range(size)
-    ]
-    controller = cache_events.CacheEventController(
-        None, prefix.Beliefs(), tuple, draw, lambda: 0.0
-    )
-    meter = isolation.Meter()
-    for line in lines:
-        controller._take("e1", line, 0)
-    return {
-        "spent_s": meter.spent_s(),
-        "line_bytes": float(sum(map(len, lines)) / size),
-    }
