Refuse half a pair of TLS files at the admin port

Cause: with a key but no certificate in the settings the admin port served plain HTTP, so the operators' token went over the network readable.

--- a/toucanrudder/router/admin_state.py
+++ b/toucanrudder/router/admin_state.py
@@ -13,8 +13,6 @@
 
 def tls(conf: cfg.ConfigOpts) -> ssl.SSLContext | None:
     """Return the admin listener's TLS context, if settings name one."""
-    if not conf.admin.tls_certificate:
-        return None
     return admin_tls.server_context(
         conf.admin.tls_certificate, conf.admin.tls_key
     )
