--- a/docs/tests/test_pages.py
+++ b/docs/tests/test_pages.py
@@ -3,8 +3,10 @@
 import pathlib
 import re
 
+import attrs
 import pytest
 
+from toucanrudder.document import model
 from toucanrudder.errors import codes
 from toucanrudder.settings import options
 
@@ -65,3 +67,9 @@
             made |= set(METRIC.findall(text))
     assert made
     assert not {name for name in made if f"| `{name}` |" not in page}
+
+
+def test_the_policy_page_names_each_field():
+    text = (DOCS / "operators" / "policy.md").read_text(encoding="utf-8")
+    fields = {field.name for field in attrs.fields(model.Policy)}
+    assert set(re.findall(r"(?m)^\| `(\w+)` \|", text)) == fields
