Order engines to load weights under one lease

Cause: only so many engines can load weights at once before loading slows, and eight routers see the same old weights at once. A holder of a lease may be paused past its term and act on; some engines do not check fencing numbers.

Change: a lease in the store without times in it: the holder counts from before its write, others from after their read, with a margin on both sides. Fencing numbers rise with each holder and past whatever engines report. A controller gives orders that name a state, checks the lease right before each, and times each out within the margin. A planned stop releases the lease. Three routers look at it, however many there are.

Ruled out: expiry times in the store (clocks differ), and all routers watching the lease (one watch a router).

--- /dev/null
+++ b/toucanrudder/leases/decision.py
@@ -0,0 +1,125 @@
+"""Who holds a lease, and until when it may act.  No I/O.
+
+The store keeps no times that could be compared between clocks.  A holder
+counts from before it sent the write that gave or renewed its lease;
+another router counts from after it read that write's result.  So the
+other's waiting always ends after the holder's time, if their clocks run
+alike within the margin.
+"""
+
+import enum
+
+import attrs
+
+#: Time for which a lease is held after it was written.
+TERM_S = 10.0
+
+#: Taken off the holder's side and added on the others': covers clocks
+#: that run differently and orders that are on their way.
+MARGIN_S = 2.0
+
+
+@attrs.frozen
+class Record:
+    """The value of a lease's object in the store.
+
+    Parameters
+    ----------
+    holder : str
+        Identity of the holder's process; empty when it was released.
+    fencing : int
+        Rises with each change of the holder.
+    write_id : str
+        Identity of the last write, to settle lost answers.
+    """
+
+    holder: str = ""
+    fencing: int = 0
+    write_id: str = ""
+
+
+@attrs.frozen
+class Lease:
+    """A lease that this process holds.
+
+    Parameters
+    ----------
+    fencing : int
+        Number that orders carry.
+    acquired_s : float
+        Monotonic time at which it was first held.
+    until_s : float
+        Monotonic time at which this process must have stopped acting.
+    """
+
+    fencing: int
+    acquired_s: float
+    until_s: float
+
+    def is_valid(self, now_s: float) -> bool:
+        """Say whether the holder may act now."""
+        return now_s < self.until_s
+
+
+@attrs.frozen
+class Seen:
+    """What was last read of a lease, and since when it is unchanged."""
+
+    version: int
+    record: Record
+    since_s: float
+
+
+class Step(enum.Enum):
+    """What a process does next about a lease."""
+
+    CREATE = "create"
+    TAKE = "take"
+    RENEW = "renew"
+    WAIT = "wait"
+
+
+def observe(
+    seen: Seen | None, version: int, record: Record, now_s: float
+) -> Seen:
+    """Return what is known after a read that ended at `now_s`."""
+    if seen is not None and seen.version == version:
+        return seen
+    return Seen(version, record, now_s)
+
+
+def next_step(seen: Seen | None, me: str, now_s: float) -> Step:
+    """Say what to do.
+
+    Parameters
+    ----------
+    seen : Seen or None
+        The lease's object as last read; None if there is none.
+    me : str
+        Identity of this process.
+    now_s : float
+        Monotonic time.
+
+    Examples
+    --------
+    >>> seen = Seen(1, Record("other", 5, "w"), since_s=0.0)
+    >>> next_step(seen, "me", now_s=TERM_S)
+    <Step.WAIT: 'wait'>
+    >>> next_step(seen, "me", now_s=TERM_S + MARGIN_S)
+    <Step.TAKE: 'take'>
+    """
+    if seen is None:
+        return Step.CREATE
+    if seen.record.holder == me:
+        return Step.RENEW
+    if not seen.record.holder:
+        return Step.TAKE
+    # Engines that ignore fencing numbers would obey two holders.  So the
+    # old holder's time, by its own clock, must have passed before.
+    lapsed = now_s - seen.since_s >= TERM_S + MARGIN_S
+    return Step.TAKE if lapsed else Step.WAIT
+
+
+def until_s(sent_s: float) -> float:
+    """Return until when a write sent at `sent_s` lets the holder act."""
+    return sent_s + TERM_S - MARGIN_S
--- /dev/null
+++ b/toucanrudder/leases/holder.py
@@ -0,0 +1,227 @@
+"""Takes, renews and gives up one lease."""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import random
+import time
+import uuid
+
+import attrs
+
+from toucanrudder import errors
+from toucanrudder.leases import decision
+from toucanrudder.observability import metrics
+from toucanrudder.store import interface
+
+KIND = "leases"
+STEP = "lease"
+
+#: Pause between two looks at the lease, by the holder and by others.
+LOOK_S = 2.0
+
+_FAILED = (
+    interface.ConditionFailed,
+    interface.StoreUnavailable,
+    interface.OutcomeUnknown,
+)
+
+
+def _count(event: str) -> None:
+    metrics.counter("toucanrudder_lease_events", "Events of leases").add(
+        1, {"event": event}
+    )
+
+
+class LeaseHolder:
+    """One process's part in one lease.
+
+    Parameters
+    ----------
+    store : interface.ObjectStore
+        Where the lease is kept.
+    name : str
+        The lease's name.
+    me : str
+        Identity of this process, unique also over restarts.
+    is_candidate : callable
+        Whether this process should try to get the lease.
+    floor : callable
+        Highest fencing number known to be in use; the lease's object may
+        be older than that after the store came back in an older state.
+    timeout_s : float
+        Seconds that one call to the store may take.
+    rng : random.Random
+        For jitter.
+    clock : callable
+        Monotonic time.
+    """
+
+    def __init__(
+        self,
+        store: interface.ObjectStore,
+        name: str,
+        me: str,
+        *,
+        is_candidate: Callable[[], bool] = lambda: True,
+        floor: Callable[[], int] = lambda: 0,
+        timeout_s: float = 1.0,
+        rng: random.Random | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self._store = store
+        self._name = name
+        self._me = me
+        self._is_candidate = is_candidate
+        self._floor = floor
+        self._timeout_s = timeout_s
+        self._rng = rng or random.Random()
+        self._clock = clock
+        self._seen: decision.Seen | None = None
+        self._lease: decision.Lease | None = None
+
+    def held(self, now_s: float) -> decision.Lease | None:
+        """Return the lease if this process may act on it now."""
+        if self._lease is not None and self._lease.is_valid(now_s):
+            return self._lease
+        return None
+
+    def check(self, now_s: float) -> decision.Lease:
+        """Return the lease; call right before each order.
+
+        Raises
+        ------
+        RudderError
+            ``lease_lost``: the process was paused, or the store could
+            not be reached for too long, and another may hold it now.
+        """
+        lease = self.held(now_s)
+        if lease is None:
+            _count("lost_before_order")
+            raise errors.RudderError(
+                errors.Code.LEASE_LOST,
+                f"lease {self._name} is not held any more",
+                step=STEP,
+                peer="store",
+            )
+        return lease
+
+    async def run(self) -> None:
+        """Try to get the lease and keep it, until cancelled."""
+        while True:
+            if self._lease is not None or self._is_candidate():
+                with contextlib.suppress(*_FAILED):
+                    await self.look()
+            await asyncio.sleep(LOOK_S * self._rng.uniform(0.75, 1.0))
+
+    async def look(self) -> None:
+        """Read the lease once and do what follows from it.
+
+        Raises the store's exceptions; calling again is always safe.
+        """
+        found = await self._store.get(
+            KIND, self._name, timeout_s=self._timeout_s
+        )
+        now_s = self._clock()
+        self._seen = _seen(self._seen, found, now_s)
+        step = decision.next_step(self._seen, self._me, now_s)
+        if step is decision.Step.WAIT:
+            self._forget()
+            return
+        try:
+            await self._write(step)
+        except interface.ConditionFailed:
+            self._forget()
+            raise
+
+    async def release(self) -> None:
+        """Give the lease up, so that another need not wait out the term.
+
+        Call it when no order is under way any more.
+        """
+        if self._lease is None or self._seen is None:
+            return
+        self._forget()
+        record = attrs.evolve(self._seen.record, holder="")
+        with contextlib.suppress(*_FAILED):
+            await self._store.update(
+                KIND,
+                self._name,
+                attrs.asdict(record),
+                self._seen.version,
+                timeout_s=self._timeout_s,
+            )
+
+    async def _write(self, step: decision.Step) -> None:
+        record = self._next_record(step)
+        sent_s = self._clock()
+        value = attrs.asdict(record)
+        try:
+            if self._seen is None:
+                version = await self._store.create(
+                    KIND, self._name, value, timeout_s=self._timeout_s
+                )
+            else:
+                version = await self._store.update(
+                    KIND,
+                    self._name,
+                    value,
+                    self._seen.version,
+                    timeout_s=self._timeout_s,
+                )
+        except interface.OutcomeUnknown:
+            # The write may have taken effect.  Its identity tells; the
+            # time counts from before it was sent, as if it had answered.
+            _count("answer_lost")
+            version = await self._version_if_written(record)
+        self._seen = decision.Seen(version, record, self._clock())
+        self._hold(record, sent_s)
+
+    def _next_record(self, step: decision.Step) -> decision.Record:
+        before = self._seen.record if self._seen else decision.Record()
+        floor = self._floor()
+        fencing = before.fencing
+        renewal = step is decision.Step.RENEW and self._lease is not None
+        if not renewal or floor > fencing:
+            # Above the floor too: the store may have come back older,
+            # and engines that check would refuse a number they are past.
+            fencing = max(fencing, floor) + 1
+        return decision.Record(self._me, fencing, uuid.uuid4().hex)
+
+    async def _version_if_written(self, record: decision.Record) -> int:
+        found = await self._store.get(
+            KIND, self._name, timeout_s=self._timeout_s
+        )
+        if found is None or found.value.get("write_id") != record.write_id:
+            raise interface.ConditionFailed("another write came first")
+        return found.version
+
+    def _hold(self, record: decision.Record, sent_s: float) -> None:
+        before = self._lease
+        acquired_s = self._clock()
+        if before is not None and before.fencing == record.fencing:
+            acquired_s = before.acquired_s
+        else:
+            _count("acquired")
+        self._lease = decision.Lease(
+            record.fencing, acquired_s, decision.until_s(sent_s)
+        )
+
+    def _forget(self) -> None:
+        if self._lease is not None:
+            _count("lost")
+        self._lease = None
+
+
+def _seen(
+    before: decision.Seen | None,
+    found: interface.StoredObject | None,
+    now_s: float,
+) -> decision.Seen | None:
+    if found is None:
+        return None
+    names = {field.name for field in attrs.fields(decision.Record)}
+    record = decision.Record(
+        **{name: found.value[name] for name in names & set(found.value)}
+    )
+    return decision.observe(before, found.version, record, now_s)
--- /dev/null
+++ b/toucanrudder/leases/tests/test_leases.py
@@ -0,0 +1,267 @@
+import asyncio
+import contextlib
+import random
+
+import attrs
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from toucanrudder import errors
+from toucanrudder.document import model
+from toucanrudder.leases import decision
+from toucanrudder.leases import holder
+from toucanrudder.leases import weights
+from toucanrudder.store import interface
+from toucanrudder.store import memory
+from toucanrudder.upstreams import loads
+
+TERM_S, MARGIN_S = decision.TERM_S, decision.MARGIN_S
+ENOUGH_S = TERM_S + MARGIN_S + 0.1
+
+
+class Clock:
+    """A clock that runs at its own rate."""
+
+    def __init__(self, true, rate=1.0):
+        self.true, self.rate = true, rate
+
+    def __call__(self):
+        return self.true[0] * self.rate
+
+
+class Contender:
+    def __init__(self, store, true, me, rate=1.0, floor=lambda: 0):
+        self.clock = Clock(true, rate)
+        self.holder = holder.LeaseHolder(
+            store,
+            "weights",
+            me,
+            floor=floor,
+            rng=random.Random(me),
+            clock=self.clock,
+        )
+
+    def held(self):
+        return self.holder.held(self.clock())
+
+    async def look(self):
+        with contextlib.suppress(
+            interface.ConditionFailed,
+            interface.StoreUnavailable,
+            interface.OutcomeUnknown,
+        ):
+            await self.holder.look()
+
+
+@hypothesis.settings(
+    derandomize=True, max_examples=150, stateful_step_count=40, deadline=None
+)
+class OneHolder(stateful.RuleBasedStateMachine):
+    """Three processes want a lease; pauses, lost answers, uneven clocks.
+
+    At no moment may two of them act, and who acts later has the higher
+    fencing number.
+    """
+
+    names = strategies.sampled_from(["a", "b", "c"])
+
+    def __init__(self):
+        super().__init__()
+        self.true = [100.0]
+        self.store = memory.MemoryObjectStore()
+        self.highest = 0
+        self.contenders = {
+            name: Contender(self.store, self.true, name, rate)
+            for name, rate in (("a", 1.0), ("b", 1.05), ("c", 0.95))
+        }
+
+    @stateful.rule(name=names)
+    def look(self, name):
+        asyncio.run(self.contenders[name].look())
+
+    @stateful.rule(seconds=strategies.sampled_from([0.5, 2, 8, 9.8, 12, 30]))
+    def passes(self, seconds):
+        self.true[0] += seconds
+
+    @stateful.rule(fault=strategies.sampled_from(["lose", "drop", "down"]))
+    def fault(self, fault):
+        faults = self.store.faults
+        faults.lose_answers = int(fault == "lose")
+        faults.drop_writes = int(fault == "drop")
+        faults.down = fault == "down"
+
+    @stateful.rule()
+    def works_again(self):
+        self.store.faults = memory.Faults()
+
+    @stateful.rule(name=names)
+    def releases(self, name):
+        asyncio.run(self.contenders[name].holder.release())
+
+    @stateful.invariant()
+    def one_acts(self):
+        acting = [c.held() for c in self.contenders.values() if c.held()]
+        assert len(acting) <= 1
+        for lease in acting:
+            assert lease.fencing >= self.highest
+            self.highest = lease.fencing
+
+
+TestOneHolder = OneHolder.TestCase
+
+
+async def test_a_paused_holder_does_not_act():
+    """A holder that was paused gives no order after its lease has lapsed.
+
+    It is stopped between planning an order and giving it, for longer
+    than the term.  Another takes the lease meanwhile.  When it wakes, it
+    checks before the order, and afterwards sees that it has lost.
+    """
+    store, true = memory.MemoryObjectStore(), [0.0]
+    one, two = (Contender(store, true, name) for name in "ab")
+    await one.look()
+    first = one.holder.check(true[0])
+    await two.look()
+    true[0] += ENOUGH_S
+    await two.look()
+    second = two.holder.check(true[0])
+    assert second.fencing > first.fencing
+    with pytest.raises(errors.RudderError) as caught:
+        one.holder.check(true[0])
+    assert caught.value.code is errors.Code.LEASE_LOST
+    await one.look()
+    assert two.held()
+    assert not one.held()
+
+
+@pytest.mark.parametrize("passed_s", [0.0, TERM_S - MARGIN_S, TERM_S + 0.5])
+async def test_another_waits_out_the_margin(passed_s):
+    store, true = memory.MemoryObjectStore(), [0.0]
+    one, two = (Contender(store, true, name) for name in "ab")
+    await one.look()
+    await two.look()
+    true[0] += passed_s
+    await two.look()
+    assert not two.held()
+
+
+async def test_a_released_lease_is_taken_at_once():
+    store, true = memory.MemoryObjectStore(), [0.0]
+    one, two = (Contender(store, true, name) for name in "ab")
+    await one.look()
+    await one.holder.release()
+    await two.look()
+    assert two.held().fencing == 2
+    assert not one.held()
+
+
+async def test_fencing_numbers_rise_though_the_store_came_back_older():
+    """Orders are not refused for ever after the store was restored.
+
+    The restored object holds a lower number than engines have seen.
+    What they report is the floor for the next number.
+    """
+    store, true, floor = memory.MemoryObjectStore(), [0.0], [0]
+    one = Contender(store, true, "a", floor=lambda: floor[0])
+    await one.look()
+    floor[0] = 41
+    await one.look()
+    assert one.held().fencing == 42
+    floor[0] = 42
+    await one.look()
+    assert one.held().fencing == 42
+
+
+def _engine(name, running=0, state="live", **models):
+    upstream = model.Upstream(
+        name, "engine", "127.0.0.1:1", "z", "p", tuple(models)
+    )
+    report = loads.LoadReport(
+        name, "i", state=state, running=running, models=models
+    )
+    return upstream, report
+
+
+def _plan(engines, at_once=2, ordered_s=None):
+    document = model.Document(
+        models=(model.Model("m", "v2"), model.Model("n", "v2")),
+        upstreams=tuple(upstream for upstream, _ in engines),
+        policy=model.Policy(weight_loads_at_once=at_once),
+    )
+    reports = {upstream.name: report for upstream, report in engines if report}
+    orders = weights.plan(document, reports, ordered_s or {}, 100.0)
+    return [(order.upstream.name, order.model) for order in orders]
+
+
+OLD, NEW = {"m": "v1"}, {"m": "v2"}
+PLANS = {
+    "all right": ([_engine("a", **NEW), _engine("b", **NEW)], {}, []),
+    "two at once": (
+        [_engine(n, **OLD) for n in "abcd"],
+        {},
+        [("a", "m"), ("b", "m")],
+    ),
+    "least busy first": (
+        [_engine("a", 5, **OLD), _engine("b", 1, **OLD), _engine("c", **OLD)],
+        {},
+        [("c", "m"), ("b", "m")],
+    ),
+    "one is loading": (
+        [_engine("a", 0, "loading", **OLD)]
+        + [_engine(n, **OLD) for n in "bcd"],
+        {},
+        [("b", "m")],
+    ),
+    "one was just ordered": (
+        [_engine(n, **OLD) for n in "abcd"],
+        {"ordered_s": {"a": 99.0}},
+        [("b", "m")],
+    ),
+    "an order got lost": (
+        [_engine(n, **OLD) for n in "abcd"],
+        {"ordered_s": {"a": 100 - weights.PATIENCE_S}},
+        [("a", "m"), ("b", "m")],
+    ),
+    "an ordered one is done": (
+        [_engine("a", **NEW)] + [_engine(n, **OLD) for n in "bcd"],
+        {"ordered_s": {"a": 99.0}},
+        [("b", "m"), ("c", "m")],
+    ),
+    "an ordered one is silent": (
+        [(_engine("a", **OLD)[0], None)] + [_engine(n, **OLD) for n in "bcd"],
+        {"ordered_s": {"a": 99.0}},
+        [("b", "m")],
+    ),
+    "one stays live": ([_engine(n, **OLD) for n in "ab"], {}, [("a", "m")]),
+    "the last live one stays": (
+        [_engine("a", 0, "loading", **OLD), _engine("b", **OLD)],
+        {},
+        [],
+    ),
+    "the only one": ([_engine("a", **OLD)], {}, [("a", "m")]),
+    "leaving ones are left alone": (
+        [_engine("a", 0, "leaving", **OLD), _engine("b", **NEW)],
+        {},
+        [],
+    ),
+    "one model at a time": (
+        [_engine("a", m="v1", n="v1"), _engine("b", m="v2", n="v2")],
+        {},
+        [("a", "m")],
+    ),
+}
+
+
+@pytest.mark.parametrize("case", PLANS)
+def test_which_engines_load_next(case):
+    engines, options, expected = PLANS[case]
+    assert _plan(engines, **options) == expected
+
+
+def test_an_order_names_a_state():
+    upstream, _ = _engine("a", **OLD)
+    order = weights.Order(upstream, "i", "m", "v2")
+    again = attrs.evolve(order)
+    assert order.order_id == again.order_id == "a.i.m.v2"
--- a/toucanrudder/router/assembly.py
+++ b/toucanrudder/router/assembly.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 import contextlib
 import random
+import uuid
 
 import aiohttp
 import attrs
@@ -16,7 +17,9 @@
 from toucanrudder.controllers import configuration
 from toucanrudder.controllers import instances as instance_controllers
 from toucanrudder.controllers import loads as load_controllers
+from toucanrudder.controllers import weights as weight_controllers
 from toucanrudder.document import model
+from toucanrudder.leases import holder as holders
 from toucanrudder.membership import instances
 from toucanrudder.membership import routers
 from toucanrudder.peers import loads as peer_loads
@@ -38,6 +41,9 @@
 #: just freed a slot finds its next request there.
 ADMISSION_FACTOR = 2.0
 
+#: Routers that look whether a lease is free.
+LEASE_CANDIDATES = 3
+
 #: Until the engines are known, this much is let through.
 FIRST_CAPACITY = 256
 
@@ -69,11 +75,50 @@
     return random.Random(seed) if seed else random.Random()
 
 
+def _configured_document(
+    controller: configuration.ConfigurationController,
+) -> model.Document | None:
+    return controller.current.document if controller.current else None
+
+
 def _configured_upstreams(
     controller: configuration.ConfigurationController,
 ) -> tuple[model.Upstream, ...]:
-    current = controller.current
-    return current.document.upstreams if current else ()
+    document = _configured_document(controller)
+    return document.upstreams if document else ()
+
+
+def _weights_lease(state: states.RouterState) -> holders.LeaseHolder:
+    name = state.conf.router.name
+
+    def is_candidate() -> bool:
+        # A few are enough to replace a holder that has died; 400 looking
+        # at one object would cost the store more than all else.
+        live = [each.name for each in state.routers.live(state.now_s())]
+        return name in sorted([*live, name])[:LEASE_CANDIDATES]
+
+    def highest_fencing() -> int:
+        known = map(state.loads.get, _engine_names(state))
+        return max((each.report.fencing for each in known if each), default=0)
+
+    return holders.LeaseHolder(
+        state.objects,
+        weight_controllers.LEASE,
+        f"{name}.{uuid.uuid4().hex}",
+        is_candidate=is_candidate,
+        floor=highest_fencing,
+        timeout_s=state.conf.store.timeout_s,
+        rng=state.rng,
+        clock=state.now_s,
+    )
+
+
+def _engine_names(state: states.RouterState) -> tuple[str, ...]:
+    return tuple(
+        upstream.name
+        for upstream in _configured_upstreams(state.configuration)
+        if upstream.kind == model.ENGINE
+    )
 
 
 def capacity(document: model.Document, routers: int) -> int:
@@ -196,6 +241,16 @@
         state.session, state.beliefs, upstreams, state.rng, state.now_s
     )
 
+    holder = _weights_lease(state)
+    weight_controller = weight_controllers.WeightController(
+        state.session,
+        holder,
+        lambda: _configured_document(state.configuration),
+        state.loads,
+        state.conf.upstreams.load_interval_s,
+        state.rng,
+        state.now_s,
+    )
     instance_controller = instance_controllers.InstanceController(
         state.session,
         state.conf.store.address,
@@ -212,6 +267,8 @@
             ("cache events", events.run),
             ("instances", instance_controller.run),
             ("peers", peers.run),
+            ("lease", holder.run),
+            ("weights", weight_controller.run),
             ("capacity", lambda: _share_capacity(state)),
         )
     )
