--- a/toucanrudder/router/fleet.py
+++ b/toucanrudder/router/fleet.py
@@ -106,6 +106,7 @@
         own_requests = self._own.requests(upstream.name)
         own_tokens = self._own.prefill_tokens(upstream.name)
         peer_tokens = self._others.prefill_tokens(upstream.name, now_s)
+        peer_requests = self._others.requests(upstream.name, now_s)
         if known is None:
             return types.UpstreamView(
                 name=upstream.name,
@@ -115,6 +116,7 @@
                 slots=upstream.slots,
                 own_in_flight=own_requests,
                 own_prefill_tokens=own_tokens,
+                peer_in_flight=peer_requests,
                 peer_prefill_tokens=peer_tokens,
                 reported_at_s=now_s,
             )
@@ -132,6 +134,7 @@
             reported_at_s=known.received_s,
             own_in_flight=own_requests,
             own_prefill_tokens=own_tokens,
+            peer_in_flight=peer_requests,
             peer_prefill_tokens=peer_tokens,
             believed_tokens=self._beliefs.believed_tokens(
                 upstream.name, report.incarnation, request.prefix_keys, now_s
