--- a/toucanrudder/relay/assembly.py
+++ b/toucanrudder/relay/assembly.py
@@ -4,8 +4,6 @@
 
 import orjson
 
-from toucanrudder.relay import sequencer
-
 _OBJECTS = {
     "chat.completion.chunk": "chat.completion",
     "text_completion.chunk": "text_completion",
@@ -15,7 +13,7 @@
 def chunks_of(events: bytes) -> Iterator[dict]:
     """Yield the JSON objects in whole events; the closing one has none."""
     for line in events.split(b"\n"):
-        if line.startswith(b"data: ") and line != sequencer.DONE:
+        if line.startswith(b"data: {"):
             yield orjson.loads(line[6:])
 
 
--- a/toucanrudder/router/fleet.py
+++ b/toucanrudder/router/fleet.py
@@ -105,6 +105,7 @@
         known = self._loads.get(upstream.name)
         own_requests = self._own.requests(upstream.name)
         own_tokens = self._own.prefill_tokens(upstream.name)
+        peer_requests = self._others.requests(upstream.name, now_s)
         peer_tokens = self._others.prefill_tokens(upstream.name, now_s)
         peer_requests = self._others.requests(upstream.name, now_s)
         if known is None:
--- a/toucanrudder/upstreams/engine.py
+++ b/toucanrudder/upstreams/engine.py
@@ -1,5 +1,6 @@
 """Client of one model engine: start, resume and cancel streams."""
 
+import asyncio
 from collections.abc import AsyncIterator
 import contextlib
 
@@ -64,7 +65,7 @@
     connect_timeout_s : float
         Seconds for opening a connection.
     headers_timeout_s : float
-        Seconds until the headers of a resumed stream must have come.
+        Seconds until the headers of an answer must have come.
     """
 
     def __init__(
@@ -76,14 +77,10 @@
     ):
         self._session = session
         self._fresh = fresh_session
-        self._opening = aiohttp.ClientTimeout(
+        self._headers_timeout_s = headers_timeout_s
+        self._timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=connect_timeout_s
         )
-        self._resuming = aiohttp.ClientTimeout(
-            total=None,
-            sock_connect=connect_timeout_s,
-            sock_read=headers_timeout_s,
-        )
 
     @contextlib.asynccontextmanager
     async def start(
@@ -106,7 +103,7 @@
                 "X-Priority": str(call.priority),
                 "X-Cache-Salt": call.salt_hex,
             },
-            timeout=self._opening,
+            timeout=self._timeout,
             middlewares=(sending.once(upstream.name),),
         )
         async with self._answer(request, upstream, call.engine_id) as answer:
@@ -129,7 +126,7 @@
         request = self._fresh.get(
             f"http://{upstream.address}/v1/streams/{engine_id}",
             params={"after": str(after)},
-            timeout=self._resuming,
+            timeout=self._timeout,
             middlewares=(sending.once(upstream.name),),
         )
         async with self._answer(request, upstream, engine_id) as answer:
@@ -149,12 +146,21 @@
     @contextlib.asynccontextmanager
     async def _answer(self, request, upstream, engine_id):
         name = upstream.name
+        # A request written into a pooled connection whose path is lost
+        # vanishes without an error; only the deadline tells.
         with sending.mapped(name):
-            response = await request
+            async with asyncio.timeout(self._headers_timeout_s):
+                response = await request
         try:
+            _check_identity(response, name, engine_id)
             if response.status != 200:
-                raise await _refusal(response, name)
-            yield _checked(response, name, engine_id)
+                body = await _error_body(response, self._headers_timeout_s)
+                raise _refusal(response, name, body)
+            yield Answer(
+                incarnation=response.headers.get("X-Incarnation", ""),
+                weights_version=response.headers.get("X-Weights-Version", ""),
+                content=response.content,
+            )
         finally:
             # An answer that was left half read must not go back to the
             # pool: the next request on it would read this one's bytes.
@@ -163,26 +169,27 @@
             response.release()
 
 
-def _checked(response, name: str, engine_id: str) -> Answer:
-    # A proxy or an engine that mixes up pipelined answers hands us another
-    # caller's stream.  The identity it repeats is the only witness.
+def _check_identity(response, name: str, engine_id: str) -> None:
+    # A proxy or an engine that mixes up pipelined answers, or answers late,
+    # hands us another request's.  The identity it repeats is the only
+    # witness.  A refusal needs it as well: somebody else's "not run" proves
+    # nothing about our request.
     if response.headers.get("X-Request-Id") != engine_id:
         response.close()
         raise failures.UpstreamFailure(
             failures.Kind.CROSSED, name, "answer to another request"
         )
-    return Answer(
-        incarnation=response.headers.get("X-Incarnation", ""),
-        weights_version=response.headers.get("X-Weights-Version", ""),
-        content=response.content,
-    )
 
 
-async def _refusal(response, name: str) -> failures.UpstreamFailure:
+async def _error_body(response, timeout_s: float) -> bytes:
     try:
-        body = await response.content.read(MAX_ERROR_BYTES)
+        async with asyncio.timeout(timeout_s):
+            return await response.content.read(MAX_ERROR_BYTES)
     except (aiohttp.ClientError, TimeoutError, OSError):
-        body = b""
+        return b""
+
+
+def _refusal(response, name: str, body: bytes) -> failures.UpstreamFailure:
     status = response.status
     if status == 503 and response.headers.get("X-Not-Run") == "1":
         kind = failures.Kind.REFUSED
