--- a/toucanrudder/bench/capacity/daemons.py
+++ b/toucanrudder/bench/capacity/daemons.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 import contextlib
 import pathlib
+import random
 import re
 import socket
 import subprocess
@@ -24,6 +25,7 @@
 KEY = "capacity-key"
 START_AT_ONCE = 8
 SEEDS = 3
+PORTS = (10_000, 32_000)
 _BYTES = re.compile(r"\bbytes_(?:sent|received):(\d+)")
 _PID = re.compile(r"pid=(\d+)")
 
@@ -142,15 +144,24 @@
         answer.raise_for_status()
 
 
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
 def _free_ports(count: int) -> list[int]:
-    held = [socket.socket() for _ in range(count)]
-    try:
-        for each in held:
-            each.bind(("127.0.0.1", 0))
-        return [each.getsockname()[1] for each in held]
-    finally:
-        for each in held:
-            each.close()
+    # Below the kernel's own range: a port that the kernel had picked may
+    # be given to an outgoing connection before the router binds it.
+    ports: set[int] = set()
+    while len(ports) < count:
+        port = random.randrange(*PORTS)
+        if _is_free(port):
+            ports.add(port)
+    return sorted(ports)
 
 
 def _settings(number: int, platform: str, peer_ports: Sequence[int]) -> str:
