Show all routers, leases and unknown outcomes in the status

Cause: the status page named no other router, no lease and no claim. Change: peers' generations are kept as they tell them; leases and old started claims are read from the store when an operator asks, with a bound, and named as not available while the store is down.

--- a/toucanrudder/admin/handlers.py
+++ b/toucanrudder/admin/handlers.py
@@ -1,6 +1,8 @@
 """Handlers of the admin API, one a call."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Sequence
 import json
 
 from aiohttp import web
@@ -18,7 +20,7 @@
 from toucanrudder.document import validation
 
 MAX_AUTHOR_CHARS = 128
-CLAIMS_TIMEOUT_S = 2.0
+STORE_TIMEOUT_S = 2.0
 
 
 def _author(request: web.Request) -> str:
@@ -179,27 +181,34 @@
     return web.json_response({"released": fingerprint})
 
 
+async def _from_store(reading: Awaitable[Sequence]) -> tuple | None:
+    # During an outage of the store the rest of the page, which operators
+    # need most then, must still come at once.
+    try:
+        async with asyncio.timeout(STORE_TIMEOUT_S):
+            return tuple(await reading)
+    except (errors.RudderError, TimeoutError):
+        return None
+
+
 async def get_status(request: web.Request) -> web.Response:
     """Return what this router knows of the fleet."""
     known = request.app[middleware.STATE]
-    unavailable = []
-    claims = ()
-    # Claims are read from the store.  During its outage the rest of the
-    # page, which operators need most then, must still come at once.
-    try:
-        async with asyncio.timeout(CLAIMS_TIMEOUT_S):
-            claims = await known.unknown_claims()
-    except (errors.RudderError, TimeoutError):
-        unavailable.append("unknown_claims")
+    leases, claims = await asyncio.gather(
+        _from_store(known.leases()), _from_store(known.unknown_claims())
+    )
+    stored = {"leases": leases, "unknown_claims": claims}
     page = status.Status(
         router=known.router,
         generation=_generation(request),
         routers=tuple(known.routers()),
         upstreams=tuple(known.upstreams()),
-        leases=tuple(known.leases()),
+        leases=leases or (),
         quarantined=tuple(known.quarantined()),
-        unknown_claims=tuple(claims),
-        unavailable=tuple(unavailable),
+        unknown_claims=claims or (),
+        unavailable=tuple(
+            name for name, found in stored.items() if found is None
+        ),
     )
     return web.json_response(attrs.asdict(page))
 
--- a/toucanrudder/admin/state.py
+++ b/toucanrudder/admin/state.py
@@ -38,10 +38,11 @@
     apply : callable
         ``await apply(data, expected_generation, author)`` returns the
         `model.Accepted` that is now in force, or raises `RudderError`.
-    routers, upstreams, leases, quarantined : callable
+    routers, upstreams, quarantined : callable
         Return sequences of the classes in :mod:`toucanrudder.admin.status`.
-    unknown_claims : callable
-        Awaitable; reads the store, so it may raise `RudderError`.
+    leases, unknown_claims : callable
+        The same, awaitable; they read the store, so they may raise
+        `RudderError`.
     release : callable
         ``await release(fingerprint)`` ends a quarantine on every router;
         False when the fingerprint is not held.
@@ -55,8 +56,10 @@
     apply: Callable[[dict, int, str], Awaitable[model.Accepted]]
     routers: Callable[[], Sequence[status.RouterStatus]] = _nothing
     upstreams: Callable[[], Sequence[status.UpstreamStatus]] = _nothing
-    leases: Callable[[], Sequence[status.LeaseStatus]] = _nothing
     quarantined: Callable[[], Sequence[status.QuarantineStatus]] = _nothing
+    leases: Callable[[], Awaitable[Sequence[status.LeaseStatus]]] = (
+        _nothing_async
+    )
     unknown_claims: Callable[[], Awaitable[Sequence[status.ClaimStatus]]] = (
         _nothing_async
     )
--- a/toucanrudder/admin/status.py
+++ b/toucanrudder/admin/status.py
@@ -16,8 +16,9 @@
     ----------
     name, zone, address : str
         As the member told them.
-    generation : int
-        Configuration generation in force there; 0 when there is none.
+    generation : int or None
+        Configuration generation in force there; 0 when there is none,
+        None when only other routers have told of the member.
     heard_age_s : float
         Seconds since the member was last heard of.
     ready : bool
@@ -27,7 +28,7 @@
     name: str
     zone: str = ""
     address: str = ""
-    generation: int = 0
+    generation: int | None = 0
     heard_age_s: float = 0.0
     ready: bool = True
 
@@ -50,12 +51,11 @@
 
 @attrs.frozen
 class LeaseStatus:
-    """A lease; `valid_s` is what is left of it, by the holder's clock."""
+    """A lease, as the store has it; it keeps no times."""
 
     name: str
     holder: str
     fencing: int
-    valid_s: float
 
 
 @attrs.frozen
--- a/toucanrudder/bench/capacity/engines.py
+++ b/toucanrudder/bench/capacity/engines.py
@@ -63,10 +63,10 @@
     async def cache_events(self, request: web.Request) -> web.StreamResponse:
         """Send events at the chosen rate, and heartbeats, for ever."""
         response = web.StreamResponse()
-        await response.prepare(request)
         sequence = 0
         due = 0.0
         with contextlib.suppress(ConnectionResetError):
+            await response.prepare(request)
             for turn in itertools.count():
                 if turn % BATCHES_PER_S == 0:
                     await response.write(_line("heartbeat", sequence))
--- a/toucanrudder/cli/statuspage.py
+++ b/toucanrudder/cli/statuspage.py
@@ -17,7 +17,7 @@
         "waiting",
         "report_age_s",
     ),
-    "leases": ("name", "holder", "fencing", "valid_s"),
+    "leases": ("name", "holder", "fencing"),
     "quarantined": ("fingerprint", "organisation", "crashes", "expires_in_s"),
     "unknown_claims": (
         "organisation",
--- a/toucanrudder/membership/routers.py
+++ b/toucanrudder/membership/routers.py
@@ -115,6 +115,10 @@
             if now_s - known.heard_s <= self._silent_s
         )
 
+    def silence_s(self, name: str, now_s: float) -> float:
+        """Return the seconds since a known router was last heard of."""
+        return now_s - self._known[name].heard_s
+
     def count(self, now_s: float) -> int:
         """Return the live routers, this one included, for shared limits."""
         return 1 + len(self.live(now_s))
--- a/toucanrudder/peers/node.py
+++ b/toucanrudder/peers/node.py
@@ -104,6 +104,17 @@
         self._sources = sources
         self._rng = rng
         self._beat = 0
+        self._generations: dict[str, int] = {}
+
+    def generations(self, now_s: float) -> dict[str, int]:
+        """Return the generation last told by each reachable router."""
+        known = {member.name for member in self.table.reachable(now_s)}
+        self._generations = {
+            name: generation
+            for name, generation in self._generations.items()
+            if name in known
+        }
+        return dict(self._generations)
 
     def generation(self) -> int:
         """Return the generation in force here."""
@@ -170,6 +181,7 @@
             beat=sender.beat,
             leaving=sender.leaving,
         )
+        self._generations[sender.name] = heartbeat.generation
         for member in heartbeat.members:
             if member.name != self.name:
                 self.table.told(member, now_s)
--- a/toucanrudder/router/admin_state.py
+++ b/toucanrudder/router/admin_state.py
@@ -6,8 +6,10 @@
 
 from toucanrudder.admin import state as admin_states
 from toucanrudder.admin import status
+from toucanrudder.admin import stored
 from toucanrudder.admin import tls as admin_tls
 from toucanrudder.document import model
+from toucanrudder.peers import node as nodes
 from toucanrudder.router import state as states
 
 
@@ -39,8 +41,35 @@
     )
 
 
-def providers(state: states.RouterState) -> admin_states.State:
+def _routers(
+    state: states.RouterState, node: nodes.Node, now_s: float
+) -> list[status.RouterStatus]:
+    own = status.RouterStatus(
+        name=node.name,
+        zone=state.conf.router.zone,
+        address=node.address,
+        generation=node.generation(),
+        ready=not state.stopping,
+    )
+    generations = node.generations(now_s)
+    others = (
+        status.RouterStatus(
+            name=member.name,
+            address=member.address,
+            generation=generations.get(member.name),
+            heard_age_s=state.routers.silence_s(member.name, now_s),
+            ready=not member.leaving,
+        )
+        for member in state.routers.reachable(now_s)
+    )
+    return [own, *others]
+
+
+def providers(
+    state: states.RouterState, node: nodes.Node
+) -> admin_states.State:
     """Return the callables that the admin API reads from."""
+    timeout_s = state.conf.store.timeout_s
 
     def upstreams() -> list[status.UpstreamStatus]:
         if state.configuration.current is None:
@@ -69,6 +98,11 @@
         token=state.conf.admin.token,
         current=lambda: state.configuration.current,
         apply=state.configuration.apply,
+        routers=lambda: _routers(state, node, state.now_s()),
+        leases=lambda: stored.leases(state.objects, timeout_s),
+        unknown_claims=lambda: stored.unknown_claims(
+            state.objects, state.claims.limits, timeout_s, state.wall_s()
+        ),
         upstreams=upstreams,
         quarantined=quarantined,
         release=release,
--- a/toucanrudder/router/daemon.py
+++ b/toucanrudder/router/daemon.py
@@ -103,7 +103,7 @@
 ) -> dict[str, services.ListenService | peering.PeerService]:
     """Return the router's listeners by the name of their address."""
     conf = state.conf.router
-    admin = admin_application.build(admin_state.providers(state))
+    admin = admin_application.build(admin_state.providers(state, peers.node))
     return {
         "address": services.ListenService(
             application=application.build(state),
