Presume crashes from broken paths, and take them back when disproved

Cause: an engine behind a path that hides refused connections crashed under a poison request, and nobody was blamed: proof was a refused connection or a new incarnation only (test_poison_fleet: five engines of five died). Reading on: a report with a new incarnation raised TypeError (three arguments for two) and restarted the load controller each time.

Ruled out: blaming each lost connection for good, which would quarantine innocent requests after two cuts of the network.

Change: a broken path is presumed a crash of that incarnation; a poll that was sent later and is answered by the same incarnation takes it back, on all routers.

--- a/toucanrudder/controllers/loads.py
+++ b/toucanrudder/controllers/loads.py
@@ -53,8 +53,11 @@
     wanted_interval_s : float
         Seconds between two polls of one upstream.
     on_restart : callable
-        Called with an upstream's name, its old incarnation and the time
-        when a report shows a new incarnation.
+        Called with an upstream's name and its old incarnation when a
+        report shows a new one.
+    presumed_dead, on_alive : callable
+        Called with an upstream's name and incarnation: whether that
+        process is presumed dead, and that it answered all the same.
     rng : random.Random
         For jitter.
     clock : callable
@@ -67,7 +70,9 @@
         table: loads.LoadTable,
         upstreams: Callable[[], tuple[model.Upstream, ...]],
         wanted_interval_s: float,
-        on_restart: Callable[[str, str, float], None],
+        on_restart: Callable[[str, str], None],
+        presumed_dead: Callable[[str, str], bool],
+        on_alive: Callable[[str, str], None],
         rng: random.Random,
         clock: Callable[[], float],
     ):
@@ -76,6 +81,8 @@
         self._upstreams = upstreams
         self._wanted_interval_s = wanted_interval_s
         self._on_restart = on_restart
+        self._presumed_dead = presumed_dead
+        self._on_alive = on_alive
         self._rng = rng
         self._clock = clock
         self._open = asyncio.Semaphore(MAX_OPEN_POLLS)
@@ -107,7 +114,13 @@
     async def _poll(self, upstream: model.Upstream) -> None:
         try:
             async with self._open:
-                await self._take(upstream, await self._report(upstream))
+                # Asked before: an answer to a question that was put while
+                # the process lived must not disprove its crash.
+                dead = self._presumed_incarnation(upstream.name)
+                report = await self._report(upstream)
+            if dead and report.incarnation == dead:
+                self._on_alive(upstream.name, dead)
+            self._take(upstream, report)
         except aiohttp.ClientConnectorError as error:
             if isinstance(error.os_error, ConnectionRefusedError):
                 self._table.gone(upstream.name)
@@ -127,11 +140,16 @@
                 raise ValueError(f"status {response.status}")
             return loads.parse(await response.json())
 
-    async def _take(
+    def _presumed_incarnation(self, name: str) -> str:
+        known = self._table.get(name)
+        incarnation = known.report.incarnation if known else ""
+        return incarnation if self._presumed_dead(name, incarnation) else ""
+
+    def _take(
         self, upstream: model.Upstream, report: loads.LoadReport
     ) -> None:
         now_s = self._clock()
         before = self._table.get(upstream.name)
         if self._table.heard(upstream.name, report, now_s):
             LOG.warning("upstream restarted", extra={"peer": upstream.name})
-            self._on_restart(upstream.name, before.report.incarnation, now_s)
+            self._on_restart(upstream.name, before.report.incarnation)
--- a/toucanrudder/filters/dispatch.py
+++ b/toucanrudder/filters/dispatch.py
@@ -31,6 +31,7 @@
     failures.Kind.NOT_REACHED: retries.Failure.NOT_CONNECTED,
     failures.Kind.REFUSED: retries.Failure.REFUSED,
     failures.Kind.CRASHED: retries.Failure.BROKEN,
+    failures.Kind.BROKEN: retries.Failure.BROKEN,
     failures.Kind.LOST: retries.Failure.BROKEN,
     failures.Kind.SILENT: retries.Failure.TIMEOUT,
     failures.Kind.CROSSED: retries.Failure.CROSSED,
@@ -126,7 +127,7 @@
                     self.sink.at(upstream.name, attempt.call.engine_id)
                     await attempt.run()
             except failures.UpstreamFailure as failure:
-                if failure.kind is failures.Kind.CRASHED:
+                if failure.kind in failures.PRESUMES_CRASH:
                     state.crashed(
                         upstream.name,
                         attempt.answered_by or decision.incarnation,
--- a/toucanrudder/peers/tests/test_peers.py
+++ b/toucanrudder/peers/tests/test_peers.py
@@ -88,7 +88,7 @@
 
 async def until(condition):
     async with asyncio.timeout(WITHIN_S):
-        while not condition():  # noqa: ASYNC110
+        while not condition():
             await asyncio.sleep(0.01)
 
 
--- a/toucanrudder/quarantine/entry.py
+++ b/toucanrudder/quarantine/entry.py
@@ -10,6 +10,7 @@
     """What an entry says of its request."""
 
     CRASH = "crash"
+    ALIVE = "alive"
     CLEARED = "cleared"
     RELEASED = "released"
 
@@ -21,14 +22,15 @@
     Parameters
     ----------
     kind : Kind
-        ``CRASH``: it was in flight at a crash.  ``CLEARED``: it ran to
+        ``CRASH``: it was in flight at a crash.  ``ALIVE``: the process
+        answered after the crash was presumed.  ``CLEARED``: it ran to
         its end as a suspect.  ``RELEASED``: an operator let it go.
     fingerprint : str
         Identity of the request, see :func:`fingerprint`.
     at_s : float
         Wall clock of the router that saw it.
     upstream, incarnation : str
-        The engine process that crashed; empty for other kinds.
+        The engine process; empty for ``CLEARED`` and ``RELEASED``.
     isolated : bool
         Whether it was the only suspect in flight there.
     """
--- a/toucanrudder/quarantine/suspicion.py
+++ b/toucanrudder/quarantine/suspicion.py
@@ -52,6 +52,7 @@
 
     convicted: frozenset[str]
     suspects: tuple[str, ...]
+    crashes: frozenset[tuple[str, str]]
     first_crash_s: float
     last_crash_s: float
     until_s: float
@@ -201,6 +202,24 @@
         ]
         self.merge(noted, now_s)
 
+    def presumed_dead(
+        self, upstream: str, incarnation: str, now_s: float
+    ) -> bool:
+        """Whether entries say that the engine process crashed."""
+        return (upstream, incarnation) in self._current(now_s).crashes
+
+    def alive(self, upstream: str, incarnation: str, now_s: float) -> None:
+        """Note that a process presumed dead has answered since.
+
+        A network that cuts connections looks like a crash from where the
+        router stands.  Without this, requests that were merely cut twice
+        would stay in quarantine.
+        """
+        entry = entries_.Entry(
+            entries_.Kind.ALIVE, "", now_s, upstream, incarnation
+        )
+        self.merge([entry], now_s)
+
     def completed(self, fingerprint: str, now_s: float) -> None:
         """Note that a suspect ran to its end without a crash."""
         if self.check(fingerprint, now_s) is Standing.SUSPECT:
@@ -299,10 +318,13 @@
 ) -> _View:
     released = _latest(entries, entries_.Kind.RELEASED)
     cleared = _latest(entries, entries_.Kind.CLEARED)
+    # No process that crashed comes back under the same incarnation.
+    alive = {e.crash for e in entries if e.kind is entries_.Kind.ALIVE}
     crashes = [
         entry
         for entry in entries
         if entry.kind is entries_.Kind.CRASH
+        and entry.crash not in alive
         and entry.at_s > released.get(entry.fingerprint, float("-inf"))
     ]
     convicted = _convicted(crashes)
@@ -318,6 +340,7 @@
     return _View(
         convicted=frozenset(convicted),
         suspects=tuple(sorted({e.fingerprint for e in suspected})),
+        crashes=frozenset(entry.crash for entry in crashes),
         first_crash_s=min(times, default=now_s),
         last_crash_s=max(times, default=now_s),
         until_s=oldest_s + expiry_s,
--- a/toucanrudder/quarantine/tests/test_poison_fleet.py
+++ b/toucanrudder/quarantine/tests/test_poison_fleet.py
@@ -46,7 +46,7 @@
             for n, body in enumerate(bodies)
         ]
         async with asyncio.timeout(60):
-            while len(await fleet.runs()) < BYSTANDERS:  # noqa: ASYNC110
+            while len(await fleet.runs()) < BYSTANDERS:
                 await asyncio.sleep(0.01)
         poison = {"model": "demo", "prompt": f"{MARKER} !", "max_tokens": 4}
         answers = []
--- a/toucanrudder/quarantine/tests/test_suspicion.py
+++ b/toucanrudder/quarantine/tests/test_suspicion.py
@@ -184,3 +184,24 @@
 def spread(fleet):
     for one, other in itertools.permutations(fleet, 2):
         one.merge(other.entries(NOW_S), NOW_S)
+
+
+def test_a_crash_that_was_none_is_taken_back():
+    """The network cuts the connections to two engines in turn, and each
+    time one innocent request is in flight.  From here that looks like two
+    crashes, so the request is quarantined.  Then both processes answer a
+    poll: neither crashed, and the request goes free on every router.
+    """
+    here, there = suspicion.Suspicions(), suspicion.Suspicions()
+    here.crashed("e1", "i1", [entry.InFlight("p")], now_s=0.0)
+    trial = entry.InFlight("p", isolated=True)
+    here.crashed("e2", "i2", [trial], now_s=1.0)
+    assert here.check("p", 2.0) is QUARANTINED
+    assert here.presumed_dead("e1", "i1", 2.0)
+    here.alive("e1", "i1", 3.0)
+    assert here.check("p", 3.0) is SUSPECT
+    here.alive("e2", "i2", 4.0)
+    assert here.check("p", 4.0) is FREE
+    assert not here.presumed_dead("e1", "i1", 4.0)
+    there.merge(here.entries(4.0), 4.0)
+    assert there.check("p", 4.0) is FREE
--- a/toucanrudder/relay/tests/test_bad_callers.py
+++ b/toucanrudder/relay/tests/test_bad_callers.py
@@ -125,7 +125,7 @@
                 callers.whole(fleet.session, url, body)
             )
             async with asyncio.timeout(WITHIN_S):
-                while not await fleet.runs():  # noqa: ASYNC110
+                while not await fleet.runs():
                     await asyncio.sleep(0.02)
             call.cancel()
         assert await _until_all_ended(fleet, 1) == ["cancelled"]
--- a/toucanrudder/relay/tests/test_silent_connections.py
+++ b/toucanrudder/relay/tests/test_silent_connections.py
@@ -17,7 +17,7 @@
 
 async def _until(condition):
     async with asyncio.timeout(WITHIN_S):
-        while not await condition():  # noqa: ASYNC110
+        while not await condition():
             await asyncio.sleep(0.02)
 
 
--- a/toucanrudder/router/assembly.py
+++ b/toucanrudder/router/assembly.py
@@ -234,6 +234,8 @@
         upstreams,
         state.conf.upstreams.load_interval_s,
         on_restart=state.crashed,
+        presumed_dead=state.presumed_dead,
+        on_alive=state.alive,
         rng=state.rng,
         clock=state.now_s,
     )
--- a/toucanrudder/router/state.py
+++ b/toucanrudder/router/state.py
@@ -279,6 +279,16 @@
         # The caller's resend may meet another router at once.
         self.hasten()
 
+    def presumed_dead(self, upstream: str, incarnation: str) -> bool:
+        """Whether the quarantine counts a crash of this engine process."""
+        return self.suspicions.presumed_dead(
+            upstream, incarnation, self.wall_s()
+        )
+
+    def alive(self, upstream: str, incarnation: str) -> None:
+        """Note that an engine process presumed dead has answered."""
+        self.suspicions.alive(upstream, incarnation, self.wall_s())
+
     def unreachable(self, failure: failures.UpstreamFailure) -> None:
         """Send nothing there until a poll gets through again."""
         if failure.connection_refused:
--- a/toucanrudder/standins/tests/test_engine.py
+++ b/toucanrudder/standins/tests/test_engine.py
@@ -102,7 +102,7 @@
                     _post(session, served, BODY, X_Priority=priority)
                 )
             )
-            while len(served.journal) <= count:  # noqa: ASYNC110
+            while len(served.journal) <= count:
                 await asyncio.sleep(0)
         await asyncio.gather(*calls)
         runs = sorted(served.journal.values(), key=lambda run: run.started_s)
@@ -147,7 +147,7 @@
         await _post(session, served, BODY | {"prompt": "p" * 8000})
         served.batch.going.clear()
         before = asyncio.ensure_future(_post(session, served, BODY))
-        while len(served.journal) < 2:  # noqa: ASYNC110
+        while len(served.journal) < 2:
             await asyncio.sleep(0)
         order = {
             "order_id": "o",
@@ -162,7 +162,7 @@
         served.batch.going.set()
         assert (await before)[0] == 200
         async with asyncio.timeout(30):
-            while served.orders.loading:  # noqa: ASYNC110
+            while served.orders.loading:
                 await asyncio.sleep(0)
         _, _, headers = await _post(session, served, BODY)
         assert headers["X-Weights-Version"] == "w2"
--- a/toucanrudder/testing/control.py
+++ b/toucanrudder/testing/control.py
@@ -19,9 +19,7 @@
             await asyncio.sleep(STEP_S)
 
 
-async def start_router(
-    fleet: fleets.Fleet, **settings: dict
-) -> fleets.Router:
+async def start_router(fleet: fleets.Fleet, **settings: dict) -> fleets.Router:
     """Start a router whose seeds are the routers that run already.
 
     Parameters
--- a/toucanrudder/upstreams/failures.py
+++ b/toucanrudder/upstreams/failures.py
@@ -13,6 +13,7 @@
     NOT_REACHED = "not_reached"
     REFUSED = "refused"
     CRASHED = "crashed"
+    BROKEN = "broken"
     LOST = "lost"
     SILENT = "silent"
     CROSSED = "crossed"
@@ -23,6 +24,9 @@
 #: Message of the failure after silence, as opposed to a broken connection.
 NOTHING_CAME = "nothing came in time"
 
+#: The engine process is dead, or looks so from here.
+PRESUMES_CRASH = frozenset({Kind.CRASHED, Kind.BROKEN})
+
 #: No byte of the request can have been executed after these.
 PROVES_NOT_RUN = frozenset({Kind.NOT_REACHED, Kind.REFUSED})
 
