--- a/toucanrudder/quarantine/tests/test_poison_fleet.py
+++ b/toucanrudder/quarantine/tests/test_poison_fleet.py
@@ -1,5 +1,7 @@
 import asyncio
 
+import pytest
+
 from toucanrudder.standins import output
 from toucanrudder.testing import callers
 from toucanrudder.testing import fleet as fleets
@@ -18,18 +20,22 @@
     ]
 
 
-async def test_poison_request_kills_two_engines_at_most():
+@pytest.mark.parametrize("proxied", [True, False])
+async def test_poison_request_kills_two_engines_at_most(proxied):
     """A request crashes each engine that runs it, and its caller sends it
     again, each time to another router.  Others run in the same batches.
 
     After the second engine the request is quarantined in all routers: the
     caller gets a final coded answer at once.  The others are answered, and
-    may be sent again: none of them is blamed.
+    may be sent again: none of them is blamed.  The same must come of it
+    when a dead engine refuses connections and when (`proxied`) something
+    before it lets them open and break.
     """
     plan = fleets.Plan(
         engines=ENGINES,
         routers=3,
         engine_options={"decode_s_per_token": 0.05},
+        proxied=proxied,
     )
     async with fleets.running(plan) as fleet:
         for name in fleet.upstreams:
--- a/toucanrudder/relay/attempt.py
+++ b/toucanrudder/relay/attempt.py
@@ -118,6 +118,7 @@
     _fruitless: int = 0
     _flowing: bool = False
     _anew: bool = False
+    _dropped: bool = False
     _deadline: asyncio.Timeout | None = None
 
     async def run(self) -> None:
@@ -152,6 +153,7 @@
             try:
                 async with self._opening(way) as answer:
                     self.may_hold = True
+                    self._dropped = False
                     self.answered_by = answer.incarnation
                     await self._pump(answer.content)
                 return
@@ -176,6 +178,11 @@
         if failure.kind in _RESUMABLE:
             # The request was sent, so the engine may be at work on it.
             self.may_hold = True
+            self._dropped = (
+                way is _Way.RESUME
+                and failure.kind is failures.Kind.SILENT
+                and failure.message != failures.NOTHING_CAME
+            )
             return _Way.RESUME
         if way is _Way.RESUME and self._never_arrived(failure):
             # It was written into a pooled connection that had lost its
@@ -258,9 +265,14 @@
         if self._flowing or reason != failures.NOTHING_CAME:
             self._fruitless += 1
         if self._fruitless > MAX_FRUITLESS:
-            raise failures.UpstreamFailure(
-                failures.Kind.SILENT, self.upstream.name, reason
-            )
+            # Behind a balancer a dead engine does not refuse connections:
+            # they open and break at once.  Taken for a mere broken path,
+            # its crash would blame nobody, and the request that caused it
+            # would go on to the next engine.
+            kind = failures.Kind.SILENT
+            if self._dropped:
+                kind = failures.Kind.CRASHED
+            raise failures.UpstreamFailure(kind, self.upstream.name, reason)
         if self._fruitless > 1:
             pause_s = RECONNECT_PAUSE_S * 2**self._fruitless
             await asyncio.sleep(pause_s * self.rng.uniform(0.5, 1.0))
--- a/toucanrudder/testing/fleet.py
+++ b/toucanrudder/testing/fleet.py
@@ -47,6 +47,10 @@
         Parts of the configuration document that replace the usual ones.
     routes : list of dict
         Routes of the service ``desk``.
+    proxied : bool
+        Whether routers reach upstreams through their proxies.  Through
+        one, connections to a dead upstream open and break; without one
+        they are refused.
     """
 
     engines: int = 1
@@ -58,6 +62,7 @@
     settings: dict[str, dict] = attrs.field(factory=dict)
     document: dict = attrs.field(factory=dict)
     routes: list[dict] = attrs.field(factory=list)
+    proxied: bool = True
 
 
 @attrs.define(eq=False)
@@ -157,7 +162,9 @@
             {
                 "name": name,
                 "kind": "engine" if name.startswith("engine") else "service",
-                "address": proxied.address,
+                "address": (
+                    proxied if self.plan.proxied else self.upstreams[name]
+                ).address,
                 "zone": "zone-a",
                 "pool": "llm" if name.startswith("engine") else "desk",
                 "models": [MODEL] if name.startswith("engine") else [],
@@ -205,10 +212,14 @@
                 "peer_port": 0,
                 "fleet_key": FLEET_KEY,
                 "drain_s": 0.1,
+                "peer_seeds": ",".join(
+                    router.process.ready["peer_address"]
+                    for router in self.routers
+                ),
             },
             "store": {"address": self.platform_proxy.address},
             "admin": {"token": ADMIN_TOKEN},
-            "peers": {},
+            "peers": {"interval_s": 0.1},
             "upstreams": {"load_interval_s": 0.05, "silent_event_s": 0.5},
             "logging": {"format": "text"},
             "policy": {"seed": 7},
