--- a/toucanrudder/router/fleet.py
+++ b/toucanrudder/router/fleet.py
@@ -2,8 +2,11 @@
 
 import random
 
+import attrs
+
 from toucanrudder.document import model
 from toucanrudder.messages import request as requests
+from toucanrudder.peers import loads as peer_loads
 from toucanrudder.placement import policies
 from toucanrudder.placement import types
 from toucanrudder.prefix import beliefs
@@ -31,6 +34,8 @@
         Rates of prefixes.
     rng : random.Random
         For ties.
+    others : peer_loads.PeerLoads
+        Other routers' work.
     """
 
     def __init__(
@@ -43,6 +48,7 @@
         believed: beliefs.Beliefs,
         hot: heat.Heat,
         rng: random.Random,
+        others: peer_loads.PeerLoads,
     ):
         self._zone = zone
         self._policy = policies.by_name(policy_name)
@@ -51,19 +57,25 @@
         self._beliefs = believed
         self._heat = hot
         self._rng = rng
+        self._others = others
 
     def decide(
         self,
         request: requests.ModelRequest,
         engines: tuple[model.Upstream, ...],
         *,
-        excluded: frozenset[str],
         policy: model.Policy,
         routers: int,
         now_s: float,
     ) -> types.Decision:
         """Choose among `engines`; errors as `policies.decide`."""
-        views = tuple(self._view(each, request, now_s) for each in engines)
+        ahead_share = self._own.ahead_share(int(request.priority))
+        views = tuple(
+            attrs.evolve(
+                self._view(each, request, now_s), ahead_share=ahead_share
+            )
+            for each in engines
+        )
         keys = request.prefix_keys
         self._heat.add(keys, now_s)
         fleet = types.FleetView(
@@ -81,9 +93,7 @@
             prompt_tokens=request.prompt_tokens,
             deadline_s=request.first_token_by_s,
         )
-        context = types.Context(
-            policy=policy, rng=self._rng, excluded=excluded
-        )
+        context = types.Context(policy=policy, rng=self._rng)
         return policies.decide(self._policy, fleet, query, context, now_s)
 
     def _view(
@@ -95,6 +105,8 @@
         known = self._loads.get(upstream.name)
         own_requests = self._own.requests(upstream.name)
         own_tokens = self._own.prefill_tokens(upstream.name)
+        peer_requests = self._others.requests(upstream.name, now_s)
+        peer_tokens = self._others.prefill_tokens(upstream.name, now_s)
         if known is None:
             return types.UpstreamView(
                 name=upstream.name,
@@ -104,6 +116,8 @@
                 slots=upstream.slots,
                 own_in_flight=own_requests,
                 own_prefill_tokens=own_tokens,
+                peer_in_flight=peer_requests,
+                peer_prefill_tokens=peer_tokens,
                 reported_at_s=now_s,
             )
         report = known.report
@@ -120,7 +134,12 @@
             reported_at_s=known.received_s,
             own_in_flight=own_requests,
             own_prefill_tokens=own_tokens,
+            peer_in_flight=peer_requests,
+            peer_prefill_tokens=peer_tokens,
             believed_tokens=self._beliefs.believed_tokens(
                 upstream.name, report.incarnation, request.prefix_keys, now_s
             ),
+            computed_share=self._beliefs.computed_share(
+                upstream.name, report.incarnation
+            ),
         )
--- a/toucanrudder/router/state.py
+++ b/toucanrudder/router/state.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 import functools
 import random
 import time
@@ -18,7 +19,10 @@
 from toucanrudder import store
 from toucanrudder.controllers import configuration
 from toucanrudder.document import model
+from toucanrudder.membership import instances
+from toucanrudder.membership import routers
 from toucanrudder.messages import request as requests
+from toucanrudder.peers import loads as peer_loads
 from toucanrudder.placement import types
 from toucanrudder.prefix import beliefs
 from toucanrudder.prefix import heat
@@ -84,8 +88,11 @@
     suspicions: quarantine.Suspicions
     exchanges: exchanges.OpenExchanges
     background: background.Background
+    routers: routers.RouterTable
+    peer_loads: peer_loads.PeerLoads
+    instances: instances.InstanceTable
     stopping: bool = False
-    count_routers: Callable[[float], int] = lambda now_s: 1
+    hasten: Callable[[], None] = lambda: None
     _budgets: dict[str, retries.RetryBudget] = attrs.field(factory=dict)
     _indexed: _Index | None = None
 
@@ -140,7 +147,7 @@
 
     def live_routers(self, now_s: float) -> int:
         """Return the number of live routers, this one included."""
-        return self.count_routers(now_s)
+        return self.routers.count(now_s)
 
     def budget(self, pool: str) -> retries.RetryBudget:
         """Return the retry budget of an upstream pool."""
@@ -162,37 +169,64 @@
             first_token_by_s=first_token_by_s,
         )
 
-    def usable(self, upstream: model.Upstream, now_s: float) -> bool:
-        """Whether new work may be sent to the upstream."""
-        if upstream.drained or not self.loads.healthy(upstream.name, now_s):
-            return False
+    def _takes_work(self, upstream: model.Upstream) -> bool:
         known = self.loads.get(upstream.name)
-        return known is None or known.report.state == "live"
+        own_state = known.report.state if known else None
+        return (
+            own_state in (None, instances.LIVE)
+            and not self.instances.is_leaving(upstream.name, own_state)
+            and not upstream.drained
+            and self.loads.reachable(upstream.name)
+        )
+
+    def usable(
+        self, upstreams: Iterable[model.Upstream], now_s: float
+    ) -> tuple[model.Upstream, ...]:
+        """Return those of the upstreams that may be given new work.
+
+        Parameters
+        ----------
+        upstreams : iterable of model.Upstream
+            Candidates.
+        now_s : float
+            Present monotonic time.
+
+        Notes
+        -----
+        When the reports of all have grown old, it is this router or its
+        network that is slow, not each of them: refusing everything would
+        turn a slow second into an outage, so all are used.
+        """
+        taking = tuple(filter(self._takes_work, upstreams))
+        healthy = tuple(
+            each for each in taking if self.loads.healthy(each.name, now_s)
+        )
+        return healthy or taking
 
     def engines_for(
         self, model_name: str, now_s: float
     ) -> tuple[model.Upstream, ...]:
         """Return the engines that may be given work for the model."""
-        return tuple(
-            upstream
-            for upstream in self._index().upstreams.values()
-            if upstream.kind == model.ENGINE
-            and model_name in upstream.models
-            and self.usable(upstream, now_s)
+        return self.usable(
+            (
+                upstream
+                for upstream in self._index().upstreams.values()
+                if upstream.kind == model.ENGINE
+                and model_name in upstream.models
+            ),
+            now_s,
         )
 
     def place(
         self,
         request: requests.ModelRequest,
         engines: tuple[model.Upstream, ...],
-        tried: frozenset[str],
         now_s: float,
     ) -> types.Decision:
         """Choose an engine; errors as `placement.policies.decide`."""
         return self.fleet.decide(
             request,
             engines,
-            excluded=tried,
             policy=self.document().policy,
             routers=self.live_routers(now_s),
             now_s=now_s,
@@ -242,14 +276,13 @@
         ]
         self.suspicions.crashed(upstream, incarnation, there, self.wall_s())
         self.beliefs.forget(upstream, incarnation)
+        # The caller's resend may meet another router at once.
+        self.hasten()
 
     def unreachable(self, failure: failures.UpstreamFailure) -> None:
         """Send nothing there until a poll gets through again."""
-        if failure.kind in (
-            failures.Kind.NOT_REACHED,
-            failures.Kind.CRASHED,
-        ):
-            self.loads.failed(failure.upstream, self.now_s())
+        if failure.connection_refused:
+            self.loads.gone(failure.upstream)
 
 
 def fingerprint_of(request: requests.ModelRequest) -> str:
