Claim non-repeatable service calls before dispatch

A call whose route may not be repeated now holds a claim before it is sent, right up to a check of the claim's age before each dispatch.

A refusal after several tries is 'not run' only if every try proved it: a later 'no upstream' used to hide an earlier try of unknown outcome. Claims are reaped by the live router with the least name.

--- a/toucanrudder/claims/keeper.py
+++ b/toucanrudder/claims/keeper.py
@@ -85,15 +85,17 @@
         """Note proof that the last dispatch reached no upstream."""
         self.dispatched = False
 
-    async def finish(self, result: record.Result) -> None:
+    async def finish(self, result: record.Result | None) -> None:
         """Store the upstream's answer for later tries of the request.
 
+        None says that the request ran and its answer is too large to keep.
+
         Waits for the store for a short time only; past it the answer is
         stored in the background.  A router that dies in between leaves
         the claim started, which reads as an unknown outcome.
         """
         kept = result
-        if len(result.body) > self.keeper.max_result_bytes:
+        if result and len(result.body) > self.keeper.max_result_bytes:
             kept = None
         self.record = attrs.evolve(
             self.record, state=record.State.DONE, result=kept
--- a/toucanrudder/filters/service.py
+++ b/toucanrudder/filters/service.py
@@ -1,11 +1,21 @@
 """Plain services: which one, which route, and the call itself."""
 
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+from typing import Any
+
+import aiohttp
 from aiohttp import web
 import attrs
 
+from toucanrudder import claims
 from toucanrudder import errors
+from toucanrudder.claims import clock
 from toucanrudder.document import model
 from toucanrudder.filters import body as bodies
+from toucanrudder.filters import deduplicate
 from toucanrudder.filters import exchange as exchanges
 from toucanrudder.filters import headers
 from toucanrudder.observability import metrics
@@ -96,7 +106,10 @@
 
 
 def choose(
-    exchange: exchanges.Exchange, call: ServiceCall, tried: frozenset[str]
+    exchange: exchanges.Exchange,
+    call: ServiceCall,
+    tried: frozenset[str],
+    ran: errors.Ran,
 ) -> model.Upstream:
     """Return the least busy instance of the service that was not tried."""
     state = exchange.state
@@ -119,26 +132,25 @@
             "no instance of the service can take the call now",
             step=STEP,
             peer=call.service.name,
+            ran=ran,
             retry_after_s=NO_UPSTREAM_RETRY_S,
         )
     state.rng.shuffle(usable)
     return min(usable, key=lambda each: state.in_flight.requests(each.name))
 
 
-async def relay(
+@contextlib.asynccontextmanager
+async def opened(
     exchange: exchanges.Exchange,
     upstream: model.Upstream,
     call: ServiceCall,
-) -> web.StreamResponse:
-    """Make the call at one instance and stream its answer to the caller.
+) -> AsyncIterator[aiohttp.ClientResponse]:
+    """Make the call at one instance and yield its open answer.
 
     Raises
     ------
     UpstreamFailure
-        Nothing has been sent to the caller.
-    RudderError
-        ``stream_broken``; the connection to the caller is cut, which is
-        the only way to say in HTTP that a body is not whole.
+        No answer came.
     """
     state = exchange.state
     passed = service.passed_headers(exchange.http.headers)
@@ -153,10 +165,34 @@
             body=call.body,
             timeout_s=call.service.timeout_s,
         ) as answer:
-            return await _pass_on(exchange, upstream, answer)
+            yield answer
 
 
-async def _pass_on(exchange, upstream, answer) -> web.StreamResponse:
+async def relay(
+    exchange: exchanges.Exchange,
+    upstream: model.Upstream,
+    call: ServiceCall,
+) -> web.StreamResponse:
+    """Make the call at one instance and stream its answer to the caller.
+
+    Raises
+    ------
+    UpstreamFailure
+        Nothing has been sent to the caller.
+    RudderError
+        ``stream_broken``; the connection to the caller is cut, which is
+        the only way to say in HTTP that a body is not whole.
+    """
+    async with opened(exchange, upstream, call) as answer:
+        return await _pass_on(exchange, upstream.name, answer)
+
+
+async def _pass_on(
+    exchange: exchanges.Exchange,
+    peer: str,
+    answer: aiohttp.ClientResponse,
+    read: bytes = b"",
+) -> web.StreamResponse:
     response = web.StreamResponse(
         status=answer.status,
         reason=answer.reason,
@@ -166,44 +202,123 @@
     if answer.content_length is not None:
         response.content_length = answer.content_length
     await response.prepare(exchange.http)
+
+    async def write(chunk: bytes) -> None:
+        await sinks.guarded(
+            exchange.http,
+            response.write(chunk),
+            exchange.state.conf.router.write_timeout_s,
+        )
+
     try:
+        if read:
+            await write(read)
         async for chunk in answer.content.iter_any():
-            await sinks.guarded(
-                exchange.http,
-                response.write(chunk),
-                exchange.state.conf.router.write_timeout_s,
-            )
+            await write(chunk)
     except sinks.CallerGone:
         raise
     except Exception:
         metrics.refused(errors.Code.STREAM_BROKEN.value, STEP)
         if exchange.http.transport is not None:
             exchange.http.transport.abort()
-        raise sinks.CallerGone(f"{upstream.name} broke off") from None
+        raise sinks.CallerGone(f"{peer} broke off") from None
     await response.write_eof()
     return response
 
 
 async def call_service(exchange: exchanges.Exchange) -> web.StreamResponse:
-    """Answer a call to a service whose calls may be repeated."""
+    """Answer a call to a service."""
     call = await read_call(exchange)
+    if not call.repeatable:
+        return await _call_once(exchange, call)
+
+    async def send(upstream: model.Upstream) -> web.StreamResponse:
+        return await relay(exchange, upstream, call)
+
+    return await _tried(exchange, call, send)
+
+
+async def _call_once(
+    exchange: exchanges.Exchange, call: ServiceCall
+) -> web.StreamResponse:
+    async def send(claim: claims.Claim) -> deduplicate.Answer:
+        async def send_to(upstream: model.Upstream) -> deduplicate.Answer:
+            return await _claimed(exchange, upstream, call, claim)
+
+        return await _tried(exchange, call, send_to)
+
+    outcome = await deduplicate.run_once(
+        exchange,
+        call.idempotency_key,
+        deduplicate.digest(call.method, call.path, call.body),
+        send,
+    )
+    if isinstance(outcome, claims.Result):
+        return deduplicate.replayed(exchange, outcome, again=True)
+    async with outcome.resources:
+        if outcome.rest is None:
+            return deduplicate.replayed(exchange, outcome.result, again=False)
+        return await _pass_on(
+            exchange, outcome.upstream, outcome.rest, outcome.result.body
+        )
+
+
+async def _claimed(
+    exchange: exchanges.Exchange,
+    upstream: model.Upstream,
+    call: ServiceCall,
+    claim: claims.Claim,
+) -> deduplicate.Answer:
+    claim.check(clock.now_s())
+    async with contextlib.AsyncExitStack() as stack:
+        try:
+            answer = await stack.enter_async_context(
+                opened(exchange, upstream, call)
+            )
+        except failures.UpstreamFailure as failure:
+            if failure.kind in failures.PROVES_NOT_RUN:
+                claim.proved_not_run()
+            raise
+        read = await deduplicate.read_answer(answer, upstream.name)
+        read.resources = stack.pop_all()
+        return read
+
+
+async def _tried(
+    exchange: exchanges.Exchange,
+    call: ServiceCall,
+    send: Callable[[model.Upstream], Awaitable[Any]],
+) -> Any:
+    """Send to one instance after the other while that is safe."""
+    state = exchange.state
+    state.budget(call.service.name).request(state.now_s())
     tried: set[str] = set()
+    ran = errors.Ran.NOT_RUN
     while True:
-        upstream = choose(exchange, call, frozenset(tried))
+        upstream = choose(exchange, call, frozenset(tried), ran)
         tried.add(upstream.name)
         try:
-            return await relay(exchange, upstream, call)
+            return await send(upstream)
         except failures.UpstreamFailure as failure:
-            exchange.state.unreachable(failure)
-            _check_may_retry(exchange, call, failure, upstream)
+            state.unreachable(failure)
+            # One try that may have run makes "not run" untrue for all
+            # that follow, also when those prove that they did not.
+            if failure.kind not in failures.PROVES_NOT_RUN:
+                ran = errors.Ran.UNKNOWN
+            _check_may_retry(exchange, call, failure, ran)
             metrics.retried(failure.kind.value)
 
 
-def _check_may_retry(exchange, call, failure, upstream) -> None:
+def _check_may_retry(
+    exchange: exchanges.Exchange,
+    call: ServiceCall,
+    failure: failures.UpstreamFailure,
+    ran: errors.Ran,
+) -> None:
     state = exchange.state
     proved = failure.kind in failures.PROVES_NOT_RUN
     safe = proved or call.repeatable
-    if safe and state.budget(upstream.pool).spend(state.now_s()):
+    if safe and state.budget(call.service.name).spend(state.now_s()):
         return
     raise errors.RudderError(
         errors.Code.UPSTREAM_NOT_REACHED
@@ -211,7 +326,7 @@
         else errors.Code.UPSTREAM_FAILED,
         "the service gave no answer",
         step=STEP,
-        peer=upstream.name,
-        ran=failure.ran,
+        peer=failure.upstream,
+        ran=ran,
         retry_after_s=NO_UPSTREAM_RETRY_S,
     ) from failure
--- a/toucanrudder/router/assembly.py
+++ b/toucanrudder/router/assembly.py
@@ -12,6 +12,7 @@
 from toucanrudder import admission
 from toucanrudder import claims
 from toucanrudder import quarantine
+from toucanrudder.claims import reaper
 from toucanrudder.controllers import cache_events
 from toucanrudder.controllers import configuration
 from toucanrudder.controllers import instances as instance_controllers
@@ -164,6 +165,10 @@
             objects,
             conf.router.name,
             timeout_s=conf.store.timeout_s,
+            save_within_s=conf.claims.save_within_s,
+            limits=claims.Limits(
+                dispatch_within_s=conf.claims.dispatch_within_s
+            ),
             rng=rng,
         ),
         suspicions=quarantine.Suspicions(),
@@ -213,10 +218,27 @@
             ("instances", instance_controller.run),
             ("peers", peers.run),
             ("capacity", lambda: _share_capacity(state)),
+            ("claims", _reaper(state).run),
         )
     )
 
 
+def _reaper(state: states.RouterState) -> reaper.Reaper:
+    def retention_s() -> float:
+        return state.document().policy.claim_retention_s
+
+    def live() -> list[str]:
+        return [each.name for each in state.routers.live(state.now_s())]
+
+    return reaper.Reaper(
+        state.objects,
+        retention_s,
+        reaper.sole_reaper(state.conf.router.name, live),
+        timeout_s=state.conf.store.timeout_s,
+        rng=state.rng,
+    )
+
+
 async def _share_capacity(state: states.RouterState) -> None:
     """Keep this router's share of the engines' slots up to date."""
 
--- a/toucanrudder/settings/options.py
+++ b/toucanrudder/settings/options.py
@@ -150,6 +150,26 @@
     ),
 )
 
+CLAIMS = (
+    cfg.FloatOpt(
+        "dispatch_within_s",
+        default=10.0,
+        min=0.1,
+        max=60,
+        help="Age in seconds up to which the claim of a non-repeatable "
+        "call may be dispatched; a router that was paused for longer "
+        "refuses it.",
+    ),
+    cfg.FloatOpt(
+        "save_within_s",
+        default=0.25,
+        min=0.0,
+        max=10,
+        help="Seconds for which an answer may wait until it is retained; "
+        "past it the answer is retained in the background.",
+    ),
+)
+
 LOGGING = (
     cfg.StrOpt(
         "format",
@@ -188,6 +208,7 @@
     "admin": ADMIN,
     "peers": PEERS,
     "upstreams": UPSTREAMS,
+    "claims": CLAIMS,
     "logging": LOGGING,
     "policy": POLICY,
 }
