--- a/toucanrudder/router/fleet.py
+++ b/toucanrudder/router/fleet.py
@@ -107,7 +107,6 @@
         own_tokens = self._own.prefill_tokens(upstream.name)
         peer_requests = self._others.requests(upstream.name, now_s)
         peer_tokens = self._others.prefill_tokens(upstream.name, now_s)
-        peer_requests = self._others.requests(upstream.name, now_s)
         if known is None:
             return types.UpstreamView(
                 name=upstream.name,
--- a/toucanrudder/router/tests/test_configuration_everywhere.py
+++ b/toucanrudder/router/tests/test_configuration_everywhere.py
@@ -32,22 +32,21 @@
     and silent.  Exchanges with it wait for their deadline; the others'
     watches and exchanges go on.
     """
-    async with deployment(7) as fleet:
-        async with proxies.proxied("") as slow:
-            slow_peer = await control.start_router(
-                fleet, peers=FAST["peers"] | {"advertise": slow.address}
-            )
-            slow.target = slow_peer.process.ready["peer_address"]
+    async with deployment(7) as fleet, proxies.proxied("") as slow:
+        slow_peer = await control.start_router(
+            fleet, peers=FAST["peers"] | {"advertise": slow.address}
+        )
+        slow.target = slow_peer.process.ready["peer_address"]
 
-            async def talking():
-                return len(slow.connections) > 0
+        async def talking():
+            return len(slow.connections) > 0
 
-            await control.until(talking)
-            slow.freeze()
-            document = control.changed(fleet.document(), 11)
-            status, answer = await operator(fleet, 3).apply(document, 1)
-            assert (status, answer["generation"]) == (200, 2)
-            await control.all_at(fleet, 2)
+        await control.until(talking)
+        slow.freeze()
+        document = control.changed(fleet.document(), 11)
+        status, answer = await operator(fleet, 3).apply(document, 1)
+        assert (status, answer["generation"]) == (200, 2)
+        await control.all_at(fleet, 2)
 
 
 @pytest.mark.parametrize("mode", ["hang_watches", "down"])
@@ -57,18 +56,21 @@
     Its watch is silent for good, which looks like "no change", or the
     store refuses it.  The operator applies through another router.
     """
-    async with deployment(1) as fleet:
-        async with proxies.proxied(fleet.platform.address) as path:
-            await control.start_router(
-                fleet, store={"address": path.address, "watch_wait_s": 300}
-            )
-            path.freeze()
-            path.refusing = mode == "down"
-            if mode == "down":
-                path.cut()
-            document = control.changed(fleet.document(), 11)
-            assert (await operator(fleet).apply(document, 1))[0] == 200
-            await control.all_at(fleet, 2)
+    async with contextlib.AsyncExitStack() as stack:
+        fleet = await stack.enter_async_context(deployment(1))
+        path = await stack.enter_async_context(
+            proxies.proxied(fleet.platform.address)
+        )
+        await control.start_router(
+            fleet, store={"address": path.address, "watch_wait_s": 300}
+        )
+        path.freeze()
+        if mode == "down":
+            path.refusing = True
+            path.cut()
+        document = control.changed(fleet.document(), 11)
+        assert (await operator(fleet).apply(document, 1))[0] == 200
+        await control.all_at(fleet, 2)
 
 
 @pytest.mark.parametrize("store", ["ok", "down"])
--- a/toucanrudder/testing/control.py
+++ b/toucanrudder/testing/control.py
@@ -15,13 +15,12 @@
 async def until(condition: Callable[[], Awaitable[bool]]) -> None:
     """Wait until the condition holds; TimeoutError after `WITHIN_S`."""
     async with asyncio.timeout(WITHIN_S):
-        while not await condition():
+        # The state is another process's: nothing here could set an event.
+        while not await condition():  # noqa: ASYNC110
             await asyncio.sleep(STEP_S)
 
 
-async def start_router(
-    fleet: fleets.Fleet, **settings: dict
-) -> fleets.Router:
+async def start_router(fleet: fleets.Fleet, **settings: dict) -> fleets.Router:
     """Start a router whose seeds are the routers that run already.
 
     Parameters
