--- a/toucanrudder/bench/deployments.py
+++ b/toucanrudder/bench/deployments.py
@@ -58,10 +58,10 @@
     recompute_weight: float
     zone_hop_s: float
     weight_loads_at_once: int
-    prefill_tokens_per_s: float = 25000.0
-    decode_s_per_token: float = 0.005
+    prefill_tokens_per_s: float = 50000.0
+    decode_s_per_token: float = 0.0025
     slots: int = 8
-    capacity_blocks: int = 96
+    capacity_blocks: int = 72
 
 
 CELBOUW = Deployment(
@@ -70,9 +70,9 @@
     services=3,
     service="commission-app",
     zones=("eindhoven-hal", "tilburg-hal", "helmond-hal"),
-    requests_per_s=26.0,
+    requests_per_s=50.0,
     calls_per_s=3.0,
-    projects=20,
+    projects=16,
     project_blocks=(2, 6),
     wait_weight=1.0,
     recompute_weight=1.0,
@@ -86,9 +86,9 @@
     services=3,
     service="studio-desk",
     zones=("patan-hall", "baneshwor-hall", "kirtipur-hall"),
-    requests_per_s=42.0,
+    requests_per_s=80.0,
     calls_per_s=3.0,
-    projects=24,
+    projects=20,
     project_blocks=(3, 8),
     wait_weight=1.0,
     recompute_weight=1.5,
--- a/toucanrudder/bench/workload.py
+++ b/toucanrudder/bench/workload.py
@@ -20,7 +20,7 @@
 PREAMBLE_BLOCKS = (1, 4)
 QUESTION_BYTES = (400, 2400)
 ANSWER_TOKENS = (8, 24)
-ZIPF_EXPONENT = 1.2
+ZIPF_EXPONENT = 1.0
 PRIORITIES = (
     (request.Priority.URGENT, 0.25),
     (request.Priority.NORMAL, 0.5),
@@ -28,7 +28,7 @@
 )
 FLOODING_ORGANISATION = 3
 # The flood, relative to the whole regular traffic.
-FLOOD_SHARE = 0.3
+FLOOD_SHARE = 0.2
 _WORDS = tuple(
     [
         "interlock",
