--- a/toucanrudder/bench/callers.py
+++ b/toucanrudder/bench/callers.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Iterator
 import hashlib
 import json
 import random
@@ -21,7 +22,8 @@
 
 CHAT = output.CHAT
 ANSWER_TIMEOUT_S = 40.0
-# A caller whose connection fails asks the balancer for another router.
+# A caller whose connection fails asks the balancer for another router; the
+# balancer knows the live ones.
 SENDS = 4
 PAUSE_S = 0.1
 
@@ -96,11 +98,12 @@
             outcome.code = "timeout"
         outcome.finished_at_s = _now_s() - self._began_s
 
-    def _routers(self, ask) -> list[systems.Instance]:
-        """Return routers in the order in which the balancer offers them."""
-        order = list(self.system.routers)
-        random.Random(ask.router).shuffle(order)
-        return order[:SENDS]
+    def _routers(self, ask) -> Iterator[systems.Instance]:
+        """Yield the router that the balancer picks for each send."""
+        rng = random.Random(ask.router)
+        routers = self.system.routers
+        for _send in range(SENDS):
+            yield rng.choice([each for each in routers if each.alive])
 
     async def _ask(self, outcome: fates.Outcome) -> None:
         ask = outcome.ask
--- a/toucanrudder/bench/systems.py
+++ b/toucanrudder/bench/systems.py
@@ -61,6 +61,8 @@
     ----------
     name, address : str
         Who and where.
+    alive : bool
+        Whether the balancer counts it among the live instances.
     opening : callable
         Returns the context manager that runs the process.
     """
@@ -69,6 +71,7 @@
     address: str
     opening: object
     admin_address: str = ""
+    alive: bool = False
     process: processes.Process | None = None
     past_journals: list[dict] = attrs.field(factory=list)
     past_metrics: list[str] = attrs.field(factory=list)
@@ -113,6 +116,7 @@
         instance.process = await self._stack.enter_async_context(
             instance.opening()
         )
+        instance.alive = True
 
     async def kill_engine(self, index: int) -> None:
         """Kill an engine; what its journal held so far is kept."""
@@ -129,6 +133,7 @@
         """Kill a router; what it had counted so far is kept."""
         router = self.routers[index]
         router.past_metrics.append(await self._metrics(router))
+        router.alive = False
         await router.process.kill()
 
     async def restart_router(self, index: int) -> None:
@@ -155,13 +160,12 @@
                 weights_version=version,
             )
         )
-        url = f"http://{self.routers[0].admin_address}/configuration"
-        headers = {
-            "Authorization": f"Bearer {ADMIN_TOKEN}",
-            "If-Match": '"1"',
-        }
-        async with self.session.put(
-            url, json=data, headers=headers, timeout=CALL_TIMEOUT
+        url = f"http://{self.routers[0].admin_address}/apply"
+        async with self.session.post(
+            url,
+            json={"expected_generation": 1, "document": data},
+            headers={"Authorization": f"Bearer {ADMIN_TOKEN}"},
+            timeout=CALL_TIMEOUT,
         ) as response:
             response.raise_for_status()
 
