Save up retries for the first crash a router sees

Cause: after one engine's crash, innocent requests of its batch were refused with retry_budget_spent (test_poison_fleet, engines that refuse connections): a fresh budget held one retry, the batch had six requests. Ruled out: a higher rate without traffic, which would let a pool that fails for good be retried without end. Change: the budget of a model starts with 20 retries.

--- a/toucanrudder/retries/budget.py
+++ b/toucanrudder/retries/budget.py
@@ -21,6 +21,10 @@
         Retries a second that are allowed without traffic.
     burst : float
         Most retries that may be saved up.
+    start : float
+        Retries saved up when the pool is first seen.  A crash early in a
+        router's life hits a whole batch at once: without savings most of
+        its innocent requests would be refused.
 
     Examples
     --------
@@ -33,13 +37,14 @@
     ratio: float = 0.2
     minimum_per_s: float = 1.0
     burst: float = 20.0
+    start: float = 0.0
     _saved: float = attrs.field(default=0.0, init=False)
     _at_s: float | None = attrs.field(default=None, init=False)
 
     def _refill(self, now_s: float) -> None:
         if self._at_s is None:
             # A pool that has not been seen yet may retry at once.
-            self._saved = min(self.burst, self.minimum_per_s)
+            self._saved = min(self.burst, self.minimum_per_s + self.start)
         else:
             passed_s = max(0.0, now_s - self._at_s)
             self._save(passed_s * self.minimum_per_s)
--- a/toucanrudder/router/state.py
+++ b/toucanrudder/router/state.py
@@ -40,6 +40,9 @@
 STEP = "state"
 NOT_CONFIGURED_RETRY_S = 1.0
 
+#: Retries that a fresh router may spend on one model: a whole batch.
+START_RETRIES = 20.0
+
 
 @attrs.frozen
 class _Index:
@@ -154,7 +157,9 @@
         budget = self._budgets.get(pool)
         if budget is None:
             ratio = self.document().policy.retry_ratio
-            budget = self._budgets[pool] = retries.RetryBudget(ratio=ratio)
+            budget = self._budgets[pool] = retries.RetryBudget(
+                ratio=ratio, start=START_RETRIES
+            )
         return budget
 
     def patience(
--- a/toucanrudder/testing/control.py
+++ b/toucanrudder/testing/control.py
@@ -16,7 +16,7 @@
     """Wait until the condition holds; TimeoutError after `WITHIN_S`."""
     async with asyncio.timeout(WITHIN_S):
         # The state is another process's: nothing here could set an event.
-        while not await condition():  # noqa: ASYNC110
+        while not await condition():
             await asyncio.sleep(STEP_S)
 
 
