Refuse service paths with dot segments; match routes by segments

Cause: read-through. 'POST /quotes/../bookings' matched the repeatable route /quotes while a service may resolve it to /bookings: no key demanded, retried freely, a booking made twice. '/quotes-final' matched /quotes as well. Ruled out: resolving the dots here, which would have to be the same as each service's own way of doing it. Test: three spellings, red without the check (3 of 3), green with it.

--- a/toucanrudder/filters/service.py
+++ b/toucanrudder/filters/service.py
@@ -69,18 +69,34 @@
     False
     """
     for route in found.routes:
-        if route.method in ("*", method) and path.startswith(
-            route.path_prefix
-        ):
+        if route.method in ("*", method) and _below(route.path_prefix, path):
             return route.repeatable
     return method in _SAFE_METHODS
 
 
+def _below(prefix: str, path: str) -> bool:
+    """Whether the path is the prefix or lies below it, by segments."""
+    return path == prefix or path.startswith(prefix.rstrip("/") + "/")
+
+
+def _check_path(path: str) -> None:
+    # The service may resolve "/quotes/../bookings" to "/bookings", while
+    # the routes here took it for a quote that may be repeated: a booking
+    # would be made twice.  No client has reason to send such a path.
+    if not {".", ".."}.isdisjoint(path.split("/")):
+        raise errors.RudderError(
+            errors.Code.INVALID_REQUEST,
+            "the path has segments that are dots only",
+            step=STEP,
+        )
+
+
 async def read_call(exchange: exchanges.Exchange) -> ServiceCall:
     """Read and check the caller's request."""
     http = exchange.http
     found = find(exchange.document, http.match_info["name"])
     path = "/" + http.match_info["rest"]
+    _check_path(path)
     may_repeat = repeatable(found, http.method, path)
     key = headers.single(http, headers.IDEMPOTENCY_KEY)
     if not may_repeat and key is None:
--- /dev/null
+++ b/toucanrudder/filters/tests/test_service.py
@@ -0,0 +1,64 @@
+import asyncio
+
+import pytest
+
+from toucanrudder.document import model
+from toucanrudder.filters import service
+from toucanrudder.testing import fleet as fleets
+
+FOUND = model.Service(
+    "desk",
+    (
+        model.Route("POST", "/quotes", True),
+        model.Route("GET", "/reset", False),
+        model.Route("*", "/open/", True),
+    ),
+)
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "expected"),
+    [
+        ("POST", "/quotes", True),
+        ("POST", "/quotes/7", True),
+        ("POST", "/quotes-final", False),
+        ("PUT", "/quotes", False),
+        ("POST", "/bookings", False),
+        ("GET", "/bookings", True),
+        ("GET", "/reset", False),
+        ("DELETE", "/open/a", True),
+    ],
+)
+def test_first_matching_route_decides(method, path, expected):
+    assert service.repeatable(FOUND, method, path) is expected
+
+
+@pytest.mark.parametrize(
+    "path",
+    ["/quotes/../bookings", "/quotes/%2e%2e/bookings", "/quotes%2F..%2Fb"],
+)
+async def test_a_path_cannot_dress_a_booking_as_a_quote(path):
+    """The caller sends a path that the routes take for a quote, which may
+    be repeated, and that the service resolves to a booking.  It is refused,
+    without a key as with one, and the service sees nothing.
+    """
+    plan = fleets.Plan(
+        services=1,
+        routes=[
+            {"method": "POST", "path_prefix": "/quotes"} | {"repeatable": True}
+        ],
+    )
+    async with fleets.running(plan) as fleet:
+        host, _, port = fleet.routers[0].address.rpartition(":")
+        # A client library would resolve the dots before sending.
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            f"POST /services/desk{path} HTTP/1.1\r\nHost: r\r\n"
+            f"Authorization: Bearer {fleets.api_key('acme')}\r\n"
+            "Content-Length: 0\r\nConnection: close\r\n\r\n".encode()
+        )
+        async with asyncio.timeout(60):
+            answer = await reader.read()
+        writer.close()
+        assert b" 400 " in answer.splitlines()[0], answer
+        assert (await fleet.journal("service-0"))["runs"] == []
