--- a/toucanrudder/quarantine/tests/test_poison_fleet.py
+++ b/toucanrudder/quarantine/tests/test_poison_fleet.py
@@ -68,11 +68,11 @@
         for body, answer in zip(
             bodies, await asyncio.gather(*others), strict=True
         ):
-            assert answer.end is callers.End.DONE, answer
+            assert answer.end is callers.End.DONE, answer.error
             assert answer.text == output.expected_text("/v1/completions", body)
         for number, body in enumerate(bodies):
             answer = await callers.stream(
                 fleet.session, urls[number % 3], body | {"max_tokens": 40}
             )
-            assert answer.end is callers.End.DONE, answer
+            assert answer.end is callers.End.DONE, answer.error
         assert len(_dead(fleet)) <= 2
