--- a/toucanrudder/relay/attempt.py
+++ b/toucanrudder/relay/attempt.py
@@ -271,7 +271,7 @@
             # would go on to the next engine.
             kind = failures.Kind.SILENT
             if self._dropped:
-                kind = failures.Kind.CRASHED
+                kind = failures.Kind.BROKEN
             raise failures.UpstreamFailure(kind, self.upstream.name, reason)
         if self._fruitless > 1:
             pause_s = RECONNECT_PAUSE_S * 2**self._fruitless
