--- a/toucanrudder/cli/main.py
+++ b/toucanrudder/cli/main.py
@@ -1,6 +1,8 @@
 """Entry point of the command ``toucanrudder``."""
 
+import os
 import sys
+import warnings
 
 import fire
 
@@ -28,6 +30,8 @@
     arguments : list of str, optional
         Words after the program's name; by default those of the process.
     """
+    # fire tries each word as a Python literal, which warns of some paths.
+    warnings.filterwarnings("ignore", category=SyntaxWarning)
     try:
         result = fire.Fire(
             commands.Commands,
@@ -38,6 +42,11 @@
     except errors.RudderError as error:
         _complain(error)
         sys.exit(exits.for_code(error.code))
+    except BrokenPipeError:
+        # The reader of a pipe has left.  Without another standard output
+        # the interpreter would complain once more while it ends.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        sys.exit(exits.Exit.FAILED)
     except KeyboardInterrupt:
         sys.exit(exits.Exit.FAILED)
     if isinstance(result, exits.Exit):
--- a/toucanrudder/relay/attempt.py
+++ b/toucanrudder/relay/attempt.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
+import enum
+import http
 import random
 
 import aiohttp
@@ -17,6 +19,9 @@
 #: Failures after which the engine may still hold the stream.
 _RESUMABLE = frozenset({failures.Kind.SILENT, failures.Kind.CROSSED})
 
+#: An engine's answer to a request identity that it knows already.
+_USED_BEFORE = http.HTTPStatus.CONFLICT
+
 #: Reconnections in a row that may give nothing.
 MAX_FRUITLESS = 5
 
@@ -30,6 +35,14 @@
 MIN_SILENT_S = 1.0
 
 
+class _Way(enum.Enum):
+    """How the next connection asks for the answer."""
+
+    START = "start"
+    START_ANEW = "start_anew"
+    RESUME = "resume"
+
+
 class _PathLost(Exception):
     """The connection broke, fell silent or lost an event."""
 
@@ -104,6 +117,8 @@
     may_hold: bool = False
     _fruitless: int = 0
     _flowing: bool = False
+    _anew: bool = False
+    _dropped: bool = False
     _deadline: asyncio.Timeout | None = None
 
     async def run(self) -> None:
@@ -131,33 +146,70 @@
     async def resume(self) -> None:
         """Relay the rest of a stream that another router had started."""
         self.may_hold = True
-        await self._connect_until_done(resume=True)
+        await self._connect_until_done(_Way.RESUME)
 
-    async def _connect_until_done(self, resume: bool = False) -> None:
+    async def _connect_until_done(self, way: _Way = _Way.START) -> None:
         while True:
             try:
-                async with self._opening(resume) as answer:
+                async with self._opening(way) as answer:
                     self.may_hold = True
+                    self._dropped = False
                     self.answered_by = answer.incarnation
                     await self._pump(answer.content)
                 return
             except _PathLost as error:
                 reason = str(error)
+                way = _Way.RESUME
             except failures.UpstreamFailure as failure:
-                if failure.kind not in _RESUMABLE:
-                    raise self._classified(failure, resume) from failure
-                # The request was sent, so the engine may be at work on it.
-                self.may_hold = True
                 reason = failure.message
+                way = self._after(failure, way)
             await self._before_reconnecting(reason)
-            resume = True
 
-    def _opening(self, resume: bool):
-        if resume:
+    def _opening(self, way: _Way):
+        if way is _Way.RESUME:
             return self.client.resume(
                 self.upstream, self.call.engine_id, self.order.last
             )
-        return self.client.start(self.upstream, self.call)
+        return self.client.start(
+            self.upstream, self.call, fresh=way is _Way.START_ANEW
+        )
+
+    def _after(self, failure: failures.UpstreamFailure, way: _Way) -> _Way:
+        if failure.kind in _RESUMABLE:
+            # The request was sent, so the engine may be at work on it.
+            self.may_hold = True
+            self._dropped = (
+                way is _Way.RESUME
+                and failure.kind is failures.Kind.SILENT
+                and failure.message != failures.NOTHING_CAME
+            )
+            return _Way.RESUME
+        if way is _Way.RESUME and self._never_arrived(failure):
+            # It was written into a pooled connection that had lost its
+            # path.  The engine is well, and a try elsewhere might meet
+            # another such connection: a path that loses all of them at
+            # once would use up the retries of all callers.
+            self._anew = True
+            return _Way.START_ANEW
+        if way is _Way.START_ANEW and failure.status == _USED_BEFORE:
+            # It was late, not lost, and has arrived meanwhile.
+            return _Way.RESUME
+        raise self._classified(failure, way is _Way.RESUME) from failure
+
+    def _never_arrived(self, failure: failures.UpstreamFailure) -> bool:
+        return (
+            failure.kind is failures.Kind.LOST
+            and not self._restarted(failure)
+            and not self._anew
+            and self.order.last == 0
+            and bool(self.call.path)
+        )
+
+    def _restarted(self, failure: failures.UpstreamFailure) -> bool:
+        known = self.answered_by or self.incarnation
+        return bool(
+            known and failure.incarnation and failure.incarnation != known
+        )
 
     async def _pump(self, content: aiohttp.StreamReader) -> None:
         self.order.reconnected()
@@ -166,34 +218,31 @@
             if not chunk:
                 # Closed before [DONE]: never to be taken for the end.
                 raise _PathLost("closed before the end")
-            events = self._ordered(chunk)
+            events = self.order.feed(chunk)
             if events:
                 self._progress()
                 await self.sink.write(events)
+            self._check_order()
 
     async def _read(self, content: aiohttp.StreamReader) -> bytes:
-        # What has arrived already is taken without the cost of a timer.
-        chunk = content.read_nowait()
-        if chunk:
-            return chunk
         # A path that lost track of the connection gives neither data nor
         # an error, for good.  Only silence tells, and only a connection of
         # its own gets through.
         try:
-            async with asyncio.timeout(
-                self.patience.silence_s(self._flowing)
-            ) as silence:
+            # What has arrived already is taken without the cost of a timer.
+            chunk = content.read_nowait()
+            if chunk:
+                return chunk
+            async with asyncio.timeout(self.patience.silence_s(self._flowing)):
                 return await content.readany()
         except TimeoutError as error:
-            if not silence.expired():
-                raise
-            raise _PathLost("silent") from error
+            raise _PathLost(failures.NOTHING_CAME) from error
         except (aiohttp.ClientError, OSError) as error:
             raise _PathLost(repr(error)) from error
 
-    def _ordered(self, chunk: bytes) -> bytes:
+    def _check_order(self) -> None:
         try:
-            return self.order.feed(chunk)
+            self.order.check()
         except (sequencer.SequenceGap, sequencer.ForeignEvent) as error:
             raise _PathLost(repr(error)) from error
         except sequencer.EventTooLarge as error:
@@ -213,12 +262,17 @@
         # An engine that is computing a long prompt is silent, answers each
         # reconnection, and must not be given up; the deadline of the first
         # token bounds that.  All else is bounded by the count.
-        if self._flowing or reason != "silent":
+        if self._flowing or reason != failures.NOTHING_CAME:
             self._fruitless += 1
         if self._fruitless > MAX_FRUITLESS:
-            raise failures.UpstreamFailure(
-                failures.Kind.SILENT, self.upstream.name, reason
-            )
+            # Behind a balancer a dead engine does not refuse connections:
+            # they open and break at once.  Taken for a mere broken path,
+            # its crash would blame nobody, and the request that caused it
+            # would go on to the next engine.
+            kind = failures.Kind.SILENT
+            if self._dropped:
+                kind = failures.Kind.BROKEN
+            raise failures.UpstreamFailure(kind, self.upstream.name, reason)
         if self._fruitless > 1:
             pause_s = RECONNECT_PAUSE_S * 2**self._fruitless
             await asyncio.sleep(pause_s * self.rng.uniform(0.5, 1.0))
@@ -226,10 +280,7 @@
     def _classified(
         self, failure: failures.UpstreamFailure, resuming: bool
     ) -> failures.UpstreamFailure:
-        known = self.answered_by or self.incarnation
-        restarted = bool(
-            known and failure.incarnation and failure.incarnation != known
-        )
+        restarted = self._restarted(failure)
         gone = resuming and failure.connection_refused
         if (failure.kind is failures.Kind.LOST and restarted) or gone:
             return attrs.evolve(failure, kind=failures.Kind.CRASHED)
@@ -246,6 +297,8 @@
 ):
     """Cancel the engine's work if the attempt ends before its answer does.
 
+    Not so for a caller that left in the middle of a stream.
+
     Parameters
     ----------
     attempt : Attempt
@@ -255,8 +308,19 @@
     """
     try:
         yield attempt
-    finally:
-        if attempt.may_hold and not attempt.order.done:
-            spawn(
-                attempt.client.cancel(attempt.upstream, attempt.call.engine_id)
-            )
+    except (sinks.CallerGone, asyncio.CancelledError):
+        # A caller that has begun to read a stream has its token, and may
+        # already be resuming at another router: a cancel from here would
+        # take the stream from under it.  Without a reader the engine ends
+        # the work by itself after its resume window.
+        if not attempt.sink.started:
+            _cancel(attempt, spawn)
+        raise
+    except BaseException:
+        _cancel(attempt, spawn)
+        raise
+
+
+def _cancel(attempt: Attempt, spawn: Callable[[object], None]) -> None:
+    if attempt.may_hold and not attempt.order.done:
+        spawn(attempt.client.cancel(attempt.upstream, attempt.call.engine_id))
--- a/toucanrudder/router/state.py
+++ b/toucanrudder/router/state.py
@@ -40,6 +40,9 @@
 STEP = "state"
 NOT_CONFIGURED_RETRY_S = 1.0
 
+#: Retries that a fresh router may spend on one model: a whole batch.
+START_RETRIES = 20.0
+
 
 @attrs.frozen
 class _Index:
@@ -154,7 +157,9 @@
         budget = self._budgets.get(pool)
         if budget is None:
             ratio = self.document().policy.retry_ratio
-            budget = self._budgets[pool] = retries.RetryBudget(ratio=ratio)
+            budget = self._budgets[pool] = retries.RetryBudget(
+                ratio=ratio, start=START_RETRIES
+            )
         return budget
 
     def patience(
@@ -279,6 +284,16 @@
         # The caller's resend may meet another router at once.
         self.hasten()
 
+    def presumed_dead(self, upstream: str, incarnation: str) -> bool:
+        """Whether the quarantine counts a crash of this engine process."""
+        return self.suspicions.presumed_dead(
+            upstream, incarnation, self.wall_s()
+        )
+
+    def alive(self, upstream: str, incarnation: str) -> None:
+        """Note that an engine process presumed dead has answered."""
+        self.suspicions.alive(upstream, incarnation, self.wall_s())
+
     def unreachable(self, failure: failures.UpstreamFailure) -> None:
         """Send nothing there until a poll gets through again."""
         if failure.connection_refused:
--- a/toucanrudder/standins/faults.py
+++ b/toucanrudder/standins/faults.py
@@ -7,6 +7,9 @@
 class Faults:
     """Faults of the engine; all are off by default.
 
+    Faults at an event strike the connection on which a stream was asked
+    for, not those that resume it, nor streams that continue another's.
+
     Parameters
     ----------
     crash_marker : str
@@ -17,7 +20,7 @@
         So many next answers are those to somebody else's request.
     crossed_event : int
         This event of each stream comes from somebody else's answer.
-    stale_answers : int
+    stale_answers, stale_refusals : int
         Before so many next answers, the late answer to an earlier request
         is written on the same connection.
     late_s : float
@@ -50,6 +53,7 @@
     crossed_answers: int = 0
     crossed_event: int = 0
     stale_answers: int = 0
+    stale_refusals: int = 0
     late_s: float = 0.0
     duplicated_event: int = 0
     skipped_event: int = 0
--- a/toucanrudder/testing/proxy.py
+++ b/toucanrudder/testing/proxy.py
@@ -9,6 +9,7 @@
 import attrs
 
 CHUNK_BYTES = 65536
+MATCH_BYTES = 256
 EVENT_START = re.compile(rb"(?:^|\n)id: (\d+)\n")
 EVENT_END = b"\n\n"
 
@@ -30,7 +31,7 @@
     action : Action
         What happens.
     match : bytes
-        Text that the client must have sent on the connection.
+        Text in the request that is struck.
     after_event : int
         Number of the last server-sent event that gets through; 0 strikes
         before any byte of the answer.
@@ -60,7 +61,7 @@
     rule: Rule | None = None
     frozen: bool = False
     tail: bytes = b""
-    requests: bytes = b""
+    sent: bytes = b""
 
     def abort(self) -> None:
         """Break both sides with a reset."""
@@ -102,19 +103,31 @@
         for connection in list(self.connections):
             connection.abort()
 
-    async def handle(
+    def accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        """Forward one connection until an end closes it."""
+        """Forward a new connection until an end closes it."""
         self.accepted += 1
-        self._tasks.add(asyncio.current_task())
+        task = asyncio.ensure_future(self._handle(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def close(self) -> None:
+        """Break all connections and wait until they are gone."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _handle(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
         try:
             if not self.refusing:
                 await self._forward(reader, writer)
         except OSError:
             pass
         finally:
-            self._tasks.discard(asyncio.current_task())
             writer.transport.abort()
 
     async def _forward(
@@ -146,14 +159,17 @@
         connection.server.write_eof()
 
     def _match(self, part: bytes, connection: Connection) -> None:
-        connection.requests = connection.requests[-CHUNK_BYTES:] + part
         if connection.rule is not None:
             return
         for rule in self.rules:
-            if rule.times > 0 and rule.match in connection.requests:
+            # Only what is new: an earlier request on the same connection
+            # is not the one that is meant.
+            text = connection.sent[-len(rule.match) :] + part
+            if rule.times > 0 and text.find(rule.match) >= 0:
                 rule.times -= 1
-                connection.rule = rule
-                return
+                connection.rule, connection.tail = rule, b""
+                break
+        connection.sent = part[-MATCH_BYTES:]
 
     async def _downwards(
         self, reader: asyncio.StreamReader, connection: Connection
@@ -229,12 +245,10 @@
         Its `address` is what clients use.
     """
     proxy = Proxy(target)
-    server = await asyncio.start_server(proxy.handle, "127.0.0.1", 0)
+    server = await asyncio.start_server(proxy.accept, "127.0.0.1", 0)
     proxy.address = "{}:{}".format(*server.sockets[0].getsockname()[:2])
     try:
         yield proxy
     finally:
         server.close()
-        for task in list(proxy._tasks):
-            task.cancel()
-        await asyncio.gather(*proxy._tasks, return_exceptions=True)
+        await proxy.close()
