--- a/toucanrudder/bench/capacity/daemons.py
+++ b/toucanrudder/bench/capacity/daemons.py
@@ -25,6 +25,7 @@
 KEY = "capacity-key"
 START_AT_ONCE = 8
 SEEDS = 3
+INTERVAL_S = 0.5
 PORTS = (10_000, 32_000)
 _BYTES = re.compile(r"\bbytes_(?:sent|received):(\d+)")
 _PID = re.compile(r"pid=(\d+)")
@@ -164,7 +165,9 @@
     return sorted(ports)
 
 
-def _settings(number: int, platform: str, peer_ports: Sequence[int]) -> str:
+def _settings(
+    number: int, platform: str, peer_ports: Sequence[int], interval_s: float
+) -> str:
     seeds = [port for port in peer_ports[:SEEDS] if port != peer_ports[number]]
     return f"""
 [router]
@@ -179,6 +182,9 @@
 address = {platform}
 [admin]
 token = capacity-token
+[peers]
+interval_s = {interval_s}
+silent_s = {max(3.0, 6 * interval_s)}
 [logging]
 level = warning
 """
@@ -186,7 +192,7 @@
 
 @contextlib.asynccontextmanager
 async def routers(
-    count: int, platform: str
+    count: int, platform: str, interval_s: float = INTERVAL_S
 ) -> AsyncIterator[list[processes.Process]]:
     """Run `count` routers during the block; a few start at a time."""
     ports = _free_ports(count)
@@ -198,7 +204,7 @@
 
         async def start(number: int) -> processes.Process:
             path = directory / f"{number}.ini"
-            path.write_text(_settings(number, platform, ports))
+            path.write_text(_settings(number, platform, ports, interval_s))
             async with starting:
                 return await stack.enter_async_context(
                     processes.started("router", str(path))
@@ -209,7 +215,10 @@
 
 @contextlib.asynccontextmanager
 async def system(
-    router_count: int, engine_count: int, **options: float
+    router_count: int,
+    engine_count: int,
+    interval_s: float = INTERVAL_S,
+    **options: float,
 ) -> AsyncIterator[tuple[list[processes.Process], str]]:
     """Run a platform, light engines and routers; yield routers, platform."""
     async with (
@@ -217,5 +226,7 @@
         light.serving(engine_count, **options) as engines,
     ):
         await put_document(platform.address, document(engines.addresses))
-        async with routers(router_count, platform.address) as running:
+        async with routers(
+            router_count, platform.address, interval_s
+        ) as running:
             yield running, platform.address
--- a/toucanrudder/bench/capacity/extrapolation.py
+++ b/toucanrudder/bench/capacity/extrapolation.py
@@ -294,6 +294,24 @@
         lambda known: _at("routers", "resident_bytes", 400)(known) / 1e6,
         target.CONTROL_BYTES / 1e6,
     ),
+    Line(
+        "heartbeats alone, each 0.5 s, fleet of 8",
+        "slope of `heartbeats`, times 20",
+        "KB/s",
+        lambda known: (
+            _slope(known, "heartbeats", "wire_bytes_per_s") * 20 / 1e3
+        ),
+        target.CONTROL_BYTES_PER_S / 1e3,
+    ),
+    Line(
+        "heartbeats alone, each 4 s, fleet of 8",
+        "slope of `heartbeats`, times 2.5",
+        "KB/s",
+        lambda known: (
+            _slope(known, "heartbeats", "wire_bytes_per_s") * 2.5 / 1e3
+        ),
+        target.CONTROL_BYTES_PER_S / 1e3,
+    ),
     Line(
         "store calls of 400 routers without traffic",
         "`routers` at 400",
--- a/toucanrudder/bench/capacity/live.py
+++ b/toucanrudder/bench/capacity/live.py
@@ -16,6 +16,7 @@
 SETTLE_S = 5.0
 WINDOW_S = 10.0
 ENGINES = 8
+FLEET = 8
 AT_ONCE = 16
 TOKEN_PACE_S = 0.031
 WATCHED = "/objects/configuration/current"
@@ -44,6 +45,13 @@
     return {**used, "store_calls_per_s": calls / WINDOW_S}
 
 
+async def _heartbeats(size: int) -> dict:
+    interval_s = 10 / size
+    async with daemons.system(FLEET, ENGINES, interval_s) as (running, _):
+        await asyncio.sleep(SETTLE_S)
+        return await daemons.rates([each.pid for each in running], WINDOW_S)
+
+
 async def _reports(size: int) -> dict:
     async with daemons.system(1, size) as (running, _):
         await asyncio.sleep(SETTLE_S)
@@ -230,6 +238,11 @@
     return asyncio.run(_routers(size))
 
 
+def heartbeats(size: int) -> dict:
+    """Run eight routers with `size` heartbeat rounds in ten seconds."""
+    return asyncio.run(_heartbeats(size))
+
+
 def reports(size: int) -> dict:
     """Run one router that follows `size` engines, without traffic."""
     return asyncio.run(_reports(size))
--- a/toucanrudder/bench/capacity/measurements.py
+++ b/toucanrudder/bench/capacity/measurements.py
@@ -115,6 +115,14 @@
         {**_USED, "store_calls_per_s": "calls/s"},
         isolated=False,
     ),
+    Measurement(
+        "heartbeats",
+        live.heartbeats,
+        "heartbeat rounds in ten seconds, 8 routers and 8 engines",
+        (2, 5, 10, 20),
+        _USED,
+        isolated=False,
+    ),
     Measurement(
         "reports",
         live.reports,
