--- a/toucanrudder/testing/fleet.py
+++ b/toucanrudder/testing/fleet.py
@@ -225,7 +225,7 @@
             "policy": {"seed": 7},
         }
         for section, values in self.plan.settings.items():
-            settings[section] = settings[section] | values
+            settings[section] = settings.get(section, {}) | values
         return settings
 
 
