Say 'outcome unknown' when a try before the last may have run

An engine that failed after it took a request, and then no engine left: the refusal of the placement said 'not run'. Any refusal after such a try now says that the outcome is unknown.

--- a/toucanrudder/filters/dispatch.py
+++ b/toucanrudder/filters/dispatch.py
@@ -65,7 +65,7 @@
         state = self.exchange.state
         state.budget(self._pool()).request(state.now_s())
         while True:
-            decision, isolated = await self._place()
+            decision, isolated = await self._placed()
             upstream = state.upstream(decision.upstream)
             self.tried.add(decision.upstream)
             self.tries += 1
@@ -80,6 +80,16 @@
         # The budget bounds retries of the engines that serve one model.
         return self.exchange.request.model
 
+    async def _placed(self) -> tuple[types.Decision, bool]:
+        try:
+            return await self._place()
+        except errors.RudderError as error:
+            # Placement itself ran nothing, but an earlier try of this
+            # request may have: "not run" would be untrue.
+            if self.may_have_run:
+                error.ran = errors.Ran.UNKNOWN
+            raise
+
     async def _place(self) -> tuple[types.Decision, bool]:
         state = self.exchange.state
         request = self.exchange.request
