--- a/toucanrudder/observability/tests/test_secrecy.py
+++ b/toucanrudder/observability/tests/test_secrecy.py
@@ -9,6 +9,7 @@
 
 from toucanrudder.bench.capacity import daemons
 from toucanrudder.document import model
+from toucanrudder.testing import control
 from toucanrudder.testing import processes
 
 PROMPT = "a-prompt-that-nobody-may-read"
@@ -94,6 +95,14 @@
         return answer.status
 
 
+async def until_ready(session, router):
+    async def ready() -> bool:
+        async with session.get(f"{router.url}/readyz") as answer:
+            return answer.status == 200
+
+    await control.until(ready)
+
+
 async def test_secrets_and_prompts_are_never_logged(tmp_path):
     """An instance's log is read by people who may not see prompts.
 
@@ -106,6 +115,7 @@
         system(tmp_path) as (router, engine),
         aiohttp.ClientSession() as session,
     ):
+        await until_ready(session, router)
         statuses = [
             await call(session, router, *arguments) for arguments in CALLS
         ]
