--- a/toucanrudder/quarantine/suspicion.py
+++ b/toucanrudder/quarantine/suspicion.py
@@ -21,6 +21,9 @@
 SETTLE_S = 0.3
 ROUND_S = 2.0
 AVOIDED_S = 30.0
+EPISODE_S = 60.0
+HOLD_S = 10.0
+HOLD_STEP_S = 0.1
 
 
 class Standing(enum.Enum):
@@ -53,6 +56,7 @@
 
     convicted: frozenset[str]
     suspects: tuple[str, ...]
+    ranked: tuple[str, ...]
     crashes: frozenset[tuple[str, str]]
     first_crash_s: float
     last_crash_s: float
@@ -157,9 +161,17 @@
         # of its crash.
         ordered = sorted(set(upstreams) - self._crashed_since(now_s))
         ordered = ordered or sorted(upstreams)
-        rank = view.suspects.index(fingerprint)
-        rounds = -(-len(view.suspects) // len(ordered))
+        rank = view.ranked.index(fingerprint)
+        rounds = -(-len(view.ranked) // len(ordered))
         turn = rank // len(ordered)
+        before = view.ranked[rank % len(ordered) : rank : len(ordered)]
+        if view.suspects and set(before) & set(view.suspects):
+            # One before it on this engine has not been cleared and may be
+            # running still, longer than a round.
+            if now_s - view.last_crash_s < HOLD_S:
+                return Trial(ordered[rank % len(ordered)], HOLD_STEP_S)
+        elif turn:
+            rounds = 1
         # Entries of other routers must have come before ranks agree.
         start_s = view.last_crash_s + self._settle_s
         wait_s = max(0.0, start_s - now_s)
@@ -350,10 +362,23 @@
         and entry.at_s > cleared.get(entry.fingerprint, float("-inf"))
     ]
     times = [entry.at_s for entry in suspected]
+    suspects = _in_order(suspected)
+    # Those cleared keep their rank for a while: without them all after
+    # them would move, onto engines where others are on trial.
+    since_s = max(times, default=now_s) - EPISODE_S
+    ranked = _in_order(
+        [
+            entry
+            for entry in crashes
+            if entry.crash not in explained
+            and (entry.at_s > since_s or entry.fingerprint in suspects)
+        ]
+    )
     oldest_s = min((e.at_s for e in entries), default=float("inf"))
     return _View(
         convicted=frozenset(convicted),
-        suspects=_in_order(suspected),
+        suspects=suspects,
+        ranked=ranked,
         crashes=frozenset(entry.crash for entry in crashes),
         first_crash_s=min(times, default=now_s),
         last_crash_s=max(times, default=now_s),
