Prove the write deadline and the cancel of whole answers

Both tests passed with the mechanism switched off: the stand-in finished its work by itself. They now wait for the router to give the caller up, and leave the engine no window in which it would end the work by itself.

--- a/toucanrudder/relay/tests/test_bad_callers.py
+++ b/toucanrudder/relay/tests/test_bad_callers.py
@@ -32,6 +32,17 @@
             await asyncio.sleep(0.02)
 
 
+async def _callers_gone(fleet):
+    async with fleet.session.get(
+        f"{fleet.routers[0].admin_url}/metrics"
+    ) as response:
+        page = await response.text()
+    for line in page.splitlines():
+        if line.startswith("toucanrudder_callers_gone_total"):
+            return float(line.split()[-1])
+    return 0.0
+
+
 def _resident_bytes(pid):
     for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
         if line.startswith("VmRSS:"):
@@ -68,8 +79,8 @@
 
 async def test_callers_that_never_read_cost_bounded_memory():
     """Callers ask for long streams and read nothing.  The router stops
-    reading from the engine once its own small buffer is full, gives up
-    after the write timeout, and the engine's work ends.
+    reading from the engine once its own small buffer is full, and gives
+    each of them up after the write timeout.
     """
     count, tokens = 8, 60_000
     plan = fleets.Plan(
@@ -102,6 +113,9 @@
             peak_bytes = max(peak_bytes, _resident_bytes(router.process.pid))
             await asyncio.sleep(0.01)
         await ended
+        async with asyncio.timeout(WITHIN_S):
+            while await _callers_gone(fleet) < count:
+                await asyncio.sleep(0.02)
         for connection in sockets:
             connection.close()
         # The streams have some 75 MB together.
@@ -113,10 +127,16 @@
 @pytest.mark.parametrize("streamed", [True, False])
 async def test_engines_work_ends_when_the_caller_leaves(streamed):
     """The caller closes its connection in the middle of a long answer; the
-    engine's work for it ends long before the answer would have.
+    engine's work for it ends long before the answer would have.  A whole
+    answer is cancelled at once.  A stream may be resumed at another router,
+    so that it ends by the engine's resume window.
     """
+    window_s = 0.5 if streamed else 300.0
     plan = fleets.Plan(
-        engine_options={"decode_s_per_token": 0.01, "resume_window_s": 0.5}
+        engine_options={
+            "decode_s_per_token": 0.01,
+            "resume_window_s": window_s,
+        }
     )
     body = BODY | {"max_tokens": 100_000, "stream": streamed}
     async with fleets.running(plan) as fleet:
