Tell peers of a crash before the caller hears of it

Cause: test_poison_fleet, seen red once in five runs on a loaded machine: three engines died. The caller's resend reached the next router before the entries of the second crash did, so the request was still only a suspect there and crashed a third engine. Ruled out: the conviction itself (the router that saw both crashes refused at once). Change: an answer that ends a call during which an engine crashed waits until the peers have taken the entries, one second at most.

--- a/toucanrudder/filters/dispatch.py
+++ b/toucanrudder/filters/dispatch.py
@@ -59,9 +59,21 @@
     tried: set[str] = attrs.field(factory=set)
     tries: int = 0
     may_have_run: bool = False
+    crashes: int = 0
 
     async def run(self) -> None:
         """Try engines until the answer is whole, or raise RudderError."""
+        try:
+            await self._run()
+        except errors.RudderError:
+            # The caller sends a refused request again, usually to another
+            # router.  One that had not heard of the crash would let it
+            # crash a further engine.
+            if self.crashes:
+                await self.exchange.state.tell_peers()
+            raise
+
+    async def _run(self) -> None:
         state = self.exchange.state
         state.budget(self._pool()).request(state.now_s())
         while True:
@@ -258,6 +270,8 @@
                 "code": failure.kind.value,
             },
         )
+        if failure.kind in failures.PRESUMES_CRASH:
+            self.crashes += 1
         if failure.kind is failures.Kind.REJECTED:
             raise _Rejected(failure)
         exchange.state.unreachable(failure)
--- a/toucanrudder/peers/client.py
+++ b/toucanrudder/peers/client.py
@@ -24,6 +24,9 @@
 #: routers there are; what a router does not hear itself is passed on.
 MAX_PEERS = 8
 
+#: Peers told of a crash at once; in larger fleets the exchanges carry it on.
+MAX_TOLD = 32
+
 #: Channels kept open.
 MAX_CHANNELS = 64
 
@@ -127,6 +130,20 @@
         """Exchange soon: there is news that cannot wait for the interval."""
         self._haste.set()
 
+    async def tell_all(self, within_s: float) -> None:
+        """Exchange with all reachable peers now and wait for their answers.
+
+        Parameters
+        ----------
+        within_s : float
+            Longest wait; peers that are silent hold nobody up for longer.
+        """
+        known = self._node.table.reachable(time.monotonic())
+        chosen = self._rng.sample(known, min(len(known), MAX_TOLD))
+        tasks = [self._start(self._exchange(m.address)) for m in chosen]
+        if tasks:
+            await asyncio.wait(tasks, timeout=within_s)
+
     def news(self, heartbeat: messages.Heartbeat) -> None:
         """Fetch the sender's document if it is newer."""
         if heartbeat.generation > self._node.generation():
@@ -174,10 +191,11 @@
         chosen += self._rng.sample(strangers, room)
         return [address for address in chosen if address not in self._busy]
 
-    def _start(self, coroutine) -> None:
+    def _start(self, coroutine) -> asyncio.Task:
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     async def _exchange(self, address: str) -> None:
         self._busy.add(address)
--- a/toucanrudder/router/peering.py
+++ b/toucanrudder/router/peering.py
@@ -15,6 +15,9 @@
 from toucanrudder.prefix import heat
 from toucanrudder.router import state as states
 
+#: Longest time for which an answer waits until peers know of a crash.
+TELL_WITHIN_S = 1.0
+
 
 class PeerService(aiomisc.Service):
     """Serves peers.
@@ -110,6 +113,7 @@
         rng=state.rng,
     )
     state.hasten = client.hasten
+    state.tell_peers = lambda: client.tell_all(TELL_WITHIN_S)
     return Peering(node, client, credentials, settings.advertise)
 
 
--- a/toucanrudder/router/state.py
+++ b/toucanrudder/router/state.py
@@ -1,6 +1,7 @@
 """What the filters of one router share."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
 import functools
@@ -66,6 +67,10 @@
     )
 
 
+async def _nobody_to_tell() -> None:
+    return None
+
+
 @attrs.define(eq=False)
 class RouterState:
     """Tables and clients of one router; each has one owner that writes it.
@@ -96,6 +101,7 @@
     instances: instances.InstanceTable
     stopping: bool = False
     hasten: Callable[[], None] = lambda: None
+    tell_peers: Callable[[], Awaitable[None]] = _nobody_to_tell
     _budgets: dict[str, retries.RetryBudget] = attrs.field(factory=dict)
     _indexed: _Index | None = None
 
