Prove restarts and leaving upstreams with real processes

Cause: nothing showed that a router that restarts serves with the store down or slow, what a herd costs the store, or that a leaving upstream gets no new work by each of the words that tell.

Change: tests with router processes; the status page shows peers with their generation, leases, and an upstream as leaving by the platform's list too.

--- a/toucanrudder/leases/holder.py
+++ b/toucanrudder/leases/holder.py
@@ -86,6 +86,15 @@
             return self._lease
         return None
 
+    @property
+    def name(self) -> str:
+        """The lease's name."""
+        return self._name
+
+    def seen(self) -> decision.Seen | None:
+        """Return what was last read or written of the lease."""
+        return self._seen
+
     def check(self, now_s: float) -> decision.Lease:
         """Return the lease; call right before each order.
 
--- a/toucanrudder/membership/routers.py
+++ b/toucanrudder/membership/routers.py
@@ -43,10 +43,23 @@
         return (self.incarnation, self.beat)
 
 
-@attrs.define
-class _Known:
+@attrs.frozen
+class Known:
+    """A router with what this one knows of it.
+
+    Parameters
+    ----------
+    member : Member
+        Its last word.
+    heard_s : float
+        Monotonic time at which it last showed life.
+    generation : int
+        Generation in force there when this router last heard it itself.
+    """
+
     member: Member
     heard_s: float
+    generation: int = 0
 
 
 class RouterTable:
@@ -69,7 +82,7 @@
 
     def __init__(self, silent_s: float):
         self._silent_s = silent_s
-        self._known: dict[str, _Known] = {}
+        self._known: dict[str, Known] = {}
 
     def heard(
         self,
@@ -80,6 +93,7 @@
         *,
         beat: int = 0,
         leaving: bool = False,
+        generation: int = 0,
     ) -> None:
         """Note a heartbeat from the router itself.
 
@@ -87,7 +101,7 @@
         same name and a clock that is behind.
         """
         member = Member(name, address, incarnation, beat, leaving)
-        self._known[name] = _Known(member, now_s)
+        self._known[name] = Known(member, now_s, generation)
 
     def told(self, member: Member, now_s: float) -> None:
         """Note what another router passed on.
@@ -98,7 +112,8 @@
         """
         known = self._known.get(member.name)
         if known is None or member.progress > known.member.progress:
-            self._known[member.name] = _Known(member, now_s)
+            generation = known.generation if known else 0
+            self._known[member.name] = Known(member, now_s, generation)
 
     def live(self, now_s: float) -> tuple[Member, ...]:
         """Return the routers that are live and stay, by name."""
@@ -108,13 +123,17 @@
 
     def reachable(self, now_s: float) -> tuple[Member, ...]:
         """Return the routers heard of lately, stopping ones included."""
-        self._forget(now_s)
         return tuple(
             known.member
-            for _, known in sorted(self._known.items())
+            for known in self.known(now_s)
             if now_s - known.heard_s <= self._silent_s
         )
 
+    def known(self, now_s: float) -> tuple[Known, ...]:
+        """Return all routers that are remembered, silent ones included."""
+        self._forget(now_s)
+        return tuple(known for _, known in sorted(self._known.items()))
+
     def count(self, now_s: float) -> int:
         """Return the live routers, this one included, for shared limits."""
         return 1 + len(self.live(now_s))
--- a/toucanrudder/peers/node.py
+++ b/toucanrudder/peers/node.py
@@ -169,6 +169,7 @@
             now_s,
             beat=sender.beat,
             leaving=sender.leaving,
+            generation=heartbeat.generation,
         )
         for member in heartbeat.members:
             if member.name != self.name:
--- a/toucanrudder/router/admin_state.py
+++ b/toucanrudder/router/admin_state.py
@@ -8,6 +8,7 @@
 from toucanrudder.admin import status
 from toucanrudder.admin import tls as admin_tls
 from toucanrudder.document import model
+from toucanrudder.membership import instances
 from toucanrudder.router import state as states
 
 
@@ -25,11 +26,14 @@
     report = known.report if known else None
     reachable = state.loads.healthy(upstream.name, now_s)
     unknown = "unknown" if reachable else "unreachable"
+    told = report.state if report and reachable else unknown
+    if state.instances.is_leaving(upstream.name, told):
+        told = instances.LEAVING
     return status.UpstreamStatus(
         name=upstream.name,
         kind=upstream.kind,
         zone=upstream.zone,
-        state=report.state if report and reachable else unknown,
+        state=told,
         drained=upstream.drained,
         incarnation=report.incarnation if report else "",
         running=report.running if report else 0,
@@ -39,6 +43,36 @@
     )
 
 
+def _routers(state: states.RouterState) -> list[status.RouterStatus]:
+    now_s = state.now_s()
+    return [
+        status.RouterStatus(
+            name=known.member.name,
+            address=known.member.address,
+            generation=known.generation,
+            heard_age_s=now_s - known.heard_s,
+            ready=not known.member.leaving,
+        )
+        for known in state.routers.known(now_s)
+    ]
+
+
+def _leases(state: states.RouterState) -> list[status.LeaseStatus]:
+    seen = state.lease.seen() if state.lease else None
+    if seen is None:
+        return []
+    now_s = state.now_s()
+    held = state.lease.held(now_s)
+    return [
+        status.LeaseStatus(
+            name=state.lease.name,
+            holder=seen.record.holder,
+            fencing=seen.record.fencing,
+            valid_s=held.until_s - now_s if held else 0.0,
+        )
+    ]
+
+
 def providers(state: states.RouterState) -> admin_states.State:
     """Return the callables that the admin API reads from."""
 
@@ -70,6 +104,8 @@
         current=lambda: state.configuration.current,
         apply=state.configuration.apply,
         upstreams=upstreams,
+        routers=lambda: _routers(state),
+        leases=lambda: _leases(state),
         quarantined=quarantined,
         release=release,
     )
--- a/toucanrudder/router/assembly.py
+++ b/toucanrudder/router/assembly.py
@@ -248,7 +248,7 @@
         state.session, state.beliefs, upstreams, state.rng, state.now_s
     )
 
-    holder = _weights_lease(state)
+    holder = state.lease = _weights_lease(state)
     weight_controller = weight_controllers.WeightController(
         state.session,
         holder,
--- a/toucanrudder/router/state.py
+++ b/toucanrudder/router/state.py
@@ -19,6 +19,7 @@
 from toucanrudder import store
 from toucanrudder.controllers import configuration
 from toucanrudder.document import model
+from toucanrudder.leases import holder as holders
 from toucanrudder.membership import instances
 from toucanrudder.membership import routers
 from toucanrudder.messages import request as requests
@@ -93,6 +94,7 @@
     instances: instances.InstanceTable
     stopping: bool = False
     hasten: Callable[[], None] = lambda: None
+    lease: holders.LeaseHolder | None = None
     _budgets: dict[str, retries.RetryBudget] = attrs.field(factory=dict)
     _indexed: _Index | None = None
 
--- a/toucanrudder/testing/control.py
+++ b/toucanrudder/testing/control.py
@@ -7,6 +7,7 @@
 import aiohttp
 
 from toucanrudder.testing import fleet as fleets
+from toucanrudder.testing import processes
 
 WITHIN_S = 60.0
 STEP_S = 0.02
@@ -16,7 +17,7 @@
     """Wait until the condition holds; TimeoutError after `WITHIN_S`."""
     async with asyncio.timeout(WITHIN_S):
         # The state is another process's: nothing here could set an event.
-        while not await condition():  # noqa: ASYNC110
+        while not await condition():
             await asyncio.sleep(STEP_S)
 
 
@@ -47,6 +48,16 @@
         fleet.plan.settings = before
 
 
+async def restart(fleet: fleets.Fleet, index: int) -> fleets.Router:
+    """Start a router's process anew, from the same settings."""
+    name = fleet.routers[index].name
+    process = await fleet.stack.enter_async_context(
+        processes.started("router", str(fleet.directory / f"{name}.ini"))
+    )
+    fleet.routers[index] = fleets.Router(name, process)
+    return fleet.routers[index]
+
+
 class Operator:
     """Calls of one router's admin API."""
 
@@ -70,6 +81,13 @@
         ) as response:
             return await response.json()
 
+    async def metrics(self) -> str:
+        """Return the Prometheus page."""
+        async with self._session.get(
+            f"{self._url}/metrics", headers=self._headers
+        ) as response:
+            return await response.text()
+
     async def apply(
         self, document: dict, expected_generation: int
     ) -> tuple[int, dict]:
