Prove the lease with a paused and cut off holder

Cause: that a paused holder gives no order was shown with clocks of a test only, and engines that ignore fencing numbers obey whoever asks.

Change: two router processes, one engine that checks fencing numbers and one that ignores them. The holder is stopped and cut off, the next one orders newer weights, the first wakes knowing only the older document.

--- /dev/null
+++ b/toucanrudder/router/tests/test_weight_orders.py
@@ -0,0 +1,168 @@
+"""Orders under a lease: a paused holder, and engines of both kinds."""
+
+import contextlib
+import os
+import signal
+
+from toucanrudder.testing import control
+from toucanrudder.testing import fleet as fleets
+from toucanrudder.testing import processes
+from toucanrudder.testing import proxy as proxies
+
+CHECKS, IGNORES = "engine-0", "engine-1"
+
+
+def with_weights(fleet, version):
+    document = fleet.document()
+    models = [{"name": fleets.MODEL, "weights_version": version}]
+    upstreams = [
+        each | {"checks_fencing": each["name"] == CHECKS}
+        for each in document["upstreams"]
+    ]
+    policy = {"weight_loads_at_once": 1}
+    return document | {
+        "models": models,
+        "upstreams": upstreams,
+        "policy": policy,
+    }
+
+
+async def holder_of(fleet):
+    value = await control.stored(fleet, "leases", "weights")
+    name = value["holder"].split(".")[0] if value else ""
+    return next((r for r in fleet.routers if r.name == name), None)
+
+
+async def versions(fleet):
+    found = set()
+    for process in fleet.upstreams.values():
+        async with fleet.session.get(f"{process.url}/load") as response:
+            found.add((await response.json())["models"][fleets.MODEL])
+    return found
+
+
+async def all_have(fleet, version):
+    async def there():
+        return await versions(fleet) == {version}
+
+    await control.until(there)
+
+
+async def orders(fleet, name):
+    return (await fleet.journal(name))["orders"]
+
+
+class Isolated:
+    """Two routers that reach the store and each other through proxies."""
+
+    def __init__(self):
+        self.stores, self.peers = {}, {}
+
+    async def start(self, fleet, stack):
+        paths = [
+            await stack.enter_async_context(proxies.proxied(address))
+            for address in (fleet.platform.address, "") * 2
+        ]
+        for store, peer, other in ((*paths[:2], paths[3]), (*paths[2:], "")):
+            router = await control.start_router(
+                fleet,
+                store={"address": store.address},
+                peers={"advertise": peer.address},
+                router={"peer_seeds": other and other.address},
+            )
+            peer.target = router.process.ready["peer_address"]
+            self.stores[router.name] = store
+            self.peers[router.name] = peer
+
+    def cut_off(self, router):
+        for path in (self.stores[router.name], *self.peers.values()):
+            path.refusing = True
+            path.cut()
+
+    def heal(self):
+        for path in (*self.stores.values(), *self.peers.values()):
+            path.refusing = False
+
+
+async def has_tried(operator, times):
+    """Wait until the router has looked for the store a few times."""
+    name = 'configuration_events_total{event="watch_StoreUnavailable"'
+
+    async def tried():
+        for line in (await operator.metrics()).splitlines():
+            if name in line:
+                return float(line.split()[-1]) >= times
+        return False
+
+    await control.until(tried)
+
+
+async def test_a_paused_holder_and_the_next_one():
+    """Both engines end with the weights of the document in force.
+
+    The router that holds the lease is stopped and cut off.  After its
+    term another takes over and orders newer weights.  The first wakes,
+    still knows only the older document and sees other weights at the
+    engines.  One engine would refuse its number, the other would obey.
+    """
+    plan = fleets.Plan(engines=1, routers=0)
+    async with contextlib.AsyncExitStack() as stack:
+        fleet = await stack.enter_async_context(fleets.running(plan))
+        plan.engine_options = {"checks_fencing": False}
+        await fleet.start_upstream("engine", IGNORES)
+        isolated = Isolated()
+        await isolated.start(fleet, stack)
+
+        async def held():
+            return await holder_of(fleet) is not None
+
+        await control.until(held)
+        first = await holder_of(fleet)
+        (other,) = [r for r in fleet.routers if r is not first]
+        operator = control.Operator(fleet.session, other)
+        status, _ = await operator.apply(with_weights(fleet, "w2"), 1)
+        assert status == 200
+        await all_have(fleet, "w2")
+        os.kill(first.process.pid, signal.SIGSTOP)
+        isolated.cut_off(first)
+        await operator.apply(with_weights(fleet, "w3"), 2)
+        await all_have(fleet, "w3")
+        os.kill(first.process.pid, signal.SIGCONT)
+        await has_tried(control.Operator(fleet.session, first), 5)
+        isolated.heal()
+        await control.all_at(fleet, 3)
+        assert await holder_of(fleet) is other
+        await operator.apply(with_weights(fleet, "w4"), 3)
+        await all_have(fleet, "w4")
+        for name in (CHECKS, IGNORES):
+            given = await orders(fleet, name)
+            wanted = [order["weights_version"] for order in given]
+            assert wanted == sorted(wanted), given
+            numbers = [order["fencing"] for order in given]
+            assert numbers == sorted(numbers), given
+            assert numbers[0] < numbers[-1]
+
+
+async def test_a_planned_stop_hands_the_lease_over():
+    """Another router gives orders at once after the holder has stopped.
+
+    The holder gets SIGTERM.  Were the lease left to lapse, no weights
+    could be loaded for its whole term and the margin.
+    """
+    plan = fleets.Plan(engines=1, routers=2)
+    async with fleets.running(plan) as fleet:
+
+        async def held():
+            return await holder_of(fleet) is not None
+
+        await control.until(held)
+        first = await holder_of(fleet)
+        (other,) = [r for r in fleet.routers if r is not first]
+        await first.process.stop(processes.STOP_WITHIN_S)
+        value = await control.stored(fleet, "leases", "weights")
+        assert not value["holder"].startswith(first.name)
+
+        async def taken():
+            return await holder_of(fleet) is other
+
+        await control.until(taken)
