--- a/toucanrudder/membership/routers.py
+++ b/toucanrudder/membership/routers.py
@@ -43,23 +43,10 @@
         return (self.incarnation, self.beat)
 
 
-@attrs.frozen
-class Known:
-    """A router with what this one knows of it.
-
-    Parameters
-    ----------
-    member : Member
-        Its last word.
-    heard_s : float
-        Monotonic time at which it last showed life.
-    generation : int
-        Generation in force there when this router last heard it itself.
-    """
-
+@attrs.define
+class _Known:
     member: Member
     heard_s: float
-    generation: int = 0
 
 
 class RouterTable:
@@ -82,7 +69,7 @@
 
     def __init__(self, silent_s: float):
         self._silent_s = silent_s
-        self._known: dict[str, Known] = {}
+        self._known: dict[str, _Known] = {}
 
     def heard(
         self,
@@ -93,7 +80,6 @@
         *,
         beat: int = 0,
         leaving: bool = False,
-        generation: int = 0,
     ) -> None:
         """Note a heartbeat from the router itself.
 
@@ -101,7 +87,7 @@
         same name and a clock that is behind.
         """
         member = Member(name, address, incarnation, beat, leaving)
-        self._known[name] = Known(member, now_s, generation)
+        self._known[name] = _Known(member, now_s)
 
     def told(self, member: Member, now_s: float) -> None:
         """Note what another router passed on.
@@ -112,8 +98,7 @@
         """
         known = self._known.get(member.name)
         if known is None or member.progress > known.member.progress:
-            generation = known.generation if known else 0
-            self._known[member.name] = Known(member, now_s, generation)
+            self._known[member.name] = _Known(member, now_s)
 
     def live(self, now_s: float) -> tuple[Member, ...]:
         """Return the routers that are live and stay, by name."""
@@ -123,16 +108,16 @@
 
     def reachable(self, now_s: float) -> tuple[Member, ...]:
         """Return the routers heard of lately, stopping ones included."""
+        self._forget(now_s)
         return tuple(
             known.member
-            for known in self.known(now_s)
+            for _, known in sorted(self._known.items())
             if now_s - known.heard_s <= self._silent_s
         )
 
-    def known(self, now_s: float) -> tuple[Known, ...]:
-        """Return all routers that are remembered, silent ones included."""
-        self._forget(now_s)
-        return tuple(known for _, known in sorted(self._known.items()))
+    def silence_s(self, name: str, now_s: float) -> float:
+        """Return the seconds since a known router was last heard of."""
+        return now_s - self._known[name].heard_s
 
     def count(self, now_s: float) -> int:
         """Return the live routers, this one included, for shared limits."""
--- a/toucanrudder/router/admin_state.py
+++ b/toucanrudder/router/admin_state.py
@@ -6,9 +6,11 @@
 
 from toucanrudder.admin import state as admin_states
 from toucanrudder.admin import status
+from toucanrudder.admin import stored
 from toucanrudder.admin import tls as admin_tls
 from toucanrudder.document import model
 from toucanrudder.membership import instances
+from toucanrudder.peers import node as nodes
 from toucanrudder.router import state as states
 
 
@@ -43,38 +45,35 @@
     )
 
 
-def _routers(state: states.RouterState) -> list[status.RouterStatus]:
-    now_s = state.now_s()
-    return [
+def _routers(
+    state: states.RouterState, node: nodes.Node, now_s: float
+) -> list[status.RouterStatus]:
+    own = status.RouterStatus(
+        name=node.name,
+        zone=state.conf.router.zone,
+        address=node.address,
+        generation=node.generation(),
+        ready=not state.stopping,
+    )
+    generations = node.generations(now_s)
+    others = (
         status.RouterStatus(
-            name=known.member.name,
-            address=known.member.address,
-            generation=known.generation,
-            heard_age_s=now_s - known.heard_s,
-            ready=not known.member.leaving,
+            name=member.name,
+            address=member.address,
+            generation=generations.get(member.name),
+            heard_age_s=state.routers.silence_s(member.name, now_s),
+            ready=not member.leaving,
         )
-        for known in state.routers.known(now_s)
-    ]
-
-
-def _leases(state: states.RouterState) -> list[status.LeaseStatus]:
-    seen = state.lease.seen() if state.lease else None
-    if seen is None:
-        return []
-    now_s = state.now_s()
-    held = state.lease.held(now_s)
-    return [
-        status.LeaseStatus(
-            name=state.lease.name,
-            holder=seen.record.holder,
-            fencing=seen.record.fencing,
-            valid_s=held.until_s - now_s if held else 0.0,
-        )
-    ]
+        for member in state.routers.reachable(now_s)
+    )
+    return [own, *others]
 
 
-def providers(state: states.RouterState) -> admin_states.State:
+def providers(
+    state: states.RouterState, node: nodes.Node
+) -> admin_states.State:
     """Return the callables that the admin API reads from."""
+    timeout_s = state.conf.store.timeout_s
 
     def upstreams() -> list[status.UpstreamStatus]:
         if state.configuration.current is None:
@@ -103,9 +102,12 @@
         token=state.conf.admin.token,
         current=lambda: state.configuration.current,
         apply=state.configuration.apply,
+        routers=lambda: _routers(state, node, state.now_s()),
+        leases=lambda: stored.leases(state.objects, timeout_s),
+        unknown_claims=lambda: stored.unknown_claims(
+            state.objects, state.claims.limits, timeout_s, state.wall_s()
+        ),
         upstreams=upstreams,
-        routers=lambda: _routers(state),
-        leases=lambda: _leases(state),
         quarantined=quarantined,
         release=release,
     )
--- a/toucanrudder/router/state.py
+++ b/toucanrudder/router/state.py
@@ -19,7 +19,6 @@
 from toucanrudder import store
 from toucanrudder.controllers import configuration
 from toucanrudder.document import model
-from toucanrudder.leases import holder as holders
 from toucanrudder.membership import instances
 from toucanrudder.membership import routers
 from toucanrudder.messages import request as requests
@@ -41,6 +40,9 @@
 STEP = "state"
 NOT_CONFIGURED_RETRY_S = 1.0
 
+#: Retries that a fresh router may spend on one model: a whole batch.
+START_RETRIES = 20.0
+
 
 @attrs.frozen
 class _Index:
@@ -94,7 +96,6 @@
     instances: instances.InstanceTable
     stopping: bool = False
     hasten: Callable[[], None] = lambda: None
-    lease: holders.LeaseHolder | None = None
     _budgets: dict[str, retries.RetryBudget] = attrs.field(factory=dict)
     _indexed: _Index | None = None
 
@@ -156,7 +157,9 @@
         budget = self._budgets.get(pool)
         if budget is None:
             ratio = self.document().policy.retry_ratio
-            budget = self._budgets[pool] = retries.RetryBudget(ratio=ratio)
+            budget = self._budgets[pool] = retries.RetryBudget(
+                ratio=ratio, start=START_RETRIES
+            )
         return budget
 
     def patience(
@@ -209,14 +212,15 @@
         self, model_name: str, now_s: float
     ) -> tuple[model.Upstream, ...]:
         """Return the engines that may be given work for the model."""
-        return self.usable(
-            (
-                upstream
-                for upstream in self._index().upstreams.values()
-                if upstream.kind == model.ENGINE
-                and model_name in upstream.models
-            ),
-            now_s,
+        return self.usable(self._configured_for(model_name), now_s)
+
+    def _configured_for(self, model_name: str) -> tuple[model.Upstream, ...]:
+        return tuple(
+            upstream
+            for upstream in self._index().upstreams.values()
+            if upstream.kind == model.ENGINE
+            and model_name in upstream.models
+            and not upstream.drained
         )
 
     def place(
@@ -255,16 +259,20 @@
         return standing
 
     def trial(
-        self,
-        request: requests.ModelRequest,
-        engines: tuple[model.Upstream, ...],
+        self, request: requests.ModelRequest, now_s: float
     ) -> quarantine.Trial | None:
         """Return where and when a suspect may run."""
-        return self.suspicions.trial(
-            fingerprint_of(request),
-            [engine.name for engine in engines],
-            self.wall_s(),
-        )
+        usable = {each.name for each in self.engines_for(request.model, now_s)}
+        configured = [
+            each.name for each in self._configured_for(request.model)
+        ]
+        fingerprint, wall_s = fingerprint_of(request), self.wall_s()
+        # All routers rank over the same configuration; what each can use
+        # at the moment differs and would send two suspects to one engine.
+        trial = self.suspicions.trial(fingerprint, configured, wall_s)
+        if trial is None or trial.upstream in usable:
+            return trial
+        return self.suspicions.trial(fingerprint, sorted(usable), wall_s)
 
     def crashed(self, upstream: str, incarnation: str) -> None:
         """Note that an engine process died with our requests in it.
