--- a/toucanrudder/router/tests/test_planned_stop.py
+++ b/toucanrudder/router/tests/test_planned_stop.py
@@ -12,7 +12,7 @@
 TOKENS = 40
 
 
-def plan(routers):
+def plan(routers, service_s=0.5):
     return fleets.Plan(
         engines=2,
         services=1,
@@ -20,9 +20,8 @@
         routes=ROUTES,
         # Few slots, so that much of the work is queued at the stop.
         engine_options={"decode_s_per_token": 0.02},
-        service_options={"delay_s": 0.5},
+        service_options={"delay_s": service_s},
         settings={"router": {"drain_s": 0.3}},
-        document={},
     )
 
 
@@ -150,7 +149,8 @@
     The run goes on for the caller's next try; a stop that did not wait
     would lose its answer.  The resend, at another router, finds it.
     """
-    async with fleets.running(plan(routers=2)) as fleet:
+    # Longer than anything else that a stop waits for.
+    async with fleets.running(plan(routers=2, service_s=4.0)) as fleet:
         first, second = fleet.routers
         call = asyncio.ensure_future(booked(fleet, first.url, 7))
 
