--- a/toucanrudder/admission/fair.py
+++ b/toucanrudder/admission/fair.py
@@ -56,6 +56,20 @@
     entries: sortedcontainers.SortedKeyList = attrs.field(
         factory=lambda: sortedcontainers.SortedKeyList(key=lambda e: e.due)
     )
+    counts: list[int] = attrs.field(
+        factory=lambda: [0] * len(request.Priority)
+    )
+
+    def add(self, entry: Entry) -> None:
+        self.entries.add(entry)
+        self.counts[entry.priority] += 1
+
+    def remove(self, entry: Entry) -> None:
+        self.entries.remove(entry)
+        self.counts[entry.priority] -= 1
+
+    def up_to(self, priority: request.Priority) -> int:
+        return sum(self.counts[: priority + 1])
 
     @property
     def order(self) -> tuple[float, str]:
@@ -113,14 +127,15 @@
             self._lanes[entry.organisation] = lane
         else:
             self._order.remove(lane)
-        lane.entries.add(entry)
+        lane.add(entry)
         self._order.add(lane)
         self._length += 1
 
     def pop(self) -> Entry:
         """Take the next request; the queue must not be empty."""
         lane = self._order.pop(0)
-        entry = lane.entries.pop(0)
+        entry = lane.entries[0]
+        lane.remove(entry)
         self._length -= 1
         self._clock = max(self._clock, lane.served)
         lane.served += 1.0 / max(entry.weight, 1e-6)
@@ -133,7 +148,7 @@
         if lane is None or entry not in lane.entries:
             return False
         self._order.remove(lane)
-        lane.entries.remove(entry)
+        lane.remove(entry)
         self._length -= 1
         self._put_back(lane)
         return True
@@ -171,7 +186,7 @@
         """
         total = own = 0
         for lane in self._lanes.values():
-            before = sum(1 for e in lane.entries if e.priority <= priority)
+            before = lane.up_to(priority)
             total += before
             if lane.name == organisation:
                 own = before
