Let a stream go on at another engine after the first token's deadline

Cause: each try was bounded by the caller's deadline for the first token, also the one that continues a stream. A stream older than its deadline broke with its engine instead of going on at another. test_crash_after_the_first_tokens_deadline: failed before, passes now.

--- a/toucanrudder/filters/dispatch.py
+++ b/toucanrudder/filters/dispatch.py
@@ -146,6 +146,16 @@
             state.suspicions.completed(entry.fingerprint, state.wall_s())
         self._learn(decision, upstream, attempt)
 
+    def _begin_by_s(self) -> float:
+        # The caller's deadline is for the first token.  Once that has come
+        # it must not stop another engine from going on: any stream that is
+        # older than the deadline would break with its engine.
+        exchange = self.exchange
+        if not self.order.last:
+            return exchange.request.first_token_by_s
+        limit_s = exchange.document.policy.first_token_deadline_s
+        return exchange.state.now_s() + limit_s
+
     def _attempt(self, decision, upstream, entry) -> attempts.Attempt:
         state = self.exchange.state
 
@@ -160,9 +170,7 @@
             call=self._engine_call(),
             order=self.order,
             sink=self.sink,
-            patience=state.patience(
-                upstream.name, self.exchange.request.first_token_by_s
-            ),
+            patience=state.patience(upstream.name, self._begin_by_s()),
             incarnation=decision.incarnation,
             rng=state.rng,
             on_first=first,
--- a/toucanrudder/relay/tests/test_streams.py
+++ b/toucanrudder/relay/tests/test_streams.py
@@ -141,6 +141,51 @@
     assert run["after"] == event
 
 
+async def test_crash_after_the_first_tokens_deadline(fleet, faults):
+    """The engine dies when the caller's deadline for the first token has
+    passed.  The first token was in time, so the deadline has no say any
+    more, and the stream is continued.
+    """
+    deadline_s = 3.0
+    body = _body() | {"max_tokens": 400}
+    reading = asyncio.ensure_future(
+        callers.stream(
+            fleet.session,
+            fleet.routers[0].url,
+            body,
+            headers={"X-Deadline-S": str(deadline_s)},
+        )
+    )
+    await asyncio.sleep(deadline_s)
+    (run,) = await _runs_of(fleet, body)
+    await fleet.upstreams[run["upstream"]].kill()
+    answer = await reading
+    assert answer.end is callers.End.DONE, answer.error
+    assert answer.numbers == list(range(1, 403))
+    assert answer.text == output.expected_text("/v1/completions", body)
+
+
+@pytest.mark.parametrize("streamed", [True, False])
+@pytest.mark.parametrize("event", range(1, LAST))
+async def test_incomplete_answer_never_looks_complete(event, streamed):
+    """The only engine dies after event `event` and nothing can go on.  The
+    caller gets an explicit error, never a clean end or a shorter answer.
+    """
+    async with fleets.running(fleets.Plan()) as fleet:
+        await fleet.put_faults("engine-0", crash_after_event=event)
+        url = fleet.routers[0].url
+        if streamed:
+            answer = await callers.stream(fleet.session, url, _body())
+            assert answer.end is callers.End.ERROR
+            error = answer.error
+        else:
+            status, answer = await callers.whole(fleet.session, url, _body())
+            assert status >= 500
+            error = answer["error"]
+        assert error["code"]
+        assert error["ran"] == "outcome_unknown"
+
+
 @pytest.mark.parametrize("event", range(1, LAST))
 @pytest.mark.parametrize("alive", [False, True])
 async def test_caller_resumes_at_another_router(fleet, faults, event, alive):
