Export hot prefixes and import them into cold engines

Cause: an engine that came back cold computed its firms' hot prefixes again, though deployments name a store of kept KV cache. Ruled out: agreeing between routers on what the store holds; an import's answer tells the same and cannot be out of date. Change: a prefix asked for 0.2 times a second or more is exported at the word of one router; before a request whose missing blocks are hot, its engine is told to import them if that is expected to be quicker than computing. Identities hold organisation, model and weights, so nothing crosses them. Test: an engine killed and back cold serves 6,000 of its hot prefix's tokens from its cache; red without the wiring (no export within the deadline).

--- a/toucanrudder/filters/dispatch.py
+++ b/toucanrudder/filters/dispatch.py
@@ -18,6 +18,7 @@
 from toucanrudder.relay import attempt as attempts
 from toucanrudder.relay import sinks
 from toucanrudder.relay import tokens
+from toucanrudder.router import fleet as fleets
 from toucanrudder.router import state as states
 from toucanrudder.upstreams import engine
 from toucanrudder.upstreams import failures
@@ -154,6 +155,7 @@
                 async with attempts.cancelled_if_unfinished(
                     attempt, state.spawn
                 ):
+                    await self._import(decision, upstream, entry)
                     self._believe_sent(decision, upstream)
                     self.sink.at(upstream.name, attempt.call.engine_id)
                     await attempt.run()
@@ -167,6 +169,33 @@
         if isolated:
             state.suspicions.completed(entry.fingerprint, state.wall_s())
         self._learn(decision, upstream, attempt)
+        self._export(upstream)
+
+    async def _import(self, decision, upstream, entry) -> None:
+        state = self.exchange.state
+        store = self.exchange.document.policy.kv_store
+        if not store or state.kept is None or self.order.last:
+            return
+        known = state.loads.get(upstream.name)
+        order = state.kept.decide(
+            decision,
+            fleets.query_of(self.exchange.request),
+            known.report.prefill_tokens_per_s if known else 0.0,
+            state.now_s(),
+        )
+        if order is not None:
+            tokens = await state.kept.fetch(upstream, order, store)
+            entry.prefill_tokens = max(0, entry.prefill_tokens - tokens)
+
+    def _export(self, upstream: model.Upstream) -> None:
+        state = self.exchange.state
+        store = self.exchange.document.policy.kv_store
+        if not store or state.kept is None:
+            return
+        keys = self.exchange.request.prefix_keys
+        hot = state.kept.to_export(keys, state.now_s())
+        if hot:
+            state.spawn(state.kept.export(upstream, hot, store))
 
     def _begin_by_s(self) -> float:
         # The caller's deadline is for the first token.  Once that has come
--- a/toucanrudder/router/assembly.py
+++ b/toucanrudder/router/assembly.py
@@ -17,6 +17,7 @@
 from toucanrudder.controllers import cache_events
 from toucanrudder.controllers import configuration
 from toucanrudder.controllers import instances as instance_controllers
+from toucanrudder.controllers import kept_cache
 from toucanrudder.controllers import loads as load_controllers
 from toucanrudder.controllers import weights as weight_controllers
 from toucanrudder.document import model
@@ -170,6 +171,7 @@
     hot = heat.Heat()
     others = peer_loads.PeerLoads(conf.peers.silent_s)
     connect_timeout_s = conf.upstreams.connect_timeout_s
+    table = routers.RouterTable(conf.peers.silent_s)
     return states.RouterState(
         conf=conf,
         rng=rng,
@@ -219,12 +221,31 @@
         suspicions=quarantine.Suspicions(),
         exchanges=exchanges.OpenExchanges(states.RouterState.now_s),
         background=background.Background(),
-        routers=routers.RouterTable(conf.peers.silent_s),
+        routers=table,
+        kept=_kept_cache(conf, sessions, hot, table),
         peer_loads=others,
         instances=instances.InstanceTable(),
     )
 
 
+def _kept_cache(
+    conf: cfg.ConfigOpts,
+    sessions: _Sessions,
+    hot: heat.Heat,
+    table: routers.RouterTable,
+) -> kept_cache.KeptCache | None:
+    if conf.policy.placement != "toucanrudder":
+        # The baselines are what users run otherwise: they keep nothing.
+        return None
+    name = conf.router.name
+    now_s = states.RouterState.now_s
+
+    def live() -> set[str]:
+        return {name, *(member.name for member in table.live(now_s()))}
+
+    return kept_cache.KeptCache(sessions.shared, name, hot, live, now_s)
+
+
 def controllers(
     state: states.RouterState, peers: peering.Peering
 ) -> tuple[services.TaskService, ...]:
--- a/toucanrudder/router/fleet.py
+++ b/toucanrudder/router/fleet.py
@@ -85,14 +85,7 @@
             heat=self._heat.rates(keys, now_s),
             total_rate_per_s=self._heat.total_rate_per_s(now_s),
         )
-        query = types.Query(
-            request_id=request.request_id,
-            organisation=request.organisation,
-            priority=request.priority,
-            prefix_keys=keys,
-            prompt_tokens=request.prompt_tokens,
-            deadline_s=request.first_token_by_s,
-        )
+        query = query_of(request)
         context = types.Context(policy=policy, rng=self._rng)
         return policies.decide(self._policy, fleet, query, context, now_s)
 
@@ -143,3 +136,15 @@
                 upstream.name, report.incarnation
             ),
         )
+
+
+def query_of(request: requests.ModelRequest) -> types.Query:
+    """Return the part of a request that placement looks at."""
+    return types.Query(
+        request_id=request.request_id,
+        organisation=request.organisation,
+        priority=request.priority,
+        prefix_keys=request.prefix_keys,
+        prompt_tokens=request.prompt_tokens,
+        deadline_s=request.first_token_by_s,
+    )
--- a/toucanrudder/standins/engine.py
+++ b/toucanrudder/standins/engine.py
@@ -5,10 +5,12 @@
 from collections.abc import AsyncIterator
 import contextlib
 import hashlib
+import itertools
 import os
 import time
 import uuid
 
+import aiohttp
 from aiohttp import web
 import attrs
 
@@ -37,6 +39,7 @@
     faults: engine_faults.Faults = attrs.field(factory=engine_faults.Faults)
     accepted: int = 0
     imports: list[dict] = attrs.field(factory=list)
+    exports: list[dict] = attrs.field(factory=list)
     journal: dict[str, batching.Run] = attrs.field(factory=dict)
     loop_lag_s: collections.deque = attrs.field(
         factory=lambda: collections.deque(maxlen=5000)
@@ -84,6 +87,7 @@
                 web.get("/load", self.load),
                 web.get("/cache/events", self.cache_events),
                 web.post("/cache/import", self.cache_import),
+                web.post("/cache/export", self.cache_export),
                 web.post("/orders", self.order),
                 web.put("/faults", self.put_faults),
                 web.get("/journal", self.get_journal),
@@ -175,10 +179,12 @@
             await asyncio.sleep(EVENT_POLL_S)
 
     async def cache_import(self, request: web.Request) -> web.Response:
-        """Hold blocks that a store of kept KV cache provides."""
+        """Hold the leading blocks that the store of kept cache has."""
         body = await request.json()
-        keys = [bytes.fromhex(block) for block in body["blocks"]]
         self.imports.append(body)
+        kept = await self._vault("have", body["store"], body["blocks"])
+        blocks = itertools.takewhile(kept.__contains__, body["blocks"])
+        keys = [bytes.fromhex(block) for block in blocks]
         tokens = len(keys) * prefix_cache.BLOCK_TOKENS
         took_s = 0.0
         if self.options.import_tokens_per_s:
@@ -187,6 +193,31 @@
         self.cache.store(keys, time.time())
         return web.json_response({"imported_tokens": tokens, "took_s": took_s})
 
+    async def cache_export(self, request: web.Request) -> web.Response:
+        """Copy those of the blocks that are held to the store."""
+        body = await request.json()
+        held = [
+            block
+            for block in body["blocks"]
+            if bytes.fromhex(block) in self.cache.blocks
+        ]
+        self.exports.append(body)
+        await self._vault("put", body["store"], held)
+        tokens = len(held) * prefix_cache.BLOCK_TOKENS
+        return web.json_response({"exported_tokens": tokens})
+
+    async def _vault(
+        self, call: str, store: str, blocks: list[str]
+    ) -> set[str]:
+        if not self.options.platform:
+            return set(blocks)
+        url = f"http://{self.options.platform}/vault/{store}/{call}"
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(url, json={"blocks": blocks}) as response,
+        ):
+            return set((await response.json())["blocks"])
+
     async def order(self, request: web.Request) -> web.Response:
         """Accept an order, unless its fencing number is old."""
         accepted = self.orders.take(await request.json())
@@ -216,6 +247,7 @@
                 "runs": [run.as_journal() for run in self.journal.values()],
                 "orders": self.orders.journal,
                 "imports": self.imports,
+                "exports": self.exports,
                 "loop_lag_p99_s": lags_s[int(len(lags_s) * 0.99)],
             }
         )
--- a/toucanrudder/standins/platform.py
+++ b/toucanrudder/standins/platform.py
@@ -107,6 +107,7 @@
     fault: Fault = attrs.field(factory=Fault)
     counts: Counts = attrs.field(factory=Counts)
     store: objects.Objects = attrs.field(factory=objects.Objects)
+    vaults: dict[str, set[str]] = attrs.field(factory=dict)
     _instances: dict[str, dict] = attrs.field(factory=dict)
     _lists: collections.deque = attrs.field(
         factory=lambda: collections.deque([(0.0, [])])
@@ -133,6 +134,7 @@
                 web.get("/instances", self.list_instances),
                 web.put("/instances/{name}", self.put_instance),
                 web.get("/weights/{model}/{version}", self.weights),
+                web.post("/vault/{store}/{call}", self.vault),
                 web.put("/faults", self.put_faults),
                 web.get("/counts", self.get_counts),
                 web.post("/snapshot", self.snapshot),
@@ -264,6 +266,16 @@
             left_bytes -= size_bytes
         return response
 
+    async def vault(self, request: web.Request) -> web.Response:
+        """Keep blocks of KV cache, or say which of some are kept."""
+        kept = self.vaults.setdefault(request.match_info["store"], set())
+        blocks = (await request.json())["blocks"]
+        if request.match_info["call"] == "put":
+            kept.update(blocks)
+        return web.json_response(
+            {"blocks": [block for block in blocks if block in kept]}
+        )
+
     async def put_faults(self, request: web.Request) -> web.Response:
         """Change what goes wrong."""
         try:
