Name mistakes of form and of reference in one answer

Cause: a document with a mistake of form was refused without its references having been checked, so an operator saw the rest only after mending the first.

Change: entries with a mistake of form are replaced, for the checks only, by ones of the same name that break no rule. The test of all mistakes at once expects two more of them now: with the model's name wrong, the references of two other engines do not hold.

--- a/toucanrudder/bench/control.py
+++ b/toucanrudder/bench/control.py
@@ -20,6 +20,9 @@
 
 POLL_S = 0.005
 IDLE_S = 10.0
+
+#: Two, so that the cost of one exchange can be told from the rest.
+IDLE_INTERVALS_S = (0.5, 5.0)
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
@@ -31,6 +34,15 @@
     }
 
 
+def _settings(interval_s: float) -> dict:
+    # The defaults of a router, but for the peers' interval; the test
+    # fleet's own are quicker.
+    return {
+        "peers": {"interval_s": interval_s, "silent_s": 6 * interval_s},
+        "upstreams": {"load_interval_s": 0.25},
+    }
+
+
 async def _in_force(operator: control.Operator, generation: int) -> None:
     while await operator.generation() != generation:  # noqa: ASYNC110
         await asyncio.sleep(POLL_S)
@@ -41,7 +53,7 @@
     async with contextlib.AsyncExitStack() as stack:
         plan = fleets.Plan(routers=0)
         fleet = await stack.enter_async_context(fleets.running(plan))
-        fleet.plan.settings = {"peers": {"interval_s": 0.5, "silent_s": 3}}
+        fleet.plan.settings = _settings(interval_s=0.5)
         for _ in range(routers - 1):
             await control.start_router(fleet)
         slow = await stack.enter_async_context(proxies.proxied(""))
@@ -62,10 +74,16 @@
                 *(_in_force(each, number + 2) for each in operators)
             )
             times.append(time.monotonic() - began_s)
-        return {
-            "changes": _summary(times),
-            "idle": await _idle(fleet, routers),
-        }
+        return _summary(times)
+
+
+async def _cost(routers: int, interval_s: float) -> dict:
+    """Measure routers that exchange with each other and do nothing else."""
+    plan = fleets.Plan(routers=0, settings=_settings(interval_s))
+    async with fleets.running(plan) as fleet:
+        for _ in range(routers):
+            await control.start_router(fleet)
+        return {"interval_s": interval_s} | await _idle(fleet, routers)
 
 
 def _cpu_s(pid: int) -> float:
@@ -138,6 +156,7 @@
     return {
         "load_average": os.getloadavg()[0],
         "in_force_everywhere": await _changes(routers, changes),
+        "idle": [await _cost(routers, each) for each in IDLE_INTERVALS_S],
         "exec_to_first_answer": {
             "store up": await _starts("ok", times),
             "store down": await _starts("down", times),
--- a/toucanrudder/document/serialisation.py
+++ b/toucanrudder/document/serialisation.py
@@ -8,6 +8,13 @@
 
 MAX_BYTES = 1_000_000
 
+_ENTRIES = {
+    "organisations": model.Organisation,
+    "models": model.Model,
+    "upstreams": model.Upstream,
+    "services": model.Service,
+}
+
 _converter = cattrs_json.make_converter(forbid_extra_keys=True)
 
 
@@ -28,6 +35,11 @@
     return _converter.structure(data, model.Document)
 
 
+def entry_from_json(kind: str, data: dict) -> object:
+    """Return one entry of the document's list `kind`."""
+    return _converter.structure(data, _ENTRIES[kind])
+
+
 def accepted_to_json(accepted: model.Accepted) -> dict:
     """Return the value of the store's object ``configuration/current``."""
     return _converter.unstructure(accepted)
--- a/toucanrudder/document/tests/test_documents.py
+++ b/toucanrudder/document/tests/test_documents.py
@@ -91,6 +91,7 @@
     (("policy", "max_trys"), 3, "$.policy"),
     (("policy", "retry_ratio"), "much", "$.policy.retry_ratio"),
     (("models",), [], "$.upstreams[0].models[0]"),
+    (("models",), {}, "$.models"),
     (("models", 0, "context_tokens"), 1.5, "$.models[0].context_tokens"),
 ]
 
@@ -115,6 +116,30 @@
         "$.models[0].name",
         "$.organisations[2].weight",
         "$.upstreams[0].slots",
+        # No model has the name that these give any more.
+        "$.upstreams[1].models[0]",
+        "$.upstreams[2].models[0]",
+    ]
+
+
+def test_references_are_checked_beside_mistakes_of_form():
+    data = _edited(("upstreams", 0, "slots"), 0)
+    data["upstreams"][1]["models"] = ["gpt"]
+    data["upstreams"][2]["name"] = "engine-1"
+    data["models"][0]["context_tokens"] = 0
+    data["services"][0] = {"name": "desk", "timeout_s": 0}
+    data["organisations"][0] = 7
+    data["organisations"][3]["models"] = ["demo-model", "gpt"]
+    with pytest.raises(validation.DocumentInvalid) as caught:
+        validation.parse(data)
+    assert [problem.path for problem in caught.value.problems] == [
+        "$.models[0].context_tokens",
+        "$.organisations[0]",
+        "$.organisations[3].models[1]",
+        "$.services[0].timeout_s",
+        "$.upstreams[0].slots",
+        "$.upstreams[1].models[0]",
+        "$.upstreams[2].name",
     ]
 
 
--- a/toucanrudder/document/validation.py
+++ b/toucanrudder/document/validation.py
@@ -78,12 +78,15 @@
     ...     [problem.path for problem in error.problems]
     ['$', '$.models']
     """
-    problems = list(_schema_problems(data))
-    if not problems:
+    failures = list(_validator.iter_errors(data))
+    problems = list(_schema_problems(data, failures))
+    if problems:
+        document = _salvaged(data, failures)
+    else:
         document = serialisation.from_json(data)
-        problems = list(_document_problems(document))
-        if not problems:
-            return document
+    problems += _document_problems(document)
+    if not problems:
+        return document
     problems.sort(key=lambda problem: (problem.path, problem.message))
     raise DocumentInvalid(
         errors.Code.CONFIG_INVALID,
@@ -94,8 +97,10 @@
     )
 
 
-def _schema_problems(data: object) -> Iterator[Problem]:
-    for error in _validator.iter_errors(data):
+def _schema_problems(
+    data: object, failures: list[jsonschema.ValidationError]
+) -> Iterator[Problem]:
+    for error in failures:
         yield Problem(error.json_path, _shortened(error.message))
     try:
         json.dumps(data, allow_nan=False)
@@ -104,6 +109,50 @@
         yield Problem("$", "holds a number that is not finite")
 
 
+def _salvaged(
+    data: object, failures: list[jsonschema.ValidationError]
+) -> model.Document:
+    """Return what can be read, so that its references are checked too.
+
+    An entry with a mistake in it is replaced by one of the same name that
+    breaks no rule; so places stay as they are, and references to it hold.
+    """
+    bad = {tuple(error.absolute_path)[:2] for error in failures}
+    lists = {kind: _salvaged_list(kind, data, bad) for kind in _REPLACEMENTS}
+    return model.Document(**lists)
+
+
+def _salvaged_list(kind: str, data: object, bad: set[tuple]) -> tuple:
+    entries = data.get(kind, ()) if isinstance(data, dict) else ()
+    if not isinstance(entries, list):
+        return ()
+    return tuple(
+        _REPLACEMENTS[kind](_name_of(entry, index), index)
+        if (kind, index) in bad
+        else serialisation.entry_from_json(kind, entry)
+        for index, entry in enumerate(entries)
+    )
+
+
+def _name_of(entry: object, index: int) -> str:
+    name = entry.get("name") if isinstance(entry, dict) else None
+    return name if isinstance(name, str) else f"\0{index}"
+
+
+def _replaced_upstream(name: str, index: int) -> model.Upstream:
+    # An address that no one has: the discard prefix of IPv6.
+    address = f"[100::{index:x}]:1"
+    return model.Upstream(name, "", address, "", "")
+
+
+_REPLACEMENTS = {
+    "organisations": lambda name, index: model.Organisation(name),
+    "models": lambda name, index: model.Model(name, ""),
+    "upstreams": _replaced_upstream,
+    "services": lambda name, index: model.Service(name),
+}
+
+
 def _shortened(message: str) -> str:
     return message if len(message) <= 300 else message[:297] + "..."
 
