--- a/toucanrudder/filters/dispatch.py
+++ b/toucanrudder/filters/dispatch.py
@@ -59,13 +59,25 @@
     tried: set[str] = attrs.field(factory=set)
     tries: int = 0
     may_have_run: bool = False
+    crashes: int = 0
 
     async def run(self) -> None:
         """Try engines until the answer is whole, or raise RudderError."""
+        try:
+            await self._run()
+        except errors.RudderError:
+            # The caller sends a refused request again, usually to another
+            # router.  One that had not heard of the crash would let it
+            # crash a further engine.
+            if self.crashes:
+                await self.exchange.state.tell_peers()
+            raise
+
+    async def _run(self) -> None:
         state = self.exchange.state
         state.budget(self._pool()).request(state.now_s())
         while True:
-            decision, isolated = await self._place()
+            decision, isolated = await self._placed()
             upstream = state.upstream(decision.upstream)
             self.tried.add(decision.upstream)
             self.tries += 1
@@ -80,6 +92,16 @@
         # The budget bounds retries of the engines that serve one model.
         return self.exchange.request.model
 
+    async def _placed(self) -> tuple[types.Decision, bool]:
+        try:
+            return await self._place()
+        except errors.RudderError as error:
+            # Placement itself ran nothing, but an earlier try of this
+            # request may have: "not run" would be untrue.
+            if self.may_have_run:
+                error.ran = errors.Ran.UNKNOWN
+            raise
+
     async def _place(self) -> tuple[types.Decision, bool]:
         state = self.exchange.state
         request = self.exchange.request
@@ -146,6 +168,16 @@
             state.suspicions.completed(entry.fingerprint, state.wall_s())
         self._learn(decision, upstream, attempt)
 
+    def _begin_by_s(self) -> float:
+        # The caller's deadline is for the first token.  Once that has come
+        # it must not stop another engine from going on: any stream that is
+        # older than the deadline would break with its engine.
+        exchange = self.exchange
+        if not self.order.last:
+            return exchange.request.first_token_by_s
+        limit_s = exchange.document.policy.first_token_deadline_s
+        return exchange.state.now_s() + limit_s
+
     def _attempt(self, decision, upstream, entry) -> attempts.Attempt:
         state = self.exchange.state
 
@@ -160,9 +192,7 @@
             call=self._engine_call(),
             order=self.order,
             sink=self.sink,
-            patience=state.patience(
-                upstream.name, self.exchange.request.first_token_by_s
-            ),
+            patience=state.patience(upstream.name, self._begin_by_s()),
             incarnation=decision.incarnation,
             rng=state.rng,
             on_first=first,
@@ -248,6 +278,8 @@
                 "code": failure.kind.value,
             },
         )
+        if failure.kind in failures.PRESUMES_CRASH:
+            self.crashes += 1
         if failure.kind is failures.Kind.REJECTED:
             raise _Rejected(failure)
         exchange.state.unreachable(failure)
--- a/toucanrudder/router/daemon.py
+++ b/toucanrudder/router/daemon.py
@@ -109,6 +109,7 @@
             application=application.build(state),
             host=str(conf.host),
             port=conf.port,
+            stop_timeout_s=conf.stop_timeout_s,
         ),
         "admin_address": services.ListenService(
             application=admin,
