Let one of two peers begin an exchange

Cause: eight routers that did nothing else spent 5.7% of a core each, 4.1% of it on exchanges with peers; both sides of each pair began one in every interval although one tells both.

Change: a peer heard within 0.7 of the interval is left out, unless there is news that cannot wait; 4 peers an interval in place of 8.

Red without the rule: the new test of who begins.

--- a/toucanrudder/peers/client.py
+++ b/toucanrudder/peers/client.py
@@ -22,7 +22,14 @@
 
 #: Peers exchanged with in one interval.  Bounds the cost however many
 #: routers there are; what a router does not hear itself is passed on.
-MAX_PEERS = 8
+MAX_PEERS = 4
+
+#: The same when there is news that cannot wait.
+MAX_PEERS_FOR_NEWS = 8
+
+#: Part of the interval within which a peer that was heard is left out: an
+#: exchange tells both sides, so one of the two has to begin it.
+HEARD_SHARE = 0.7
 
 #: Peers told of a crash at once; in larger fleets the exchanges carry it on.
 MAX_TOLD = 32
@@ -124,6 +131,7 @@
         self._fetching = False
         self._own_addresses: set[str] = set()
         self._haste = asyncio.Event()
+        self._heard_s: dict[str, float] = {}
         self._tasks: set[asyncio.Task] = set()
 
     def hasten(self) -> None:
@@ -146,23 +154,26 @@
 
     def news(self, heartbeat: messages.Heartbeat) -> None:
         """Fetch the sender's document if it is newer."""
+        self._heard_s[heartbeat.sender.address] = time.monotonic()
         if heartbeat.generation > self._node.generation():
             self._start_fetch(heartbeat.sender.address)
 
     async def run(self) -> None:
         """Exchange heartbeats until cancelled."""
         try:
+            hurried = False
             while True:
-                for address in self._targets(time.monotonic()):
+                for address in self._targets(time.monotonic(), hurried):
                     self._start(self._exchange(address))
-                await self._pause()
+                hurried = await self._pause()
         finally:
             for task in list(self._tasks):
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
             await self._channels.close()
 
-    async def _pause(self) -> None:
+    async def _pause(self) -> bool:
+        """Wait for the next round; say whether news called for it."""
         await asyncio.sleep(HASTE_S)
         # Jitter keeps routers that started together from exchanging in
         # step for ever.
@@ -170,27 +181,40 @@
         try:
             async with asyncio.timeout(max(0.0, wait_s)):
                 await self._haste.wait()
+            return True
         except TimeoutError:
-            return
+            return False
         finally:
             self._haste.clear()
 
-    def _targets(self, now_s: float) -> list[str]:
+    def _targets(self, now_s: float, hurried: bool) -> list[str]:
         known = [m.address for m in self._node.table.reachable(now_s)]
+        room = MAX_PEERS_FOR_NEWS if hurried else MAX_PEERS
         strangers = [
             seed
             for seed in self._seeds
             if seed not in known and seed not in self._own_addresses
         ]
+        if not hurried:
+            known = self._unheard(known, now_s)
         # One place is kept for a seed not heard of: two groups of
         # routers that lost each other must find each other again.
         kept = 1 if strangers else 0
-        count = min(len(known), MAX_PEERS - kept)
+        count = min(len(known), room - kept)
         chosen = self._rng.sample(known, count)
-        room = min(len(strangers), MAX_PEERS - len(chosen))
-        chosen += self._rng.sample(strangers, room)
+        count = min(len(strangers), room - len(chosen))
+        chosen += self._rng.sample(strangers, count)
         return [address for address in chosen if address not in self._busy]
 
+    def _unheard(self, known: list[str], now_s: float) -> list[str]:
+        """Return the peers that were not heard lately; forget others."""
+        self._heard_s = {
+            address: heard_s
+            for address, heard_s in self._heard_s.items()
+            if now_s - heard_s < HEARD_SHARE * self._interval_s
+        }
+        return [each for each in known if each not in self._heard_s]
+
     def _start(self, coroutine) -> asyncio.Task:
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
@@ -215,6 +239,7 @@
         if self._node.is_self(answer.sender):
             self._own_addresses.add(address)
             return
+        self._heard_s[address] = time.monotonic()
         self._node.heard(answer, time.monotonic(), time.time())
         if answer.generation > self._node.generation():
             self._start_fetch(address)
--- a/toucanrudder/peers/tests/test_peers.py
+++ b/toucanrudder/peers/tests/test_peers.py
@@ -177,6 +177,36 @@
             )
 
 
+async def test_one_of_two_peers_begins_an_exchange():
+    """A peer heard a moment ago is asked only when there is news."""
+    router = Router("r1")
+    peers = client.PeerClient(
+        router.node,
+        router.offer,
+        (),
+        None,
+        interval_s=1.0,
+        silent_s=9.0,
+        rng=router.rng,
+    )
+    addresses = [f"10.0.0.{number}:1" for number in range(20)]
+    heard = attrs.evolve(
+        HEARTBEAT, sender=routers.Member("x", addresses[3], 1)
+    )
+    peers.news(heard)
+    now_s = peers._heard_s[addresses[3]]
+    for address in addresses[:5]:
+        router.table.heard(address, address, 1, now_s)
+    calm = peers._targets(now_s, hurried=False)
+    assert sorted(calm) == [a for a in addresses[:5] if a != addresses[3]]
+    assert sorted(peers._targets(now_s, hurried=True)) == addresses[:5]
+    assert addresses[3] in peers._unheard(addresses, now_s + 0.8)
+    for address in addresses:
+        router.table.heard(address, address, 1, now_s)
+    assert len(peers._targets(now_s, hurried=False)) == client.MAX_PEERS
+    assert len(peers._targets(now_s, hurried=True)) == 8
+
+
 class Authority:
     """Files of a certificate authority and one certificate of it."""
 
