--- a/toucanrudder/cli/commands.py
+++ b/toucanrudder/cli/commands.py
@@ -3,6 +3,7 @@
 from fire import decorators
 
 import toucanrudder
+from toucanrudder.cli import benches
 from toucanrudder.cli import configuration
 from toucanrudder.cli import exits
 from toucanrudder.cli import output
@@ -30,6 +31,7 @@
     def __init__(self) -> None:
         self.config = configuration.Configuration()
         self.standin = standins.Standins()
+        self.bench = benches.Benches()
 
     def version(self) -> exits.Exit:
         """Print the version.
--- a/toucanrudder/cli/tests/test_commands.py
+++ b/toucanrudder/cli/tests/test_commands.py
@@ -33,6 +33,8 @@
     ["demo"],
     ["standin"],
     ["capacity"],
+    ["bench"],
+    ["bench", "relay"],
 ]
 
 
