--- a/toucanrudder/router/services.py
+++ b/toucanrudder/router/services.py
@@ -57,12 +57,16 @@
         TCP port; 0 picks a free one, told by `address`.
     tls : ssl.SSLContext, optional
         For HTTPS.
+    stop_timeout_s : float
+        Seconds that a request may still take which came on a kept
+        connection just before the listener closed.
     """
 
     application: web.Application
     host: str
     port: int
     tls: ssl.SSLContext | None = None
+    stop_timeout_s: float = 1.0
 
     address: str = ""
     _runner: web.AppRunner | None = None
@@ -76,7 +80,7 @@
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=75.0,
-            shutdown_timeout=1.0,
+            shutdown_timeout=self.stop_timeout_s,
         )
         await self._runner.setup()
         site = web.TCPSite(
