--- a/toucanrudder/router/admin_state.py
+++ b/toucanrudder/router/admin_state.py
@@ -9,6 +9,7 @@
 from toucanrudder.admin import stored
 from toucanrudder.admin import tls as admin_tls
 from toucanrudder.document import model
+from toucanrudder.membership import instances
 from toucanrudder.peers import node as nodes
 from toucanrudder.router import state as states
 
@@ -27,11 +28,14 @@
     report = known.report if known else None
     reachable = state.loads.healthy(upstream.name, now_s)
     unknown = "unknown" if reachable else "unreachable"
+    told = report.state if report and reachable else unknown
+    if state.instances.is_leaving(upstream.name, told):
+        told = instances.LEAVING
     return status.UpstreamStatus(
         name=upstream.name,
         kind=upstream.kind,
         zone=upstream.zone,
-        state=report.state if report and reachable else unknown,
+        state=told,
         drained=upstream.drained,
         incarnation=report.incarnation if report else "",
         running=report.running if report else 0,
