--- /dev/null
+++ b/toucanrudder/filters/model_call.py
@@ -0,0 +1,229 @@
+"""A model request's way over one or more engines."""
+
+import logging
+
+import attrs
+
+from toucanrudder import errors
+from toucanrudder import quarantine
+from toucanrudder import relay
+from toucanrudder import retries
+from toucanrudder.filters import engine_try
+from toucanrudder.filters import exchange as exchanges
+from toucanrudder.observability import metrics
+from toucanrudder.placement import types
+from toucanrudder.relay import sinks
+from toucanrudder.upstreams import failures
+
+LOG = logging.getLogger(__name__)
+
+STEP = "dispatch"
+
+_RETRY_KINDS = {
+    failures.Kind.NOT_REACHED: retries.Failure.NOT_CONNECTED,
+    failures.Kind.REFUSED: retries.Failure.REFUSED,
+    failures.Kind.CRASHED: retries.Failure.BROKEN,
+    failures.Kind.BROKEN: retries.Failure.BROKEN,
+    failures.Kind.LOST: retries.Failure.BROKEN,
+    failures.Kind.SILENT: retries.Failure.TIMEOUT,
+    failures.Kind.CROSSED: retries.Failure.CROSSED,
+    failures.Kind.ERROR: retries.Failure.FAILED,
+}
+
+
+class RejectedError(Exception):
+    """The engine found the request itself wrong; its words go back.
+
+    Parameters
+    ----------
+    failure : failures.UpstreamFailure
+        Status and body that the engine gave.
+    """
+
+    def __init__(self, failure: failures.UpstreamFailure):
+        super().__init__(str(failure))
+        self.failure = failure
+
+
+@attrs.define
+class ModelCall:
+    """One request's way over one or more engines.
+
+    Parameters
+    ----------
+    exchange : exchanges.Exchange
+        The request.
+    sink : sinks.Sink
+        Where its answer goes.
+    order : relay.Sequencer
+        Order of the answer's events.
+    """
+
+    exchange: exchanges.Exchange
+    sink: sinks.Sink
+    order: relay.Sequencer
+    tried: set[str] = attrs.field(factory=set)
+    tries: int = 0
+    may_have_run: bool = False
+    crashes: int = 0
+
+    async def run(self) -> None:
+        """Try engines until the answer is whole, or raise RudderError."""
+        try:
+            await self._run()
+        except errors.RudderError:
+            # The caller sends a refused request again, usually to another
+            # router.  One that had not heard of the crash would let it
+            # crash a further engine.
+            if self.crashes:
+                await self.exchange.state.tell_peers()
+            raise
+
+    async def _run(self) -> None:
+        state = self.exchange.state
+        state.budget(self._pool()).request(state.now_s())
+        while True:
+            decision, isolated = await self._placed()
+            self.tried.add(decision.upstream)
+            self.tries += 1
+            try:
+                await self._try(decision, isolated)
+                return
+            except failures.UpstreamFailure as failure:
+                step = self._after(failure)
+            await state.sleep(step.delay_s)
+
+    def _pool(self) -> str:
+        # The budget bounds retries of the engines that serve one model.
+        return self.exchange.request.model
+
+    async def _placed(self) -> tuple[types.Decision, bool]:
+        try:
+            return await self._place()
+        except errors.RudderError as error:
+            # Placement itself ran nothing, but an earlier try of this
+            # request may have: "not run" would be untrue.
+            if self.may_have_run:
+                error.ran = errors.Ran.UNKNOWN
+            raise
+
+    async def _place(self) -> tuple[types.Decision, bool]:
+        state = self.exchange.state
+        request = self.exchange.request
+        standing = state.standing(request)
+        if standing is quarantine.Standing.SUSPECT:
+            trial = await self._awaited_trial()
+            if trial is not None:
+                return _on_trial(state, trial), True
+        now_s = state.now_s()
+        engines = state.engines_for(request.model, now_s)
+        # A second try goes elsewhere if there is an elsewhere.
+        engines = self._untried(engines) or engines
+        decision = state.place(request, engines, now_s)
+        return decision, False
+
+    async def _awaited_trial(self) -> quarantine.Trial | None:
+        state = self.exchange.state
+        request = self.exchange.request
+        trial = state.trial(request, state.now_s())
+        while trial is not None and trial.wait_s > 0:
+            await state.sleep(trial.wait_s)
+            # Meanwhile a copy of it may have crashed another engine, and
+            # other routers may have told of more suspects.
+            state.standing(request)
+            trial = state.trial(request, state.now_s())
+        return trial
+
+    def _untried(self, engines):
+        return tuple(each for each in engines if each.name not in self.tried)
+
+    async def _try(self, decision: types.Decision, isolated: bool) -> None:
+        await engine_try.EngineTry(
+            exchange=self.exchange,
+            sink=self.sink,
+            order=self.order,
+            decision=decision,
+            upstream=self.exchange.state.upstream(decision.upstream),
+            isolated=isolated,
+            begin_by_s=self._begin_by_s(),
+            first_try=self.tries == 1,
+        ).run()
+
+    def _begin_by_s(self) -> float:
+        # The caller's deadline is for the first token.  Once that has come
+        # it must not stop another engine from going on: any stream that is
+        # older than the deadline would break with its engine.
+        exchange = self.exchange
+        if not self.order.last:
+            return exchange.request.first_token_by_s
+        limit_s = exchange.document.policy.first_token_deadline_s
+        return exchange.state.now_s() + limit_s
+
+    def _after(
+        self, failure: failures.UpstreamFailure
+    ) -> retries.Retry | retries.Continue:
+        exchange = self.exchange
+        LOG.warning(
+            "try failed: %s",
+            failure,
+            extra={
+                "request_id": exchange.request_id,
+                "organisation": exchange.request.organisation,
+                "step": STEP,
+                "peer": failure.upstream,
+                "code": failure.kind.value,
+            },
+        )
+        if failure.kind in failures.PRESUMES_CRASH:
+            self.crashes += 1
+        if failure.kind is failures.Kind.REJECTED:
+            raise RejectedError(failure)
+        exchange.state.unreachable(failure)
+        step = self._decide(failure)
+        if isinstance(step, retries.Refuse):
+            raise errors.RudderError(
+                step.code,
+                step.message,
+                step=STEP,
+                peer=failure.upstream,
+                ran=step.ran,
+                retry_after_s=step.retry_after_s,
+            ) from failure
+        if failure.kind not in failures.PROVES_NOT_RUN:
+            self.may_have_run = True
+        metrics.retried(failure.kind.value)
+        return step
+
+    def _decide(self, failure: failures.UpstreamFailure):
+        exchange = self.exchange
+        state = exchange.state
+        answer = retries.Answer(
+            repeatable=True,
+            sent_events=self.order.last,
+            can_continue=(
+                self.order.last > 0 and self.sink.text_so_far() is not None
+            ),
+            may_have_run=self.may_have_run,
+        )
+        policy = exchange.document.policy
+        return retries.decide(
+            _RETRY_KINDS[failure.kind],
+            answer,
+            tries=self.tries,
+            max_tries=policy.max_tries,
+            deadline_s=self._begin_by_s(),
+            budget=state.budget(self._pool()),
+            rng=state.rng,
+            now_s=state.now_s(),
+        )
+
+
+def _on_trial(state, trial: quarantine.Trial) -> types.Decision:
+    known = state.loads.get(trial.upstream)
+    return types.Decision(
+        upstream=trial.upstream,
+        incarnation=known.report.incarnation if known else "",
+        expected_hit_tokens=0,
+        expected_wait_s=0.0,
+        reason="trial",
+    )
