Let copies of one request meet at one engine

Ruled out: telling peers of each request in flight, which no peer could afford at the target size.

A crash of a process whose incarnation nobody knows is not noted: a second try at the same dead engine counted as a second crash and convicted.

The test that 'not run' is not said after a try that may have run passed also without its mechanism, as another refusal came first; a test of the step itself stands beside it.

--- a/toucanrudder/errors/tests/test_not_run.py
+++ b/toucanrudder/errors/tests/test_not_run.py
@@ -7,6 +7,7 @@
 import pytest
 
 from toucanrudder import errors
+from toucanrudder.filters import dispatch
 from toucanrudder.testing import control
 from toucanrudder.testing import fleet as fleets
 
@@ -200,17 +201,37 @@
 
 
 async def test_not_run_is_not_said_after_a_try_that_may_have_run():
-    """A try fails after it was sent, and then no engine is left to try.
+    """The only engine dies of a request, and then none is left to try.
 
-    The last refusal alone would say "not run", which the first try makes
+    Whatever refuses the request in the end, the first try makes "not run"
     untrue.
     """
     async with fleets.running(plan(max_tries=3)) as fleet:
-        await fleet.put_faults("engine-0", fail_every=1)
+        await fleet.put_faults("engine-0", crash_marker=GOOD["prompt"])
         error = await refusal(fleet, COMPLETIONS, GOOD, AUTHORIZED)
         assert error["ran"] == "outcome_unknown", error
 
 
+class Nowhere(dispatch.ModelCall):
+    """A call for which no engine is found."""
+
+    async def _place(self):
+        raise errors.RudderError(
+            errors.Code.NO_UPSTREAM, "none is left", step="place"
+        )
+
+
+@pytest.mark.parametrize(
+    ("before", "ran"),
+    [(False, errors.Ran.NOT_RUN), (True, errors.Ran.UNKNOWN)],
+)
+async def test_no_place_after_a_try(before, ran):
+    call = Nowhere(exchange=None, sink=None, order=None, may_have_run=before)
+    with pytest.raises(errors.RudderError) as caught:
+        await call._placed()
+    assert caught.value.ran is ran
+
+
 async def test_a_router_without_configuration_runs_nothing():
     unready = plan()
     async with fleets.running(unready) as fleet:
--- a/toucanrudder/quarantine/suspicion.py
+++ b/toucanrudder/quarantine/suspicion.py
@@ -215,6 +215,10 @@
         now_s : float
             Wall clock.
         """
+        if not incarnation:
+            # Nobody knows which process that was.  Noted as one of its
+            # own, a second try at the same dead engine would convict.
+            return
         noted = [
             entries_.Entry(
                 entries_.Kind.CRASH,
--- a/toucanrudder/quarantine/tests/test_suspicion.py
+++ b/toucanrudder/quarantine/tests/test_suspicion.py
@@ -122,6 +122,14 @@
     assert not suspicions.merge([crash("late", NOW_S)], NOW_S + 15)
 
 
+def test_a_crash_of_an_unknown_process_is_no_second_crash():
+    suspicions = suspicion.Suspicions()
+    on_trial = entry.InFlight("p", isolated=True)
+    suspicions.crashed("e1", "i1", [on_trial], NOW_S)
+    suspicions.crashed("e1", "", [on_trial], NOW_S)
+    assert suspicions.check("p", NOW_S) is SUSPECT
+
+
 FLEETS = [(4, 3, 1), (4, 8, 3), (2, 8, 7), (8, 8, 7), (1, 3, 2)]
 
 
--- a/toucanrudder/router/fleet.py
+++ b/toucanrudder/router/fleet.py
@@ -93,7 +93,11 @@
             prompt_tokens=request.prompt_tokens,
             deadline_s=request.first_token_by_s,
         )
-        context = types.Context(policy=policy, rng=self._rng)
+        # Ties fall alike on all routers for equal bodies.  Copies of a
+        # request that crashes engines, sent to several routers at once,
+        # would else take an engine each before any crash is known.
+        rng = random.Random(request.body_sha256)
+        context = types.Context(policy=policy, rng=rng)
         return policies.decide(self._policy, fleet, query, context, now_s)
 
     def _view(
