--- a/toucanrudder/router/assembly.py
+++ b/toucanrudder/router/assembly.py
@@ -201,7 +201,6 @@
             own=own,
             believed=believed,
             hot=hot,
-            rng=rng,
             others=others,
         ),
         admission=admission.AdmissionQueue(
--- a/toucanrudder/router/fleet.py
+++ b/toucanrudder/router/fleet.py
@@ -32,8 +32,6 @@
         Where prefixes are believed cached.
     hot : heat.Heat
         Rates of prefixes.
-    rng : random.Random
-        For ties.
     others : peer_loads.PeerLoads
         Other routers' work.
     """
@@ -47,7 +45,6 @@
         own: in_flight.InFlight,
         believed: beliefs.Beliefs,
         hot: heat.Heat,
-        rng: random.Random,
         others: peer_loads.PeerLoads,
     ):
         self._zone = zone
@@ -56,7 +53,6 @@
         self._own = own
         self._beliefs = believed
         self._heat = hot
-        self._rng = rng
         self._others = others
 
     def decide(
@@ -85,8 +81,12 @@
             heat=self._heat.rates(keys, now_s),
             total_rate_per_s=self._heat.total_rate_per_s(now_s),
         )
+        # Ties fall alike on all routers for equal bodies.  Copies of a
+        # request that crashes engines, sent to several routers at once,
+        # would else take an engine each before any crash is known.
+        rng = random.Random(request.body_sha256)
+        context = types.Context(policy=policy, rng=rng)
         query = query_of(request)
-        context = types.Context(policy=policy, rng=self._rng)
         return policies.decide(self._policy, fleet, query, context, now_s)
 
     def _view(
