--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # VENV may name an environment that already holds the locked packages.
 VENV ?= .venv
 PYTHON := $(VENV)/bin/python
-WORKERS ?= 6
+WORKERS ?= 8
 SEEDS ?= 1 2 3
 SHORT_SEEDS ?= 1
 OUT ?= bench-out/bench.json
--- a/toucanrudder/errors/tests/test_not_run.py
+++ b/toucanrudder/errors/tests/test_not_run.py
@@ -7,7 +7,7 @@
 import pytest
 
 from toucanrudder import errors
-from toucanrudder.filters import dispatch
+from toucanrudder.filters import model_call
 from toucanrudder.testing import control
 from toucanrudder.testing import fleet as fleets
 
@@ -212,7 +212,7 @@
         assert error["ran"] == "outcome_unknown", error
 
 
-class Nowhere(dispatch.ModelCall):
+class Nowhere(model_call.ModelCall):
     """A call for which no engine is found."""
 
     async def _place(self):
