Count a lease's time while the host is suspended

Cause: read-through; claims are judged by CLOCK_BOOTTIME, leases were by CLOCK_MONOTONIC, which stands still while a virtual machine is suspended: its router would wake and go on ordering loads under a lease that another holds. Ruled out: the wall clock, which operators and time daemons set. Change: one clock for both, moved to toucanrudder.clock. A suspended host cannot be caused in a test here; the test only pins the clock.

--- a/toucanrudder/claims/decision.py
+++ b/toucanrudder/claims/decision.py
@@ -153,7 +153,7 @@
     Parameters
     ----------
     claimed_at_s : float
-        Time before the claim's write was sent, by `claims.clock`.
+        Time before the claim's write was sent, by `toucanrudder.clock`.
     now_s : float
         The present time by the same clock.
     limits : Limits
--- a/toucanrudder/claims/keeper.py
+++ b/toucanrudder/claims/keeper.py
@@ -52,7 +52,7 @@
         Parameters
         ----------
         now_s : float
-            The present time by `claims.clock`.
+            The present time by `toucanrudder.clock`.
 
         Raises
         ------
@@ -179,7 +179,7 @@
         body_sha256 : str
             Digest of all that makes the request: method, path and body.
         now_s : float
-            The present time by `claims.clock`.
+            The present time by `toucanrudder.clock`.
 
         Returns
         -------
--- a/toucanrudder/claims/reaper.py
+++ b/toucanrudder/claims/reaper.py
@@ -10,8 +10,8 @@
 
 import attrs
 
+from toucanrudder import clock
 from toucanrudder import store
-from toucanrudder.claims import clock
 from toucanrudder.claims import record
 from toucanrudder.observability import metrics
 from toucanrudder.store import interface
@@ -59,7 +59,7 @@
     retention_s : float
         Time for which a claim must be kept.
     now_s : float
-        The present time by `claims.clock`.
+        The present time by `toucanrudder.clock`.
     now_unix_s : float
         Wall clock.
 
@@ -143,7 +143,7 @@
         Parameters
         ----------
         boot_s : callable
-            The clock of `claims.clock`; a pass may take long, so each
+            The clock of `toucanrudder.clock`; a pass may take long, so each
             page is judged by the time at which it came.
         wall_s : callable
             Wall clock.
--- a/toucanrudder/claims/clock.py
+++ b/toucanrudder/clock.py
@@ -1,4 +1,4 @@
-"""The clock by which a claim's age is judged."""
+"""The clock by which the age of claims and leases is judged."""
 
 import time
 
@@ -8,7 +8,8 @@
 
     ``CLOCK_MONOTONIC`` stands still while a virtual machine is suspended.
     A router that is resumed after an hour would think its claim a second
-    old and dispatch it, long after others judged the claim.
+    old and dispatch it, long after others judged the claim; or think that
+    it still holds a lease that another has taken over.
     ``CLOCK_BOOTTIME`` counts that hour, and no operator or time daemon
     sets it.
 
--- a/toucanrudder/controllers/weights.py
+++ b/toucanrudder/controllers/weights.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from toucanrudder import clock as clocks
 from toucanrudder import errors
 from toucanrudder.controllers import loads as load_controllers
 from toucanrudder.document import model
@@ -57,7 +58,9 @@
     rng : random.Random
         For jitter.
     clock : callable
-        Monotonic time.
+        Monotonic time, of the reports.
+    lease_clock : callable
+        Time of the lease, which runs on while the host is suspended.
     """
 
     def __init__(
@@ -69,6 +72,7 @@
         load_interval_s: float,
         rng: random.Random,
         clock: Callable[[], float],
+        lease_clock: Callable[[], float] = clocks.now_s,
     ):
         self._session = session
         self._holder = holder
@@ -77,6 +81,7 @@
         self._load_interval_s = load_interval_s
         self._rng = rng
         self._clock = clock
+        self._lease_clock = lease_clock
         self._ordered_s: dict[str, float] = {}
 
     async def run(self) -> None:
@@ -92,9 +97,9 @@
 
     async def step(self) -> None:
         """Give the orders that are due."""
-        now_s = self._clock()
+        now_s, lease_now_s = self._clock(), self._lease_clock()
         document = self._document()
-        lease = self._holder.held(now_s)
+        lease = self._holder.held(lease_now_s)
         if lease is None or document is None:
             self._ordered_s.clear()
             return
@@ -103,7 +108,7 @@
         settle_s = REPORT_LAG_S + load_controllers.interval_s(
             self._load_interval_s, len(document.upstreams)
         )
-        if now_s < lease.acquired_s + settle_s:
+        if lease_now_s < lease.acquired_s + settle_s:
             return
         due = weights.plan(
             document, self._reports(document, now_s), self._ordered_s, now_s
@@ -144,7 +149,7 @@
         # another took the lease over.  Engines that check would refuse
         # the old number; for the others this check, the margin and the
         # order's timeout keep two holders' orders apart.
-        lease = self._holder.check(self._clock())
+        lease = self._holder.check(self._lease_clock())
         self._ordered_s[order.upstream.name] = self._clock()
         async with self._session.post(
             f"http://{order.upstream.address}/orders",
--- a/toucanrudder/filters/deduplicate.py
+++ b/toucanrudder/filters/deduplicate.py
@@ -12,8 +12,8 @@
 import multidict
 
 from toucanrudder import claims
+from toucanrudder import clock
 from toucanrudder import errors
-from toucanrudder.claims import clock
 from toucanrudder.claims import decision
 from toucanrudder.filters import exchange as exchanges
 from toucanrudder.filters import headers
--- a/toucanrudder/filters/service.py
+++ b/toucanrudder/filters/service.py
@@ -11,8 +11,8 @@
 import attrs
 
 from toucanrudder import claims
+from toucanrudder import clock
 from toucanrudder import errors
-from toucanrudder.claims import clock
 from toucanrudder.document import model
 from toucanrudder.filters import body as bodies
 from toucanrudder.filters import deduplicate
--- a/toucanrudder/leases/holder.py
+++ b/toucanrudder/leases/holder.py
@@ -4,11 +4,11 @@
 from collections.abc import Callable
 import contextlib
 import random
-import time
 import uuid
 
 import attrs
 
+from toucanrudder import clock as clocks
 from toucanrudder import errors
 from toucanrudder.leases import decision
 from toucanrudder.observability import metrics
@@ -54,7 +54,7 @@
     rng : random.Random
         For jitter.
     clock : callable
-        Monotonic time.
+        Time that runs on while the host is suspended.
     """
 
     def __init__(
@@ -67,7 +67,7 @@
         floor: Callable[[], int] = lambda: 0,
         timeout_s: float = 1.0,
         rng: random.Random | None = None,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = clocks.now_s,
     ):
         self._store = store
         self._name = name
--- a/toucanrudder/leases/tests/test_leases.py
+++ b/toucanrudder/leases/tests/test_leases.py
@@ -1,6 +1,7 @@
 import asyncio
 import contextlib
 import random
+import time
 
 import attrs
 import hypothesis
@@ -8,6 +9,7 @@
 from hypothesis import strategies
 import pytest
 
+from toucanrudder import clock
 from toucanrudder import errors
 from toucanrudder.document import model
 from toucanrudder.leases import decision
@@ -265,3 +267,13 @@
     order = weights.Order(upstream, "i", "m", "v2")
     again = attrs.evolve(order)
     assert order.order_id == again.order_id == "a.i.m.v2"
+
+
+def test_a_lease_counts_the_time_of_a_suspended_host():
+    """The instance is suspended with the lease held, another takes it over,
+    and the instance wakes.  By the clock that stood still meanwhile the
+    lease would still hold, and two holders would order loads.
+    """
+    made = holder.LeaseHolder(None, "weights", "me")
+    assert made._clock is clock.now_s
+    assert abs(clock.now_s() - time.clock_gettime(time.CLOCK_BOOTTIME)) < 60
--- a/toucanrudder/router/assembly.py
+++ b/toucanrudder/router/assembly.py
@@ -111,7 +111,6 @@
         floor=highest_fencing,
         timeout_s=state.conf.store.timeout_s,
         rng=state.rng,
-        clock=state.now_s,
     )
 
 
