--- a/toucanrudder/quarantine/suspicion.py
+++ b/toucanrudder/quarantine/suspicion.py
@@ -50,6 +50,22 @@
     wait_s: float
 
 
+@attrs.frozen
+class Detail:
+    """What a quarantined request is held for.
+
+    Parameters
+    ----------
+    crashes : int
+        Crashes that count against it.
+    expires_in_s : float
+        Time until the first of them is forgotten.
+    """
+
+    crashes: int
+    expires_in_s: float
+
+
 @attrs.frozen
 class _View:
     """What follows from the entries, until `until_s`."""
@@ -302,6 +318,30 @@
         """Return the fingerprints of quarantined requests."""
         return tuple(sorted(self._current(now_s).convicted))
 
+    def detail(self, fingerprint: str, now_s: float) -> "Detail":
+        """Return what a quarantined request is held for.
+
+        Parameters
+        ----------
+        fingerprint : str
+            Identity of the request.
+        now_s : float
+            Wall clock.
+
+        Returns
+        -------
+        Detail
+            Its crashes, and the time until the first is forgotten.
+        """
+        crashes = self._current(now_s).crashes
+        held = [
+            entry
+            for entry in self._entries.values()
+            if entry.fingerprint == fingerprint and entry.crash in crashes
+        ]
+        oldest_s = min((entry.at_s for entry in held), default=now_s)
+        return Detail(len(held), max(0.0, oldest_s + self._expiry_s - now_s))
+
     def _shed(self) -> None:
         surplus = len(self._entries) - self._max_entries
         if surplus <= 0:
--- a/toucanrudder/quarantine/tests/test_suspicion.py
+++ b/toucanrudder/quarantine/tests/test_suspicion.py
@@ -206,6 +206,8 @@
     here.crashed("e2", "i2", [trial], now_s=1.0)
     assert here.check("p", 2.0) is QUARANTINED
     assert here.presumed_dead("e1", "i1", 2.0)
+    held = here.detail("p", 2.0)
+    assert (held.crashes, held.expires_in_s) == (2, suspicion.EXPIRY_S - 2)
     here.alive("e1", "i1", 3.0)
     assert here.check("p", 3.0) is SUSPECT
     here.alive("e2", "i2", 4.0)
--- a/toucanrudder/router/admin_state.py
+++ b/toucanrudder/router/admin_state.py
@@ -4,6 +4,7 @@
 
 from oslo_config import cfg
 
+from toucanrudder import quarantine
 from toucanrudder.admin import state as admin_states
 from toucanrudder.admin import status
 from toucanrudder.admin import stored
@@ -69,6 +70,14 @@
     return [own, *others]
 
 
+def _quarantined(
+    fingerprint: str, detail: quarantine.Detail
+) -> status.QuarantineStatus:
+    return status.QuarantineStatus(
+        fingerprint, detail.crashes, detail.expires_in_s
+    )
+
+
 def providers(
     state: states.RouterState, node: nodes.Node
 ) -> admin_states.State:
@@ -85,9 +94,11 @@
         ]
 
     def quarantined() -> list[status.QuarantineStatus]:
+        now_s = state.wall_s()
+        held = state.suspicions.quarantined(now_s)
         return [
-            status.QuarantineStatus(fingerprint, 2, 0.0)
-            for fingerprint in state.suspicions.quarantined(state.wall_s())
+            _quarantined(each, state.suspicions.detail(each, now_s))
+            for each in held
         ]
 
     async def release(fingerprint: str) -> bool:
