Apply a new retry ratio to budgets that exist

Cause: read-through; a budget kept the ratio of the document under which it was made, so an accepted change was not in force until a restart. Test: red without the change, green with it.

--- a/toucanrudder/router/state.py
+++ b/toucanrudder/router/state.py
@@ -164,10 +164,10 @@
         """Return the retry budget of an upstream pool."""
         budget = self._budgets.get(pool)
         if budget is None:
-            ratio = self.document().policy.retry_ratio
-            budget = self._budgets[pool] = retries.RetryBudget(
-                ratio=ratio, start=START_RETRIES
-            )
+            budget = retries.RetryBudget(start=START_RETRIES)
+            self._budgets[pool] = budget
+        # Read each time: a budget outlives the document it began under.
+        budget.ratio = self.document().policy.retry_ratio
         return budget
 
     def patience(
