Spread the relay bench's callers; take memory from the first round

Cause: 16 callers that began in step measured the queue they formed, and the memory figure's median was of rounds in which it had grown before.

--- a/toucanrudder/bench/relay/run.py
+++ b/toucanrudder/bench/relay/run.py
@@ -11,6 +11,7 @@
 import json
 import os
 import pathlib
+import statistics
 import tempfile
 
 import aiohttp
@@ -34,6 +35,7 @@
 PACED_PAUSE_S = 0.02
 OPEN_STREAMS = 400
 ROUNDS = 3
+MEMORY = "memory_bytes_per_open_stream"
 
 _SETTINGS = """
 [router]
@@ -135,13 +137,15 @@
 async def _unhurried(asking: load.Asking) -> dict:
     """Measure the first byte with callers that pause between calls."""
 
-    async def caller() -> None:
+    async def caller(number: int) -> None:
+        # Spread out: callers in step would measure each other.
+        await asyncio.sleep(UNHURRIED_PAUSE_S * number / AT_ONCE)
         for _ in range(UNHURRIED_CALLS):
             await asking.call(max_tokens=1, stream=True)
             await asyncio.sleep(UNHURRIED_PAUSE_S)
 
     asking.first_byte_us.reset()
-    await asyncio.gather(*(caller() for _ in range(AT_ONCE)))
+    await asyncio.gather(*(caller(n) for n in range(AT_ONCE)))
     return {
         "unhurried_first_byte_p50_ms": _percentile_ms(asking, 50),
         "unhurried_first_byte_p99_ms": _percentile_ms(asking, 99),
@@ -188,7 +192,7 @@
     await asyncio.sleep(2)
     grown = load.resident_bytes(asking.target.pid) - before
     await calls
-    return {"memory_bytes_per_open_stream": grown / OPEN_STREAMS}
+    return {MEMORY: grown / OPEN_STREAMS}
 
 
 async def _measured(
@@ -201,10 +205,13 @@
 
 
 def _median(rounds: list[dict]) -> dict:
-    return {
-        name: sorted(each[name] for each in rounds)[len(rounds) // 2]
+    medians = {
+        name: statistics.median(each[name] for each in rounds)
         for name in rounds[0]
     }
+    # Memory once grown is kept: only the first round shows what it takes.
+    medians[MEMORY] = rounds[0][MEMORY]
+    return medians
 
 
 async def _run() -> dict:
