--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SHORT_SEEDS ?= 1
 OUT ?= bench-out/bench.json
 
-.PHONY: demo test env lint format unit bench bench-short bench-relay docs
+.PHONY: demo test env lint format unit bench bench-short bench-relay
 
 env: $(VENV)/.ready
 
@@ -46,3 +46,6 @@
 	$(PYTHON) -m toucanrudder.bench --short --seeds="$(SHORT_SEEDS)" \
 	    --out="$(OUT)" --deployments="$(DEPLOYMENTS)" \
 	    --scenarios="$(SCENARIOS)" --policies="$(POLICIES)"
+
+bench-relay: env
+	$(PYTHON) -m toucanrudder.bench.relay.run --out=bench-out/relay.json
