--- a/toucanrudder/bench/systems.py
+++ b/toucanrudder/bench/systems.py
@@ -266,14 +266,21 @@
     return deployment.zones[index % len(deployment.zones)]
 
 
+_given: set[int] = set()
+
+
 def _free_address() -> str:
     # A port that the kernel picks may be taken by an outgoing connection
     # before the process binds it, or while a killed one is down; these
-    # ports are below those that the kernel hands out.
+    # ports are below those that the kernel hands out.  None is given
+    # twice: until its process has bound it, a port looks free.
     while True:
         port = _PORTS.randrange(*PORT_RANGE)
+        if port in _given:
+            continue
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind((HOST, port))
+            _given.add(port)
             return f"{HOST}:{port}"
 
 
--- a/toucanrudder/bench/tests/test_bench.py
+++ b/toucanrudder/bench/tests/test_bench.py
@@ -7,6 +7,7 @@
 from toucanrudder.bench import locking
 from toucanrudder.bench import records
 from toucanrudder.bench import report
+from toucanrudder.bench import systems
 from toucanrudder.bench import workload
 from toucanrudder.messages import request
 
@@ -245,3 +246,12 @@
     ]
     ratios = report.paired_ratios(rows, report.MEASURES[0], "random")
     assert ratios == pytest.approx([2.0, 3.0])
+
+
+def test_no_port_is_given_twice(monkeypatch):
+    """A run draws some forty ports before its processes bind them.  Two
+    equal ones end the bench hours later with an address in use.
+    """
+    monkeypatch.setattr(systems, "PORT_RANGE", (20000, 20064))
+    found = [systems._free_address() for _ in range(20)]
+    assert len(set(found)) == 20
