Remove a count of work that nobody asks for

Cause: read of the whole change; InFlight.total had no caller. Behaviour as before; formatter, linters and 274 tests of the parts that use the table pass.

--- a/toucanrudder/upstreams/in_flight.py
+++ b/toucanrudder/upstreams/in_flight.py
@@ -90,7 +90,3 @@
     def busy(self) -> tuple[str, ...]:
         """Return the upstreams at which there are requests."""
         return tuple(name for name, there in self._entries.items() if there)
-
-    def total(self) -> int:
-        """Return the requests at all upstreams."""
-        return sum(len(entries) for entries in self._entries.values())
