--- /dev/null
+++ b/toucanrudder/controllers/feeds.py
@@ -0,0 +1,148 @@
+"""Follows one kind of objects in the store."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+import random
+
+import attrs
+
+from toucanrudder import clock
+from toucanrudder.observability import metrics
+from toucanrudder.store import feed
+from toucanrudder.store import interface
+
+LOG = logging.getLogger(__name__)
+
+#: Pauses after calls that failed: a store that is back is found within
+#: half a second on average, and one that is down gets no more than about
+#: two calls a second from each follower.
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 0.6
+
+
+@attrs.frozen
+class Follower:
+    """Who is told what is read; all take the monotonic time last.
+
+    Parameters
+    ----------
+    replaced : callable
+        Takes all objects, after a start and when changes were missed.
+    changed : callable
+        Takes one change.
+    returned : callable
+        Called before anything is told after an outage.
+    """
+
+    replaced: Callable[[tuple[interface.StoredObject, ...], float], None]
+    changed: Callable[[feed.Change, float], None]
+    returned: Callable[[float], None] = lambda now_s: None
+
+
+class FeedController:
+    """Keeps a follower up to date with a kind.
+
+    Parameters
+    ----------
+    source : feed.KindFeed
+        Where the objects are.
+    kind : str
+        Which.
+    follower : Follower
+        Who is told.
+    timeout_s : float
+        For a list.
+    wait_s : float
+        For which a watch waits.  It bounds how long a watch that has gone
+        silent looks like "no change".
+    rng : random.Random
+        For jitter.
+    """
+
+    def __init__(
+        self,
+        source: feed.KindFeed,
+        kind: str,
+        follower: Follower,
+        *,
+        timeout_s: float,
+        wait_s: float,
+        rng: random.Random,
+    ):
+        self._source = source
+        self._kind = kind
+        self._follower = follower
+        self._timeout_s = timeout_s
+        self._wait_s = wait_s
+        self._rng = rng
+        self._revision: int | None = None
+        self._failures = 0
+        self._lost_at_s = 0.0
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the newest calls have failed."""
+        return self._failures > 0
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            try:
+                await self._step()
+            except feed.HistoryGone:
+                LOG.info("history gone", extra={"peer": self._kind})
+                self._revision = None
+            except interface.StoreUnavailable as error:
+                await self._failed(error)
+
+    async def _step(self) -> None:
+        if self._revision is None:
+            found = await self._source.snapshot(
+                self._kind, timeout_s=self._timeout_s
+            )
+            now_s = self._answered()
+            self._follower.replaced(found.objects, now_s)
+            self._revision = found.revision
+            return
+        # After a failure a short wait tells soon whether the store is back.
+        wait_s = 0.0 if self._failures else self._wait_s
+        found = await self._source.changes(
+            self._kind, self._revision, wait_s=wait_s
+        )
+        now_s = self._answered()
+        for change in found.changes:
+            self._follower.changed(change, now_s)
+        self._revision = found.revision
+
+    def _answered(self) -> float:
+        now_s = clock.now_s()
+        # One call that broke off is no outage: watches are cut now and
+        # then while the store is well.
+        if self._failures > 1:
+            LOG.warning(
+                "store regained after %.1f s",
+                now_s - self._lost_at_s,
+                extra={"step": "follow", "peer": self._kind},
+            )
+            self._follower.returned(now_s)
+        self._failures = 0
+        return now_s
+
+    async def _failed(self, error: Exception) -> None:
+        self._failures += 1
+        metrics.counter(
+            "toucanrudder_store_failures", "Calls to the store that failed"
+        ).add(1, {"kind": self._kind})
+        if self._failures == 1:
+            self._lost_at_s = clock.now_s()
+            return
+        if self._failures == 2:
+            LOG.warning(
+                "store lost: %s",
+                error,
+                extra={"step": "follow", "peer": self._kind},
+            )
+        pause_s = FIRST_PAUSE_S * 2 ** (self._failures - 2)
+        pause_s = min(pause_s, LONGEST_PAUSE_S)
+        await asyncio.sleep(pause_s * self._rng.uniform(0.75, 1.25))
--- /dev/null
+++ b/toucanrudder/forwarding/daemon.py
@@ -0,0 +1,384 @@
+"""The forwarding router's process: start, signals and planned stop."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import contextlib
+import functools
+import logging
+import random
+import signal
+import uuid
+
+import aiomisc
+import attrs
+from oslo_config import cfg
+
+from toucanrudder import clock
+from toucanrudder import errors
+from toucanrudder import tasks
+from toucanrudder.controllers import feeds
+from toucanrudder.forwarding import dialect as dialects
+from toucanrudder.forwarding import forwarder
+from toucanrudder.forwarding import model
+from toucanrudder.forwarding import orders
+from toucanrudder.forwarding import peering
+from toucanrudder.forwarding import shares
+from toucanrudder.forwarding import state as states
+from toucanrudder.http1 import message
+from toucanrudder.http1 import server
+from toucanrudder.leases import holder
+from toucanrudder.observability import metrics
+from toucanrudder.peers import peering as peerings
+from toucanrudder.store import feed
+from toucanrudder.store import interface
+
+LOG = logging.getLogger(__name__)
+
+#: Threads are not needed for serving; aiomisc wants a pool.
+POOL_SIZE = 2
+
+#: Time before the end by force at which what is left is cut by ourselves,
+#: so that the process still ends in order.
+LAST_S = 0.4
+
+#: Pause between two looks at whether all requests have ended.
+LOOK_S = 0.05
+
+#: Pause between two looks at the registry for entries that stay missing.
+TICK_S = 0.2
+
+
+@attrs.frozen
+class Platform:
+    """What the daemon is told about where it runs.
+
+    Parameters
+    ----------
+    dialect : dialects.Dialect
+        Callers' and upstreams' heads.
+    store : ConditionalStore and KindFeed
+        Where objects are kept.
+    configuration_kind, upstream_kind, weights_kind : str
+        Kinds of the objects that are followed.
+    document : callable
+        Returns the document in a stored object, or None if it holds none.
+    upstream : callable
+        Returns the upstream in a stored object.
+    named_weights : callable
+        Returns model and version in a stored object.
+    encode, decode : callable
+        Between a document and its bytes.
+    engine_calls : callable
+        Given the pool and a clock, returns the calls to engines.
+    """
+
+    dialect: dialects.Dialect
+    store: interface.ConditionalStore
+    configuration_kind: str
+    upstream_kind: str
+    weights_kind: str
+    document: Callable
+    upstream: Callable[[interface.StoredObject], model.Upstream]
+    named_weights: Callable[[interface.StoredObject], tuple[str, int]]
+    encode: Callable
+    decode: Callable
+    engine_calls: Callable[..., orders.OrderDialect]
+
+
+class Router:
+    """Everything one forwarding router consists of.
+
+    Parameters
+    ----------
+    conf : oslo_config.cfg.ConfigOpts
+        Checked settings.
+    platform : Platform
+        Where it runs.
+    """
+
+    def __init__(self, conf: cfg.ConfigOpts, platform: Platform):
+        self.conf = conf
+        self.platform = platform
+        self.rng = random.Random()
+        self.state = states.ForwardingState(
+            name=conf.router.name,
+            zone=conf.router.zone,
+            rng=self.rng,
+            budget_bounds=shares.BudgetBounds(
+                conf.retries.ratio, conf.retries.slack, conf.retries.window_s
+            ),
+        )
+        self.document = None
+        self.gossip = peering.Gossip(self.state)
+        self.peering = peering.build(
+            self.state,
+            self.gossip,
+            current=lambda: self.document,
+            offer=self.offer,
+            encode=platform.encode,
+            decode=platform.decode,
+            seeds=conf.peers.seeds,
+            interval_s=conf.peers.interval_s,
+            silent_s=conf.peers.silent_s,
+            rng=self.rng,
+        )
+        self.forwarder = forwarder.Forwarder(self.state, platform.dialect)
+        self.callers = server.Listener(self._hooks(self.forwarder.handle))
+        self.checks = server.Listener(self._hooks(self._check))
+        self.numbers = server.Listener(self._hooks(self._metrics))
+
+    # Beliefs.
+
+    def offer(self, document) -> bool:
+        """Put a document in force if it is newer."""
+        if not self.state.offer(document.configuration):
+            return False
+        self.document = document
+        LOG.info(
+            "configuration in force: generation %d",
+            document.generation,
+            extra={"step": "configuration"},
+        )
+        return True
+
+    def _registered(self, upstream: model.Upstream) -> None:
+        leaves = upstream.is_leaving
+        if leaves and self.gossip.left(upstream.incarnation, clock.now_s()):
+            # A peer that is cut off from the registry learns it from us.
+            LOG.info("upstream leaves", extra={"peer": upstream.incarnation})
+            self.peering.client.hasten()
+        self.state.registry.put(upstream)
+
+    def avoid(self, incarnation: str, for_s: float) -> None:
+        """Send no work to an engine for a while, and let peers know."""
+        self.state.states.avoid(incarnation, clock.now_s() + for_s)
+        if for_s:
+            self.peering.client.hasten()
+
+    # Listeners.
+
+    def _hooks(self, handle) -> server.Hooks:
+        return server.Hooks(
+            handle=handle,
+            limits=self._limits,
+            closing=lambda: self.state.stopping,
+            refusal_body=_refusal_body,
+            refused=lambda refusal: metrics.refused(refusal.code, "read"),
+            clock=clock.now_s,
+        )
+
+    def _limits(self) -> server.Limits:
+        found = self.state.configuration
+        if found is None:
+            return server.Limits()
+        return server.Limits(**attrs.asdict(found.limits))
+
+    async def _check(self, request, answer: server.Answer) -> None:
+        is_ready = self.state.is_ready
+        text = b"ok\n" if is_ready else b"not ready\n"
+        await answer.whole(200 if is_ready else 503, (), text)
+
+    async def _metrics(self, request, answer: server.Answer) -> None:
+        kind: message.Headers = (
+            (b"Content-Type", b"text/plain; version=0.0.4"),
+        )
+        await answer.whole(200, kind, metrics.page())
+
+    # Controllers.
+
+    def _feed(self, kind: str, follower: feeds.Follower):
+        return feeds.FeedController(
+            self.platform.store,
+            kind,
+            follower,
+            timeout_s=self.conf.store.timeout_s,
+            wait_s=self.conf.store.watch_wait_s,
+            rng=self.rng,
+        )
+
+    def followers(self) -> dict[str, feeds.Follower]:
+        """Return who is told of which kind of objects."""
+        platform, registry = self.platform, self.state.registry
+
+        def documents(objects, now_s: float) -> None:
+            for stored in objects:
+                document = platform.document(stored)
+                if document is not None:
+                    self.offer(document)
+
+        def upstreams(objects, now_s: float) -> None:
+            registry.replace(map(platform.upstream, objects), now_s)
+            self.state.states.keep(registry.incarnations)
+
+        def upstream(change: feed.Change, now_s: float) -> None:
+            if change.is_deleted:
+                registry.remove(change.object.name, now_s)
+                self.state.states.keep(registry.incarnations)
+                return
+            self._registered(platform.upstream(change.object))
+
+        def weights(objects, now_s: float) -> None:
+            for stored in objects:
+                self._named(*platform.named_weights(stored), now_s)
+
+        return {
+            platform.configuration_kind: feeds.Follower(
+                documents, _each(documents)
+            ),
+            platform.upstream_kind: feeds.Follower(
+                upstreams, upstream, registry.returned
+            ),
+            platform.weights_kind: feeds.Follower(weights, _each(weights)),
+        }
+
+    def _named(self, name: str, version: int, now_s: float) -> None:
+        known = self.state.newest_weights.get(name)
+        if known is None or version > known.version:
+            self.state.newest_weights[name] = states.NamedWeights(
+                name, version, now_s
+            )
+            LOG.info(
+                "weights named: %s version %d",
+                name,
+                version,
+                extra={"step": "weights"},
+            )
+
+    def _rollout(self) -> orders.RolloutController:
+        me = f"{self.state.name}.{uuid.uuid4().hex[:8]}"
+        lease = holder.LeaseHolder(
+            self.platform.store,
+            orders.LEASE,
+            me,
+            timeout_s=self.conf.store.timeout_s,
+            rng=self.rng,
+            terms=orders.TERMS,
+        )
+        return orders.RolloutController(
+            self.state,
+            self.platform.engine_calls(self.state.pool, clock.now_s),
+            lease,
+            me=me,
+            place_in_line=self._place_in_line,
+            avoid=self.avoid,
+        )
+
+    def _place_in_line(self) -> int:
+        node = self.peering.node
+        live = node.table.live(asyncio.get_running_loop().time())
+        return sum(member.name < self.state.name for member in live)
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.state.registry.tick(clock.now_s())
+
+    def controllers(self) -> list[tasks.TaskService]:
+        """Return the tasks that keep the state."""
+        running = {
+            f"follow {kind}": self._feed(kind, follower).run
+            for kind, follower in self.followers().items()
+        }
+        running["peers"] = self.peering.run
+        running["rollout"] = self._rollout().run
+        running["tick"] = self._tick
+        return [
+            tasks.TaskService(run=run, label=label)
+            for label, run in running.items()
+        ]
+
+    @contextlib.asynccontextmanager
+    async def served(self) -> AsyncIterator[None]:
+        """Run the controllers and listeners."""
+        conf = self.conf.listen
+        host, port = _host_port(conf.peers)
+        entrypoint = aiomisc.entrypoint(
+            *self.controllers(),
+            peerings.PeerService(peering=self.peering, host=host, port=port),
+            catch_signals=(),
+            log_config=False,
+            pool_size=POOL_SIZE,
+        )
+        async with entrypoint:
+            await self.callers.start(*_host_port(conf.callers))
+            await self.checks.start(*_host_port(conf.ready))
+            if conf.metrics:
+                await self.numbers.start(*_host_port(conf.metrics))
+            try:
+                yield
+            finally:
+                for each in (self.callers, self.checks, self.numbers):
+                    await each.stop()
+                self.state.pool.close()
+
+    async def drained(self) -> None:
+        """Serve what still comes until the balancer sends no more.
+
+        The router says at once that it is not ready, and closes each
+        connection behind its answer; but until the balancer has noticed,
+        new connections come and are served: refusing them would fail
+        requests that another router would have taken.
+        """
+        self.state.stopping = True
+        now_s = clock.now_s()
+        shutdown = self.conf.shutdown
+        end_s = now_s + shutdown.grace_s - LAST_S
+        noticed_s = now_s + min(shutdown.notice_s, shutdown.grace_s / 2)
+        while clock.now_s() < end_s:
+            await asyncio.sleep(LOOK_S)
+            if clock.now_s() < noticed_s:
+                continue
+            self.callers.close_idle()
+            if not self.callers.busy:
+                return
+        LOG.warning("requests still open at the end of the grace")
+
+
+def _each(replaced):
+    """Return what takes one change where all objects are taken."""
+
+    def changed(change: feed.Change, now_s: float) -> None:
+        if not change.is_deleted:
+            replaced((change.object,), now_s)
+
+    return changed
+
+
+def _host_port(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+@functools.cache
+def _refusal_body(refusal: server.Refusal) -> bytes:
+    import orjson
+
+    codes = {
+        server.Refusal.BODY_TOO_LARGE: errors.Code.BODY_TOO_LARGE,
+        server.Refusal.SLOW: errors.Code.BODY_TOO_SLOW,
+    }
+    error = errors.RudderError(
+        codes.get(refusal, errors.Code.INVALID_REQUEST),
+        refusal.code.replace("_", " "),
+        step="read",
+    )
+    return orjson.dumps(error.as_body())
+
+
+async def serve(conf: cfg.ConfigOpts, platform: Platform) -> None:
+    """Serve in this loop; returns after a planned stop."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(
+        signal.SIGHUP, LOG.info, "settings are read at the next start"
+    )
+    router = Router(conf, platform)
+    async with router.served():
+        LOG.info("serving", extra={"step": "start"})
+        await stop.wait()
+        LOG.info("stopping", extra={"step": "stop"})
+        await router.drained()
+    LOG.info("stopped", extra={"step": "stop"})
--- /dev/null
+++ b/toucanrudder/forwarding/dialect.py
@@ -0,0 +1,105 @@
+"""What the forwarding path needs said and read on the wire."""
+
+import abc
+
+import attrs
+
+from toucanrudder import errors
+from toucanrudder.forwarding import model
+from toucanrudder.forwarding import routing
+from toucanrudder.http1 import message
+
+
+@attrs.frozen
+class Instructions:
+    """What the router adds to a request for an upstream.
+
+    Parameters
+    ----------
+    upstream : model.Upstream
+        Only this process may run it.
+    left_s : float
+        Time until the caller's deadline.
+    wall : str
+        Who shares its cache; the empty string for all.
+    weights_version : int or None
+        Version its cache belongs to.
+    resume_after : str or None
+        Event after which a stream goes on.
+    fetch_from, save_to : str
+        ``IP:port`` of where cached parts are got from and kept, or empty.
+    """
+
+    upstream: model.Upstream
+    left_s: float
+    wall: str = ""
+    weights_version: int | None = None
+    resume_after: str | None = None
+    fetch_from: str = ""
+    save_to: str = ""
+
+
+@attrs.frozen
+class Facts:
+    """What the head of an upstream's answer says.
+
+    Parameters
+    ----------
+    is_for : bool
+        Whether it answers the request that was sent.
+    has_not_run : bool
+        Whether the upstream proves that it has not run the request.
+    is_elsewhere : bool
+        Whether another process, or other weights, answered.
+    is_sealed : bool
+        Whether the upstream vouches for the answer.
+    load : model.Load or None
+        Its load.
+    weights_version : int or None
+        Version of the weights that the answer is made on.
+    """
+
+    is_for: bool
+    has_not_run: bool = False
+    is_elsewhere: bool = False
+    is_sealed: bool = False
+    load: model.Load | None = None
+    weights_version: int | None = None
+
+
+class Dialect(abc.ABC):
+    """How callers and upstreams speak."""
+
+    @abc.abstractmethod
+    def call(self, head: message.RequestHead) -> model.Call:
+        """Read a caller's request.
+
+        Raises
+        ------
+        RudderError
+            ``bad_header``.
+        """
+
+    @abc.abstractmethod
+    def request(
+        self,
+        head: message.RequestHead,
+        body: bytes,
+        matched: routing.Matched,
+        instructions: Instructions,
+    ) -> message.RequestHead:
+        """Return the head of the request for an upstream."""
+
+    @abc.abstractmethod
+    def facts(self, call: model.Call, answer: message.AnswerHead) -> Facts:
+        """Read the head of an upstream's answer."""
+
+    @abc.abstractmethod
+    def error(
+        self, error: errors.RudderError, request_id: str
+    ) -> tuple[message.Headers, bytes]:
+        """Return fields and body of a refusal."""
+
+    @abc.abstractmethod
+    def event_id(self, event: bytes) -> str | None:
+        """Return the identity of one whole event of a stream."""
--- /dev/null
+++ b/toucanrudder/forwarding/forwarder.py
@@ -0,0 +1,504 @@
+"""One request's way: route, upstream, answer, and what follows failures."""
+
+import asyncio
+import logging
+
+import attrs
+
+from toucanrudder import clock
+from toucanrudder import errors
+from toucanrudder.forwarding import dialect as dialects
+from toucanrudder.forwarding import events
+from toucanrudder.forwarding import model
+from toucanrudder.forwarding import placing
+from toucanrudder.forwarding import routing
+from toucanrudder.forwarding import state as states
+from toucanrudder.forwarding import tries
+from toucanrudder.http1 import client
+from toucanrudder.http1 import message
+from toucanrudder.http1 import pool
+from toucanrudder.http1 import server
+from toucanrudder.observability import metrics
+
+LOG = logging.getLogger(__name__)
+
+#: Longest answer that is held until it is whole, so that a broken one can
+#: still be tried elsewhere or be answered as a failure.
+MAX_HELD_BYTES = 262_144
+
+#: Seconds for a new connection: several round trips between zones and no
+#: retransmission, which takes a second; a second try elsewhere is faster.
+CONNECT_S = 0.3
+
+#: A request that may run once is sent on a kept connection only if that
+#: was used this lately: one that crosses the upstream's close cannot be
+#: sent again, as nothing proves that it has not run.
+FRESH_IDLE_S = 0.5
+
+#: Objectives after which a request that may be repeated is taken from an
+#: upstream that has not begun to answer, and given to another.
+PATIENCE_OBJECTIVES = 3.0
+
+#: Pauses (longest allowed between two events) after which a stream that
+#: may be resumed goes on elsewhere.
+PATIENCE_GAPS = 2.5
+
+#: Statuses by which callers take it that a request has not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
+#: When a refused caller is to come back, if nothing better is known: a
+#: slot of a plain service frees within about its mean work time.
+RETRY_AFTER_S = 0.25
+
+#: How long an upstream that was full is left alone.
+FULL_S = 0.05
+
+
+class TryEnded(Exception):
+    """A try ended without a whole answer.
+
+    Parameters
+    ----------
+    ended : tries.Ended
+        How.
+    held : tuple or None
+        Head and body of a failure that the upstream answered with.
+    """
+
+    def __init__(self, ended: tries.Ended, held=None):
+        super().__init__(ended.value)
+        self.ended = ended
+        self.held = held
+
+
+_ENDED = {
+    client.Fault.NOT_CONNECTED: tries.Ended.NOT_REACHED,
+    client.Fault.RESET: tries.Ended.BROKEN,
+    client.Fault.CLOSED: tries.Ended.BROKEN,
+    client.Fault.NOT_HTTP: tries.Ended.CROSSED,
+    client.Fault.TIMEOUT: tries.Ended.SILENT,
+}
+
+
+def _ended(error: client.ExchangeError) -> tries.Ended:
+    if not error.sent:
+        return tries.Ended.NOT_REACHED
+    return _ENDED[error.fault]
+
+
+class Forwarder:
+    """Answers callers' requests.
+
+    Parameters
+    ----------
+    state : states.ForwardingState
+        This router's tables.
+    dialect : dialects.Dialect
+        Says and reads what is on the wire.
+    """
+
+    def __init__(
+        self, state: states.ForwardingState, dialect: dialects.Dialect
+    ):
+        self.state = state
+        self.dialect = dialect
+
+    async def handle(
+        self, request: server.Request, answer: server.Answer
+    ) -> None:
+        """Answer one request, whatever happens."""
+        request_id = ""
+        self.state.open_requests += 1
+        try:
+            call = self.dialect.call(request.head)
+            request_id = call.request_id
+            matched = self.state.table().match(call)
+            service = routing.service_of(matched.route, self.state.rng)
+            await Forwarding(
+                self.state, self.dialect, request, answer, matched, service
+            ).run()
+        except errors.RudderError as error:
+            await self._refuse(answer, error, request_id)
+        finally:
+            self.state.open_requests -= 1
+
+    async def _refuse(
+        self,
+        answer: server.Answer,
+        error: errors.RudderError,
+        request_id: str,
+    ) -> None:
+        metrics.refused(error.code.value, error.step)
+        LOG.info(
+            "refused: %s",
+            error,
+            extra={
+                "request_id": request_id,
+                "step": error.step,
+                "peer": error.peer,
+                "code": error.code.value,
+            },
+        )
+        if answer.started:
+            answer.abort()
+            return
+        headers, body = self.dialect.error(error, request_id)
+        await answer.whole(error.status, headers, body)
+
+
+@attrs.define(eq=False)
+class Forwarding:
+    """One request's way over one or more upstreams."""
+
+    state: states.ForwardingState
+    dialect: dialects.Dialect
+    request: server.Request
+    answer: server.Answer
+    matched: routing.Matched
+    service: str
+    deadline_s: float = 0.0
+    progress: tries.Progress = attrs.field(factory=tries.Progress)
+    last_event: str | None = None
+    tried: set[str] = attrs.field(factory=set)
+    _in_doubt: bool = False
+
+    @property
+    def route(self) -> model.Route:
+        """The request's route."""
+        return self.matched.route
+
+    @property
+    def call(self) -> model.Call:
+        """The request as it was read."""
+        return self.matched.call
+
+    async def run(self) -> None:
+        """Answer the request, or raise RudderError."""
+        now_s = clock.now_s()
+        wait_s = self.route.timeout_s
+        if self.call.wait_s is not None:
+            wait_s = min(wait_s, self.call.wait_s)
+        self.deadline_s = self.request.began_s + wait_s
+        self.last_event = self.call.resume_after
+        self.state.budget(self.service).request(now_s)
+        try:
+            async with asyncio.timeout(self.deadline_s - now_s):
+                await self._tried()
+        except TimeoutError:
+            raise self._late() from None
+
+    def _late(self) -> errors.RudderError:
+        if self._in_doubt or self.progress.may_have_run:
+            return errors.RudderError(
+                errors.Code.UPSTREAM_TIMEOUT,
+                "no answer within the time that was left",
+                step=tries.STEP,
+                ran=errors.Ran.UNKNOWN,
+            )
+        return errors.RudderError(
+            errors.Code.DEADLINE_UNMET,
+            "no upstream took the request in time",
+            step=tries.STEP,
+            retry_after_s=RETRY_AFTER_S,
+        )
+
+    def _left_s(self) -> float:
+        return self.deadline_s - clock.now_s()
+
+    async def _tried(self) -> None:
+        while True:
+            choice = self._choose()
+            upstream = choice.upstream
+            self.tried.add(upstream.incarnation)
+            try:
+                await self._try(choice)
+                return
+            except TryEnded as failure:
+                if not self._goes_on(failure, upstream):
+                    await self._give_up(failure, upstream)
+                    return
+
+    def _choose(self) -> placing.Choice:
+        now_s = clock.now_s()
+        candidates = self.state.candidates(self.service, self.call.prompt)
+        usable = placing.usable(candidates, now_s)
+        usable = [
+            each
+            for each in usable
+            if each.upstream.incarnation not in self.tried
+        ] or usable
+        if not usable:
+            raise self._nobody(candidates)
+        if self.call.prompt is not None:
+            return placing.for_prompt(
+                self.call.prompt,
+                self._wall(),
+                usable,
+                routers=self.state.live_routers(),
+                now_s=now_s,
+            )
+        return placing.for_plain(
+            self.state.zone, usable, now_s=now_s, rng=self.state.rng
+        )
+
+    def _nobody(self, candidates) -> errors.RudderError:
+        if self.progress.may_have_run:
+            return tries.refusal(
+                tries.Ended.BROKEN, self.progress, self.service, 0.0
+            )
+        code = errors.Code.QUEUE_FULL
+        if not candidates:
+            code = errors.Code.NO_UPSTREAM
+        return errors.RudderError(
+            code,
+            "no upstream can take the request now",
+            step=tries.STEP,
+            peer=self.service,
+            retry_after_s=RETRY_AFTER_S,
+        )
+
+    def _wall(self) -> str:
+        organisation = self.matched.organisation
+        if organisation is not None and organisation.is_isolated:
+            return organisation.name
+        return ""
+
+    def _goes_on(self, failure: TryEnded, upstream: model.Upstream) -> bool:
+        """Note how a try ended; say whether there is to be another."""
+        ended = failure.ended
+        self._blame(ended, upstream)
+        self._in_doubt = False
+        ran = ended not in tries.PROVES_NOT_RUN
+        self.progress = attrs.evolve(
+            self.progress,
+            tries=self.progress.tries + 1,
+            may_have_run=self.progress.may_have_run + ran,
+        )
+        LOG.info(
+            "try ended: %s",
+            ended.value,
+            extra={
+                "request_id": self.call.request_id,
+                "step": tries.STEP,
+                "peer": upstream.incarnation,
+                "code": ended.value,
+            },
+        )
+        step = tries.next_step(
+            ended, self.progress, self.route, left_s=self._left_s()
+        )
+        if step is tries.Step.GIVE_UP:
+            return False
+        if ended is tries.Ended.NOT_REACHED:
+            # Nothing arrived there, so nothing arrives twice.
+            return True
+        budget = self.state.budget(self.service)
+        if not budget.spend(clock.now_s()):
+            metrics.refused("retry_budget_spent", tries.STEP)
+            return False
+        metrics.retried(ended.value)
+        return True
+
+    def _blame(self, ended: tries.Ended, upstream: model.Upstream) -> None:
+        now_s = clock.now_s()
+        name = upstream.incarnation
+        if ended is tries.Ended.FULL:
+            self.state.states.full(name, now_s, FULL_S)
+        elif ended is tries.Ended.FAILED:
+            self.state.states.erred(name)
+        else:
+            self.state.states.failed(name, now_s)
+
+    async def _give_up(
+        self, failure: TryEnded, upstream: model.Upstream
+    ) -> None:
+        if failure.held is not None and not self.answer.started:
+            head, body = failure.held
+            await self._pass_on(head, body)
+            return
+        raise tries.refusal(
+            failure.ended,
+            self.progress,
+            upstream.incarnation,
+            RETRY_AFTER_S,
+        )
+
+    # One try.
+
+    async def _try(self, choice: placing.Choice) -> None:
+        upstream = choice.upstream
+        name = upstream.incarnation
+        with self.state.states.request(name, choice.missing_tokens) as sent:
+            try:
+                async with self._connection(upstream) as connection:
+                    self._send(connection, upstream)
+                    failure = await self._receive(connection, upstream, sent)
+            except client.ExchangeError as error:
+                raise TryEnded(_ended(error)) from error
+        if failure is not None:
+            raise failure
+        self.state.states.succeeded(name)
+
+    def _connection(self, upstream: model.Upstream):
+        newest_idle_s = float("inf")
+        if self.route.repetition is model.Repetition.ONCE:
+            newest_idle_s = FRESH_IDLE_S
+        return self.state.pool.connection(
+            upstream.address,
+            connect_timeout_s=min(CONNECT_S, self._left_s()),
+            clock=clock.now_s,
+            newest_idle_s=newest_idle_s,
+        )
+
+    def _send(
+        self, connection: client.UpstreamConnection, upstream: model.Upstream
+    ) -> None:
+        if self.state.registry.get(upstream.incarnation) is None:
+            # It went while the connection was being opened.
+            raise TryEnded(tries.Ended.NOT_THERE)
+        version = None
+        if self.call.prompt is not None:
+            version = upstream.weights.get(self.call.prompt.model)
+        head = self.dialect.request(
+            self.request.head,
+            self.request.body,
+            self.matched,
+            dialects.Instructions(
+                upstream=upstream,
+                left_s=self._left_s(),
+                wall=self._wall(),
+                weights_version=version,
+                resume_after=self.last_event,
+            ),
+        )
+        connection.send(head, self.request.body)
+        self._in_doubt = True
+
+    def _patience_s(self) -> float | None:
+        """Return how long the first part of an answer may take."""
+        if self.route.repetition is model.Repetition.ONCE:
+            return None
+        if self.progress.may_have_run + 1 >= self.route.max_upstreams:
+            return None
+        return PATIENCE_OBJECTIVES * self.route.objective_s
+
+    async def _receive(self, connection, upstream, sent) -> TryEnded | None:
+        """Pass the answer on; return what it says of a request not served.
+
+        A returned failure has left the connection fit for further use.
+        """
+        try:
+            async with asyncio.timeout(self._patience_s()):
+                head = await connection.next_event()
+        except TimeoutError:
+            raise TryEnded(tries.Ended.SILENT) from None
+        facts = self.dialect.facts(self.call, head)
+        self._learn(upstream, head, facts)
+        if not facts.is_for:
+            raise TryEnded(tries.Ended.CROSSED)
+        connection.keep_for_s = pool.keep_for_s(head.headers)
+        if facts.has_not_run or facts.is_elsewhere:
+            await self._read_rest(connection)
+            if facts.is_elsewhere:
+                return TryEnded(tries.Ended.NOT_THERE)
+            return TryEnded(tries.Ended.FULL)
+        if head.status < 300 and not facts.is_sealed:
+            raise TryEnded(tries.Ended.CROSSED)
+        if head.status < 300 and self.route.is_stream:
+            await self._relay_stream(connection, head, sent)
+            return None
+        return await self._hold(connection, head, facts)
+
+    def _learn(self, upstream, head, facts) -> None:
+        now_s = clock.now_s()
+        if facts.load is not None and facts.is_for:
+            self.state.states.told(upstream.incarnation, facts.load, now_s)
+        if facts.weights_version is not None and self.call.prompt:
+            self.state.registry.has_weights(
+                upstream.incarnation,
+                self.call.prompt.model,
+                facts.weights_version,
+            )
+
+    async def _read_rest(self, connection) -> None:
+        try:
+            await self._read_body(connection)
+        except client.ExchangeError:
+            # The head has proved that the request has not run; only the
+            # connection is of no more use.
+            connection.keep_for_s = None
+
+    async def _read_body(self, connection) -> bytes:
+        body = bytearray()
+        while True:
+            event = await connection.next_event()
+            if isinstance(event, client.End):
+                return bytes(body)
+            body += event.content
+            if len(body) > MAX_HELD_BYTES:
+                raise TryEnded(tries.Ended.CROSSED)
+
+    async def _hold(self, connection, head, facts) -> TryEnded | None:
+        """Read a whole answer, then pass it on or return it as a failure."""
+        body = await self._read_body(connection)
+        if head.status < 500 and facts.is_sealed:
+            await self._pass_on(head, body)
+            return None
+        # The upstream did not prove that it has not run the request, so a
+        # status that says so to the caller is not passed on.
+        true = facts.is_sealed and head.status not in NOT_RUN_STATUSES
+        return TryEnded(tries.Ended.FAILED, (head, body) if true else None)
+
+    async def _pass_on(self, head: message.AnswerHead, body: bytes) -> None:
+        headers = message.end_to_end(head.headers, (b"content-length",))
+        await self.answer.whole(head.status, headers, body)
+
+    async def _relay_stream(self, connection, head, sent) -> None:
+        splitter = events.EventSplitter()
+        while True:
+            event = await self._next_piece(connection)
+            if isinstance(event, client.End):
+                break
+            try:
+                whole = splitter.feed(event.content)
+            except ValueError:
+                raise TryEnded(tries.Ended.CROSSED) from None
+            if whole:
+                sent.first()
+                await self._pass_events(head, whole)
+        if splitter.rest:
+            raise TryEnded(tries.Ended.BROKEN)
+        if not self.answer.started:
+            await self._start(head)
+        await self.answer.end()
+
+    async def _next_piece(self, connection):
+        limit_s = None
+        if self.route.repetition is model.Repetition.RESUMABLE:
+            limit_s = PATIENCE_GAPS * self.route.event_gap_s
+            if not self.progress.events:
+                limit_s = self._patience_s()
+        try:
+            async with asyncio.timeout(limit_s):
+                return await connection.next_event()
+        except TimeoutError:
+            raise TryEnded(tries.Ended.SILENT) from None
+
+    async def _pass_events(
+        self, head: message.AnswerHead, whole: list[bytes]
+    ) -> None:
+        if not self.answer.started:
+            await self._start(head)
+        await self.answer.write(b"".join(whole))
+        last = self.dialect.event_id(whole[-1])
+        if last is not None:
+            self.last_event = last
+        self.progress = attrs.evolve(
+            self.progress,
+            events=self.progress.events + len(whole),
+            can_resume=last is not None,
+        )
+
+    async def _start(self, head: message.AnswerHead) -> None:
+        headers = message.end_to_end(head.headers, (b"content-length",))
+        await self.answer.start(head.status, headers)
--- /dev/null
+++ b/toucanrudder/forwarding/loads.py
@@ -0,0 +1,146 @@
+"""What this router knows of each upstream's load and health.  No I/O."""
+
+from collections.abc import Iterator
+import contextlib
+
+import attrs
+
+from toucanrudder.forwarding import model
+
+#: Seconds after which a told load says nothing any more: requests of the
+#: slowest kind have ended by then.
+LOAD_KEPT_S = 1.0
+
+#: First and longest pause after failures in a row.  The first is long
+#: enough for a restarted process to listen again; the longest keeps a
+#: recovered upstream idle for no more than one retry of a caller.
+FIRST_PAUSE_S = 0.3
+LONGEST_PAUSE_S = 3.0
+
+#: Weight of the newest result in the failure share: the share follows a
+#: change within about ten requests.
+FAILURE_SMOOTHING = 0.1
+
+
+@attrs.define
+class UpstreamState:
+    """One upstream process as this router sees it."""
+
+    requests: int = 0
+    prefill_tokens: int = 0
+    load: model.Load | None = None
+    load_at_s: float = 0.0
+    failures_in_row: int = 0
+    paused_until_s: float = 0.0
+    failure_share: float = 0.0
+    full_until_s: float = 0.0
+    avoided_until_s: float = 0.0
+
+    def others(self, now_s: float) -> float:
+        """Return the requests there beside this router's, as last told."""
+        if self.load is None or now_s - self.load_at_s > LOAD_KEPT_S:
+            return 0.0
+        told = self.load.running + self.load.waiting
+        return max(0.0, told - self.requests)
+
+
+class UpstreamStates:
+    """States by incarnation."""
+
+    def __init__(self):
+        self._states: dict[str, UpstreamState] = {}
+
+    def of(self, incarnation: str) -> UpstreamState:
+        """Return the state of a process."""
+        return self._states.setdefault(incarnation, UpstreamState())
+
+    def keep(self, incarnations: set[str]) -> None:
+        """Forget processes that are gone and serve none of our requests."""
+        for name in set(self._states) - incarnations:
+            if not self._states[name].requests:
+                del self._states[name]
+
+    @contextlib.contextmanager
+    def request(
+        self, incarnation: str, prefill_tokens: int
+    ) -> Iterator["Sent"]:
+        """Count one request for as long as the context is open."""
+        state = self.of(incarnation)
+        state.requests += 1
+        sent = Sent(state, prefill_tokens)
+        state.prefill_tokens += prefill_tokens
+        try:
+            yield sent
+        finally:
+            sent.first()
+            state.requests -= 1
+
+    def told(self, incarnation: str, load: model.Load, now_s: float) -> None:
+        """Note the load that came with an answer."""
+        state = self.of(incarnation)
+        state.load, state.load_at_s = load, now_s
+
+    def succeeded(self, incarnation: str) -> None:
+        """Note a whole answer."""
+        state = self.of(incarnation)
+        state.failures_in_row = 0
+        state.paused_until_s = 0.0
+        state.failure_share *= 1.0 - FAILURE_SMOOTHING
+
+    def failed(self, incarnation: str, now_s: float) -> None:
+        """Note a broken answer, or none; leave it alone for a while."""
+        state = self.of(incarnation)
+        self.erred(incarnation)
+        state.failures_in_row += 1
+        pause_s = FIRST_PAUSE_S * 2 ** (state.failures_in_row - 1)
+        state.paused_until_s = now_s + min(pause_s, LONGEST_PAUSE_S)
+
+    def erred(self, incarnation: str) -> None:
+        """Note a failure that the upstream itself answered with."""
+        state = self.of(incarnation)
+        state.failure_share += FAILURE_SMOOTHING * (1 - state.failure_share)
+
+    def avoid(self, incarnation: str, until_s: float) -> None:
+        """Note until when the upstream takes no work: it loads weights."""
+        self.of(incarnation).avoided_until_s = until_s
+
+    def avoided(self, now_s: float) -> dict[str, float]:
+        """Return the seconds left for those that take no work."""
+        return {
+            name: state.avoided_until_s - now_s
+            for name, state in self._states.items()
+            if state.avoided_until_s > now_s
+        }
+
+    def busy(self) -> list[tuple[str, int, int]]:
+        """Return name, unread prompt tokens and requests of those in use."""
+        return [
+            (name, state.prefill_tokens, state.requests)
+            for name, state in self._states.items()
+            if state.requests
+        ]
+
+    def full(self, incarnation: str, now_s: float, for_s: float) -> None:
+        """Note that the upstream has refused work for being full."""
+        self.of(incarnation).full_until_s = now_s + for_s
+
+
+@attrs.define
+class Sent:
+    """A request at an upstream.
+
+    Parameters
+    ----------
+    state : UpstreamState
+        Of the upstream.
+    prefill_tokens : int
+        Prompt tokens that it has still to read.
+    """
+
+    state: UpstreamState
+    prefill_tokens: int
+
+    def first(self) -> None:
+        """Note that the prompt has been read: the first event came."""
+        self.state.prefill_tokens -= self.prefill_tokens
+        self.prefill_tokens = 0
--- /dev/null
+++ b/toucanrudder/forwarding/model.py
@@ -0,0 +1,235 @@
+"""What an operator configures and what upstreams register."""
+
+from collections.abc import Mapping
+import enum
+
+import attrs
+
+
+class Repetition(enum.Enum):
+    """What may be done with a request that has possibly run."""
+
+    #: It may run again.
+    IDEMPOTENT = "idempotent"
+    #: It runs once at most.
+    ONCE = "once"
+    #: A stream that another upstream may go on with.
+    RESUMABLE = "resumable"
+
+
+@attrs.frozen
+class Split:
+    """A share of a route's requests that goes to one service."""
+
+    service: str
+    weight: float = 1.0
+
+
+@attrs.frozen
+class Route:
+    """Where requests for a host and a path go.
+
+    Parameters
+    ----------
+    name, host, path_prefix : str
+        What it is and what it takes.
+    splits : tuple of Split
+        Services by weight.
+    repetition : Repetition
+        What may be repeated.
+    is_stream : bool
+        Whether answers are server-sent events.
+    max_upstreams : int
+        Upstreams that one request may run on.
+    timeout_s : float
+        Longest time until its answer is whole.
+    objective_s : float
+        Time to the answer, or to a stream's first event, within which it
+        is worth most.
+    event_gap_s : float
+        Longest pause between two events of a stream.
+    priority : int
+        Rank; 0 is the most urgent.
+    is_public : bool
+        Whether it takes requests without a key.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    splits: tuple[Split, ...]
+    repetition: Repetition = Repetition.ONCE
+    is_stream: bool = False
+    max_upstreams: int = 1
+    timeout_s: float = 60.0
+    objective_s: float = 1.0
+    event_gap_s: float = 1.0
+    priority: int = 5
+    is_public: bool = False
+
+
+@attrs.frozen
+class Engine:
+    """What is known of a service's engines from the configuration.
+
+    Parameters
+    ----------
+    slots : int
+        Requests that one runs at once.
+    cache_tokens : int
+        Tokens that its memory holds.
+    """
+
+    slots: int
+    cache_tokens: int
+
+
+@attrs.frozen
+class Service:
+    """A group of equal upstreams."""
+
+    name: str
+    max_connections: int = 0
+    engine: Engine | None = None
+
+
+@attrs.frozen
+class Organisation:
+    """Whose requests; named by its keys.
+
+    Parameters
+    ----------
+    name : str
+        Upstreams are told it.
+    api_keys : frozenset of str
+        Never logged.
+    priority : int or None
+        Rank of all its requests; None leaves it to the route.
+    is_isolated : bool
+        Whether no cache is shared with others.
+    """
+
+    name: str
+    api_keys: frozenset[str] = attrs.field(repr=False)
+    priority: int | None = None
+    is_isolated: bool = False
+
+
+@attrs.frozen
+class CallerLimits:
+    """Bounds of what a caller may send."""
+
+    max_head_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    head_timeout_s: float = 5.0
+    idle_timeout_s: float = 60.0
+
+
+@attrs.frozen
+class Configuration:
+    """Everything an operator has put in force, under one generation."""
+
+    generation: int
+    routes: tuple[Route, ...] = ()
+    services: Mapping[str, Service] = attrs.field(factory=dict)
+    organisations: tuple[Organisation, ...] = ()
+    limits: CallerLimits = CallerLimits()
+
+
+@attrs.frozen
+class Upstream:
+    """One process that serves requests, as it registered itself.
+
+    Parameters
+    ----------
+    incarnation : str
+        Identity of the process; a restarted one has another.
+    service, address, zone : str
+        Which service, ``IP:port``, and availability zone.
+    slots : int
+        Requests that it runs at once.
+    is_leaving : bool
+        Whether it has announced that it will stop.
+    warm_in_s : float
+        How much longer it is slow after its start.
+    weights : mapping of str to int
+        Version of each model's weights.
+    """
+
+    incarnation: str
+    service: str
+    address: str
+    zone: str = ""
+    slots: int = 1
+    is_leaving: bool = False
+    warm_in_s: float = 0.0
+    weights: Mapping[str, int] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class Part:
+    """A stretch of a prompt that several requests may share."""
+
+    identity: str
+    tokens: int
+
+
+@attrs.frozen
+class Prompt:
+    """What a request asks a model.
+
+    Parameters
+    ----------
+    model : str
+        The model's name.
+    parts : tuple of Part
+        In order; the last is the request's or its session's own.
+    prompt_tokens, max_output_tokens : int
+        Sizes.
+    """
+
+    model: str
+    parts: tuple[Part, ...] = ()
+    prompt_tokens: int = 0
+    max_output_tokens: int = 0
+
+    @property
+    def shared(self) -> tuple[Part, ...]:
+        """The parts that other requests may have as well."""
+        return self.parts[:-1]
+
+
+@attrs.frozen
+class Load:
+    """Load that an upstream tells with an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@attrs.frozen
+class Call:
+    """A caller's request, read from the wire.
+
+    Parameters
+    ----------
+    request_id, host, path : str
+        Identity of this try of the caller, and what selects the route.
+    api_key : str or None
+        Proof of the organisation.
+    wait_s : float or None
+        How long the caller will wait, from now on.
+    prompt : Prompt or None
+        For engines.
+    resume_after : str or None
+        Event after which the caller goes on with a stream.
+    """
+
+    request_id: str
+    host: str
+    path: str
+    api_key: str | None = attrs.field(default=None, repr=False)
+    wait_s: float | None = None
+    prompt: Prompt | None = None
+    resume_after: str | None = None
--- /dev/null
+++ b/toucanrudder/forwarding/orders.py
@@ -0,0 +1,302 @@
+"""Gives engines the orders to load new weights, under a lease."""
+
+import abc
+import asyncio
+from collections.abc import Callable
+import contextlib
+import logging
+
+import attrs
+
+from toucanrudder import clock
+from toucanrudder import errors
+from toucanrudder.forwarding import model
+from toucanrudder.forwarding import rollout
+from toucanrudder.forwarding import state as states
+from toucanrudder.leases import decision
+from toucanrudder.leases import holder
+from toucanrudder.observability import metrics
+from toucanrudder.store import interface
+
+LOG = logging.getLogger(__name__)
+
+STEP = "order"
+LEASE = "weights"
+
+#: A holder that dies or is cut off is replaced after term and margin have
+#: passed; engines are to have new weights within a few seconds.
+TERMS = decision.Terms(term_s=3.0, margin_s=0.6)
+
+#: Pause between two looks at what is left to do.
+LOOK_S = 0.15
+
+#: Pause between two questions to an engine that carries out an order.
+ASK_S = 0.2
+
+#: A call to an engine; well below the margin of the lease, so that an
+#: order sent just in time arrives in time.
+CALL_S = 0.4
+
+#: Work that stays undone for this long is taken up by the next router in
+#: line: the first has died, or cannot reach the store.
+IN_LINE_S = 1.0
+
+#: Rest of the lease below which it is renewed before the next order.
+RENEW_BELOW_S = 1.2
+
+#: After a change of holder the old one's last order may still be on its
+#: way for as long as a call takes, and engines that do not check fencing
+#: numbers would obey it.
+SETTLE_S = 1.0
+
+_STORE_ERRORS = (
+    interface.ConditionFailed,
+    interface.StoreUnavailable,
+    interface.OutcomeUnknown,
+)
+
+
+@attrs.frozen
+class Report:
+    """What an engine says of itself.
+
+    Parameters
+    ----------
+    weights : mapping of str to int
+        Version by model.
+    is_busy : bool
+        Whether an order is being carried out.
+    orders : int
+        Number of orders that it has accepted; an order that names the
+        number it expects is not carried out after a later one.
+    running : int
+        Requests that it runs.
+    """
+
+    weights: dict[str, int]
+    is_busy: bool = False
+    orders: int = 0
+    running: int = 0
+
+
+class OrderDialect(abc.ABC):
+    """Calls to an engine that are not requests of callers."""
+
+    @abc.abstractmethod
+    async def report(
+        self, upstream: model.Upstream, *, timeout_s: float
+    ) -> Report | None:
+        """Return the engine's report; None if it gave none."""
+
+    @abc.abstractmethod
+    async def load(
+        self,
+        task: rollout.Task,
+        report: Report,
+        *,
+        holder: str,
+        fencing: int,
+        timeout_s: float,
+    ) -> bool:
+        """Order new weights; say whether the engine took the order.
+
+        Raises
+        ------
+        RudderError
+            ``order_fenced``: another holder has a higher number.
+        """
+
+
+class RolloutController:
+    """Brings all engines to the newest weights.
+
+    Parameters
+    ----------
+    state : states.ForwardingState
+        Tells which engines there are.
+    dialect : OrderDialect
+        Speaks with engines.
+    lease : holder.LeaseHolder
+        Proves that no other router gives orders.
+    me : str
+        Name that orders bear.
+    place_in_line : callable
+        How many live routers go before this one.
+    avoid : callable
+        Told the engine that is about to load, and for how many seconds it
+        takes no work.
+    """
+
+    def __init__(
+        self,
+        state: states.ForwardingState,
+        dialect: OrderDialect,
+        lease: holder.LeaseHolder,
+        *,
+        me: str,
+        place_in_line: Callable[[], int],
+        avoid: Callable[[str, float], None],
+    ):
+        self._state = state
+        self._dialect = dialect
+        self._lease = lease
+        self._me = me
+        self._place_in_line = place_in_line
+        self._avoid = avoid
+        self._given: dict[str, rollout.Given] = {}
+        self._undone_since_s: float | None = None
+        self._held_before = False
+        self._tasks: set[asyncio.Task] = set()
+
+    def _newest(self) -> dict[str, int]:
+        return {
+            each.model: each.version
+            for each in self._state.newest_weights.values()
+        }
+
+    def _engines(self) -> dict[str, tuple[model.Upstream, ...]]:
+        configuration = self._state.configuration
+        if configuration is None:
+            return {}
+        return {
+            name: self._state.registry.of(name)
+            for name, service in configuration.services.items()
+            if service.engine is not None
+        }
+
+    async def run(self) -> None:
+        """Work until cancelled."""
+        while True:
+            await asyncio.sleep(LOOK_S)
+            now_s = clock.now_s()
+            if not self._is_undone(now_s) or not self._is_my_turn(now_s):
+                continue
+            if await self._holds(now_s):
+                self._give(clock.now_s())
+
+    def _is_undone(self, now_s: float) -> bool:
+        newest = self._newest()
+        undone = any(
+            rollout.missing(engines, newest)
+            for engines in self._engines().values()
+        )
+        if not undone:
+            self._undone_since_s = None
+            self._given.clear()
+        elif self._undone_since_s is None:
+            self._undone_since_s = now_s
+        return undone
+
+    def _is_my_turn(self, now_s: float) -> bool:
+        if self._held_before:
+            return True
+        waited_s = now_s - self._undone_since_s
+        return waited_s >= IN_LINE_S * self._place_in_line()
+
+    async def _holds(self, now_s: float) -> bool:
+        lease = self._lease.held(now_s)
+        if lease is None or lease.until_s - now_s < RENEW_BELOW_S:
+            with contextlib.suppress(*_STORE_ERRORS):
+                await self._lease.look()
+            lease = self._lease.held(clock.now_s())
+        self._held_before = lease is not None
+        if lease is None:
+            # Another holds it; look again when it could have run out.
+            await asyncio.sleep(ASK_S)
+            return False
+        return True
+
+    def _give(self, now_s: float) -> None:
+        lease = self._lease.held(now_s)
+        settled = lease is not None and (
+            lease.fencing <= 1 or now_s - lease.acquired_s >= SETTLE_S
+        )
+        if not settled:
+            return
+        newest = self._newest()
+        for engines in self._engines().values():
+            busy = {
+                each.incarnation: self._busy(each, now_s) for each in engines
+            }
+            self._forget_done(engines, newest)
+            for task in rollout.plan(
+                engines, newest, self._given, busy, now_s
+            ):
+                self._given[task.upstream.incarnation] = rollout.Given(
+                    task.version, now_s
+                )
+                self._start(self._carried_out(task))
+
+    def _busy(self, upstream: model.Upstream, now_s: float) -> float:
+        known = self._state.states.of(upstream.incarnation)
+        return known.requests + known.others(now_s)
+
+    def _forget_done(self, engines, newest) -> None:
+        open_names = {
+            task.upstream.incarnation
+            for task in rollout.missing(engines, newest)
+        }
+        for each in engines:
+            if each.incarnation not in open_names:
+                self._given.pop(each.incarnation, None)
+
+    def _start(self, coroutine) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _carried_out(self, task: rollout.Task) -> None:
+        """Order one engine and watch until it has the weights."""
+        name = task.upstream.incarnation
+        try:
+            if not await self._ordered(task):
+                return
+            end_s = clock.now_s() + rollout.PATIENCE_S
+            while clock.now_s() < end_s:
+                await asyncio.sleep(ASK_S)
+                report = await self._asked(task.upstream)
+                if report is None:
+                    continue
+                has = report.weights.get(task.model, 0)
+                self._state.registry.has_weights(name, task.model, has)
+                if has >= task.version or not report.is_busy:
+                    return
+        except errors.RudderError as error:
+            LOG.warning("order refused: %s", error, extra={"peer": name})
+        finally:
+            self._given.pop(name, None)
+            self._avoid(name, 0.0)
+
+    async def _asked(self, upstream: model.Upstream) -> Report | None:
+        return await self._dialect.report(upstream, timeout_s=CALL_S)
+
+    async def _ordered(self, task: rollout.Task) -> bool:
+        name = task.upstream.incarnation
+        report = await self._asked(task.upstream)
+        if report is None or report.is_busy:
+            await asyncio.sleep(ASK_S)
+            return False
+        has = report.weights.get(task.model, 0)
+        self._state.registry.has_weights(name, task.model, has)
+        if has >= task.version:
+            return False
+        self._avoid(name, rollout.PATIENCE_S)
+        lease = self._lease.check(clock.now_s())
+        taken = await self._dialect.load(
+            task,
+            report,
+            holder=self._me,
+            fencing=lease.fencing,
+            timeout_s=CALL_S,
+        )
+        metrics.counter("toucanrudder_orders", "Orders to engines").add(
+            1, {"taken": str(taken).lower()}
+        )
+        LOG.info(
+            "order given: %s version %d, taken: %s",
+            task.model,
+            task.version,
+            taken,
+            extra={"step": STEP, "peer": name},
+        )
+        return True
--- /dev/null
+++ b/toucanrudder/forwarding/peering.py
@@ -0,0 +1,140 @@
+"""What forwarding routers tell each other."""
+
+import random
+import time
+
+import attrs
+
+from toucanrudder import clock
+from toucanrudder.forwarding import state as states
+from toucanrudder.membership import routers
+from toucanrudder.peers import client as peer_clients
+from toucanrudder.peers import loads as peer_loads
+from toucanrudder.peers import messages
+from toucanrudder.peers import node as nodes
+from toucanrudder.peers import peering as peerings
+
+#: Seconds for which the word that an upstream leaves is passed on: by
+#: then each router has read it in the registry itself.
+LEAVING_TOLD_S = 10.0
+
+
+@attrs.define(eq=False)
+class Gossip:
+    """Beliefs on upstreams that are shared with peers.
+
+    Parameters
+    ----------
+    state : states.ForwardingState
+        Where they are kept.
+    """
+
+    state: states.ForwardingState
+    _leaving_since_s: dict[str, float] = attrs.field(factory=dict)
+
+    def left(self, incarnation: str, now_s: float) -> bool:
+        """Note that an upstream has said that it leaves."""
+        if not self.state.registry.leaving(incarnation):
+            return False
+        self._leaving_since_s[incarnation] = now_s
+        return True
+
+    def leaving(self, now_s: float) -> tuple[str, ...]:
+        """Return what peers are told to be leaving."""
+        self._leaving_since_s = {
+            name: since_s
+            for name, since_s in self._leaving_since_s.items()
+            if now_s - since_s < LEAVING_TOLD_S
+        }
+        return tuple(self._leaving_since_s)
+
+    def avoided(self, now_s: float) -> tuple[messages.Avoided, ...]:
+        """Return what peers are told to take no work."""
+        return tuple(
+            messages.Avoided(name, left_s)
+            for name, left_s in self.state.states.avoided(now_s).items()
+        )
+
+    def heard(self, heartbeat: messages.Heartbeat, now_s: float) -> None:
+        """Take in a peer's beliefs."""
+        for name in heartbeat.leaving_upstreams:
+            self.left(name, now_s)
+        known = self.state.registry.incarnations
+        for each in heartbeat.avoided:
+            if each.upstream in known:
+                self.state.states.avoid(each.upstream, now_s + each.for_s)
+
+    def loads(self) -> tuple[messages.UpstreamLoad, ...]:
+        """Return this router's own work at upstreams."""
+        return tuple(
+            messages.UpstreamLoad(name, tokens, requests)
+            for name, tokens, requests in self.state.states.busy()
+        )
+
+
+def build(
+    state: states.ForwardingState,
+    gossip: Gossip,
+    *,
+    current,
+    offer,
+    encode,
+    decode,
+    seeds: list[str],
+    interval_s: float,
+    silent_s: float,
+    rng: random.Random,
+) -> peerings.Peering:
+    """Return this router's peering.
+
+    Parameters
+    ----------
+    state : states.ForwardingState
+        This router's tables.
+    gossip : Gossip
+        What is told and heard of upstreams.
+    current, offer : callable
+        Return and take a document.
+    encode, decode : callable
+        Between a document and its bytes.
+    seeds : list of str
+        ``IP:port`` of peers to begin with.
+    interval_s, silent_s : float
+        Between two rounds; after which a peer counts as gone.
+    rng : random.Random
+        For jitter and choices.
+    """
+    others = peer_loads.PeerLoads(silent_s)
+    sources = nodes.Sources(
+        loads=gossip.loads,
+        leaving=lambda: state.stopping,
+        # Peers count by a clock that stands still with the host; beliefs
+        # on upstreams age on.
+        leaving_upstreams=lambda _: gossip.leaving(clock.now_s()),
+        avoided=lambda _: gossip.avoided(clock.now_s()),
+        upstream_news=lambda heartbeat, _: gossip.heard(
+            heartbeat, clock.now_s()
+        ),
+    )
+    node = nodes.Node(
+        state.name,
+        int(time.time() * 1000),
+        routers.RouterTable(silent_s),
+        others,
+        current,
+        sources,
+        rng,
+    )
+    client = peer_clients.PeerClient(
+        node,
+        offer,
+        seeds,
+        None,
+        interval_s=interval_s,
+        silent_s=silent_s,
+        rng=rng,
+        decode=decode,
+    )
+    state.live_routers = lambda: node.table.count(time.monotonic())
+    state.peer_loads = others
+    return peerings.Peering(node, client, None, "", encode)
--- /dev/null
+++ b/toucanrudder/forwarding/registry.py
@@ -0,0 +1,130 @@
+"""Which upstreams there are, from what the registry told.  No I/O."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+import attrs
+
+from toucanrudder.forwarding import model
+
+#: Seconds after the registry's return within which an upstream that lives
+#: is listed again.  Upstreams register anew within about two seconds.
+RELIST_S = 2.4
+
+
+@attrs.define
+class _Known:
+    upstream: model.Upstream
+    missing_since_s: float | None = None
+
+
+class Registry:
+    """Upstreams by incarnation.
+
+    While the registry is away, entries run out although their upstreams
+    live.  So an entry that is missing after an outage is believed for a
+    while longer; one that goes while the registry is well is gone.
+    """
+
+    def __init__(self):
+        self._known: dict[str, _Known] = {}
+        self._by_service: dict[str, tuple[model.Upstream, ...]] | None = None
+        self._lenient_until_s = float("-inf")
+        self._told_leaving: set[str] = set()
+        self.is_filled = False
+
+    def returned(self, now_s: float) -> None:
+        """Note that the registry answers again after an outage."""
+        self._lenient_until_s = now_s + RELIST_S
+
+    def replace(
+        self, upstreams: Iterable[model.Upstream], now_s: float
+    ) -> None:
+        """Take in a whole list."""
+        listed = {each.incarnation: each for each in upstreams}
+        for incarnation in set(self._known) - set(listed):
+            self.remove(incarnation, now_s)
+        for upstream in listed.values():
+            self.put(upstream)
+        self.is_filled = True
+        self._by_service = None
+
+    def put(self, upstream: model.Upstream) -> None:
+        """Take in a new or changed entry."""
+        self._known[upstream.incarnation] = _Known(upstream)
+        self._by_service = None
+
+    def remove(self, incarnation: str, now_s: float) -> None:
+        """Take in that an entry is gone."""
+        known = self._known.get(incarnation)
+        if known is None:
+            return
+        if now_s < self._lenient_until_s and not known.upstream.is_leaving:
+            if known.missing_since_s is None:
+                known.missing_since_s = now_s
+            return
+        del self._known[incarnation]
+        self._told_leaving.discard(incarnation)
+        self._by_service = None
+
+    def tick(self, now_s: float) -> None:
+        """Drop the entries that have stayed missing."""
+        if now_s < self._lenient_until_s:
+            return
+        missing = [
+            incarnation
+            for incarnation, known in self._known.items()
+            if known.missing_since_s is not None
+        ]
+        for incarnation in missing:
+            del self._known[incarnation]
+            self._by_service = None
+
+    def leaving(self, incarnation: str) -> bool:
+        """Note that an upstream said itself, or to a peer, that it leaves.
+
+        Returns
+        -------
+        bool
+            Whether that is news.
+        """
+        known = self._known.get(incarnation)
+        if known is None or known.upstream.is_leaving:
+            return False
+        known.upstream = attrs.evolve(known.upstream, is_leaving=True)
+        self._by_service = None
+        return True
+
+    def has_weights(self, incarnation: str, name: str, version: int) -> None:
+        """Note the weights with which an upstream answered."""
+        known = self._known.get(incarnation)
+        if known is None or known.upstream.weights.get(name, 0) >= version:
+            return
+        weights = {**known.upstream.weights, name: version}
+        known.upstream = attrs.evolve(known.upstream, weights=weights)
+        self._by_service = None
+
+    def get(self, incarnation: str) -> model.Upstream | None:
+        """Return one upstream."""
+        known = self._known.get(incarnation)
+        return known.upstream if known else None
+
+    @property
+    def incarnations(self) -> set[str]:
+        """All that are known."""
+        return set(self._known)
+
+    def of(self, service: str) -> tuple[model.Upstream, ...]:
+        """Return the upstreams of a service, also leaving ones."""
+        if self._by_service is None:
+            self._by_service = _grouped(self._known)
+        return self._by_service.get(service, ())
+
+
+def _grouped(
+    known: Mapping[str, _Known],
+) -> dict[str, tuple[model.Upstream, ...]]:
+    grouped: dict[str, list[model.Upstream]] = {}
+    for each in known.values():
+        grouped.setdefault(each.upstream.service, []).append(each.upstream)
+    return {service: tuple(found) for service, found in grouped.items()}
--- /dev/null
+++ b/toucanrudder/forwarding/rollout.py
@@ -0,0 +1,107 @@
+"""Which engine is to load which weights next.  No I/O."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import math
+
+import attrs
+
+from toucanrudder.forwarding import model
+
+#: Part of a service's engines that load at once.  More would take too
+#: much capacity out, and engines that load together share the source of
+#: the weights and get slower.
+LOADING_SHARE = 1 / 3
+
+#: After this long without a sign that an order is being carried out, the
+#: engine may be given another.  An engine loads in well under a second
+#: once its requests have ended, which takes a few.
+PATIENCE_S = 4.0
+
+
+@attrs.frozen
+class Task:
+    """An engine that lacks the newest weights of a model."""
+
+    upstream: model.Upstream
+    model: str
+    version: int
+
+
+@attrs.define
+class Given:
+    """An order that was given and has not shown its effect."""
+
+    version: int
+    at_s: float
+
+
+def missing(
+    upstreams: Iterable[model.Upstream], newest: Mapping[str, int]
+) -> list[Task]:
+    """Return what is left to do.
+
+    Examples
+    --------
+    >>> one = model.Upstream("i1", "s", "10.0.0.1:1", weights={"m": 1})
+    >>> [task.version for task in missing([one], {"m": 3})]
+    [3]
+    >>> missing([one], {"m": 1})
+    []
+    """
+    return [
+        Task(upstream, name, newest[name])
+        for upstream in upstreams
+        for name, version in upstream.weights.items()
+        if name in newest and version < newest[name]
+    ]
+
+
+def at_once(engines: int) -> int:
+    """Return how many of a service's engines may load at once."""
+    return max(1, math.ceil(engines * LOADING_SHARE))
+
+
+def plan(
+    upstreams: Iterable[model.Upstream],
+    newest: Mapping[str, int],
+    given: Mapping[str, Given],
+    busy: Mapping[str, float],
+    now_s: float,
+) -> list[Task]:
+    """Return the orders to give now, the cheapest engines first.
+
+    Parameters
+    ----------
+    upstreams : iterable of model.Upstream
+        The engines of one service.
+    newest : mapping of str to int
+        Newest version by model.
+    given : mapping of str to Given
+        Orders under way, by incarnation.
+    busy : mapping of str to float
+        How much work an engine has, by incarnation.
+    now_s : float
+        Monotonic time.
+    """
+    engines = [each for each in upstreams if not each.is_leaving]
+    under_way = {
+        name
+        for name, order in given.items()
+        if now_s - order.at_s < PATIENCE_S
+    }
+    room = at_once(len(engines)) - len(
+        under_way & {each.incarnation for each in engines}
+    )
+    open_tasks = [
+        task
+        for task in missing(engines, newest)
+        if task.upstream.incarnation not in under_way
+    ]
+    open_tasks.sort(
+        key=lambda task: (
+            busy.get(task.upstream.incarnation, 0.0),
+            task.upstream.incarnation,
+        )
+    )
+    return open_tasks[: max(0, room)]
--- /dev/null
+++ b/toucanrudder/forwarding/state.py
@@ -0,0 +1,151 @@
+"""What the parts of the forwarding path share."""
+
+from collections.abc import Callable
+import random
+
+import attrs
+
+from toucanrudder import errors
+from toucanrudder import retries
+from toucanrudder.forwarding import loads
+from toucanrudder.forwarding import model
+from toucanrudder.forwarding import placing
+from toucanrudder.forwarding import registry as registries
+from toucanrudder.forwarding import routing
+from toucanrudder.forwarding import shares
+from toucanrudder.http1 import pool as pools
+from toucanrudder.peers import loads as peers_loads
+
+STEP = "state"
+
+#: When a router that has no configuration yet is worth asking again: the
+#: first one arrives well within a second of a start.
+NOT_CONFIGURED_RETRY_S = 0.3
+
+
+@attrs.define(eq=False)
+class ForwardingState:
+    """Tables of one router; each has one owner that writes it.
+
+    Parameters
+    ----------
+    name, zone : str
+        This router and its availability zone.
+    rng : random.Random
+        For splits and ties.
+    budget_bounds : shares.BudgetBounds
+        Bounds of retries over all routers.
+    live_routers : callable
+        Number of live routers, this one included.
+    """
+
+    name: str
+    zone: str
+    rng: random.Random
+    budget_bounds: shares.BudgetBounds
+    live_routers: Callable[[], int] = lambda: 1
+    registry: registries.Registry = attrs.field(factory=registries.Registry)
+    states: loads.UpstreamStates = attrs.field(factory=loads.UpstreamStates)
+    pool: pools.ConnectionPool = attrs.field(factory=pools.ConnectionPool)
+    newest_weights: dict[str, "NamedWeights"] = attrs.field(factory=dict)
+    peer_loads: peers_loads.PeerLoads | None = None
+    stopping: bool = False
+    open_requests: int = 0
+    _table: routing.RoutingTable | None = None
+    _budgets: dict[str, retries.RetryBudget] = attrs.field(factory=dict)
+
+    @property
+    def configuration(self) -> model.Configuration | None:
+        """What is in force, or None."""
+        return self._table.configuration if self._table else None
+
+    @property
+    def generation(self) -> int:
+        """Generation in force; 0 for none."""
+        return self._table.configuration.generation if self._table else 0
+
+    def offer(self, candidate: model.Configuration) -> bool:
+        """Put a configuration in force if it is newer.
+
+        A router that went back would bring back dropped routes and keys,
+        so an older one is never taken, whoever offers it.
+        """
+        if candidate.generation <= self.generation:
+            return False
+        self._table = routing.RoutingTable(candidate)
+        return True
+
+    def table(self) -> routing.RoutingTable:
+        """Return the routes in force.
+
+        Raises
+        ------
+        RudderError
+            ``not_configured``.
+        """
+        if self._table is None:
+            raise errors.RudderError(
+                errors.Code.NOT_CONFIGURED,
+                "no configuration has been obtained yet",
+                step=STEP,
+                peer="store",
+                retry_after_s=NOT_CONFIGURED_RETRY_S,
+            )
+        return self._table
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new connections are welcome."""
+        return (
+            not self.stopping
+            and self._table is not None
+            and self.registry.is_filled
+        )
+
+    def budget(self, service: str) -> retries.RetryBudget:
+        """Return this router's share of a service's retry budget."""
+        budget = self._budgets.get(service)
+        share = shares.budget_share(self.budget_bounds, self.live_routers())
+        if budget is None:
+            budget = retries.RetryBudget(start=share.burst)
+            self._budgets[service] = budget
+        budget.ratio = share.ratio
+        budget.minimum_per_s = share.minimum_per_s
+        budget.burst = share.burst
+        return budget
+
+    def candidates(
+        self, service: str, prompt: model.Prompt | None
+    ) -> list[placing.Candidate]:
+        """Return the service's upstreams with what is known of them."""
+        newest = None
+        if prompt is not None:
+            newest = self.newest_weights.get(prompt.model)
+        return [
+            placing.Candidate(
+                upstream,
+                self.states.of(upstream.incarnation),
+                newest is None
+                or upstream.weights.get(newest.model, 0) >= newest.version,
+            )
+            for upstream in self.registry.of(service)
+        ]
+
+
+@attrs.frozen
+class NamedWeights:
+    """The weights that a model is to have.
+
+    Parameters
+    ----------
+    model : str
+        The model's name.
+    version : int
+        Rises with each.
+    since_s : float
+        Monotonic time at which this router learned of it.
+    """
+
+    model: str
+    version: int
+    since_s: float
--- /dev/null
+++ b/toucanrudder/forwarding/tries.py
@@ -0,0 +1,156 @@
+"""What follows from the end of one try of a request.  No I/O."""
+
+import enum
+
+import attrs
+
+from toucanrudder import errors
+from toucanrudder.forwarding import model
+
+STEP = "forward"
+
+#: Least time that must be left for another try to be worth starting: a
+#: connection and the shortest answers take about as long.
+LEAST_LEFT_S = 0.03
+
+
+class Ended(enum.Enum):
+    """How a try ended without a whole answer."""
+
+    #: No connection: nothing was sent.
+    NOT_REACHED = "not_reached"
+    #: The upstream says that it has not run the request.
+    FULL = "full"
+    #: Another process has the address now, or other weights.
+    NOT_THERE = "not_there"
+    #: The answer broke off, or none came on an open connection.
+    BROKEN = "broken"
+    #: The answer is not for this request, or is no answer.
+    CROSSED = "crossed"
+    #: Nothing came for too long.
+    SILENT = "silent"
+    #: The upstream answered with a failure of its own.
+    FAILED = "failed"
+
+
+#: Ends after which the request certainly has not run in this try.
+PROVES_NOT_RUN = frozenset({Ended.NOT_REACHED, Ended.FULL, Ended.NOT_THERE})
+
+_CODES = {
+    Ended.NOT_REACHED: errors.Code.UPSTREAM_NOT_REACHED,
+    Ended.FULL: errors.Code.QUEUE_FULL,
+    Ended.NOT_THERE: errors.Code.NO_UPSTREAM,
+    Ended.BROKEN: errors.Code.UPSTREAM_FAILED,
+    Ended.CROSSED: errors.Code.UPSTREAM_CROSSED_ANSWER,
+    Ended.SILENT: errors.Code.UPSTREAM_TIMEOUT,
+    Ended.FAILED: errors.Code.UPSTREAM_FAILED,
+}
+
+
+@attrs.frozen
+class Progress:
+    """What has become of a request so far.
+
+    Parameters
+    ----------
+    may_have_run : int
+        Tries in which it can have run.
+    tries : int
+        All tries.
+    events : int
+        Events of a stream that the caller has got.
+    can_resume : bool
+        Whether the last of them names a point to go on from.
+    """
+
+    may_have_run: int = 0
+    tries: int = 0
+    events: int = 0
+    can_resume: bool = True
+
+
+class Step(enum.Enum):
+    """What is done next."""
+
+    RETRY = "retry"
+    GIVE_UP = "give_up"
+
+
+#: Tries of one request, also such that prove nothing ran: a caller gets
+#: his refusal early enough to come back.
+MAX_TRIES = 4
+
+
+def next_step(
+    ended: Ended,
+    progress: Progress,
+    route: model.Route,
+    *,
+    left_s: float,
+) -> Step:
+    """Say whether a request may and should be sent again.
+
+    The budget is asked by the caller of this function, last of all.
+
+    Parameters
+    ----------
+    ended : Ended
+        How the newest try ended; `progress` counts it already.
+    progress : Progress
+        All tries so far.
+    route : model.Route
+        What may be repeated, and how often.
+    left_s : float
+        Time left until the caller's deadline.
+
+    Examples
+    --------
+    >>> from toucanrudder.forwarding import model
+    >>> once = model.Route("r", "h", "/", ())
+    >>> next_step(Ended.BROKEN, Progress(1, 1), once, left_s=1.0)
+    <Step.GIVE_UP: 'give_up'>
+    >>> next_step(Ended.FULL, Progress(0, 1), once, left_s=1.0)
+    <Step.RETRY: 'retry'>
+    """
+    if progress.tries >= MAX_TRIES or left_s < LEAST_LEFT_S:
+        return Step.GIVE_UP
+    if progress.may_have_run >= route.max_upstreams:
+        return Step.GIVE_UP
+    if progress.may_have_run and route.repetition is model.Repetition.ONCE:
+        return Step.GIVE_UP
+    if progress.events:
+        # The caller holds a part of the answer; only a stream that can be
+        # taken up again behind it may go on.
+        resumable = route.repetition is model.Repetition.RESUMABLE
+        if not resumable or not progress.can_resume:
+            return Step.GIVE_UP
+    return Step.RETRY
+
+
+def refusal(
+    ended: Ended, progress: Progress, peer: str, retry_after_s: float
+) -> errors.RudderError:
+    """Return the error for a request that has been given up.
+
+    Only one that certainly has not run is told to come back; a status
+    that promises "not run" after a try that may have run would make the
+    caller book twice.
+    """
+    if progress.may_have_run:
+        code = _CODES[ended]
+        if ended in PROVES_NOT_RUN:
+            code = errors.Code.UPSTREAM_FAILED
+        return errors.RudderError(
+            code,
+            "the request may have run; its answer was lost",
+            step=STEP,
+            peer=peer,
+            ran=errors.Ran.UNKNOWN,
+        )
+    return errors.RudderError(
+        _CODES[ended] if ended in PROVES_NOT_RUN else errors.Code.QUEUE_FULL,
+        "no upstream could take the request",
+        step=STEP,
+        peer=peer,
+        retry_after_s=retry_after_s,
+    )
--- /dev/null
+++ b/toucanrudder/http1/client.py
@@ -0,0 +1,281 @@
+"""One connection to an upstream, and one exchange at a time on it."""
+
+import asyncio
+import collections
+import contextlib
+import enum
+
+import attrs
+import h11
+
+from toucanrudder.http1 import message
+from toucanrudder.http1 import sockets
+
+#: Bytes of an answer that are held for a slow reader.
+MAX_BUFFERED_BYTES = 262_144
+
+#: Longest head of an answer.
+MAX_HEAD_BYTES = 65_536
+
+
+class Fault(enum.Enum):
+    """Why an exchange did not end with a whole answer."""
+
+    NOT_CONNECTED = "not_connected"
+    RESET = "reset"
+    CLOSED = "closed"
+    NOT_HTTP = "not_http"
+    TIMEOUT = "timeout"
+
+
+class ExchangeError(Exception):
+    """The exchange failed.
+
+    Parameters
+    ----------
+    fault : Fault
+        What happened.
+    sent : bool
+        Whether a byte of the request can have left this process.
+    reused : bool
+        Whether the connection had served another request before.
+    """
+
+    def __init__(self, fault: Fault, *, sent: bool, reused: bool = False):
+        super().__init__(fault.value)
+        self.fault = fault
+        self.sent = sent
+        self.reused = reused
+
+
+@attrs.frozen
+class Data:
+    """A piece of an answer's body."""
+
+    content: bytes
+
+
+@attrs.frozen
+class End:
+    """The answer is whole."""
+
+
+class UpstreamConnection(asyncio.Protocol):
+    """A connection that carries one exchange after the other.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:port`` of the upstream.
+    """
+
+    def __init__(self, address: str):
+        self.address = address
+        self.idle_since_s = 0.0
+        self.keep_for_s: float | None = None
+        self.uses = 0
+        self._transport: asyncio.Transport | None = None
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self._events: collections.deque = collections.deque()
+        self._waiter: asyncio.Future | None = None
+        self._fault: Fault | None = None
+        self._buffered = 0
+        self._in_exchange = False
+        self._sent = False
+        self._ended = False
+
+    # What the transport calls.
+
+    def connection_made(self, transport) -> None:
+        """Keep the transport."""
+        self._transport = transport
+        sockets.guard(transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Read as many events as the bytes hold."""
+        if not self._in_exchange or self._ended:
+            # Bytes that no request asked for: a second answer, or rubbish
+            # behind a complete one.  Read on this connection later, they
+            # would be handed to another caller as his answer.
+            self._spoil(Fault.NOT_HTTP)
+            return
+        try:
+            self._http.receive_data(data)
+            self._read_events()
+        except h11.RemoteProtocolError:
+            self._spoil(Fault.NOT_HTTP)
+
+    def eof_received(self) -> bool:
+        """End an answer that has no length, or fail the exchange."""
+        if self._in_exchange and not self._ended:
+            try:
+                self._http.receive_data(b"")
+                self._read_events()
+            except h11.RemoteProtocolError:
+                pass
+        self._spoil(Fault.CLOSED)
+        return False
+
+    def connection_lost(self, error) -> None:
+        """Fail the exchange under way."""
+        self._spoil(Fault.RESET)
+
+    def _read_events(self) -> None:
+        while not self._ended:
+            event = self._http.next_event()
+            if event in (h11.NEED_DATA, h11.PAUSED):
+                return
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if isinstance(event, h11.ConnectionClosed):
+                self._spoil(Fault.CLOSED)
+                return
+            self._events.append(self._translated(event))
+            self._wake()
+
+    def _translated(self, event):
+        if isinstance(event, h11.Response):
+            return message.AnswerHead(
+                event.status_code, tuple(event.headers.raw_items())
+            )
+        if isinstance(event, h11.Data):
+            content = bytes(event.data)
+            self._buffered += len(content)
+            if self._buffered > MAX_BUFFERED_BYTES:
+                self._transport.pause_reading()
+            return Data(content)
+        self._ended = True
+        return End()
+
+    def _spoil(self, fault: Fault) -> None:
+        if self._fault is None:
+            self._fault = fault
+        if self._transport is not None:
+            self._transport.abort()
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    # What an exchange calls.
+
+    @property
+    def usable(self) -> bool:
+        """Whether another request may be sent on it."""
+        return (
+            self._fault is None
+            and not self._in_exchange
+            and self._transport is not None
+            and not self._transport.is_closing()
+        )
+
+    @property
+    def sent(self) -> bool:
+        """Whether a byte of the present request can have left."""
+        return self._sent
+
+    def error(self, fault: Fault) -> ExchangeError:
+        """Return the exception for a fault of the present exchange."""
+        return ExchangeError(fault, sent=self._sent, reused=self.uses > 1)
+
+    def send(self, head: message.RequestHead, body: bytes) -> None:
+        """Send a whole request; its length must stand in the head.
+
+        Raises
+        ------
+        ExchangeError
+            The connection has ended already; nothing was sent.
+        """
+        self._sent = False
+        self.uses += 1
+        if not self.usable:
+            raise self.error(self._fault or Fault.CLOSED)
+        self._in_exchange = True
+        data = self._http.send(
+            h11.Request(
+                method=head.method, target=head.target, headers=head.headers
+            )
+        )
+        if body:
+            data += self._http.send(h11.Data(data=body))
+        data += self._http.send(h11.EndOfMessage())
+        self._sent = True
+        self._transport.write(data)
+
+    async def next_event(self) -> message.AnswerHead | Data | End:
+        """Return the next part of the answer.
+
+        Raises
+        ------
+        ExchangeError
+            The answer broke off.
+        """
+        while not self._events:
+            if self._fault is not None:
+                raise self.error(self._fault)
+            self._waiter = asyncio.get_running_loop().create_future()
+            try:
+                await self._waiter
+            finally:
+                self._waiter = None
+        event = self._events.popleft()
+        if isinstance(event, Data):
+            self._drained(len(event.content))
+        return event
+
+    def _drained(self, length: int) -> None:
+        before, self._buffered = self._buffered, self._buffered - length
+        if before > MAX_BUFFERED_BYTES >= self._buffered:
+            with contextlib.suppress(RuntimeError):
+                self._transport.resume_reading()
+
+    def finish(self) -> bool:
+        """End a whole exchange; say whether the connection can be kept."""
+        if not self._ended or self._fault is not None:
+            self.abort()
+            return False
+        try:
+            self._http.start_next_cycle()
+        except h11.ProtocolError:
+            self.abort()
+            return False
+        if self._http.trailing_data[0]:
+            self.abort()
+            return False
+        self._in_exchange = self._ended = False
+        return True
+
+    def abort(self) -> None:
+        """Close at once; the upstream notices and stops its work."""
+        if self._transport is not None:
+            self._transport.abort()
+
+
+async def connect(address: str, timeout_s: float) -> UpstreamConnection:
+    """Open a connection.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:port``.
+    timeout_s : float
+        Longest wait.
+
+    Raises
+    ------
+    ExchangeError
+        ``NOT_CONNECTED``; nothing was sent.
+    """
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, protocol = await loop.create_connection(
+                lambda: UpstreamConnection(address), host, int(port)
+            )
+    except (OSError, TimeoutError) as error:
+        raise ExchangeError(Fault.NOT_CONNECTED, sent=False) from error
+    return protocol
--- /dev/null
+++ b/toucanrudder/http1/sockets.py
@@ -0,0 +1,40 @@
+"""Options that make a silent connection end."""
+
+import contextlib
+import socket
+
+#: Idle seconds before the first keep-alive probe, seconds between probes
+#: and probes without an answer: a path that has gone silent is noticed
+#: within about three seconds, also while nobody sends.
+PROBE_AFTER_S = 1
+PROBE_EVERY_S = 1
+PROBES = 2
+
+#: Milliseconds that written bytes may stay unacknowledged.  Three times
+#: the longest retransmission seen on a lossy link between zones.
+UNACKNOWLEDGED_MS = 3_000
+
+_OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_EVERY_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+)
+
+
+def guard(transport) -> None:
+    """Let the kernel end the connection when its path goes silent.
+
+    A partition or a host without power sends no reset.  Without probes
+    the connection looks open for many minutes, and whoever waits on it
+    waits as long.
+    """
+    found = transport.get_extra_info("socket")
+    if found is None:
+        return
+    for level, option, value in _OPTIONS:
+        # A socket that has closed meanwhile is told by the transport.
+        with contextlib.suppress(OSError):
+            found.setsockopt(level, option, value)
--- a/toucanrudder/leases/decision.py
+++ b/toucanrudder/leases/decision.py
@@ -19,6 +19,25 @@
 MARGIN_S = 2.0
 
 
+@attrs.frozen
+class Terms:
+    """How long a lease is held, and what is left between two holders.
+
+    Parameters
+    ----------
+    term_s : float
+        Time for which a lease is held after it was written.
+    margin_s : float
+        Taken off the holder's side and added on the others'.
+    """
+
+    term_s: float = TERM_S
+    margin_s: float = MARGIN_S
+
+
+DEFAULT_TERMS = Terms()
+
+
 @attrs.frozen
 class Record:
     """The value of a lease's object in the store.
@@ -88,7 +107,9 @@
     return Seen(version, record, now_s)
 
 
-def next_step(seen: Seen | None, me: str, now_s: float) -> Step:
+def next_step(
+    seen: Seen | None, me: str, now_s: float, terms: Terms = DEFAULT_TERMS
+) -> Step:
     """Say what to do.
 
     Parameters
@@ -99,6 +120,8 @@
         Identity of this process.
     now_s : float
         Monotonic time.
+    terms : Terms
+        The same for all processes that want the lease.
 
     Examples
     --------
@@ -116,10 +139,10 @@
         return Step.TAKE
     # Engines that ignore fencing numbers would obey two holders.  So the
     # old holder's time, by its own clock, must have passed before.
-    lapsed = now_s - seen.since_s >= TERM_S + MARGIN_S
+    lapsed = now_s - seen.since_s >= terms.term_s + terms.margin_s
     return Step.TAKE if lapsed else Step.WAIT
 
 
-def until_s(sent_s: float) -> float:
+def until_s(sent_s: float, terms: Terms = DEFAULT_TERMS) -> float:
     """Return until when a write sent at `sent_s` lets the holder act."""
-    return sent_s + TERM_S - MARGIN_S
+    return sent_s + terms.term_s - terms.margin_s
--- a/toucanrudder/leases/holder.py
+++ b/toucanrudder/leases/holder.py
@@ -38,7 +38,7 @@
 
     Parameters
     ----------
-    store : interface.ObjectStore
+    store : interface.ConditionalStore
         Where the lease is kept.
     name : str
         The lease's name.
@@ -55,11 +55,13 @@
         For jitter.
     clock : callable
         Time that runs on while the host is suspended.
+    terms : decision.Terms
+        The same for all processes that want the lease.
     """
 
     def __init__(
         self,
-        store: interface.ObjectStore,
+        store: interface.ConditionalStore,
         name: str,
         me: str,
         *,
@@ -68,6 +70,7 @@
         timeout_s: float = 1.0,
         rng: random.Random | None = None,
         clock: Callable[[], float] = clocks.now_s,
+        terms: decision.Terms = decision.DEFAULT_TERMS,
     ):
         self._store = store
         self._name = name
@@ -77,6 +80,7 @@
         self._timeout_s = timeout_s
         self._rng = rng or random.Random()
         self._clock = clock
+        self._terms = terms
         self._seen: decision.Seen | None = None
         self._lease: decision.Lease | None = None
 
@@ -124,7 +128,7 @@
         )
         now_s = self._clock()
         self._seen = _seen(self._seen, found, now_s)
-        step = decision.next_step(self._seen, self._me, now_s)
+        step = decision.next_step(self._seen, self._me, now_s, self._terms)
         if step is decision.Step.WAIT:
             self._forget()
             return
@@ -204,7 +208,7 @@
         else:
             _count("acquired")
         self._lease = decision.Lease(
-            record.fencing, acquired_s, decision.until_s(sent_s)
+            record.fencing, acquired_s, decision.until_s(sent_s, self._terms)
         )
 
     def _forget(self) -> None:
--- a/toucanrudder/peers/client.py
+++ b/toucanrudder/peers/client.py
@@ -9,7 +9,6 @@
 
 from grpc import aio
 
-from toucanrudder.document import model
 from toucanrudder.document import serialisation
 from toucanrudder.peers import credentials as peer_credentials
 from toucanrudder.peers import messages
@@ -105,19 +104,23 @@
         Silence after which a peer counts as gone.
     rng : random.Random
         Chooses peers and jitter.
+    decode : callable
+        Reads the bytes of a peer's document.
     """
 
     def __init__(
         self,
         node: nodes.Node,
-        offer: Callable[[model.Accepted], bool],
+        offer: Callable[[nodes.Document], bool],
         seeds: Iterable[str],
         credentials: peer_credentials.Credentials | None,
         *,
         interval_s: float,
         silent_s: float,
         rng: random.Random,
+        decode: Callable[[bytes], nodes.Document] = serialisation.decode,
     ):
+        self._decode = decode
         self._node = node
         self._offer = offer
         self._seeds = tuple(seeds)
@@ -266,7 +269,7 @@
                 peers_pb2.DocumentRequest(), timeout=DOCUMENT_S
             )
             if reply.accepted_json:
-                self._offer(serialisation.decode(reply.accepted_json))
+                self._offer(self._decode(reply.accepted_json))
         except aio.AioRpcError as error:
             await self._failed(address, error)
         except Exception:
--- a/toucanrudder/peers/messages.py
+++ b/toucanrudder/peers/messages.py
@@ -40,6 +40,22 @@
     requests: int
 
 
+@attrs.frozen
+class Avoided:
+    """An upstream's process that takes no work for a while.
+
+    Parameters
+    ----------
+    upstream : str
+        Identity of the process.
+    for_s : float
+        Seconds from the sending of the message.
+    """
+
+    upstream: str
+    for_s: float
+
+
 @attrs.frozen
 class Heartbeat:
     """One router's word to another.
@@ -62,6 +78,10 @@
         Some routers that the sender has heard of.
     want_all : bool
         Whether the sender asks for all quarantine entries.
+    leaving_upstreams : tuple of str
+        Processes of upstreams that have said that they leave.
+    avoided : tuple of Avoided
+        Processes of upstreams that take no work for a while.
     """
 
     sender: routers.Member
@@ -72,6 +92,8 @@
     total_rate_per_s: float = 0.0
     members: tuple[routers.Member, ...] = ()
     want_all: bool = False
+    leaving_upstreams: tuple[str, ...] = ()
+    avoided: tuple[Avoided, ...] = ()
 
 
 def to_wire(heartbeat: Heartbeat) -> peers_pb2.Heartbeat:
@@ -101,6 +123,11 @@
         total_rate_per_s=heartbeat.total_rate_per_s,
         members=[_member_to_wire(member) for member in heartbeat.members],
         want_all=heartbeat.want_all,
+        leaving_upstreams=heartbeat.leaving_upstreams,
+        avoided=[
+            peers_pb2.Avoided(upstream=each.upstream, for_s=each.for_s)
+            for each in heartbeat.avoided
+        ],
     )
 
 
@@ -137,6 +164,11 @@
                 for member in message.members[:MAX_MEMBERS]
             ),
             want_all=message.want_all,
+            leaving_upstreams=tuple(message.leaving_upstreams[:MAX_LOADS]),
+            avoided=tuple(
+                Avoided(each.upstream, _finite(each.for_s))
+                for each in message.avoided[:MAX_LOADS]
+            ),
         )
     except ValueError as error:
         raise BadHeartbeat(str(error)) from error
--- a/toucanrudder/peers/node.py
+++ b/toucanrudder/peers/node.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Callable
 import random
+from typing import Protocol
 
 import attrs
 
 from toucanrudder.document import acceptance
-from toucanrudder.document import model
 from toucanrudder.membership import routers
 from toucanrudder.peers import loads as peer_loads
 from toucanrudder.peers import messages
@@ -47,6 +47,10 @@
         Takes quarantine entries and the wall clock.
     hot : callable
         Takes a peer's name, prefixes, total rate and monotonic time.
+    leaving_upstreams, avoided : callable
+        Given the monotonic time, return what is told of upstreams.
+    upstream_news : callable
+        Takes a heartbeat and the monotonic time.
     """
 
     loads: Callable[[], tuple[messages.UpstreamLoad, ...]] = tuple
@@ -62,6 +66,19 @@
     hot: Callable[[str, tuple[heat.HotPrefix, ...], float, float], None] = (
         lambda peer, prefixes, total, now_s: None
     )
+    leaving_upstreams: Callable[[float], tuple[str, ...]] = lambda now_s: ()
+    avoided: Callable[[float], tuple[messages.Avoided, ...]] = lambda now_s: ()
+    upstream_news: Callable[[messages.Heartbeat, float], None] = (
+        lambda heartbeat, now_s: None
+    )
+
+
+class Document(Protocol):
+    """A configuration of any form that has a generation."""
+
+    @property
+    def generation(self) -> int:
+        """Rises with each accepted change."""
 
 
 class Node:
@@ -91,7 +108,7 @@
         incarnation: int,
         table: routers.RouterTable,
         loads: peer_loads.PeerLoads,
-        current: Callable[[], model.Accepted | None],
+        current: Callable[[], Document | None],
         sources: Sources,
         rng: random.Random,
     ):
@@ -159,6 +176,8 @@
             total_rate_per_s=self._sources.total_rate_per_s(now_s),
             members=self._told_members(now_s),
             want_all=self._beat % ASK_ALL_EVERY == 1,
+            leaving_upstreams=self._sources.leaving_upstreams(now_s),
+            avoided=self._sources.avoided(now_s),
         )
 
     def _told_members(self, now_s: float) -> tuple[routers.Member, ...]:
@@ -187,6 +206,7 @@
                 self.table.told(member, now_s)
         self._loads.heard(sender.name, heartbeat.loads, now_s)
         self._sources.merge(heartbeat.quarantine, wall_s)
+        self._sources.upstream_news(heartbeat, now_s)
         self._sources.hot(
             sender.name,
             heartbeat.hot_prefixes,
--- a/toucanrudder/peers/server.py
+++ b/toucanrudder/peers/server.py
@@ -49,6 +49,8 @@
         Whether callers must show a router's certificate.
     news : callable
         Called with a heartbeat after it was taken in.
+    encode : callable
+        Returns the bytes of the document in force.
     """
 
     def __init__(
@@ -56,10 +58,12 @@
         node: nodes.Node,
         secure: bool,
         news: Callable[[messages.Heartbeat], None],
+        encode: Callable[[nodes.Document], bytes] = serialisation.encode,
     ):
         self._node = node
         self._secure = secure
         self._news = news
+        self._encode = encode
 
     async def Exchange(self, request, context):
         """Take in the caller's heartbeat; answer with this router's."""
@@ -82,9 +86,7 @@
         accepted = self._node.current()
         if accepted is None:
             return peers_pb2.DocumentReply()
-        return peers_pb2.DocumentReply(
-            accepted_json=serialisation.encode(accepted)
-        )
+        return peers_pb2.DocumentReply(accepted_json=self._encode(accepted))
 
     async def _authenticate(self, context) -> None:
         # The handshake has proved that the authority signed the caller's
@@ -108,6 +110,7 @@
     port: int,
     credentials: peer_credentials.Credentials | None,
     news: Callable[[messages.Heartbeat], None] = lambda heartbeat: None,
+    encode: Callable[[nodes.Document], bytes] = serialisation.encode,
 ) -> AsyncIterator[str]:
     """Serve peers during the block; yield the address that was bound.
 
@@ -123,10 +126,12 @@
         For mutual TLS; None serves anyone.
     news : callable
         Called with each heartbeat that came.
+    encode : callable
+        Returns the bytes of the document in force.
     """
     server = aio.server(options=OPTIONS, maximum_concurrent_rpcs=MAX_CALLS)
     peers_pb2_grpc.add_PeersServicer_to_server(
-        PeersService(node, credentials is not None, news), server
+        PeersService(node, credentials is not None, news, encode), server
     )
     if credentials is None:
         LOG.warning("peers are not authenticated: [peers] names no files")
--- /dev/null
+++ b/toucanrudder/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' prepared machines: names, formats and calls, no decisions."""
--- /dev/null
+++ b/toucanrudder/platform/__main__.py
@@ -0,0 +1,46 @@
+"""Entry point of ``python -m toucanrudder.platform``."""
+
+import asyncio
+import os
+import sys
+
+import uvloop
+
+from toucanrudder.forwarding import daemon
+from toucanrudder.observability import logs
+from toucanrudder.platform import dialect
+from toucanrudder.platform import objects
+from toucanrudder.platform import orders
+from toucanrudder.platform import store
+from toucanrudder.settings import forwarding
+from toucanrudder.settings import loading
+
+#: Variable that holds the path of the settings file.
+SETTINGS_PATH = "TOUCANRUDDER_BOOT"
+
+
+def main() -> None:
+    """Serve until a signal has led to a planned stop."""
+    # libuv would open a ring otherwise; it reads this at the first loop.
+    os.environ["UV_USE_IO_URING"] = "0"
+    conf = loading.load(os.environ[SETTINGS_PATH], forwarding.GROUPS)
+    logs.set_up(conf.logging.format, conf.logging.level, sys.stdout)
+    place = daemon.Platform(
+        dialect=dialect.PlatformDialect(),
+        store=store.PlatformStore(conf.store.address),
+        configuration_kind=objects.CONFIGURATION_KIND,
+        upstream_kind=objects.UPSTREAM_KIND,
+        weights_kind=objects.WEIGHTS_KIND,
+        document=objects.document,
+        upstream=objects.upstream,
+        named_weights=objects.named_weights,
+        encode=objects.encode,
+        decode=objects.decode,
+        engine_calls=orders.EngineCalls,
+    )
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(daemon.serve(conf, place))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/toucanrudder/platform/dialect.py
@@ -0,0 +1,198 @@
+"""What callers and upstreams say on this platform, in heads of HTTP."""
+
+import re
+
+import orjson
+
+from toucanrudder import errors
+from toucanrudder.forwarding import dialect
+from toucanrudder.forwarding import model
+from toucanrudder.forwarding import routing
+from toucanrudder.http1 import message
+
+STEP = "read"
+
+#: Fields that only the router may set; a caller's are dropped.
+_OURS = frozenset(
+    {
+        b"authorization",
+        b"tenant",
+        b"deadline-ms",
+        b"expect-instance",
+        b"expect-version",
+        b"request-priority",
+        b"cache-salt",
+        b"kv-fetch-from",
+        b"kv-save-to",
+        b"kv-from",
+        b"kv-hold",
+        b"kv-backup",
+        b"pin-ms",
+        b"last-event-id",
+        b"content-length",
+        b"instance-id",
+        b"not-executed",
+        b"server-seal",
+        b"server-load",
+    }
+)
+
+#: Lowest rank that upstreams know; 0 is the first.
+_LAST_PRIORITY = 9
+
+_EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
+
+
+def _bad(name: str) -> errors.RudderError:
+    return errors.RudderError(
+        errors.Code.BAD_HEADER, f"{name} cannot be read", step=STEP
+    )
+
+
+def _text(head, name: bytes) -> str | None:
+    value = head.get(name)
+    return None if value is None else value.decode("latin-1").strip()
+
+
+def _number(head, name: bytes) -> int | None:
+    text = _text(head, name)
+    if text is None:
+        return None
+    try:
+        return int(float(text))
+    except (ValueError, OverflowError):
+        raise _bad(name.decode()) from None
+
+
+def _prompt(head: message.RequestHead) -> model.Prompt | None:
+    name = _text(head, b"model")
+    if name is None:
+        return None
+    try:
+        counts = [
+            int(each)
+            for each in (_text(head, b"token-counts") or "0,0").split(",")
+        ]
+        parts = tuple(
+            model.Part(identity.strip(), int(tokens))
+            for identity, _, tokens in (
+                each.partition(":")
+                for each in (_text(head, b"prompt-prefix") or "").split(",")
+                if each.strip()
+            )
+        )
+    except ValueError:
+        raise _bad("the prompt's description") from None
+    return model.Prompt(name, parts, counts[0], sum(counts[1:2]))
+
+
+class PlatformDialect(dialect.Dialect):
+    """Heads as this platform's callers and upstreams write them."""
+
+    def call(self, head: message.RequestHead) -> model.Call:
+        """Read a caller's request."""
+        path = head.target.partition(b"?")[0].decode("latin-1")
+        host = (_text(head, b"host") or "").lower().partition(":")[0]
+        scheme, _, key = (_text(head, b"authorization") or "").partition(" ")
+        wait_ms = _number(head, b"deadline-ms")
+        return model.Call(
+            request_id=_text(head, b"request-id") or "",
+            host=host,
+            path=path,
+            api_key=key.strip() if scheme.lower() == "bearer" else None,
+            wait_s=None if wait_ms is None else wait_ms / 1000,
+            prompt=_prompt(head),
+            resume_after=_text(head, b"last-event-id"),
+        )
+
+    def request(
+        self,
+        head: message.RequestHead,
+        body: bytes,
+        matched: routing.Matched,
+        instructions: dialect.Instructions,
+    ) -> message.RequestHead:
+        """Return the head of the request for an upstream."""
+        set_here = [
+            ("Deadline-Ms", max(1, int(instructions.left_s * 1000))),
+            ("Expect-Instance", instructions.upstream.incarnation),
+            ("Request-Priority", min(matched.priority, _LAST_PRIORITY)),
+        ]
+        if body or head.get(b"content-length") or _is_chunked(head):
+            set_here.append(("Content-Length", len(body)))
+        if matched.organisation is not None:
+            set_here.append(("Tenant", matched.organisation.name))
+        if instructions.resume_after is not None:
+            set_here.append(("Last-Event-Id", instructions.resume_after))
+        if matched.call.prompt is not None:
+            set_here.append(("Cache-Salt", _salt(instructions)))
+        if instructions.fetch_from:
+            set_here.append(("Kv-Fetch-From", instructions.fetch_from))
+        if instructions.save_to:
+            set_here.append(("Kv-Save-To", instructions.save_to))
+        return message.RequestHead(
+            head.method,
+            head.target,
+            message.end_to_end(head.headers, _OURS)
+            + tuple(
+                (name.encode(), str(value).encode("latin-1"))
+                for name, value in set_here
+            ),
+        )
+
+    def facts(
+        self, call: model.Call, answer: message.AnswerHead
+    ) -> dialect.Facts:
+        """Read the head of an upstream's answer."""
+        answers = _text(answer, b"request-id")
+        version = _text(answer, b"weight-versions")
+        not_run = answer.get(b"not-executed") is not None
+        return dialect.Facts(
+            # A refusal that proves that nothing ran may lack the identity.
+            is_for=answers == call.request_id
+            or (answers is None and (not_run or answer.status == 421)),
+            has_not_run=not_run,
+            is_elsewhere=answer.status == 421,
+            is_sealed=answer.get(b"server-seal") is not None,
+            load=_load(_text(answer, b"server-load")),
+            weights_version=int(version)
+            if version and version.isdigit()
+            else None,
+        )
+
+    def error(
+        self, error: errors.RudderError, request_id: str
+    ) -> tuple[message.Headers, bytes]:
+        """Return fields and body of a refusal."""
+        headers = [(b"Content-Type", b"application/json")]
+        if request_id:
+            headers.append((b"Request-Id", request_id.encode("latin-1")))
+        if error.retry_after_s is not None:
+            text = f"{error.retry_after_s:.3f}"
+            headers.append((b"Retry-After", text.encode()))
+        return tuple(headers), orjson.dumps(error.as_body(request_id))
+
+    def event_id(self, event: bytes) -> str | None:
+        """Return the identity of one whole event of a stream."""
+        found = _EVENT_ID.search(event)
+        return found[1].decode("latin-1").strip() if found else None
+
+
+def _is_chunked(head: message.RequestHead) -> bool:
+    return head.get(b"transfer-encoding") is not None
+
+
+def _salt(instructions: dialect.Instructions) -> str:
+    # Parts are shared by all but isolated organisations.  Callers cannot
+    # set the field, so it need not be a secret.
+    return f"w.{instructions.wall}" if instructions.wall else "all"
+
+
+def _load(text: str | None) -> model.Load | None:
+    if text is None:
+        return None
+    try:
+        running, waiting, slots = (int(each) for each in text.split(","))
+    except ValueError:
+        return None
+    return model.Load(running, waiting, slots)
--- /dev/null
+++ b/toucanrudder/platform/orders.py
@@ -0,0 +1,125 @@
+"""Reports of engines, and orders to them."""
+
+import asyncio
+
+import orjson
+
+from toucanrudder import errors
+from toucanrudder.forwarding import model
+from toucanrudder.forwarding import orders
+from toucanrudder.forwarding import rollout
+from toucanrudder.http1 import client
+from toucanrudder.http1 import message
+from toucanrudder.http1 import pool
+from toucanrudder.platform import objects
+
+
+class EngineCalls(orders.OrderDialect):
+    """Calls to engines on their own address.
+
+    Parameters
+    ----------
+    connections : pool.ConnectionPool
+        Shared with requests.
+    clock : callable
+        Monotonic time in seconds.
+    """
+
+    def __init__(self, connections: pool.ConnectionPool, clock):
+        self._pool = connections
+        self._clock = clock
+
+    async def report(
+        self, upstream: model.Upstream, *, timeout_s: float
+    ) -> orders.Report | None:
+        """Return the engine's report; None if it gave none."""
+        found = await self._call(b"GET", b"/report", upstream, b"", timeout_s)
+        if found is None or found[0] != 200:
+            return None
+        body = found[1]
+        return orders.Report(
+            weights=objects.weights_of(body),
+            is_busy=bool(body.get("busy")),
+            # "seq" counts accepted orders here; in an upstream's entry it
+            # counts its signs of life.
+            orders=body.get("seq", 0),
+            running=body.get("active", 0),
+        )
+
+    async def load(
+        self,
+        task: rollout.Task,
+        report: orders.Report,
+        *,
+        holder: str,
+        fencing: int,
+        timeout_s: float,
+    ) -> bool:
+        """Order new weights; say whether the engine took the order."""
+        body = orjson.dumps(
+            {
+                "op": "version",
+                "model": task.model,
+                "version": task.version,
+                "mode": "block",
+                "holder": holder,
+                "fence": fencing,
+                "expected": report.orders,
+            }
+        )
+        found = await self._call(
+            b"POST", b"/order", task.upstream, body, timeout_s
+        )
+        status = found[0] if found else None
+        if status == 412:
+            raise errors.RudderError(
+                errors.Code.ORDER_FENCED,
+                "another holder has given orders",
+                step=orders.STEP,
+                peer=task.upstream.incarnation,
+            )
+        return status in (200, 202)
+
+    async def _call(
+        self,
+        method: bytes,
+        path: bytes,
+        upstream: model.Upstream,
+        body: bytes,
+        timeout_s: float,
+    ) -> tuple[int, dict] | None:
+        headers = [
+            (b"Host", upstream.address.encode()),
+            (b"Expect-Instance", upstream.incarnation.encode()),
+        ]
+        if body:
+            headers += [
+                (b"Content-Type", b"application/json"),
+                (b"Content-Length", str(len(body)).encode()),
+            ]
+        try:
+            async with (
+                asyncio.timeout(timeout_s),
+                self._pool.connection(
+                    upstream.address,
+                    connect_timeout_s=timeout_s,
+                    clock=self._clock,
+                ) as connection,
+            ):
+                connection.send(
+                    message.RequestHead(method, path, tuple(headers)), body
+                )
+                head = await connection.next_event()
+                connection.keep_for_s = pool.keep_for_s(head.headers)
+                content = b""
+                while not isinstance(
+                    event := await connection.next_event(), client.End
+                ):
+                    content += event.content
+        except (client.ExchangeError, TimeoutError):
+            return None
+        try:
+            parsed = orjson.loads(content) if content else {}
+        except ValueError:
+            return None
+        return head.status, parsed if isinstance(parsed, dict) else {}
--- a/toucanrudder/router/assembly.py
+++ b/toucanrudder/router/assembly.py
@@ -13,6 +13,7 @@
 from toucanrudder import admission
 from toucanrudder import claims
 from toucanrudder import quarantine
+from toucanrudder import tasks
 from toucanrudder.claims import reaper
 from toucanrudder.controllers import cache_events
 from toucanrudder.controllers import configuration
@@ -25,13 +26,12 @@
 from toucanrudder.membership import instances
 from toucanrudder.membership import routers
 from toucanrudder.peers import loads as peer_loads
+from toucanrudder.peers import peering as peerings
 from toucanrudder.prefix import beliefs
 from toucanrudder.prefix import heat
 from toucanrudder.router import background
 from toucanrudder.router import exchanges
 from toucanrudder.router import fleet
-from toucanrudder.router import peering
-from toucanrudder.router import services
 from toucanrudder.router import state as states
 from toucanrudder.store import http as http_store
 from toucanrudder.upstreams import engine
@@ -245,8 +245,8 @@
 
 
 def controllers(
-    state: states.RouterState, peers: peering.Peering
-) -> tuple[services.TaskService, ...]:
+    state: states.RouterState, peers: peerings.Peering
+) -> tuple[tasks.TaskService, ...]:
     """Return the tasks that keep the state."""
 
     def upstreams() -> tuple[model.Upstream, ...]:
@@ -286,7 +286,7 @@
         state.rng,
     )
     return tuple(
-        services.TaskService(run=run, label=label)
+        tasks.TaskService(run=run, label=label)
         for label, run in (
             ("configuration", state.configuration.run),
             ("loads", load_controller.run),
--- a/toucanrudder/router/daemon.py
+++ b/toucanrudder/router/daemon.py
@@ -16,6 +16,7 @@
 from toucanrudder import settings
 from toucanrudder.admin import application as admin_application
 from toucanrudder.observability import logs
+from toucanrudder.peers import peering as peerings
 from toucanrudder.router import admin_state
 from toucanrudder.router import application
 from toucanrudder.router import assembly
@@ -99,8 +100,8 @@
 
 
 def listeners_of(
-    state: states.RouterState, peers: peering.Peering
-) -> dict[str, services.ListenService | peering.PeerService]:
+    state: states.RouterState, peers: peerings.Peering
+) -> dict[str, services.ListenService | peerings.PeerService]:
     """Return the router's listeners by the name of their address."""
     conf = state.conf.router
     admin = admin_application.build(admin_state.providers(state, peers.node))
@@ -117,7 +118,7 @@
             port=conf.admin_port,
             tls=admin_state.tls(state.conf),
         ),
-        "peer_address": peering.PeerService(
+        "peer_address": peerings.PeerService(
             peering=peers, host=str(conf.host), port=conf.peer_port
         ),
     }
@@ -126,7 +127,7 @@
 @contextlib.asynccontextmanager
 async def served(
     state: states.RouterState,
-) -> AsyncIterator[dict[str, services.ListenService | peering.PeerService]]:
+) -> AsyncIterator[dict[str, services.ListenService | peerings.PeerService]]:
     """Run the controllers and listeners; yield the listeners."""
     peers = peering.peering(state)
     listeners = listeners_of(state, peers)
--- a/toucanrudder/settings/loading.py
+++ b/toucanrudder/settings/loading.py
@@ -1,5 +1,6 @@
 """Reads and checks a settings file."""
 
+from collections.abc import Mapping
 import configparser
 import pathlib
 
@@ -26,11 +27,16 @@
     return parser
 
 
-def _check_names(parser: configparser.RawConfigParser, path: str) -> None:
+Groups = Mapping[str, tuple[cfg.Opt, ...]]
+
+
+def _check_names(
+    parser: configparser.RawConfigParser, path: str, groups: Groups
+) -> None:
     # oslo.config skips what it does not know.  A misspelt option would
     # leave its default in force unseen, so unknown names are errors here.
     for section in parser.sections():
-        known = options.GROUPS.get(section)
+        known = groups.get(section)
         if known is None:
             raise _invalid(f"unknown section [{section}]", path)
         names = {option.dest for option in known}
@@ -39,13 +45,15 @@
                 raise _invalid(f"unknown option {name} in [{section}]", path)
 
 
-def load(path: str) -> cfg.ConfigOpts:
+def load(path: str, groups: Groups = options.GROUPS) -> cfg.ConfigOpts:
     """Read the settings file and check every option.
 
     Parameters
     ----------
     path : str
         Path of the INI file.
+    groups : mapping of str to tuple of cfg.Opt
+        Options by section.
 
     Returns
     -------
@@ -58,13 +66,13 @@
         ``settings_invalid`` naming the file and the option: unknown
         section or option, wrong type, out of bounds, or missing.
     """
-    _check_names(_parse(path), path)
+    _check_names(_parse(path), path, groups)
     conf = cfg.ConfigOpts()
-    for group, group_options in options.GROUPS.items():
+    for group, group_options in groups.items():
         conf.register_opts(group_options, group=group)
     try:
         conf(["--config-file", path], project="toucanrudder")
-        for group, group_options in options.GROUPS.items():
+        for group, group_options in groups.items():
             for option in group_options:
                 getattr(conf[group], option.dest)
     except (cfg.Error, ValueError) as error:
--- a/toucanrudder/store/interface.py
+++ b/toucanrudder/store/interface.py
@@ -27,7 +27,7 @@
     """No answer came; the write may or may not have taken effect."""
 
 
-class ObjectStore(abc.ABC):
+class ConditionalStore(abc.ABC):
     """Versioned objects with conditional writes.
 
     Reads raise `StoreUnavailable`.  Writes raise `ConditionFailed`,
@@ -65,6 +65,10 @@
     ) -> None:
         """Delete the object if it has `version`."""
 
+
+class ObjectStore(ConditionalStore):
+    """A store that lists and watches objects as well."""
+
     @abc.abstractmethod
     async def list(
         self,
