Copy cached parts between engines, follow cache events, roll out gently

Cause: after each new version all caches are cold; requests that left their home read shared parts again, and engines that were loading refused work that routers kept sending them.

--- /dev/null
+++ b/toucanrudder/forwarding/cache_feed.py
@@ -0,0 +1,135 @@
+"""Follows what engines tell of their caches."""
+
+import abc
+import asyncio
+from collections.abc import Callable
+import logging
+import random
+
+import attrs
+
+from toucanrudder.forwarding import cache
+from toucanrudder.forwarding import model
+from toucanrudder.forwarding import state as states
+from toucanrudder.placement import rendezvous
+
+LOG = logging.getLogger(__name__)
+
+#: How long a question waits at an engine; longer waits cost nothing, and
+#: a connection that has gone silent is noticed this late.
+WAIT_S = 1.0
+
+#: Pause after a question that failed.
+PAUSE_S = 0.5
+
+#: Pause between two looks at which engines there are.
+LOOK_S = 0.5
+
+#: Questions that an engine keeps open at once for us, unless the
+#: configuration allows it fewer; the rest is left to others who ask.
+MAX_ASKING = 8
+
+
+@attrs.frozen
+class Told:
+    """What an engine told of its cache.
+
+    Parameters
+    ----------
+    epoch : int
+        Changes when the engine restarts.
+    next : int
+        What the next question goes on from.
+    events : tuple of cache.Event
+        What was stored and dropped, in order.
+    """
+
+    epoch: int
+    next: int
+    events: tuple[cache.Event, ...]
+
+
+class CacheDialect(abc.ABC):
+    """Questions to an engine about its cache."""
+
+    @abc.abstractmethod
+    async def cache_events(
+        self, upstream: model.Upstream, since: int, *, wait_s: float
+    ) -> Told | None:
+        """Return events after `since`; None if there was no answer."""
+
+
+class CacheFeedController:
+    """Asks each engine for what its cache does.
+
+    Parameters
+    ----------
+    state : states.ForwardingState
+        Tells which engines there are; its index is written here.
+    dialect : CacheDialect
+        Speaks with engines.
+    routers : callable
+        Returns the names of all live routers, this one included.
+    rng : random.Random
+        For jitter.
+    """
+
+    def __init__(
+        self,
+        state: states.ForwardingState,
+        dialect: CacheDialect,
+        routers: Callable[[], list[str]],
+        rng: random.Random,
+    ):
+        self._state = state
+        self._dialect = dialect
+        self._routers = routers
+        self._rng = rng
+        self._asking: dict[str, asyncio.Task] = {}
+
+    async def run(self) -> None:
+        """Ask until cancelled."""
+        try:
+            while True:
+                self._look()
+                await asyncio.sleep(LOOK_S)
+        finally:
+            for task in self._asking.values():
+                task.cancel()
+
+    def _look(self) -> None:
+        wanted = {
+            each.incarnation: each
+            for each in self._state.engines()
+            if self._is_asker(each.incarnation)
+        }
+        for name in set(self._asking) - set(wanted):
+            self._asking.pop(name).cancel()
+        for name in set(wanted) - set(self._asking):
+            self._asking[name] = asyncio.get_running_loop().create_task(
+                self._ask(wanted[name])
+            )
+        self._state.cache.keep(self._state.registry.incarnations)
+
+    def _is_asker(self, incarnation: str) -> bool:
+        """Whether this router is among those that ask the engine.
+
+        All rank alike, so that an engine is asked by a bounded number of
+        routers however many there are.
+        """
+        ranked = rendezvous.ranked(incarnation.encode()[:64], self._routers())
+        return self._state.name in ranked[:MAX_ASKING]
+
+    async def _ask(self, upstream: model.Upstream) -> None:
+        since = 0
+        while True:
+            told = await self._dialect.cache_events(
+                upstream, since, wait_s=WAIT_S
+            )
+            if told is None:
+                await asyncio.sleep(PAUSE_S * self._rng.uniform(0.75, 1.25))
+                continue
+            since = told.next
+            self._state.cache.told(
+                upstream.incarnation, told.epoch, told.events
+            )
--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -18,6 +18,7 @@
 from toucanrudder import errors
 from toucanrudder import tasks
 from toucanrudder.controllers import feeds
+from toucanrudder.forwarding import cache_feed
 from toucanrudder.forwarding import dialect as dialects
 from toucanrudder.forwarding import forwarder
 from toucanrudder.forwarding import model
@@ -42,6 +43,10 @@
 #: so that the process still ends in order.
 LAST_S = 0.4
 
+#: Longest wait for peers to hear of an engine that is about to load; one
+#: that does not answer by then will get refusals from the engine.
+TELL_WITHIN_S = 0.1
+
 #: Pause between two looks at whether all requests have ended.
 LOOK_S = 0.05
 
@@ -109,6 +114,7 @@
                 conf.retries.ratio, conf.retries.slack, conf.retries.window_s
             ),
         )
+        self.engine_calls = platform.engine_calls(self.state.pool, clock.now_s)
         self.document = None
         self.gossip = peering.Gossip(self.state)
         self.peering = peering.build(
@@ -150,11 +156,10 @@
             self.peering.client.hasten()
         self.state.registry.put(upstream)
 
-    def avoid(self, incarnation: str, for_s: float) -> None:
+    async def avoid(self, incarnation: str, for_s: float) -> None:
         """Send no work to an engine for a while, and let peers know."""
-        self.state.states.avoid(incarnation, clock.now_s() + for_s)
-        if for_s:
-            self.peering.client.hasten()
+        self.gossip.avoid(incarnation, for_s, clock.now_s())
+        await self.peering.client.tell_all(TELL_WITHIN_S)
 
     # Listeners.
 
@@ -245,6 +250,16 @@
                 extra={"step": "weights"},
             )
 
+    def _cache_feed(self) -> cache_feed.CacheFeedController:
+        return cache_feed.CacheFeedController(
+            self.state, self.engine_calls, self._live_names, self.rng
+        )
+
+    def _live_names(self) -> list[str]:
+        node = self.peering.node
+        live = node.table.live(asyncio.get_running_loop().time())
+        return [self.state.name, *(member.name for member in live)]
+
     def _rollout(self) -> orders.RolloutController:
         me = f"{self.state.name}.{uuid.uuid4().hex[:8]}"
         lease = holder.LeaseHolder(
@@ -255,19 +270,19 @@
             rng=self.rng,
             terms=orders.TERMS,
         )
-        return orders.RolloutController(
+        controller = orders.RolloutController(
             self.state,
-            self.platform.engine_calls(self.state.pool, clock.now_s),
+            self.engine_calls,
             lease,
             me=me,
             place_in_line=self._place_in_line,
             avoid=self.avoid,
         )
+        self.state.doubt_weights = controller.doubt
+        return controller
 
     def _place_in_line(self) -> int:
-        node = self.peering.node
-        live = node.table.live(asyncio.get_running_loop().time())
-        return sum(member.name < self.state.name for member in live)
+        return sum(name < self.state.name for name in self._live_names())
 
     async def _tick(self) -> None:
         while True:
@@ -281,6 +296,7 @@
             for kind, follower in self.followers().items()
         }
         running["peers"] = self.peering.run
+        running["cache events"] = self._cache_feed().run
         running["rollout"] = self._rollout().run
         running["tick"] = self._tick
         return [
--- a/toucanrudder/forwarding/dialect.py
+++ b/toucanrudder/forwarding/dialect.py
@@ -20,10 +20,10 @@
         Only this process may run it.
     left_s : float
         Time until the caller's deadline.
-    wall : str
-        Who shares its cache; the empty string for all.
+    salt : str
+        What its cache is kept under.
     weights_version : int or None
-        Version its cache belongs to.
+        Only this version of the weights may run it.
     resume_after : str or None
         Event after which a stream goes on.
     fetch_from, save_to : str
@@ -32,7 +32,7 @@
 
     upstream: model.Upstream
     left_s: float
-    wall: str = ""
+    salt: str = ""
     weights_version: int | None = None
     resume_after: str | None = None
     fetch_from: str = ""
@@ -50,7 +50,9 @@
     has_not_run : bool
         Whether the upstream proves that it has not run the request.
     is_elsewhere : bool
-        Whether another process, or other weights, answered.
+        Whether another process answered.
+    has_other_weights : bool
+        Whether the upstream has not run it for having other weights.
     is_sealed : bool
         Whether the upstream vouches for the answer.
     load : model.Load or None
@@ -62,6 +64,7 @@
     is_for: bool
     has_not_run: bool = False
     is_elsewhere: bool = False
+    has_other_weights: bool = False
     is_sealed: bool = False
     load: model.Load | None = None
     weights_version: int | None = None
--- a/toucanrudder/forwarding/forwarder.py
+++ b/toucanrudder/forwarding/forwarder.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import logging
+import time
 
 import attrs
 
 from toucanrudder import clock
 from toucanrudder import errors
+from toucanrudder.forwarding import cache
 from toucanrudder.forwarding import dialect as dialects
 from toucanrudder.forwarding import events
 from toucanrudder.forwarding import model
@@ -50,6 +52,10 @@
 #: slot of a plain service frees within about its mean work time.
 RETRY_AFTER_S = 0.25
 
+#: Part of a caller's remaining time that a request may wait here: it must
+#: leave him time to come back.
+WAIT_LEFT_SHARE = 0.25
+
 #: How long an upstream that was full is left alone.
 FULL_S = 0.05
 
@@ -86,6 +92,15 @@
     return _ENDED[error.fault]
 
 
+def _refused(facts: dialects.Facts) -> tries.Ended | None:
+    """Return how the upstream proved that it has not run the request."""
+    if facts.is_elsewhere:
+        return tries.Ended.NOT_THERE
+    if facts.has_other_weights:
+        return tries.Ended.OTHER_WEIGHTS
+    return tries.Ended.FULL if facts.has_not_run else None
+
+
 class Forwarder:
     """Answers callers' requests.
 
@@ -207,7 +222,7 @@
 
     async def _tried(self) -> None:
         while True:
-            choice = self._choose()
+            choice = await self._chosen()
             upstream = choice.upstream
             self.tried.add(upstream.incarnation)
             try:
@@ -218,9 +233,31 @@
                     await self._give_up(failure, upstream)
                     return
 
+    async def _chosen(self) -> placing.Choice:
+        """Choose an upstream; wait a little while all of them are full.
+
+        Upstreams refuse for moments only, while they load or when a burst
+        fills their queues; sent back at once, callers would return in the
+        same moment.
+        """
+        wait_s = min(
+            self.route.objective_s / 2, WAIT_LEFT_SHARE * self._left_s()
+        )
+        give_up_s = clock.now_s() + wait_s
+        while True:
+            try:
+                return self._choose()
+            except errors.RudderError as error:
+                is_full = error.code is errors.Code.QUEUE_FULL
+                if not is_full or clock.now_s() >= give_up_s:
+                    raise
+            await asyncio.sleep(FULL_S / 2)
+
     def _choose(self) -> placing.Choice:
         now_s = clock.now_s()
-        candidates = self.state.candidates(self.service, self.call.prompt)
+        candidates = self.state.candidates(
+            self.service, self.call.prompt, time.monotonic()
+        )
         usable = placing.usable(candidates, now_s)
         usable = [
             each
@@ -234,7 +271,7 @@
                 self.call.prompt,
                 self._wall(),
                 usable,
-                routers=self.state.live_routers(),
+                self.state.cache,
                 now_s=now_s,
             )
         return placing.for_plain(
@@ -306,6 +343,8 @@
             self.state.states.full(name, now_s, FULL_S)
         elif ended is tries.Ended.FAILED:
             self.state.states.erred(name)
+        elif ended is tries.Ended.OTHER_WEIGHTS:
+            self.state.doubt_weights(upstream)
         else:
             self.state.states.failed(name, now_s)
 
@@ -331,7 +370,7 @@
         with self.state.states.request(name, choice.missing_tokens) as sent:
             try:
                 async with self._connection(upstream) as connection:
-                    self._send(connection, upstream)
+                    self._send(connection, choice)
                     failure = await self._receive(connection, upstream, sent)
             except client.ExchangeError as error:
                 raise TryEnded(_ended(error)) from error
@@ -351,14 +390,12 @@
         )
 
     def _send(
-        self, connection: client.UpstreamConnection, upstream: model.Upstream
+        self, connection: client.UpstreamConnection, choice: placing.Choice
     ) -> None:
+        upstream = choice.upstream
         if self.state.registry.get(upstream.incarnation) is None:
             # It went while the connection was being opened.
             raise TryEnded(tries.Ended.NOT_THERE)
-        version = None
-        if self.call.prompt is not None:
-            version = upstream.weights.get(self.call.prompt.model)
         head = self.dialect.request(
             self.request.head,
             self.request.body,
@@ -366,14 +403,23 @@
             dialects.Instructions(
                 upstream=upstream,
                 left_s=self._left_s(),
-                wall=self._wall(),
-                weights_version=version,
+                salt=self._salt(upstream),
+                weights_version=self._version(upstream),
                 resume_after=self.last_event,
+                fetch_from=choice.copy_from,
             ),
         )
         connection.send(head, self.request.body)
         self._in_doubt = True
 
+    def _version(self, upstream: model.Upstream) -> int | None:
+        if self.call.prompt is None:
+            return None
+        return upstream.weights.get(self.call.prompt.model)
+
+    def _salt(self, upstream: model.Upstream) -> str:
+        return cache.salt(self._wall(), self._version(upstream))
+
     def _patience_s(self) -> float | None:
         """Return how long the first part of an answer may take."""
         if self.route.repetition is model.Repetition.ONCE:
@@ -392,24 +438,23 @@
                 head = await connection.next_event()
         except TimeoutError:
             raise TryEnded(tries.Ended.SILENT) from None
-        facts = self.dialect.facts(self.call, head)
-        self._learn(upstream, head, facts)
+        facts = self.dialect.facts(self.call, upstream, head)
+        self._learn(upstream, facts)
         if not facts.is_for:
             raise TryEnded(tries.Ended.CROSSED)
         connection.keep_for_s = pool.keep_for_s(head.headers)
-        if facts.has_not_run or facts.is_elsewhere:
+        refused = _refused(facts)
+        if refused is not None:
             await self._read_rest(connection)
-            if facts.is_elsewhere:
-                return TryEnded(tries.Ended.NOT_THERE)
-            return TryEnded(tries.Ended.FULL)
+            return TryEnded(refused)
         if head.status < 300 and not facts.is_sealed:
             raise TryEnded(tries.Ended.CROSSED)
         if head.status < 300 and self.route.is_stream:
-            await self._relay_stream(connection, head, sent)
+            await self._relay_stream(connection, head, upstream, sent)
             return None
         return await self._hold(connection, head, facts)
 
-    def _learn(self, upstream, head, facts) -> None:
+    def _learn(self, upstream, facts) -> None:
         now_s = clock.now_s()
         if facts.load is not None and facts.is_for:
             self.state.states.told(upstream.incarnation, facts.load, now_s)
@@ -453,7 +498,7 @@
         headers = message.end_to_end(head.headers, (b"content-length",))
         await self.answer.whole(head.status, headers, body)
 
-    async def _relay_stream(self, connection, head, sent) -> None:
+    async def _relay_stream(self, connection, head, upstream, sent) -> None:
         splitter = events.EventSplitter()
         while True:
             event = await self._next_piece(connection)
@@ -464,7 +509,9 @@
             except ValueError:
                 raise TryEnded(tries.Ended.CROSSED) from None
             if whole:
-                sent.first()
+                if sent.prefill_tokens:
+                    sent.first()
+                    self._has_read(upstream)
                 await self._pass_events(head, whole)
         if splitter.rest:
             raise TryEnded(tries.Ended.BROKEN)
@@ -472,6 +519,14 @@
             await self._start(head)
         await self.answer.end()
 
+    def _has_read(self, upstream: model.Upstream) -> None:
+        if self.call.prompt is not None:
+            self.state.cache.read(
+                upstream.incarnation,
+                self._salt(upstream),
+                self.call.prompt.parts,
+            )
+
     async def _next_piece(self, connection):
         limit_s = None
         if self.route.repetition is model.Repetition.RESUMABLE:
--- a/toucanrudder/forwarding/loads.py
+++ b/toucanrudder/forwarding/loads.py
@@ -104,14 +104,6 @@
         """Note until when the upstream takes no work: it loads weights."""
         self.of(incarnation).avoided_until_s = until_s
 
-    def avoided(self, now_s: float) -> dict[str, float]:
-        """Return the seconds left for those that take no work."""
-        return {
-            name: state.avoided_until_s - now_s
-            for name, state in self._states.items()
-            if state.avoided_until_s > now_s
-        }
-
     def busy(self) -> list[tuple[str, int, int]]:
         """Return name, unread prompt tokens and requests of those in use."""
         return [
--- a/toucanrudder/forwarding/orders.py
+++ b/toucanrudder/forwarding/orders.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
 import logging
@@ -124,7 +125,7 @@
         How many live routers go before this one.
     avoid : callable
         Told the engine that is about to load, and for how many seconds it
-        takes no work.
+        takes no work; returns when peers know.
     """
 
     def __init__(
@@ -135,7 +136,7 @@
         *,
         me: str,
         place_in_line: Callable[[], int],
-        avoid: Callable[[str, float], None],
+        avoid: Callable[[str, float], Awaitable[None]],
     ):
         self._state = state
         self._dialect = dialect
@@ -147,6 +148,7 @@
         self._undone_since_s: float | None = None
         self._held_before = False
         self._tasks: set[asyncio.Task] = set()
+        self._doubted: set[str] = set()
 
     def _newest(self) -> dict[str, int]:
         return {
@@ -240,6 +242,22 @@
             if each.incarnation not in open_names:
                 self._given.pop(each.incarnation, None)
 
+    def doubt(self, upstream: model.Upstream) -> None:
+        """Ask an engine for its weights: they are not what was believed."""
+        if upstream.incarnation not in self._doubted:
+            self._doubted.add(upstream.incarnation)
+            self._start(self._refreshed(upstream))
+
+    async def _refreshed(self, upstream: model.Upstream) -> None:
+        try:
+            report = await self._asked(upstream)
+            for name, version in (report.weights if report else {}).items():
+                self._state.registry.has_weights(
+                    upstream.incarnation, name, version
+                )
+        finally:
+            self._doubted.discard(upstream.incarnation)
+
     def _start(self, coroutine) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
@@ -265,7 +283,7 @@
             LOG.warning("order refused: %s", error, extra={"peer": name})
         finally:
             self._given.pop(name, None)
-            self._avoid(name, 0.0)
+            await self._avoid(name, 0.0)
 
     async def _asked(self, upstream: model.Upstream) -> Report | None:
         return await self._dialect.report(upstream, timeout_s=CALL_S)
@@ -280,7 +298,7 @@
         self._state.registry.has_weights(name, task.model, has)
         if has >= task.version:
             return False
-        self._avoid(name, rollout.PATIENCE_S)
+        await self._avoid(name, rollout.PATIENCE_S)
         lease = self._lease.check(clock.now_s())
         taken = await self._dialect.load(
             task,
--- a/toucanrudder/forwarding/peering.py
+++ b/toucanrudder/forwarding/peering.py
@@ -9,7 +9,6 @@
 from toucanrudder.forwarding import state as states
 from toucanrudder.membership import routers
 from toucanrudder.peers import client as peer_clients
-from toucanrudder.peers import loads as peer_loads
 from toucanrudder.peers import messages
 from toucanrudder.peers import node as nodes
 from toucanrudder.peers import peering as peerings
@@ -31,6 +30,8 @@
 
     state: states.ForwardingState
     _leaving_since_s: dict[str, float] = attrs.field(factory=dict)
+    _avoided_until_s: dict[str, float] = attrs.field(factory=dict)
+    _told_by: dict[str, set[str]] = attrs.field(factory=dict)
 
     def left(self, incarnation: str, now_s: float) -> bool:
         """Note that an upstream has said that it leaves."""
@@ -48,11 +49,25 @@
         }
         return tuple(self._leaving_since_s)
 
+    def avoid(self, incarnation: str, for_s: float, now_s: float) -> None:
+        """Send no work to an upstream for a while; 0 takes it back."""
+        self._avoided_until_s[incarnation] = now_s + for_s
+        self.state.states.avoid(incarnation, now_s + for_s)
+
     def avoided(self, now_s: float) -> tuple[messages.Avoided, ...]:
-        """Return what peers are told to take no work."""
+        """Return what peers are told to take no work.
+
+        Only what this router itself has said: told on by others, a word
+        that was taken back would come back for as long as they echo it.
+        """
+        self._avoided_until_s = {
+            name: until_s
+            for name, until_s in self._avoided_until_s.items()
+            if until_s > now_s
+        }
         return tuple(
-            messages.Avoided(name, left_s)
-            for name, left_s in self.state.states.avoided(now_s).items()
+            messages.Avoided(name, until_s - now_s)
+            for name, until_s in self._avoided_until_s.items()
         )
 
     def heard(self, heartbeat: messages.Heartbeat, now_s: float) -> None:
@@ -60,9 +75,18 @@
         for name in heartbeat.leaving_upstreams:
             self.left(name, now_s)
         known = self.state.registry.incarnations
-        for each in heartbeat.avoided:
-            if each.upstream in known:
-                self.state.states.avoid(each.upstream, now_s + each.for_s)
+        told = {
+            each.upstream: each.for_s
+            for each in heartbeat.avoided
+            if each.upstream in known
+        }
+        sender = heartbeat.sender.name
+        for name in self._told_by.pop(sender, set()) - set(told):
+            self.state.states.avoid(name, now_s)
+        for name, for_s in told.items():
+            self.state.states.avoid(name, now_s + for_s)
+        if told:
+            self._told_by[sender] = set(told)
 
     def loads(self) -> tuple[messages.UpstreamLoad, ...]:
         """Return this router's own work at upstreams."""
@@ -104,7 +128,6 @@
     rng : random.Random
         For jitter and choices.
     """
-    others = peer_loads.PeerLoads(silent_s)
     sources = nodes.Sources(
         loads=gossip.loads,
         leaving=lambda: state.stopping,
@@ -120,7 +143,7 @@
         state.name,
         int(time.time() * 1000),
         routers.RouterTable(silent_s),
-        others,
+        state.peer_loads,
         current,
         sources,
         rng,
@@ -136,5 +159,4 @@
         decode=decode,
     )
     state.live_routers = lambda: node.table.count(time.monotonic())
-    state.peer_loads = others
     return peerings.Peering(node, client, None, "", encode)
--- a/toucanrudder/forwarding/placing.py
+++ b/toucanrudder/forwarding/placing.py
@@ -2,10 +2,11 @@
 
 Load it answers: prompts of some 12,000 tokens of which about half are
 shared, a few tens of requests a second over 5 to 400 engines, and short
-plain requests beside them.  All routers compute the same home for a shared
-prefix (rendezvous hashing), so that no index has to be told around; load
-moves a request away from its home only when waiting there costs more than
-reading the shared part again elsewhere.
+plain requests beside them.  What is believed to be cached counts where it
+is; what is cached nowhere has one home that all routers compute alike
+(rendezvous hashing), so that its first readers meet.  Load moves a
+request away only when waiting costs more than reading elsewhere, and a
+part that another engine holds is copied from there instead of read.
 """
 
 from collections.abc import Iterable
@@ -14,6 +15,7 @@
 
 import attrs
 
+from toucanrudder.forwarding import cache
 from toucanrudder.forwarding import loads
 from toucanrudder.forwarding import model
 from toucanrudder.placement import rendezvous
@@ -38,6 +40,18 @@
 #: Cost of one failed request in five, in tokens: what a retry costs.
 FAILURE_TOKENS = 60_000
 
+#: Cost of a token that is copied from another engine, against one that
+#: is read: 164 KB at 1,100 Gbit/s take 1.2 us, between zones twice that,
+#: and an engine reads a token in 16 us.
+COPY_COST = 0.12
+
+#: Part of a prompt's unread shared tokens that its home is credited with:
+#: other routers send there too, and may have had them read already.
+HOME_CREDIT = 0.5
+
+#: Tokens below which copying is not worth a round trip.
+LEAST_COPY_TOKENS = 64
+
 #: Load difference below which a plain request stays in its zone, as a
 #: share of the slots: crossing costs a millisecond or two each way.
 ZONE_SHARE = 0.17
@@ -45,11 +59,30 @@
 
 @attrs.frozen
 class Candidate:
-    """An upstream with what is known of it."""
+    """An upstream with what is known of it.
+
+    Parameters
+    ----------
+    upstream : model.Upstream
+        The upstream.
+    state : loads.UpstreamState
+        What this router has seen of it.
+    has_newest_weights : bool
+        Whether its weights are the newest named.
+    peers_tokens, peers_requests : int
+        Work of other routers there, as they told.
+    """
 
     upstream: model.Upstream
     state: loads.UpstreamState
     has_newest_weights: bool = True
+    peers_tokens: int = 0
+    peers_requests: int = 0
+
+    def requests(self, now_s: float) -> float:
+        """Return the requests there, of all routers."""
+        others = max(self.state.others(now_s), self.peers_requests)
+        return self.state.requests + others
 
 
 @attrs.frozen
@@ -62,12 +95,15 @@
         Where the request goes.
     missing_tokens : int
         Prompt tokens that it will probably have to read.
+    copy_from : str
+        Address of the engine that holds more of the prompt, or empty.
     reason : str
         For the log.
     """
 
     upstream: model.Upstream
     missing_tokens: int = 0
+    copy_from: str = ""
     reason: str = ""
 
 
@@ -89,12 +125,22 @@
     return [each for each in working if each.state.full_until_s <= now_s]
 
 
+@attrs.frozen
+class _Held:
+    """What an engine holds of one prompt, and could get."""
+
+    candidate: Candidate
+    cached_tokens: int
+    copy_tokens: int = 0
+    copy_from: str = ""
+
+
 def for_prompt(
     prompt: model.Prompt,
     wall: str,
     candidates: Sequence[Candidate],
+    index: cache.CacheIndex,
     *,
-    routers: int,
     now_s: float,
 ) -> Choice:
     """Choose an engine for a prompt.
@@ -107,43 +153,100 @@
         Who shares its cache; the empty string for all.
     candidates : sequence of Candidate
         At least one.
-    routers : int
-        Live routers; each has about as much under way as this one.
+    index : cache.CacheIndex
+        What engines are believed to hold.
     now_s : float
         Monotonic time.
     """
-    shared = prompt.shared
-    key = f"{wall}/{shared[-1].identity}" if shared else ""
-    names = [each.upstream.incarnation for each in candidates]
-    ranks = rendezvous.ranked(key.encode()[:64], names) if key else names
-    home = ranks[0]
-    shared_tokens = sum(part.tokens for part in shared)
-    own_tokens = max(0, prompt.prompt_tokens - shared_tokens)
-
-    def missing(each: Candidate) -> int:
-        if key and each.upstream.incarnation == home:
-            return own_tokens
-        return own_tokens + shared_tokens
-
-    def cost(each: Candidate) -> tuple[float, int]:
-        tokens = missing(each) + _engine_cost(each, routers, now_s)
-        return tokens, ranks.index(each.upstream.incarnation)
-
-    best = min(candidates, key=cost)
-    reason = "home" if best.upstream.incarnation == home else "load"
-    return Choice(best.upstream, missing(best), reason)
+    held = _with_copies(_held(prompt, wall, candidates, index), now_s)
+    shared_tokens = sum(part.tokens for part in prompt.shared)
+    ranks = _ranks(prompt, wall, candidates)
+
+    def missing(each: _Held) -> int:
+        got = each.cached_tokens + each.copy_tokens
+        return max(0, prompt.prompt_tokens - got)
+
+    def cost(each: _Held) -> tuple[float, int]:
+        rank = ranks[each.candidate.upstream.incarnation]
+        tokens = missing(each) + COPY_COST * each.copy_tokens
+        unread = max(0, shared_tokens - each.cached_tokens - each.copy_tokens)
+        if rank == 0:
+            tokens -= HOME_CREDIT * unread
+        return tokens + _engine_cost(each.candidate, now_s), rank
+
+    best = min(held, key=cost)
+    rank = ranks[best.candidate.upstream.incarnation]
+    return Choice(
+        best.candidate.upstream,
+        missing(best),
+        best.copy_from,
+        f"cached {best.cached_tokens}, copied {best.copy_tokens}, rank {rank}",
+    )
 
 
-def _engine_cost(each: Candidate, routers: int, now_s: float) -> float:
+def _ranks(prompt, wall, candidates) -> dict[str, int]:
+    names = [each.upstream.incarnation for each in candidates]
+    if prompt.shared:
+        key = f"{wall}/{prompt.shared[-1].identity}".encode()[:64]
+        names = rendezvous.ranked(key, names)
+    return {name: rank for rank, name in enumerate(names)}
+
+
+def _held(prompt, wall, candidates, index) -> list[_Held]:
+    found = []
+    for each in candidates:
+        salt = cache.salt(wall, each.upstream.weights.get(prompt.model))
+        tokens = index.cached_tokens(
+            each.upstream.incarnation, salt, prompt.parts
+        )
+        found.append(_Held(each, tokens))
+    return found
+
+
+def _with_copies(held: list[_Held], now_s: float) -> list[_Held]:
+    """Return the same with the best source for each."""
+    sources = [
+        each
+        for each in held
+        if each.cached_tokens
+        and not each.candidate.state.failures_in_row
+        and each.candidate.state.avoided_until_s <= now_s
+    ]
+
+    def source_for(each: _Held) -> _Held:
+        weights = each.candidate.upstream.weights
+        best = max(
+            (
+                source
+                for source in sources
+                if source is not each
+                and source.candidate.upstream.weights == weights
+            ),
+            key=lambda source: source.cached_tokens,
+            default=None,
+        )
+        if best is None:
+            return each
+        copied = best.cached_tokens - each.cached_tokens
+        if copied < LEAST_COPY_TOKENS:
+            return each
+        return attrs.evolve(
+            each,
+            copy_tokens=copied,
+            copy_from=best.candidate.upstream.address,
+        )
+
+    return [source_for(each) for each in held]
+
+
+def _engine_cost(each: Candidate, now_s: float) -> float:
     state = each.state
     slots = max(1, each.upstream.slots)
-    others = state.others(now_s)
-    running = state.requests + others
+    running = each.requests(now_s)
     beyond = max(0.0, running - FULL_SHARE * slots)
-    others_prefill = min(others, routers - 1) * state.prefill_tokens / 2
     cost = (
         state.prefill_tokens
-        + others_prefill
+        + each.peers_tokens
         + TOKENS_PER_RUNNING * running
         + TOKENS_PER_WAITING * beyond
         + 5 * FAILURE_TOKENS * state.failure_share**2
@@ -175,12 +278,10 @@
     """
 
     def cost(each: Candidate) -> tuple[float, float]:
-        state = each.state
-        busy = state.requests + state.others(now_s)
-        share = busy / max(1, each.upstream.slots)
+        share = each.requests(now_s) / max(1, each.upstream.slots)
         if each.upstream.zone != zone:
             share += ZONE_SHARE
-        return share + 5 * state.failure_share, rng.random()
+        return share + 5 * each.state.failure_share, rng.random()
 
     best = min(candidates, key=cost)
-    return Choice(best.upstream, 0, "load")
+    return Choice(best.upstream, reason="load")
--- a/toucanrudder/forwarding/registry.py
+++ b/toucanrudder/forwarding/registry.py
@@ -50,7 +50,14 @@
         self._by_service = None
 
     def put(self, upstream: model.Upstream) -> None:
-        """Take in a new or changed entry."""
+        """Take in a new or changed entry.
+
+        What an upstream itself has said meanwhile is newer than its entry:
+        a process's weights only rise, and one that leaves does not stay.
+        """
+        known = self._known.get(upstream.incarnation)
+        if known is not None:
+            upstream = _merged(known.upstream, upstream)
         self._known[upstream.incarnation] = _Known(upstream)
         self._by_service = None
 
@@ -121,6 +128,18 @@
         return self._by_service.get(service, ())
 
 
+def _merged(known: model.Upstream, entry: model.Upstream) -> model.Upstream:
+    weights = {
+        name: max(version, known.weights.get(name, 0))
+        for name, version in entry.weights.items()
+    }
+    return attrs.evolve(
+        entry,
+        weights=weights,
+        is_leaving=entry.is_leaving or known.is_leaving,
+    )
+
+
 def _grouped(
     known: Mapping[str, _Known],
 ) -> dict[str, tuple[model.Upstream, ...]]:
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -7,6 +7,7 @@
 
 from toucanrudder import errors
 from toucanrudder import retries
+from toucanrudder.forwarding import cache as caches
 from toucanrudder.forwarding import loads
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import placing
@@ -22,6 +23,10 @@
 #: first one arrives well within a second of a start.
 NOT_CONFIGURED_RETRY_S = 0.3
 
+#: Age up to which a peer's word on its work is used: a few rounds of
+#: heartbeats; most requests have ended by then.
+PEER_LOADS_KEPT_S = 1.5
+
 
 @attrs.define(eq=False)
 class ForwardingState:
@@ -45,10 +50,14 @@
     budget_bounds: shares.BudgetBounds
     live_routers: Callable[[], int] = lambda: 1
     registry: registries.Registry = attrs.field(factory=registries.Registry)
+    cache: caches.CacheIndex = attrs.field(factory=caches.CacheIndex)
     states: loads.UpstreamStates = attrs.field(factory=loads.UpstreamStates)
     pool: pools.ConnectionPool = attrs.field(factory=pools.ConnectionPool)
     newest_weights: dict[str, "NamedWeights"] = attrs.field(factory=dict)
-    peer_loads: peers_loads.PeerLoads | None = None
+    peer_loads: peers_loads.PeerLoads = attrs.field(
+        factory=lambda: peers_loads.PeerLoads(PEER_LOADS_KEPT_S)
+    )
+    doubt_weights: Callable[[model.Upstream], None] = lambda upstream: None
     stopping: bool = False
     open_requests: int = 0
     _table: routing.RoutingTable | None = None
@@ -114,23 +123,46 @@
         budget.burst = share.burst
         return budget
 
+    def engines(self) -> list[model.Upstream]:
+        """Return the upstreams of all services that are engines."""
+        configuration = self.configuration
+        if configuration is None:
+            return []
+        return [
+            upstream
+            for service in configuration.services.values()
+            if service.engine is not None
+            for upstream in self.registry.of(service.name)
+        ]
+
     def candidates(
-        self, service: str, prompt: model.Prompt | None
+        self, service: str, prompt: model.Prompt | None, now_s: float
     ) -> list[placing.Candidate]:
         """Return the service's upstreams with what is known of them."""
         newest = None
         if prompt is not None:
             newest = self.newest_weights.get(prompt.model)
         return [
-            placing.Candidate(
-                upstream,
-                self.states.of(upstream.incarnation),
-                newest is None
-                or upstream.weights.get(newest.model, 0) >= newest.version,
-            )
+            self._candidate(upstream, newest, now_s)
             for upstream in self.registry.of(service)
         ]
 
+    def _candidate(
+        self,
+        upstream: model.Upstream,
+        newest: "NamedWeights | None",
+        now_s: float,
+    ) -> placing.Candidate:
+        name = upstream.incarnation
+        return placing.Candidate(
+            upstream,
+            self.states.of(name),
+            newest is None
+            or upstream.weights.get(newest.model, 0) >= newest.version,
+            self.peer_loads.prefill_tokens(name, now_s),
+            self.peer_loads.requests(name, now_s),
+        )
+
 
 @attrs.frozen
 class NamedWeights:
--- a/toucanrudder/forwarding/tries.py
+++ b/toucanrudder/forwarding/tries.py
@@ -21,8 +21,10 @@
     NOT_REACHED = "not_reached"
     #: The upstream says that it has not run the request.
     FULL = "full"
-    #: Another process has the address now, or other weights.
+    #: Another process has the address now.
     NOT_THERE = "not_there"
+    #: The upstream has other weights than was believed.
+    OTHER_WEIGHTS = "other_weights"
     #: The answer broke off, or none came on an open connection.
     BROKEN = "broken"
     #: The answer is not for this request, or is no answer.
@@ -34,12 +36,20 @@
 
 
 #: Ends after which the request certainly has not run in this try.
-PROVES_NOT_RUN = frozenset({Ended.NOT_REACHED, Ended.FULL, Ended.NOT_THERE})
+PROVES_NOT_RUN = frozenset(
+    {
+        Ended.NOT_REACHED,
+        Ended.FULL,
+        Ended.NOT_THERE,
+        Ended.OTHER_WEIGHTS,
+    }
+)
 
 _CODES = {
     Ended.NOT_REACHED: errors.Code.UPSTREAM_NOT_REACHED,
     Ended.FULL: errors.Code.QUEUE_FULL,
     Ended.NOT_THERE: errors.Code.NO_UPSTREAM,
+    Ended.OTHER_WEIGHTS: errors.Code.NO_UPSTREAM,
     Ended.BROKEN: errors.Code.UPSTREAM_FAILED,
     Ended.CROSSED: errors.Code.UPSTREAM_CROSSED_ANSWER,
     Ended.SILENT: errors.Code.UPSTREAM_TIMEOUT,
--- a/toucanrudder/platform/dialect.py
+++ b/toucanrudder/platform/dialect.py
@@ -125,7 +125,11 @@
         if instructions.resume_after is not None:
             set_here.append(("Last-Event-Id", instructions.resume_after))
         if matched.call.prompt is not None:
-            set_here.append(("Cache-Salt", _salt(instructions)))
+            # Callers cannot set it, so it need not be a secret.
+            set_here.append(("Cache-Salt", instructions.salt))
+            if instructions.weights_version is not None:
+                version = instructions.weights_version
+                set_here.append(("Expect-Version", version))
         if instructions.fetch_from:
             set_here.append(("Kv-Fetch-From", instructions.fetch_from))
         if instructions.save_to:
@@ -141,18 +145,24 @@
         )
 
     def facts(
-        self, call: model.Call, answer: message.AnswerHead
+        self,
+        call: model.Call,
+        upstream: model.Upstream,
+        answer: message.AnswerHead,
     ) -> dialect.Facts:
         """Read the head of an upstream's answer."""
         answers = _text(answer, b"request-id")
         version = _text(answer, b"weight-versions")
         not_run = answer.get(b"not-executed") is not None
+        is_same = _text(answer, b"instance-id") == upstream.incarnation
         return dialect.Facts(
             # A refusal that proves that nothing ran may lack the identity.
             is_for=answers == call.request_id
             or (answers is None and (not_run or answer.status == 421)),
             has_not_run=not_run,
-            is_elsewhere=answer.status == 421,
+            # One status says both; the identity tells them apart.
+            is_elsewhere=answer.status == 421 and not is_same,
+            has_other_weights=answer.status == 421 and is_same,
             is_sealed=answer.get(b"server-seal") is not None,
             load=_load(_text(answer, b"server-load")),
             weights_version=int(version)
@@ -182,12 +192,6 @@
     return head.get(b"transfer-encoding") is not None
 
 
-def _salt(instructions: dialect.Instructions) -> str:
-    # Parts are shared by all but isolated organisations.  Callers cannot
-    # set the field, so it need not be a secret.
-    return f"w.{instructions.wall}" if instructions.wall else "all"
-
-
 def _load(text: str | None) -> model.Load | None:
     if text is None:
         return None
--- a/toucanrudder/platform/orders.py
+++ b/toucanrudder/platform/orders.py
@@ -1,10 +1,12 @@
-"""Reports of engines, and orders to them."""
+"""Calls to engines that are not requests of callers."""
 
 import asyncio
 
 import orjson
 
 from toucanrudder import errors
+from toucanrudder.forwarding import cache
+from toucanrudder.forwarding import cache_feed
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import orders
 from toucanrudder.forwarding import rollout
@@ -13,8 +15,12 @@
 from toucanrudder.http1 import pool
 from toucanrudder.platform import objects
 
+#: Beyond the time that a question about the cache was asked to wait:
+#: events are told late when an engine is busy.
+EVENTS_MARGIN_S = 1.0
 
-class EngineCalls(orders.OrderDialect):
+
+class EngineCalls(orders.OrderDialect, cache_feed.CacheDialect):
     """Calls to engines on their own address.
 
     Parameters
@@ -80,6 +86,27 @@
             )
         return status in (200, 202)
 
+    async def cache_events(
+        self, upstream: model.Upstream, since: int, *, wait_s: float
+    ) -> cache_feed.Told | None:
+        """Return events after `since`; None if there was no answer."""
+        path = f"/kv-events?since={since}".encode()
+        wait = (b"Wait-Ms", str(round(wait_s * 1000)).encode())
+        found = await self._call(
+            b"GET", path, upstream, b"", wait_s + EVENTS_MARGIN_S, wait
+        )
+        if found is None or found[0] != 200:
+            return None
+        body = found[1]
+        return cache_feed.Told(
+            epoch=body["boot_epoch"],
+            next=body["next"],
+            events=tuple(
+                cache.Event(salt, part, tokens, sign == "+")
+                for _, sign, salt, part, tokens, *_ in body["events"]
+            ),
+        )
+
     async def _call(
         self,
         method: bytes,
@@ -87,8 +114,10 @@
         upstream: model.Upstream,
         body: bytes,
         timeout_s: float,
+        *extra: tuple[bytes, bytes],
     ) -> tuple[int, dict] | None:
         headers = [
+            *extra,
             (b"Host", upstream.address.encode()),
             (b"Expect-Instance", upstream.incarnation.encode()),
         ]
