--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -238,11 +238,11 @@
         }
 
     def _named(self, name: str, version: int, now_s: float) -> None:
-        known = self.state.newest_weights.get(name)
-        if known is None or version > known.version:
-            self.state.newest_weights[name] = states.NamedWeights(
-                name, version, now_s
-            )
+        named = self.state.newest_weights.setdefault(
+            name, states.NamedWeights(name)
+        )
+        if version > named.version:
+            named.named(version, now_s)
             LOG.info(
                 "weights named: %s version %d",
                 name,
@@ -340,6 +340,7 @@
         now_s = clock.now_s()
         shutdown = self.conf.shutdown
         end_s = now_s + shutdown.grace_s - LAST_S
+        self.state.stop_at_s = end_s
         noticed_s = now_s + min(shutdown.notice_s, shutdown.grace_s / 2)
         while clock.now_s() < end_s:
             await asyncio.sleep(LOOK_S)
--- a/toucanrudder/forwarding/dialect.py
+++ b/toucanrudder/forwarding/dialect.py
@@ -26,6 +26,12 @@
         Only this version of the weights may run it.
     resume_after : str or None
         Event after which a stream goes on.
+    copy_to : str
+        ``IP:port`` of the engine that is to hold a copy of the run's
+        memory, or empty.
+    continue_at : str
+        ``IP:port`` at which such a copy lies from which the run goes on,
+        or empty.
     fetch_from, save_to : str
         ``IP:port`` of where cached parts are got from and kept, or empty.
     """
@@ -35,6 +41,8 @@
     salt: str = ""
     weights_version: int | None = None
     resume_after: str | None = None
+    copy_to: str = ""
+    continue_at: str = ""
     fetch_from: str = ""
     save_to: str = ""
 
--- a/toucanrudder/forwarding/forwarder.py
+++ b/toucanrudder/forwarding/forwarder.py
@@ -45,6 +45,11 @@
 #: may be resumed goes on elsewhere.
 PATIENCE_GAPS = 2.5
 
+#: Objectives that must be left until the end of a planned stop for a
+#: request to be taken: while engines are overloaded, one in a hundred
+#: takes five of them.
+STOPPING_OBJECTIVES = 6.0
+
 #: Statuses by which callers take it that a request has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -128,6 +133,7 @@
             call = self.dialect.call(request.head)
             request_id = call.request_id
             matched = self.state.table().match(call)
+            self._check_stopping(matched.route)
             service = routing.service_of(matched.route, self.state.rng)
             await Forwarding(
                 self.state, self.dialect, request, answer, matched, service
@@ -137,6 +143,22 @@
         finally:
             self.state.open_requests -= 1
 
+    def _check_stopping(self, route: model.Route) -> None:
+        """Refuse what would be cut at the end of a planned stop.
+
+        A caller who keeps using his connection gets his answer as long as
+        it can be whole by then; later he is sent to another router at
+        once, instead of losing a request half-way.
+        """
+        end_s = clock.now_s() + STOPPING_OBJECTIVES * route.objective_s
+        if end_s > self.state.stop_at_s:
+            raise errors.RudderError(
+                errors.Code.STOPPING,
+                "this router is stopping",
+                step=tries.STEP,
+                retry_after_s=0.0,
+            )
+
     async def _refuse(
         self,
         answer: server.Answer,
@@ -175,6 +197,8 @@
     progress: tries.Progress = attrs.field(factory=tries.Progress)
     last_event: str | None = None
     tried: set[str] = attrs.field(factory=set)
+    copy_at: model.Upstream | None = None
+    continues: bool = False
     _in_doubt: bool = False
 
     @property
@@ -221,17 +245,23 @@
         return self.deadline_s - clock.now_s()
 
     async def _tried(self) -> None:
+        choice = await self._chosen()
         while True:
-            choice = await self._chosen()
             upstream = choice.upstream
             self.tried.add(upstream.incarnation)
             try:
                 await self._try(choice)
                 return
             except TryEnded as failure:
-                if not self._goes_on(failure, upstream):
+                step = self._after(failure, upstream)
+                if step is tries.Step.GIVE_UP:
                     await self._give_up(failure, upstream)
                     return
+            if step is tries.Step.CONTINUE:
+                choice = placing.Choice(self.copy_at, reason="copy")
+                self.continues, self.copy_at = True, None
+            else:
+                choice = await self._chosen()
 
     async def _chosen(self) -> placing.Choice:
         """Choose an upstream; wait a little while all of them are full.
@@ -267,17 +297,34 @@
         if not usable:
             raise self._nobody(candidates)
         if self.call.prompt is not None:
-            return placing.for_prompt(
+            choice = placing.for_prompt(
                 self.call.prompt,
                 self._wall(),
                 usable,
                 self.state.cache,
                 now_s=now_s,
             )
+            self.copy_at = self._place_for_copy(choice, candidates, now_s)
+            return choice
         return placing.for_plain(
             self.state.zone, usable, now_s=now_s, rng=self.state.rng
         )
 
+    def _place_for_copy(
+        self, choice, candidates, now_s: float
+    ) -> model.Upstream | None:
+        service = self.state.configuration.services.get(self.service)
+        engine = service.engine if service else None
+        if engine is None or not engine.takes_copies:
+            return None
+        once = self.route.repetition is model.Repetition.ONCE
+        if not self.route.is_stream or not once:
+            # What may be resumed is run anew elsewhere at no risk.
+            return None
+        return placing.backup_for(
+            choice, self.call.prompt, engine, candidates, now_s
+        )
+
     def _nobody(self, candidates) -> errors.RudderError:
         if self.progress.may_have_run:
             return tries.refusal(
@@ -300,8 +347,10 @@
             return organisation.name
         return ""
 
-    def _goes_on(self, failure: TryEnded, upstream: model.Upstream) -> bool:
-        """Note how a try ended; say whether there is to be another."""
+    def _after(
+        self, failure: TryEnded, upstream: model.Upstream
+    ) -> tries.Step:
+        """Note how a try ended; say what is to follow."""
         ended = failure.ended
         self._blame(ended, upstream)
         self._in_doubt = False
@@ -310,7 +359,9 @@
             self.progress,
             tries=self.progress.tries + 1,
             may_have_run=self.progress.may_have_run + ran,
+            has_copy=self._has_copy(),
         )
+        self.continues = False
         LOG.info(
             "try ended: %s",
             ended.value,
@@ -324,17 +375,26 @@
         step = tries.next_step(
             ended, self.progress, self.route, left_s=self._left_s()
         )
-        if step is tries.Step.GIVE_UP:
-            return False
-        if ended is tries.Ended.NOT_REACHED:
-            # Nothing arrived there, so nothing arrives twice.
-            return True
+        # Where nothing arrived, nothing arrives twice.
+        arrived = ended is not tries.Ended.NOT_REACHED
+        if step is tries.Step.GIVE_UP or not arrived:
+            return step
         budget = self.state.budget(self.service)
         if not budget.spend(clock.now_s()):
             metrics.refused("retry_budget_spent", tries.STEP)
-            return False
+            return tries.Step.GIVE_UP
         metrics.retried(ended.value)
-        return True
+        return step
+
+    def _has_copy(self) -> bool:
+        if self.copy_at is None:
+            return False
+        known = self.state.registry.get(self.copy_at.incarnation)
+        return (
+            known is not None
+            and not known.is_leaving
+            and known.weights == self.copy_at.weights
+        )
 
     def _blame(self, ended: tries.Ended, upstream: model.Upstream) -> None:
         now_s = clock.now_s()
@@ -407,6 +467,8 @@
                 weights_version=self._version(upstream),
                 resume_after=self.last_event,
                 fetch_from=choice.copy_from,
+                copy_to=self.copy_at.address if self.copy_at else "",
+                continue_at=upstream.address if self.continues else "",
             ),
         )
         connection.send(head, self.request.body)
--- a/toucanrudder/forwarding/model.py
+++ b/toucanrudder/forwarding/model.py
@@ -78,10 +78,13 @@
         Requests that one runs at once.
     cache_tokens : int
         Tokens that its memory holds.
+    takes_copies : bool
+        Whether it can hold a copy of another's run and go on with it.
     """
 
     slots: int
     cache_tokens: int
+    takes_copies: bool = False
 
 
 @attrs.frozen
--- a/toucanrudder/forwarding/orders.py
+++ b/toucanrudder/forwarding/orders.py
@@ -171,11 +171,20 @@
         while True:
             await asyncio.sleep(LOOK_S)
             now_s = clock.now_s()
+            if self._state.stopping:
+                await self._leave()
+                continue
             if not self._is_undone(now_s) or not self._is_my_turn(now_s):
                 continue
             if await self._holds(now_s):
                 self._give(clock.now_s())
 
+    async def _leave(self) -> None:
+        """Let the next in line go on at once when this router stops."""
+        if self._held_before and not self._given:
+            self._held_before = False
+            await self._lease.release()
+
     def _is_undone(self, now_s: float) -> bool:
         newest = self._newest()
         undone = any(
@@ -222,13 +231,18 @@
             }
             self._forget_done(engines, newest)
             for task in rollout.plan(
-                engines, newest, self._given, busy, now_s
+                engines, newest, self._given, busy, self._age_s, now_s
             ):
                 self._given[task.upstream.incarnation] = rollout.Given(
                     task.version, now_s
                 )
                 self._start(self._carried_out(task))
 
+    def _age_s(self, task: rollout.Task) -> float:
+        named = self._state.newest_weights[task.model]
+        version = task.upstream.weights.get(task.model, 0)
+        return named.age_s(version, clock.now_s())
+
     def _busy(self, upstream: model.Upstream, now_s: float) -> float:
         known = self._state.states.of(upstream.incarnation)
         return known.requests + known.others(now_s)
--- a/toucanrudder/forwarding/placing.py
+++ b/toucanrudder/forwarding/placing.py
@@ -32,10 +32,16 @@
 #: Share of an engine's slots beyond which a request would have to wait.
 FULL_SHARE = 0.9
 
-#: Cost in tokens of an upstream with weights older than the newest: an
-#: answer made on them loses a fifth of its worth, which callers rate
-#: higher than about 300 ms of waiting.
+#: Cost in tokens of an upstream whose weights have been superseded for
+#: longer than OLD_AFTER_S: an answer made on them loses a fifth of its
+#: worth, which callers rate higher than about 300 ms of waiting.
 OLD_WEIGHTS_TOKENS = 18_000
+OLD_AFTER_S = 1.2
+
+#: An upstream whose weights are older than this gets work only if there
+#: is no other: its answers are worth nothing from eight seconds on, and a
+#: request may wait there for a second or two before it begins.
+TOO_OLD_S = 5.5
 
 #: Cost of one failed request in five, in tokens: what a retry costs.
 FAILURE_TOKENS = 60_000
@@ -46,12 +52,16 @@
 COPY_COST = 0.12
 
 #: Part of a prompt's unread shared tokens that its home is credited with:
-#: other routers send there too, and may have had them read already.
-HOME_CREDIT = 0.5
+#: other routers send there too, and probably have them read already.
+HOME_CREDIT = 0.9
 
 #: Tokens below which copying is not worth a round trip.
 LEAST_COPY_TOKENS = 64
 
+#: Part of an engine's memory that the requests there may need, each taken
+#: to be as large as the one in hand, for it to hold a copy as well.
+COPY_MEMORY_SHARE = 0.15
+
 #: Load difference below which a plain request stays in its zone, as a
 #: share of the slots: crossing costs a millisecond or two each way.
 ZONE_SHARE = 0.17
@@ -67,15 +77,15 @@
         The upstream.
     state : loads.UpstreamState
         What this router has seen of it.
-    has_newest_weights : bool
-        Whether its weights are the newest named.
+    weights_age_s : float
+        For how long its weights have been superseded; 0 for the newest.
     peers_tokens, peers_requests : int
         Work of other routers there, as they told.
     """
 
     upstream: model.Upstream
     state: loads.UpstreamState
-    has_newest_weights: bool = True
+    weights_age_s: float = 0.0
     peers_tokens: int = 0
     peers_requests: int = 0
 
@@ -122,7 +132,47 @@
     working = [
         each for each in awake if each.state.avoided_until_s <= now_s
     ] or awake
-    return [each for each in working if each.state.full_until_s <= now_s]
+    fresh = [
+        each for each in working if each.weights_age_s < TOO_OLD_S
+    ] or working
+    return [each for each in fresh if each.state.full_until_s <= now_s]
+
+
+def backup_for(
+    choice: Choice,
+    prompt: model.Prompt,
+    engine: model.Engine,
+    candidates: Sequence[Candidate],
+    now_s: float,
+) -> model.Upstream | None:
+    """Return the engine that is to hold a copy of the run's memory.
+
+    The least busy one with the same weights, in another zone if there is
+    one: what takes the first engine away may take its zone.  None where
+    copies would crowd out cached parts: on a loaded fleet that costs more
+    answers than crashes do.
+    """
+    room = COPY_MEMORY_SHARE * engine.cache_tokens
+    chosen = choice.upstream
+    others = [
+        each
+        for each in candidates
+        if each.upstream.incarnation != chosen.incarnation
+        and each.upstream.weights == chosen.weights
+        and each.state.paused_until_s <= now_s
+        and each.state.avoided_until_s <= now_s
+        and (each.requests(now_s) + 1) * prompt.prompt_tokens < room
+    ]
+    if not others:
+        return None
+    best = min(
+        others,
+        key=lambda each: (
+            _engine_cost(each, now_s),
+            each.upstream.zone == chosen.zone,
+        ),
+    )
+    return best.upstream
 
 
 @attrs.frozen
@@ -161,6 +211,7 @@
     held = _with_copies(_held(prompt, wall, candidates, index), now_s)
     shared_tokens = sum(part.tokens for part in prompt.shared)
     ranks = _ranks(prompt, wall, candidates)
+    home = min(candidates, key=lambda each: ranks[each.upstream.incarnation])
 
     def missing(each: _Held) -> int:
         got = each.cached_tokens + each.copy_tokens
@@ -179,11 +230,27 @@
     return Choice(
         best.candidate.upstream,
         missing(best),
-        best.copy_from,
+        best.copy_from or _guess(best, home, shared_tokens),
         f"cached {best.cached_tokens}, copied {best.copy_tokens}, rank {rank}",
     )
 
 
+def _guess(best: _Held, home: Candidate, shared_tokens: int) -> str:
+    """Return the home's address if it may hold what nobody tells of.
+
+    Events come late, and other routers' first readers are not seen here;
+    a question in vain takes a millisecond.
+    """
+    if (
+        home is best.candidate
+        or home.upstream.weights != best.candidate.upstream.weights
+        or home.state.failures_in_row
+        or best.cached_tokens >= shared_tokens
+    ):
+        return ""
+    return home.upstream.address
+
+
 def _ranks(prompt, wall, candidates) -> dict[str, int]:
     names = [each.upstream.incarnation for each in candidates]
     if prompt.shared:
@@ -251,7 +318,7 @@
         + TOKENS_PER_WAITING * beyond
         + 5 * FAILURE_TOKENS * state.failure_share**2
     )
-    if not each.has_newest_weights:
+    if each.weights_age_s > OLD_AFTER_S:
         cost += OLD_WEIGHTS_TOKENS
     return cost
 
--- a/toucanrudder/forwarding/rollout.py
+++ b/toucanrudder/forwarding/rollout.py
@@ -1,5 +1,6 @@
 """Which engine is to load which weights next.  No I/O."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 import math
@@ -8,10 +9,12 @@
 
 from toucanrudder.forwarding import model
 
-#: Part of a service's engines that load at once.  More would take too
-#: much capacity out, and engines that load together share the source of
-#: the weights and get slower.
-LOADING_SHARE = 1 / 3
+#: Part of a service's engines that load at once, while there is time and
+#: when weights are getting too old.  More would take too much capacity
+#: out, and engines that load together share the source of the weights and
+#: get slower.
+LOADING_SHARE = 1 / 5
+URGENT_SHARE = 1 / 3
 
 #: After this long without a sign that an order is being carried out, the
 #: engine may be given another.  An engine loads in well under a second
@@ -19,6 +22,12 @@
 PATIENCE_S = 4.0
 
 
+#: Age of an engine's weights from which it goes before less busy ones:
+#: answers on older ones lose all worth after eight seconds, and an engine
+#: needs up to three to end its requests and load.
+URGENT_S = 2.5
+
+
 @attrs.frozen
 class Task:
     """An engine that lacks the newest weights of a model."""
@@ -57,9 +66,23 @@
     ]
 
 
-def at_once(engines: int) -> int:
-    """Return how many of a service's engines may load at once."""
-    return max(1, math.ceil(engines * LOADING_SHARE))
+def at_once(engines: int, oldest_s: float) -> int:
+    """Return how many of a service's engines may load at once.
+
+    Parameters
+    ----------
+    engines : int
+        Engines that stay.
+    oldest_s : float
+        Age of the oldest weights among them.
+
+    Examples
+    --------
+    >>> at_once(9, oldest_s=0.0), at_once(9, oldest_s=3.0), at_once(1, 0.0)
+    (2, 3, 1)
+    """
+    share = URGENT_SHARE if oldest_s > URGENT_S else LOADING_SHARE
+    return max(1, math.ceil(engines * share))
 
 
 def plan(
@@ -67,10 +90,15 @@
     newest: Mapping[str, int],
     given: Mapping[str, Given],
     busy: Mapping[str, float],
+    age_s: Callable[[Task], float],
     now_s: float,
 ) -> list[Task]:
     """Return the orders to give now, the cheapest engines first.
 
+    Engines whose weights are getting too old go before all others: where
+    versions follow each other faster than engines can load them, a busy
+    one would be passed over each time.
+
     Parameters
     ----------
     upstreams : iterable of model.Upstream
@@ -81,6 +109,8 @@
         Orders under way, by incarnation.
     busy : mapping of str to float
         How much work an engine has, by incarnation.
+    age_s : callable
+        For how long an engine's weights have been superseded.
     now_s : float
         Monotonic time.
     """
@@ -90,16 +120,18 @@
         for name, order in given.items()
         if now_s - order.at_s < PATIENCE_S
     }
-    room = at_once(len(engines)) - len(
-        under_way & {each.incarnation for each in engines}
-    )
     open_tasks = [
         task
         for task in missing(engines, newest)
         if task.upstream.incarnation not in under_way
     ]
+    oldest_s = max(map(age_s, open_tasks), default=0.0)
+    room = at_once(len(engines), oldest_s) - len(
+        under_way & {each.incarnation for each in engines}
+    )
     open_tasks.sort(
         key=lambda task: (
+            -max(0.0, age_s(task) - URGENT_S),
             busy.get(task.upstream.incarnation, 0.0),
             task.upstream.incarnation,
         )
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from toucanrudder import clock
 from toucanrudder import errors
 from toucanrudder import retries
 from toucanrudder.forwarding import cache as caches
@@ -59,6 +60,7 @@
     )
     doubt_weights: Callable[[model.Upstream], None] = lambda upstream: None
     stopping: bool = False
+    stop_at_s: float = float("inf")
     open_requests: int = 0
     _table: routing.RoutingTable | None = None
     _budgets: dict[str, retries.RetryBudget] = attrs.field(factory=dict)
@@ -157,14 +159,22 @@
         return placing.Candidate(
             upstream,
             self.states.of(name),
-            newest is None
-            or upstream.weights.get(newest.model, 0) >= newest.version,
+            0.0
+            if newest is None
+            else newest.age_s(
+                upstream.weights.get(newest.model, newest.version),
+                clock.now_s(),
+            ),
             self.peer_loads.prefill_tokens(name, now_s),
             self.peer_loads.requests(name, now_s),
         )
 
 
-@attrs.frozen
+#: Versions of one model that are remembered; older ones are all too old.
+MAX_VERSIONS = 32
+
+
+@attrs.define
 class NamedWeights:
     """The weights that a model is to have.
 
@@ -174,10 +184,33 @@
         The model's name.
     version : int
         Rises with each.
-    since_s : float
-        Monotonic time at which this router learned of it.
+    named_at_s : dict of int to float
+        When this router learned of each version, by the monotonic time.
+
+    Examples
+    --------
+    >>> named = NamedWeights("m")
+    >>> named.named(2, 10.0); named.named(3, 14.0)
+    >>> named.age_s(1, 15.0), named.age_s(2, 15.0), named.age_s(3, 15.0)
+    (5.0, 1.0, 0.0)
     """
 
     model: str
-    version: int
-    since_s: float
+    version: int = 0
+    named_at_s: dict[int, float] = attrs.field(factory=dict)
+
+    def named(self, version: int, now_s: float) -> None:
+        """Note that a version was named."""
+        if version <= self.version:
+            return
+        self.version = version
+        self.named_at_s[version] = now_s
+        while len(self.named_at_s) > MAX_VERSIONS:
+            del self.named_at_s[min(self.named_at_s)]
+
+    def age_s(self, version: int, now_s: float) -> float:
+        """Return for how long a version has been superseded."""
+        since_s = [
+            at_s for named, at_s in self.named_at_s.items() if named > version
+        ]
+        return now_s - min(since_s) if since_s else 0.0
--- a/toucanrudder/forwarding/tries.py
+++ b/toucanrudder/forwarding/tries.py
@@ -71,18 +71,23 @@
         Events of a stream that the caller has got.
     can_resume : bool
         Whether the last of them names a point to go on from.
+    has_copy : bool
+        Whether another engine holds a copy of the run's memory.
     """
 
     may_have_run: int = 0
     tries: int = 0
     events: int = 0
     can_resume: bool = True
+    has_copy: bool = False
 
 
 class Step(enum.Enum):
     """What is done next."""
 
     RETRY = "retry"
+    #: Another engine has a copy of the run's memory and goes on with it.
+    CONTINUE = "continue"
     GIVE_UP = "give_up"
 
 
@@ -124,6 +129,10 @@
     """
     if progress.tries >= MAX_TRIES or left_s < LEAST_LEFT_S:
         return Step.GIVE_UP
+    broke = ended in (Ended.BROKEN, Ended.SILENT)
+    if broke and progress.has_copy and progress.can_resume:
+        # It stays one run, so this holds for requests that may run once.
+        return Step.CONTINUE
     if progress.may_have_run >= route.max_upstreams:
         return Step.GIVE_UP
     if progress.may_have_run and route.repetition is model.Repetition.ONCE:
--- a/toucanrudder/http1/pool.py
+++ b/toucanrudder/http1/pool.py
@@ -13,7 +13,7 @@
 
 #: Part of the idle timeout an upstream announces that is made use of.  A
 #: request that crosses the upstream's close cannot be proved not run.
-KEEP_SHARE = 0.5
+KEEP_SHARE = 0.75
 
 #: Kept connections to one address.
 MAX_KEPT = 32
--- a/toucanrudder/http1/sockets.py
+++ b/toucanrudder/http1/sockets.py
@@ -10,9 +10,10 @@
 PROBE_EVERY_S = 1
 PROBES = 2
 
-#: Milliseconds that written bytes may stay unacknowledged.  Three times
-#: the longest retransmission seen on a lossy link between zones.
-UNACKNOWLEDGED_MS = 3_000
+#: Milliseconds that written bytes may stay unacknowledged: several
+#: retransmissions on a lossy link between zones, and a third of the time
+#: after which callers give a new connection up.
+UNACKNOWLEDGED_MS = 1_000
 
 _OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
--- a/toucanrudder/platform/dialect.py
+++ b/toucanrudder/platform/dialect.py
@@ -132,6 +132,11 @@
                 set_here.append(("Expect-Version", version))
         if instructions.fetch_from:
             set_here.append(("Kv-Fetch-From", instructions.fetch_from))
+        if instructions.copy_to:
+            set_here.append(("Kv-Backup", instructions.copy_to))
+        if instructions.continue_at:
+            copy = f"{instructions.continue_at}/{matched.call.request_id}"
+            set_here.append(("Kv-From", copy))
         if instructions.save_to:
             set_here.append(("Kv-Save-To", instructions.save_to))
         return message.RequestHead(
--- a/toucanrudder/platform/objects.py
+++ b/toucanrudder/platform/objects.py
@@ -109,7 +109,11 @@
     return model.Service(
         spec["name"],
         spec.get("max_conns", 0),
-        model.Engine(engine["slots"], engine["kv_capacity_tokens"])
+        model.Engine(
+            engine["slots"],
+            engine["kv_capacity_tokens"],
+            bool(engine.get("backups")),
+        )
         if engine
         else None,
     )
