--- a/toucanrudder/forwarding/orders.py
+++ b/toucanrudder/forwarding/orders.py
@@ -147,6 +147,7 @@
         self._given: dict[str, rollout.Given] = {}
         self._undone_since_s: float | None = None
         self._held_before = False
+        self._calls = 0
         self._tasks: set[asyncio.Task] = set()
         self._doubted: set[str] = set()
 
@@ -180,8 +181,12 @@
                 self._give(clock.now_s())
 
     async def _leave(self) -> None:
-        """Let the next in line go on at once when this router stops."""
-        if self._held_before and not self._given:
+        """Let the next in line go on at once when this router stops.
+
+        Orders that engines have taken are carried out without us; only
+        one that is being given must end first.
+        """
+        if self._held_before and not self._calls:
             self._held_before = False
             await self._lease.release()
 
@@ -313,14 +318,20 @@
         if has >= task.version:
             return False
         await self._avoid(name, rollout.PATIENCE_S)
+        if self._state.stopping:
+            return False
         lease = self._lease.check(clock.now_s())
-        taken = await self._dialect.load(
-            task,
-            report,
-            holder=self._me,
-            fencing=lease.fencing,
-            timeout_s=CALL_S,
-        )
+        self._calls += 1
+        try:
+            taken = await self._dialect.load(
+                task,
+                report,
+                holder=self._me,
+                fencing=lease.fencing,
+                timeout_s=CALL_S,
+            )
+        finally:
+            self._calls -= 1
         metrics.counter("toucanrudder_orders", "Orders to engines").add(
             1, {"taken": str(taken).lower()}
         )
--- a/toucanrudder/http1/pool.py
+++ b/toucanrudder/http1/pool.py
@@ -27,7 +27,7 @@
     Examples
     --------
     >>> keep_for_s(((b"Keep-Alive", b"timeout=4"),))
-    2.0
+    3.0
     >>> keep_for_s(((b"Connection", b"close"),))
     0.0
     """
--- a/toucanrudder/http1/server.py
+++ b/toucanrudder/http1/server.py
@@ -302,9 +302,14 @@
             self._transport.write(self._http.send(go_on))
 
     def _take_head(self, head: h11.Request) -> None:
-        if not _is_strict(bytes(self._raw_head), head):
+        raw = bytes(self._raw_head)
+        if not _is_strict(raw, head):
             self._refuse(Refusal.MALFORMED)
             return
+        if raw.find(b"\r\n\r\n") > self._limits.max_head_bytes:
+            # The parser bounds only a head that comes in several reads.
+            self._refuse(Refusal.HEAD_TOO_LARGE)
+            return
         self._head = head
         self._raw_head.clear()
         length = message.first(tuple(head.headers), b"content-length")
--- /dev/null
+++ b/toucanrudder/http1/tests/test_server.py
@@ -0,0 +1,211 @@
+"""Bytes that callers send, and what becomes of them."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from toucanrudder.http1 import server
+
+LIMITS = server.Limits(
+    max_head_bytes=2048,
+    max_body_bytes=64,
+    head_timeout_s=0.2,
+    idle_timeout_s=0.4,
+)
+
+
+class Served:
+    """A listener that notes what reached its handler."""
+
+    def __init__(self):
+        self.requests = []
+        self.refusals = []
+        self.closing = False
+        self.gate = asyncio.Event()
+        self.gate.set()
+        self.cancelled = asyncio.Event()
+        self.entered = asyncio.Event()
+        self.listener = server.Listener(
+            server.Hooks(
+                handle=self.handle,
+                limits=lambda: LIMITS,
+                closing=lambda: self.closing,
+                refusal_body=lambda refusal: refusal.code.encode(),
+                refused=self.refusals.append,
+                clock=asyncio.get_running_loop().time,
+            )
+        )
+
+    async def handle(self, request, answer):
+        self.requests.append(request)
+        self.entered.set()
+        try:
+            await self.gate.wait()
+        except asyncio.CancelledError:
+            self.cancelled.set()
+            raise
+        await answer.whole(200, ((b"X-Path", request.head.target),), b"ok")
+
+
+@contextlib.asynccontextmanager
+async def served():
+    found = Served()
+    await found.listener.start("127.0.0.1", 0)
+    try:
+        yield found
+    finally:
+        await found.listener.stop()
+
+
+async def opened(found):
+    host, port = found.listener.address.split(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+async def sent(found, data):
+    reader, writer = await opened(found)
+    writer.write(data)
+    answer = await asyncio.wait_for(reader.read(), 5)
+    writer.close()
+    return answer
+
+
+HEAD = b"POST /a/b?x=%2F%zz HTTP/1.1\r\nHost: h\r\n"
+
+MALFORMED = {
+    "bare line feeds": b"GET / HTTP/1.1\nHost: h\n\n",
+    "one bare line feed": b"GET / HTTP/1.1\r\nHost: h\nX: y\r\n\r\n",
+    "folded field": b"GET / HTTP/1.1\r\nHost: h\r\nX: a\r\n b\r\n\r\n",
+    "blank before the colon": b"GET / HTTP/1.1\r\nHost : h\r\n\r\n",
+    "both lengths": HEAD
+    + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "two lengths": HEAD
+    + b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+    "negative length": HEAD + b"Content-Length: -3\r\n\r\n",
+    "no version": b"GET /\r\n\r\n",
+    "no host": b"GET / HTTP/1.1\r\n\r\n",
+    "bytes of TLS": b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n",
+    "overflowing chunk": HEAD
+    + b"Transfer-Encoding: chunked\r\n\r\n"
+    + b"f" * 40
+    + b"\r\n",
+}
+
+
+@pytest.mark.parametrize("data", MALFORMED.values(), ids=MALFORMED.keys())
+async def test_malformed_requests_run_nothing(data):
+    # The caller gets a 400 of ours and a closed connection; another
+    # program on the way could read such bytes as two requests.
+    async with served() as found:
+        answer = await sent(found, data)
+        assert answer.startswith(b"HTTP/1.1 400 ")
+        assert b"malformed_request" in answer
+        assert b"h11" not in answer.lower()
+        assert not found.requests
+        assert found.refusals == [server.Refusal.MALFORMED]
+
+
+REFUSED = {
+    "long head": (
+        b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"y" * 4096 + b"\r\n\r\n",
+        b"431",
+        server.Refusal.HEAD_TOO_LARGE,
+    ),
+    "announced body": (
+        HEAD + b"Content-Length: 65\r\n\r\n",
+        b"413",
+        server.Refusal.BODY_TOO_LARGE,
+    ),
+    "chunked body": (
+        HEAD
+        + b"Transfer-Encoding: chunked\r\n\r\n41\r\n"
+        + b"x" * 65
+        + b"\r\n0\r\n\r\n",
+        b"413",
+        server.Refusal.BODY_TOO_LARGE,
+    ),
+    "unknown coding": (
+        HEAD + b"Transfer-Encoding: gzip\r\n\r\n",
+        b"501",
+        server.Refusal.UNSUPPORTED,
+    ),
+    "slow head": (
+        b"GET / HTTP/1.1\r\nHost:",
+        b"408",
+        server.Refusal.SLOW,
+    ),
+    "slow body": (
+        HEAD + b"Content-Length: 9\r\n\r\nabc",
+        b"408",
+        server.Refusal.SLOW,
+    ),
+}
+
+
+@pytest.mark.parametrize(
+    ("data", "status", "refusal"), REFUSED.values(), ids=REFUSED.keys()
+)
+async def test_bounds_are_kept(data, status, refusal):
+    async with served() as found:
+        answer = await sent(found, data)
+        assert answer.startswith(b"HTTP/1.1 " + status)
+        assert not found.requests
+        assert found.refusals == [refusal]
+
+
+async def test_target_and_body_arrive_as_sent():
+    data = HEAD + b"Content-Length: 5\r\n\r\nab\r\n\x00"
+    async with served() as found:
+        reader, writer = await opened(found)
+        writer.write(data)
+        await reader.readuntil(b"ok")
+        (request,) = found.requests
+        assert request.head.target == b"/a/b?x=%2F%zz"
+        assert request.body == b"ab\r\n\x00"
+        writer.close()
+
+
+async def test_requests_sent_ahead_are_answered_in_order():
+    async with served() as found:
+        reader, writer = await opened(found)
+        writer.write(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n" * 2)
+        for _ in range(2):
+            await reader.readuntil(b"ok")
+        assert len(found.requests) == 2
+        writer.close()
+
+
+async def test_a_caller_that_leaves_is_noticed_while_he_waits():
+    # The caller closes while his request is being worked on.  The handler
+    # is cancelled at once, so that no upstream works on for nobody.
+    async with served() as found:
+        found.gate.clear()
+        _, writer = await opened(found)
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        await asyncio.wait_for(found.entered.wait(), 5)
+        writer.close()
+        await asyncio.wait_for(found.cancelled.wait(), 5)
+
+
+async def test_answers_of_a_stopping_router_close_the_connection():
+    async with served() as found:
+        found.closing = True
+        answer = await sent(found, b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert b"connection: close" in answer.lower()
+        assert answer.endswith(b"ok")
+
+
+async def test_bytes_sent_far_ahead_are_not_kept():
+    # One caller sends megabytes behind a request that is being answered.
+    # Held in memory they would end the process; not read at all, they
+    # would hide that the caller leaves.  The connection is cut.
+    async with served() as found:
+        found.gate.clear()
+        reader, writer = await opened(found)
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        await asyncio.wait_for(found.entered.wait(), 5)
+        writer.write(b"x" * (2 * server.MAX_AHEAD_BYTES))
+        with contextlib.suppress(ConnectionError):
+            assert await asyncio.wait_for(reader.read(), 5) == b""
+        await asyncio.wait_for(found.cancelled.wait(), 5)
--- a/toucanrudder/platform/__main__.py
+++ b/toucanrudder/platform/__main__.py
@@ -8,10 +8,7 @@
 
 from toucanrudder.forwarding import daemon
 from toucanrudder.observability import logs
-from toucanrudder.platform import dialect
-from toucanrudder.platform import objects
-from toucanrudder.platform import orders
-from toucanrudder.platform import store
+from toucanrudder.platform import place
 from toucanrudder.settings import forwarding
 from toucanrudder.settings import loading
 
@@ -25,21 +22,8 @@
     os.environ["UV_USE_IO_URING"] = "0"
     conf = loading.load(os.environ[SETTINGS_PATH], forwarding.GROUPS)
     logs.set_up(conf.logging.format, conf.logging.level, sys.stdout)
-    place = daemon.Platform(
-        dialect=dialect.PlatformDialect(),
-        store=store.PlatformStore(conf.store.address),
-        configuration_kind=objects.CONFIGURATION_KIND,
-        upstream_kind=objects.UPSTREAM_KIND,
-        weights_kind=objects.WEIGHTS_KIND,
-        document=objects.document,
-        upstream=objects.upstream,
-        named_weights=objects.named_weights,
-        encode=objects.encode,
-        decode=objects.decode,
-        engine_calls=orders.EngineCalls,
-    )
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(daemon.serve(conf, place))
+        runner.run(daemon.serve(conf, place.platform(conf)))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/toucanrudder/platform/place.py
@@ -0,0 +1,26 @@
+"""The parts of this folder, put together for a forwarding router."""
+
+from oslo_config import cfg
+
+from toucanrudder.forwarding import daemon
+from toucanrudder.platform import dialect
+from toucanrudder.platform import objects
+from toucanrudder.platform import orders
+from toucanrudder.platform import store
+
+
+def platform(conf: cfg.ConfigOpts) -> daemon.Platform:
+    """Return what a router needs to run on this platform."""
+    return daemon.Platform(
+        dialect=dialect.PlatformDialect(),
+        store=store.PlatformStore(conf.store.address),
+        configuration_kind=objects.CONFIGURATION_KIND,
+        upstream_kind=objects.UPSTREAM_KIND,
+        weights_kind=objects.WEIGHTS_KIND,
+        document=objects.document,
+        upstream=objects.upstream,
+        named_weights=objects.named_weights,
+        encode=objects.encode,
+        decode=objects.decode,
+        engine_calls=orders.EngineCalls,
+    )
--- /dev/null
+++ b/toucanrudder/platform/standins.py
@@ -0,0 +1,371 @@
+"""Stand-ins of the platform for tests: its store, engines and services.
+
+They speak what the platform's pages say, on loopback, and misbehave as
+they are told to.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import itertools
+import time
+import urllib.parse
+
+import attrs
+import orjson
+
+from toucanrudder.http1 import server
+
+JSON = ((b"Content-Type", b"application/json"),)
+
+
+class _Stand:
+    """A listener with a handler."""
+
+    def __init__(self):
+        self.listener = server.Listener(
+            server.Hooks(
+                handle=self.handle,
+                limits=lambda: server.Limits(idle_timeout_s=30.0),
+                closing=lambda: False,
+                refusal_body=lambda refusal: b"",
+                refused=lambda refusal: None,
+                clock=time.monotonic,
+            )
+        )
+
+    @property
+    def address(self) -> str:
+        """``IP:port``."""
+        return self.listener.address
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator["_Stand"]:
+        """Serve during the block."""
+        await self.listener.start("127.0.0.1", 0)
+        try:
+            yield self
+        finally:
+            await self.listener.stop()
+
+    async def handle(self, request, answer) -> None:
+        """Answer one request."""
+        raise NotImplementedError
+
+
+class Store(_Stand):
+    """The metadata store.
+
+    Attributes
+    ----------
+    mode : str
+        ``well``, ``busy`` (503, nothing done), ``silent`` (no answer),
+        ``lost`` (writes are done and not answered).
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.mode = "well"
+        self.revision = 7
+        self.oldest_revision = 0
+        self.calls = 0
+        self._objects: dict[tuple[str, str], dict] = {}
+        self._log: list[tuple[int, str, dict, bool]] = []
+        self._changed = asyncio.Event()
+
+    def put(self, kind: str, name: str, spec: dict) -> int:
+        """Write an object as the platform itself does."""
+        self.revision += 1
+        item = {
+            "metadata": {"name": name, "revision": self.revision},
+            "spec": spec,
+            "status": None,
+        }
+        self._objects[kind, name] = item
+        self._note(kind, item, False)
+        return self.revision
+
+    def delete(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        self.revision += 1
+        item = self._objects.pop((kind, name))
+        self._note(kind, item, True)
+
+    def get(self, kind: str, name: str) -> dict | None:
+        """Return an object's content."""
+        item = self._objects.get((kind, name))
+        return item["spec"] if item else None
+
+    def forget_history(self) -> None:
+        """Let watches from before now fail."""
+        self.oldest_revision = self.revision + 1
+        self._wake()
+
+    def _note(self, kind: str, item: dict, deleted: bool) -> None:
+        self._log.append((self.revision, kind, item, deleted))
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def handle(self, request, answer) -> None:
+        """Answer one call."""
+        self.calls += 1
+        if self.mode == "silent":
+            await asyncio.Event().wait()
+        if self.mode == "busy":
+            await answer.whole(503, JSON, b"{}")
+            return
+        target = urllib.parse.urlsplit(request.head.target.decode())
+        query = dict(urllib.parse.parse_qsl(target.query))
+        _, _, kind, *rest = target.path.split("/")
+        name = rest[0] if rest else None
+        if request.head.method == b"GET":
+            status, body = await self._read(kind, name, query)
+        else:
+            content = orjson.loads(request.body or b"{}")
+            status, body = self._write(
+                request.head.method, kind, name, content
+            )
+            if self.mode == "lost":
+                answer.abort()
+                answer.ended = True
+                return
+        await answer.whole(status, JSON, orjson.dumps(body))
+
+    async def _read(self, kind, name, query) -> tuple[int, dict]:
+        if name is not None:
+            item = self._objects.get((kind, name))
+            return (200, item) if item else (404, {})
+        if "watch" in query:
+            return await self._watch(kind, query)
+        items = [
+            item
+            for (of_kind, _), item in sorted(self._objects.items())
+            if of_kind == kind
+            and item["metadata"]["name"] > query.get("after", "")
+        ]
+        page = items[:2]
+        return 200, {
+            "items": page,
+            "more": len(items) > len(page),
+            "current_rev": self.revision,
+        }
+
+    async def _watch(self, kind, query) -> tuple[int, dict]:
+        since = int(query["watch"])
+        until_s = time.monotonic() + int(query["wait_ms"]) / 1000
+        while True:
+            if since < self.oldest_revision:
+                return 410, {}
+            events = [
+                {"object": item, "deleted": deleted}
+                for revision, of_kind, item, deleted in self._log
+                if of_kind == kind and revision > since
+            ]
+            left_s = until_s - time.monotonic()
+            if events or left_s <= 0 or self.mode != "well":
+                return 200, {"events": events, "current_rev": self.revision}
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(left_s):
+                    await self._changed.wait()
+
+    def _write(self, method, kind, name, body) -> tuple[int, dict]:
+        name = name or body["metadata"]["name"]
+        item = self._objects.get((kind, name))
+        if method == b"POST":
+            if item is not None:
+                return 409, item
+        elif item is None:
+            return 404, {}
+        elif body["metadata"]["revision"] != item["metadata"]["revision"]:
+            return 409, item
+        self.put(kind, name, body["spec"])
+        return 200, self._objects[kind, name]
+
+
+@attrs.frozen
+class Run:
+    """A request that an upstream has begun to run."""
+
+    request_id: str
+    headers: dict[str, str]
+    target: bytes
+    body: bytes
+
+
+Behaviour = Callable[["Server", "Run", server.Answer], Awaitable[None]]
+
+
+class Server(_Stand):
+    """An upstream: an engine if it has a model, else a plain service.
+
+    Attributes
+    ----------
+    behaviours : list
+        What it does with the next requests; then it answers well.
+    """
+
+    _numbers = itertools.count(1)
+
+    def __init__(self, service: str, model: str = "", zone: str = "za"):
+        super().__init__()
+        self.incarnation = f"i-{next(self._numbers):08x}"
+        self.service = service
+        self.zone = zone
+        self.model = model
+        self.version = 1
+        self.state = "ready"
+        self.orders: list[dict] = []
+        self.busy = False
+        self.behaviours: list[Behaviour] = []
+        self.runs: list[Run] = []
+        self.cut = asyncio.Event()
+
+    def entry(self) -> dict:
+        """Return what it registers."""
+        models = [{"name": self.model, "version": self.version}]
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "slots": 8,
+            "state": self.state,
+            "models": models if self.model else [],
+            "seq": 1,
+        }
+
+    async def handle(self, request, answer) -> None:
+        """Answer a request of a router."""
+        headers = {
+            name.decode().lower(): value.decode()
+            for name, value in request.head.headers
+        }
+        expected = headers.get("expect-instance", self.incarnation)
+        version = headers.get("expect-version", str(self.version))
+        path = request.head.target.split(b"?")[0]
+        if path == b"/kv-events":
+            await self._events(answer)
+        elif expected != self.incarnation or version != str(self.version):
+            fields = ((b"Instance-Id", self.incarnation.encode()),)
+            await answer.whole(421, fields, b"")
+        elif path == b"/report":
+            await answer.whole(200, JSON, orjson.dumps(self._report()))
+        elif path == b"/order":
+            await self._order(orjson.loads(request.body), answer)
+        else:
+            run = Run(
+                headers["request-id"],
+                headers,
+                request.head.target,
+                request.body,
+            )
+            await self._run(run, answer)
+
+    async def _events(self, answer) -> None:
+        await asyncio.sleep(0.5)
+        body = {"boot_epoch": 1, "next": 0, "lost": False, "events": []}
+        await answer.whole(200, JSON, orjson.dumps(body))
+
+    def _report(self) -> dict:
+        return {
+            "models": [{"name": self.model, "version": self.version}],
+            "busy": self.busy,
+            "seq": len(self.orders),
+            "queued": 0,
+            "active": 0,
+        }
+
+    async def _order(self, order: dict, answer) -> None:
+        highest = max((each["fence"] for each in self.orders), default=0)
+        if order["fence"] < highest:
+            await answer.whole(412, JSON, b"{}")
+            return
+        self.orders.append(order)
+        self.version = order["version"]
+        await answer.whole(202, JSON, b"{}")
+
+    async def _run(self, run: Run, answer) -> None:
+        behaviour = self.behaviours.pop(0) if self.behaviours else answers
+        try:
+            await behaviour(self, run, answer)
+        except asyncio.CancelledError:
+            self.cut.set()
+            raise
+
+    def fields(self, run: Run) -> tuple:
+        """Return the fields of an answer of its own."""
+        return (
+            (b"Request-Id", run.request_id.encode()),
+            (b"Server-Seal", self.incarnation.encode()),
+            (b"Server-Load", b"1,0,8"),
+        )
+
+
+async def answers(upstream: Server, run: Run, answer) -> None:
+    """Answer with the body that came, or with three events."""
+    upstream.runs.append(run)
+    if not upstream.model:
+        await answer.whole(200, upstream.fields(run), run.body or b"done")
+        return
+    await answer.start(200, upstream.fields(run))
+    first = int(run.headers.get("last-event-id", 0)) + 1
+    for number in range(first, 4):
+        await answer.write(event(number))
+    await answer.end()
+
+
+def event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return f"id: {number}\ndata: token {number}\n\n".encode()
+
+
+async def sheds(upstream: Server, run: Run, answer) -> None:
+    """Refuse, and prove that nothing ran."""
+    await answer.whole(503, ((b"Not-Executed", b"1"),), b"")
+
+
+async def resets(upstream: Server, run: Run, answer) -> None:
+    """Run the request and lose the answer."""
+    upstream.runs.append(run)
+    answer.abort()
+    answer.ended = True
+
+
+async def errs(upstream: Server, run: Run, answer) -> None:
+    """Run the request and answer with a failure of its own."""
+    upstream.runs.append(run)
+    await answer.whole(500, upstream.fields(run), b"failed")
+
+
+async def hangs(upstream: Server, run: Run, answer) -> None:
+    """Run the request and never answer."""
+    upstream.runs.append(run)
+    await asyncio.Event().wait()
+
+
+async def crosses(upstream: Server, run: Run, answer) -> None:
+    """Give the answer to another request."""
+    upstream.runs.append(run)
+    fields = ((b"Request-Id", b"another"), (b"Server-Seal", b"s"))
+    await answer.whole(200, fields, b"not yours")
+
+
+async def unsealed(upstream: Server, run: Run, answer) -> None:
+    """Answer with what the upstream does not vouch for."""
+    upstream.runs.append(run)
+    fields = ((b"Request-Id", run.request_id.encode()),)
+    await answer.whole(200, fields, b"rubbish")
+
+
+async def breaks_off(upstream: Server, run: Run, answer) -> None:
+    """Stop in the middle of the second event."""
+    upstream.runs.append(run)
+    await answer.start(200, upstream.fields(run))
+    await answer.write(event(1))
+    await answer.write(event(2)[:9])
+    answer.abort()
+    answer.ended = True
--- /dev/null
+++ b/toucanrudder/platform/tests/test_platform.py
@@ -0,0 +1,544 @@
+"""The forwarding router with stand-ins of the platform around it."""
+
+import asyncio
+import contextlib
+import textwrap
+import time
+
+import pytest
+
+from toucanrudder.forwarding import daemon
+from toucanrudder.http1 import client
+from toucanrudder.http1 import message
+from toucanrudder.platform import place
+from toucanrudder.platform import standins
+from toucanrudder.settings import forwarding
+from toucanrudder.settings import loading
+
+DEADLINE_S = 10
+
+CONFIGURATION = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "stream",
+            "host": "llm.example",
+            "path_prefix": "/s/",
+            "kind": "stream",
+            "timeout_ms": 3000,
+            "target_latency_ms": 200,
+            "target_gap_ms": 200,
+            "service": "engines",
+            "max_attempts": 2,
+            "resumable": True,
+        },
+        {
+            "name": "stream once",
+            "host": "llm.example",
+            "path_prefix": "/once/",
+            "kind": "stream",
+            "timeout_ms": 3000,
+            "target_latency_ms": 200,
+            "target_gap_ms": 200,
+            "service": "engines",
+            "max_attempts": 1,
+        },
+        {
+            "name": "read",
+            "host": "app.example",
+            "path_prefix": "/r/",
+            "kind": "safe",
+            "timeout_ms": 2000,
+            "target_latency_ms": 100,
+            "traffic_split": [{"service": "desk", "weight": 1}],
+            "max_attempts": 2,
+        },
+        {
+            "name": "write",
+            "host": "app.example",
+            "path_prefix": "/w/",
+            "kind": "unsafe",
+            "timeout_ms": 600,
+            "target_latency_ms": 100,
+            "service": "desk",
+            "max_attempts": 1,
+        },
+    ],
+    "services": [
+        {
+            "name": "engines",
+            "engine": {
+                "slots": 8,
+                "kv_capacity_tokens": 100_000,
+                "backups": True,
+            },
+        },
+        {"name": "desk"},
+    ],
+    "limits": {"max_body_bytes": 10_000},
+    "tenants": [
+        {"name": "north", "api_keys": ["key-of-north"]},
+        {"name": "south", "api_keys": ["key-of-south"], "isolated": True},
+    ],
+}
+
+SETTINGS = """
+    [router]
+    name = {name}
+    zone = za
+    [listen]
+    callers = 127.0.0.1:0
+    ready = 127.0.0.1:0
+    peers = 127.0.0.1:0
+    [peers]
+    seeds = {seeds}
+    interval_s = 0.1
+    [store]
+    address = {store}
+    timeout_s = 0.5
+    watch_wait_s = 1.0
+    [retries]
+    slack = 400
+    [shutdown]
+    grace_s = 4
+    notice_s = 0.2
+"""
+
+
+class Site:
+    """A store, upstreams and routers."""
+
+    def __init__(self, tmp_path, stack):
+        self.tmp_path = tmp_path
+        self.stack = stack
+        self.store = standins.Store()
+
+    async def start(self):
+        await self.stack.enter_async_context(self.store.running())
+        self.store.put("config", "main", CONFIGURATION)
+
+    async def server(self, service="desk", model="", zone="za"):
+        found = standins.Server(service, model, zone)
+        await self.stack.enter_async_context(found.running())
+        self.store.put("servers", found.incarnation, found.entry())
+        return found
+
+    async def engine(self):
+        return await self.server("engines", "m")
+
+    def settings(self, name, seeds):
+        path = self.tmp_path / f"{name}.ini"
+        text = textwrap.dedent(SETTINGS).format(
+            name=name, seeds=seeds, store=self.store.address
+        )
+        path.write_text(text)
+        return loading.load(str(path), forwarding.GROUPS)
+
+    async def router(self, name="r1", seeds="", *, ready=True):
+        conf = self.settings(name, seeds)
+        found = daemon.Router(conf, place.platform(conf))
+        await self.stack.enter_async_context(found.served())
+        if ready:
+            await until(lambda: found.state.is_ready)
+        return found
+
+
+@pytest.fixture
+async def site(tmp_path):
+    async with contextlib.AsyncExitStack() as stack:
+        found = Site(tmp_path, stack)
+        await found.start()
+        yield found
+
+
+async def until(condition):
+    async with asyncio.timeout(DEADLINE_S):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+class Answer:
+    def __init__(self, head, body, is_whole):
+        self.head, self.body, self.is_whole = head, body, is_whole
+        self.status = head.status if head else None
+
+    def get(self, name):
+        return self.head.get(name)
+
+
+NUMBERS = iter(range(1, 10**6))
+
+
+def request(path=b"/r/x", *, method=b"GET", body=b"", **fields):
+    host = b"llm.example" if path[:3] in (b"/s/", b"/on") else b"app.example"
+    headers = {
+        "Host": host.decode(),
+        "Request-Id": f"id{next(NUMBERS)}",
+        "Deadline-Ms": "3000",
+        "Authorization": "Bearer key-of-north",
+    }
+    if host.startswith(b"llm"):
+        headers["Model"] = "m"
+        headers["Token-Counts"] = "300,5"
+        headers["Prompt-Prefix"] = "aa:100,bb:200"
+    headers |= {key.replace("_", "-"): text for key, text in fields.items()}
+    if body:
+        headers["Content-Length"] = str(len(body))
+    return message.RequestHead(
+        method,
+        path,
+        tuple(
+            (name.encode(), text.encode())
+            for name, text in headers.items()
+            if text is not None
+        ),
+    ), body
+
+
+async def asked(router, *args, **kwargs):
+    head, body = request(*args, **kwargs)
+    connection = await client.connect(router.callers.address, DEADLINE_S)
+    answer, content = None, b""
+    try:
+        async with asyncio.timeout(DEADLINE_S):
+            connection.send(head, body)
+            answer = await connection.next_event()
+            while not isinstance(
+                event := await connection.next_event(), client.End
+            ):
+                content += event.content
+    except client.ExchangeError:
+        return Answer(answer, content, False)
+    finally:
+        connection.abort()
+    return Answer(answer, content, True)
+
+
+EVENTS = b"".join(map(standins.event, (1, 2, 3)))
+
+
+async def test_what_callers_send_arrives_unchanged(site):
+    desk = await site.server()
+    router = await site.router()
+    answer = await asked(
+        router,
+        b"/w/a%2Fb/?q=%zz&r",
+        method=b"PUT",
+        body=b"a\r\n\x00b",
+        X_Own="kept",
+    )
+    assert (answer.status, answer.body) == (200, b"a\r\n\x00b")
+    assert answer.get(b"server-seal") == desk.incarnation.encode()
+    (run,) = desk.runs
+    assert run.target == b"/w/a%2Fb/?q=%zz&r"
+    assert run.body == b"a\r\n\x00b"
+    assert run.headers["x-own"] == "kept"
+    assert run.headers["tenant"] == "north"
+    assert "authorization" not in run.headers
+    assert 0 < int(run.headers["deadline-ms"]) <= 600
+    assert run.headers["expect-instance"] == desk.incarnation
+
+
+FORGED = (
+    "Tenant",
+    "TENANT",
+    "Cache-Salt",
+    "Kv-Hold",
+    "Kv-From",
+    "Kv-Backup",
+    "kv-save-to",
+    "Kv-Fetch-From",
+    "Pin-Ms",
+    "Request-Priority",
+    "Expect-Instance",
+    "Expect-Version",
+)
+
+
+@pytest.mark.parametrize("name", FORGED)
+async def test_fields_that_are_ours_are_not_the_callers(site, name):
+    # A caller sets a field that only the router may set.  Passed on, it
+    # would let him act for others or read another's cache.
+    engine = await site.engine()
+    router = await site.router()
+    answer = await asked(router, b"/s/x", **{name: "forged"})
+    assert answer.body == EVENTS
+    assert "forged" not in engine.runs[0].headers.values()
+
+
+REFUSED = {
+    "no route": ({"path": b"/none/x"}, 404),
+    "no route for the host": ({"Host": "other.example"}, 404),
+    "no key": ({"Authorization": None}, 401),
+    "unknown key": ({"Authorization": "Bearer nobody"}, 401),
+    "unreadable time": ({"Deadline_Ms": "soon"}, 400),
+    "body too large": (
+        {"path": b"/w/x", "method": b"PUT", "body": b"x" * 10_001},
+        413,
+    ),
+}
+
+
+@pytest.mark.parametrize(
+    ("fields", "status"), REFUSED.values(), ids=REFUSED.keys()
+)
+async def test_improper_requests_are_refused(site, fields, status):
+    desk = await site.server()
+    router = await site.router()
+    assert (await asked(router, **fields)).status == status
+    assert not desk.runs
+
+
+async def test_without_a_configuration_nothing_is_denied(site):
+    # The store has no configuration yet.  A 404 would tell callers that
+    # their route does not exist; 503 makes them come back.
+    site.store.delete("config", "main")
+    router = await site.router(ready=False)
+    answer = await asked(router)
+    assert answer.status == 503
+    assert float(answer.get(b"retry-after")) > 0
+
+
+def first_tried_does(servers, behaviour):
+    """Let whichever upstream is tried first do this, and all else well."""
+    script = [behaviour]
+    for each in servers:
+        each.behaviours = script
+
+
+#: Path, what the first upstream does, status, and how often it runs.
+ENDS = {
+    "shed, once": (b"/w/x", standins.sheds, 200, 1),
+    "lost, once": (b"/w/x", standins.resets, 502, 1),
+    "crossed, once": (b"/w/x", standins.crosses, 502, 1),
+    "unsealed, once": (b"/w/x", standins.unsealed, 502, 1),
+    "failed, once": (b"/w/x", standins.errs, 500, 1),
+    "silent, once": (b"/w/x", standins.hangs, 504, 1),
+    "lost, repeatable": (b"/r/x", standins.resets, 200, 2),
+    "crossed, repeatable": (b"/r/x", standins.crosses, 200, 2),
+    "unsealed, repeatable": (b"/r/x", standins.unsealed, 200, 2),
+    "failed, repeatable": (b"/r/x", standins.errs, 200, 2),
+    "silent, repeatable": (b"/r/x", standins.hangs, 200, 2),
+}
+
+
+@pytest.mark.parametrize(
+    ("path", "behaviour", "status", "runs"), ENDS.values(), ids=ENDS.keys()
+)
+async def test_requests_run_again_only_where_they_may(
+    site, path, behaviour, status, runs
+):
+    # The first upstream fails in one of many ways.  What may run once is
+    # sent again only if it proves that nothing ran, and is never answered
+    # with a status that promises so when it does not.
+    servers = [await site.server(), await site.server()]
+    first_tried_does(servers, behaviour)
+    router = await site.router()
+    assert (await asked(router, path)).status == status
+    assert sum(len(each.runs) for each in servers) == runs
+
+
+async def test_a_stream_goes_on_at_another_engine(site):
+    # An engine crashes in the middle of an event.  The caller gets the
+    # rest from another one, no event twice and none joined of two halves.
+    engines = [await site.engine(), await site.engine()]
+    first_tried_does(engines, standins.breaks_off)
+    router = await site.router()
+    answer = await asked(router, b"/s/x")
+    assert answer.is_whole
+    assert answer.body == EVENTS
+    runs = [run for each in engines for run in each.runs]
+    assert sorted(r.headers.get("last-event-id", "") for r in runs) == [
+        "",
+        "1",
+    ]
+
+
+async def test_a_broken_stream_never_looks_whole(site):
+    # A stream that may run once breaks off and no copy of it exists: the
+    # caller must see that it is not whole.
+    engine = await site.engine()
+    engine.behaviours.append(standins.breaks_off)
+    router = await site.router()
+    answer = await asked(router, b"/once/x")
+    assert not answer.is_whole
+    assert answer.body == standins.event(1)
+    assert len(engine.runs) == 1
+
+
+async def test_a_run_goes_on_from_its_copy(site):
+    # A stream that may run once breaks off at one engine while another
+    # holds a copy of its memory: it is the same run that goes on there.
+    engines = [await site.engine(), await site.engine()]
+    first_tried_does(engines, standins.breaks_off)
+    router = await site.router()
+    answer = await asked(router, b"/once/x")
+    assert answer.is_whole
+    assert answer.body == EVENTS
+    runs = [run for each in engines for run in each.runs]
+    first, second = sorted(runs, key=lambda run: "kv-from" in run.headers)
+    assert second.headers["last-event-id"] == "1"
+    place, _, name = second.headers["kv-from"].partition("/")
+    assert place == first.headers["kv-backup"]
+    assert name == first.request_id == second.request_id
+
+
+async def test_isolated_organisations_share_no_cache(site):
+    engine = await site.engine()
+    router = await site.router()
+    for key in ("north", "south"):
+        await asked(router, b"/s/x", Authorization=f"Bearer key-of-{key}")
+    north, south = (run.headers["cache-salt"] for run in engine.runs)
+    assert north != south
+
+
+async def test_a_caller_that_leaves_stops_the_engine(site):
+    # The caller closes while his request runs.  The engine must see its
+    # connection close, or it works on for nobody.
+    engine = await site.engine()
+    engine.behaviours.append(standins.hangs)
+    router = await site.router()
+    head, body = request(b"/once/x")
+    connection = await client.connect(router.callers.address, DEADLINE_S)
+    connection.send(head, body)
+    await until(lambda: engine.runs)
+    connection.abort()
+    await asyncio.wait_for(engine.cut.wait(), DEADLINE_S)
+
+
+async def test_an_upstream_that_leaves_gets_nothing_new(site):
+    leaving, staying = await site.server(), await site.server()
+    router = await site.router()
+    leaving.state = "draining"
+    site.store.put("servers", leaving.incarnation, leaving.entry())
+    await until(
+        lambda: router.state.registry.get(leaving.incarnation).is_leaving
+    )
+    for _ in range(5):
+        assert (await asked(router, b"/w/x")).status == 200
+    assert len(staying.runs) == 5
+
+
+async def test_another_process_at_the_address_runs_nothing(site):
+    # An upstream was replaced and its address given to another process,
+    # which the registry has not told yet.  It answers that it is another.
+    desk = await site.server()
+    other = await site.server()
+    router = await site.router()
+    desk.incarnation = "i-replaced"
+    for _ in range(4):
+        assert (await asked(router, b"/w/x")).status == 200
+    assert not desk.runs
+    assert len(other.runs) == 4
+
+
+async def test_the_configuration_never_goes_back(site):
+    await site.server()
+    router = await site.router()
+    site.store.put("config", "main", CONFIGURATION | {"version": 5})
+    await until(lambda: router.state.generation == 5)
+    site.store.put("config", "main", CONFIGURATION | {"version": 4})
+    site.store.put("versions", "m", {"model": "m", "version": 2})
+    await until(lambda: router.state.newest_weights)
+    assert router.state.generation == 5
+
+
+async def test_forgotten_history_is_read_anew(site):
+    # The store forgets its history while a watch waits, and in that gap
+    # an upstream goes: only a new list tells it.
+    gone, staying = await site.server(), await site.server()
+    router = await site.router()
+    site.store.mode = "busy"
+    await asyncio.sleep(0.3)
+    site.store.delete("servers", gone.incarnation)
+    site.store.forget_history()
+    site.store.mode = "well"
+    names = router.state.registry
+    await until(lambda: names.incarnations == {staying.incarnation})
+
+
+async def test_an_outage_of_the_store_stops_nothing(site):
+    await site.server()
+    router = await site.router()
+    site.store.mode = "silent"
+    for _ in range(3):
+        assert (await asked(router, b"/w/x")).status == 200
+    assert router.state.is_ready
+
+
+async def test_a_router_starts_from_its_peers(site):
+    # The store is down when a router starts: it gets the configuration
+    # from a peer, and answers 503 until it knows an upstream.
+    await site.server()
+    first = await site.router("r1")
+    site.store.mode = "busy"
+    second = await site.router("r2", first.peering.node.address, ready=False)
+    await until(lambda: second.state.generation == 3)
+    assert (await asked(second, b"/w/x")).status == 503
+
+
+async def test_engines_are_brought_to_new_weights(site):
+    engines = [await site.engine() for _ in range(3)]
+    router = await site.router()
+    site.store.put("versions", "m", {"model": "m", "version": 4})
+    await until(lambda: all(each.version == 4 for each in engines))
+    fences = {each.orders[0]["fence"] for each in engines}
+    assert fences == {1}
+    assert all(len(each.orders) == 1 for each in engines)
+    answer = await asked(router, b"/s/x")
+    assert answer.body == EVENTS
+
+
+async def test_one_router_orders_at_a_time(site):
+    # Two routers see the same new version.  One of them holds the lease
+    # and gives all orders; the other gives none.
+    engines = [await site.engine() for _ in range(3)]
+    first = await site.router("r1")
+    await site.router("r2", first.peering.node.address)
+    site.store.put("versions", "m", {"model": "m", "version": 4})
+    await until(lambda: all(each.version == 4 for each in engines))
+    holders = {order["holder"] for each in engines for order in each.orders}
+    assert len(holders) == 1
+
+
+async def test_the_lease_passes_on_when_its_holder_stops(site):
+    # The holder is told to stop.  It gives the lease up at once, so that
+    # new weights do not wait until the lease has run out.
+    engine = await site.engine()
+    first = await site.router("r1")
+    second = await site.router("r2", first.peering.node.address)
+    await until(lambda: second.state.live_routers() == 2)
+    site.store.put("versions", "m", {"model": "m", "version": 2})
+    await until(lambda: engine.version == 2)
+    first.state.stopping = True
+    await until(lambda: not site.store.get("leases", "weights")["holder"])
+    site.store.put("versions", "m", {"model": "m", "version": 3})
+    await until(lambda: engine.version == 3)
+    assert engine.orders[-1]["fence"] > engine.orders[0]["fence"]
+
+
+async def test_a_stopping_router_answers_what_it_has_taken(site):
+    # A stop is asked for while requests come on open connections.  Each
+    # is answered whole or told, truthfully, that it has not run.
+    desk = await site.server()
+    router = await site.router()
+    stop = asyncio.ensure_future(router.drained())
+    await asyncio.sleep(0)
+    assert not router.state.is_ready
+    answer = await asked(router, b"/w/x")
+    assert answer.status == 200
+    assert answer.get(b"connection") == b"close"
+    router.state.stop_at_s = time.clock_gettime(time.CLOCK_BOOTTIME)
+    answer = await asked(router, b"/w/x")
+    assert answer.status == 503
+    assert len(desk.runs) == 1
+    await stop
+
+
+async def test_no_upstream_is_a_refusal_at_once(site):
+    router = await site.router()
+    began_s = time.monotonic()
+    answer = await asked(router, b"/w/x")
+    assert answer.status == 503
+    assert answer.get(b"retry-after") is not None
+    assert time.monotonic() - began_s < DEADLINE_S
