--- a/toucanrudder/http1/client.py
+++ b/toucanrudder/http1/client.py
@@ -4,6 +4,7 @@
 import collections
 import contextlib
 import enum
+import socket
 
 import attrs
 import h11
@@ -109,6 +110,9 @@
 
     def eof_received(self) -> bool:
         """End an answer that has no length, or fail the exchange."""
+        if self._was_reset():
+            self._spoil(Fault.RESET)
+            return False
         if self._in_exchange and not self._ended:
             try:
                 self._http.receive_data(b"")
@@ -118,6 +122,18 @@
         self._spoil(Fault.CLOSED)
         return False
 
+    def _was_reset(self) -> bool:
+        """Whether the end that was reported is a reset.
+
+        When data and a reset are there at once, libuv hands out the data
+        and reports an ordinary end.  A body without a length would look
+        whole then; the socket still holds the error.
+        """
+        found = self._transport.get_extra_info("socket")
+        if found is None:
+            return False
+        return bool(found.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+
     def connection_lost(self, error) -> None:
         """Fail the exchange under way."""
         self._spoil(Fault.RESET)
--- a/toucanrudder/http1/tests/test_client.py
+++ b/toucanrudder/http1/tests/test_client.py
@@ -4,8 +4,10 @@
 import contextlib
 import socket
 import struct
+import threading
 
 import pytest
+import uvloop
 
 from toucanrudder.http1 import client
 from toucanrudder.http1 import message
@@ -214,3 +216,39 @@
                 await connection.next_event()
                 raise RuntimeError
         assert not connection.usable
+
+
+def test_a_reset_that_comes_with_the_data_is_no_end():
+    # An upstream sends part of a body without length and resets.  The
+    # event loop is busy, so data and reset are there at once; libuv then
+    # reports the data and an ordinary end.  Taken for whole, a short body
+    # would go to the caller as a complete answer.
+    def reset_after_data(listener):
+        found, _ = listener.accept()
+        found.recv(4096)
+        found.sendall(b"HTTP/1.1 200 OK\r\n\r\nabc")
+        found.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        found.close()
+
+    async def short_answer():
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            host, port = listener.getsockname()
+            connection = await client.connect(f"{host}:{port}", 5)
+            connection.send(HEAD, b"")
+            # Lets the request leave, then blocks the loop.
+            await asyncio.sleep(0)
+            upstream = threading.Thread(
+                target=reset_after_data, args=(listener,)
+            )
+            upstream.start()
+            upstream.join()
+            await connection.next_event()
+            await connection.next_event()
+            with pytest.raises(client.ExchangeError) as caught:
+                await connection.next_event()
+            return caught.value.fault
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        assert runner.run(short_answer()) is client.Fault.RESET
