--- a/toucanrudder/cli/commands.py
+++ b/toucanrudder/cli/commands.py
@@ -1,5 +1,7 @@
 """The commands; each imports what it needs, so that others start quickly."""
 
+import pathlib
+
 from fire import decorators
 
 import toucanrudder
@@ -13,6 +15,7 @@
 # 12e45 would become another one, and the release would miss its target.
 _AS_TEXT = decorators.SetParseFns(
     settings=str,
+    request_id=str,
     upstream=str,
     fingerprint=str,
     admin=str,
@@ -54,6 +57,19 @@
         daemon.run(settings)
         return exits.Exit.DONE
 
+    @_AS_TEXT
+    def explain(self, request_id: str, *files: str) -> exits.Exit:
+        """Print one request's way from collected log lines of routers.
+
+        Example: toucanrudder explain 9c41d07be2a35f68 router-*.log
+        """
+        from toucanrudder.cli import explain
+
+        lines = explain.lines_of(map(pathlib.Path, files), request_id)
+        for line in lines:
+            print(line.text())
+        return exits.Exit.DONE if lines else exits.Exit.FAILED
+
     @_AS_TEXT
     def check(self, settings: str, json: bool = False) -> exits.Exit:
         """Check a settings file, and the files it names, before a start.
--- a/toucanrudder/cli/reference.py
+++ b/toucanrudder/cli/reference.py
@@ -5,15 +5,21 @@
 """
 
 from collections.abc import Iterator
+from collections.abc import Mapping
 import json
 import pathlib
 
+import attrs
 from oslo_config import cfg
 
 from toucanrudder.admin import openapi
+from toucanrudder.observability import decisions
+from toucanrudder.settings import forwarding
 from toucanrudder.settings import options
 
 SETTINGS_PAGE = "docs/operators/settings.md"
+FORWARDING_PAGE = "docs/operators/forwarding-settings.md"
+EVENTS_PAGE = "docs/operators/events.md"
 SAMPLE = "docs/operators/router.ini"
 OPENAPI = "docs/operators/admin-openapi.json"
 
@@ -63,7 +69,7 @@
 
 def settings_page() -> str:
     """Return the settings reference as Markdown."""
-    lines = [
+    intro = [
         "# Settings",
         "",
         "Made from `toucanrudder/settings/options.py` by",
@@ -73,7 +79,49 @@
         "FILE` says whether a router would start with it.",
         "`docs/operators/router.ini` is a file to begin with.",
     ]
-    for group, group_options in options.GROUPS.items():
+    return _options_page(intro, options.GROUPS)
+
+
+def forwarding_page() -> str:
+    """Return the settings reference of the forwarding router."""
+    intro = [
+        "# Settings of the forwarding router",
+        "",
+        "Made from `toucanrudder/settings/forwarding.py` by",
+        "`python -m toucanrudder.cli.reference`. On the prepared instances",
+        "the file is made from the template `deploy/router.ini`.",
+    ]
+    return _options_page(intro, forwarding.GROUPS)
+
+
+def events_page() -> str:
+    """Return the catalogue of log lines."""
+    lines = [
+        "# Log lines of the forwarding router",
+        "",
+        "Made from `toucanrudder/observability/decisions.py` by",
+        "`python -m toucanrudder.cli.reference`. Each line on standard output",
+        "is one JSON object with `at` (wall clock), `level` and `event`, and",
+        "the fields of that event. Fields that end in `_s` are seconds, ages",
+        "and times left included. `LinesDropped` says how many lines of which",
+        "kind found no room because the reader of the output was too slow;",
+        "[the way from a request to its cause](../OPERATIONS.md) shows how",
+        "lines are read.",
+        "",
+        "| event | meaning | fields |",
+        "| --- | --- | --- |",
+    ]
+    for kind in decisions.KINDS:
+        fields = ", ".join(f"`{field.name}`" for field in attrs.fields(kind))
+        meaning = kind.__doc__.strip()
+        lines.append(f"| `{kind.__name__}` | {meaning} | {fields} |")
+    return "\n".join(lines) + "\n"
+
+
+def _options_page(
+    lines: list[str], groups: Mapping[str, tuple[cfg.Opt, ...]]
+) -> str:
+    for group, group_options in groups.items():
         lines += [
             "",
             f"## [{group}]",
@@ -118,6 +166,8 @@
 
 PAGES = {
     SETTINGS_PAGE: settings_page,
+    FORWARDING_PAGE: forwarding_page,
+    EVENTS_PAGE: events_page,
     SAMPLE: sample,
     OPENAPI: openapi_page,
 }
--- a/toucanrudder/controllers/feeds.py
+++ b/toucanrudder/controllers/feeds.py
@@ -8,6 +8,7 @@
 import attrs
 
 from toucanrudder import clock
+from toucanrudder.observability import decisions
 from toucanrudder.observability import metrics
 from toucanrudder.store import feed
 from toucanrudder.store import interface
@@ -120,10 +121,10 @@
         # One call that broke off is no outage: watches are cut now and
         # then while the store is well.
         if self._failures > 1:
-            LOG.warning(
-                "store regained after %.1f s",
-                now_s - self._lost_at_s,
-                extra={"step": "follow", "peer": self._kind},
+            decisions.record(
+                decisions.StoreRegained(
+                    kind=self._kind, away_s=now_s - self._lost_at_s
+                )
             )
             self._follower.returned(now_s)
         self._failures = 0
@@ -138,10 +139,8 @@
             self._lost_at_s = clock.now_s()
             return
         if self._failures == 2:
-            LOG.warning(
-                "store lost: %s",
-                error,
-                extra={"step": "follow", "peer": self._kind},
+            decisions.record(
+                decisions.StoreLost(kind=self._kind, error=str(error))
             )
         pause_s = FIRST_PAUSE_S * 2 ** (self._failures - 2)
         pause_s = min(pause_s, LONGEST_PAUSE_S)
--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -29,6 +29,7 @@
 from toucanrudder.http1 import message
 from toucanrudder.http1 import server
 from toucanrudder.leases import holder
+from toucanrudder.observability import decisions
 from toucanrudder.observability import metrics
 from toucanrudder.peers import peering as peerings
 from toucanrudder.store import feed
@@ -136,23 +137,29 @@
 
     # Beliefs.
 
-    def offer(self, document) -> bool:
+    def offer(self, document, source: str = "peer") -> bool:
         """Put a document in force if it is newer."""
+        previous = self.state.generation
         if not self.state.offer(document.configuration):
             return False
         self.document = document
-        LOG.info(
-            "configuration in force: generation %d",
-            document.generation,
-            extra={"step": "configuration"},
+        decisions.record(
+            decisions.ConfigurationTaken(
+                generation=document.generation,
+                previous=previous,
+                source=source,
+            )
         )
         return True
 
     def _registered(self, upstream: model.Upstream) -> None:
-        leaves = upstream.is_leaving
-        if leaves and self.gossip.left(upstream.incarnation, clock.now_s()):
+        known = self.state.registry.get(upstream.incarnation)
+        if known is None:
+            _note_upstream(upstream, "came")
+        if upstream.is_leaving and not (known and known.is_leaving):
+            _note_upstream(upstream, "leaves")
+            self.gossip.left(upstream.incarnation, clock.now_s())
             # A peer that is cut off from the registry learns it from us.
-            LOG.info("upstream leaves", extra={"peer": upstream.incarnation})
             self.peering.client.hasten()
         self.state.registry.put(upstream)
 
@@ -210,7 +217,7 @@
             for stored in objects:
                 document = platform.document(stored)
                 if document is not None:
-                    self.offer(document)
+                    self.offer(document, "store")
 
         def upstreams(objects, now_s: float) -> None:
             registry.replace(map(platform.upstream, objects), now_s)
@@ -218,7 +225,10 @@
 
         def upstream(change: feed.Change, now_s: float) -> None:
             if change.is_deleted:
+                known = registry.get(change.object.name)
                 registry.remove(change.object.name, now_s)
+                if known is not None:
+                    _note_upstream(known, "went")
                 self.state.states.keep(registry.incarnations)
                 return
             self._registered(platform.upstream(change.object))
@@ -243,11 +253,8 @@
         )
         if version > named.version:
             named.named(version, now_s)
-            LOG.info(
-                "weights named: %s version %d",
-                name,
-                version,
-                extra={"step": "weights"},
+            decisions.record(
+                decisions.WeightsNamed(model=name, version=version)
             )
 
     def _cache_feed(self) -> cache_feed.CacheFeedController:
@@ -352,6 +359,17 @@
         LOG.warning("requests still open at the end of the grace")
 
 
+def _note_upstream(upstream: model.Upstream, change: str) -> None:
+    decisions.record(
+        decisions.UpstreamSeen(
+            upstream=upstream.incarnation,
+            service=upstream.service,
+            change=change,
+            source="registry",
+        )
+    )
+
+
 def _each(replaced):
     """Return what takes one change where all objects are taken."""
 
@@ -389,13 +407,26 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    router = Router(conf, platform)
     loop.add_signal_handler(
-        signal.SIGHUP, LOG.info, "settings are read at the next start"
+        signal.SIGHUP,
+        lambda: decisions.record(decisions.Reloaded(router=router.state.name)),
     )
-    router = Router(conf, platform)
     async with router.served():
-        LOG.info("serving", extra={"step": "start"})
+        decisions.record(
+            decisions.Started(router=router.state.name, zone=router.state.zone)
+        )
         await stop.wait()
-        LOG.info("stopping", extra={"step": "stop"})
+        decisions.record(
+            decisions.Stopping(
+                router=router.state.name,
+                open_requests=router.state.open_requests,
+                grace_s=conf.shutdown.grace_s,
+            )
+        )
         await router.drained()
-    LOG.info("stopped", extra={"step": "stop"})
+    decisions.record(
+        decisions.Stopped(
+            router=router.state.name, open_requests=router.state.open_requests
+        )
+    )
--- a/toucanrudder/forwarding/forwarder.py
+++ b/toucanrudder/forwarding/forwarder.py
@@ -1,7 +1,7 @@
 """One request's way: route, upstream, answer, and what follows failures."""
 
 import asyncio
-import logging
+from collections.abc import Callable
 import time
 
 import attrs
@@ -20,10 +20,9 @@
 from toucanrudder.http1 import message
 from toucanrudder.http1 import pool
 from toucanrudder.http1 import server
+from toucanrudder.observability import decisions
 from toucanrudder.observability import metrics
 
-LOG = logging.getLogger(__name__)
-
 #: Longest answer that is held until it is whole, so that a broken one can
 #: still be tried elsewhere or be answered as a failure.
 MAX_HELD_BYTES = 262_144
@@ -127,22 +126,43 @@
         self, request: server.Request, answer: server.Answer
     ) -> None:
         """Answer one request, whatever happens."""
-        request_id = ""
+        seen = _Seen()
         self.state.open_requests += 1
         try:
-            call = self.dialect.call(request.head)
-            request_id = call.request_id
-            matched = self.state.table().match(call)
-            self._check_stopping(matched.route)
-            service = routing.service_of(matched.route, self.state.rng)
-            await Forwarding(
-                self.state, self.dialect, request, answer, matched, service
-            ).run()
+            await self._handle(request, answer, seen)
         except errors.RudderError as error:
-            await self._refuse(answer, error, request_id)
+            after_s = clock.now_s() - request.began_s
+            await self._refuse(answer, error, seen, after_s)
+        except (asyncio.CancelledError, server.CallerGone):
+            after_s = clock.now_s() - request.began_s
+            decisions.record(
+                decisions.CallerLeft(
+                    request_id=seen.request_id,
+                    route=seen.route,
+                    after_s=after_s,
+                    attempts=seen.tries(),
+                )
+            )
+            _observe(seen.kind, "left", after_s)
+            raise
         finally:
             self.state.open_requests -= 1
 
+    async def _handle(self, request, answer, seen: "_Seen") -> None:
+        call = self.dialect.call(request.head)
+        seen.request_id = call.request_id
+        matched = self.state.table().match(call)
+        route = matched.route
+        seen.route, seen.kind = route.name, route.repetition.value
+        self._check_stopping(route)
+        service = routing.service_of(route, self.state.rng)
+        forwarding = Forwarding(
+            self.state, self.dialect, request, answer, matched, service
+        )
+        seen.tries = lambda: forwarding.progress.tries
+        await forwarding.run()
+        forwarding.note_answered()
+
     def _check_stopping(self, route: model.Route) -> None:
         """Refuse what would be cut at the end of a planned stop.
 
@@ -163,26 +183,47 @@
         self,
         answer: server.Answer,
         error: errors.RudderError,
-        request_id: str,
+        seen: "_Seen",
+        after_s: float,
     ) -> None:
         metrics.refused(error.code.value, error.step)
-        LOG.info(
-            "refused: %s",
-            error,
-            extra={
-                "request_id": request_id,
-                "step": error.step,
-                "peer": error.peer,
-                "code": error.code.value,
-            },
+        _observe(seen.kind, "refused", after_s)
+        decisions.record(
+            decisions.Refused(
+                request_id=seen.request_id,
+                route=seen.route,
+                code=error.code.value,
+                status=0 if answer.started else error.status,
+                ran=error.ran.value,
+                retry_after_s=error.retry_after_s,
+                after_s=after_s,
+                peer=error.peer,
+                detail=error.message,
+            )
         )
         if answer.started:
             answer.abort()
             return
-        headers, body = self.dialect.error(error, request_id)
+        headers, body = self.dialect.error(error, seen.request_id)
         await answer.whole(error.status, headers, body)
 
 
+@attrs.define
+class _Seen:
+    """What is known of a request, for the log."""
+
+    request_id: str = ""
+    route: str = ""
+    kind: str = "unknown"
+    tries: Callable[[], int] = lambda: 0
+
+
+def _observe(kind: str, outcome: str, seconds: float) -> None:
+    metrics.histogram(
+        "toucanrudder_request_seconds", "s", "From first byte to the end"
+    ).record(seconds, {"kind": kind, "outcome": outcome})
+
+
 @attrs.define(eq=False)
 class Forwarding:
     """One request's way over one or more upstreams."""
@@ -197,6 +238,9 @@
     progress: tries.Progress = attrs.field(factory=tries.Progress)
     last_event: str | None = None
     tried: set[str] = attrs.field(factory=set)
+    upstream: str = ""
+    status: int = 0
+    first_s: float = 0.0
     copy_at: model.Upstream | None = None
     continues: bool = False
     _in_doubt: bool = False
@@ -226,6 +270,27 @@
         except TimeoutError:
             raise self._late() from None
 
+    def note_answered(self) -> None:
+        """Write down that the caller has got a whole answer."""
+        whole_s = clock.now_s() - self.request.began_s
+        decisions.record(
+            decisions.Answered(
+                request_id=self.call.request_id,
+                route=self.route.name,
+                upstream=self.upstream,
+                status=self.status,
+                attempts=self.progress.tries + 1,
+                first_s=self.first_s,
+                whole_s=whole_s,
+                events=self.progress.events,
+            )
+        )
+        kind = self.route.repetition.value
+        _observe(kind, "answered" if self.status < 500 else "failed", whole_s)
+        metrics.histogram(
+            "toucanrudder_first_part_seconds", "s", "Until the answer began"
+        ).record(self.first_s, {"kind": kind})
+
     def _late(self) -> errors.RudderError:
         if self._in_doubt or self.progress.may_have_run:
             return errors.RudderError(
@@ -362,25 +427,33 @@
             has_copy=self._has_copy(),
         )
         self.continues = False
-        LOG.info(
-            "try ended: %s",
-            ended.value,
-            extra={
-                "request_id": self.call.request_id,
-                "step": tries.STEP,
-                "peer": upstream.incarnation,
-                "code": ended.value,
-            },
-        )
         step = tries.next_step(
             ended, self.progress, self.route, left_s=self._left_s()
         )
+        step = self._within_budget(ended, step)
+        decisions.record(
+            decisions.TryEnded(
+                request_id=self.call.request_id,
+                upstream=upstream.incarnation,
+                attempt=self.progress.tries,
+                ended=ended.value,
+                after_s=clock.now_s() - self.request.began_s,
+                may_have_run=bool(self.progress.may_have_run),
+                events=self.progress.events,
+                next_step=step.value,
+                budget_left=self.state.budget(self.service).saved,
+            )
+        )
+        return step
+
+    def _within_budget(
+        self, ended: tries.Ended, step: tries.Step
+    ) -> tries.Step:
         # Where nothing arrived, nothing arrives twice.
         arrived = ended is not tries.Ended.NOT_REACHED
         if step is tries.Step.GIVE_UP or not arrived:
             return step
-        budget = self.state.budget(self.service)
-        if not budget.spend(clock.now_s()):
+        if not self.state.budget(self.service).spend(clock.now_s()):
             metrics.refused("retry_budget_spent", tries.STEP)
             return tries.Step.GIVE_UP
         metrics.retried(ended.value)
@@ -426,7 +499,7 @@
 
     async def _try(self, choice: placing.Choice) -> None:
         upstream = choice.upstream
-        name = upstream.incarnation
+        name = self.upstream = upstream.incarnation
         with self.state.states.request(name, choice.missing_tokens) as sent:
             try:
                 async with self._connection(upstream) as connection:
@@ -471,9 +544,43 @@
                 continue_at=upstream.address if self.continues else "",
             ),
         )
+        self._note_placed(choice)
         connection.send(head, self.request.body)
         self._in_doubt = True
 
+    def _note_placed(self, choice: placing.Choice) -> None:
+        now_s = clock.now_s()
+        upstream = choice.upstream
+        state = self.state.states.of(upstream.incarnation)
+        organisation = self.matched.organisation
+        version = self._version(upstream)
+        age_s = 0.0
+        if version is not None:
+            named = self.state.newest_weights.get(self.call.prompt.model)
+            age_s = named.age_s(version, now_s) if named else 0.0
+        decisions.record(
+            decisions.Placed(
+                request_id=self.call.request_id,
+                organisation=organisation.name if organisation else "",
+                route=self.route.name,
+                upstream=upstream.incarnation,
+                attempt=self.progress.tries + 1,
+                reason=choice.reason,
+                left_s=self._left_s(),
+                generation=self.state.generation,
+                weights_version=version,
+                weights_age_s=age_s,
+                missing_tokens=choice.missing_tokens,
+                copy_from=choice.copy_from,
+                own_requests=state.requests,
+                told_requests=state.others(now_s),
+                told_age_s=now_s - state.load_at_s if state.load else None,
+                candidates=choice.candidates,
+                known=len(self.state.registry.of(self.service)),
+                routers=self.state.live_routers(),
+            )
+        )
+
     def _version(self, upstream: model.Upstream) -> int | None:
         if self.call.prompt is None:
             return None
@@ -556,7 +663,12 @@
         true = facts.is_sealed and head.status not in NOT_RUN_STATUSES
         return TryEnded(tries.Ended.FAILED, (head, body) if true else None)
 
+    def _note_first(self, status: int) -> None:
+        self.status = status
+        self.first_s = clock.now_s() - self.request.began_s
+
     async def _pass_on(self, head: message.AnswerHead, body: bytes) -> None:
+        self._note_first(head.status)
         headers = message.end_to_end(head.headers, (b"content-length",))
         await self.answer.whole(head.status, headers, body)
 
@@ -617,5 +729,6 @@
         )
 
     async def _start(self, head: message.AnswerHead) -> None:
+        self._note_first(head.status)
         headers = message.end_to_end(head.headers, (b"content-length",))
         await self.answer.start(head.status, headers)
--- a/toucanrudder/forwarding/orders.py
+++ b/toucanrudder/forwarding/orders.py
@@ -16,6 +16,7 @@
 from toucanrudder.forwarding import state as states
 from toucanrudder.leases import decision
 from toucanrudder.leases import holder
+from toucanrudder.observability import decisions
 from toucanrudder.observability import metrics
 from toucanrudder.store import interface
 
@@ -215,6 +216,7 @@
             with contextlib.suppress(*_STORE_ERRORS):
                 await self._lease.look()
             lease = self._lease.held(clock.now_s())
+            self._note_lease(lease)
         self._held_before = lease is not None
         if lease is None:
             # Another holds it; look again when it could have run out.
@@ -222,6 +224,17 @@
             return False
         return True
 
+    def _note_lease(self, lease: decision.Lease | None) -> None:
+        if (lease is not None) == self._held_before:
+            return
+        decisions.record(
+            decisions.LeaseChanged(
+                held=lease is not None,
+                fencing=lease.fencing if lease else 0,
+                left_s=lease.until_s - clock.now_s() if lease else 0.0,
+            )
+        )
+
     def _give(self, now_s: float) -> None:
         lease = self._lease.held(now_s)
         settled = lease is not None and (
@@ -288,22 +301,37 @@
         try:
             if not await self._ordered(task):
                 return
-            end_s = clock.now_s() + rollout.PATIENCE_S
-            while clock.now_s() < end_s:
-                await asyncio.sleep(ASK_S)
-                report = await self._asked(task.upstream)
-                if report is None:
-                    continue
-                has = report.weights.get(task.model, 0)
-                self._state.registry.has_weights(name, task.model, has)
-                if has >= task.version or not report.is_busy:
-                    return
+            await self._watched(task)
         except errors.RudderError as error:
             LOG.warning("order refused: %s", error, extra={"peer": name})
         finally:
             self._given.pop(name, None)
             await self._avoid(name, 0.0)
 
+    async def _watched(self, task: rollout.Task) -> None:
+        """Wait until the engine has the weights, or has given up."""
+        name = task.upstream.incarnation
+        began_s = clock.now_s()
+        has = 0
+        while clock.now_s() < began_s + rollout.PATIENCE_S:
+            await asyncio.sleep(ASK_S)
+            report = await self._asked(task.upstream)
+            if report is None:
+                continue
+            has = report.weights.get(task.model, 0)
+            self._state.registry.has_weights(name, task.model, has)
+            if has >= task.version or not report.is_busy:
+                break
+        decisions.record(
+            decisions.OrderEnded(
+                upstream=name,
+                model=task.model,
+                version=task.version,
+                has_version=has,
+                took_s=clock.now_s() - began_s,
+            )
+        )
+
     async def _asked(self, upstream: model.Upstream) -> Report | None:
         return await self._dialect.report(upstream, timeout_s=CALL_S)
 
@@ -335,11 +363,16 @@
         metrics.counter("toucanrudder_orders", "Orders to engines").add(
             1, {"taken": str(taken).lower()}
         )
-        LOG.info(
-            "order given: %s version %d, taken: %s",
-            task.model,
-            task.version,
-            taken,
-            extra={"step": STEP, "peer": name},
+        decisions.record(
+            decisions.OrderGiven(
+                upstream=name,
+                model=task.model,
+                version=task.version,
+                had_version=has,
+                fencing=lease.fencing,
+                lease_left_s=lease.until_s - clock.now_s(),
+                expected_orders=report.orders,
+                taken=taken,
+            )
         )
         return True
--- a/toucanrudder/forwarding/placing.py
+++ b/toucanrudder/forwarding/placing.py
@@ -109,12 +109,15 @@
         Address of the engine that holds more of the prompt, or empty.
     reason : str
         For the log.
+    candidates : int
+        Upstreams that it was chosen from.
     """
 
     upstream: model.Upstream
     missing_tokens: int = 0
     copy_from: str = ""
     reason: str = ""
+    candidates: int = 1
 
 
 def usable(
@@ -232,6 +235,7 @@
         missing(best),
         best.copy_from or _guess(best, home, shared_tokens),
         f"cached {best.cached_tokens}, copied {best.copy_tokens}, rank {rank}",
+        len(candidates),
     )
 
 
@@ -351,4 +355,4 @@
         return share + 5 * each.state.failure_share, rng.random()
 
     best = min(candidates, key=cost)
-    return Choice(best.upstream, reason="load")
+    return Choice(best.upstream, reason="load", candidates=len(candidates))
--- a/toucanrudder/observability/logs.py
+++ b/toucanrudder/observability/logs.py
@@ -2,7 +2,6 @@
 
 import logging
 import sys
-from typing import TextIO
 
 from pythonjsonlogger import json as json_formatter
 
@@ -19,8 +18,8 @@
 )
 
 
-def set_up(form: str, level: str, stream: TextIO | None = None) -> None:
-    """Send the root logger's records to a stream.
+def set_up(form: str, level: str) -> None:
+    """Send the root logger's records to standard error.
 
     Parameters
     ----------
@@ -28,10 +27,8 @@
         Form of each line.
     level : str
         Least severe level, by its lower-case name.
-    stream : file
-        Where lines go; None for standard error.
     """
-    handler = logging.StreamHandler(stream or sys.stderr)
+    handler = logging.StreamHandler(sys.stderr)
     if form == "json":
         handler.setFormatter(
             json_formatter.JsonFormatter(
--- a/toucanrudder/platform/__main__.py
+++ b/toucanrudder/platform/__main__.py
@@ -7,7 +7,7 @@
 import uvloop
 
 from toucanrudder.forwarding import daemon
-from toucanrudder.observability import logs
+from toucanrudder.observability import lines
 from toucanrudder.platform import place
 from toucanrudder.settings import forwarding
 from toucanrudder.settings import loading
@@ -21,9 +21,12 @@
     # libuv would open a ring otherwise; it reads this at the first loop.
     os.environ["UV_USE_IO_URING"] = "0"
     conf = loading.load(os.environ[SETTINGS_PATH], forwarding.GROUPS)
-    logs.set_up(conf.logging.format, conf.logging.level, sys.stdout)
+    handler = lines.set_up(conf.logging.level, sys.stdout)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(daemon.serve(conf, place.platform(conf)))
+        try:
+            runner.run(daemon.serve(conf, place.platform(conf)))
+        finally:
+            handler.close()
 
 
 if __name__ == "__main__":
--- a/toucanrudder/retries/budget.py
+++ b/toucanrudder/retries/budget.py
@@ -41,6 +41,11 @@
     _saved: float = attrs.field(default=0.0, init=False)
     _at_s: float | None = attrs.field(default=None, init=False)
 
+    @property
+    def saved(self) -> float:
+        """Retries that could be spent when it was last asked."""
+        return self._saved
+
     def _refill(self, now_s: float) -> None:
         if self._at_s is None:
             # A pool that has not been seen yet may retry at once.
