--- a/docs/tests/test_pages.py
+++ b/docs/tests/test_pages.py
@@ -8,6 +8,7 @@
 
 from toucanrudder.document import model
 from toucanrudder.errors import codes
+from toucanrudder.settings import forwarding
 from toucanrudder.settings import options
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -54,7 +55,11 @@
     for page in PAGES:
         text = page.read_text(encoding="utf-8")
         for group, name in re.findall(r"`\[(\w+)\] (\w+)`", text):
-            known = {option.dest for option in options.GROUPS[group]}
+            both = (
+                *options.GROUPS.get(group, ()),
+                *forwarding.GROUPS.get(group, ()),
+            )
+            known = {option.dest for option in both}
             assert name in known, page
 
 
