--- a/toucanrudder/controllers/feeds.py
+++ b/toucanrudder/controllers/feeds.py
@@ -22,6 +22,29 @@
 LONGEST_PAUSE_S = 0.6
 
 
+#: Pause between two looks at whether a kind is to be followed.
+UNWANTED_S = 0.5
+
+#: For each follower, seconds for which changes are gathered before they
+#: are asked for again, and the most: one upstream after the other changes
+#: its entry while new weights are loaded, and each change would cost one
+#: call for each router.  The most is a quarter of the shortest time in
+#: which a leaving upstream must have been noticed.
+GATHER_S_EACH = 0.006
+MOST_GATHER_S = 0.5
+
+
+def gather_s(followers: int) -> float:
+    """Return how long to gather changes.
+
+    Examples
+    --------
+    >>> gather_s(1), gather_s(400)
+    (0.006, 0.5)
+    """
+    return min(GATHER_S_EACH * followers, MOST_GATHER_S)
+
+
 @attrs.frozen
 class Follower:
     """Who is told what is read; all take the monotonic time last.
@@ -59,6 +82,10 @@
         silent looks like "no change".
     rng : random.Random
         For jitter.
+    followers : callable
+        How many routers follow the kind.
+    is_wanted : callable
+        Whether this router is one of them.
     """
 
     def __init__(
@@ -70,6 +97,8 @@
         timeout_s: float,
         wait_s: float,
         rng: random.Random,
+        followers: Callable[[], int] = lambda: 1,
+        is_wanted: Callable[[], bool] = lambda: True,
     ):
         self._source = source
         self._kind = kind
@@ -77,6 +106,8 @@
         self._timeout_s = timeout_s
         self._wait_s = wait_s
         self._rng = rng
+        self._followers = followers
+        self._is_wanted = is_wanted
         self._revision: int | None = None
         self._failures = 0
         self._lost_at_s = 0.0
@@ -89,6 +120,9 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
+            if not self._is_wanted():
+                await asyncio.sleep(UNWANTED_S)
+                continue
             try:
                 await self._step()
             except feed.HistoryGone:
@@ -115,6 +149,8 @@
         for change in found.changes:
             self._follower.changed(change, now_s)
         self._revision = found.revision
+        if found.changes:
+            await asyncio.sleep(gather_s(self._followers()))
 
     def _answered(self) -> float:
         now_s = clock.now_s()
--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -48,6 +48,10 @@
 #: that does not answer by then will get refusals from the engine.
 TELL_WITHIN_S = 0.1
 
+#: Routers that follow the weights in the store: as many as may die at
+#: once without a delay for the next to notice.
+WEIGHTS_FOLLOWERS = 6
+
 #: Pause between two looks at whether all requests have ended.
 LOOK_S = 0.05
 
@@ -207,8 +211,21 @@
             timeout_s=self.conf.store.timeout_s,
             wait_s=self.conf.store.watch_wait_s,
             rng=self.rng,
+            followers=self.state.live_routers,
+            is_wanted=functools.partial(self._follows, kind),
         )
 
+    def _follows(self, kind: str) -> bool:
+        """Whether this router follows the kind in the store itself.
+
+        Only those that may soon have to give orders follow the weights;
+        to the others it is a matter of preference, and they hear of it
+        from peers within a second.
+        """
+        if kind != self.platform.weights_kind:
+            return True
+        return self._place_in_line() < WEIGHTS_FOLLOWERS
+
     def followers(self) -> dict[str, feeds.Follower]:
         """Return who is told of which kind of objects."""
         platform, registry = self.platform, self.state.registry
@@ -248,14 +265,9 @@
         }
 
     def _named(self, name: str, version: int, now_s: float) -> None:
-        named = self.state.newest_weights.setdefault(
-            name, states.NamedWeights(name)
-        )
-        if version > named.version:
-            named.named(version, now_s)
-            decisions.record(
-                decisions.WeightsNamed(model=name, version=version)
-            )
+        if self.state.weights_named(name, version, now_s):
+            # Routers that do not follow the weights hear of it from us.
+            self.peering.client.hasten()
 
     def _cache_feed(self) -> cache_feed.CacheFeedController:
         return cache_feed.CacheFeedController(
--- a/toucanrudder/forwarding/peering.py
+++ b/toucanrudder/forwarding/peering.py
@@ -72,6 +72,8 @@
 
     def heard(self, heartbeat: messages.Heartbeat, now_s: float) -> None:
         """Take in a peer's beliefs."""
+        for each in heartbeat.weights:
+            self.state.weights_named(each.model, each.version, now_s)
         for name in heartbeat.leaving_upstreams:
             self.left(name, now_s)
         known = self.state.registry.incarnations
@@ -88,6 +90,13 @@
         if told:
             self._told_by[sender] = set(told)
 
+    def weights(self) -> tuple[messages.Weights, ...]:
+        """Return the newest weights that this router knows of."""
+        return tuple(
+            messages.Weights(each.model, each.version)
+            for each in self.state.newest_weights.values()
+        )
+
     def loads(self) -> tuple[messages.UpstreamLoad, ...]:
         """Return this router's own work at upstreams."""
         return tuple(
@@ -130,6 +139,7 @@
     """
     sources = nodes.Sources(
         loads=gossip.loads,
+        weights=gossip.weights,
         leaving=lambda: state.stopping,
         # Peers count by a clock that stands still with the host; beliefs
         # on upstreams age on.
--- a/toucanrudder/forwarding/shares.py
+++ b/toucanrudder/forwarding/shares.py
@@ -42,17 +42,21 @@
 
     What a bucket can spend in one window is its burst, the minimum rate
     times the window, and the ratio of the requests in it.  The slack pays
-    for the first two, half each.
+    for the first two, half each; in a large fleet the burst gets more, as
+    a bucket that cannot hold one whole retry never grants any.
 
     Examples
     --------
     >>> share = budget_share(BudgetBounds(0.2, 50.0, 10.0), routers=4)
     >>> round(share.burst, 2), round(share.minimum_per_s, 2)
     (5.0, 0.5)
+    >>> budget_share(BudgetBounds(0.2, 200.0, 10.0), routers=100).burst
+    1.0
     """
     slack = USED_SHARE * bounds.slack / max(1, routers)
+    burst = max(slack / 2, min(1.0, slack))
     return BudgetShare(
         ratio=USED_SHARE * bounds.ratio,
-        minimum_per_s=slack / 2 / bounds.window_s,
-        burst=slack / 2,
+        minimum_per_s=(slack - burst) / bounds.window_s,
+        burst=burst,
     )
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -16,6 +16,7 @@
 from toucanrudder.forwarding import routing
 from toucanrudder.forwarding import shares
 from toucanrudder.http1 import pool as pools
+from toucanrudder.observability import decisions
 from toucanrudder.peers import loads as peers_loads
 
 STEP = "state"
@@ -125,6 +126,15 @@
         budget.burst = share.burst
         return budget
 
+    def weights_named(self, name: str, version: int, now_s: float) -> bool:
+        """Note the newest weights of a model; say whether they are news."""
+        named = self.newest_weights.setdefault(name, NamedWeights(name))
+        if version <= named.version:
+            return False
+        named.named(version, now_s)
+        decisions.record(decisions.WeightsNamed(model=name, version=version))
+        return True
+
     def engines(self) -> list[model.Upstream]:
         """Return the upstreams of all services that are engines."""
         configuration = self.configuration
--- a/toucanrudder/forwarding/tests/test_decisions.py
+++ b/toucanrudder/forwarding/tests/test_decisions.py
@@ -412,6 +412,14 @@
     assert share.ratio <= bounds.ratio
 
 
+def test_each_router_of_a_large_fleet_can_retry():
+    # 82 routers share a bound of some 200 retries.  Split in halves of
+    # less than one, no bucket ever holds a whole retry, and each request
+    # that an engine refuses is lost.
+    share = shares.budget_share(shares.BudgetBounds(0.2, 204.0, 10.0), 82)
+    assert share.burst >= 1.0
+
+
 def configured(*organisations):
     return routing.RoutingTable(
         model.Configuration(1, (ONCE,), {}, organisations)
--- a/toucanrudder/peers/messages.py
+++ b/toucanrudder/peers/messages.py
@@ -56,6 +56,14 @@
     for_s: float
 
 
+@attrs.frozen
+class Weights:
+    """The newest version that was named of a model's weights."""
+
+    model: str
+    version: int
+
+
 @attrs.frozen
 class Heartbeat:
     """One router's word to another.
@@ -82,6 +90,8 @@
         Processes of upstreams that have said that they leave.
     avoided : tuple of Avoided
         Processes of upstreams that take no work for a while.
+    weights : tuple of Weights
+        The newest weights that have been named.
     """
 
     sender: routers.Member
@@ -94,6 +104,7 @@
     want_all: bool = False
     leaving_upstreams: tuple[str, ...] = ()
     avoided: tuple[Avoided, ...] = ()
+    weights: tuple[Weights, ...] = ()
 
 
 def to_wire(heartbeat: Heartbeat) -> peers_pb2.Heartbeat:
@@ -128,6 +139,10 @@
             peers_pb2.Avoided(upstream=each.upstream, for_s=each.for_s)
             for each in heartbeat.avoided
         ],
+        weights=[
+            peers_pb2.Weights(model=each.model, version=each.version)
+            for each in heartbeat.weights
+        ],
     )
 
 
@@ -169,6 +184,10 @@
                 Avoided(each.upstream, _finite(each.for_s))
                 for each in message.avoided[:MAX_LOADS]
             ),
+            weights=tuple(
+                Weights(each.model, each.version)
+                for each in message.weights[:MAX_HOT]
+            ),
         )
     except ValueError as error:
         raise BadHeartbeat(str(error)) from error
--- a/toucanrudder/peers/node.py
+++ b/toucanrudder/peers/node.py
@@ -49,6 +49,8 @@
         Takes a peer's name, prefixes, total rate and monotonic time.
     leaving_upstreams, avoided : callable
         Given the monotonic time, return what is told of upstreams.
+    weights : callable
+        Returns the newest weights that have been named.
     upstream_news : callable
         Takes a heartbeat and the monotonic time.
     """
@@ -68,6 +70,7 @@
     )
     leaving_upstreams: Callable[[float], tuple[str, ...]] = lambda now_s: ()
     avoided: Callable[[float], tuple[messages.Avoided, ...]] = lambda now_s: ()
+    weights: Callable[[], tuple[messages.Weights, ...]] = tuple
     upstream_news: Callable[[messages.Heartbeat, float], None] = (
         lambda heartbeat, now_s: None
     )
@@ -178,6 +181,7 @@
             want_all=self._beat % ASK_ALL_EVERY == 1,
             leaving_upstreams=self._sources.leaving_upstreams(now_s),
             avoided=self._sources.avoided(now_s),
+            weights=self._sources.weights(),
         )
 
     def _told_members(self, now_s: float) -> tuple[routers.Member, ...]:
