--- a/toucanrudder/forwarding/forwarder.py
+++ b/toucanrudder/forwarding/forwarder.py
@@ -13,6 +13,7 @@
 from toucanrudder.forwarding import events
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import placing
+from toucanrudder.forwarding import poison
 from toucanrudder.forwarding import routing
 from toucanrudder.forwarding import state as states
 from toucanrudder.forwarding import tries
@@ -155,6 +156,7 @@
         route = matched.route
         seen.route, seen.kind = route.name, route.repetition.value
         self._check_stopping(route)
+        self._check_poison(request, matched)
         service = routing.service_of(route, self.state.rng)
         forwarding = Forwarding(
             self.state, self.dialect, request, answer, matched, service
@@ -179,6 +181,17 @@
                 retry_after_s=0.0,
             )
 
+    def _check_poison(self, request, matched: routing.Matched) -> None:
+        if _is_poison(self.state, request, matched):
+            # It has not run this time, but must not be sent again: "not
+            # run, come back" would bring it back for ever.
+            raise errors.RudderError(
+                errors.Code.UPSTREAM_FAILED,
+                "upstreams broke off under this request again and again",
+                step="quarantine",
+                ran=errors.Ran.UNKNOWN,
+            )
+
     async def _refuse(
         self,
         answer: server.Answer,
@@ -208,6 +221,25 @@
         await answer.whole(error.status, headers, body)
 
 
+def _fingerprint(request, matched: routing.Matched) -> str:
+    organisation = matched.organisation
+    return poison.fingerprint(
+        organisation.name if organisation else "",
+        request.head.target,
+        request.body,
+    )
+
+
+def _is_poison(
+    state: states.ForwardingState, request, matched: routing.Matched
+) -> bool:
+    breaks = state.breaks
+    # Hashing a body for each request would be paid for by all the others.
+    return not breaks.is_empty and breaks.is_poison(
+        _fingerprint(request, matched)
+    )
+
+
 @attrs.define
 class _Seen:
     """What is known of a request, for the log."""
@@ -430,6 +462,8 @@
         step = tries.next_step(
             ended, self.progress, self.route, left_s=self._left_s()
         )
+        if _is_poison(self.state, self.request, self.matched):
+            step = tries.Step.GIVE_UP
         step = self._within_budget(ended, step)
         decisions.record(
             decisions.TryEnded(
@@ -480,6 +514,12 @@
             self.state.doubt_weights(upstream)
         else:
             self.state.states.failed(name, now_s)
+        if ended is tries.Ended.BROKEN:
+            self.state.breaks.broke(
+                _fingerprint(self.request, self.matched),
+                upstream,
+                time.time(),
+            )
 
     async def _give_up(
         self, failure: TryEnded, upstream: model.Upstream
--- a/toucanrudder/forwarding/peering.py
+++ b/toucanrudder/forwarding/peering.py
@@ -140,6 +140,8 @@
     sources = nodes.Sources(
         loads=gossip.loads,
         weights=gossip.weights,
+        quarantine=state.breaks.suspicions.entries,
+        merge=state.breaks.merge,
         leaving=lambda: state.stopping,
         # Peers count by a clock that stands still with the host; beliefs
         # on upstreams age on.
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -12,6 +12,7 @@
 from toucanrudder.forwarding import loads
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import placing
+from toucanrudder.forwarding import poison
 from toucanrudder.forwarding import registry as registries
 from toucanrudder.forwarding import routing
 from toucanrudder.forwarding import shares
@@ -59,6 +60,7 @@
     peer_loads: peers_loads.PeerLoads = attrs.field(
         factory=lambda: peers_loads.PeerLoads(PEER_LOADS_KEPT_S)
     )
+    breaks: poison.BreakCounts = attrs.field(factory=poison.BreakCounts)
     doubt_weights: Callable[[model.Upstream], None] = lambda upstream: None
     stopping: bool = False
     stop_at_s: float = float("inf")
--- a/toucanrudder/platform/tests/test_platform.py
+++ b/toucanrudder/platform/tests/test_platform.py
@@ -8,6 +8,7 @@
 import pytest
 
 from toucanrudder.forwarding import daemon
+from toucanrudder.forwarding import poison
 from toucanrudder.http1 import client
 from toucanrudder.http1 import message
 from toucanrudder.platform import place
@@ -383,6 +384,34 @@
     assert name == first.request_id == second.request_id
 
 
+async def test_a_request_that_crashes_engines_is_stopped(site):
+    # Each engine that runs this request crashes.  Its caller sends it
+    # again and again, to two routers; a third crash must be the last.
+    engines = [await site.engine() for _ in range(6)]
+    for each in engines:
+        each.behaviours = [standins.resets] * 9
+    first = await site.router("r1")
+    second = await site.router("r2", first.peering.node.address)
+    await until(lambda: second.state.live_routers() == 2)
+    for _ in range(poison.MOST_BREAKS):
+        await asked(first, b"/once/x", body=b"poison", method=b"POST")
+    runs = sum(len(each.runs) for each in engines)
+    assert runs == poison.MOST_BREAKS
+    same = second.state.breaks
+    await until(lambda: not same.is_empty)
+    for router in (first, second):
+        await until(lambda: any(map(same.is_poison, same.fingerprints)))
+        answer = await asked(
+            router, b"/once/x", body=b"poison", method=b"POST"
+        )
+        assert answer.status == 502
+    assert sum(len(each.runs) for each in engines) == runs
+    for each in engines:
+        each.behaviours = []
+    answer = await asked(second, b"/once/x", body=b"other", method=b"POST")
+    assert answer.status == 200
+
+
 async def test_isolated_organisations_share_no_cache(site):
     engine = await site.engine()
     router = await site.router()
