--- a/toucanrudder/forwarding/forwarder.py
+++ b/toucanrudder/forwarding/forwarder.py
@@ -41,6 +41,11 @@
 #: upstream that has not begun to answer, and given to another.
 PATIENCE_OBJECTIVES = 3.0
 
+#: The same for a stream of whose run another engine holds a copy.  An
+#: answer that is lost without a reset shows by nothing else, and callers
+#: leave after four objectives.
+PATIENCE_COPY_OBJECTIVES = 2.5
+
 #: Pauses (longest allowed between two events) after which a stream that
 #: may be resumed goes on elsewhere.
 PATIENCE_GAPS = 2.5
@@ -631,6 +636,8 @@
 
     def _patience_s(self) -> float | None:
         """Return how long the first part of an answer may take."""
+        if self._has_copy():
+            return PATIENCE_COPY_OBJECTIVES * self.route.objective_s
         if self.route.repetition is model.Repetition.ONCE:
             return None
         if self.progress.may_have_run + 1 >= self.route.max_upstreams:
@@ -743,7 +750,8 @@
 
     async def _next_piece(self, connection):
         limit_s = None
-        if self.route.repetition is model.Repetition.RESUMABLE:
+        resumable = self.route.repetition is model.Repetition.RESUMABLE
+        if resumable or self._has_copy():
             limit_s = PATIENCE_GAPS * self.route.event_gap_s
             if not self.progress.events:
                 limit_s = self._patience_s()
--- a/toucanrudder/platform/tests/test_platform.py
+++ b/toucanrudder/platform/tests/test_platform.py
@@ -384,6 +384,24 @@
     assert name == first.request_id == second.request_id
 
 
+async def test_a_silent_run_goes_on_from_its_copy(site):
+    # An engine has run a stream that may run once, and its answer is lost
+    # without a reset: the connection stays open and nothing comes.  The
+    # caller would leave with nothing; the copy of the run goes on.
+    engines = [await site.engine(), await site.engine()]
+    first_tried_does(engines, standins.hangs)
+    router = await site.router()
+    answer = await asked(router, b"/once/x")
+    assert answer.is_whole
+    assert answer.body == EVENTS
+    runs = [run for each in engines for run in each.runs]
+    assert sorted("kv-from" in run.headers for run in runs) == [False, True]
+    await asyncio.wait_for(
+        next(each.cut for each in engines if each.cut.is_set()).wait(),
+        DEADLINE_S,
+    )
+
+
 async def test_a_request_that_crashes_engines_is_stopped(site):
     # Each engine that runs this request crashes.  Its caller sends it
     # again and again, to two routers; a third crash must be the last.
