--- /dev/null
+++ b/toucanrudder/forwarding/attempt.py
@@ -0,0 +1,349 @@
+"""One try of a request at one upstream."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import attrs
+
+from toucanrudder import clock
+from toucanrudder.forwarding import cache
+from toucanrudder.forwarding import dialect as dialects
+from toucanrudder.forwarding import events
+from toucanrudder.forwarding import model
+from toucanrudder.forwarding import placing
+from toucanrudder.forwarding import state as states
+from toucanrudder.forwarding import tries
+from toucanrudder.http1 import client
+from toucanrudder.http1 import message
+from toucanrudder.http1 import pool
+from toucanrudder.observability import decisions
+
+if TYPE_CHECKING:
+    from toucanrudder.forwarding import course as courses
+
+#: still be tried elsewhere or be answered as a failure.
+MAX_HELD_BYTES = 262_144
+
+#: retransmission, which takes a second; a second try elsewhere is faster.
+CONNECT_S = 0.3
+
+#: sent again, as nothing proves that it has not run.
+FRESH_IDLE_S = 0.5
+
+#: upstream that has not begun to answer, and given to another.
+PATIENCE_OBJECTIVES = 3.0
+
+#: leave after four objectives.
+PATIENCE_COPY_OBJECTIVES = 2.5
+
+#: may be resumed goes on elsewhere.
+PATIENCE_GAPS = 2.5
+
+#: Statuses by which callers take it that a request has not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
+
+class TryEnded(Exception):
+    """A try ended without a whole answer.
+
+    Parameters
+    ----------
+    ended : tries.Ended
+        How.
+    held : tuple or None
+        Head and body of a failure that the upstream answered with.
+    """
+
+    def __init__(self, ended: tries.Ended, held=None):
+        super().__init__(ended.value)
+        self.ended = ended
+        self.held = held
+
+
+_ENDED = {
+    client.Fault.NOT_CONNECTED: tries.Ended.NOT_REACHED,
+    client.Fault.RESET: tries.Ended.BROKEN,
+    client.Fault.CLOSED: tries.Ended.BROKEN,
+    client.Fault.NOT_HTTP: tries.Ended.CROSSED,
+    client.Fault.TIMEOUT: tries.Ended.SILENT,
+}
+
+
+def _ended(error: client.ExchangeError) -> tries.Ended:
+    if not error.sent:
+        return tries.Ended.NOT_REACHED
+    return _ENDED[error.fault]
+
+
+def _refused(facts: dialects.Facts) -> tries.Ended | None:
+    """Return how the upstream proved that it has not run the request."""
+    if facts.is_elsewhere:
+        return tries.Ended.NOT_THERE
+    if facts.has_other_weights:
+        return tries.Ended.OTHER_WEIGHTS
+    return tries.Ended.FULL if facts.has_not_run else None
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """A request at the upstream that was chosen for it.
+
+    Parameters
+    ----------
+    course : courses.Course
+        The request's way so far.
+    choice : placing.Choice
+        Where it goes now.
+    """
+
+    course: "courses.Course"
+    choice: placing.Choice
+
+    @property
+    def state(self) -> states.ForwardingState:
+        """This router's tables."""
+        return self.course.state
+
+    @property
+    def route(self) -> model.Route:
+        """The request's route."""
+        return self.course.route
+
+    @property
+    def prompt(self) -> model.Prompt | None:
+        """What the request asks a model."""
+        return self.course.call.prompt
+
+    async def run(self) -> None:
+        """Pass the upstream's whole answer on to the caller.
+
+        Raises
+        ------
+        TryEnded
+            There was none.
+        """
+        choice = self.choice
+        upstream = choice.upstream
+        name = self.course.upstream = upstream.incarnation
+        with self.state.states.request(name, choice.missing_tokens) as sent:
+            try:
+                async with self._connection(upstream) as connection:
+                    self._send(connection, choice)
+                    failure = await self._receive(connection, upstream, sent)
+            except client.ExchangeError as error:
+                raise TryEnded(_ended(error)) from error
+        if failure is not None:
+            raise failure
+        self.state.states.succeeded(name)
+
+    def _connection(self, upstream: model.Upstream):
+        newest_idle_s = float("inf")
+        if self.route.repetition is model.Repetition.ONCE:
+            newest_idle_s = FRESH_IDLE_S
+        return self.state.pool.connection(
+            upstream.address,
+            connect_timeout_s=min(CONNECT_S, self.course.left_s()),
+            clock=clock.now_s,
+            newest_idle_s=newest_idle_s,
+        )
+
+    def _send(
+        self, connection: client.UpstreamConnection, choice: placing.Choice
+    ) -> None:
+        upstream = choice.upstream
+        if self.state.registry.get(upstream.incarnation) is None:
+            # It went while the connection was being opened.
+            raise TryEnded(tries.Ended.NOT_THERE)
+        copy_at = self.course.copy_at
+        head = self.course.dialect.request(
+            self.course.request.head,
+            self.course.request.body,
+            self.course.matched,
+            dialects.Instructions(
+                upstream=upstream,
+                left_s=self.course.left_s(),
+                salt=self._salt(upstream),
+                weights_version=self._version(upstream),
+                resume_after=self.course.last_event,
+                fetch_from=choice.copy_from,
+                copy_to=copy_at.address if copy_at else "",
+                continue_at=upstream.address if self.course.continues else "",
+            ),
+        )
+        self._note_placed(choice)
+        connection.send(head, self.course.request.body)
+        self.course.in_doubt = True
+
+    def _note_placed(self, choice: placing.Choice) -> None:
+        now_s = clock.now_s()
+        upstream = choice.upstream
+        state = self.state.states.of(upstream.incarnation)
+        organisation = self.course.matched.organisation
+        version = self._version(upstream)
+        age_s = 0.0
+        if version is not None:
+            named = self.state.newest_weights.get(self.prompt.model)
+            age_s = named.age_s(version, now_s) if named else 0.0
+        decisions.record(
+            decisions.Placed(
+                request_id=self.course.call.request_id,
+                organisation=organisation.name if organisation else "",
+                route=self.route.name,
+                upstream=upstream.incarnation,
+                attempt=self.course.attempts,
+                reason=choice.reason,
+                left_s=self.course.left_s(),
+                generation=self.state.generation,
+                weights_version=version,
+                weights_age_s=age_s,
+                missing_tokens=choice.missing_tokens,
+                copy_from=choice.copy_from,
+                own_requests=state.requests,
+                told_requests=state.others(now_s),
+                told_age_s=now_s - state.load_at_s if state.load else None,
+                candidates=choice.candidates,
+                known=len(self.state.registry.of(self.course.service)),
+                routers=self.state.live_routers(),
+            )
+        )
+
+    def _version(self, upstream: model.Upstream) -> int | None:
+        if self.prompt is None:
+            return None
+        return upstream.weights.get(self.prompt.model)
+
+    def _salt(self, upstream: model.Upstream) -> str:
+        return cache.salt(self.course.wall(), self._version(upstream))
+
+    def _patience_s(self) -> float | None:
+        """Return how long the first part of an answer may take."""
+        if self.course.has_copy():
+            return PATIENCE_COPY_OBJECTIVES * self.route.objective_s
+        if self.route.repetition is model.Repetition.ONCE:
+            return None
+        if self.course.progress.may_have_run + 1 >= self.route.max_upstreams:
+            return None
+        return PATIENCE_OBJECTIVES * self.route.objective_s
+
+    async def _receive(self, connection, upstream, sent) -> TryEnded | None:
+        """Pass the answer on; return what it says of a request not served.
+
+        A returned failure has left the connection fit for further use.
+        """
+        try:
+            async with asyncio.timeout(self._patience_s()):
+                head = await connection.next_event()
+        except TimeoutError:
+            raise TryEnded(tries.Ended.SILENT) from None
+        facts = self.course.dialect.facts(self.course.call, upstream, head)
+        self._learn(upstream, facts)
+        if not facts.is_for:
+            raise TryEnded(tries.Ended.CROSSED)
+        connection.keep_for_s = pool.keep_for_s(head.headers)
+        refused = _refused(facts)
+        if refused is not None:
+            await self._read_rest(connection)
+            return TryEnded(refused)
+        if head.status < 300 and not facts.is_sealed:
+            raise TryEnded(tries.Ended.CROSSED)
+        if head.status < 300 and self.route.is_stream:
+            await self._relay_stream(connection, head, upstream, sent)
+            return None
+        return await self._hold(connection, head, facts)
+
+    def _learn(self, upstream, facts) -> None:
+        now_s = clock.now_s()
+        if facts.load is not None and facts.is_for:
+            self.state.states.told(upstream.incarnation, facts.load, now_s)
+        if facts.weights_version is not None and self.prompt:
+            self.state.registry.has_weights(
+                upstream.incarnation,
+                self.prompt.model,
+                facts.weights_version,
+            )
+
+    async def _read_rest(self, connection) -> None:
+        try:
+            await self._read_body(connection)
+        except client.ExchangeError:
+            # The head has proved that the request has not run; only the
+            # connection is of no more use.
+            connection.keep_for_s = None
+
+    async def _read_body(self, connection) -> bytes:
+        body = bytearray()
+        while True:
+            event = await connection.next_event()
+            if isinstance(event, client.End):
+                return bytes(body)
+            body += event.content
+            if len(body) > MAX_HELD_BYTES:
+                raise TryEnded(tries.Ended.CROSSED)
+
+    async def _hold(self, connection, head, facts) -> TryEnded | None:
+        """Read a whole answer, then pass it on or return it as a failure."""
+        body = await self._read_body(connection)
+        if head.status < 500 and facts.is_sealed:
+            await self.course.pass_on(head, body)
+            return None
+        # The upstream did not prove that it has not run the request, so a
+        # status that says so to the caller is not passed on.
+        true = facts.is_sealed and head.status not in NOT_RUN_STATUSES
+        return TryEnded(tries.Ended.FAILED, (head, body) if true else None)
+
+    async def _relay_stream(self, connection, head, upstream, sent) -> None:
+        splitter = events.EventSplitter()
+        while True:
+            event = await self._next_piece(connection)
+            if isinstance(event, client.End):
+                break
+            try:
+                whole = splitter.feed(event.content)
+            except ValueError:
+                raise TryEnded(tries.Ended.CROSSED) from None
+            if whole:
+                if sent.prefill_tokens:
+                    sent.first()
+                    self._has_read(upstream)
+                await self._pass_events(head, whole)
+        if splitter.rest:
+            raise TryEnded(tries.Ended.BROKEN)
+        if not self.course.answer.started:
+            await self.course.start(head)
+        await self.course.answer.end()
+
+    def _has_read(self, upstream: model.Upstream) -> None:
+        if self.prompt is not None:
+            self.state.cache.read(
+                upstream.incarnation,
+                self._salt(upstream),
+                self.prompt.parts,
+            )
+
+    async def _next_piece(self, connection):
+        limit_s = None
+        resumable = self.route.repetition is model.Repetition.RESUMABLE
+        if resumable or self.course.has_copy():
+            limit_s = PATIENCE_GAPS * self.route.event_gap_s
+            if not self.course.progress.events:
+                limit_s = self._patience_s()
+        try:
+            async with asyncio.timeout(limit_s):
+                return await connection.next_event()
+        except TimeoutError:
+            raise TryEnded(tries.Ended.SILENT) from None
+
+    async def _pass_events(
+        self, head: message.AnswerHead, whole: list[bytes]
+    ) -> None:
+        if not self.course.answer.started:
+            await self.course.start(head)
+        await self.course.answer.write(b"".join(whole))
+        last = self.course.dialect.event_id(whole[-1])
+        if last is not None:
+            self.course.last_event = last
+        self.course.progress = attrs.evolve(
+            self.course.progress,
+            events=self.course.progress.events + len(whole),
+            can_resume=last is not None,
+        )
