--- a/toucanrudder/forwarding/attempt.py
+++ b/toucanrudder/forwarding/attempt.py
@@ -190,7 +190,7 @@
                 organisation=organisation.name if organisation else "",
                 route=self.route.name,
                 upstream=upstream.incarnation,
-                attempt=self.course.attempts,
+                attempt=self.course.attempt_count,
                 reason=choice.reason,
                 left_s=self.course.left_s(),
                 generation=self.state.generation,
--- a/toucanrudder/forwarding/course.py
+++ b/toucanrudder/forwarding/course.py
@@ -51,7 +51,7 @@
     progress: tries.Progress = attrs.field(factory=tries.Progress)
     last_event: str | None = None
     tried: set[str] = attrs.field(factory=set)
-    attempts: int = 0
+    attempt_count: int = 0
     upstream: str = ""
     status: int = 0
     first_s: float = 0.0
@@ -93,7 +93,7 @@
                 route=self.route.name,
                 upstream=self.upstream,
                 status=self.status,
-                attempts=self.attempts,
+                attempts=self.attempt_count,
                 first_s=self.first_s,
                 whole_s=whole_s,
                 events=self.progress.events,
@@ -129,7 +129,7 @@
         while True:
             upstream = choice.upstream
             self.tried.add(upstream.incarnation)
-            self.attempts += 1
+            self.attempt_count += 1
             try:
                 await attempts.Attempt(self, choice).run()
                 return
--- a/toucanrudder/forwarding/forwarder.py
+++ b/toucanrudder/forwarding/forwarder.py
@@ -80,7 +80,7 @@
             routing.service_of(route, self.state.rng),
         )
         _check_poison(course)
-        seen.tries = lambda: course.attempts
+        seen.tries = lambda: course.attempt_count
         await course.run()
         course.note_answered()
 
