--- /dev/null
+++ b/toucanrudder/observability/tests/test_lines.py
@@ -0,0 +1,112 @@
+"""Log lines on a stream that nobody reads."""
+
+import json
+import logging
+import os
+import threading
+
+import pytest
+
+from toucanrudder.observability import decisions
+from toucanrudder.observability import lines
+
+ANSWERED = decisions.Answered(
+    request_id="id1",
+    route="r",
+    upstream="i1",
+    status=200,
+    attempts=1,
+    first_s=0.01234567,
+    whole_s=0.5,
+    events=3,
+)
+REFUSED = decisions.Refused(
+    request_id="id2",
+    route="r",
+    code="queue_full",
+    status=503,
+    ran="not_run",
+    retry_after_s=0.2,
+    after_s=0.1,
+    peer="i1",
+    detail="no upstream could take the request",
+)
+
+
+@pytest.fixture
+def pipe():
+    read, write = os.pipe()
+    with os.fdopen(read, "rb") as reader, os.fdopen(write, "w") as writer:
+        yield reader, writer
+
+
+@pytest.fixture
+def handler(pipe):
+    found = lines.LineHandler(pipe[1])
+    log = decisions.LOG
+    log.addHandler(found)
+    log.setLevel(logging.INFO)
+    yield found
+    log.removeHandler(found)
+
+
+def read_until(reader, event):
+    for raw in reader:
+        found = json.loads(raw)
+        if found["event"] == event:
+            return found
+    raise AssertionError(event)
+
+
+def test_a_line_says_what_was_decided(handler, pipe):
+    decisions.record(ANSWERED)
+    found = read_until(pipe[0], "Answered")
+    assert found["request_id"] == "id1"
+    assert found["first_s"] == 0.0123
+    handler.close()
+
+
+def test_a_stalled_reader_delays_nobody(handler, pipe):
+    # Nobody reads standard output.  The pipe is full after a few hundred
+    # lines; a router that wrote into it would stand still with all its
+    # requests.  Here the test itself would hang.
+    for _ in range(4 * lines.MAX_WAITING):
+        decisions.record(ANSWERED)
+    for _ in range(lines.MAX_WAITING):
+        decisions.record(REFUSED)
+    assert len(handler._waiting) <= lines.MAX_WAITING
+    reader = threading.Thread(
+        target=lambda: told.append(read_until(pipe[0], "LinesDropped"))
+    )
+    told = []
+    reader.start()
+    while reader.is_alive():
+        decisions.record(REFUSED)
+        reader.join(0.01)
+    assert told[0]["kinds"]["Answered"] > lines.MAX_WAITING
+    drain = threading.Thread(target=pipe[0].read)
+    drain.start()
+    handler.close()
+    pipe[1].close()
+    drain.join()
+
+
+def test_routine_lines_leave_room_for_refusals(handler, pipe):
+    # While the reader stalls, lines of requests that went well must not
+    # crowd out the one line that explains a refusal.
+    for _ in range(4 * lines.MAX_WAITING):
+        decisions.record(ANSWERED)
+    decisions.record(REFUSED)
+    assert b'"Refused"' in handler._waiting[-1]
+    drain = threading.Thread(target=pipe[0].read)
+    drain.start()
+    handler.close()
+    pipe[1].close()
+    drain.join()
+
+
+@pytest.mark.parametrize("kind", decisions.KINDS)
+def test_no_line_holds_a_secret(kind):
+    names = {field.name for field in kind.__attrs_attrs__}
+    assert not names & {"api_key", "key", "prompt", "body", "headers"}
+    assert kind.__doc__
