Let routes' priorities order an organisation's own requests

An organisation's priority replaced those of its routes, so engines admitted its quick lookups behind its long documents in order of arrival. Ranks are now ordered by the organisation's priority, then by the route's.

--- a/toucanrudder/forwarding/routing.py
+++ b/toucanrudder/forwarding/routing.py
@@ -17,13 +17,31 @@
     call: model.Call
     route: model.Route
     organisation: model.Organisation | None
+    rank: int = 0
 
-    @property
-    def priority(self) -> int:
-        """Rank of the request; an organisation's own goes first."""
-        if self.organisation and self.organisation.priority is not None:
-            return self.organisation.priority
-        return self.route.priority
+
+def _urgency(
+    organisation_priority: int | None, route_priority: int
+) -> tuple[int, int]:
+    """Return what requests are ordered by, the most urgent first.
+
+    An organisation's own priority goes before its routes'.  Among its
+    requests the routes' decide: without that, quick lookups of an
+    organisation wait behind its long documents.
+    """
+    if organisation_priority is None:
+        return route_priority, route_priority
+    return organisation_priority, route_priority
+
+
+def _ranks(
+    configuration: model.Configuration,
+) -> dict[tuple[int, int], int]:
+    """Return the place of each urgency that the configuration allows."""
+    levels = {each.priority for each in configuration.organisations} | {None}
+    priorities = {each.priority for each in configuration.routes}
+    found = {_urgency(level, each) for level in levels for each in priorities}
+    return {urgency: rank for rank, urgency in enumerate(sorted(found))}
 
 
 class RoutingTable:
@@ -46,6 +64,7 @@
             for organisation in configuration.organisations
             for key in organisation.api_keys
         }
+        self._ranks = _ranks(configuration)
 
     def route(self, host: str, path: str) -> model.Route | None:
         """Return the route with the longest prefix of the path.
@@ -90,13 +109,18 @@
                 errors.Code.NOT_FOUND, "no route matches", step=STEP
             )
         if route.is_public or not self._by_key:
-            return Matched(call, route, None)
+            return self._matched(call, route, None)
         organisation = self._by_key.get(call.api_key or "")
         if organisation is None:
             raise errors.RudderError(
                 errors.Code.UNAUTHORIZED, "the key is unknown", step=STEP
             )
-        return Matched(call, route, organisation)
+        return self._matched(call, route, organisation)
+
+    def _matched(self, call, route, organisation) -> Matched:
+        own = organisation.priority if organisation else None
+        rank = self._ranks[_urgency(own, route.priority)]
+        return Matched(call, route, organisation, rank)
 
 
 def service_of(route: model.Route, rng: random.Random) -> str:
--- a/toucanrudder/platform/dialect.py
+++ b/toucanrudder/platform/dialect.py
@@ -116,7 +116,7 @@
         set_here = [
             ("Deadline-Ms", max(1, int(instructions.left_s * 1000))),
             ("Expect-Instance", instructions.upstream.incarnation),
-            ("Request-Priority", min(matched.priority, _LAST_PRIORITY)),
+            ("Request-Priority", min(matched.rank, _LAST_PRIORITY)),
         ]
         if body or head.get(b"content-length") or _is_chunked(head):
             set_here.append(("Content-Length", len(body)))
