--- a/toucanrudder/cli/commands.py
+++ b/toucanrudder/cli/commands.py
@@ -21,6 +21,7 @@
     admin=str,
     token_file=str,
     out=str,
+    folder=str,
 )
 
 
@@ -169,6 +170,37 @@
 
         return exits.Exit(int(run.main(serve=serve) or 0))
 
+    @_AS_TEXT
+    def soak(
+        self,
+        seed: int = 0,
+        seeds: int = 1,
+        length_s: float = 20.0,
+        routers: int = 4,
+        engines: int = 4,
+        callers: int = 12,
+        faults_a_second: float = 0.8,
+        folder: str = "",
+    ) -> exits.Exit:
+        """Soak real routers in random faults; print broken promises.
+
+        The same seed draws the same faults; 0 draws a fresh one.  Logs of
+        the routers are left in the folder, if one is given.
+
+        Example: toucanrudder soak --seed=1 --seeds=5 --folder=soak-out
+        """
+        from toucanrudder.cli import soaks
+        from toucanrudder.soak import runs
+
+        size = runs.Size(
+            length_s=length_s,
+            routers=routers,
+            engines=engines,
+            callers=callers,
+            faults_a_second=faults_a_second,
+        )
+        return soaks.soak(seed, seeds, size, folder)
+
     @_AS_TEXT
     def capacity(self, *names: str, out: str = "docs/capacity") -> exits.Exit:
         """Measure how costs grow with size; write a record of each run.
--- a/toucanrudder/forwarding/attempt.py
+++ b/toucanrudder/forwarding/attempt.py
@@ -125,7 +125,10 @@
         choice = self.choice
         upstream = choice.upstream
         name = self.course.upstream = upstream.incarnation
-        with self.state.states.request(name, choice.missing_tokens) as sent:
+        memory_tokens = self.prompt.memory_tokens if self.prompt else 0
+        with self.state.states.request(
+            name, choice.missing_tokens, memory_tokens
+        ) as sent:
             try:
                 async with self._connection(upstream) as connection:
                     self._send(connection, choice)
--- a/toucanrudder/forwarding/following.py
+++ b/toucanrudder/forwarding/following.py
@@ -146,6 +146,9 @@
             return True
         return self._state.name in fanout.readers(names)
 
+    def _has_followers(self) -> bool:
+        return fanout.is_fanned_out(len(self.live_names()))
+
     def _choose_reader(self, shunned: set[str]) -> fanout.Reader | None:
         live = {each.name: each for each in self._live()}
         readers = fanout.readers([self._state.name, *live])
@@ -184,6 +187,7 @@
             self._store,
             self._upstream_log,
             is_reader=self._is_reader,
+            has_followers=self._has_followers,
             choose=self._choose_reader,
             ask=self._ask_reader,
             clock=clock.now_s,
--- a/toucanrudder/forwarding/loads.py
+++ b/toucanrudder/forwarding/loads.py
@@ -28,6 +28,7 @@
 
     requests: int = 0
     prefill_tokens: int = 0
+    memory_tokens: int = 0
     load: model.Load | None = None
     load_at_s: float = 0.0
     failures_in_row: int = 0
@@ -62,11 +63,12 @@
 
     @contextlib.contextmanager
     def request(
-        self, incarnation: str, prefill_tokens: int
+        self, incarnation: str, prefill_tokens: int, memory_tokens: int = 0
     ) -> Iterator["Sent"]:
         """Count one request for as long as the context is open."""
         state = self.of(incarnation)
         state.requests += 1
+        state.memory_tokens += memory_tokens
         sent = Sent(state, prefill_tokens)
         state.prefill_tokens += prefill_tokens
         try:
@@ -74,6 +76,7 @@
         finally:
             sent.first()
             state.requests -= 1
+            state.memory_tokens -= memory_tokens
 
     def told(self, incarnation: str, load: model.Load, now_s: float) -> None:
         """Note the load that came with an answer."""
@@ -104,10 +107,21 @@
         """Note until when the upstream takes no work: it loads weights."""
         self.of(incarnation).avoided_until_s = until_s
 
-    def busy(self) -> list[tuple[str, int, int]]:
-        """Return name, unread prompt tokens and requests of those in use."""
+    def busy(self) -> list[tuple[str, int, int, int]]:
+        """Return those in use.
+
+        Returns
+        -------
+        list of tuple
+            Name, unread prompt tokens, requests, and tokens of memory.
+        """
         return [
-            (name, state.prefill_tokens, state.requests)
+            (
+                name,
+                state.prefill_tokens,
+                state.requests,
+                state.memory_tokens,
+            )
             for name, state in self._states.items()
             if state.requests
         ]
--- a/toucanrudder/forwarding/model.py
+++ b/toucanrudder/forwarding/model.py
@@ -212,6 +212,11 @@
     prompt_tokens: int = 0
     max_output_tokens: int = 0
 
+    @property
+    def memory_tokens(self) -> int:
+        """Tokens of an engine's memory that it needs until its end."""
+        return self.prompt_tokens + self.max_output_tokens
+
     @property
     def shared(self) -> tuple[Part, ...]:
         """The parts that other requests may have as well."""
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -170,8 +170,10 @@
         newest = None
         if prompt is not None:
             newest = self.newest_weights.get(prompt.model)
+        heard = self.peer_loads.heard_routers(now_s)
+        unheard = placing.unheard_factor(heard, self.live_routers() - 1)
         return [
-            self._candidate(upstream, newest, now_s)
+            self._candidate(upstream, newest, now_s, unheard)
             for upstream in self.registry.of(service)
         ]
 
@@ -180,8 +182,10 @@
         upstream: model.Upstream,
         newest: "NamedWeights | None",
         now_s: float,
+        unheard: float,
     ) -> placing.Candidate:
         name = upstream.incarnation
+        peers = self.peer_loads.work(name, now_s)
         return placing.Candidate(
             upstream,
             self.states.of(name),
@@ -191,8 +195,9 @@
                 upstream.weights.get(newest.model, newest.version),
                 clock.now_s(),
             ),
-            self.peer_loads.prefill_tokens(name, now_s),
-            self.peer_loads.requests(name, now_s),
+            round(peers.prefill_tokens * unheard),
+            round(peers.requests * unheard),
+            round(peers.memory_tokens * unheard),
         )
 
 
--- a/toucanrudder/peers/messages.py
+++ b/toucanrudder/peers/messages.py
@@ -33,11 +33,14 @@
         Prompt tokens sent there that have given no first token yet.
     requests : int
         Requests that are there now.
+    memory_tokens : int
+        Tokens of an engine's memory that these need until they end.
     """
 
     upstream: str
-    prefill_tokens: int
-    requests: int
+    prefill_tokens: int = 0
+    requests: int = 0
+    memory_tokens: int = 0
 
 
 @attrs.frozen
@@ -162,7 +165,12 @@
             sender=_member_from_wire(message.sender),
             generation=message.generation,
             loads=tuple(
-                UpstreamLoad(load.upstream, load.prefill_tokens, load.requests)
+                UpstreamLoad(
+                    load.upstream,
+                    load.prefill_tokens,
+                    load.requests,
+                    load.memory_tokens,
+                )
                 for load in message.loads[:MAX_LOADS]
             ),
             quarantine=tuple(
--- /dev/null
+++ b/toucanrudder/platform/testing/__init__.py
@@ -0,0 +1,1 @@
+"""The platform as tests and soaks need it."""
--- a/toucanrudder/platform/standins.py
+++ b/toucanrudder/platform/testing/standins.py
@@ -206,7 +206,9 @@
     Attributes
     ----------
     behaviours : list
-        What it does with the next requests; then it answers well.
+        What it does with the next requests; then `usual`.
+    usual : callable
+        What it does with all others.
     """
 
     _numbers = itertools.count(1)
@@ -224,6 +226,7 @@
         self.behaviours: list[Behaviour] = []
         self.runs: list[Run] = []
         self.cut = asyncio.Event()
+        self.usual: Behaviour = answers
 
     def entry(self) -> dict:
         """Return what it registers."""
@@ -289,7 +292,7 @@
         await answer.whole(202, JSON, b"{}")
 
     async def _run(self, run: Run, answer) -> None:
-        behaviour = self.behaviours.pop(0) if self.behaviours else answers
+        behaviour = self.behaviours.pop(0) if self.behaviours else self.usual
         try:
             await behaviour(self, run, answer)
         except asyncio.CancelledError:
--- a/toucanrudder/platform/tests/test_boundary.py
+++ b/toucanrudder/platform/tests/test_boundary.py
@@ -79,6 +79,5 @@
     lines = sum(
         len(path.read_text(encoding="utf-8").splitlines())
         for path in FOLDER.glob("*.py")
-        if path.name != "standins.py"
     )
     assert lines < 900
--- a/toucanrudder/platform/tests/test_platform.py
+++ b/toucanrudder/platform/tests/test_platform.py
@@ -12,7 +12,7 @@
 from toucanrudder.http1 import client
 from toucanrudder.http1 import message
 from toucanrudder.platform import place
-from toucanrudder.platform import standins
+from toucanrudder.platform.testing import standins
 from toucanrudder.settings import forwarding
 from toucanrudder.settings import loading
 
--- /dev/null
+++ b/toucanrudder/soak/callers.py
@@ -0,0 +1,137 @@
+"""Callers of a soak: they keep using connections until these end."""
+
+import asyncio
+import itertools
+import random
+import time
+
+from toucanrudder.http1 import client
+from toucanrudder.platform.testing import soaking
+from toucanrudder.soak import records
+from toucanrudder.soak import site as sites
+
+#: Longest time for which a caller waits for an answer.
+PATIENCE_S = 4.0
+
+#: What callers ask for, and how often against each other.
+MIX = {
+    records.Kind.STREAM_ONCE: 3,
+    records.Kind.STREAM_RESUMABLE: 3,
+    records.Kind.READ: 3,
+    records.Kind.WRITE: 3,
+}
+
+#: Part of the calls that are broken off early by their caller.
+LEAVE_SHARE = 0.03
+
+#: Shared parts that prompts begin with.
+PARTS = 4
+
+_numbers = itertools.count(1)
+
+
+class Caller:
+    """Asks one router after the other.
+
+    Parameters
+    ----------
+    site : sites.Site
+        Where the routers are.
+    rng : random.Random
+        For what is asked, and whom.
+    """
+
+    def __init__(self, site: sites.Site, rng: random.Random):
+        self._site = site
+        self._rng = rng
+        self._kept: dict[str, client.UpstreamConnection] = {}
+
+    def call(
+        self, kind: records.Kind, router: sites.Router, generation: int = 0
+    ) -> records.Call:
+        """Return a new call."""
+        number = next(_numbers)
+        return records.Call(
+            request_id=f"{kind.value}-{number}",
+            kind=kind,
+            router=router.name,
+            router_start=router.starts,
+            sent_s=time.monotonic(),
+            generation=generation,
+        )
+
+    async def ask(
+        self, call: records.Call, router: sites.Router, *, leaves: bool = False
+    ) -> records.Call:
+        """Ask a router, and note what comes."""
+        self._site.record.calls.append(call)
+        organisation = self._rng.choice(list(soaking.KEYS))
+        head, body = soaking.request(
+            call, organisation, self._rng.randrange(PARTS)
+        )
+        connection = self._kept.pop(router.name, None)
+        patience_s = 0.05 if leaves else PATIENCE_S
+        try:
+            async with asyncio.timeout(patience_s):
+                if connection is None or not connection.usable:
+                    connection = await client.connect(router.address, 1.0)
+                call.sent_s = time.monotonic()
+                connection.send(head, body)
+                await self._take(call, connection)
+        except client.ExchangeError:
+            # What has come so far stands in the call.
+            pass
+        except TimeoutError:
+            call.left = leaves
+        finally:
+            call.ended_s = time.monotonic()
+            self._keep(call, router, connection)
+        return call
+
+    async def _take(self, call, connection) -> None:
+        head = await connection.next_event()
+        connection.keep_for_s = client_keep_s(head)
+        content = b""
+        soaking.take(call, head, content)
+        while not isinstance(
+            event := await connection.next_event(), client.End
+        ):
+            content += event.content
+            soaking.take(call, head, content)
+        call.is_whole = True
+        soaking.take(call, head, content)
+
+    def _keep(self, call, router, connection) -> None:
+        if connection is None:
+            return
+        whole = call.is_whole and connection.keep_for_s
+        if whole and connection.finish():
+            self._kept[router.name] = connection
+        else:
+            connection.abort()
+
+    async def run(self, until_s: float, pause_s: float) -> None:
+        """Ask until a time."""
+        kinds, shares = list(MIX), list(MIX.values())
+        while time.monotonic() < until_s:
+            (kind,) = self._rng.choices(kinds, shares)
+            router = self._rng.choice(self._site.routers)
+            leaves = self._rng.random() < LEAVE_SHARE
+            await self.ask(self.call(kind, router), router, leaves=leaves)
+            await asyncio.sleep(self._rng.uniform(0, 2 * pause_s))
+
+    async def probe(self, until_s: float, pause_s: float) -> None:
+        """Ask all routers for the newest route until a time."""
+        while time.monotonic() < until_s:
+            for router in self._site.routers:
+                call = self.call(
+                    records.Kind.PROBE, router, self._site.generation
+                )
+                await self.ask(call, router)
+            await asyncio.sleep(pause_s)
+
+
+def client_keep_s(head) -> float:
+    """Return for how long a caller keeps a connection after an answer."""
+    closes = (head.get(b"connection") or b"").lower() == b"close"
+    return 0.0 if closes else 30.0
--- /dev/null
+++ b/toucanrudder/soak/faults.py
@@ -0,0 +1,268 @@
+"""Does to a site what a plan says; notes when anything was disturbed."""
+
+import asyncio
+import contextlib
+import signal
+import time
+
+from toucanrudder.platform.testing import soaking
+from toucanrudder.soak import callers as callers_
+from toucanrudder.soak import plans
+from toucanrudder.soak import records
+from toucanrudder.soak import site as sites
+from toucanrudder.testing import proxy as proxies
+
+#: How long a leaving upstream still serves after its announcement.
+LINGER_S = 3.0
+
+#: Time until an upstream that crashed is replaced by another process.
+REPLACED_S = 0.8
+
+#: Share of its requests that a sick upstream spoils.
+SICK_SHARE = 0.3
+
+#: Tries of the caller of a poisonous request, and the pause between two.
+POISON_TRIES = 8
+POISON_PAUSE_S = 0.6
+
+
+class Injector:
+    """Carries out the steps of a plan.
+
+    Parameters
+    ----------
+    site : sites.Site
+        What they are done to.
+    """
+
+    def __init__(self, site: sites.Site):
+        self._site = site
+        self._rng = site.rng
+        self._tasks: set[asyncio.Task] = set()
+        self._poison = callers_.Caller(site, site.rng)
+
+    async def run(self, steps: tuple[plans.Step, ...], begin_s: float) -> None:
+        """Carry out all steps and wait until they are over."""
+        for step in steps:
+            wait_s = begin_s + step.at_s - time.monotonic()
+            await asyncio.sleep(max(0.0, wait_s))
+            self._start(self._do(step))
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+
+    def _start(self, coroutine) -> None:
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled():
+            # A fault that could not be injected is a fault of the soak.
+            task.result()
+
+    @contextlib.contextmanager
+    def _span(self, kind: str, target: str = ""):
+        from_s = time.monotonic()
+        spans = self._site.record.spans
+        spans.append(records.Span(kind, target, from_s, float("inf")))
+        place = len(spans) - 1
+        try:
+            yield
+        finally:
+            spans[place] = records.Span(kind, target, from_s, time.monotonic())
+
+    async def _do(self, step: plans.Step) -> None:
+        await _ACTIONS[step.fault](self, step)
+
+    # Routers.
+
+    def _router(self, step: plans.Step) -> sites.Router | None:
+        steady = [
+            each
+            for each in self._site.routers
+            if each.lives and not each.expected_end
+        ]
+        if len(steady) < 2:
+            return None
+        return steady[int(step.draw * len(steady))]
+
+    async def _end_router(self, number: int, step: plans.Step) -> None:
+        router = self._router(step)
+        if router is None:
+            return
+        router.expected_end = True
+        kind = "term" if number == signal.SIGTERM else "kill"
+        with self._span(kind, router.name):
+            router.signal(number)
+            await router.ended()
+        with self._span("start", router.name):
+            await router.start()
+            while router.lives and not await router.is_ready():
+                await asyncio.sleep(0.05)
+
+    async def _pause(self, step: plans.Step) -> None:
+        router = self._router(step)
+        if router is None:
+            return
+        with self._span("pause", router.name):
+            router.signal(signal.SIGSTOP)
+            await asyncio.sleep(step.for_s)
+            router.signal(signal.SIGCONT)
+
+    async def _hup(self, step: plans.Step) -> None:
+        router = self._router(step)
+        if router is not None:
+            router.signal(signal.SIGHUP)
+
+    # The store.
+
+    async def _store_mode(self, mode: str, step: plans.Step) -> None:
+        store = self._site.store
+        with self._span(f"store {mode}"):
+            store.mode = mode
+            await asyncio.sleep(step.for_s)
+            store.mode = "well"
+
+    async def _store_forgets(self, step: plans.Step) -> None:
+        with self._span("store forgets"):
+            self._site.store.forget_history()
+
+    async def _store_cut(self, step: plans.Step) -> None:
+        proxy = self._site.store_proxy
+        with self._span("store cut"):
+            proxy.refusing = True
+            proxy.cut()
+            await asyncio.sleep(step.for_s)
+            proxy.refusing = False
+
+    # Upstreams.
+
+    def _upstream(self, step: plans.Step) -> sites.Upstream | None:
+        """Return an upstream that stays; one of each service is spared."""
+        staying = [
+            each
+            for each in self._site.upstreams
+            if each.standin.state == "ready"
+        ]
+        chosen = staying[int(step.draw * len(staying))]
+        service = chosen.standin.service
+        others = [each for each in staying if each.standin.service == service]
+        return chosen if len(others) > 1 else None
+
+    async def _strike(self, step: plans.Step) -> None:
+        upstream = self._upstream(step)
+        if upstream is None:
+            return
+        with self._span(step.fault.value, upstream.standin.incarnation):
+            if step.fault is plans.Fault.CUT:
+                upstream.proxy.cut()
+            elif step.fault is plans.Fault.FREEZE:
+                upstream.proxy.freeze()
+            else:
+                upstream.proxy.add(
+                    proxies.Rule(
+                        proxies.Action.DELAY, delay_s=step.for_s / 4, times=5
+                    )
+                )
+            await asyncio.sleep(1.0)
+
+    async def _sick(self, step: plans.Step) -> None:
+        upstream = self._upstream(step)
+        if upstream is None:
+            return
+
+        async def behaves(standin, run, answer):
+            behaviour = soaking.well
+            if self._rng.random() < SICK_SHARE:
+                behaviour = self._rng.choice(soaking.SICKNESSES)
+            await behaviour(standin, run, answer)
+
+        with self._span("upstream sick", upstream.standin.incarnation):
+            upstream.standin.usual = behaves
+            await asyncio.sleep(step.for_s)
+            upstream.standin.usual = soaking.well
+
+    async def _crash(self, step: plans.Step) -> None:
+        upstream = self._upstream(step)
+        if upstream is not None:
+            await self._replace(upstream)
+
+    async def _replace(self, upstream: sites.Upstream) -> None:
+        standin = upstream.standin
+        with self._span("upstream crash", standin.incarnation):
+            await self._site.end_upstream(upstream)
+            await asyncio.sleep(REPLACED_S)
+            await self._site.add_upstream(standin.service, standin.zone)
+
+    async def _drain(self, step: plans.Step) -> None:
+        upstream = self._upstream(step)
+        if upstream is None or self._site.store.mode != "well":
+            return
+        standin = upstream.standin
+        await self._site.add_upstream(standin.service, standin.zone)
+        self._site.leave(upstream)
+        await asyncio.sleep(LINGER_S + step.for_s)
+        with self._span("upstream left", standin.incarnation):
+            await self._site.end_upstream(upstream)
+
+    async def _poisoned(self, step: plans.Step) -> None:
+        watch = asyncio.ensure_future(self._crash_when_poisoned())
+        for _ in range(POISON_TRIES):
+            router = self._rng.choice(self._site.routers)
+            call = self._poison.call(records.Kind.POISON, router)
+            await self._poison.ask(call, router)
+            await asyncio.sleep(POISON_PAUSE_S)
+        watch.cancel()
+
+    async def _crash_when_poisoned(self) -> None:
+        while True:
+            for upstream in list(self._site.upstreams):
+                if upstream.standin.is_poisoned.is_set():
+                    self._start(self._replace(upstream))
+                    upstream.standin.is_poisoned.clear()
+            await asyncio.sleep(0.02)
+
+    # The operator.
+
+    async def _document(self, step: plans.Step) -> None:
+        self._site.change_document()
+
+    async def _weights(self, step: plans.Step) -> None:
+        self._site.name_weights()
+
+
+def _mode(mode: str):
+    async def act(injector: Injector, step: plans.Step) -> None:
+        await injector._store_mode(mode, step)
+
+    return act
+
+
+def _end(number: int):
+    async def act(injector: Injector, step: plans.Step) -> None:
+        await injector._end_router(number, step)
+
+    return act
+
+
+_ACTIONS = {
+    plans.Fault.TERM: _end(signal.SIGTERM),
+    plans.Fault.KILL: _end(signal.SIGKILL),
+    plans.Fault.PAUSE: Injector._pause,
+    plans.Fault.HUP: Injector._hup,
+    plans.Fault.STORE_BUSY: _mode("busy"),
+    plans.Fault.STORE_SILENT: _mode("silent"),
+    plans.Fault.STORE_LOST: _mode("lost"),
+    plans.Fault.STORE_FORGETS: Injector._store_forgets,
+    plans.Fault.STORE_CUT: Injector._store_cut,
+    plans.Fault.CUT: Injector._strike,
+    plans.Fault.FREEZE: Injector._strike,
+    plans.Fault.DELAY: Injector._strike,
+    plans.Fault.SICK: Injector._sick,
+    plans.Fault.CRASH: Injector._crash,
+    plans.Fault.DRAIN: Injector._drain,
+    plans.Fault.DOCUMENT: Injector._document,
+    plans.Fault.WEIGHTS: Injector._weights,
+    plans.Fault.POISON: Injector._poisoned,
+}
--- /dev/null
+++ b/toucanrudder/soak/mutants.py
@@ -0,0 +1,181 @@
+"""Safeguards taken out one at a time, to see that the soak finds it.
+
+Each mutant is a change of one place of the source.  It is played in a
+copy of the tree, never in the tree itself.
+"""
+
+import pathlib
+import shutil
+import subprocess
+import sys
+
+import attrs
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+
+
+@attrs.frozen
+class Mutant:
+    """One safeguard that is taken out.
+
+    Parameters
+    ----------
+    name : str
+        What is missing then.
+    path : str
+        File, relative to the package.
+    old, new : str
+        Text that stands there once, and what replaces it.
+    """
+
+    name: str
+    path: str
+    old: str
+    new: str
+
+
+MUTANTS = (
+    Mutant(
+        "requests that may run once are sent again",
+        "forwarding/tries.py",
+        "if progress.may_have_run and route.repetition is "
+        "model.Repetition.ONCE:",
+        "if False:",
+    ),
+    Mutant(
+        "a lost answer is called not run",
+        "forwarding/tries.py",
+        "    if progress.may_have_run:\n        code =",
+        "    if False:\n        code =",
+    ),
+    Mutant(
+        "a broken stream is ended as a whole one",
+        "forwarding/forwarder.py",
+        "            answer.abort()\n            return\n",
+        "            await answer.end()\n            return\n",
+    ),
+    Mutant(
+        "a stream goes on one event too early",
+        "forwarding/attempt.py",
+        "resume_after=self.course.last_event",
+        "resume_after=self.course.last_event and "
+        "str(int(self.course.last_event) - 1)",
+    ),
+    Mutant(
+        "answers are not matched with requests",
+        "forwarding/attempt.py",
+        "        if not facts.is_for:\n",
+        "        if False:\n",
+    ),
+    Mutant(
+        "any process at the address will do",
+        "platform/dialect.py",
+        "            for name, value in set_here\n",
+        "            for name, value in set_here\n"
+        '            if not name.startswith("Exp")\n',
+    ),
+    Mutant(
+        "cache is kept without its weights' version",
+        "forwarding/cache.py",
+        "version = str(weights_version or 0)",
+        'version = "0"',
+    ),
+    Mutant(
+        "cache is kept without its wall",
+        "forwarding/cache.py",
+        'return f"{version}.{wall}" if wall else version',
+        "return version",
+    ),
+    Mutant(
+        "a leaving upstream still gets work",
+        "forwarding/placing.py",
+        "if not each.upstream.is_leaving]",
+        "]",
+    ),
+    Mutant(
+        "a planned stop waits for nobody",
+        "forwarding/daemon.py",
+        "        while clock.now_s() < end_s:\n",
+        "        while False:\n",
+    ),
+    Mutant(
+        "an older document is taken",
+        "forwarding/state.py",
+        "if candidate.generation <= self.generation:",
+        "if False:",
+    ),
+    Mutant(
+        "changes of the document are not followed",
+        "controllers/feeds.py",
+        "            self._follower.changed(change, now_s)",
+        '            if self.kind != "config":\n'
+        "                self._follower.changed(change, now_s)",
+    ),
+    Mutant(
+        "a poisonous request is not recognised",
+        "forwarding/poison.py",
+        "return len(found) >= MOST_BREAKS",
+        "return False",
+    ),
+    Mutant(
+        "retries cost nothing",
+        "forwarding/course.py",
+        "if not self.state.budget(self.service).spend(clock.now_s()):",
+        "if False:",
+    ),
+    Mutant(
+        "history that is gone is not read anew",
+        "controllers/feeds.py",
+        "                self._revision = None\n            except",
+        "                pass\n            except",
+    ),
+)
+
+
+def applied(mutant: Mutant, folder: pathlib.Path) -> pathlib.Path:
+    """Return a copy of the tree without the safeguard.
+
+    Raises
+    ------
+    ValueError
+        The text does not stand there exactly once.
+    """
+    tree = folder / "tree"
+    ignored = shutil.ignore_patterns("__pycache__", "tests")
+    shutil.copytree(
+        ROOT / "toucanrudder", tree / "toucanrudder", ignore=ignored
+    )
+    path = tree / "toucanrudder" / mutant.path
+    text = path.read_text(encoding="utf-8")
+    if text.count(mutant.old) != 1:
+        raise ValueError(f"{mutant.name}: its text is not there once")
+    path.write_text(text.replace(mutant.old, mutant.new), encoding="utf-8")
+    return tree
+
+
+def killed_by(
+    mutant: Mutant, folder: pathlib.Path, seeds: range, length_s: float
+) -> tuple[int, str] | None:
+    """Return the first seed that finds the mutant, and what it found."""
+    tree = applied(mutant, folder)
+    for seed in seeds:
+        found = subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "toucanrudder",
+                "soak",
+                f"--seed={seed}",
+                f"--length-s={length_s}",
+            ],
+            cwd=tree,
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        broken = [
+            line for line in found.stdout.splitlines() if ": " in line[:40]
+        ]
+        if found.returncode == 1 and broken:
+            return seed, broken[0].strip()
+    return None
--- /dev/null
+++ b/toucanrudder/soak/oracles.py
@@ -0,0 +1,224 @@
+"""Checks of a soak's record against what the router promises.  No I/O.
+
+Each check takes the record and yields what breaks a promise.  Checks with
+a time bound pass over what happened while the router or the store was
+disturbed, or while the soak itself was held up.
+"""
+
+import bisect
+import collections
+from collections.abc import Callable
+from collections.abc import Iterator
+
+from toucanrudder.soak import records
+
+#: Seconds of calm after which a router is bound in time again.
+CONTACT_S = 3.0
+
+#: Within this time a new document is in force, and a leaving upstream
+#: gets nothing new.
+APPLY_S = 2.0
+DRAIN_S = 2.0
+
+#: Allowed beside a bound for a machine that also runs all the rest.
+SLACK_S = 0.7
+
+#: Statuses that promise that a request has not run and never will.
+PROMISES = frozenset({408, 421, 429, 503})
+
+#: Bound of repeats: share of the requests, and a number in one window.
+BUDGET_RATIO = 0.2
+BUDGET_SLACK = 56
+BUDGET_WINDOW_S = 10.0
+
+#: Upstream processes that may end under one request, and tries that may
+#: still arrive while routers hear of the last.
+MOST_CRASHES = 3
+LATE_TRIES = 3
+
+#: Within this time after the last fault callers are served again.
+RECOVERY_S = 12.0
+
+#: Events of a whole stream.
+EVENTS = 6
+
+Oracle = Callable[[records.Record], Iterator[str]]
+
+
+def _runs(record: records.Record) -> dict[str, list[records.Run]]:
+    found = collections.defaultdict(list)
+    for run in record.runs:
+        if not run.goes_on:
+            found[run.request_id].append(run)
+    return found
+
+
+def at_most_once(record: records.Record) -> Iterator[str]:
+    """What may run once does not run twice."""
+    runs = _runs(record)
+    for call in record.calls:
+        count = len(runs[call.request_id])
+        if not call.kind.may_repeat and count > 1:
+            yield f"{call.request_id} ran {count} times"
+
+
+def not_run_is_true(record: records.Record) -> Iterator[str]:
+    """What was refused as not run has not run, nor does so later."""
+    runs = _runs(record)
+    for call in record.calls:
+        promised = call.status in PROMISES
+        if promised and not call.kind.may_repeat and runs[call.request_id]:
+            yield f"{call.request_id} was refused {call.status} and ran"
+
+
+def streams_whole(record: records.Record) -> Iterator[str]:
+    """Events come once, in order, and a whole stream has them all."""
+    for call in record.calls:
+        if not call.kind.is_stream:
+            continue
+        expected = list(range(1, len(call.events) + 1))
+        if call.events != expected:
+            yield f"{call.request_id} got events {call.events}"
+        if call.is_served and len(call.events) != EVENTS:
+            yield f"{call.request_id} looks whole after {len(call.events)}"
+
+
+def own_answers(record: records.Record) -> Iterator[str]:
+    """A caller gets no other's answer."""
+    for call in record.calls:
+        if not call.is_own:
+            yield f"{call.request_id} got what is not its own"
+
+
+def asked_rightly(record: records.Record) -> Iterator[str]:
+    """Nothing runs at the wrong process, on stale cache or over a wall."""
+    for run in record.runs:
+        for fault in run.faults:
+            yield f"{run.request_id} at {run.incarnation}: {fault}"
+
+
+def drained(record: records.Record) -> Iterator[str]:
+    """An upstream that leaves gets nothing new."""
+    calls = {call.request_id: call for call in record.calls}
+    for run in record.runs:
+        left_s = record.leaving.get(run.incarnation, float("inf"))
+        call = calls.get(run.request_id)
+        late_s = run.at_s - left_s - DRAIN_S - SLACK_S
+        if call is None or late_s <= 0:
+            continue
+        if record.is_calm(call.router, left_s, run.at_s, CONTACT_S):
+            yield f"{run.request_id} came {late_s:.2f} s late to a leaving one"
+
+
+def stops_cut_nothing(record: records.Record) -> Iterator[str]:
+    """What a stopping router has passed on gets its whole answer."""
+    ran = {run.request_id for run in record.runs}
+    for call in record.calls:
+        stops = [
+            span
+            for span in record.spans
+            if span.kind == "term" and span.target == call.router
+        ]
+        for stop in stops:
+            if not stop.from_s <= call.sent_s <= stop.until_s:
+                continue
+            others = [each for each in record.spans if each is not stop]
+            is_alone = not any(
+                each.touches("", call.sent_s, call.ended_s)
+                or each.touches(call.router, call.sent_s, call.ended_s)
+                or each.kind.startswith("upstream")
+                for each in others
+                if each.until_s > call.sent_s and each.from_s < call.ended_s
+            )
+            lost = not call.is_whole and not call.left
+            if is_alone and lost and call.request_id in ran:
+                yield f"{call.request_id} was cut by a planned stop"
+
+
+def document_in_force(record: records.Record) -> Iterator[str]:
+    """A new document is in force in time, and never goes back."""
+    served = collections.defaultdict(int)
+    for call in sorted(record.calls, key=lambda each: each.ended_s):
+        if call.kind is not records.Kind.PROBE or call.status is None:
+            continue
+        place = call.router, call.router_start
+        if call.status != 404:
+            if call.status == 200:
+                served[place] = max(served[place], call.generation)
+            continue
+        began_after = call.sent_s
+        seen = served[place]
+        if call.generation <= seen and began_after > 0:
+            yield f"{call.router} went back behind generation {seen}"
+        since_s = record.acknowledged[call.generation]
+        late_s = call.sent_s - since_s - APPLY_S - SLACK_S
+        if late_s > 0 and record.is_calm(
+            call.router, since_s, call.sent_s, CONTACT_S
+        ):
+            yield f"{call.router} was {late_s:.2f} s late with a document"
+
+
+def retry_budget(record: records.Record) -> Iterator[str]:
+    """Repeats stay within the bound that all routers share."""
+    by_service = collections.defaultdict(list)
+    seen = set()
+    for at_s, service, request_id in record.arrivals:
+        by_service[service].append((at_s, request_id in seen))
+        seen.add(request_id)
+    for service, found in by_service.items():
+        first_s = [at_s for at_s, again in found if not again]
+        again_s = [at_s for at_s, again in found if again]
+        for end_s in again_s:
+            begin_s = end_s - BUDGET_WINDOW_S
+            repeats = bisect.bisect_right(again_s, end_s)
+            repeats -= bisect.bisect_left(again_s, begin_s)
+            requests = bisect.bisect_right(first_s, end_s)
+            requests -= bisect.bisect_left(first_s, begin_s - BUDGET_WINDOW_S)
+            if repeats > BUDGET_RATIO * requests + BUDGET_SLACK:
+                yield f"{service} got {repeats} repeats in one window"
+                break
+
+
+def poison_is_stopped(record: records.Record) -> Iterator[str]:
+    """A request that ends upstreams reaches few of them."""
+    allowed = MOST_CRASHES + LATE_TRIES
+    if len(record.crashes) > allowed:
+        yield f"{len(record.crashes)} upstreams ended under one request"
+
+
+def recovers(record: records.Record) -> Iterator[str]:
+    """After the last fault, callers are served again."""
+    after_s = record.recovered_after_s
+    if after_s is None or after_s > RECOVERY_S:
+        yield f"served again after {after_s} s"
+
+
+def processes_live(record: records.Record) -> Iterator[str]:
+    """No router ends by itself."""
+    for name in record.died:
+        yield f"{name} ended by itself"
+
+
+ORACLES: tuple[Oracle, ...] = (
+    at_most_once,
+    not_run_is_true,
+    streams_whole,
+    own_answers,
+    asked_rightly,
+    drained,
+    stops_cut_nothing,
+    document_in_force,
+    retry_budget,
+    poison_is_stopped,
+    recovers,
+    processes_live,
+)
+
+
+def check(record: records.Record) -> list[str]:
+    """Return what breaks a promise, each with the name of its check."""
+    return [
+        f"{oracle.__name__}: {text}"
+        for oracle in ORACLES
+        for text in oracle(record)
+    ]
--- /dev/null
+++ b/toucanrudder/soak/plans.py
@@ -0,0 +1,111 @@
+"""Which faults a soak injects, and when.  No I/O."""
+
+import enum
+import random
+
+import attrs
+
+
+class Fault(enum.Enum):
+    """What is done from outside."""
+
+    TERM = "term"
+    KILL = "kill"
+    PAUSE = "pause"
+    HUP = "hup"
+    STORE_BUSY = "store busy"
+    STORE_SILENT = "store silent"
+    STORE_LOST = "store lost"
+    STORE_FORGETS = "store forgets"
+    STORE_CUT = "store cut"
+    CUT = "upstream cut"
+    FREEZE = "upstream freeze"
+    DELAY = "upstream delay"
+    SICK = "upstream sick"
+    CRASH = "upstream crash"
+    DRAIN = "drain"
+    DOCUMENT = "document"
+    WEIGHTS = "weights"
+    POISON = "poison"
+
+
+#: How often each comes, against the others.
+WEIGHTS = {
+    Fault.TERM: 3,
+    Fault.KILL: 2,
+    Fault.PAUSE: 2,
+    Fault.HUP: 1,
+    Fault.STORE_BUSY: 1,
+    Fault.STORE_SILENT: 1,
+    Fault.STORE_LOST: 1,
+    Fault.STORE_FORGETS: 1,
+    Fault.STORE_CUT: 1,
+    Fault.CUT: 2,
+    Fault.FREEZE: 2,
+    Fault.DELAY: 1,
+    Fault.SICK: 3,
+    Fault.CRASH: 2,
+    Fault.DRAIN: 2,
+    Fault.DOCUMENT: 4,
+    Fault.WEIGHTS: 4,
+    Fault.POISON: 1,
+}
+
+#: Seconds before the first fault, and without a new one at the end.
+CALM_S = 1.0
+QUIET_END_S = 3.0
+
+
+@attrs.frozen
+class Step:
+    """One fault.
+
+    Parameters
+    ----------
+    at_s : float
+        Seconds from the start.
+    fault : Fault
+        What is done.
+    draw : float
+        From 0 to 1; chooses the target.
+    for_s : float
+        How long it lasts, where it lasts.
+    """
+
+    at_s: float
+    fault: Fault
+    draw: float
+    for_s: float
+
+
+def plan(seed: int, length_s: float, a_second: float) -> tuple[Step, ...]:
+    """Return the faults of one soak, in order.
+
+    Some come in series of the same kind, and all may overlap.
+
+    Parameters
+    ----------
+    seed : int
+        The same seed gives the same plan.
+    length_s : float
+        Length of the soak.
+    a_second : float
+        Faults a second, on average.
+
+    Examples
+    --------
+    >>> plan(1, 10.0, 1.0) == plan(1, 10.0, 1.0) != plan(2, 10.0, 1.0)
+    True
+    """
+    rng = random.Random(seed)
+    steps = []
+    at_s = CALM_S
+    while True:
+        at_s += rng.expovariate(a_second)
+        if at_s > length_s - QUIET_END_S:
+            return tuple(steps)
+        (fault,) = rng.choices(list(WEIGHTS), list(WEIGHTS.values()))
+        for _ in range(rng.choice((1, 1, 1, 2, 3))):
+            for_s = rng.uniform(0.3, 3.0)
+            steps.append(Step(at_s, fault, rng.random(), for_s))
+            at_s += rng.uniform(0.1, 0.8)
--- /dev/null
+++ b/toucanrudder/soak/records.py
@@ -0,0 +1,154 @@
+"""What the soak's callers and upstreams saw.  No I/O."""
+
+import enum
+
+import attrs
+
+
+class Kind(enum.Enum):
+    """What a caller asks for."""
+
+    STREAM_ONCE = "stream_once"
+    STREAM_RESUMABLE = "stream_resumable"
+    READ = "read"
+    WRITE = "write"
+    #: Asks whether the newest route is known.
+    PROBE = "probe"
+    #: A write under which each upstream process ends that runs it.
+    POISON = "poison"
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether it may run more than once."""
+        return self in (Kind.STREAM_RESUMABLE, Kind.READ, Kind.PROBE)
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether its answer is a stream."""
+        return self in (Kind.STREAM_ONCE, Kind.STREAM_RESUMABLE)
+
+
+@attrs.define
+class Call:
+    """One try of a caller, and how it ended.
+
+    Parameters
+    ----------
+    request_id : str
+        Its identity.
+    kind : Kind
+        What it asks for.
+    router : str
+        Which router was asked.
+    router_start : int
+        How often that router had been started.
+    sent_s, ended_s : float
+        By the monotonic clock; infinite until it has ended.
+    status : int or None
+        None if the answer's head never came.
+    is_whole : bool
+        Whether the answer ended as a whole one does.
+    is_own : bool
+        Whether all that came belongs to this request.
+    events : list of int
+        Numbers of the events of a stream that came.
+    left : bool
+        Whether the caller has left before the end.
+    generation : int
+        For a probe: the generation whose route was asked for.
+    """
+
+    request_id: str
+    kind: Kind
+    router: str
+    router_start: int
+    sent_s: float
+    ended_s: float = float("inf")
+    status: int | None = None
+    is_whole: bool = False
+    is_own: bool = True
+    events: list[int] = attrs.field(factory=list)
+    left: bool = False
+    generation: int = 0
+
+    @property
+    def is_served(self) -> bool:
+        """Whether the caller has got what he asked for."""
+        return self.status == 200 and self.is_whole
+
+
+@attrs.frozen
+class Run:
+    """A request that an upstream began to run.
+
+    Parameters
+    ----------
+    request_id, service, incarnation : str
+        Which request, and where.
+    at_s : float
+        When it arrived.
+    goes_on : bool
+        Whether it is the same run, continued from a copy of its memory.
+    faults : tuple of str
+        What is wrong with how it was asked for.
+    """
+
+    request_id: str
+    service: str
+    incarnation: str
+    at_s: float
+    goes_on: bool = False
+    faults: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class Span:
+    """A time in which something was disturbed.
+
+    Parameters
+    ----------
+    kind : str
+        What happened.
+    target : str
+        A router, an upstream, or empty for the store.
+    from_s, until_s : float
+        When.
+    """
+
+    kind: str
+    target: str
+    from_s: float
+    until_s: float
+
+    def touches(self, target: str, from_s: float, until_s: float) -> bool:
+        """Whether it disturbs a target in a time."""
+        is_there = self.target in ("", target)
+        return is_there and self.from_s < until_s and from_s < self.until_s
+
+
+@attrs.define
+class Record:
+    """All that was seen in one soak."""
+
+    calls: list[Call] = attrs.field(factory=list)
+    runs: list[Run] = attrs.field(factory=list)
+    arrivals: list[tuple[float, str, str]] = attrs.field(factory=list)
+    spans: list[Span] = attrs.field(factory=list)
+    #: When each generation was acknowledged by the store.
+    acknowledged: dict[int, float] = attrs.field(factory=dict)
+    #: When each upstream's leaving was acknowledged.
+    leaving: dict[str, float] = attrs.field(factory=dict)
+    #: When the poisonous request ended an upstream's process.
+    crashes: list[float] = attrs.field(factory=list)
+    #: Routers that ended by themselves.
+    died: list[str] = attrs.field(factory=list)
+    recovered_after_s: float | None = None
+
+    def is_calm(
+        self, router: str, from_s: float, until_s: float, before_s: float
+    ) -> bool:
+        """Whether neither the router nor the store was disturbed."""
+        return not any(
+            each.touches(router, from_s - before_s, until_s)
+            for each in self.spans
+        )
--- /dev/null
+++ b/toucanrudder/soak/runs.py
@@ -0,0 +1,152 @@
+"""One soak from its seed to what it has found."""
+
+import asyncio
+import pathlib
+import random
+import tempfile
+import time
+
+import attrs
+
+from toucanrudder.soak import callers
+from toucanrudder.soak import faults
+from toucanrudder.soak import oracles
+from toucanrudder.soak import plans
+from toucanrudder.soak import records
+from toucanrudder.soak import site as sites
+
+#: Pause between two calls of one caller, and between two rounds of probes.
+PAUSE_S = 0.1
+PROBE_S = 0.3
+
+#: A delay of the soak's own loop from which on times say nothing.
+STALL_S = 0.2
+
+#: Calls in a row that show that callers are served again.
+RECOVERED_CALLS = 12
+
+
+@attrs.frozen
+class Size:
+    """How large a soak is.
+
+    Parameters
+    ----------
+    length_s : float
+        How long faults and calls come.
+    routers, engines, desks, callers : int
+        Numbers of each.
+    faults_a_second : float
+        On average.
+    """
+
+    length_s: float = 20.0
+    routers: int = 4
+    engines: int = 4
+    desks: int = 3
+    callers: int = 12
+    faults_a_second: float = 0.8
+
+
+@attrs.frozen
+class Result:
+    """What one soak found.
+
+    Parameters
+    ----------
+    seed : int
+        Its seed.
+    broken : list of str
+        What breaks a promise.
+    figures : dict
+        Counts that say what was played.
+    """
+
+    seed: int
+    broken: list[str]
+    figures: dict[str, object]
+
+
+async def run(seed: int, size: Size, folder: pathlib.Path) -> Result:
+    """Play one seed; logs of the routers stay in the folder.
+
+    Parameters
+    ----------
+    seed : int
+        Draws plan and calls.
+    size : Size
+        How large.
+    folder : pathlib.Path
+        For settings and logs.
+    """
+    folder.mkdir(parents=True, exist_ok=True)
+    rng = random.Random(seed)
+    record = records.Record()
+    steps = plans.plan(seed, size.length_s, size.faults_a_second)
+    site = sites.Site(rng, folder, record)
+    async with site.running(size.routers, size.engines, size.desks):
+        watch = asyncio.ensure_future(_watch(site, record))
+        begin_s = time.monotonic()
+        end_s = begin_s + size.length_s
+        injector = faults.Injector(site)
+        asking = [
+            callers.Caller(site, random.Random(rng.random())).run(
+                end_s, PAUSE_S
+            )
+            for _ in range(size.callers)
+        ]
+        probing = callers.Caller(site, rng).probe(end_s, PROBE_S)
+        await asyncio.gather(injector.run(steps, begin_s), probing, *asking)
+        record.recovered_after_s = await _recovered(site)
+        watch.cancel()
+    return Result(seed, oracles.check(record), _figures(record, steps))
+
+
+async def _watch(site: sites.Site, record: records.Record) -> None:
+    """Note routers that end by themselves, and own delays."""
+    while True:
+        before_s = time.monotonic()
+        await asyncio.sleep(STALL_S / 4)
+        now_s = time.monotonic()
+        if now_s - before_s > STALL_S:
+            record.spans.append(records.Span("stall", "", before_s, now_s))
+        for router in site.routers:
+            if not router.lives and not router.expected_end:
+                router.expected_end = True
+                record.died.append(router.name)
+
+
+async def _recovered(site: sites.Site) -> float | None:
+    """Return after what time callers are served well again."""
+    begin_s = time.monotonic()
+    caller = callers.Caller(site, site.rng)
+    row = 0
+    while row < RECOVERED_CALLS:
+        if time.monotonic() > begin_s + 2 * oracles.RECOVERY_S:
+            return None
+        kind = list(callers.MIX)[row % len(callers.MIX)]
+        router = site.routers[row % len(site.routers)]
+        call = await caller.ask(caller.call(kind, router), router)
+        row = row + 1 if call.is_served else 0
+    return round(time.monotonic() - begin_s, 2)
+
+
+def _figures(record: records.Record, steps) -> dict[str, object]:
+    served = sum(call.is_served for call in record.calls)
+    return {
+        "faults": len(steps),
+        "calls": len(record.calls),
+        "served": round(served / max(1, len(record.calls)), 3),
+        "runs": len(record.runs),
+        "recovered_after_s": record.recovered_after_s,
+        "stalls": sum(each.kind == "stall" for each in record.spans),
+    }
+
+
+def play(seed: int, size: Size, folder: str = "") -> Result:
+    """Play one seed in a loop of its own."""
+    if folder:
+        path = pathlib.Path(folder, str(seed))
+        return asyncio.run(run(seed, size, path))
+    with tempfile.TemporaryDirectory() as temporary:
+        return asyncio.run(run(seed, size, pathlib.Path(temporary)))
--- /dev/null
+++ b/toucanrudder/soak/tests/test_oracles.py
@@ -0,0 +1,183 @@
+"""Each check of the soak passes what is allowed and finds what is not."""
+
+import attrs
+import pytest
+
+from toucanrudder.soak import oracles
+from toucanrudder.soak import records
+
+Kind = records.Kind
+WHOLE = list(range(1, oracles.EVENTS + 1))
+
+
+def call(kind=Kind.WRITE, request_id="c1", **fields):
+    fields = {
+        "router": "r1",
+        "router_start": 1,
+        "sent_s": 100.0,
+        "ended_s": 100.1,
+        "status": 200,
+        "is_whole": True,
+    } | fields
+    return records.Call(request_id, kind, **fields)
+
+
+def run(request_id="c1", at_s=100.05, incarnation="i1", **fields):
+    return records.Run(request_id, "desk", incarnation, at_s, **fields)
+
+
+def span(kind, target="", from_s=0.0, until_s=1000.0):
+    return records.Span(kind, target, from_s, until_s)
+
+
+def record(calls=(), runs=(), **fields):
+    return records.Record(list(calls), list(runs), **fields)
+
+
+def probe(status, generation, **fields):
+    return call(Kind.PROBE, status=status, generation=generation, **fields)
+
+
+MANY = [(100.0 + n / 100, "desk", f"c{n % 2}") for n in range(80)]
+STOP = span("term", "r1", 99.0, 103.0)
+CUT = call(status=None, is_whole=False)
+LATE_RUN = run(at_s=109.0)
+
+BROKEN = {
+    "ran twice": (
+        oracles.at_most_once,
+        record([call()], [run(), run(incarnation="i2")]),
+    ),
+    "refused and ran": (
+        oracles.not_run_is_true,
+        record([call(status=503)], [run()]),
+    ),
+    "an event twice": (
+        oracles.streams_whole,
+        record([call(Kind.STREAM_ONCE, events=[1, 2, 2])]),
+    ),
+    "an event missing": (
+        oracles.streams_whole,
+        record([call(Kind.STREAM_ONCE, events=[1, 3])]),
+    ),
+    "whole too early": (
+        oracles.streams_whole,
+        record([call(Kind.STREAM_RESUMABLE, events=[1, 2])]),
+    ),
+    "another's answer": (oracles.own_answers, record([call(is_own=False)])),
+    "asked wrongly": (
+        oracles.asked_rightly,
+        record(runs=[run(faults=("stale cache",))]),
+    ),
+    "sent to a leaving one": (
+        oracles.drained,
+        record([call()], [LATE_RUN], leaving={"i1": 100.0}),
+    ),
+    "cut by a stop": (
+        oracles.stops_cut_nothing,
+        record([CUT], [run()], spans=[STOP]),
+    ),
+    "document late": (
+        oracles.document_in_force,
+        record([probe(404, 7)], acknowledged={7: 90.0}),
+    ),
+    "document went back": (
+        oracles.document_in_force,
+        record(
+            [
+                probe(200, 7),
+                probe(404, 6, sent_s=101.0, ended_s=101.1),
+            ],
+            acknowledged={6: 101.0, 7: 101.0},
+        ),
+    ),
+    "too many repeats": (oracles.retry_budget, record(arrivals=MANY)),
+    "poison goes round": (
+        oracles.poison_is_stopped,
+        record(crashes=[100.0] * 7),
+    ),
+    "not served again": (oracles.recovers, record()),
+    "ended by itself": (oracles.processes_live, record(died=["r1"])),
+}
+
+
+@pytest.mark.parametrize(
+    ("oracle", "seen"), BROKEN.values(), ids=BROKEN.keys()
+)
+def test_what_breaks_a_promise_is_found(oracle, seen):
+    assert list(oracle(seen))
+    assert any(
+        text.startswith(oracle.__name__) for text in oracles.check(seen)
+    )
+
+
+ALLOWED = {
+    "a repeatable one ran twice": (
+        oracles.at_most_once,
+        record([call(Kind.READ)], [run(), run()]),
+    ),
+    "one run went on from a copy": (
+        oracles.at_most_once,
+        record([call()], [run(), run(goes_on=True)]),
+    ),
+    "refused": (oracles.not_run_is_true, record([call(status=503)])),
+    "a stream broke off": (
+        oracles.streams_whole,
+        record([call(Kind.STREAM_ONCE, events=[1, 2], is_whole=False)]),
+    ),
+    "a whole stream": (
+        oracles.streams_whole,
+        record([call(Kind.STREAM_ONCE, events=WHOLE)]),
+    ),
+    "sent just after": (
+        oracles.drained,
+        record([call()], [run(at_s=101.0)], leaving={"i1": 100.0}),
+    ),
+    "sent by one that was cut off": (
+        oracles.drained,
+        record(
+            [call()],
+            [LATE_RUN],
+            leaving={"i1": 100.0},
+            spans=[span("pause", "r1", 98.0, 107.0)],
+        ),
+    ),
+    "lost with its upstream": (
+        oracles.stops_cut_nothing,
+        record(
+            [CUT],
+            [run()],
+            spans=[STOP, span("upstream crash", "i1", 99.0, 101.0)],
+        ),
+    ),
+    "its caller left": (
+        oracles.stops_cut_nothing,
+        record([attrs.evolve(CUT, left=True)], [run()], spans=[STOP]),
+    ),
+    "document late while the store is away": (
+        oracles.document_in_force,
+        record(
+            [probe(404, 7)],
+            acknowledged={7: 90.0},
+            spans=[span("store busy", "", 89.0, 99.0)],
+        ),
+    ),
+    "a router that was started anew": (
+        oracles.document_in_force,
+        record(
+            [
+                probe(200, 7),
+                probe(404, 7, router_start=2, sent_s=101.0, ended_s=101.1),
+            ],
+            acknowledged={7: 100.5},
+        ),
+    ),
+    "served again": (oracles.recovers, record(recovered_after_s=1.0)),
+}
+
+
+@pytest.mark.parametrize(
+    ("oracle", "seen"), ALLOWED.values(), ids=ALLOWED.keys()
+)
+def test_what_is_allowed_passes(oracle, seen):
+    assert not list(oracle(seen))
--- /dev/null
+++ b/toucanrudder/soak/tests/test_soak.py
@@ -0,0 +1,40 @@
+"""A short soak of the real program, and the mutants' places."""
+
+import pytest
+
+from toucanrudder.soak import mutants
+from toucanrudder.soak import plans
+from toucanrudder.soak import runs
+
+SHORT = runs.Size(length_s=9.0, routers=3, engines=3, desks=2, callers=6)
+
+#: Seeds with many kinds of faults in a short time, and each that ever
+#: failed, with its cause.
+SEEDS = (3, 4)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_promises_hold_under_faults(seed, tmp_path):
+    result = runs.play(seed, SHORT, str(tmp_path))
+    assert result.broken == []
+    assert result.figures["runs"] > 0
+
+
+def test_a_plan_draws_each_kind_of_fault():
+    drawn = {
+        step.fault
+        for seed in range(40)
+        for step in plans.plan(seed, 20.0, 0.8)
+    }
+    assert drawn == set(plans.Fault)
+
+
+@pytest.mark.parametrize(
+    "mutant", mutants.MUTANTS, ids=lambda mutant: mutant.name
+)
+def test_each_mutant_still_finds_its_place(mutant, tmp_path):
+    # A safeguard that moved would leave a mutant that changes nothing,
+    # and nobody would notice that the soak cannot see its loss.
+    tree = mutants.applied(mutant, tmp_path)
+    text = (tree / "toucanrudder" / mutant.path).read_text()
+    compile(text, mutant.path, "exec")
--- a/toucanrudder/store/fanout.py
+++ b/toucanrudder/store/fanout.py
@@ -20,7 +20,7 @@
 
 #: Routers from which on changes are fanned out.  Below, readers and
 #: followers would be almost the same.
-FAN_OUT_FROM = 16
+FAN_OUT_FROM = 12
 
 #: Routers that read: one or two may be cut off from the store and one
 #: may be stopping, while the rest still tell all others.
@@ -168,6 +168,8 @@
         What this router reads itself, for others.
     is_reader : callable
         Whether this router reads from the store.
+    has_followers : callable
+        Whether others ask this router instead of the store.
     choose : callable
         Given the names of readers not to ask, returns another, or None.
     ask : callable
@@ -183,6 +185,7 @@
         log: ChangeLog,
         *,
         is_reader: Callable[[], bool],
+        has_followers: Callable[[], bool],
         choose: Callable[[set[str]], Reader | None],
         ask: Callable[[Reader, str, int, float], Awaitable[Told | None]],
         clock: Callable[[], float],
@@ -190,6 +193,7 @@
         self._store = store
         self._log = log
         self._is_reader = is_reader
+        self._has_followers = has_followers
         self._choose = choose
         self._ask = ask
         self._clock = clock
@@ -209,7 +213,8 @@
             told = await self._told(kind, revision, min(wait_s, ASK_WAIT_S))
             if told is not None:
                 return told
-        wait_s = min(wait_s, READER_WAIT_S)
+        if self._has_followers():
+            wait_s = min(wait_s, READER_WAIT_S)
         found = await self._store.changes(kind, revision, wait_s=wait_s)
         self._log.changed(revision, found, self._clock())
         return found
--- a/toucanrudder/store/tests/test_fanout.py
+++ b/toucanrudder/store/tests/test_fanout.py
@@ -43,7 +43,7 @@
 class Fleet:
     """One router's feed with readers that answer as they are told."""
 
-    def __init__(self, store, is_reader=False, **told):
+    def __init__(self, store, is_reader=False, has_followers=True, **told):
         self.now_s = 100.0
         self.told = told
         self.asked = []
@@ -52,6 +52,7 @@
             store,
             self.log,
             is_reader=lambda: is_reader,
+            has_followers=lambda: has_followers,
             choose=self.choose,
             ask=self.ask,
             clock=lambda: self.now_s,
@@ -126,6 +127,14 @@
     assert fleet.log.age_s(fleet.now_s + 0.5) == 0.5
 
 
+async def test_a_reader_without_followers_asks_as_rarely_as_ever():
+    # Eight routers all read for themselves.  Watches that end each second
+    # for followers that do not exist made 1,053 calls out of 700.
+    store = Store(changes(12))
+    await Fleet(store, is_reader=True, has_followers=False).changes()
+    assert store.asked == [(10, 5.0)]
+
+
 async def test_what_was_missed_between_two_readings_is_not_passed_over():
     # A router read from the store, then followed another, and reads again
     # from a later revision.  What lies between is not in its own log.
