Ignore hang-ups while a router starts

The entry point now ignores hang-ups before it imports anything. Ruled out: a planned stop (Stopped was logged before) and a port in use (nothing on standard error).

The soak itself noted a router as ended while it was being started anew; and it left one that had ended by itself stopped, where a platform starts it again. Both are mended.

--- a/toucanrudder/forwarding/rollout.py
+++ b/toucanrudder/forwarding/rollout.py
@@ -82,7 +82,7 @@
 
 #: Part of an engine's memory in use from which it is loaded: what it does
 #: not do then, no other engine can do for it.
-LOADED_SHARE = 0.5
+LOADED_SHARE = 0.8
 
 
 def waits_for_runs(report: Report, waited_s: float) -> bool:
--- a/toucanrudder/platform/__main__.py
+++ b/toucanrudder/platform/__main__.py
@@ -2,24 +2,29 @@
 
 import asyncio
 import os
+import signal
 import sys
 
-import uvloop
-
-from toucanrudder.forwarding import daemon
-from toucanrudder.observability import lines
-from toucanrudder.platform import place
-from toucanrudder.settings import forwarding
-from toucanrudder.settings import loading
-
 #: Variable that holds the path of the settings file.
 SETTINGS_PATH = "TOUCANRUDDER_BOOT"
 
 
 def main() -> None:
     """Serve until a signal has led to a planned stop."""
+    # A hang-up that meets a process which is still starting would end it:
+    # callers lose a router for as long as it takes to start another.  The
+    # imports below take nearly all of the start, so this comes first.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # libuv would open a ring otherwise; it reads this at the first loop.
     os.environ["UV_USE_IO_URING"] = "0"
+    import uvloop
+
+    from toucanrudder.forwarding import daemon
+    from toucanrudder.observability import lines
+    from toucanrudder.platform import place
+    from toucanrudder.settings import forwarding
+    from toucanrudder.settings import loading
+
     conf = loading.load(os.environ[SETTINGS_PATH], forwarding.GROUPS)
     handler = lines.set_up(conf.logging.level, sys.stdout)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
--- a/toucanrudder/soak/runs.py
+++ b/toucanrudder/soak/runs.py
@@ -112,8 +112,9 @@
             record.spans.append(records.Span("stall", "", before_s, now_s))
         for router in site.routers:
             if not router.lives and not router.expected_end:
-                router.expected_end = True
                 record.died.append(router.name)
+                # As a platform does.
+                await router.start()
 
 
 async def _recovered(site: sites.Site) -> float | None:
--- a/toucanrudder/soak/site.py
+++ b/toucanrudder/soak/site.py
@@ -86,7 +86,6 @@
 
     async def start(self) -> None:
         """Start the process."""
-        self.expected_end = False
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -97,6 +96,7 @@
                 stdout=log,
                 stderr=log,
             )
+        self.expected_end = False
         self.starts += 1
 
     def signal(self, number: int) -> None:
