Ask an engine for a silent run before it is given up

Silence alone says nothing: runs wait for memory and are put back for more urgent ones. The engine's report now decides: the answer is lost if the run has made more events than came, or is listed no more.

Ruled out: a longer patience alone. Callers leave after four objectives, and a run that is put back can be silent for as long.

--- a/toucanrudder/forwarding/attempt.py
+++ b/toucanrudder/forwarding/attempt.py
@@ -240,11 +240,7 @@
 
         A returned failure has left the connection fit for further use.
         """
-        try:
-            async with asyncio.timeout(self._patience_s()):
-                head = await connection.next_event()
-        except TimeoutError:
-            raise TryEnded(tries.Ended.SILENT) from None
+        head = await self._next_event(connection, self._patience_s())
         facts = self.course.dialect.facts(self.course.call, upstream, head)
         self._learn(upstream, facts)
         if not facts.is_for:
@@ -337,11 +333,32 @@
             limit_s = PATIENCE_GAPS * self.route.event_gap_s
             if not self.course.progress.events:
                 limit_s = self._patience_s()
-        try:
-            async with asyncio.timeout(limit_s):
-                return await connection.next_event()
-        except TimeoutError:
-            raise TryEnded(tries.Ended.SILENT) from None
+        return await self._next_event(connection, limit_s)
+
+    async def _next_event(self, connection, limit_s: float | None):
+        """Return the answer's next part, or end a try that lost it."""
+        while True:
+            try:
+                async with asyncio.timeout(limit_s):
+                    return await connection.next_event()
+            except TimeoutError:
+                if await self._has_lost():
+                    raise TryEnded(tries.Ended.SILENT) from None
+
+    async def _has_lost(self) -> bool:
+        """Say whether a silent answer is lost.
+
+        A run that waits for memory, or was put back for a more urgent one,
+        is silent as well.  Taken for lost it was cut, and the engine with
+        its copy did not always go on: the caller lost an answer that was
+        being made.  What may run again is sent elsewhere without asking.
+        """
+        if self.route.repetition is not model.Repetition.ONCE:
+            return True
+        report = await self.state.ask_engine(self.choice.upstream)
+        return report is None or report.has_lost(
+            self.course.call.request_id, self.course.progress.events
+        )
 
     async def _pass_events(
         self, head: message.AnswerHead, whole: list[bytes]
--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -213,6 +213,7 @@
             avoid=self.avoid,
         )
         self.state.doubt_weights = controller.doubt
+        self.state.ask_engine = controller.asked
         return controller
 
     async def _tick(self) -> None:
--- a/toucanrudder/forwarding/orders.py
+++ b/toucanrudder/forwarding/orders.py
@@ -264,7 +264,7 @@
 
     async def _refreshed(self, upstream: model.Upstream) -> None:
         try:
-            report = await self._asked(upstream)
+            report = await self.asked(upstream)
             for name, version in (report.weights if report else {}).items():
                 self._state.registry.has_weights(
                     upstream.incarnation, name, version
@@ -297,7 +297,7 @@
         has = 0
         while clock.now_s() < began_s + rollout.PATIENCE_S:
             await asyncio.sleep(ASK_S)
-            report = await self._asked(task.upstream)
+            report = await self.asked(task.upstream)
             if report is None:
                 continue
             has = report.weights.get(task.model, 0)
@@ -314,7 +314,8 @@
             )
         )
 
-    async def _asked(self, upstream: model.Upstream) -> rollout.Report | None:
+    async def asked(self, upstream: model.Upstream) -> rollout.Report | None:
+        """Return an engine's report; None if it gives none."""
         return await self._dialect.report(upstream, timeout_s=CALL_S)
 
     async def _emptied(
@@ -330,14 +331,14 @@
         began_s = clock.now_s()
         while rollout.waits_for_runs(report, clock.now_s() - began_s):
             await asyncio.sleep(EMPTY_ASK_S)
-            report = await self._asked(task.upstream)
+            report = await self.asked(task.upstream)
             if report is None or report.is_busy:
                 return None
         return report
 
     async def _ordered(self, task: rollout.Task) -> bool:
         name = task.upstream.incarnation
-        report = await self._asked(task.upstream)
+        report = await self.asked(task.upstream)
         if report is None or report.is_busy:
             await asyncio.sleep(ASK_S)
             return False
--- a/toucanrudder/forwarding/rollout.py
+++ b/toucanrudder/forwarding/rollout.py
@@ -43,6 +43,10 @@
     KEEP = "keep"
 
 
+#: Events that may be on their way when an engine reports.
+EVENTS_ON_THEIR_WAY = 1
+
+
 @attrs.frozen
 class Report:
     """What an engine says of itself.
@@ -60,6 +64,10 @@
         Requests that it runs.
     reading : int
         Those of them whose prompts it is still reading.
+    waiting : int
+        Requests that it has not begun to run.
+    events : mapping of str to int
+        Events made so far, by the identity of each running request.
     memory_share : float
         Part of its memory that running requests take.
     """
@@ -69,8 +77,35 @@
     orders: int = 0
     running: int = 0
     reading: int = 0
+    waiting: int = 0
+    events: Mapping[str, int] = attrs.field(factory=dict)
     memory_share: float = 0.0
 
+    def has_lost(self, request_id: str, received: int) -> bool:
+        """Say whether events of a request were made that never arrived.
+
+        Parameters
+        ----------
+        request_id : str
+            A request that was sent there.
+        received : int
+            Events of its answer that have arrived.
+
+        Examples
+        --------
+        >>> Report({}, events={"r": 5}).has_lost("r", 5)
+        False
+        >>> Report({}, events={"r": 9}).has_lost("r", 5)
+        True
+        >>> Report({}).has_lost("r", 5), Report({}, waiting=1).has_lost("r", 5)
+        (True, False)
+        """
+        made = self.events.get(request_id)
+        if made is None:
+            # It has ended, unless it is one of those that wait.
+            return not self.waiting
+        return made > received + EVENTS_ON_THEIR_WAY
+
 
 #: Longest time for which an engine gets no new work before its order:
 #: with prompts read in 0.2 to 0.5 s and answers made in two to three, the
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -1,5 +1,6 @@
 """What the parts of the forwarding path share."""
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 import random
 
@@ -14,6 +15,7 @@
 from toucanrudder.forwarding import placing
 from toucanrudder.forwarding import poison
 from toucanrudder.forwarding import registry as registries
+from toucanrudder.forwarding import rollout
 from toucanrudder.forwarding import routing
 from toucanrudder.forwarding import shares
 from toucanrudder.forwarding import stores
@@ -32,6 +34,10 @@
 PEER_LOADS_KEPT_S = 1.5
 
 
+async def _not_asked(upstream: model.Upstream) -> None:
+    """Ask no engine: none is known."""
+
+
 @attrs.define(eq=False)
 class ForwardingState:
     """Tables of one router; each has one owner that writes it.
@@ -63,6 +69,9 @@
         factory=lambda: peers_loads.PeerLoads(PEER_LOADS_KEPT_S)
     )
     breaks: poison.BreakCounts = attrs.field(factory=poison.BreakCounts)
+    ask_engine: Callable[
+        [model.Upstream], Awaitable[rollout.Report | None]
+    ] = _not_asked
     doubt_weights: Callable[[model.Upstream], None] = lambda upstream: None
     stopping: bool = False
     stop_at_s: float = float("inf")
--- a/toucanrudder/platform/orders.py
+++ b/toucanrudder/platform/orders.py
@@ -59,6 +59,8 @@
             running=body.get("active", 0),
             # A run is identity, tokens in memory, events made, priority.
             reading=sum(not run[2] for run in body.get("runs") or ()),
+            waiting=body.get("queued", 0),
+            events={run[0]: run[2] for run in body.get("runs") or ()},
             memory_share=body.get("kv_used", 0) / (body.get("kv_total") or 1),
         )
 
--- a/toucanrudder/platform/testing/standins.py
+++ b/toucanrudder/platform/testing/standins.py
@@ -213,6 +213,8 @@
         What it does with the next requests; then `usual`.
     usual : callable
         What it does with all others.
+    listed : dict of str to int
+        Events made of the requests that its report lists as running.
     """
 
     _numbers = itertools.count(1)
@@ -231,6 +233,8 @@
         self.runs: list[Run] = []
         self.cut = asyncio.Event()
         self.usual: Behaviour = answers
+        self.listed: dict[str, int] = {}
+        self.reported = asyncio.Event()
 
     def entry(self) -> dict:
         """Return what it registers."""
@@ -260,6 +264,7 @@
             fields = ((b"Instance-Id", self.incarnation.encode()),)
             await answer.whole(421, fields, b"")
         elif path == b"/report":
+            self.reported.set()
             await answer.whole(200, JSON, orjson.dumps(self._report()))
         elif path == b"/order":
             await self._order(orjson.loads(request.body), answer)
@@ -283,7 +288,11 @@
             "busy": self.busy,
             "seq": len(self.orders),
             "queued": 0,
-            "active": 0,
+            "active": len(self.listed),
+            "runs": [
+                [identity, 300, events, 5]
+                for identity, events in self.listed.items()
+            ],
         }
 
     async def _order(self, order: dict, answer) -> None:
@@ -376,3 +385,16 @@
     await answer.write(event(2)[:9])
     answer.abort()
     answer.ended = True
+
+
+async def stalls(upstream: Server, run: Run, answer) -> None:
+    """Be silent after the first event until it was asked for its report."""
+    upstream.runs.append(run)
+    await answer.start(200, upstream.fields(run))
+    await answer.write(event(1))
+    upstream.listed[run.request_id] = 1
+    await upstream.reported.wait()
+    for number in (2, 3):
+        await answer.write(event(number))
+    del upstream.listed[run.request_id]
+    await answer.end()
--- a/toucanrudder/platform/tests/test_platform.py
+++ b/toucanrudder/platform/tests/test_platform.py
@@ -404,6 +404,19 @@
     )
 
 
+async def test_a_run_that_is_put_back_is_waited_for(site):
+    # An engine puts a stream that may run once back for a more urgent one
+    # and is silent for longer than a lost answer would show.  Cut and sent
+    # to the engine with its copy, which has dropped it, it would be lost.
+    engines = [await site.engine(), await site.engine()]
+    first_tried_does(engines, standins.stalls)
+    router = await site.router()
+    answer = await asked(router, b"/once/x")
+    assert (answer.is_whole, answer.body) == (True, EVENTS)
+    assert sum(len(each.runs) for each in engines) == 1
+    assert any(each.reported.is_set() for each in engines)
+
+
 async def test_a_request_that_crashes_engines_is_stopped(site):
     # Each engine that runs this request crashes.  Its caller sends it
     # again and again, to two routers; a third crash must be the last.
