Ask the store of parts for what an engine may have dropped

A prompt went to an engine that was believed to hold its shared parts, and that engine read them again: in a large fleet few routers hear of what an engine drops. The store is now named in any case; a question in vain takes a millisecond. A store that fails to answer is left alone at once by who notices, and by peers at the second time; both are logged.

--- a/toucanrudder/forwarding/cache_feed.py
+++ b/toucanrudder/forwarding/cache_feed.py
@@ -4,7 +4,6 @@
 import asyncio
 from collections.abc import Callable
 import functools
-import logging
 import random
 
 import attrs
@@ -13,10 +12,9 @@
 from toucanrudder.forwarding import cache
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import state as states
+from toucanrudder.observability import decisions
 from toucanrudder.placement import rendezvous
 
-LOG = logging.getLogger(__name__)
-
 #: How long a question waits at an engine; longer waits cost nothing, and
 #: a connection that has gone silent is noticed this late.
 WAIT_S = 1.0
@@ -170,9 +168,13 @@
 def _(
     source: model.CacheStore, state: states.ForwardingState, answered: bool
 ) -> None:
-    if answered:
-        state.store_health.answered(source.address)
-    elif state.store_health.failed(source.address, clock.now_s()):
-        LOG.warning(
-            "store of cached parts is down", extra={"peer": source.address}
+    health = state.store_health
+    if health.is_failing(source.address) is answered:
+        change = "back" if answered else "lost"
+        decisions.record(
+            decisions.PartStoreSeen(address=source.address, change=change)
         )
+    if answered:
+        health.answered(source.address)
+    else:
+        health.failed(source.address, clock.now_s())
--- a/toucanrudder/forwarding/placing.py
+++ b/toucanrudder/forwarding/placing.py
@@ -293,11 +293,13 @@
 ) -> str:
     """Return the address of what may hold the parts, though nobody tells.
 
-    Events come late, and other routers' first readers are not seen here;
-    a question in vain takes a millisecond.
+    Events come late or not at all, and other routers' first readers are
+    not seen here; a question in vain takes a millisecond.  So the store is
+    asked also where the engine is believed to hold all shared parts: it
+    may have dropped them since.
     """
     has_all = best.cached_tokens >= shared_tokens
-    if not has_all and _may_use(store, best.candidate):
+    if shared_tokens and _may_use(store, best.candidate):
         return store.address
     if (
         home is best.candidate
--- a/toucanrudder/forwarding/stores.py
+++ b/toucanrudder/forwarding/stores.py
@@ -18,9 +18,9 @@
 #: for its events tries again within a second and renews this.
 DOWN_S = 2.0
 
-#: Questions without an answer after which a store counts as down; one may
-#: be lost on the way.
-FAILURES_FOR_DOWN = 2
+#: Questions without an answer after which peers are told; one may be lost
+#: on the way, and all routers would read again what the store holds.
+FAILURES_TO_TELL = 2
 
 
 @attrs.define
@@ -32,11 +32,13 @@
     >>> health = StoreHealth()
     >>> store = model.CacheStore("10.0.0.1:80")
     >>> health.failed(store.address, 5.0)
-    False
-    >>> health.failed(store.address, 5.5)
-    True
     >>> health.usable([store], 6.0), health.usable([store], 8.0) == [store]
     ([], True)
+    >>> health.seen_down(6.0)
+    {}
+    >>> health.failed(store.address, 6.0)
+    >>> health.seen_down(6.5)
+    {'10.0.0.1:80': 1.5}
     """
 
     _failures: dict[str, int] = attrs.field(factory=dict)
@@ -47,14 +49,14 @@
         self._failures.pop(address, None)
         self._down_until_s.pop(address, None)
 
-    def failed(self, address: str, now_s: float) -> bool:
-        """Note a question without an answer; say whether it is down."""
-        failures = self._failures.get(address, 0) + 1
-        self._failures[address] = failures
-        if failures < FAILURES_FOR_DOWN:
-            return False
+    def failed(self, address: str, now_s: float) -> None:
+        """Note a question without an answer."""
+        self._failures[address] = self._failures.get(address, 0) + 1
         self.down(address, now_s + DOWN_S)
-        return True
+
+    def is_failing(self, address: str) -> bool:
+        """Whether the newest question had no answer."""
+        return address in self._failures
 
     def down(self, address: str, until_s: float) -> None:
         """Note until when a store is not to be used."""
@@ -66,7 +68,7 @@
             address: until_s - now_s
             for address, until_s in self._down_until_s.items()
             if until_s > now_s
-            and self._failures.get(address, 0) >= FAILURES_FOR_DOWN
+            and self._failures.get(address, 0) >= FAILURES_TO_TELL
         }
 
     def usable(
--- a/toucanrudder/forwarding/tests/test_decisions.py
+++ b/toucanrudder/forwarding/tests/test_decisions.py
@@ -226,11 +226,13 @@
     assert choice.missing_tokens == 11_000
 
 
-def test_what_the_engine_holds_is_not_fetched():
+def test_what_the_engine_is_believed_to_hold_is_not_kept_again():
+    # It may have dropped the parts since, which nobody tells in time; then
+    # it reads them again unless it is told where else they are.
     index = cache.CacheIndex()
     index.read("i1", "1", SHARED)
     choice = placed([candidate("i1")], index, store=STORE)
-    assert not choice.copy_from
+    assert choice.copy_from == STORE.address
     assert not choice.save_to
 
 
--- a/toucanrudder/observability/decisions.py
+++ b/toucanrudder/observability/decisions.py
@@ -150,6 +150,14 @@
     routers: int
 
 
+@attrs.frozen(kw_only=True)
+class PartStoreSeen:
+    """A store of cached parts stopped answering, or answers again."""
+
+    address: str
+    change: str
+
+
 @attrs.frozen(kw_only=True)
 class TryEnded:
     """An upstream gave no whole answer; says what follows."""
@@ -217,6 +225,7 @@
     LeaseChanged,
     OrderGiven,
     OrderEnded,
+    PartStoreSeen,
     Placed,
     TryEnded,
     Answered,
