--- a/toucanrudder/soak/faults.py
+++ b/toucanrudder/soak/faults.py
@@ -112,7 +112,7 @@
 
     async def _hup(self, step: plans.Step) -> None:
         router = self._router(step)
-        if router is not None:
+        if router is not None and router.heeds(signal.SIGHUP):
             router.signal(signal.SIGHUP)
 
     # The store.
--- a/toucanrudder/soak/site.py
+++ b/toucanrudder/soak/site.py
@@ -108,6 +108,22 @@
         if self.lives:
             self.process.send_signal(number)
 
+    def heeds(self, number: int) -> bool:
+        """Say whether the process has said what it does with a signal.
+
+        Before its first line runs it cannot, and the system's default
+        ends it; on a busy machine that takes some tenths of a second.
+        """
+        if not self.lives:
+            return False
+        status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        said = 0
+        for line in status.splitlines():
+            name, _, mask = line.partition(":")
+            if name in ("SigIgn", "SigCgt"):
+                said |= int(mask, 16)
+        return bool(said >> (number - 1) & 1)
+
     async def ended(self) -> None:
         """Wait for the process; end it by force after its grace."""
         with contextlib.suppress(TimeoutError):
