Do not empty engines whose weights are urgent

The holder of the lease froze right after its first order; the next router took the lease when it had run out (3.9 s), waited a second for the old holder's orders, and then emptied each of the eight engines left before its order, in three rounds. The last was ordered 7.5 s after the version was named, and a request that had come 0.4 s before began there after eight.

Ruled out: the lease (its term and margin are as before), and routers that did not know the version (all had it within 1.1 s).

--- a/toucanrudder/forwarding/orders.py
+++ b/toucanrudder/forwarding/orders.py
@@ -329,7 +329,9 @@
             The engine's newest report; None if it gives none any more.
         """
         began_s = clock.now_s()
-        while rollout.waits_for_runs(report, clock.now_s() - began_s):
+        while rollout.waits_for_runs(
+            report, clock.now_s() - began_s, self._age_s(task)
+        ):
             await asyncio.sleep(EMPTY_ASK_S)
             report = await self.asked(task.upstream)
             if report is None or report.is_busy:
--- a/toucanrudder/forwarding/rollout.py
+++ b/toucanrudder/forwarding/rollout.py
@@ -115,12 +115,16 @@
 #: The same while prompts are still being read.
 READ_S = 1.8
 
+#: The same once weights are urgent (see `URGENT_S`): a prompt is read by
+#: then unless it waits for memory.
+URGENT_READ_S = 0.5
+
 #: Part of an engine's memory in use from which it is loaded: what it does
 #: not do then, no other engine can do for it.
 LOADED_SHARE = 0.8
 
 
-def waits_for_runs(report: Report, waited_s: float) -> bool:
+def waits_for_runs(report: Report, waited_s: float, age_s: float) -> bool:
     """Say whether the order waits until more of its requests have ended.
 
     On a quiet fleet others take the work meanwhile: requests that change
@@ -128,24 +132,32 @@
     and 0.021 with it.  On a loaded one it costs more than it saves: 0.79
     to 0.75 of the worth served in a day of high load.
 
+    Where weights are urgent there is no time for it.  After a holder of
+    the lease has frozen, its successor begins with engines that are some
+    five seconds behind; a second's wait on each made the last one answer
+    on weights that had been superseded for more than eight.
+
     Parameters
     ----------
     report : Report
         What the engine says.
     waited_s : float
         For how long it has got no new work.
+    age_s : float
+        For how long its weights have been superseded.
 
     Examples
     --------
     >>> quiet = Report({}, running=9, memory_share=0.3)
-    >>> waits_for_runs(quiet, 0.2), waits_for_runs(quiet, 1.1)
+    >>> waits_for_runs(quiet, 0.2, 1.0), waits_for_runs(quiet, 1.1, 1.0)
     (True, False)
-    >>> waits_for_runs(attrs.evolve(quiet, memory_share=0.8), 0.2)
+    >>> waits_for_runs(attrs.evolve(quiet, memory_share=0.8), 0.2, 1.0)
     False
     """
+    is_urgent = age_s > URGENT_S
     if report.reading:
-        return waited_s < READ_S
-    if report.memory_share >= LOADED_SHARE:
+        return waited_s < (URGENT_READ_S if is_urgent else READ_S)
+    if is_urgent or report.memory_share >= LOADED_SHARE:
         return False
     return report.running >= KEEP_FROM and waited_s < EMPTY_S
 
--- a/toucanrudder/forwarding/tests/test_decisions.py
+++ b/toucanrudder/forwarding/tests/test_decisions.py
@@ -452,7 +452,30 @@
 def test_an_engine_works_off_what_it_has_before_its_order(
     said, waited_s, waits
 ):
-    assert rollout.waits_for_runs(said, waited_s) is waits
+    assert rollout.waits_for_runs(said, waited_s, age_s=1.0) is waits
+
+
+URGENT = {
+    "many runs": (report(running=9), 0.0, False),
+    "prompts half read": (report(running=9, reading=1), 0.0, True),
+    "prompts half read for too long": (
+        report(running=9, reading=1),
+        rollout.URGENT_READ_S,
+        False,
+    ),
+}
+
+
+@pytest.mark.parametrize(
+    ("said", "waited_s", "waits"), URGENT.values(), ids=URGENT.keys()
+)
+def test_urgent_weights_do_not_wait_for_runs(said, waited_s, waits):
+    # The holder of the lease freezes; its successor may give orders five
+    # seconds later.  If each engine then gets another second to work off
+    # what it has, the last one begins requests on weights that were
+    # superseded more than eight seconds ago: their answers are worthless.
+    found = rollout.waits_for_runs(said, waited_s, age_s=5.0)
+    assert found is waits
 
 
 def registered(*names):
