Give each soak's upstreams and requests identities of their own

Three soaks beside each other: one said that a write ran twice, another that a router ended by itself. Instances and requests were numbered alike in each soak, and ports of upstreams that are gone go to others: a router of one soak reached the upstream of another, which took the request for its own.

--- a/toucanrudder/platform/testing/soaking.py
+++ b/toucanrudder/platform/testing/soaking.py
@@ -1,6 +1,7 @@
 """The platform's side of a soak: what callers and upstreams say there."""
 
 import asyncio
+import os
 import re
 import time
 
@@ -178,6 +179,8 @@
     def __init__(self, site: Site, service: str, zone: str):
         model = MODEL if service == ENGINES else ""
         super().__init__(service, model, zone)
+        # Another soak's upstream may get this one's port when it is gone.
+        self.incarnation += f"-{os.getpid():x}"
         self.site = site
         self.proxy = ""
         self.is_poisoned = asyncio.Event()
--- a/toucanrudder/soak/callers.py
+++ b/toucanrudder/soak/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import os
 import random
 import time
 
@@ -52,7 +53,7 @@
         """Return a new call."""
         number = next(_numbers)
         return records.Call(
-            request_id=f"{kind.value}-{number}",
+            request_id=f"{kind.value}-{os.getpid():x}-{number}",
             kind=kind,
             router=router.name,
             router_start=router.starts,
