--- a/toucanrudder/soak/oracles.py
+++ b/toucanrudder/soak/oracles.py
@@ -120,7 +120,7 @@
             if span.kind == "term" and span.target == call.router
         ]
         for stop in stops:
-            if not stop.from_s <= call.sent_s <= stop.until_s:
+            if call.sent_s > stop.until_s or call.ended_s < stop.from_s:
                 continue
             others = [each for each in record.spans if each is not stop]
             is_alone = not any(
--- a/toucanrudder/soak/tests/test_oracles.py
+++ b/toucanrudder/soak/tests/test_oracles.py
@@ -77,6 +77,14 @@
         oracles.stops_cut_nothing,
         record([CUT], [run()], spans=[STOP]),
     ),
+    "cut by a stop that came after it": (
+        oracles.stops_cut_nothing,
+        record(
+            [attrs.evolve(CUT, sent_s=98.9, ended_s=99.1)],
+            [run(at_s=98.95)],
+            spans=[STOP],
+        ),
+    ),
     "document late": (
         oracles.document_in_force,
         record([probe(404, 7)], acknowledged={7: 90.0}),
