Pick ports in one place; test the gossip of a large fleet

Three places looked for a free port below the kernel's own: the policy bench, the capacity bench and the soak, which had written it anew. testing.ports serves all three; a port is given once to a process, as the bench's test demands (its range is patched there now, 20 of 64 as before), and the soak gives its ports back. The soak's stand-in checked fencing numbers beside the stand-in that it extends; the root of the tree was worked out three times.

--- a/toucanrudder/bench/capacity/daemons.py
+++ b/toucanrudder/bench/capacity/daemons.py
@@ -6,9 +6,7 @@
 from collections.abc import Sequence
 import contextlib
 import pathlib
-import random
 import re
-import socket
 import subprocess
 import tempfile
 
@@ -20,13 +18,13 @@
 from toucanrudder.bench.capacity import synthetic
 from toucanrudder.document import model
 from toucanrudder.document import serialisation
+from toucanrudder.testing import ports
 from toucanrudder.testing import processes
 
 KEY = "capacity-key"
 START_AT_ONCE = 8
 SEEDS = 3
 INTERVAL_S = 0.5
-PORTS = (10_000, 32_000)
 _BYTES = re.compile(r"\bbytes_(?:sent|received):(\d+)")
 _PID = re.compile(r"pid=(\d+)")
 
@@ -145,26 +143,6 @@
         answer.raise_for_status()
 
 
-def _is_free(port: int) -> bool:
-    with socket.socket() as probe:
-        try:
-            probe.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-    return True
-
-
-def _free_ports(count: int) -> list[int]:
-    # Below the kernel's own range: a port that the kernel had picked may
-    # be given to an outgoing connection before the router binds it.
-    ports: set[int] = set()
-    while len(ports) < count:
-        port = random.randrange(*PORTS)
-        if _is_free(port):
-            ports.add(port)
-    return sorted(ports)
-
-
 def _settings(
     number: int, platform: str, peer_ports: Sequence[int], interval_s: float
 ) -> str:
@@ -195,7 +173,7 @@
     count: int, platform: str, interval_s: float = INTERVAL_S
 ) -> AsyncIterator[list[processes.Process]]:
     """Run `count` routers during the block; a few start at a time."""
-    ports = _free_ports(count)
+    peer_ports = [ports.free() for _ in range(count)]
     starting = asyncio.Semaphore(START_AT_ONCE)
     async with contextlib.AsyncExitStack() as stack:
         directory = pathlib.Path(
@@ -204,7 +182,8 @@
 
         async def start(number: int) -> processes.Process:
             path = directory / f"{number}.ini"
-            path.write_text(_settings(number, platform, ports, interval_s))
+            settings = _settings(number, platform, peer_ports, interval_s)
+            path.write_text(settings)
             async with starting:
                 return await stack.enter_async_context(
                     processes.started("router", str(path))
--- a/toucanrudder/bench/systems.py
+++ b/toucanrudder/bench/systems.py
@@ -5,8 +5,6 @@
 import contextlib
 import hashlib
 import pathlib
-import random
-import socket
 import tempfile
 import time
 
@@ -17,6 +15,7 @@
 from toucanrudder.bench import deployments
 from toucanrudder.document import model
 from toucanrudder.document import serialisation
+from toucanrudder.testing import ports
 from toucanrudder.testing import processes
 
 FLEET_KEY = "bench-fleet-key-0123456789"
@@ -28,8 +27,6 @@
 # and stops a flood.
 LIMIT_PER_SHARE = 2.0
 POLL_S = 0.05
-PORT_RANGE = (16000, 32000)
-_PORTS = random.SystemRandom()
 CALL_TIMEOUT = aiohttp.ClientTimeout(total=20.0)
 
 _SETTINGS = """\
@@ -266,22 +263,8 @@
     return deployment.zones[index % len(deployment.zones)]
 
 
-_given: set[int] = set()
-
-
 def _free_address() -> str:
-    # A port that the kernel picks may be taken by an outgoing connection
-    # before the process binds it, or while a killed one is down; these
-    # ports are below those that the kernel hands out.  None is given
-    # twice: until its process has bound it, a port looks free.
-    while True:
-        port = _PORTS.randrange(*PORT_RANGE)
-        if port in _given:
-            continue
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind((HOST, port))
-            _given.add(port)
-            return f"{HOST}:{port}"
+    return f"{HOST}:{ports.free()}"
 
 
 def _port(address: str) -> int:
--- a/toucanrudder/bench/tests/test_bench.py
+++ b/toucanrudder/bench/tests/test_bench.py
@@ -10,6 +10,7 @@
 from toucanrudder.bench import systems
 from toucanrudder.bench import workload
 from toucanrudder.messages import request
+from toucanrudder.testing import ports
 
 TIMES = workload.Times(1.0, 10.0, 4.0, 6.0)
 KEYS = {"a": (b"p", b"a"), "b": (b"p", b"b")}
@@ -252,6 +253,7 @@
     """A run draws some forty ports before its processes bind them.  Two
     equal ones end the bench hours later with an address in use.
     """
-    monkeypatch.setattr(systems, "PORT_RANGE", (20000, 20064))
+    few = range(20000, 20000 + 64 * ports.PARTS)
+    monkeypatch.setattr(ports, "PORTS", few)
     found = [systems._free_address() for _ in range(20)]
     assert len(set(found)) == 20
--- a/toucanrudder/membership/tests/test_routers.py
+++ b/toucanrudder/membership/tests/test_routers.py
@@ -3,6 +3,8 @@
 import pytest
 
 from toucanrudder.membership import routers
+from toucanrudder.peers import client
+from toucanrudder.peers import node
 
 SILENT_S = 3.0
 
@@ -60,8 +62,8 @@
             assert one.live(now_s) == two.live(now_s) == ()
 
 
-@pytest.mark.parametrize("size", [2, 8, 24])
-def test_gossip_keeps_all_routers_live(size):
+def gossiped(size, peers, told_members):
+    """Yield the tables of a fleet after each beat of half a second."""
     rng = random.Random(1)
     tables = [routers.RouterTable(SILENT_S) for _ in range(size)]
     everyone = [member(f"r{i}") for i in range(size)]
@@ -71,7 +73,7 @@
         now_s = beat * 0.5
         for i, table in enumerate(tables):
             known = table.reachable(now_s)
-            for peer in rng.sample(known, min(8, len(known))):
+            for peer in rng.sample(known, min(peers, len(known))):
                 j = int(peer.name[1:])
                 for source, target in ((i, j), (j, i)):
                     heard = everyone[source]
@@ -79,7 +81,29 @@
                         heard.name, heard.address, 1, now_s, beat=beat
                     )
                     told = tables[source].reachable(now_s)
-                    for each in rng.sample(told, min(16, len(told))):
+                    count = min(told_members, len(told))
+                    for each in rng.sample(told, count):
                         if each.name != everyone[target].name:
                             tables[target].told(each, now_s)
+        yield now_s, tables
+
+
+@pytest.mark.parametrize("size", [2, 8, 24])
+def test_gossip_keeps_all_routers_live(size):
+    *_, (_, tables) = gossiped(size, 8, 16)
     assert {table.count(30.0) for table in tables} == {size}
+
+
+def test_few_exchanges_keep_a_large_fleet_together():
+    # 82 routers, each with the exchanges that a router of many begins.  A
+    # router that is forgotten for a moment makes the others take more of
+    # the limits that all share.
+    fewest = min(
+        table.count(now_s)
+        for now_s, tables in gossiped(
+            82, client.MAX_PEERS_OF_MANY, node.MAX_TOLD_MEMBERS
+        )
+        if now_s > 2 * SILENT_S
+        for table in tables
+    )
+    assert fewest >= 81
--- a/toucanrudder/platform/testing/soaking.py
+++ b/toucanrudder/platform/testing/soaking.py
@@ -204,8 +204,7 @@
         await super().handle(request, answer)
 
     async def _order(self, order: dict, answer) -> None:
-        highest = max((each["fence"] for each in self.orders), default=0)
-        if order["fence"] < highest:
+        if self.is_fenced(order):
             await answer.whole(412, standins.JSON, b"{}")
             return
         if self.busy or order["expected"] != len(self.orders):
--- a/toucanrudder/platform/testing/standins.py
+++ b/toucanrudder/platform/testing/standins.py
@@ -295,9 +295,12 @@
             ],
         }
 
+    def is_fenced(self, order: dict) -> bool:
+        """Whether a higher fencing number has been seen."""
+        return any(order["fence"] < each["fence"] for each in self.orders)
+
     async def _order(self, order: dict, answer) -> None:
-        highest = max((each["fence"] for each in self.orders), default=0)
-        if order["fence"] < highest:
+        if self.is_fenced(order):
             await answer.whole(412, JSON, b"{}")
             return
         self.orders.append(order)
--- a/toucanrudder/soak/mutants.py
+++ b/toucanrudder/soak/mutants.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+from toucanrudder.testing import processes
 
 
 @attrs.frozen
@@ -143,7 +143,7 @@
     tree = folder / "tree"
     ignored = shutil.ignore_patterns("__pycache__", "tests")
     shutil.copytree(
-        ROOT / "toucanrudder", tree / "toucanrudder", ignore=ignored
+        processes.ROOT / "toucanrudder", tree / "toucanrudder", ignore=ignored
     )
     path = tree / "toucanrudder" / mutant.path
     text = path.read_text(encoding="utf-8")
--- a/toucanrudder/soak/site.py
+++ b/toucanrudder/soak/site.py
@@ -7,7 +7,6 @@
 import pathlib
 import random
 import signal
-import socket
 import sys
 import textwrap
 import time
@@ -18,20 +17,14 @@
 from toucanrudder.platform.testing import soaking
 from toucanrudder.platform.testing import standins
 from toucanrudder.soak import records
+from toucanrudder.testing import ports
+from toucanrudder.testing import processes
 from toucanrudder.testing import proxy as proxies
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
-
 #: Time that a router has to stop; the longest that one needs to start.
 GRACE_S = 4.0
 START_S = 60.0
 
-#: Ports below those that the system gives to outgoing connections, in
-#: parts of which each soak takes one: a port that is free when one looks
-#: may be taken by another soak before the router binds it.
-PORTS = range(12_000, 30_000)
-PARTS = 30
-
 SETTINGS = """
     [router]
     name = {name}
@@ -52,20 +45,6 @@
 """
 
 
-def free_ports(rng: random.Random, count: int) -> list[int]:
-    """Return ports that nobody listens on."""
-    found: list[int] = []
-    ports = PORTS[os.getpid() % PARTS :: PARTS]
-    while len(found) < count:
-        port = rng.choice(ports)
-        if port in found:
-            continue
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(("127.0.0.1", port))
-            found.append(port)
-    return found
-
-
 @attrs.define(eq=False)
 class Router:
     """A router's process, which is started anew when it has ended."""
@@ -95,7 +74,7 @@
                 sys.executable,
                 "-m",
                 "toucanrudder.platform",
-                cwd=ROOT,
+                cwd=processes.ROOT,
                 env=os.environ | {entry.SETTINGS_PATH: str(self.settings)},
                 stdout=log,
                 stderr=log,
@@ -164,7 +143,7 @@
     Parameters
     ----------
     rng : random.Random
-        For ports and choices.
+        For choices.
     folder : pathlib.Path
         For settings and logs.
     record : records.Record
@@ -206,7 +185,10 @@
             self.change_document()
             self.name_weights()
             stack.push_async_callback(self._end_routers)
-            await self._start_routers(routers)
+            given = stack.enter_context(ports.reserved(3 * routers))
+            await self._start_routers(
+                [given[3 * n : 3 * n + 3] for n in range(routers)]
+            )
             yield self
 
     # What the operator does.
@@ -273,11 +255,9 @@
 
     # Routers.
 
-    async def _start_routers(self, count: int) -> None:
-        free = free_ports(self.rng, 3 * count)
-        ports = [free[3 * n : 3 * n + 3] for n in range(count)]
-        seeds = ",".join(f"127.0.0.1:{each[2]}" for each in ports[:3])
-        for number, of_router in enumerate(ports):
+    async def _start_routers(self, given: list[list[int]]) -> None:
+        seeds = ",".join(f"127.0.0.1:{each[2]}" for each in given[:3])
+        for number, of_router in enumerate(given):
             name = f"r{number}"
             path = self.folder / f"{name}.ini"
             text = textwrap.dedent(SETTINGS).format(
