Read every object and word of upstreams through typed records; know starts by birth

Cause: an entry without a service or an address, or whose models are no tables, raised in the feed and ended the following of the registry; one entry with bytes that are no text made each list unreadable. Identity was the entry's name, so that a process which started again under it passed for the one before, with its cache, weights, failures and leaving.

Now each object is checked as a whole at the adapter's edge and refused alone, counted by kind and logged once. An upstream's incarnation is name and birth; a later start replaces an earlier one with all that was said of it, and an earlier one never comes back. A spoilt lease counts as held by somebody unknown, and numbers go on from the store's version.

Ruled out: a missing birth as a strange entry (no entry of today has one).

--- a/toucanrudder/forwarding/cache_feed.py
+++ b/toucanrudder/forwarding/cache_feed.py
@@ -46,11 +46,14 @@
         What the next question goes on from.
     events : tuple of cache.Event
         What was stored and dropped, in order.
+    born_ms : int
+        Unix time of its start; 0 if it does not say.
     """
 
     epoch: int
     next: int
     events: tuple[cache.Event, ...]
+    born_ms: int = 0
 
 
 #: What tells of its cache.
@@ -161,10 +164,26 @@
             if told is None:
                 await asyncio.sleep(PAUSE_S * self._rng.uniform(0.75, 1.25))
                 continue
+            if not _is_of(source, told):
+                # A start that the registry has not told of yet, or a word
+                # of an earlier one.
+                await asyncio.sleep(PAUSE_S)
+                continue
             since = told.next
             self._state.cache.told(identity(source), told.epoch, told.events)
 
 
+@functools.singledispatch
+def _is_of(source: Source, told: Told) -> bool:
+    """Whether the words come from this start of the source."""
+    return True
+
+
+@_is_of.register
+def _(source: model.Upstream, told: Told) -> bool:
+    return source.says(told.born_ms)
+
+
 @functools.lru_cache(maxsize=256)
 def _askers(name: str, routers: tuple[str, ...]) -> frozenset[str]:
     # Asked twice a second for each source, and the same until a router
--- a/toucanrudder/forwarding/following.py
+++ b/toucanrudder/forwarding/following.py
@@ -17,6 +17,7 @@
 from toucanrudder.store import fanout
 from toucanrudder.store import feed
 from toucanrudder.store import interface
+from toucanrudder.store import strange
 
 #: Routers that follow the weights in the store: as many as may die at
 #: once without a delay for the next to notice.
@@ -241,28 +242,40 @@
 
     def _documents(self, objects, now_s: float) -> None:
         for stored in objects:
-            document = self._kinds.document(stored)
+            document = strange.read_or_none(self._kinds.document, stored)
             if document is not None:
                 self._offer(document, "store")
 
     def _upstreams(self, objects, now_s: float) -> None:
         registry = self._state.registry
-        registry.replace(map(self._kinds.upstream, objects), now_s)
+        read = (self._read_upstream(each) for each in objects)
+        registry.replace(filter(None, read), now_s)
         self._state.states.keep(registry.incarnations)
 
+    def _read_upstream(
+        self, stored: interface.StoredObject
+    ) -> model.Upstream | None:
+        return strange.read_or_none(self._kinds.upstream, stored)
+
     def _upstream(self, change: feed.Change, now_s: float) -> None:
         registry = self._state.registry
-        if not change.is_deleted:
-            self._registered(self._kinds.upstream(change.object))
+        upstream = self._read_upstream(change.object)
+        if upstream is not None and not change.is_deleted:
+            self._registered(upstream)
             return
-        known = registry.get(change.object.name)
-        registry.remove(change.object.name, now_s)
-        if known is not None:
-            _note_upstream(known, "went")
+        # An entry that cannot be read names no upstream to use.
+        known = registry.named(change.object.name)
+        if known is None or _is_newer(known, upstream):
+            return
+        registry.remove(known.incarnation, now_s)
+        _note_upstream(known, "went")
         self._state.states.keep(registry.incarnations)
 
     def _registered(self, upstream: model.Upstream) -> None:
-        known = self._state.registry.get(upstream.incarnation)
+        registry = self._state.registry
+        if registry.is_past(upstream):
+            return
+        known = registry.get(upstream.incarnation)
         if known is None:
             _note_upstream(upstream, "came")
         if upstream.is_leaving and not (known and known.is_leaving):
@@ -270,16 +283,24 @@
             self._gossip.left(upstream.incarnation, clock.now_s())
             # A peer that is cut off from the registry learns it from us.
             self._peering.client.hasten()
-        self._state.registry.put(upstream)
+        registry.put(upstream)
+        if known is None:
+            # A start before this one under the same name is forgotten.
+            self._state.states.keep(registry.incarnations)
 
     def _weights(self, objects, now_s: float) -> None:
         for stored in objects:
-            name, version = self._kinds.named_weights(stored)
-            if self._state.weights_named(name, version, now_s):
+            named = strange.read_or_none(self._kinds.named_weights, stored)
+            if named and self._state.weights_named(*named, now_s):
                 # Routers that do not follow the weights hear it from us.
                 self._peering.client.hasten()
 
 
+def _is_newer(known: model.Upstream, gone: model.Upstream | None) -> bool:
+    """Whether an entry that is gone was that of an earlier start."""
+    return gone is not None and gone.born_ms < known.born_ms
+
+
 def _note_upstream(upstream: model.Upstream, change: str) -> None:
     decisions.record(
         decisions.UpstreamSeen(
--- a/toucanrudder/forwarding/model.py
+++ b/toucanrudder/forwarding/model.py
@@ -155,6 +155,27 @@
     cache_stores: tuple[CacheStore, ...] = ()
 
 
+@attrs.frozen
+class Document:
+    """A configuration together with the bytes that it was read from.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        Its meaning.
+    source : bytes
+        What it was read from, for other routers.
+    """
+
+    configuration: Configuration
+    source: bytes = attrs.field(repr=False)
+
+    @property
+    def generation(self) -> int:
+        """Rises with each accepted change."""
+        return self.configuration.generation
+
+
 @attrs.frozen
 class Upstream:
     """One process that serves requests, as it registered itself.
@@ -162,7 +183,7 @@
     Parameters
     ----------
     incarnation : str
-        Identity of the process; a restarted one has another.
+        Identity of one start of the process; a restarted one has another.
     service, address, zone : str
         Which service, ``IP:port``, and availability zone.
     slots : int
@@ -171,6 +192,10 @@
         Whether it has announced that it will stop.
     weights : mapping of str to int
         Version of each model's weights.
+    name : str
+        What the process is called, also after a restart.
+    born_ms : int
+        Unix time of this start; 0 if it is not told.
     """
 
     incarnation: str
@@ -180,6 +205,24 @@
     slots: int = 1
     is_leaving: bool = False
     weights: Mapping[str, int] = attrs.field(factory=dict)
+    name: str = attrs.field(
+        default=attrs.Factory(lambda self: self.incarnation, takes_self=True)
+    )
+    born_ms: int = 0
+
+    def says(self, born_ms: int) -> bool:
+        """Whether words that name their start come from this one.
+
+        Those of an earlier one arrive late, those of a later one before
+        its entry: its counts begin anew and would be believed of this one.
+
+        Examples
+        --------
+        >>> this = Upstream("i@7", "s", "10.0.0.1:1", name="i", born_ms=7)
+        >>> this.says(7), this.says(8), this.says(0)
+        (True, False, True)
+        """
+        return not (born_ms and self.born_ms) or born_ms == self.born_ms
 
 
 @attrs.frozen
--- a/toucanrudder/forwarding/orders.py
+++ b/toucanrudder/forwarding/orders.py
@@ -316,7 +316,10 @@
 
     async def asked(self, upstream: model.Upstream) -> rollout.Report | None:
         """Return an engine's report; None if it gives none."""
-        return await self._dialect.report(upstream, timeout_s=CALL_S)
+        report = await self._dialect.report(upstream, timeout_s=CALL_S)
+        if report is None or not upstream.says(report.born_ms):
+            return None
+        return report
 
     async def _emptied(
         self, task: rollout.Task, report: rollout.Report
--- a/toucanrudder/forwarding/registry.py
+++ b/toucanrudder/forwarding/registry.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 
 import attrs
+import cachetools
 
 from toucanrudder.forwarding import model
 
@@ -18,8 +19,20 @@
     missing_since_s: float | None = None
 
 
+#: Names whose newest start is remembered after they are gone: a late word
+#: of an earlier start must not bring it back.
+MAX_BIRTHS = 8192
+
+
 class Registry:
-    """Upstreams by incarnation.
+    """Upstreams by incarnation, one for each name.
+
+    A process that starts again keeps its name and knows nothing of before.
+    Failure: what was believed of the earlier start is believed of the new
+    one.  Symptom: requests go where nothing is cached, new weights pass
+    for old ones, or an upstream that is back counts as leaving.  So a
+    later start replaces an earlier one with all that was said of it, and
+    an earlier one never comes back, whoever tells of it.
 
     While the registry is away, entries run out although their upstreams
     live.  So an entry that is missing after an outage is believed for a
@@ -28,9 +41,10 @@
 
     def __init__(self):
         self._known: dict[str, _Known] = {}
+        self._by_name: dict[str, str] = {}
+        self._births_ms: cachetools.LRUCache = cachetools.LRUCache(MAX_BIRTHS)
         self._by_service: dict[str, tuple[model.Upstream, ...]] | None = None
         self._lenient_until_s = float("-inf")
-        self._told_leaving: set[str] = set()
         self.is_filled = False
 
     def returned(self, now_s: float) -> None:
@@ -41,9 +55,9 @@
         self, upstreams: Iterable[model.Upstream], now_s: float
     ) -> None:
         """Take in a whole list."""
-        listed = {each.incarnation: each for each in upstreams}
-        for incarnation in set(self._known) - set(listed):
-            self.remove(incarnation, now_s)
+        listed = {each.name: each for each in upstreams}
+        for name in set(self._by_name) - set(listed):
+            self.remove(self._by_name[name], now_s)
         for upstream in listed.values():
             self.put(upstream)
         self.is_filled = True
@@ -55,10 +69,36 @@
         What an upstream itself has said meanwhile is newer than its entry:
         a process's weights only rise, and one that leaves does not stay.
         """
+        if self.is_past(upstream):
+            return
         known = self._known.get(upstream.incarnation)
         if known is not None:
             upstream = _merged(known.upstream, upstream)
+        earlier = self._by_name.get(upstream.name)
+        if earlier is not None and earlier != upstream.incarnation:
+            self._forget(earlier)
         self._known[upstream.incarnation] = _Known(upstream)
+        self._by_name[upstream.name] = upstream.incarnation
+        self._births_ms[upstream.name] = upstream.born_ms
+        self._by_service = None
+
+    def is_past(self, upstream: model.Upstream) -> bool:
+        """Whether a later start under the same name has been seen.
+
+        Examples
+        --------
+        >>> registry = Registry()
+        >>> late = model.Upstream("i@2", "s", "10.0.0.1:1", name="i",
+        ...     born_ms=2)
+        >>> registry.put(late)
+        >>> registry.is_past(attrs.evolve(late, born_ms=1))
+        True
+        """
+        return upstream.born_ms < self._births_ms.get(upstream.name, 0)
+
+    def _forget(self, incarnation: str) -> None:
+        found = self._known.pop(incarnation)
+        del self._by_name[found.upstream.name]
         self._by_service = None
 
     def remove(self, incarnation: str, now_s: float) -> None:
@@ -70,9 +110,7 @@
             if known.missing_since_s is None:
                 known.missing_since_s = now_s
             return
-        del self._known[incarnation]
-        self._told_leaving.discard(incarnation)
-        self._by_service = None
+        self._forget(incarnation)
 
     def tick(self, now_s: float) -> None:
         """Drop the entries that have stayed missing."""
@@ -84,8 +122,7 @@
             if known.missing_since_s is not None
         ]
         for incarnation in missing:
-            del self._known[incarnation]
-            self._by_service = None
+            self._forget(incarnation)
 
     def leaving(self, incarnation: str) -> bool:
         """Note that an upstream said itself, or to a peer, that it leaves.
@@ -116,6 +153,10 @@
         known = self._known.get(incarnation)
         return known.upstream if known else None
 
+    def named(self, name: str) -> model.Upstream | None:
+        """Return the newest start of the upstream of that name."""
+        return self.get(self._by_name.get(name, ""))
+
     @property
     def incarnations(self) -> set[str]:
         """All that are known."""
--- a/toucanrudder/forwarding/rollout.py
+++ b/toucanrudder/forwarding/rollout.py
@@ -70,6 +70,8 @@
         Events made so far, by the identity of each running request.
     memory_share : float
         Part of its memory that running requests take.
+    born_ms : int
+        Unix time of its start; 0 if it does not say.
     """
 
     weights: dict[str, int]
@@ -80,6 +82,7 @@
     waiting: int = 0
     events: Mapping[str, int] = attrs.field(factory=dict)
     memory_share: float = 0.0
+    born_ms: int = 0
 
     def has_lost(self, request_id: str, received: int) -> bool:
         """Say whether events of a request were made that never arrived.
--- /dev/null
+++ b/toucanrudder/http1/calls.py
@@ -0,0 +1,133 @@
+"""Small calls whose whole answer is wanted, on kept connections."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+
+import attrs
+import orjson
+
+from toucanrudder.http1 import client
+from toucanrudder.http1 import message
+from toucanrudder.http1 import pool
+
+LOG = logging.getLogger(__name__)
+
+#: Largest answer that is held: a page of a list is a megabyte at most.
+MAX_ANSWER_BYTES = 8_388_608
+
+_JSON = (b"Content-Type", b"application/json")
+
+
+class Unreadable(ValueError):
+    """The answer is too large, or says nothing that can be parsed."""
+
+
+@attrs.frozen
+class Answer:
+    """A whole answer.
+
+    Parameters
+    ----------
+    status : int
+        Of HTTP.
+    body : object
+        What was parsed from its body; an empty table for none.
+    """
+
+    status: int
+    body: object
+
+
+def parsed(content: bytes) -> object:
+    """Return what JSON says, also if it holds bytes that are no text.
+
+    Failure: one object of a list holds such bytes.  Symptom: a strict
+    parser refuses the whole list, on each try, and nothing in it is
+    followed any more.  Read leniently, that object alone holds characters
+    that no name has.
+
+    Examples
+    --------
+    >>> parsed(b'["a", "\\xff"]')[0]
+    'a'
+    """
+    if not content:
+        return {}
+    try:
+        return orjson.loads(content)
+    except ValueError:
+        LOG.info("an answer is no strict JSON")
+    # Rarely needed, so a start does not pay for it.
+    import json
+
+    try:
+        return json.loads(content.decode(errors="replace"), strict=False)
+    except (ValueError, RecursionError) as error:
+        raise Unreadable(str(error)) from error
+
+
+async def call(
+    connections: pool.ConnectionPool,
+    address: str,
+    method: bytes,
+    path: str,
+    *,
+    body: object = None,
+    headers: message.Headers = (),
+    timeout_s: float,
+    connect_timeout_s: float,
+    clock: Callable[[], float],
+) -> Answer:
+    """Return the whole answer to one request.
+
+    Parameters
+    ----------
+    connections : pool.ConnectionPool
+        Where a connection is taken from.
+    address : str
+        ``IP:port``.
+    method, path : bytes, str
+        What is asked.
+    body : object
+        Sent as JSON, unless it is None.
+    headers : message.Headers
+        Beside those that say what the body is.
+    timeout_s, connect_timeout_s : float
+        For all, and for a new connection.
+    clock : callable
+        Monotonic time in seconds.
+
+    Raises
+    ------
+    ExchangeError, TimeoutError, Unreadable
+        There is no whole answer.
+    """
+    content = b"" if body is None else orjson.dumps(body)
+    sent_headers = [*headers, (b"Host", address.encode())]
+    if body is not None:
+        length = (b"Content-Length", str(len(content)).encode())
+        sent_headers += [_JSON, length]
+    head = message.RequestHead(method, path.encode(), tuple(sent_headers))
+    async with (
+        asyncio.timeout(timeout_s),
+        connections.connection(
+            address,
+            connect_timeout_s=min(connect_timeout_s, timeout_s),
+            clock=clock,
+        ) as connection,
+    ):
+        connection.send(head, content)
+        answer = await connection.next_event()
+        connection.keep_for_s = pool.keep_for_s(answer.headers)
+        received = await _received(connection)
+    return Answer(answer.status, parsed(received))
+
+
+async def _received(connection: client.UpstreamConnection) -> bytes:
+    received = bytearray()
+    while not isinstance(event := await connection.next_event(), client.End):
+        received += event.content
+        if len(received) > MAX_ANSWER_BYTES:
+            raise Unreadable("the answer is too large")
+    return bytes(received)
--- a/toucanrudder/leases/holder.py
+++ b/toucanrudder/leases/holder.py
@@ -13,6 +13,8 @@
 from toucanrudder.leases import decision
 from toucanrudder.observability import metrics
 from toucanrudder.store import interface
+from toucanrudder.store import strange
+from toucanrudder.store import typed
 
 KIND = "leases"
 STEP = "lease"
@@ -196,7 +198,8 @@
         found = await self._store.get(
             KIND, self._name, timeout_s=self._timeout_s
         )
-        if found is None or found.value.get("write_id") != record.write_id:
+        seen = _seen(None, found, self._clock())
+        if seen is None or seen.record.write_id != record.write_id:
             raise interface.ConditionFailed("another write came first")
         return found.version
 
@@ -224,8 +227,24 @@
 ) -> decision.Seen | None:
     if found is None:
         return None
-    names = {field.name for field in attrs.fields(decision.Record)}
-    record = decision.Record(
-        **{name: found.value[name] for name in names & set(found.value)}
-    )
+    try:
+        record = typed.read(
+            decision.Record, found.value, f"{found.kind}/{found.name}"
+        )
+    except interface.StrangeObject as error:
+        strange.note(error)
+        record = _unreadable(before, found.version)
     return decision.observe(before, found.version, record, now_s)
+
+
+def _unreadable(before: decision.Seen | None, version: int) -> decision.Record:
+    """Return what a lease that somebody has spoilt is taken for.
+
+    Failure: another writer replaces the lease by something else.  Symptom:
+    nobody can take it any more, or somebody takes it with a fencing number
+    that engines are past.  So it counts as held by somebody unknown, for
+    as long as any holder could hold it; and numbers go on from the
+    store's own version, which has risen with each of them.
+    """
+    fencing = before.record.fencing if before else 0
+    return decision.Record(holder="?", fencing=max(fencing, version))
--- a/toucanrudder/platform/dialect.py
+++ b/toucanrudder/platform/dialect.py
@@ -14,27 +14,10 @@
 
 #: Fields that only the router may set; a caller's are dropped.
 _OURS = frozenset(
-    {
-        b"authorization",
-        b"tenant",
-        b"deadline-ms",
-        b"expect-instance",
-        b"expect-version",
-        b"request-priority",
-        b"cache-salt",
-        b"kv-fetch-from",
-        b"kv-save-to",
-        b"kv-from",
-        b"kv-hold",
-        b"kv-backup",
-        b"pin-ms",
-        b"last-event-id",
-        b"content-length",
-        b"instance-id",
-        b"not-executed",
-        b"server-seal",
-        b"server-load",
-    }
+    b"authorization tenant deadline-ms expect-instance expect-version"
+    b" request-priority cache-salt kv-fetch-from kv-save-to kv-from kv-hold"
+    b" kv-backup pin-ms last-event-id content-length instance-id"
+    b" not-executed server-seal server-load".split()
 )
 
 #: Lowest rank that upstreams know; 0 is the first.
@@ -115,7 +98,7 @@
         """Return the head of the request for an upstream."""
         set_here = [
             ("Deadline-Ms", max(1, int(instructions.left_s * 1000))),
-            ("Expect-Instance", instructions.upstream.incarnation),
+            ("Expect-Instance", instructions.upstream.name),
             ("Request-Priority", min(matched.rank, _LAST_PRIORITY)),
         ]
         if body or head.get(b"content-length") or _is_chunked(head):
@@ -159,7 +142,7 @@
         answers = _text(answer, b"request-id")
         version = _text(answer, b"weight-versions")
         not_run = answer.get(b"not-executed") is not None
-        is_same = _text(answer, b"instance-id") == upstream.incarnation
+        is_same = _text(answer, b"instance-id") == upstream.name
         return dialect.Facts(
             # A refusal that proves that nothing ran may lack the identity.
             is_for=answers == call.request_id
@@ -171,7 +154,7 @@
             is_sealed=answer.get(b"server-seal") is not None,
             load=_load(_text(answer, b"server-load")),
             weights_version=int(version)
-            if version and version.isdigit()
+            if version and version.isascii() and version.isdecimal()
             else None,
         )
 
--- a/toucanrudder/platform/objects.py
+++ b/toucanrudder/platform/objects.py
@@ -1,10 +1,13 @@
 """The platform's own objects, translated into the project's types."""
 
-import attrs
+from collections.abc import Iterable
+
 import orjson
 
 from toucanrudder.forwarding import model
+from toucanrudder.platform import records
 from toucanrudder.store import interface
+from toucanrudder.store import typed
 
 #: Kinds that the platform writes, and the one name of its configuration.
 CONFIGURATION_KIND = "config"
@@ -12,153 +15,150 @@
 UPSTREAM_KIND = "servers"
 WEIGHTS_KIND = "versions"
 
-#: A service with this field is a store of cached parts at that address.
-_STORE_ADDRESS = "kv_store_addr"
-
 _REPETITIONS = {
     "safe": model.Repetition.IDEMPOTENT,
     "unsafe": model.Repetition.ONCE,
 }
 
 
-@attrs.frozen
-class Document:
-    """A configuration together with the bytes that it was read from.
+def decode(source: bytes) -> model.Document:
+    """Return the document in another router's bytes.
 
-    Parameters
-    ----------
-    configuration : model.Configuration
-        Its meaning.
-    source : bytes
-        Its platform form, for other routers.
+    Raises
+    ------
+    StrangeObject
+        They hold none.
     """
-
-    configuration: model.Configuration
-    source: bytes = attrs.field(repr=False)
-
-    @property
-    def generation(self) -> int:
-        """Rises with each accepted change."""
-        return self.configuration.generation
+    try:
+        value = orjson.loads(source)
+    except ValueError as error:
+        raise interface.StrangeObject("peer", "unreadable bytes") from error
+    return model.Document(configuration(value, "peer"), source)
 
 
-def decode(source: bytes) -> Document:
-    """Return the document in another router's bytes."""
-    return Document(configuration(orjson.loads(source)), source)
-
-
-def encode(document: Document) -> bytes:
+def encode(document: model.Document) -> bytes:
     """Return the document's bytes, for another router."""
     return document.source
 
 
-def document(stored: interface.StoredObject) -> Document | None:
-    """Return the document in a stored object; None if it is another."""
+def document(stored: interface.StoredObject) -> model.Document | None:
+    """Return the document in a stored object; None if it is another.
+
+    Raises
+    ------
+    StrangeObject
+        The object holds no configuration.
+    """
     if stored.name != CONFIGURATION_NAME:
         return None
-    return Document(configuration(stored.value), orjson.dumps(stored.value))
+    return model.Document(
+        configuration(stored.value, _source(stored)),
+        orjson.dumps(stored.value),
+    )
+
+
+def _source(stored: interface.StoredObject) -> str:
+    return f"{stored.kind}/{stored.name}"
+
 
+def configuration(value: object, source: str) -> model.Configuration:
+    """Translate a configuration.
 
-def configuration(spec: dict) -> model.Configuration:
-    """Translate a configuration."""
-    limits = spec.get("limits") or {}
-    services = spec.get("services") or ()
+    Raises
+    ------
+    StrangeObject
+        The value holds none.
+    """
+    found = typed.read(records.Configuration, value, source)
+    services = found.services or ()
     return model.Configuration(
-        generation=spec["version"],
-        routes=tuple(_route(each) for each in spec.get("routes", ())),
+        generation=found.version,
+        routes=tuple(map(_route, found.routes or ())),
         services={
-            each["name"]: _service(each)
+            each.name: model.Service(each.name, each.engine)
             for each in services
-            if _STORE_ADDRESS not in each
+            if each.kv_store_addr is None
         },
+        # A service with an address of its own is a store of cached parts.
         cache_stores=tuple(
-            model.CacheStore(each[_STORE_ADDRESS], each.get("zone", ""))
+            model.CacheStore(each.kv_store_addr, each.zone or "")
             for each in services
-            if _STORE_ADDRESS in each
-        ),
-        organisations=tuple(
-            _organisation(each) for each in spec.get("tenants") or ()
-        ),
-        limits=model.CallerLimits(
-            max_head_bytes=limits.get("max_header_bytes", 16_384),
-            max_body_bytes=limits.get("max_body_bytes", 4_194_304),
-            head_timeout_s=limits.get("header_timeout_ms", 5_000) / 1000,
-            idle_timeout_s=limits.get("idle_timeout_ms", 60_000) / 1000,
+            if each.kv_store_addr is not None
         ),
+        organisations=found.tenants or (),
+        limits=found.limits or model.CallerLimits(),
     )
 
 
-def _route(spec: dict) -> model.Route:
-    is_stream = spec["kind"] == "stream"
-    repetition = _REPETITIONS.get(spec["kind"], model.Repetition.ONCE)
-    if is_stream and spec.get("resumable"):
+def _route(spec: records.Route) -> model.Route:
+    is_stream = spec.kind == "stream"
+    repetition = _REPETITIONS.get(spec.kind, model.Repetition.ONCE)
+    if is_stream and spec.resumable:
         repetition = model.Repetition.RESUMABLE
-    splits = tuple(
-        model.Split(each["service"], each["weight"])
-        for each in spec.get("traffic_split") or ()
-    )
-    if not splits and spec.get("service"):
-        splits = (model.Split(spec["service"]),)
+    splits = spec.traffic_split or ()
+    if not splits and spec.service:
+        splits = (model.Split(spec.service),)
     return model.Route(
-        name=spec["name"],
-        host=spec["host"].lower(),
-        path_prefix=spec["path_prefix"],
+        name=spec.name,
+        host=spec.host.lower(),
+        path_prefix=spec.path_prefix,
         splits=splits,
         repetition=repetition,
         is_stream=is_stream,
-        max_upstreams=spec.get("max_attempts") or 1,
-        timeout_s=spec.get("timeout_ms", 60_000) / 1000,
-        objective_s=spec.get("target_latency_ms", 1_000) / 1000,
-        event_gap_s=spec.get("target_gap_ms", 1_000) / 1000,
-        priority=spec.get("priority", 5),
-        is_public=bool(spec.get("public")),
-    )
-
-
-def _service(spec: dict) -> model.Service:
-    engine = spec.get("engine")
-    return model.Service(
-        spec["name"],
-        model.Engine(
-            engine["slots"],
-            engine["kv_capacity_tokens"],
-            bool(engine.get("backups")),
-        )
-        if engine
-        else None,
-    )
-
-
-def _organisation(spec: dict) -> model.Organisation:
-    return model.Organisation(
-        spec["name"],
-        frozenset(spec.get("api_keys") or ()),
-        spec.get("priority"),
-        bool(spec.get("isolated")),
+        max_upstreams=spec.max_attempts or 1,
+        timeout_s=spec.timeout_ms / 1000,
+        objective_s=spec.target_latency_ms / 1000,
+        event_gap_s=spec.target_gap_ms / 1000,
+        priority=spec.priority,
+        is_public=bool(spec.public),
     )
 
 
 def upstream(stored: interface.StoredObject) -> model.Upstream:
-    """Translate the entry by which an upstream registers itself."""
-    spec = stored.value
+    """Translate the entry by which an upstream registers itself.
+
+    Raises
+    ------
+    StrangeObject
+        The entry names no upstream to use.
+    """
+    entry = typed.read(records.Entry, stored.value, _source(stored))
     return model.Upstream(
-        incarnation=stored.name,
-        service=spec["service"],
-        address=spec["address"],
-        zone=spec.get("zone", ""),
-        slots=spec.get("slots") or 1,
-        is_leaving=spec.get("state") == "draining",
+        incarnation=_incarnation(stored.name, entry.born),
+        name=stored.name,
+        born_ms=entry.born,
+        service=entry.service,
+        address=entry.address,
+        zone=entry.zone,
+        slots=entry.slots,
+        is_leaving=entry.state == "draining",
         # "version" is that of the upstream's software; the weights' stand
         # with the models.
-        weights=weights_of(spec),
+        weights=weights_of(entry.models),
     )
 
 
-def weights_of(spec: dict) -> dict[str, int]:
+def _incarnation(name: str, born_ms: int) -> str:
+    """Return the identity of one start of an upstream.
+
+    A process that starts again keeps its name and remembers nothing: what
+    was believed of the one before must not be found under the new one's.
+    """
+    return f"{name}@{born_ms}" if born_ms else name
+
+
+def weights_of(models: Iterable[records.LoadedModel]) -> dict[str, int]:
     """Return the versions of the weights by model."""
-    return {each["name"]: each["version"] for each in spec.get("models") or ()}
+    return {each.name: each.version for each in models}
 
 
 def named_weights(stored: interface.StoredObject) -> tuple[str, int]:
-    """Return the model and the version that its weights are to have."""
-    return stored.value["model"], stored.value["version"]
+    """Return the model and the version that its weights are to have.
+
+    Raises
+    ------
+    StrangeObject
+        The object names none.
+    """
+    found = typed.read(records.Weights, stored.value, _source(stored))
+    return found.model, found.version
--- a/toucanrudder/platform/orders.py
+++ b/toucanrudder/platform/orders.py
@@ -1,9 +1,7 @@
 """Calls to engines that are not requests of callers."""
 
-import asyncio
 import functools
-
-import orjson
+import logging
 
 from toucanrudder import errors
 from toucanrudder.forwarding import cache
@@ -11,10 +9,16 @@
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import orders
 from toucanrudder.forwarding import rollout
+from toucanrudder.http1 import calls
 from toucanrudder.http1 import client
 from toucanrudder.http1 import message
 from toucanrudder.http1 import pool
 from toucanrudder.platform import objects
+from toucanrudder.platform import records
+from toucanrudder.store import strange
+from toucanrudder.store import typed
+
+LOG = logging.getLogger(__name__)
 
 #: Beyond the time that a question about the cache was asked to wait:
 #: events are told late when an engine is busy.
@@ -46,22 +50,22 @@
         self, upstream: model.Upstream, *, timeout_s: float
     ) -> rollout.Report | None:
         """Return the engine's report; None if it gave none."""
-        found = await self._call(b"GET", b"/report", upstream, b"", timeout_s)
-        if found is None or found[0] != 200:
+        found = await self._call(b"GET", "/report", upstream, timeout_s)
+        body = _read(records.Report, found, upstream)
+        if body is None:
             return None
-        body = found[1]
         return rollout.Report(
-            weights=objects.weights_of(body),
-            is_busy=bool(body.get("busy")),
+            born_ms=body.born,
+            weights=objects.weights_of(body.models),
+            is_busy=body.busy,
             # "seq" counts accepted orders here; in an upstream's entry it
             # counts its signs of life.
-            orders=body.get("seq", 0),
-            running=body.get("active", 0),
-            # A run is identity, tokens in memory, events made, priority.
-            reading=sum(not run[2] for run in body.get("runs") or ()),
-            waiting=body.get("queued", 0),
-            events={run[0]: run[2] for run in body.get("runs") or ()},
-            memory_share=body.get("kv_used", 0) / (body.get("kv_total") or 1),
+            orders=body.seq,
+            running=body.active,
+            reading=sum(not events for _, _, events, _ in body.runs),
+            waiting=body.queued,
+            events={request_id: made for request_id, _, made, _ in body.runs},
+            memory_share=body.kv_used / (body.kv_total or 1),
         )
 
     async def load(
@@ -75,21 +79,19 @@
         timeout_s: float,
     ) -> bool:
         """Order new weights; say whether the engine took the order."""
-        body = orjson.dumps(
-            {
-                "op": "version",
-                "model": task.model,
-                "version": task.version,
-                "mode": _MODES[mode],
-                "holder": holder,
-                "fence": fencing,
-                "expected": report.orders,
-            }
-        )
+        body = {
+            "op": "version",
+            "model": task.model,
+            "version": task.version,
+            "mode": _MODES[mode],
+            "holder": holder,
+            "fence": fencing,
+            "expected": report.orders,
+        }
         found = await self._call(
-            b"POST", b"/order", task.upstream, body, timeout_s
+            b"POST", "/order", task.upstream, timeout_s, body=body
         )
-        status = found[0] if found else None
+        status = found.status if found else None
         if status == 412:
             raise errors.RudderError(
                 errors.Code.ORDER_FENCED,
@@ -103,65 +105,58 @@
         self, source: cache_feed.Source, since: int, *, wait_s: float
     ) -> cache_feed.Told | None:
         """Return events after `since`; None if there was no answer."""
-        path = f"/kv-events?since={since}".encode()
+        path = f"/kv-events?since={since}"
         wait = (b"Wait-Ms", str(round(wait_s * 1000)).encode())
         found = await self._call(
-            b"GET", path, source, b"", wait_s + EVENTS_MARGIN_S, wait
+            b"GET", path, source, wait_s + EVENTS_MARGIN_S, wait
         )
-        if found is None or found[0] != 200:
+        body = _read(records.CacheNews, found, source)
+        if body is None:
             return None
-        body = found[1]
         return cache_feed.Told(
-            epoch=body["boot_epoch"],
-            next=body["next"],
+            born_ms=body.born,
+            epoch=body.boot_epoch,
+            next=body.next,
             events=tuple(
                 cache.Event(salt, part, tokens, sign == "+")
-                for _, sign, salt, part, tokens, *_ in body["events"]
+                for _, sign, salt, part, tokens, _ in body.events
             ),
         )
 
     async def _call(
         self,
         method: bytes,
-        path: bytes,
+        path: str,
         peer: cache_feed.Source,
-        body: bytes,
         timeout_s: float,
         *extra: tuple[bytes, bytes],
-    ) -> tuple[int, dict] | None:
-        headers = [*extra, *_expected(peer)]
-        headers.append((b"Host", peer.address.encode()))
-        if body:
-            headers += [
-                (b"Content-Type", b"application/json"),
-                (b"Content-Length", str(len(body)).encode()),
-            ]
-        try:
-            async with (
-                asyncio.timeout(timeout_s),
-                self._pool.connection(
-                    peer.address,
-                    connect_timeout_s=min(CONNECT_S, timeout_s),
-                    clock=self._clock,
-                ) as connection,
-            ):
-                connection.send(
-                    message.RequestHead(method, path, tuple(headers)), body
-                )
-                head = await connection.next_event()
-                connection.keep_for_s = pool.keep_for_s(head.headers)
-                content = b""
-                while not isinstance(
-                    event := await connection.next_event(), client.End
-                ):
-                    content += event.content
-        except (client.ExchangeError, TimeoutError):
-            return None
+        body: dict | None = None,
+    ) -> calls.Answer | None:
         try:
-            parsed = orjson.loads(content) if content else {}
-        except ValueError:
+            return await calls.call(
+                self._pool,
+                peer.address,
+                method,
+                path,
+                body=body,
+                headers=(*extra, *_expected(peer)),
+                timeout_s=timeout_s,
+                connect_timeout_s=CONNECT_S,
+                clock=self._clock,
+            )
+        except (client.ExchangeError, TimeoutError, calls.Unreadable) as error:
+            LOG.info("no answer to %s: %r", path, error)
             return None
-        return head.status, parsed if isinstance(parsed, dict) else {}
+
+
+def _read(
+    made: type[typed.Made],
+    answer: calls.Answer | None,
+    source: cache_feed.Source,
+) -> typed.Made | None:
+    if answer is None or answer.status != 200:
+        return None
+    return strange.read_or_none(typed.read, made, answer.body, source.address)
 
 
 @functools.singledispatch
@@ -172,4 +167,4 @@
 
 @_expected.register
 def _(peer: model.Upstream) -> message.Headers:
-    return ((b"Expect-Instance", peer.incarnation.encode()),)
+    return ((b"Expect-Instance", peer.name.encode()),)
--- /dev/null
+++ b/toucanrudder/platform/records.py
@@ -0,0 +1,170 @@
+"""The platform's objects as it writes them, field by field."""
+
+import typing
+
+import attrs
+
+from toucanrudder.forwarding import model
+from toucanrudder.store import typed
+
+
+@attrs.frozen
+class Metadata:
+    """What the store says of an object."""
+
+    name: str = attrs.field(validator=attrs.validators.min_len(1))
+    revision: int
+
+
+@attrs.frozen
+class Item:
+    """An object of the store; what it holds is read by its kind."""
+
+    metadata: Metadata
+    spec: typing.Any = None
+
+
+@attrs.frozen
+class Page:
+    """A page of a list of objects."""
+
+    items: list[typing.Any]
+    current_rev: int
+    more: bool = False
+
+
+@attrs.frozen
+class Event:
+    """A change to an object."""
+
+    object: Item
+    deleted: bool
+
+
+@attrs.frozen
+class News:
+    """The answer to a watch."""
+
+    events: list[typing.Any]
+    current_rev: int
+
+
+@attrs.frozen
+class Weights:
+    """Weights of a model: named for all, or present at one upstream."""
+
+    model: str = attrs.field(validator=typed.WORD)
+    version: int = attrs.field(validator=typed.POSITIVE)
+
+
+@attrs.frozen
+class LoadedModel:
+    """A model, and its weights, as one upstream has them."""
+
+    name: str = attrs.field(validator=typed.WORD)
+    version: int = attrs.field(validator=typed.POSITIVE)
+
+
+@attrs.frozen
+class Entry:
+    """What an upstream writes of itself into the registry."""
+
+    service: str = attrs.field(validator=typed.WORD)
+    address: str = attrs.field(validator=typed.ADDRESS)
+    state: str = attrs.field(
+        validator=attrs.validators.in_(("ready", "draining"))
+    )
+    #: Millisecond of its start; 0 where it does not say.  A process that
+    #: starts again keeps its name, and this tells the two apart.
+    born: int = attrs.field(default=0, validator=typed.NOT_NEGATIVE)
+    zone: str = ""
+    slots: int = attrs.field(default=1, validator=typed.COUNT)
+    models: tuple[LoadedModel, ...] = ()
+
+
+#: A run: identity, tokens in memory, events made, priority.
+Run = tuple[str, int, int, int]
+
+
+@attrs.frozen
+class Report:
+    """What an engine says of its load and its runs."""
+
+    models: tuple[LoadedModel, ...]
+    born: int = attrs.field(default=0, validator=typed.NOT_NEGATIVE)
+    busy: bool = False
+    seq: int = attrs.field(default=0, validator=typed.NOT_NEGATIVE)
+    queued: int = attrs.field(default=0, validator=typed.NOT_NEGATIVE)
+    active: int = attrs.field(default=0, validator=typed.NOT_NEGATIVE)
+    kv_used: int = 0
+    kv_total: int = 0
+    runs: tuple[Run, ...] = ()
+
+
+@attrs.frozen
+class CacheNews:
+    """What an engine or a store tells of its cache."""
+
+    boot_epoch: int
+    next: int = attrs.field(validator=typed.NOT_NEGATIVE)
+    events: tuple[tuple[int, str, str, str, int, str], ...]
+    born: int = attrs.field(default=0, validator=typed.NOT_NEGATIVE)
+
+
+_MS = 0.001
+
+# Of these, only names and units differ from ours.
+typed.spell(
+    model.Engine,
+    cache_tokens=typed.spelled("kv_capacity_tokens"),
+    takes_copies=typed.spelled("backups"),
+)
+typed.spell(model.Organisation, is_isolated=typed.spelled("isolated"))
+typed.spell(
+    model.CallerLimits,
+    max_head_bytes=typed.spelled("max_header_bytes"),
+    head_timeout_s=typed.spelled("header_timeout_ms", _MS),
+    idle_timeout_s=typed.spelled("idle_timeout_ms", _MS),
+)
+
+
+@attrs.frozen
+class Service:
+    """A service; with an address it is a store of cached parts."""
+
+    name: str
+    engine: model.Engine | None = None
+    kv_store_addr: str | None = attrs.field(
+        default=None, validator=typed.ADDRESS
+    )
+    zone: str | None = None
+
+
+@attrs.frozen
+class Route:
+    """A route; its repetition follows from two fields."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    service: str | None = None
+    traffic_split: tuple[model.Split, ...] | None = None
+    resumable: bool | None = None
+    max_attempts: int | None = None
+    timeout_ms: float = 60_000.0
+    target_latency_ms: float = 1_000.0
+    target_gap_ms: float = 1_000.0
+    priority: int = 5
+    public: bool | None = None
+
+
+@attrs.frozen
+class Configuration:
+    """The operator's configuration."""
+
+    version: int = attrs.field(validator=typed.POSITIVE)
+    routes: tuple[Route, ...] | None = None
+    services: tuple[Service, ...] | None = None
+    tenants: tuple[model.Organisation, ...] | None = None
+    limits: model.CallerLimits | None = None
--- a/toucanrudder/platform/store.py
+++ b/toucanrudder/platform/store.py
@@ -1,42 +1,33 @@
 """Calls to the platform's metadata store."""
 
-import asyncio
+import functools
 
-import attrs
-import orjson
-
-from toucanrudder import clock
-from toucanrudder.http1 import client
-from toucanrudder.http1 import message
-from toucanrudder.http1 import pool
+from toucanrudder.platform import records
 from toucanrudder.store import feed
 from toucanrudder.store import interface
+from toucanrudder.store import rest
+from toucanrudder.store import strange
+from toucanrudder.store import typed
 
 #: Beyond the time that a watch was asked to wait: the store's slowest
 #: answers while it is well take some hundred milliseconds.
 WATCH_MARGIN_S = 1.0
 
-#: A new connection crosses one zone border at most.
-CONNECT_S = 1.0
-
-#: Answers by which a call had no effect.
-_REFUSED = (429, 503)
 
-#: Largest answer: a page of a list is a megabyte at most.
-MAX_ANSWER_BYTES = 8_388_608
+def _stored(kind: str, item: records.Item) -> interface.StoredObject:
+    metadata = item.metadata
+    return interface.StoredObject(
+        kind, metadata.name, metadata.revision, item.spec
+    )
 
 
-@attrs.frozen
-class _Answer:
-    status: int
-    body: dict
+def _object(kind: str, item: object) -> interface.StoredObject:
+    return _stored(kind, typed.read(records.Item, item, kind))
 
 
-def _stored(kind: str, item: dict) -> interface.StoredObject:
-    metadata = item["metadata"]
-    return interface.StoredObject(
-        kind, metadata["name"], metadata["revision"], item.get("spec") or {}
-    )
+def _change(kind: str, event: object) -> feed.Change:
+    found = typed.read(records.Event, event, kind)
+    return feed.Change(_stored(kind, found.object), found.deleted)
 
 
 class PlatformStore(interface.ConditionalStore, feed.KindFeed):
@@ -49,22 +40,20 @@
     """
 
     def __init__(self, address: str):
-        self._address = address
-        self._pool = pool.ConnectionPool()
-        self.calls = 0
+        self.calls = rest.RestCalls(address)
 
     def close(self) -> None:
         """Close the kept connections."""
-        self._pool.close()
+        self.calls.connections.close()
 
     async def get(
         self, kind: str, name: str, *, timeout_s: float
     ) -> interface.StoredObject | None:
         """Return the object, or None when there is none."""
-        answer = await self._read(f"/objects/{kind}/{name}", timeout_s)
+        answer = await self.calls.read(f"/objects/{kind}/{name}", timeout_s)
         if answer.status == 404:
             return None
-        return _stored(kind, answer.body)
+        return _stored(kind, rest.said(records.Item, answer))
 
     async def create(
         self, kind: str, name: str, value: dict, *, timeout_s: float
@@ -72,7 +61,7 @@
         """Create the object if there is none; return its version."""
         body = {"metadata": {"name": name}, "spec": value}
         path = f"/objects/{kind}"
-        return await self._write(b"POST", path, body, timeout_s)
+        return await self._written(b"POST", path, body, timeout_s)
 
     async def update(
         self,
@@ -89,29 +78,32 @@
             "spec": value,
         }
         path = f"/objects/{kind}/{name}"
-        return await self._write(b"PUT", path, body, timeout_s)
+        return await self._written(b"PUT", path, body, timeout_s)
 
     async def delete(
         self, kind: str, name: str, version: int, *, timeout_s: float
     ) -> None:
         """Delete the object if it has `version`."""
         path = f"/objects/{kind}/{name}?revision={version}"
-        await self._write(b"DELETE", path, None, timeout_s)
+        await self.calls.write(b"DELETE", path, None, timeout_s)
 
     async def snapshot(self, kind: str, *, timeout_s: float) -> feed.Snapshot:
         """Return all objects of the kind."""
         found: list[interface.StoredObject] = []
         path, revision = f"/objects/{kind}", None
+        stored = functools.partial(_object, kind)
         while True:
-            answer = await self._read(path, timeout_s)
-            items = [_stored(kind, each) for each in answer.body["items"]]
-            found += items
+            answer = await self.calls.read(path, timeout_s)
+            page = rest.said(records.Page, answer)
+            found += strange.readable(stored, page.items)
             # Changes after the first page are watched for from there on.
             if revision is None:
-                revision = answer.body["current_rev"]
-            if not answer.body.get("more") or not items:
+                revision = page.current_rev
+            if not page.more or not page.items:
                 return feed.Snapshot(tuple(found), revision)
-            path = f"/objects/{kind}?after={items[-1].name}"
+            if not found:
+                raise interface.StoreUnavailable("no name to go on from")
+            path = f"/objects/{kind}?after={found[-1].name}"
 
     async def changes(
         self, kind: str, revision: int, *, wait_s: float
@@ -119,76 +111,20 @@
         """Wait for changes after the revision; none if `wait_s` passed."""
         wait_ms = round(wait_s * 1000)
         path = f"/objects/{kind}?watch={revision}&wait_ms={wait_ms}"
-        answer = await self._read(path, wait_s + WATCH_MARGIN_S)
+        answer = await self.calls.read(path, wait_s + WATCH_MARGIN_S)
         if answer.status == 410:
             raise feed.HistoryGone(kind)
-        changes = tuple(
-            feed.Change(_stored(kind, each["object"]), bool(each["deleted"]))
-            for each in answer.body["events"]
-        )
-        return feed.Changes(changes, answer.body["current_rev"])
+        news = rest.said(records.News, answer)
+        changed = functools.partial(_change, kind)
+        changes = strange.readable(changed, news.events)
+        return feed.Changes(tuple(changes), news.current_rev)
 
-    async def _read(self, path: str, timeout_s: float) -> _Answer:
-        try:
-            answer = await self._exchange(b"GET", path, b"", timeout_s)
-        except (client.ExchangeError, TimeoutError, ValueError) as error:
-            raise interface.StoreUnavailable(str(error)) from error
-        if answer.status not in (200, 404, 410):
-            raise interface.StoreUnavailable(f"status {answer.status}")
-        return answer
-
-    async def _write(
-        self, method: bytes, path: str, body: dict | None, timeout_s: float
+    async def _written(
+        self, method: bytes, path: str, body: dict, timeout_s: float
     ) -> int:
-        content = orjson.dumps(body) if body is not None else b""
+        answer = await self.calls.write(method, path, body, timeout_s)
         try:
-            answer = await self._exchange(method, path, content, timeout_s)
-        except client.ExchangeError as error:
-            if not error.sent:
-                raise interface.StoreUnavailable(str(error)) from error
-            raise interface.OutcomeUnknown(str(error)) from error
-        except (TimeoutError, ValueError) as error:
+            item = typed.read(records.Item, answer.body, path)
+        except interface.StrangeObject as error:
             raise interface.OutcomeUnknown(str(error)) from error
-        if answer.status in _REFUSED:
-            raise interface.StoreUnavailable(f"status {answer.status}")
-        if answer.status in (404, 409):
-            raise interface.ConditionFailed(path)
-        if answer.status >= 300:
-            raise interface.OutcomeUnknown(f"status {answer.status}")
-        return answer.body.get("metadata", {}).get("revision", 0)
-
-    async def _exchange(
-        self, method: bytes, path: str, body: bytes, timeout_s: float
-    ) -> _Answer:
-        async with (
-            asyncio.timeout(timeout_s),
-            self._pool.connection(
-                self._address,
-                connect_timeout_s=min(CONNECT_S, timeout_s),
-                clock=clock.now_s,
-            ) as connection,
-        ):
-            self.calls += 1
-            connection.send(self._head(method, path, body), body)
-            head = await connection.next_event()
-            connection.keep_for_s = pool.keep_for_s(head.headers)
-            content = bytearray()
-            while not isinstance(
-                event := await connection.next_event(), client.End
-            ):
-                content += event.content
-                if len(content) > MAX_ANSWER_BYTES:
-                    raise ValueError("answer too large")
-        parsed = orjson.loads(content) if content else {}
-        return _Answer(head.status, parsed if isinstance(parsed, dict) else {})
-
-    def _head(
-        self, method: bytes, path: str, body: bytes
-    ) -> message.RequestHead:
-        headers = [(b"Host", self._address.encode())]
-        if method != b"GET":
-            headers += [
-                (b"Content-Type", b"application/json"),
-                (b"Content-Length", str(len(body)).encode()),
-            ]
-        return message.RequestHead(method, path.encode(), tuple(headers))
+        return item.metadata.revision
--- a/toucanrudder/platform/testing/standins.py
+++ b/toucanrudder/platform/testing/standins.py
@@ -215,6 +215,8 @@
         What it does with all others.
     listed : dict of str to int
         Events made of the requests that its report lists as running.
+    born : int
+        What it says of its start; 0 for nothing.
     """
 
     _numbers = itertools.count(1)
@@ -222,6 +224,7 @@
     def __init__(self, service: str, model: str = "", zone: str = "za"):
         super().__init__()
         self.incarnation = f"i-{next(self._numbers):08x}"
+        self.born = 0
         self.service = service
         self.zone = zone
         self.model = model
@@ -247,8 +250,19 @@
             "state": self.state,
             "models": models if self.model else [],
             "seq": 1,
+            **self._birth(),
         }
 
+    def _birth(self) -> dict:
+        return {"born": self.born} if self.born else {}
+
+    def start_again(self) -> None:
+        """Be a new process under the same name, which knows nothing."""
+        self.born = self.born + 1_000 if self.born else 1_700_000_000_000
+        self.orders.clear()
+        self.listed.clear()
+        self.state, self.busy = "ready", False
+
     async def handle(self, request, answer) -> None:
         """Answer a request of a router."""
         headers = {
@@ -279,7 +293,13 @@
 
     async def _events(self, answer) -> None:
         await asyncio.sleep(0.5)
-        body = {"boot_epoch": 1, "next": 0, "lost": False, "events": []}
+        body = {
+            "boot_epoch": self.born,
+            "next": 0,
+            "lost": False,
+            "events": [],
+            **self._birth(),
+        }
         await answer.whole(200, JSON, orjson.dumps(body))
 
     def _report(self) -> dict:
@@ -287,6 +307,7 @@
             "models": [{"name": self.model, "version": self.version}],
             "busy": self.busy,
             "seq": len(self.orders),
+            **self._birth(),
             "queued": 0,
             "active": len(self.listed),
             "runs": [
--- a/toucanrudder/platform/tests/test_platform.py
+++ b/toucanrudder/platform/tests/test_platform.py
@@ -9,6 +9,7 @@
 
 from toucanrudder import clock
 from toucanrudder.forwarding import daemon
+from toucanrudder.forwarding import model
 from toucanrudder.forwarding import poison
 from toucanrudder.http1 import client
 from toucanrudder.http1 import message
@@ -481,6 +482,86 @@
     assert len(staying.runs) == 5
 
 
+STRANGE = {
+    "no fields": {},
+    "no table": "a text",
+    "a service that is a number": {"service": 5, "address": "10.0.0.1:80"},
+    "slots that are a text": {
+        "service": "desk",
+        "address": "10.0.0.1:80",
+        "state": "ready",
+        "slots": "many",
+    },
+    "an unknown state": {
+        "service": "desk",
+        "address": "10.0.0.1:80",
+        "state": "dreaming",
+    },
+}
+
+
+@pytest.mark.parametrize("spec", STRANGE.values(), ids=STRANGE.keys())
+async def test_a_strange_entry_costs_itself_alone(site, spec):
+    # Another writer puts something into the registry, then an upstream
+    # comes.  If the strange entry ended the following of the registry,
+    # callers would get 503 although an upstream is there.
+    router = await site.router()
+    site.store.put("servers", "odd", spec)
+    desk = await site.server()
+    known = router.state.registry
+    await until(lambda: known.named(desk.incarnation))
+    assert (await asked(router, b"/w/x")).status == 200
+    assert len(known.incarnations) == 1
+    late = await site.router("late")
+    assert (await asked(late, b"/w/x")).status == 200
+
+
+async def test_an_entry_that_turns_strange_names_no_upstream(site):
+    # An upstream's entry is overwritten.  Nobody knows what the upstream
+    # is now, so it gets no work until it has written its entry again.
+    desk, other = await site.server(), await site.server()
+    router = await site.router()
+    site.store.put("servers", desk.incarnation, {"service": None})
+    known = router.state.registry
+    await until(lambda: not known.named(desk.incarnation))
+    for _ in range(3):
+        assert (await asked(router, b"/w/x")).status == 200
+    assert len(other.runs) == 3
+    site.store.put("servers", desk.incarnation, desk.entry())
+    await until(lambda: known.named(desk.incarnation))
+
+
+async def test_an_engine_that_starts_again_is_another(site):
+    # An engine that leaves and holds parts crashes and starts again under
+    # its name, holding nothing.  Believed to be the old one, it would get
+    # no work, or prompts that it has to read.  Its old entry, which comes
+    # once more, changes nothing.
+    engine = await site.engine()
+    engine.start_again()
+    old = engine.entry()
+    site.store.put("servers", engine.incarnation, old)
+    router = await site.router()
+    registry, believed = router.state.registry, router.state.cache
+    first = registry.named(engine.incarnation).incarnation
+    believed.read(first, "1", (model.Part("aa", 100),))
+    registry.leaving(first)
+    engine.start_again()
+    site.store.put("servers", engine.incarnation, engine.entry())
+    await until(
+        lambda: registry.named(engine.incarnation).incarnation != first
+    )
+    second = registry.named(engine.incarnation)
+    assert not second.is_leaving
+    parts = (model.Part("aa", 100),)
+    assert not believed.cached_tokens(second.incarnation, "1", parts)
+    site.store.put("servers", engine.incarnation, old)
+    site.store.put("versions", "m", {"model": "m", "version": 2})
+    await until(lambda: registry.get(second.incarnation).weights == {"m": 2})
+    assert registry.named(engine.incarnation).born_ms == engine.born
+    answer = await asked(router, b"/s/x")
+    assert answer.body == EVENTS
+
+
 async def test_another_process_at_the_address_runs_nothing(site):
     # An upstream was replaced and its address given to another process,
     # which the registry has not told yet.  It answers that it is another.
--- a/toucanrudder/store/interface.py
+++ b/toucanrudder/store/interface.py
@@ -7,12 +7,32 @@
 
 @attrs.frozen
 class StoredObject:
-    """An object as it was read; `version` is what updates depend on."""
+    """An object as it was read; `version` is what updates depend on.
+
+    Its value is whatever somebody wrote, of any type.
+    """
 
     kind: str
     name: str
     version: int
-    value: dict
+    value: object
+
+
+class StrangeObject(Exception):
+    """An object, or a word of an upstream, is not what it should be.
+
+    Parameters
+    ----------
+    source : str
+        Where it comes from.
+    reason : str
+        What is wrong with it.
+    """
+
+    def __init__(self, source: str, reason: str):
+        super().__init__(f"{source}: {reason}")
+        self.source = source
+        self.reason = reason
 
 
 class ConditionFailed(Exception):
