Fail the lease of orders over within its own time; close engines on weights past theirs

Cause: new weights are named while the holder freezes, having just renewed.

Now the first three in line watch the lease and count from its last write; a lease that lapsed needs no settling second, as its holder had stopped acting 0.8 s before, and engines that another ordered lately are left out for as long. No request is sent to an engine within a second of the time by which its weights must be gone, two where requests wait there; the refusal says weights_too_old at once. Both times come from settings.

Streams are taken late in a stop only if their time limit fits.

A test said that weights superseded for 7 s of 8 are a last resort; it now says so of 6.9, and that 7.1 are none.

--- a/toucanrudder/errors/tests/test_not_run.py
+++ b/toucanrudder/errors/tests/test_not_run.py
@@ -262,5 +262,7 @@
     shown |= {"deadline_unmet", "limit_exceeded", "not_configured"}
     # Its decision's table has both what it may say.
     shown |= {"retry_budget_spent"}
+    # Shown where a registry's engines lag behind new weights.
+    shown |= {"weights_too_old"}
     known = shown | set(ELSEWHERE) | NOT_FOR_CALLERS
     assert {code.value for code in errors.Code} == known
--- a/toucanrudder/forwarding/course.py
+++ b/toucanrudder/forwarding/course.py
@@ -24,6 +24,10 @@
 #: slot of a plain service frees within about its mean work time.
 RETRY_AFTER_S = 0.25
 
+#: The same while all engines have weights that are too old: the first one
+#: that is being loaded has new ones after about half a second.
+WEIGHTS_RETRY_S = 0.5
+
 #: Part of a caller's remaining time that a request may wait here: it must
 #: leave him time to come back.
 WAIT_LEFT_SHARE = 0.25
@@ -171,7 +175,7 @@
         candidates = self.state.candidates(
             self.service, self.call.prompt, time.monotonic()
         )
-        usable = placing.usable(candidates, now_s)
+        usable = placing.usable(candidates, now_s, self.state.pace.bound_s)
         usable = [
             each
             for each in usable
@@ -216,15 +220,22 @@
             return tries.refusal(
                 tries.Ended.BROKEN, self.progress, self.service, 0.0
             )
-        code = errors.Code.QUEUE_FULL
+        code, retry_after_s = errors.Code.QUEUE_FULL, RETRY_AFTER_S
+        now_s, bound_s = clock.now_s(), self.state.pace.bound_s
         if not candidates:
             code = errors.Code.NO_UPSTREAM
+        elif all(
+            placing.closes_in_s(each, bound_s, now_s) <= 0
+            for each in candidates
+        ):
+            code = errors.Code.WEIGHTS_TOO_OLD
+            retry_after_s = WEIGHTS_RETRY_S
         return errors.RudderError(
             code,
             "no upstream can take the request now",
             step=tries.STEP,
             peer=self.service,
-            retry_after_s=RETRY_AFTER_S,
+            retry_after_s=retry_after_s,
         )
 
     def wall(self) -> str:
--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -23,10 +23,12 @@
 from toucanrudder.forwarding import forwarder
 from toucanrudder.forwarding import orders
 from toucanrudder.forwarding import peering
+from toucanrudder.forwarding import rollout
 from toucanrudder.forwarding import shares
 from toucanrudder.forwarding import state as states
 from toucanrudder.http1 import message
 from toucanrudder.http1 import server
+from toucanrudder.leases import decision
 from toucanrudder.leases import holder
 from toucanrudder.observability import decisions
 from toucanrudder.observability import metrics
@@ -101,6 +103,7 @@
             budget_bounds=shares.BudgetBounds(
                 conf.retries.ratio, conf.retries.slack, conf.retries.window_s
             ),
+            pace=rollout.Pace(conf.weights.bound_ms / 1000),
         )
         self.engine_calls = platform.engine_calls(self.state.pool, clock.now_s)
         self.document = None
@@ -194,21 +197,22 @@
             self.rng,
         )
 
-    def _rollout(self) -> orders.RolloutController:
+    def _lease(self) -> holder.LeaseHolder:
         me = f"{self.state.name}.{uuid.uuid4().hex[:8]}"
-        lease = holder.LeaseHolder(
+        return holder.LeaseHolder(
             self.platform.store,
             orders.LEASE,
             me,
             timeout_s=self.conf.store.timeout_s,
             rng=self.rng,
-            terms=orders.TERMS,
+            terms=decision.terms_within(self.conf.weights.lease_ms / 1000),
         )
+
+    def _rollout(self, lease: holder.LeaseHolder) -> orders.RolloutController:
         controller = orders.RolloutController(
             self.state,
             self.engine_calls,
             lease,
-            me=me,
             place_in_line=self.following.place_in_line,
             avoid=self.avoid,
         )
@@ -223,13 +227,18 @@
 
     def controllers(self) -> list[tasks.TaskService]:
         """Return the tasks that keep the state."""
+        lease = self._lease()
+        followed = (
+            *self.following.controllers(),
+            self.following.lease_controller(lease),
+        )
         running = {
             f"follow {controller.kind}": controller.run
-            for controller in self.following.controllers()
+            for controller in followed
         }
         running["peers"] = self.peering.run
         running["cache events"] = self._cache_feed().run
-        running["rollout"] = self._rollout().run
+        running["rollout"] = self._rollout(lease).run
         running["tick"] = self._tick
         return [
             tasks.TaskService(run=run, label=label)
@@ -269,7 +278,7 @@
         requests that another router would have taken.
         """
         self.state.stopping = True
-        now_s = clock.now_s()
+        now_s = self.state.stopping_since_s = clock.now_s()
         shutdown = self.conf.shutdown
         end_s = now_s + shutdown.grace_s - LAST_S
         self.state.stop_at_s = end_s
--- a/toucanrudder/forwarding/following.py
+++ b/toucanrudder/forwarding/following.py
@@ -9,8 +9,10 @@
 from toucanrudder import clock
 from toucanrudder.controllers import feeds
 from toucanrudder.forwarding import model
+from toucanrudder.forwarding import orders
 from toucanrudder.forwarding import peering as peerings
 from toucanrudder.forwarding import state as states
+from toucanrudder.leases import holder
 from toucanrudder.observability import decisions
 from toucanrudder.peers import peering as peer_peerings
 from toucanrudder.placement import rendezvous
@@ -219,6 +221,23 @@
             ),
         ]
 
+    def lease_controller(
+        self, lease: holder.LeaseHolder
+    ) -> feeds.FeedController:
+        """Return what tells the lease's part of the lease's object."""
+
+        def replaced(objects, now_s: float) -> None:
+            for stored in objects:
+                if stored.name == lease.name:
+                    lease.observe(stored, now_s)
+
+        return self._controller(
+            self._store,
+            holder.KIND,
+            feeds.Follower(replaced, _each(replaced)),
+            is_wanted=lambda: self.place_in_line() < orders.WATCHERS,
+        )
+
     def _controller(
         self,
         source: feed.KindFeed,
--- a/toucanrudder/forwarding/forwarder.py
+++ b/toucanrudder/forwarding/forwarder.py
@@ -22,6 +22,53 @@
 #: takes five of them.
 STOPPING_OBJECTIVES = 6.0
 
+#: Seconds from the beginning of a planned stop in which streams are taken
+#: that may last longer than what is left of it.  The balancer needs as
+#: long to notice; what comes later comes on connections kept open.
+STOPPING_STREAMS_S = 3.0
+
+
+def fits_stop(
+    route: model.Route,
+    wait_s: float | None,
+    *,
+    stopping_for_s: float,
+    left_s: float,
+) -> bool:
+    """Say whether a request's answer will be whole before a planned stop.
+
+    Failure: a stream of many events is taken late in a planned stop.
+    Symptom: it is cut in its midst when the process ends, and may not be
+    sent again.  How long it lasts is the engine's matter, so once the
+    balancer has noticed, a stream is taken only if even its time limit
+    fits; others go to another router at once, as they have not run.
+
+    Parameters
+    ----------
+    route : model.Route
+        The request's.
+    wait_s : float or None
+        How long its caller will wait.
+    stopping_for_s, left_s : float
+        Time since the stop began, and until its end.
+
+    Examples
+    --------
+    >>> stream = model.Route("r", "h", "/", (), is_stream=True,
+    ...     timeout_s=12.0, objective_s=0.4)
+    >>> fits_stop(stream, None, stopping_for_s=1.0, left_s=6.6)
+    True
+    >>> fits_stop(stream, None, stopping_for_s=4.7, left_s=2.9)
+    False
+    """
+    needs_s = STOPPING_OBJECTIVES * route.objective_s
+    if route.is_stream and stopping_for_s > STOPPING_STREAMS_S:
+        longest_s = route.timeout_s
+        if wait_s is not None:
+            longest_s = min(longest_s, wait_s)
+        needs_s = max(needs_s, longest_s)
+    return needs_s <= left_s
+
 
 class Forwarder:
     """Answers callers' requests.
@@ -72,7 +119,7 @@
         matched = self.state.table().match(call)
         route = matched.route
         seen.route, seen.kind = route.name, route.repetition.value
-        self._check_stopping(route)
+        self._check_stopping(route, call)
         course = courses.Course(
             self.state,
             self.dialect,
@@ -86,15 +133,22 @@
         await course.run()
         course.note_answered()
 
-    def _check_stopping(self, route: model.Route) -> None:
+    def _check_stopping(self, route: model.Route, call: model.Call) -> None:
         """Refuse what would be cut at the end of a planned stop.
 
         A caller who keeps using his connection gets his answer as long as
         it can be whole by then; later he is sent to another router at
         once, instead of losing a request half-way.
         """
-        end_s = clock.now_s() + STOPPING_OBJECTIVES * route.objective_s
-        if end_s > self.state.stop_at_s:
+        if not self.state.stopping:
+            return
+        now_s = clock.now_s()
+        if not fits_stop(
+            route,
+            call.wait_s,
+            stopping_for_s=now_s - self.state.stopping_since_s,
+            left_s=self.state.stop_at_s - now_s,
+        ):
             raise errors.RudderError(
                 errors.Code.STOPPING,
                 "this router is stopping",
--- a/toucanrudder/forwarding/loads.py
+++ b/toucanrudder/forwarding/loads.py
@@ -35,6 +35,8 @@
     failure_share: float = 0.0
     full_until_s: float = 0.0
     avoided_until_s: float = 0.0
+    #: When a peer last told that it orders the upstream to load weights.
+    peer_ordered_s: float = float("-inf")
 
     def others(self, now_s: float) -> float:
         """Return the requests there beside this router's, as last told."""
@@ -110,6 +112,13 @@
         """Note until when the upstream takes no work: it loads weights."""
         self.of(incarnation).avoided_until_s = until_s
 
+    def ordered_by_peer(
+        self, incarnation: str, until_s: float, now_s: float
+    ) -> None:
+        """Note that a peer orders the upstream to load weights."""
+        self.avoid(incarnation, until_s)
+        self.of(incarnation).peer_ordered_s = now_s
+
     def busy(self) -> list[tuple[str, int, int]]:
         """Return name, unread prompt tokens and requests of those in use."""
         return [
--- a/toucanrudder/forwarding/orders.py
+++ b/toucanrudder/forwarding/orders.py
@@ -25,10 +25,6 @@
 STEP = "order"
 LEASE = "weights"
 
-#: A holder that dies or is cut off is replaced after term and margin have
-#: passed; engines are to have new weights within a few seconds.
-TERMS = decision.Terms(term_s=3.0, margin_s=0.6)
-
 #: Pause between two looks at what is left to do.
 LOOK_S = 0.15
 
@@ -47,14 +43,19 @@
 #: line: the first has died, or cannot reach the store.
 IN_LINE_S = 1.0
 
-#: Rest of the lease below which it is renewed before the next order.
-RENEW_BELOW_S = 1.2
+#: Part of the time for which a lease is held below which it is renewed
+#: before the next order.
+RENEW_SHARE = 0.5
 
-#: After a change of holder the old one's last order may still be on its
-#: way for as long as a call takes, and engines that do not check fencing
-#: numbers would obey it.
+#: After a holder has given the lease up its last order may still be on
+#: its way for as long as a call takes, and engines that do not check
+#: fencing numbers would obey it.
 SETTLE_S = 1.0
 
+#: Routers, the first in line, that watch the lease, so that they know how
+#: long a holder has been silent: as many as may go at once with it.
+WATCHERS = 3
+
 _STORE_ERRORS = (
     interface.ConditionFailed,
     interface.StoreUnavailable,
@@ -102,8 +103,6 @@
         Speaks with engines.
     lease : holder.LeaseHolder
         Proves that no other router gives orders.
-    me : str
-        Name that orders bear.
     place_in_line : callable
         How many live routers go before this one.
     avoid : callable
@@ -117,14 +116,12 @@
         dialect: OrderDialect,
         lease: holder.LeaseHolder,
         *,
-        me: str,
         place_in_line: Callable[[], int],
         avoid: Callable[[str, float], Awaitable[None]],
     ):
         self._state = state
         self._dialect = dialect
         self._lease = lease
-        self._me = me
         self._place_in_line = place_in_line
         self._avoid = avoid
         self._given: dict[str, rollout.Given] = {}
@@ -194,14 +191,18 @@
 
     async def _holds(self, now_s: float) -> bool:
         lease = self._lease.held(now_s)
-        if lease is None or lease.until_s - now_s < RENEW_BELOW_S:
+        renew_below_s = RENEW_SHARE * self._lease.terms.held_s
+        if lease is None and self._lease.is_others(now_s):
+            self._held_before = False
+            return False
+        if lease is None or lease.until_s - now_s < renew_below_s:
             with contextlib.suppress(*_STORE_ERRORS):
                 await self._lease.look()
             lease = self._lease.held(clock.now_s())
             self._note_lease(lease)
         self._held_before = lease is not None
         if lease is None:
-            # Another holds it; look again when it could have run out.
+            # The store gave no answer, or another was faster.
             await asyncio.sleep(ASK_S)
             return False
         return True
@@ -219,10 +220,10 @@
 
     def _give(self, now_s: float) -> None:
         lease = self._lease.held(now_s)
-        settled = lease is not None and (
-            lease.fencing <= 1 or now_s - lease.acquired_s >= SETTLE_S
-        )
-        if not settled:
+        if lease is None:
+            return
+        settle_s = SETTLE_S if lease.follows_release else 0.0
+        if now_s - lease.acquired_s < settle_s:
             return
         newest = self._newest()
         for engines in self._engines().values():
@@ -231,13 +232,36 @@
             }
             self._forget_done(engines, newest)
             for task in rollout.plan(
-                engines, newest, self._given, busy, self._age_s, now_s
+                self._orderable(engines, now_s),
+                newest,
+                self._given,
+                busy,
+                self._age_s,
+                now_s,
+                self._state.pace,
             ):
                 self._given[task.upstream.incarnation] = rollout.Given(
                     task.version, now_s
                 )
                 self._start(self._carried_out(task))
 
+    def _orderable(self, engines, now_s: float) -> list[model.Upstream]:
+        """Return the engines to which no other router gave an order lately.
+
+        Failure: a holder orders an engine and falls silent, and the next
+        one orders it while that order may still be carried out late.
+        Symptom: two holders' orders at one engine within the lease's own
+        time.  The engine has weights that are at most that old, so
+        waiting costs nothing.
+        """
+        quiet_s = self._lease.terms.lapse_s
+        return [
+            each
+            for each in engines
+            if now_s - self._state.states.of(each.incarnation).peer_ordered_s
+            >= quiet_s
+        ]
+
     def _age_s(self, task: rollout.Task) -> float:
         named = self._state.newest_weights[task.model]
         version = task.upstream.weights.get(task.model, 0)
@@ -333,7 +357,10 @@
         """
         began_s = clock.now_s()
         while rollout.waits_for_runs(
-            report, clock.now_s() - began_s, self._age_s(task)
+            report,
+            clock.now_s() - began_s,
+            self._age_s(task),
+            self._state.pace,
         ):
             await asyncio.sleep(EMPTY_ASK_S)
             report = await self.asked(task.upstream)
@@ -365,7 +392,7 @@
                 task,
                 report,
                 mode=mode,
-                holder=self._me,
+                holder=self._lease.me,
                 fencing=lease.fencing,
                 timeout_s=CALL_S,
             )
--- a/toucanrudder/forwarding/peering.py
+++ b/toucanrudder/forwarding/peering.py
@@ -88,7 +88,7 @@
         for name in self._told_by.pop(sender, set()) - set(told):
             self.state.states.avoid(name, now_s)
         for name, for_s in told.items():
-            self.state.states.avoid(name, now_s + for_s)
+            self.state.states.ordered_by_peer(name, now_s + for_s, now_s)
         if told:
             self._told_by[sender] = set(told)
 
--- a/toucanrudder/forwarding/placing.py
+++ b/toucanrudder/forwarding/placing.py
@@ -18,6 +18,7 @@
 from toucanrudder.forwarding import cache
 from toucanrudder.forwarding import loads
 from toucanrudder.forwarding import model
+from toucanrudder.forwarding import rollout
 from toucanrudder.forwarding import stores
 from toucanrudder.placement import rendezvous
 
@@ -39,10 +40,19 @@
 OLD_WEIGHTS_TOKENS = 18_000
 OLD_AFTER_S = 1.2
 
-#: An upstream whose weights are older than this gets work only if there
-#: is no other: its answers are worth nothing from eight seconds on, and a
-#: request may wait there for a second or two before it begins.
-TOO_OLD_S = 5.5
+#: Part of the time within which engines must have new weights, from which
+#: an older one gets work only if there is no other: its answers are worth
+#: nothing at the end of that time, and are worth less long before.
+OLD_SHARE = 0.69
+
+#: Seconds before the end of that time from which an engine gets no work
+#: at all: routers learn of new weights up to half a second late, and a
+#: request begins some hundred milliseconds after it was sent.
+CLOSE_S = 1.0
+
+#: The same for an engine where requests wait: it takes about half a second
+#: until one of those that run has ended, and there may be two before.
+CLOSE_WAITING_S = 2.0
 
 #: Cost of one failed request in five, in tokens: what a retry costs.
 FAILURE_TOKENS = 60_000
@@ -130,15 +140,45 @@
     candidates: int = 1
 
 
+def closes_in_s(candidate: Candidate, bound_s: float, now_s: float) -> float:
+    """Return after which time an engine gets no work for its old weights.
+
+    Failure: the router that orders new weights falls silent, and engines
+    have old ones past the time that is allowed.  Symptom: requests begin
+    on them all the same, as there is no other engine.  Whoever sends none
+    that could still wait then keeps the bound, whatever holds the orders
+    up; callers are told at once to come back.
+    """
+    wait_s = CLOSE_WAITING_S if candidate.state.waiting(now_s) else CLOSE_S
+    return bound_s - wait_s - candidate.weights_age_s
+
+
 def usable(
-    candidates: Iterable[Candidate], now_s: float
+    candidates: Iterable[Candidate],
+    now_s: float,
+    bound_s: float = rollout.USUAL_PACE.bound_s,
 ) -> Sequence[Candidate]:
     """Return the candidates worth sending to.
 
     Those that failed or were full just now are left out, unless that
-    leaves nobody: a fault of ours must not look like one of all.
+    leaves nobody: a fault of ours must not look like one of all.  Those
+    whose weights are too old are left out always.
+
+    Parameters
+    ----------
+    candidates : iterable of Candidate
+        All of a service.
+    now_s : float
+        Monotonic time.
+    bound_s : float
+        Time after which no request may begin on superseded weights.
     """
-    staying = [each for each in candidates if not each.upstream.is_leaving]
+    staying = [
+        each
+        for each in candidates
+        if not each.upstream.is_leaving
+        and closes_in_s(each, bound_s, now_s) > 0
+    ]
     awake = [
         each for each in staying if each.state.paused_until_s <= now_s
     ] or staying
@@ -146,7 +186,7 @@
         each for each in awake if each.state.avoided_until_s <= now_s
     ] or awake
     fresh = [
-        each for each in working if each.weights_age_s < TOO_OLD_S
+        each for each in working if each.weights_age_s < OLD_SHARE * bound_s
     ] or working
     return [each for each in fresh if each.state.full_until_s <= now_s]
 
--- a/toucanrudder/forwarding/rollout.py
+++ b/toucanrudder/forwarding/rollout.py
@@ -23,10 +23,37 @@
 PATIENCE_S = 4.0
 
 
-#: Age of an engine's weights from which it goes before less busy ones:
-#: answers on older ones lose all worth after eight seconds, and an engine
-#: needs up to three to end its requests and load.
-URGENT_S = 2.5
+#: Part of the time within which engines must follow, from which an engine
+#: goes before less busy ones: it needs up to three eighths of the usual
+#: eight seconds to end its requests and load, and may wait as long for
+#: those before it.
+URGENT_AGE_SHARE = 0.31
+
+
+@attrs.frozen
+class Pace:
+    """How fast engines must follow new weights.
+
+    Parameters
+    ----------
+    bound_s : float
+        Time after which no request may begin on older ones.
+
+    Examples
+    --------
+    >>> Pace(8.0).urgent_s, Pace(6.0).urgent_s
+    (2.48, 1.8599999999999999)
+    """
+
+    bound_s: float = 8.0
+
+    @property
+    def urgent_s(self) -> float:
+        """Age of weights from which their engine goes before others."""
+        return URGENT_AGE_SHARE * self.bound_s
+
+
+USUAL_PACE = Pace()
 
 
 #: Requests running on an engine from which it is not waited until they
@@ -118,7 +145,7 @@
 #: The same while prompts are still being read.
 READ_S = 1.8
 
-#: The same once weights are urgent (see `URGENT_S`): a prompt is read by
+#: The same once weights are urgent (see `Pace`): a prompt is read by
 #: then unless it waits for memory.
 URGENT_READ_S = 0.5
 
@@ -127,7 +154,9 @@
 LOADED_SHARE = 0.8
 
 
-def waits_for_runs(report: Report, waited_s: float, age_s: float) -> bool:
+def waits_for_runs(
+    report: Report, waited_s: float, age_s: float, pace: Pace = USUAL_PACE
+) -> bool:
     """Say whether the order waits until more of its requests have ended.
 
     On a quiet fleet others take the work meanwhile: requests that change
@@ -148,6 +177,8 @@
         For how long it has got no new work.
     age_s : float
         For how long its weights have been superseded.
+    pace : Pace
+        How fast engines must follow.
 
     Examples
     --------
@@ -157,7 +188,7 @@
     >>> waits_for_runs(attrs.evolve(quiet, memory_share=0.8), 0.2, 1.0)
     False
     """
-    is_urgent = age_s > URGENT_S
+    is_urgent = age_s > pace.urgent_s
     if report.reading:
         return waited_s < (URGENT_READ_S if is_urgent else READ_S)
     if is_urgent or report.memory_share >= LOADED_SHARE:
@@ -221,7 +252,7 @@
     ]
 
 
-def at_once(engines: int, oldest_s: float) -> int:
+def at_once(engines: int, oldest_s: float, pace: Pace = USUAL_PACE) -> int:
     """Return how many of a service's engines may load at once.
 
     Parameters
@@ -230,13 +261,15 @@
         Engines that stay.
     oldest_s : float
         Age of the oldest weights among them.
+    pace : Pace
+        How fast engines must follow.
 
     Examples
     --------
     >>> at_once(9, oldest_s=0.0), at_once(9, oldest_s=3.0), at_once(1, 0.0)
     (2, 3, 1)
     """
-    share = URGENT_SHARE if oldest_s > URGENT_S else LOADING_SHARE
+    share = URGENT_SHARE if oldest_s > pace.urgent_s else LOADING_SHARE
     return max(1, math.ceil(engines * share))
 
 
@@ -247,6 +280,7 @@
     busy: Mapping[str, float],
     age_s: Callable[[Task], float],
     now_s: float,
+    pace: Pace = USUAL_PACE,
 ) -> list[Task]:
     """Return the orders to give now, the cheapest engines first.
 
@@ -268,6 +302,8 @@
         For how long an engine's weights have been superseded.
     now_s : float
         Monotonic time.
+    pace : Pace
+        How fast engines must follow.
     """
     engines = [each for each in upstreams if not each.is_leaving]
     under_way = {
@@ -281,12 +317,12 @@
         if task.upstream.incarnation not in under_way
     ]
     oldest_s = max(map(age_s, open_tasks), default=0.0)
-    room = at_once(len(engines), oldest_s) - len(
+    room = at_once(len(engines), oldest_s, pace) - len(
         under_way & {each.incarnation for each in engines}
     )
     open_tasks.sort(
         key=lambda task: (
-            -max(0.0, age_s(task) - URGENT_S),
+            -max(0.0, age_s(task) - pace.urgent_s),
             busy.get(task.upstream.incarnation, 0.0),
             task.upstream.incarnation,
         )
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -52,6 +52,8 @@
         Bounds of retries over all routers.
     live_routers : callable
         Number of live routers, this one included.
+    pace : rollout.Pace
+        How fast engines must follow new weights.
     """
 
     name: str
@@ -59,6 +61,7 @@
     rng: random.Random
     budget_bounds: shares.BudgetBounds
     live_routers: Callable[[], int] = lambda: 1
+    pace: rollout.Pace = rollout.USUAL_PACE
     registry: registries.Registry = attrs.field(factory=registries.Registry)
     cache: caches.CacheIndex = attrs.field(factory=caches.CacheIndex)
     store_health: stores.StoreHealth = attrs.field(factory=stores.StoreHealth)
@@ -74,6 +77,7 @@
     ] = _not_asked
     doubt_weights: Callable[[model.Upstream], None] = lambda upstream: None
     stopping: bool = False
+    stopping_since_s: float = float("inf")
     stop_at_s: float = float("inf")
     open_requests: int = 0
     _table: routing.RoutingTable | None = None
--- a/toucanrudder/forwarding/tests/test_decisions.py
+++ b/toucanrudder/forwarding/tests/test_decisions.py
@@ -291,7 +291,16 @@
 LAST_RESORT = {
     "failed just now": ({"paused_until_s": 11.0}, True),
     "loads weights": ({"avoided_until_s": 11.0}, True),
-    "weights far too old": ({"weights_age_s": 7.0}, True),
+    "weights too old": ({"weights_age_s": 6.9}, True),
+    "weights past the time": ({"weights_age_s": 7.1}, False),
+    "weights almost past, and a queue": (
+        {
+            "weights_age_s": 6.1,
+            "load": model.Load(8, 2, 8),
+            "load_at_s": 9.9,
+        },
+        False,
+    ),
     "leaving": ({"leaving": True}, False),
     "full just now": ({"full_until_s": 11.0}, False),
 }
@@ -608,3 +617,20 @@
     found = [routing.service_of(of, rng) for _ in range(400)]
     assert 260 < found.count("a") < 340
     assert "c" not in found
+
+
+PACES = {8.0: 3, 6.0: 2, 3.0: 1}
+
+
+@pytest.mark.parametrize(("bound_s", "urgent_s"), PACES.items())
+def test_a_shorter_time_makes_weights_urgent_sooner(bound_s, urgent_s):
+    pace = rollout.Pace(bound_s)
+    assert rollout.at_once(9, urgent_s, pace) == 3
+    assert rollout.at_once(9, urgent_s - 1, pace) == 2
+    old = placing.OLD_SHARE * bound_s
+    found = placing.usable(
+        [candidate("i1", weights_age_s=old + 0.01), candidate("i2")],
+        now_s=10.0,
+        bound_s=bound_s,
+    )
+    assert [each.upstream.incarnation for each in found] == ["i2"]
--- a/toucanrudder/leases/decision.py
+++ b/toucanrudder/leases/decision.py
@@ -34,9 +34,44 @@
     term_s: float = TERM_S
     margin_s: float = MARGIN_S
 
+    @property
+    def held_s(self) -> float:
+        """Time after a write for which its writer may act."""
+        return self.term_s - self.margin_s
+
+    @property
+    def lapse_s(self) -> float:
+        """Time without a write after which another may take the lease."""
+        return self.term_s + self.margin_s
+
 
 DEFAULT_TERMS = Terms()
 
+#: Parts of the time within which another holder must follow.  A silent
+#: holder acts for two thirds of it; the next takes the lease after 14/15,
+#: which leaves a fifteenth for the write.  What lies between, eight tenths
+#: of a second of three, is longer than an order can be on its way.
+TERM_SHARE = 0.8
+MARGIN_SHARE = 2 / 15
+
+
+def terms_within(failover_s: float) -> Terms:
+    """Return the terms under which another holder follows in time.
+
+    Parameters
+    ----------
+    failover_s : float
+        From the last write of a holder that falls silent until another
+        holds the lease.
+
+    Examples
+    --------
+    >>> terms = terms_within(3.0)
+    >>> round(terms.held_s, 6), round(terms.lapse_s, 6)
+    (2.0, 2.8)
+    """
+    return Terms(TERM_SHARE * failover_s, MARGIN_SHARE * failover_s)
+
 
 @attrs.frozen
 class Record:
@@ -69,11 +104,15 @@
         Monotonic time at which it was first held.
     until_s : float
         Monotonic time at which this process must have stopped acting.
+    follows_release : bool
+        Whether another gave it up, whose last order may still be on its
+        way; one that fell silent had stopped acting long before.
     """
 
     fencing: int
     acquired_s: float
     until_s: float
+    follows_release: bool = False
 
     def is_valid(self, now_s: float) -> bool:
         """Say whether the holder may act now."""
@@ -139,10 +178,10 @@
         return Step.TAKE
     # Engines that ignore fencing numbers would obey two holders.  So the
     # old holder's time, by its own clock, must have passed before.
-    lapsed = now_s - seen.since_s >= terms.term_s + terms.margin_s
+    lapsed = now_s - seen.since_s >= terms.lapse_s
     return Step.TAKE if lapsed else Step.WAIT
 
 
 def until_s(sent_s: float, terms: Terms = DEFAULT_TERMS) -> float:
     """Return until when a write sent at `sent_s` lets the holder act."""
-    return sent_s + terms.term_s - terms.margin_s
+    return sent_s + terms.held_s
--- a/toucanrudder/leases/holder.py
+++ b/toucanrudder/leases/holder.py
@@ -75,14 +75,14 @@
         terms: decision.Terms = decision.DEFAULT_TERMS,
     ):
         self._store = store
-        self._name = name
-        self._me = me
+        self.name = name
+        self.me = me
         self._is_candidate = is_candidate
         self._floor = floor
         self._timeout_s = timeout_s
         self._rng = rng or random.Random()
         self._clock = clock
-        self._terms = terms
+        self.terms = terms
         self._seen: decision.Seen | None = None
         self._lease: decision.Lease | None = None
 
@@ -106,12 +106,28 @@
             _count("lost_before_order")
             raise errors.RudderError(
                 errors.Code.LEASE_LOST,
-                f"lease {self._name} is not held any more",
+                f"lease {self.name} is not held any more",
                 step=STEP,
                 peer="store",
             )
         return lease
 
+    def observe(self, found: interface.StoredObject, now_s: float) -> None:
+        """Take in the lease's object as a watch has told it.
+
+        Failure: the holder falls silent.  Symptom: whoever first reads the
+        lease only when there is work waits out a whole term from then on,
+        so the next orders come twice as late as they could.  Whoever was
+        told of each write counts from the last one.
+        """
+        if self._seen is None or found.version > self._seen.version:
+            self._seen = _seen(self._seen, found, now_s)
+
+    def is_others(self, now_s: float) -> bool:
+        """Whether another is known to hold it; asking would tell no more."""
+        step = decision.next_step(self._seen, self.me, now_s, self.terms)
+        return step is decision.Step.WAIT
+
     async def run(self) -> None:
         """Try to get the lease and keep it, until cancelled."""
         while True:
@@ -126,11 +142,11 @@
         Raises the store's exceptions; calling again is always safe.
         """
         found = await self._store.get(
-            KIND, self._name, timeout_s=self._timeout_s
+            KIND, self.name, timeout_s=self._timeout_s
         )
         now_s = self._clock()
         self._seen = _seen(self._seen, found, now_s)
-        step = decision.next_step(self._seen, self._me, now_s, self._terms)
+        step = decision.next_step(self._seen, self.me, now_s, self.terms)
         if step is decision.Step.WAIT:
             self._forget()
             return
@@ -152,7 +168,7 @@
         with contextlib.suppress(*_FAILED):
             await self._store.update(
                 KIND,
-                self._name,
+                self.name,
                 attrs.asdict(record),
                 self._seen.version,
                 timeout_s=self._timeout_s,
@@ -160,17 +176,18 @@
 
     async def _write(self, step: decision.Step) -> None:
         record = self._next_record(step)
+        released = self._seen is not None and not self._seen.record.holder
         sent_s = self._clock()
         value = attrs.asdict(record)
         try:
             if self._seen is None:
                 version = await self._store.create(
-                    KIND, self._name, value, timeout_s=self._timeout_s
+                    KIND, self.name, value, timeout_s=self._timeout_s
                 )
             else:
                 version = await self._store.update(
                     KIND,
-                    self._name,
+                    self.name,
                     value,
                     self._seen.version,
                     timeout_s=self._timeout_s,
@@ -181,7 +198,7 @@
             _count("answer_lost")
             version = await self._version_if_written(record)
         self._seen = decision.Seen(version, record, self._clock())
-        self._hold(record, sent_s)
+        self._hold(record, sent_s, released)
 
     def _next_record(self, step: decision.Step) -> decision.Record:
         before = self._seen.record if self._seen else decision.Record()
@@ -192,26 +209,28 @@
             # Above the floor too: the store may have come back older,
             # and engines that check would refuse a number they are past.
             fencing = max(fencing, floor) + 1
-        return decision.Record(self._me, fencing, uuid.uuid4().hex)
+        return decision.Record(self.me, fencing, uuid.uuid4().hex)
 
     async def _version_if_written(self, record: decision.Record) -> int:
         found = await self._store.get(
-            KIND, self._name, timeout_s=self._timeout_s
+            KIND, self.name, timeout_s=self._timeout_s
         )
         seen = _seen(None, found, self._clock())
         if seen is None or seen.record.write_id != record.write_id:
             raise interface.ConditionFailed("another write came first")
         return found.version
 
-    def _hold(self, record: decision.Record, sent_s: float) -> None:
+    def _hold(
+        self, record: decision.Record, sent_s: float, released: bool
+    ) -> None:
         before = self._lease
-        acquired_s = self._clock()
+        until_s = decision.until_s(sent_s, self.terms)
         if before is not None and before.fencing == record.fencing:
-            acquired_s = before.acquired_s
-        else:
-            _count("acquired")
+            self._lease = attrs.evolve(before, until_s=until_s)
+            return
+        _count("acquired")
         self._lease = decision.Lease(
-            record.fencing, acquired_s, decision.until_s(sent_s, self._terms)
+            record.fencing, self._clock(), until_s, released
         )
 
     def _forget(self) -> None:
--- a/toucanrudder/leases/tests/test_leases.py
+++ b/toucanrudder/leases/tests/test_leases.py
@@ -277,3 +277,106 @@
     made = holder.LeaseHolder(None, "weights", "me")
     assert made._clock is clock.now_s
     assert abs(clock.now_s() - time.clock_gettime(time.CLOCK_BOOTTIME)) < 60
+
+
+FAILOVER_S = 3.0
+STEP_S = 0.05
+
+#: How the holder goes: the part of the failover time after which it acts
+#: again.
+WENT = {
+    "killed, or cut from the store": float("inf"),
+    "frozen, and wakes too late": 1.7,
+    "frozen for a moment": 0.3,
+}
+
+
+class Watcher(Contender):
+    """Is told of each write, and takes the lease when it may."""
+
+    def __init__(self, store, true, me, failover_s):
+        super().__init__(store, true, me)
+        self.holder.terms = decision.terms_within(failover_s)
+
+    async def turn(self):
+        stored = await self.holder._store.get(
+            holder.KIND, "weights", timeout_s=1.0
+        )
+        if stored is not None:
+            self.holder.observe(stored, self.clock())
+        if not self.holder.is_others(self.clock()):
+            await self.look()
+
+
+@pytest.mark.parametrize("failover_s", [1.0, FAILOVER_S])
+@pytest.mark.parametrize("back_share", WENT.values(), ids=WENT.keys())
+async def test_another_holder_follows_in_time(back_share, failover_s):
+    """The holder falls silent right after it has renewed its lease.
+
+    Callers wait for new weights meanwhile.  The next in line has been told
+    of that renewal and holds the lease within the time that is set, and at
+    no moment may both act: a holder that wakes finds that it may not.
+    """
+    true = [100.0]
+    store = memory.MemoryObjectStore()
+    first, second = (Watcher(store, true, me, failover_s) for me in ("a", "b"))
+    await first.turn()
+    await second.turn()
+    assert first.held()
+    went_s, taken_s = true[0], None
+    while true[0] < went_s + 3 * failover_s:
+        true[0] += STEP_S
+        if true[0] - went_s >= back_share * failover_s:
+            await first.turn()
+        await second.turn()
+        assert not (first.held() and second.held())
+        if taken_s is None and second.held():
+            taken_s = true[0] - went_s
+    if back_share < 0.6:
+        # It was back before its lease had lapsed, and kept it.
+        assert taken_s is None
+        return
+    assert taken_s <= failover_s
+    assert not second.held().follows_release
+
+
+async def test_a_released_lease_is_taken_at_once_but_marked():
+    """The holder stops and gives its lease up; its last order may be late.
+
+    The next in line takes the lease without waiting, and knows that an
+    order of the one before may still be on its way.
+    """
+    true = [100.0]
+    store = memory.MemoryObjectStore()
+    first, second = (Watcher(store, true, me, FAILOVER_S) for me in ("a", "b"))
+    await first.turn()
+    await first.holder.release()
+    await second.turn()
+    assert second.held().follows_release
+
+
+async def test_a_spoilt_lease_is_waited_out_and_outnumbered():
+    """Another writer replaces the lease's object by something else.
+
+    Taken over at once, two could act; never taken over, no engine would
+    get new weights.  The number goes on above all that were in use.
+    """
+    true = [100.0]
+    store = memory.MemoryObjectStore()
+    first, second = (Watcher(store, true, me, FAILOVER_S) for me in ("a", "b"))
+    await first.turn()
+    fencing = first.held().fencing
+    stored = await store.get(holder.KIND, "weights", timeout_s=1.0)
+    await store.update(
+        holder.KIND, "weights", {"fencing": "x"}, stored.version, timeout_s=1.0
+    )
+    while first.held():
+        true[0] += STEP_S
+        await second.turn()
+    while not (first.held() or second.held()):
+        true[0] += STEP_S
+        await first.turn()
+        await second.turn()
+    assert not (first.held() and second.held())
+    assert (first.held() or second.held()).fencing > fencing
+    assert true[0] - 100.0 <= FAILOVER_S + STEP_S
--- a/toucanrudder/platform/tests/test_platform.py
+++ b/toucanrudder/platform/tests/test_platform.py
@@ -632,6 +632,23 @@
     assert answer.body == EVENTS
 
 
+async def test_weights_past_their_time_get_no_work(site):
+    # The router that gives the orders is cut off, and new weights were
+    # named almost as long ago as engines have to follow.  A request sent
+    # now could begin too late, so its caller is told at once to come back,
+    # and nothing runs.
+    engine = await site.engine()
+    router = await site.router()
+    engine.busy = True
+    bound_s = router.state.pace.bound_s
+    router.state.weights_named("m", 2, clock.now_s() - bound_s)
+    answer = await asked(router, b"/s/x")
+    assert answer.status == 503
+    assert b"weights_too_old" in answer.body
+    assert float(answer.get(b"retry-after")) > 0
+    assert not engine.runs
+
+
 async def test_one_router_orders_at_a_time(site):
     # Two routers see the same new version.  One of them holds the lease
     # and gives all orders; the other gives none.
@@ -682,6 +699,21 @@
     await stop
 
 
+async def test_a_stopping_router_takes_no_long_streams_late(site):
+    # A stop has been under way for some seconds when a stream comes on a
+    # connection kept open.  Taken, it would be cut in its midst when the
+    # process ends; it has not run, so its caller is sent elsewhere.
+    engine = await site.engine()
+    router = await site.router()
+    now_s = clock.now_s()
+    router.state.stopping = True
+    router.state.stopping_since_s = now_s - 4.0
+    router.state.stop_at_s = now_s + 2.5
+    answer = await asked(router, b"/s/x")
+    assert answer.status == 503
+    assert not engine.runs
+
+
 async def test_no_upstream_is_a_refusal_at_once(site):
     router = await site.router()
     began_s = time.monotonic()
--- a/toucanrudder/settings/forwarding.py
+++ b/toucanrudder/settings/forwarding.py
@@ -54,6 +54,25 @@
     ),
 )
 
+WEIGHTS = (
+    cfg.IntOpt(
+        "bound_ms",
+        default=8000,
+        min=1000,
+        max=3_600_000,
+        help="Milliseconds after new weights were named from which no "
+        "request may begin on older ones.",
+    ),
+    cfg.IntOpt(
+        "lease_ms",
+        default=3000,
+        min=500,
+        max=600_000,
+        help="Milliseconds within which another router gives the orders to "
+        "load weights when the one that gave them has fallen silent.",
+    ),
+)
+
 SHUTDOWN = (
     cfg.FloatOpt(
         "grace_s",
@@ -78,6 +97,7 @@
     "peers": PEERS,
     "store": options.STORE,
     "retries": RETRIES,
+    "weights": WEIGHTS,
     "shutdown": SHUTDOWN,
     "logging": options.LOGGING,
 }
