Say why requests were late or lost, over all requests of collected logs

toucanrudder summary counts each request under the first cause that fits; the lines of a placed and an answered request carry what that needs: the wait here, the prompt's length, the objective and the longest pause.

--- a/toucanrudder/cli/commands.py
+++ b/toucanrudder/cli/commands.py
@@ -71,6 +71,18 @@
             print(line.text())
         return exits.Exit.DONE if lines else exits.Exit.FAILED
 
+    @_AS_TEXT
+    def summary(self, *files: str) -> exits.Exit:
+        """Print why requests were late or lost, from collected log lines.
+
+        Example: toucanrudder summary router-*.log
+        """
+        from toucanrudder.cli import summary
+
+        text = summary.text(map(pathlib.Path, files))
+        print(text)
+        return exits.Exit.DONE if text else exits.Exit.FAILED
+
     @_AS_TEXT
     def check(self, settings: str, json: bool = False) -> exits.Exit:
         """Check a settings file, and the files it names, before a start.
--- a/toucanrudder/cli/explain.py
+++ b/toucanrudder/cli/explain.py
@@ -42,8 +42,9 @@
         return f"{self.at}  {self.file}  {self.event}: {said}"
 
 
-def _objects(text: str) -> Iterator[dict]:
-    for raw in text.splitlines():
+def objects(lines: Iterable[str]) -> Iterator[dict]:
+    """Return what the lines of a collected log say; others are left out."""
+    for raw in lines:
         # Collectors put a time or a name before each line.
         start = raw.find("{")
         if start < 0:
@@ -74,7 +75,7 @@
             {key: each[key] for key in each if key not in _HEAD},
         )
         for path in paths
-        for each in _objects(path.read_text(errors="replace"))
+        for each in objects(path.read_text(errors="replace").splitlines())
         if each.get("request_id") == request_id
     ]
     return sorted(found, key=lambda line: line.at)
--- a/toucanrudder/forwarding/attempt.py
+++ b/toucanrudder/forwarding/attempt.py
@@ -201,10 +201,12 @@
                 upstream=upstream.incarnation,
                 attempt=self.course.attempt_count,
                 reason=choice.reason,
+                waited_s=now_s - self.course.request.began_s,
                 left_s=self.course.left_s(),
                 generation=self.state.generation,
                 weights_version=version,
                 weights_age_s=age_s,
+                prompt_tokens=self.prompt.prompt_tokens if self.prompt else 0,
                 missing_tokens=choice.missing_tokens,
                 copy_from=choice.copy_from,
                 save_to=choice.save_to,
@@ -366,6 +368,7 @@
         if not self.course.answer.started:
             await self.course.start(head)
         await self.course.answer.write(b"".join(whole))
+        self.course.note_events()
         last = self.course.dialect.event_id(whole[-1])
         if last is not None:
             self.course.last_event = last
--- a/toucanrudder/forwarding/course.py
+++ b/toucanrudder/forwarding/course.py
@@ -61,6 +61,8 @@
     upstream: str = ""
     status: int = 0
     first_s: float = 0.0
+    longest_gap_s: float = 0.0
+    last_event_s: float = 0.0
     copy_at: model.Upstream | None = None
     continues: bool = False
     in_doubt: bool = False
@@ -103,6 +105,9 @@
                 first_s=self.first_s,
                 whole_s=whole_s,
                 events=self.progress.events,
+                longest_gap_s=self.longest_gap_s,
+                objective_s=self.route.objective_s,
+                event_gap_s=self.route.event_gap_s,
             )
         )
         kind = self.route.repetition.value
@@ -111,6 +116,14 @@
             "toucanrudder_first_part_seconds", "s", "Until the answer began"
         ).record(self.first_s, {"kind": kind})
 
+    def note_events(self) -> None:
+        """Note that events of a stream have been passed on now."""
+        now_s = clock.now_s()
+        if self.last_event_s:
+            gap_s = now_s - self.last_event_s
+            self.longest_gap_s = max(self.longest_gap_s, gap_s)
+        self.last_event_s = now_s
+
     def _late(self) -> errors.RudderError:
         if self.in_doubt or self.progress.may_have_run:
             return errors.RudderError(
--- a/toucanrudder/observability/decisions.py
+++ b/toucanrudder/observability/decisions.py
@@ -135,10 +135,12 @@
     upstream: str
     attempt: int
     reason: str
+    waited_s: float
     left_s: float
     generation: int
     weights_version: int | None
     weights_age_s: float
+    prompt_tokens: int
     missing_tokens: int
     copy_from: str
     save_to: str
@@ -185,6 +187,9 @@
     first_s: float
     whole_s: float
     events: int
+    longest_gap_s: float
+    objective_s: float
+    event_gap_s: float
 
 
 @attrs.frozen(kw_only=True)
--- a/toucanrudder/observability/tests/test_lines.py
+++ b/toucanrudder/observability/tests/test_lines.py
@@ -19,6 +19,9 @@
     first_s=0.01234567,
     whole_s=0.5,
     events=3,
+    longest_gap_s=0.2,
+    objective_s=0.4,
+    event_gap_s=0.4,
 )
 REFUSED = decisions.Refused(
     request_id="id2",
