Compare waits and prompts by learned reading speeds and told links

Cause: costs stood in tokens of one engine's speed and one link's width; where an engine reads 44 tokens a ms, or a store's link is a third as wide, waits, copies and old weights were rated wrongly by as much. Costs are seconds now; the reading speed is learned from first events, copies follow from what the configuration says of links and sizes.

--- a/toucanrudder/forwarding/attempt.py
+++ b/toucanrudder/forwarding/attempt.py
@@ -106,6 +106,7 @@
 
     course: "courses.Course"
     choice: placing.Choice
+    sent_at_s: float = 0.0
 
     @property
     def state(self) -> states.ForwardingState:
@@ -180,6 +181,7 @@
             ),
         )
         self._note_placed(choice)
+        self.sent_at_s = clock.now_s()
         connection.send(head, self.course.request.body)
         self.course.in_doubt = True
 
@@ -311,8 +313,8 @@
                 raise TryEnded(tries.Ended.CROSSED) from None
             if whole:
                 if sent.prefill_tokens:
+                    self._note_read(upstream, sent.prefill_tokens)
                     sent.first()
-                    self._has_read(upstream)
                 await self._pass_events(head, whole)
         if splitter.rest:
             raise TryEnded(tries.Ended.BROKEN)
@@ -320,7 +322,15 @@
             await self.course.start(head)
         await self.course.answer.end()
 
-    def _has_read(self, upstream: model.Upstream) -> None:
+    def _note_read(self, upstream: model.Upstream, unread_tokens: int) -> None:
+        """Learn from the first event: the prompt has been read."""
+        if not self.choice.copied_tokens:
+            # A copy takes time of its own.
+            self.state.reading.read(
+                self.course.service,
+                unread_tokens,
+                clock.now_s() - self.sent_at_s,
+            )
         if self.prompt is not None:
             self.state.cache.read(
                 upstream.incarnation,
--- a/toucanrudder/forwarding/course.py
+++ b/toucanrudder/forwarding/course.py
@@ -197,14 +197,14 @@
         if not usable:
             raise self._nobody(candidates)
         if self.call.prompt is not None:
+            store = self.state.store_for(self.call.prompt, self.wall(), now_s)
             choice = placing.for_prompt(
                 self.call.prompt,
                 self.wall(),
                 usable,
                 self.state.cache,
-                store=self.state.store_for(
-                    self.call.prompt, self.wall(), now_s
-                ),
+                store=store,
+                speed=self.state.speed_of(self.service, store),
                 now_s=now_s,
             )
             self.copy_at = self._place_for_copy(choice, candidates, now_s)
--- a/toucanrudder/forwarding/model.py
+++ b/toucanrudder/forwarding/model.py
@@ -80,11 +80,17 @@
         Tokens that its memory holds.
     takes_copies : bool
         Whether it can hold a copy of another's run and go on with it.
+    token_bytes : float
+        Memory of one token, which a copy moves; 0 if it is not told.
+    link_bits_per_s : float
+        Width of its link for copies; 0 if it is not told.
     """
 
     slots: int
     cache_tokens: int
     takes_copies: bool = False
+    token_bytes: float = 0.0
+    link_bits_per_s: float = 0.0
 
 
 @attrs.frozen
@@ -105,10 +111,13 @@
         ``IP:port``; also its identity.
     zone : str
         Its availability zone.
+    link_bits_per_s : float
+        Width of its link; 0 if it is not told.
     """
 
     address: str
     zone: str = ""
+    link_bits_per_s: float = 0.0
 
 
 @attrs.frozen
--- a/toucanrudder/forwarding/placing.py
+++ b/toucanrudder/forwarding/placing.py
@@ -19,27 +19,32 @@
 from toucanrudder.forwarding import loads
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import rollout
+from toucanrudder.forwarding import speeds
 from toucanrudder.forwarding import stores
 from toucanrudder.placement import rendezvous
 
-#: Prompt tokens that an engine could have read in the time that one more
-#: running request costs the others: a decode step gets longer by about
-#: 0.011 ms a request, over some 80 steps, at about 60 tokens a ms.
-TOKENS_PER_RUNNING = 60
+#: What one more running request costs the others there: a decode step
+#: gets longer by about 0.011 ms, over some 80 steps.
+RUNNING_S = 0.001
 
-#: The same for a request that waits there for memory or a slot: it takes
-#: about half a second until one of those that run has ended.
-TOKENS_PER_WAITING = 8_000
+#: The same for a request that waits there for memory or a slot: its share
+#: of the half second until one of those that run has ended.
+WAITING_S = 0.13
 
 #: Share of an engine's slots beyond which a request would have to wait.
 FULL_SHARE = 0.9
 
-#: Cost in tokens of an upstream whose weights have been superseded for
-#: longer than OLD_AFTER_S: an answer made on them loses a fifth of its
-#: worth, which callers rate higher than about 300 ms of waiting.
-OLD_WEIGHTS_TOKENS = 18_000
+#: Cost of an upstream whose weights have been superseded for longer than
+#: OLD_AFTER_S: an answer made on them loses a fifth of its worth, which
+#: callers rate higher than about 300 ms of waiting.
+OLD_WEIGHTS_S = 0.3
 OLD_AFTER_S = 1.2
 
+#: The same as soon as they have been superseded: a run that is under way
+#: when its engine loads new ones stands still meanwhile, and what it makes
+#: afterwards is worth nothing.  Less, as most runs end before.
+SUPERSEDED_S = 0.1
+
 #: Part of the time within which engines must have new weights, from which
 #: an older one gets work only if there is no other: its answers are worth
 #: nothing at the end of that time, and are worth less long before.
@@ -54,17 +59,8 @@
 #: until one of those that run has ended, and there may be two before.
 CLOSE_WAITING_S = 2.0
 
-#: Cost of one failed request in five, in tokens: what a retry costs.
-FAILURE_TOKENS = 60_000
-
-#: Cost of a token that is copied from another engine, against one that
-#: is read: 164 KB at 1,100 Gbit/s take 1.2 us, between zones twice that,
-#: and an engine reads a token in 16 us.
-COPY_COST = 0.12
-
-#: The same for a token that a store of cached parts holds: its link is
-#: half as wide, and shared by all engines.
-STORE_COST = 0.25
+#: Cost of one failed request in five: what a retry costs.
+FAILURE_S = 1.0
 
 #: Part of a prompt's unread shared tokens that its home is credited with:
 #: other routers send there too, and probably have them read already.
@@ -82,6 +78,9 @@
 ZONE_SHARE = 0.17
 
 
+USUAL_SPEEDS = speeds.Speeds()
+
+
 @attrs.frozen
 class Candidate:
     """An upstream with what is known of it.
@@ -120,6 +119,8 @@
         Where the request goes.
     missing_tokens : int
         Prompt tokens that it will probably have to read.
+    copied_tokens : int
+        Those that it will probably get from elsewhere.
     copy_from : str
         Address of the engine or store that holds more of the prompt, or
         empty.
@@ -134,6 +135,7 @@
 
     upstream: model.Upstream
     missing_tokens: int = 0
+    copied_tokens: int = 0
     copy_from: str = ""
     save_to: str = ""
     reason: str = ""
@@ -197,6 +199,7 @@
     engine: model.Engine,
     candidates: Sequence[Candidate],
     now_s: float,
+    speed: speeds.Speeds = USUAL_SPEEDS,
 ) -> model.Upstream | None:
     """Return the engine that is to hold a copy of the run's memory.
 
@@ -221,7 +224,7 @@
     best = min(
         others,
         key=lambda each: (
-            _engine_cost(each, now_s),
+            _engine_cost(each, speed, now_s),
             each.upstream.zone == chosen.zone,
         ),
     )
@@ -236,7 +239,7 @@
     cached_tokens: int
     copy_tokens: int = 0
     copy_from: str = ""
-    copy_cost: float = COPY_COST
+    copy_cost: float = 0.0
 
 
 def for_prompt(
@@ -246,6 +249,7 @@
     index: cache.CacheIndex,
     *,
     store: model.CacheStore | None = None,
+    speed: speeds.Speeds = USUAL_SPEEDS,
     now_s: float,
 ) -> Choice:
     """Choose an engine for a prompt.
@@ -262,11 +266,15 @@
         What engines and stores are believed to hold.
     store : model.CacheStore or None
         Where the prompt's shared parts may be kept.
+    speed : speeds.Speeds
+        What the engines do in a second.
     now_s : float
         Monotonic time.
     """
-    held = _with_copies(_held(prompt, wall, candidates, index), now_s)
-    held = [_with_store(each, prompt, wall, store, index) for each in held]
+    held = _with_copies(_held(prompt, wall, candidates, index), speed, now_s)
+    held = [
+        _with_store(each, prompt, wall, store, index, speed) for each in held
+    ]
     shared_tokens = sum(part.tokens for part in prompt.shared)
     ranks = _ranks(prompt, wall, candidates)
     home = min(candidates, key=lambda each: ranks[each.upstream.incarnation])
@@ -281,13 +289,14 @@
         unread = max(0, shared_tokens - each.cached_tokens - each.copy_tokens)
         if rank == 0:
             tokens -= HOME_CREDIT * unread
-        return tokens + _engine_cost(each.candidate, now_s), rank
+        return tokens + _engine_cost(each.candidate, speed, now_s), rank
 
     best = min(held, key=cost)
     rank = ranks[best.candidate.upstream.incarnation]
     return Choice(
         best.candidate.upstream,
         missing(best),
+        best.copy_tokens,
         best.copy_from or _guess(best, home, shared_tokens, store),
         _save_to(best, shared_tokens, store, now_s),
         f"cached {best.cached_tokens}, copied {best.copy_tokens}, rank {rank}",
@@ -369,7 +378,9 @@
     return found
 
 
-def _with_copies(held: list[_Held], now_s: float) -> list[_Held]:
+def _with_copies(
+    held: list[_Held], speed: speeds.Speeds, now_s: float
+) -> list[_Held]:
     """Return the same with the best source for each."""
     sources = [
         each
@@ -400,6 +411,10 @@
             each,
             copy_tokens=copied,
             copy_from=best.candidate.upstream.address,
+            copy_cost=speed.copy_cost(
+                same_zone=best.candidate.upstream.zone
+                == each.candidate.upstream.zone
+            ),
         )
 
     return [source_for(each) for each in held]
@@ -411,6 +426,7 @@
     wall: str,
     store: model.CacheStore | None,
     index: cache.CacheIndex,
+    speed: speeds.Speeds,
 ) -> _Held:
     """Return the same, fetching from the store if that holds most."""
     if not _may_use(store, each.candidate):
@@ -426,25 +442,28 @@
         each,
         copy_tokens=fetched,
         copy_from=store.address,
-        copy_cost=STORE_COST,
+        copy_cost=speed.store_cost(
+            same_zone=store.zone == each.candidate.upstream.zone
+        ),
     )
 
 
-def _engine_cost(each: Candidate, now_s: float) -> float:
+def _engine_cost(each: Candidate, speed: speeds.Speeds, now_s: float) -> float:
     state = each.state
     slots = max(1, each.upstream.slots)
     running = each.requests(now_s)
     beyond = max(0.0, running - FULL_SHARE * slots)
-    cost = (
-        state.prefill_tokens
-        + each.peers_tokens
-        + TOKENS_PER_RUNNING * running
-        + TOKENS_PER_WAITING * beyond
-        + 5 * FAILURE_TOKENS * state.failure_share**2
+    cost_s = (
+        RUNNING_S * running
+        + WAITING_S * beyond
+        + 5 * FAILURE_S * state.failure_share**2
     )
     if each.weights_age_s > OLD_AFTER_S:
-        cost += OLD_WEIGHTS_TOKENS
-    return cost
+        cost_s += OLD_WEIGHTS_S
+    elif each.weights_age_s > 0:
+        cost_s += SUPERSEDED_S
+    unread = state.prefill_tokens + each.peers_tokens
+    return unread + speed.tokens(cost_s)
 
 
 def for_plain(
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -18,6 +18,7 @@
 from toucanrudder.forwarding import rollout
 from toucanrudder.forwarding import routing
 from toucanrudder.forwarding import shares
+from toucanrudder.forwarding import speeds
 from toucanrudder.forwarding import stores
 from toucanrudder.http1 import pool as pools
 from toucanrudder.observability import decisions
@@ -71,6 +72,7 @@
     peer_loads: peers_loads.PeerLoads = attrs.field(
         factory=lambda: peers_loads.PeerLoads(PEER_LOADS_KEPT_S)
     )
+    reading: speeds.ReadingSpeeds = attrs.field(factory=speeds.ReadingSpeeds)
     breaks: poison.BreakCounts = attrs.field(factory=poison.BreakCounts)
     ask_engine: Callable[
         [model.Upstream], Awaitable[rollout.Report | None]
@@ -176,6 +178,17 @@
         usable = self.store_health.usable(self.cache_stores(), now_s)
         return stores.store_for(prompt, wall, usable)
 
+    def speed_of(
+        self, service: str, store: model.CacheStore | None
+    ) -> speeds.Speeds:
+        """Return what a service's engines do in a second."""
+        found = self.configuration.services.get(service)
+        return speeds.speeds_of(
+            found.engine if found else None,
+            store,
+            self.reading.tokens_per_s(service),
+        )
+
     def candidates(
         self, service: str, prompt: model.Prompt | None, now_s: float
     ) -> list[placing.Candidate]:
--- a/toucanrudder/platform/objects.py
+++ b/toucanrudder/platform/objects.py
@@ -81,7 +81,9 @@
         },
         # A service with an address of its own is a store of cached parts.
         cache_stores=tuple(
-            model.CacheStore(each.kv_store_addr, each.zone or "")
+            model.CacheStore(
+                each.kv_store_addr, each.zone or "", each.link_mbps * 1e6
+            )
             for each in services
             if each.kv_store_addr is not None
         ),
--- a/toucanrudder/platform/records.py
+++ b/toucanrudder/platform/records.py
@@ -112,12 +112,15 @@
 
 
 _MS = 0.001
+_MBPS = 1e6
 
 # Of these, only names and units differ from ours.
 typed.spell(
     model.Engine,
     cache_tokens=typed.spelled("kv_capacity_tokens"),
     takes_copies=typed.spelled("backups"),
+    token_bytes=typed.spelled("kv_token_bytes"),
+    link_bits_per_s=typed.spelled("link_mbps", _MBPS),
 )
 typed.spell(model.Organisation, is_isolated=typed.spelled("isolated"))
 typed.spell(
@@ -138,6 +141,7 @@
         default=None, validator=typed.ADDRESS
     )
     zone: str | None = None
+    link_mbps: float = 0.0
 
 
 @attrs.frozen
