Never close engines that have the newest weights

Cause: the margin for requests that wait was taken off the time of newest weights too. With [weights] bound_ms at two seconds an engine where requests wait, at one second every engine, got no work at all.

--- a/toucanrudder/forwarding/placing.py
+++ b/toucanrudder/forwarding/placing.py
@@ -149,8 +149,11 @@
     have old ones past the time that is allowed.  Symptom: requests begin
     on them all the same, as there is no other engine.  Whoever sends none
     that could still wait then keeps the bound, whatever holds the orders
-    up; callers are told at once to come back.
+    up; callers are told at once to come back.  Newest weights never close,
+    however short the time is.
     """
+    if candidate.weights_age_s <= 0:
+        return float("inf")
     wait_s = CLOSE_WAITING_S if candidate.state.waiting(now_s) else CLOSE_S
     return bound_s - wait_s - candidate.weights_age_s
 
--- a/toucanrudder/forwarding/tests/test_decisions.py
+++ b/toucanrudder/forwarding/tests/test_decisions.py
@@ -616,3 +616,15 @@
         bound_s=bound_s,
     )
     assert [each.upstream.incarnation for each in found] == ["i2"]
+
+
+@pytest.mark.parametrize("bound_s", [1.0, 1.5, 2.0])
+@pytest.mark.parametrize("waiting", [0, 3])
+def test_newest_weights_get_work_however_short_the_time(bound_s, waiting):
+    # Engines must follow new weights within a second or two, and all have
+    # them.  The margin for requests that wait is as long as that time:
+    # taken off the time of newest weights too, it would close every
+    # engine, and callers would be refused for good.
+    load = model.Load(8, waiting, 8)
+    newest = candidate("i1", load=load, load_at_s=10.0)
+    assert placing.usable([newest], now_s=10.0, bound_s=bound_s)
