Spell the width of a store's link where the other fields are spelled

Megabits were turned into bits at two places, by a named factor and by a literal; a placement built its speeds in up to three objects, each for one field. Behaviour is the same.

--- a/toucanrudder/forwarding/speeds.py
+++ b/toucanrudder/forwarding/speeds.py
@@ -143,12 +143,15 @@
     >>> round(speeds_of(wide, None, 44_000.0).copy_token_s * 1e6, 3)
     0.596
     """
-    found = Speeds(read_tokens_per_s)
-    if engine is None or not engine.token_bytes:
-        return found
-    bits = 8 * engine.token_bytes
-    if engine.link_bits_per_s:
-        found = attrs.evolve(found, copy_token_s=bits / engine.link_bits_per_s)
-    if store is not None and store.link_bits_per_s:
-        found = attrs.evolve(found, store_token_s=bits / store.link_bits_per_s)
-    return found
+    token_bits = 8 * engine.token_bytes if engine else 0.0
+
+    def token_s(link: model.Engine | model.CacheStore | None, prior_s: float):
+        if link is None or not (token_bits and link.link_bits_per_s):
+            return prior_s
+        return token_bits / link.link_bits_per_s
+
+    return Speeds(
+        read_tokens_per_s,
+        copy_token_s=token_s(engine, PRIOR_COPY_S),
+        store_token_s=token_s(store, PRIOR_STORE_S),
+    )
--- a/toucanrudder/platform/objects.py
+++ b/toucanrudder/platform/objects.py
@@ -79,10 +79,9 @@
             for each in services
             if each.kv_store_addr is None
         },
-        # A service with an address of its own is a store of cached parts.
         cache_stores=tuple(
             model.CacheStore(
-                each.kv_store_addr, each.zone or "", each.link_mbps * 1e6
+                each.kv_store_addr, each.zone or "", each.link_bits_per_s
             )
             for each in services
             if each.kv_store_addr is not None
--- a/toucanrudder/platform/records.py
+++ b/toucanrudder/platform/records.py
@@ -74,8 +74,7 @@
     state: str = attrs.field(
         validator=attrs.validators.in_(("ready", "draining"))
     )
-    #: Millisecond of its start; 0 where it does not say.  A process that
-    #: starts again keeps its name, and this tells the two apart.
+    #: Unix millisecond of its start; 0 where it does not say.
     born: int = attrs.field(default=0, validator=typed.NOT_NEGATIVE)
     zone: str = ""
     slots: int = attrs.field(default=1, validator=typed.COUNT)
@@ -141,7 +140,10 @@
         default=None, validator=typed.ADDRESS
     )
     zone: str | None = None
-    link_mbps: float = 0.0
+    link_bits_per_s: float = 0.0
+
+
+typed.spell(Service, link_bits_per_s=typed.spelled("link_mbps", _MBPS))
 
 
 @attrs.frozen
--- a/toucanrudder/platform/tests/test_records.py
+++ b/toucanrudder/platform/tests/test_records.py
@@ -73,7 +73,12 @@
                 "backups": True,
             },
         },
-        {"name": "parts", "kv_store_addr": "10.0.0.9:80", "zone": "za"},
+        {
+            "name": "parts",
+            "kv_store_addr": "10.0.0.9:80",
+            "zone": "za",
+            "link_mbps": 2_000.0,
+        },
     ],
     "limits": {"max_body_bytes": 10, "idle_timeout_ms": 15_000},
     "tenants": [{"name": "n", "api_keys": ["k"], "priority": 1}],
@@ -136,7 +141,7 @@
     assert route.repetition is model.Repetition.RESUMABLE
     assert route.splits == (model.Split("engines", 90.0),)
     assert found.services["engines"].engine == model.Engine(64, 90_000, True)
-    assert found.cache_stores == (model.CacheStore("10.0.0.9:80", "za"),)
+    assert found.cache_stores == (model.CacheStore("10.0.0.9:80", "za", 2e9),)
     assert found.organisations == (
         model.Organisation("n", frozenset({"k"}), 1, False),
     )
