Read leniently only what can be written as strict JSON again

Cause: an entry that the strict parser refuses was read leniently, and half of a surrogate pair or a number beyond 64 bits stayed in it. Where a few routers read the registry for all, writing such an entry for the others failed, and none of them heard of any change from that reader; the same in a configuration ended the task that follows it.

--- a/toucanrudder/http1/calls.py
+++ b/toucanrudder/http1/calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import functools
 import logging
 
 import attrs
@@ -45,7 +46,8 @@
     Failure: one object of a list holds such bytes.  Symptom: a strict
     parser refuses the whole list, on each try, and nothing in it is
     followed any more.  Read leniently, that object alone holds characters
-    that no name has.
+    that no name has; all of it can be written as strict JSON again, for
+    peers that are told of it.
 
     Examples
     --------
@@ -62,11 +64,39 @@
     import json
 
     try:
-        return json.loads(content.decode(errors="replace"), strict=False)
+        found = json.loads(content.decode(errors="replace"), strict=False)
+        return _writable(found)
     except (ValueError, RecursionError) as error:
         raise Unreadable(str(error)) from error
 
 
+@functools.singledispatch
+def _writable(value: object) -> object:
+    """Return a leniently read value as strict JSON can hold it."""
+    return value
+
+
+@_writable.register
+def _(value: str) -> str:
+    # Half of a surrogate pair can be escaped, but not encoded.
+    return value.encode(errors="replace").decode()
+
+
+@_writable.register
+def _(value: int) -> int | float:
+    return value if abs(value) < 2**63 else float("inf")
+
+
+@_writable.register
+def _(value: list) -> list:
+    return [_writable(each) for each in value]
+
+
+@_writable.register
+def _(value: dict) -> dict:
+    return {_writable(key): _writable(each) for key, each in value.items()}
+
+
 async def call(
     connections: pool.ConnectionPool,
     address: str,
