Read addresses in one place; ask the registry itself which start is earlier

The document's validation and the typed records each split IP:port and checked the port. Records still take dotted addresses without brackets only, as before. Whether an entry is of an earlier start stood beside the registry's own test.

--- a/toucanrudder/document/validation.py
+++ b/toucanrudder/document/validation.py
@@ -2,12 +2,12 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
-import ipaddress
 import json
 
 import attrs
 import jsonschema
 
+from toucanrudder import addresses
 from toucanrudder import errors
 from toucanrudder.document import model
 from toucanrudder.document import schema
@@ -224,7 +224,7 @@
     for index, upstream in enumerate(document.upstreams):
         path = f"$.upstreams[{index}]"
         yield from _unknown(f"{path}.models", "model", upstream.models, models)
-        if not _is_address(upstream.address):
+        if addresses.ip_of(upstream.address) is None:
             yield Problem(f"{path}.address", "is not IP:port")
         if upstream.kind == model.ENGINE and not upstream.models:
             yield Problem(f"{path}.models", "an engine needs a model")
@@ -248,12 +248,3 @@
             "path_prefix",
             [(route.method, route.path_prefix) for route in service.routes],
         )
-
-
-def _is_address(text: str) -> bool:
-    host, _, port = text.rpartition(":")
-    try:
-        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
-    except ValueError:
-        return False
-    return port.isdecimal() and 0 < int(port) < 65536
--- a/toucanrudder/forwarding/following.py
+++ b/toucanrudder/forwarding/following.py
@@ -284,7 +284,8 @@
             return
         # An entry that cannot be read names no upstream to use.
         known = registry.named(change.object.name)
-        if known is None or _is_newer(known, upstream):
+        is_earlier = upstream is not None and registry.is_past(upstream)
+        if known is None or is_earlier:
             return
         registry.remove(known.incarnation, now_s)
         _note_upstream(known, "went")
@@ -315,11 +316,6 @@
                 self._peering.client.hasten()
 
 
-def _is_newer(known: model.Upstream, gone: model.Upstream | None) -> bool:
-    """Whether an entry that is gone was that of an earlier start."""
-    return gone is not None and gone.born_ms < known.born_ms
-
-
 def _note_upstream(upstream: model.Upstream, change: str) -> None:
     decisions.record(
         decisions.UpstreamSeen(
--- a/toucanrudder/platform/tests/test_records.py
+++ b/toucanrudder/platform/tests/test_records.py
@@ -155,6 +155,7 @@
     "address is a number": {"address": 8080},
     "address is a name": {"address": "host.example:80"},
     "address without a port": {"address": "10.0.0.1"},
+    "address in brackets": {"address": "[10.0.0.1]:80"},
     "port out of range": {"address": "10.0.0.1:70000"},
     "slots are a text": {"slots": "8"},
     "no slots": {"slots": 0},
--- a/toucanrudder/store/typed.py
+++ b/toucanrudder/store/typed.py
@@ -16,13 +16,12 @@
 import cattrs
 from cattrs import gen
 
+from toucanrudder import addresses
 from toucanrudder.store import interface
 
 #: Largest whole number that is believed: what fits 63 bits.
 _MOST = 2**63 - 1
 
-_PORTS = range(1, 65_536)
-
 Made = typing.TypeVar("Made")
 
 
@@ -165,12 +164,10 @@
 
 
 def _is_address(value: str) -> bool:
-    host, _, port = value.rpartition(":")
-    try:
-        ipaddress.IPv4Address(host)
-    except ValueError:
-        return False
-    return port.isdecimal() and int(port) in _PORTS
+    found = addresses.ip_of(value)
+    is_v4 = isinstance(found, ipaddress.IPv4Address)
+    # In brackets it would be taken for a name when it is connected to.
+    return is_v4 and value.startswith(str(found))
 
 
 def _is_word(value: str) -> bool:
