Say why an engine gets no order, and when a controller ends by itself

The lines of a router could not tell an engine that it cannot reach from one that it does not know, nor a task that has ended from one that has nothing to do: all three leave no line. OrderMissed says since when an engine that is to be ordered has given no report, and how old the router's list is; ControllerEnded names a task that ended though the router did not stop. No decision changes.

--- a/toucanrudder/controllers/feeds.py
+++ b/toucanrudder/controllers/feeds.py
@@ -57,11 +57,14 @@
         Takes one change.
     returned : callable
         Called before anything is told after an outage.
+    confirmed : callable
+        Called when all that has been told is known to be up to date.
     """
 
     replaced: Callable[[tuple[interface.StoredObject, ...], float], None]
     changed: Callable[[feed.Change, float], None]
     returned: Callable[[float], None] = lambda now_s: None
+    confirmed: Callable[[float], None] = lambda now_s: None
 
 
 class FeedController:
@@ -133,6 +136,7 @@
             )
             now_s = self._answered()
             self._follower.replaced(found.objects, now_s)
+            self._follower.confirmed(now_s)
             self._revision = found.revision
             return
         # After a failure a short wait tells soon whether the store is back.
@@ -143,6 +147,7 @@
         now_s = self._answered()
         for change in found.changes:
             self._follower.changed(change, now_s)
+        self._follower.confirmed(now_s)
         self._revision = found.revision
         if found.changes:
             await asyncio.sleep(gather_s(self._followers()))
--- a/toucanrudder/forwarding/following.py
+++ b/toucanrudder/forwarding/following.py
@@ -211,6 +211,7 @@
                     self._upstreams,
                     self._upstream,
                     self._state.registry.returned,
+                    self._state.registry.confirmed,
                 ),
             ),
             self._controller(
--- a/toucanrudder/forwarding/orders.py
+++ b/toucanrudder/forwarding/orders.py
@@ -52,6 +52,10 @@
 #: fencing numbers would obey it.
 SETTLE_S = 1.0
 
+#: Time between two lines on an engine that cannot be ordered: a place is
+#: tried anew about every half second, for as long as the engine is listed.
+NOTE_S = 1.0
+
 #: Routers, the first in line, that watch the lease, so that they know how
 #: long a holder has been silent: as many as may go at once with it.
 WATCHERS = 3
@@ -92,6 +96,14 @@
         """
 
 
+@attrs.define
+class Unanswered:
+    """An engine that was to be ordered and gave no report."""
+
+    since_s: float
+    noted_s: float = float("-inf")
+
+
 class RolloutController:
     """Brings all engines to the newest weights.
 
@@ -130,6 +142,7 @@
         self._calls = 0
         self._tasks: set[asyncio.Task] = set()
         self._doubted: set[str] = set()
+        self._unanswered: dict[str, Unanswered] = {}
 
     def _newest(self) -> dict[str, int]:
         return {
@@ -179,6 +192,7 @@
         if not undone:
             self._undone_since_s = None
             self._given.clear()
+            self._unanswered.clear()
         elif self._undone_since_s is None:
             self._undone_since_s = now_s
         return undone
@@ -279,6 +293,7 @@
         for each in engines:
             if each.incarnation not in open_names:
                 self._given.pop(each.incarnation, None)
+                self._unanswered.pop(each.incarnation, None)
 
     def doubt(self, upstream: model.Upstream) -> None:
         """Ask an engine for its weights: they are not what was believed."""
@@ -345,6 +360,32 @@
             return None
         return report
 
+    def _note_answer(
+        self, task: rollout.Task, report: rollout.Report | None
+    ) -> None:
+        """Say why an engine gets no order, if it gets none."""
+        name, now_s = task.upstream.incarnation, clock.now_s()
+        if report is not None and not report.is_busy:
+            self._unanswered.pop(name, None)
+            return
+        silence = self._unanswered.setdefault(name, Unanswered(now_s))
+        if now_s - silence.noted_s < NOTE_S:
+            return
+        silence.noted_s = now_s
+        lease = self._lease.held(now_s)
+        decisions.record(
+            decisions.OrderMissed(
+                upstream=name,
+                model=task.model,
+                version=task.version,
+                had_version=task.upstream.weights.get(task.model, 0),
+                reason="busy" if report else "no_report",
+                unanswered_s=now_s - silence.since_s,
+                list_age_s=self._state.registry.age_s(now_s),
+                fencing=lease.fencing if lease else 0,
+            )
+        )
+
     async def _emptied(
         self, task: rollout.Task, report: rollout.Report
     ) -> rollout.Report | None:
@@ -371,6 +412,7 @@
     async def _ordered(self, task: rollout.Task) -> bool:
         name = task.upstream.incarnation
         report = await self.asked(task.upstream)
+        self._note_answer(task, report)
         if report is None or report.is_busy:
             await asyncio.sleep(ASK_S)
             return False
--- a/toucanrudder/observability/decisions.py
+++ b/toucanrudder/observability/decisions.py
@@ -125,6 +125,29 @@
     took_s: float
 
 
+@attrs.frozen(kw_only=True)
+class OrderMissed:
+    """An engine lacks weights and could not be ordered to load them."""
+
+    upstream: str
+    model: str
+    version: int
+    had_version: int
+    reason: str
+    unanswered_s: float
+    list_age_s: float
+    fencing: int
+
+
+@attrs.frozen(kw_only=True)
+class ControllerEnded:
+    """A controller ended though the router did not stop."""
+
+    controller: str
+    error: str
+    starts_again: bool
+
+
 @attrs.frozen(kw_only=True)
 class Placed:
     """A request was given to an upstream."""
@@ -230,6 +253,8 @@
     LeaseChanged,
     OrderGiven,
     OrderEnded,
+    OrderMissed,
+    ControllerEnded,
     PartStoreSeen,
     Placed,
     TryEnded,
--- a/toucanrudder/tasks.py
+++ b/toucanrudder/tasks.py
@@ -7,6 +7,8 @@
 
 import aiomisc
 
+from toucanrudder.observability import decisions
+
 LOG = logging.getLogger(__name__)
 
 #: Pause before a task that failed unexpectedly is started again.
@@ -33,10 +35,22 @@
         while True:
             try:
                 await self.run()
-            except asyncio.CancelledError:
+            except asyncio.CancelledError as error:
+                if not asyncio.current_task().cancelling():
+                    self._note(error, starts_again=False)
                 raise
-            except BaseException:
+            except BaseException as error:
                 # A controller that ended would leave its table as it is,
                 # unseen, for good.
                 LOG.exception("%s failed; starting it again", self.label)
+                self._note(error, starts_again=True)
             await asyncio.sleep(RESTART_S)
+
+    def _note(self, error: BaseException, *, starts_again: bool) -> None:
+        decisions.record(
+            decisions.ControllerEnded(
+                controller=self.label,
+                error=repr(error),
+                starts_again=starts_again,
+            )
+        )
