--- /dev/null
+++ b/toucanrudder/testing/virtual/stores.py
@@ -0,0 +1,211 @@
+"""A store of objects whose calls take virtual time, and its faults."""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import copy
+import enum
+import random
+
+import attrs
+
+from toucanrudder.store import feed
+from toucanrudder.store import interface
+
+#: Time that a call takes while the store is well.
+CALL_S = (0.004, 0.012)
+
+#: Time for which a silent store keeps a watch beyond what was asked.
+WATCH_MARGIN_S = 1.0
+
+
+class Way(enum.Enum):
+    """How the store treats one router's calls."""
+
+    WELL = "well"
+    #: Refused at once, without effect.
+    REFUSES = "refuses"
+    #: No answer and no effect.
+    SILENT = "silent"
+
+
+@attrs.define
+class Store:
+    """Objects of all kinds and the history of their changes.
+
+    Parameters
+    ----------
+    rng : random.Random
+        For the time that calls take.
+    """
+
+    rng: random.Random
+    revision: int = 7
+    _objects: dict[tuple[str, str], interface.StoredObject] = attrs.field(
+        factory=dict
+    )
+    _history: list[tuple[int, feed.Change]] = attrs.field(factory=list)
+    _oldest: int = 0
+    _ways: dict[str, Way] = attrs.field(factory=dict)
+    _news: asyncio.Event = attrs.field(factory=asyncio.Event)
+    lost_answers: float = 0.0
+
+    def put(self, kind: str, name: str, value: object) -> int:
+        """Write an object; nothing changes if it has that value."""
+        present = self._objects.get((kind, name))
+        if present is not None and present.value == value:
+            return present.version
+        self.revision += 1
+        stored = interface.StoredObject(
+            kind, name, self.revision, copy.deepcopy(value)
+        )
+        self._objects[kind, name] = stored
+        self._changed(feed.Change(stored))
+        return self.revision
+
+    def delete(self, kind: str, name: str) -> None:
+        """Remove an object, if there is one."""
+        stored = self._objects.pop((kind, name), None)
+        if stored is not None:
+            self.revision += 1
+            self._changed(feed.Change(stored, is_deleted=True))
+
+    def _changed(self, change: feed.Change) -> None:
+        self._history.append((self.revision, change))
+        self._news.set()
+        self._news = asyncio.Event()
+
+    def forget_history(self) -> None:
+        """Let watches from before now fail."""
+        self._oldest = self.revision
+
+    def treat(self, router: str, way: Way) -> None:
+        """Choose how a router's calls end from now on."""
+        self._ways[router] = way
+
+    def get(self, kind: str, name: str) -> interface.StoredObject | None:
+        """Return an object."""
+        return self._objects.get((kind, name))
+
+    def all_of(self, kind: str) -> tuple[interface.StoredObject, ...]:
+        """Return all objects of a kind."""
+        return tuple(
+            stored
+            for (of_kind, _), stored in self._objects.items()
+            if of_kind == kind
+        )
+
+    def since(self, kind: str, revision: int) -> tuple[feed.Change, ...]:
+        """Return the changes of a kind after a revision.
+
+        Raises
+        ------
+        HistoryGone
+            They are not known any more.
+        """
+        if revision < self._oldest:
+            raise feed.HistoryGone(kind)
+        return tuple(
+            change
+            for at, change in self._history
+            if at > revision and change.object.kind == kind
+        )
+
+    async def answered(self, router: str, timeout_s: float) -> None:
+        """Wait until a router's call is answered."""
+        way = self._ways.get(router, Way.WELL)
+        if way is Way.SILENT:
+            await asyncio.sleep(timeout_s)
+            raise interface.StoreUnavailable("no answer")
+        await asyncio.sleep(self.rng.uniform(*CALL_S))
+        if way is Way.REFUSES:
+            raise interface.StoreUnavailable("refused")
+
+    async def news(self, wait_s: float) -> None:
+        """Wait until something changes, for some time at most."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                await self._news.wait()
+
+
+class Client(interface.ConditionalStore, feed.KindFeed):
+    """The store as one router calls it.
+
+    Parameters
+    ----------
+    store : Store
+        Shared by all.
+    router : str
+        Whose calls these are.
+    clock : callable
+        Virtual time in seconds.
+    """
+
+    def __init__(self, store: Store, router: str, clock: Callable[[], float]):
+        self._store = store
+        self._router = router
+        self._clock = clock
+
+    async def get(
+        self, kind: str, name: str, *, timeout_s: float
+    ) -> interface.StoredObject | None:
+        """Return the object, or None when there is none."""
+        await self._store.answered(self._router, timeout_s)
+        return self._store.get(kind, name)
+
+    async def create(
+        self, kind: str, name: str, value: dict, *, timeout_s: float
+    ) -> int:
+        """Create the object if there is none; return its version."""
+        return await self._written(kind, name, value, None, timeout_s)
+
+    async def update(
+        self,
+        kind: str,
+        name: str,
+        value: dict,
+        version: int,
+        *,
+        timeout_s: float,
+    ) -> int:
+        """Replace the object if it has `version`; return the new one."""
+        return await self._written(kind, name, value, version, timeout_s)
+
+    async def _written(self, kind, name, value, version, timeout_s) -> int:
+        await self._store.answered(self._router, timeout_s)
+        present = self._store.get(kind, name)
+        if (present.version if present else None) != version:
+            raise interface.ConditionFailed(f"{kind}/{name}")
+        written = self._store.put(kind, name, value)
+        if self._store.rng.random() < self._store.lost_answers:
+            await asyncio.sleep(timeout_s)
+            raise interface.OutcomeUnknown("no answer")
+        return written
+
+    async def delete(
+        self, kind: str, name: str, version: int, *, timeout_s: float
+    ) -> None:
+        """Delete the object if it has `version`."""
+        await self._store.answered(self._router, timeout_s)
+        present = self._store.get(kind, name)
+        if present is None or present.version != version:
+            raise interface.ConditionFailed(f"{kind}/{name}")
+        self._store.delete(kind, name)
+
+    async def snapshot(self, kind: str, *, timeout_s: float) -> feed.Snapshot:
+        """Return all objects of the kind."""
+        await self._store.answered(self._router, timeout_s)
+        return feed.Snapshot(self._store.all_of(kind), self._store.revision)
+
+    async def changes(
+        self, kind: str, revision: int, *, wait_s: float
+    ) -> feed.Changes:
+        """Wait for changes after the revision; none if `wait_s` passed."""
+        await self._store.answered(self._router, wait_s + WATCH_MARGIN_S)
+        until_s = self._clock() + wait_s
+        while True:
+            found = self._store.since(kind, revision)
+            left_s = until_s - self._clock()
+            if found or left_s <= 0:
+                return feed.Changes(found, self._store.revision)
+            await self._store.news(left_s)
