Close a channel between routers only when no call waits on it

Cause: the router that gives the orders tells up to 32 peers of each order, twice. With 81 peers and 64 channels kept, the channel on which its own question for changes of the registry waits is often the oldest, and was closed under it; a failed exchange with the same peer closes it too. The library cancels calls on a closed channel, and the cancellation went through the question and the feed up to the controller, which took it for the router's own stop. The list of engines stood still from then on, with 11 silent ones on it; so work seemed to be left, the lease was renewed, and no other router took its turn. The engines came back under new names that only the others heard of.

Evidence: on virtual time at that size the first router logs ControllerEnded of that task 1.2 s after it took the lease, no further LeaseChanged, and OrderMissed of the silent names alone, with a list that is 27 s old at the end. A real channel that is closed cancels a question as the stand-in does (test_questions).

Why it holds: a channel that is given up is taken by no new call and closed by the last one that uses it, and each call has a deadline. So no call of this router can cancel another.

Two rows of test_questions demanded that a question under a closed channel ends without an answer. Now it gets its answer, and they demand that.

--- a/toucanrudder/forwarding/tests/test_rollout_at_size.py
+++ b/toucanrudder/forwarding/tests/test_rollout_at_size.py
@@ -78,7 +78,20 @@
 
 
 async def silent_and_back(day):
-    """A quarter of the engines is silent from before the naming on."""
+    """A quarter of the engines is silent from before the naming on.
+
+    Long prompts fail: the engines start again on old weights and keep
+    them.  The router that gives the orders tells so many peers of each
+    that the channel on which its own question for changes waits is given
+    up as the oldest.  Closed, it cancelled the question, and with it the
+    task that follows the registry; the silent engines stayed on the list,
+    so the router kept the lease and nobody else gave orders.
+
+    Evidence: one `ControllerEnded` line, of that task, 1.2 s after the
+    lease was taken; one `LeaseChanged` in the whole day; `OrderMissed`
+    lines of the earlier starts alone, with a list that is 27 s old at the
+    end.  All engines follow once no channel is closed under a call.
+    """
     down = asyncio.ensure_future(day.down(day.some_engines(0.25), 14.0))
     await asyncio.sleep(0.5)
     day.site.name_weights(2)
--- a/toucanrudder/peers/client.py
+++ b/toucanrudder/peers/client.py
@@ -1,12 +1,15 @@
 """Exchanges heartbeats with other routers."""
 
 import asyncio
+from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Iterable
+import contextlib
 import logging
 import random
 import time
 
+import attrs
 from grpc import aio
 
 from toucanrudder.document import serialisation
@@ -41,7 +44,7 @@
 #: Peers told of a crash at once; in larger fleets the exchanges carry it on.
 MAX_TOLD = 32
 
-#: Channels kept open.
+#: Channels kept open, beside those that are being used.
 MAX_CHANNELS = 64
 
 #: A document may be a megabyte, and a peer slow.
@@ -51,9 +54,25 @@
 HASTE_S = 0.05
 
 
+@attrs.define(eq=False)
+class _Lent:
+    """A channel, and how many calls wait on it."""
+
+    channel: aio.Channel
+    calls: int = 0
+    is_dropped: bool = False
+
+
 class Channels:
     """Channels to peers, by address; a failed one is not used again.
 
+    Failure: a channel is closed, since another call on it has failed or
+    since it was the oldest of many, while a question for changes waits on
+    it.  The library cancels that question, and a cancellation passes
+    through every layer as if the router itself stopped.  Symptom: the task
+    that follows the registry ends, and what it keeps stays as it is.  So a
+    channel is closed by the last call that uses it; each has a deadline.
+
     Parameters
     ----------
     credentials : peer_credentials.Credentials or None
@@ -62,7 +81,7 @@
 
     def __init__(self, credentials: peer_credentials.Credentials | None):
         self._credentials = credentials
-        self._channels: dict[str, aio.Channel] = {}
+        self._channels: dict[str, _Lent] = {}
 
     def _open(self, address: str) -> aio.Channel:
         if self._credentials is None:
@@ -74,25 +93,45 @@
             address, self._credentials.client(), options, server.PACKED
         )
 
-    async def stub(self, address: str) -> peers_pb2_grpc.PeersStub:
-        """Return a stub for the peer at the address."""
-        channel = self._channels.pop(address, None) or self._open(address)
+    @contextlib.asynccontextmanager
+    async def called(
+        self, address: str
+    ) -> AsyncIterator[peers_pb2_grpc.PeersStub]:
+        """Lend a stub for one call to the peer at the address."""
+        lent = self._channels.pop(address, None)
+        if lent is None:
+            lent = _Lent(self._open(address))
         # Last used comes last.
-        self._channels[address] = channel
-        while len(self._channels) > MAX_CHANNELS:
-            await self.drop(next(iter(self._channels)))
-        return peers_pb2_grpc.PeersStub(channel)
+        self._channels[address] = lent
+        lent.calls += 1
+        try:
+            await self._drop_oldest()
+            yield peers_pb2_grpc.PeersStub(lent.channel)
+        finally:
+            lent.calls -= 1
+            await self._close_unused(lent)
+
+    async def _drop_oldest(self) -> None:
+        unused = [a for a, lent in self._channels.items() if not lent.calls]
+        for address in unused[: max(0, len(self._channels) - MAX_CHANNELS)]:
+            await self.drop(address)
 
     async def drop(self, address: str) -> None:
-        """Close the channel, so that the next call connects anew."""
-        channel = self._channels.pop(address, None)
-        if channel is not None:
-            await channel.close()
+        """Give the channel up, so that the next call connects anew."""
+        lent = self._channels.pop(address, None)
+        if lent is not None:
+            lent.is_dropped = True
+            await self._close_unused(lent)
+
+    async def _close_unused(self, lent: _Lent) -> None:
+        if lent.is_dropped and not lent.calls:
+            await lent.channel.close()
 
     async def close(self) -> None:
         """Close all channels."""
-        for address in list(self._channels):
-            await self.drop(address)
+        for lent in self._channels.values():
+            await lent.channel.close()
+        self._channels.clear()
 
 
 class PeerClient:
@@ -185,8 +224,8 @@
             kind=kind, revision=revision, wait_s=wait_s
         )
         try:
-            stub = await self._channels.stub(address)
-            reply = await stub.GetChanges(request, timeout=deadline_s)
+            async with self._channels.called(address) as stub:
+                reply = await stub.GetChanges(request, timeout=deadline_s)
             return changes.from_wire(kind, reply)
         except (aio.AioRpcError, ValueError) as error:
             await self._failed(address, error)
@@ -266,12 +305,11 @@
         self._busy.add(address)
         try:
             heartbeat = self._node.heartbeat(time.monotonic(), time.time())
-            stub = await self._channels.stub(address)
-            answer = messages.from_wire(
-                await stub.Exchange(
+            async with self._channels.called(address) as stub:
+                answer = await stub.Exchange(
                     messages.to_wire(heartbeat), timeout=self._deadline_s
                 )
-            )
+            answer = messages.from_wire(answer)
         except (aio.AioRpcError, messages.BadHeartbeat) as error:
             await self._failed(address, error)
             return
@@ -302,10 +340,10 @@
 
     async def _fetch(self, address: str) -> None:
         try:
-            stub = await self._channels.stub(address)
-            reply = await stub.GetDocument(
-                peers_pb2.DocumentRequest(), timeout=DOCUMENT_S
-            )
+            async with self._channels.called(address) as stub:
+                reply = await stub.GetDocument(
+                    peers_pb2.DocumentRequest(), timeout=DOCUMENT_S
+                )
             if reply.accepted_json:
                 self._offer(self._decode(reply.accepted_json))
         except aio.AioRpcError as error:
--- a/toucanrudder/peers/tests/test_questions.py
+++ b/toucanrudder/peers/tests/test_questions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from unittest import mock
 
 import pytest
 
@@ -72,15 +73,15 @@
 
 
 @pytest.mark.parametrize("close", CLOSED)
-async def test_a_closed_channel_leaves_a_question_without_answer(
+async def test_a_question_is_answered_though_its_channel_is_given_up(
     monkeypatch, close
 ):
-    """The asker turns to the store at once, and hears of each change.
+    """A router hears of each change, whatever its other calls come to.
 
     A question waits at a reader for news.  Meanwhile the channel to that
-    reader is closed: an exchange on it got no answer, or so many peers
-    are called at once that the oldest channel yields.  Closing cancels
-    the question, and a cancelled question must not end who has asked it.
+    reader is given up: an exchange on it got no answer, or so many peers
+    are called at once that the oldest channel yields.  Closed under the
+    question, it cancels it, and the task that asked ends for good.
     """
     monkeypatch.setattr(client, "MAX_CHANNELS", 1)
     fleet = Fleet()
@@ -89,7 +90,7 @@
         await fleet.logs[0].is_asked.wait()
         await close(fleet, first, second)
         ended = await asyncio.gather(waiting, return_exceptions=True)
-    assert ended == [None]
+    assert ended == [fanout.Told(feed.Changes((), REVISION), mock.ANY)]
 
 
 async def test_a_task_goes_on_after_a_call_that_was_cancelled(monkeypatch):
@@ -112,6 +113,7 @@
         await asyncio.Event().wait()
 
     service = tasks.TaskService(run=run, label="follow")
+    service.set_loop(asyncio.get_running_loop())
     started = asyncio.ensure_future(service.start())
     for _ in range(10):
         await asyncio.sleep(0)
--- a/toucanrudder/testing/virtual/sites.py
+++ b/toucanrudder/testing/virtual/sites.py
@@ -338,7 +338,7 @@
         # The node serves no socket, so nothing would tell its exchanges
         # that an address is bound.
         running = [
-            peering.client.run() if each.label == PEERS else _kept(each)
+            peering.client.run() if each.label == PEERS else _started(each)
             for each in made.controllers()
         ]
         loop = asyncio.get_running_loop()
@@ -465,12 +465,10 @@
         ]
 
 
-async def _kept(service: tasks.TaskService) -> None:
-    """Run a controller as the daemon does, without an entry point."""
-    while True:
-        with contextlib.suppress(Exception):
-            await service.run()
-        await asyncio.sleep(tasks.RESTART_S)
+async def _started(controller: tasks.TaskService) -> None:
+    """Run a controller as the daemon's entry point does."""
+    controller.set_loop(asyncio.get_running_loop())
+    await controller.start()
 
 
 @contextlib.contextmanager
