Start a controller again when something else cancelled what it waits on

Cause: a cancellation of any call inside a controller ended the controller for good, without a line, as if the router were being stopped. All other errors start it again after a second.

Ruled out: that the entry point watches its services' tasks; it does not.

Why it holds: a task knows whether it was itself asked to end. If not, the cancellation came from inside and is an error like any other: it is logged and the controller starts again.

--- a/toucanrudder/observability/decisions.py
+++ b/toucanrudder/observability/decisions.py
@@ -141,11 +141,10 @@
 
 @attrs.frozen(kw_only=True)
 class ControllerEnded:
-    """A controller ended though the router did not stop."""
+    """A controller ended though the router did not stop; it starts again."""
 
     controller: str
     error: str
-    starts_again: bool
 
 
 @attrs.frozen(kw_only=True)
--- a/toucanrudder/tasks.py
+++ b/toucanrudder/tasks.py
@@ -35,22 +35,22 @@
         while True:
             try:
                 await self.run()
-            except asyncio.CancelledError as error:
-                if not asyncio.current_task().cancelling():
-                    self._note(error, starts_again=False)
-                raise
             except BaseException as error:
                 # A controller that ended would leave its table as it is,
-                # unseen, for good.
+                # unseen, for good.  A cancellation counts as the router's
+                # stop only if it was meant for this task: whatever else
+                # was cancelled inside ends in the same exception.
+                if _is_meant_for_this_task(error):
+                    raise
                 LOG.exception("%s failed; starting it again", self.label)
-                self._note(error, starts_again=True)
+                decisions.record(
+                    decisions.ControllerEnded(
+                        controller=self.label, error=repr(error)
+                    )
+                )
             await asyncio.sleep(RESTART_S)
 
-    def _note(self, error: BaseException, *, starts_again: bool) -> None:
-        decisions.record(
-            decisions.ControllerEnded(
-                controller=self.label,
-                error=repr(error),
-                starts_again=starts_again,
-            )
-        )
+
+def _is_meant_for_this_task(error: BaseException) -> bool:
+    is_cancelled = isinstance(error, asyncio.CancelledError)
+    return is_cancelled and asyncio.current_task().cancelling() > 0
