Let no engine that gives no answer hold up the orders to others

What callers saw: long prompts fail, as engines that answer keep weights that have been superseded; first, because some other engines are silent, and second, because the router that gives the orders reaches none.

Cause: a silent engine has no work, so it passed for the cheapest one to load and took a place until a call had timed out, again and again; with as many of them as places (15 of 45, 1 of 2) no other engine was ever ordered. While an engine was emptied, one lost report gave it up.

Ruled out: a sorting by age alone, as all engines lag equally; a shorter call, as places would still be taken again; a longer wait of the others, as they cannot see what the holder sees.

Change: engines that could not be ordered are asked beside the places, and take one when they answer. A turn ends when no engine has answered for 1.5 s, when one has been silent for 5 s, or when the router's list of engines has become older than 3 s; the lease is given up and the next in line tries. A router with an old list begins after all others, but begins: the registry may be out of reach of everybody. Engines that leave are no work that is left.

Why it holds: no wait of a turn depends on one engine's answer any more, and no holder can keep the lease without one.

The test of orders now lets the registry confirm its list, as the feed does in a router: without that every list counts as old.

--- a/toucanrudder/forwarding/orders.py
+++ b/toucanrudder/forwarding/orders.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
@@ -14,6 +15,7 @@
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import rollout
 from toucanrudder.forwarding import state as states
+from toucanrudder.forwarding import turns
 from toucanrudder.leases import decision
 from toucanrudder.leases import holder
 from toucanrudder.observability import decisions
@@ -96,14 +98,6 @@
         """
 
 
-@attrs.define
-class Unanswered:
-    """An engine that was to be ordered and gave no report."""
-
-    since_s: float
-    noted_s: float = float("-inf")
-
-
 class RolloutController:
     """Brings all engines to the newest weights.
 
@@ -142,7 +136,9 @@
         self._calls = 0
         self._tasks: set[asyncio.Task] = set()
         self._doubted: set[str] = set()
-        self._unanswered: dict[str, Unanswered] = {}
+        self._turn: turns.Turn | None = None
+        self._resting_until_s = float("-inf")
+        self._noted_s: dict[str, float] = {}
 
     def _newest(self) -> dict[str, int]:
         return {
@@ -170,9 +166,39 @@
                 continue
             if not self._is_undone(now_s) or not self._is_my_turn(now_s):
                 continue
-            if await self._holds(now_s):
+            if not await self._holds(now_s):
+                self._turn = None
+            elif not await self._gives_up(clock.now_s()):
                 self._give(clock.now_s())
 
+    async def _gives_up(self, now_s: float) -> bool:
+        """End this router's turn if it gets no further.
+
+        Failure: this router's list of engines is old, or its calls to them
+        get no answer, while the store's do.  Symptom: it holds the lease
+        and renews it for as long as it believes that work is left, and
+        engines that all others reach keep their weights.  Others cannot
+        see that; so it lets the next in line try.
+        """
+        list_age_s = self._state.registry.age_s(now_s)
+        if self._turn is None:
+            self._turn = turns.Turn(now_s, list_age_s <= turns.LIST_S)
+        left = [task.upstream.incarnation for task in self._left()]
+        ending = self._turn.ending(left, list_age_s, now_s)
+        if ending is None or self._calls:
+            return ending is not None
+        decisions.record(
+            decisions.TurnEnded(
+                reason=ending.value,
+                engines_left=len(left),
+                list_age_s=list_age_s,
+                lasted_s=now_s - self._turn.began_s,
+            )
+        )
+        self._resting_until_s = now_s + turns.REST_S
+        await self._leave()
+        return True
+
     async def _leave(self) -> None:
         """Let the next in line go on at once when this router stops.
 
@@ -181,18 +207,24 @@
         """
         if self._held_before and not self._calls:
             self._held_before = False
+            self._turn = None
             await self._lease.release()
 
-    def _is_undone(self, now_s: float) -> bool:
+    def _left(self) -> list[rollout.Task]:
+        """Return the work that is left, as far as this router knows."""
         newest = self._newest()
-        undone = any(
-            rollout.missing(engines, newest)
+        return [
+            task
             for engines in self._engines().values()
-        )
+            for task in rollout.missing(engines, newest)
+        ]
+
+    def _is_undone(self, now_s: float) -> bool:
+        undone = bool(self._left())
         if not undone:
             self._undone_since_s = None
-            self._given.clear()
-            self._unanswered.clear()
+            self._turn = None
+            self._noted_s.clear()
         elif self._undone_since_s is None:
             self._undone_since_s = now_s
         return undone
@@ -200,8 +232,13 @@
     def _is_my_turn(self, now_s: float) -> bool:
         if self._held_before:
             return True
+        if now_s < self._resting_until_s:
+            return False
+        list_age_s = self._state.registry.age_s(now_s)
         waited_s = now_s - self._undone_since_s
-        return waited_s >= IN_LINE_S * self._place_in_line()
+        return waited_s >= turns.waits_s(
+            self._place_in_line(), IN_LINE_S, list_age_s
+        )
 
     async def _holds(self, now_s: float) -> bool:
         lease = self._lease.held(now_s)
@@ -240,6 +277,7 @@
         if now_s - lease.acquired_s < settle_s:
             return
         newest = self._newest()
+        stuck = self._turn.stuck(now_s) if self._turn else set()
         for engines in self._engines().values():
             busy = {
                 each.incarnation: self._busy(each, now_s) for each in engines
@@ -253,11 +291,12 @@
                 self._age_s,
                 now_s,
                 self._state.pace,
+                stuck,
             ):
-                self._given[task.upstream.incarnation] = rollout.Given(
-                    task.version, now_s
-                )
-                self._start(self._carried_out(task))
+                name = task.upstream.incarnation
+                given = rollout.Given(task.version, now_s, name not in stuck)
+                self._given[name] = given
+                self._start(self._carried_out(task, given))
 
     def _orderable(self, engines, now_s: float) -> list[model.Upstream]:
         """Return the engines to which no other router gave an order lately.
@@ -293,7 +332,6 @@
         for each in engines:
             if each.incarnation not in open_names:
                 self._given.pop(each.incarnation, None)
-                self._unanswered.pop(each.incarnation, None)
 
     def doubt(self, upstream: model.Upstream) -> None:
         """Ask an engine for its weights: they are not what was believed."""
@@ -316,17 +354,54 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _carried_out(self, task: rollout.Task) -> None:
+    async def _carried_out(
+        self, task: rollout.Task, given: rollout.Given
+    ) -> None:
         """Order one engine and watch until it has the weights."""
         name = task.upstream.incarnation
         try:
-            if not await self._ordered(task):
+            report = await self._ready(task)
+            if report is None or not self._takes_place(task, given):
                 return
-            await self._watched(task)
+            async with self._avoided(name):
+                if await self._ordered(task, report):
+                    # It may take as long again until the engine has them.
+                    given.at_s = clock.now_s()
+                    await self._watched(task)
         except errors.RudderError as error:
             LOG.warning("order refused: %s", error, extra={"peer": name})
         finally:
-            self._given.pop(name, None)
+            if self._given.get(name) is given:
+                del self._given[name]
+
+    def _takes_place(self, task: rollout.Task, given: rollout.Given) -> bool:
+        """Count an engine that answers among those that load, if it may."""
+        if not given.has_place:
+            engines = [
+                each
+                for each in self._state.registry.of(task.upstream.service)
+                if not each.is_leaving
+            ]
+            age_s = self._age_s(task)
+            given.has_place = (
+                rollout.room(
+                    engines,
+                    self._given,
+                    age_s,
+                    clock.now_s(),
+                    self._state.pace,
+                )
+                > 0
+            )
+        return given.has_place
+
+    @contextlib.asynccontextmanager
+    async def _avoided(self, name: str) -> AsyncIterator[None]:
+        """Keep work from an engine during the block, here and at peers."""
+        await self._avoid(name, rollout.PATIENCE_S)
+        try:
+            yield
+        finally:
             await self._avoid(name, 0.0)
 
     async def _watched(self, task: rollout.Task) -> None:
@@ -358,6 +433,8 @@
         report = await self._dialect.report(upstream, timeout_s=CALL_S)
         if report is None or not upstream.says(report.born_ms):
             return None
+        if self._turn is not None:
+            self._turn.heard(clock.now_s())
         return report
 
     def _note_answer(
@@ -365,13 +442,17 @@
     ) -> None:
         """Say why an engine gets no order, if it gets none."""
         name, now_s = task.upstream.incarnation, clock.now_s()
-        if report is not None and not report.is_busy:
-            self._unanswered.pop(name, None)
+        turn = self._turn or turns.Turn(now_s)
+        if report is None:
+            turn.unanswered(name, now_s)
+        elif report.is_busy:
+            turn.busy(name, now_s)
+        else:
+            turn.answered(name, now_s)
             return
-        silence = self._unanswered.setdefault(name, Unanswered(now_s))
-        if now_s - silence.noted_s < NOTE_S:
+        if now_s - self._noted_s.get(name, float("-inf")) < NOTE_S:
             return
-        silence.noted_s = now_s
+        self._noted_s[name] = now_s
         lease = self._lease.held(now_s)
         decisions.record(
             decisions.OrderMissed(
@@ -380,7 +461,7 @@
                 version=task.version,
                 had_version=task.upstream.weights.get(task.model, 0),
                 reason="busy" if report else "no_report",
-                unanswered_s=now_s - silence.since_s,
+                unanswered_s=turn.silent_s(name, now_s),
                 list_age_s=self._state.registry.age_s(now_s),
                 fencing=lease.fencing if lease else 0,
             )
@@ -391,10 +472,14 @@
     ) -> rollout.Report | None:
         """Wait while the engine, which gets no new work, has much of it.
 
+        A report that is lost says nothing: an engine under pressure turns
+        new connections away.  The one before it will do, as the order
+        names the count of orders that it was made with.
+
         Returns
         -------
         rollout.Report or None
-            The engine's newest report; None if it gives none any more.
+            The engine's newest report; None if it carries out an order.
         """
         began_s = clock.now_s()
         while rollout.waits_for_runs(
@@ -404,23 +489,30 @@
             self._state.pace,
         ):
             await asyncio.sleep(EMPTY_ASK_S)
-            report = await self.asked(task.upstream)
-            if report is None or report.is_busy:
+            report = await self.asked(task.upstream) or report
+            if report.is_busy:
                 return None
         return report
 
-    async def _ordered(self, task: rollout.Task) -> bool:
-        name = task.upstream.incarnation
+    async def _ready(self, task: rollout.Task) -> rollout.Report | None:
+        """Return the report of an engine that can be ordered, or None."""
         report = await self.asked(task.upstream)
         self._note_answer(task, report)
         if report is None or report.is_busy:
             await asyncio.sleep(ASK_S)
-            return False
+            return None
         has = report.weights.get(task.model, 0)
-        self._state.registry.has_weights(name, task.model, has)
-        if has >= task.version:
-            return False
-        await self._avoid(name, rollout.PATIENCE_S)
+        self._state.registry.has_weights(
+            task.upstream.incarnation, task.model, has
+        )
+        return report if has < task.version else None
+
+    async def _ordered(
+        self, task: rollout.Task, report: rollout.Report
+    ) -> bool:
+        """Empty an engine and order it; say whether an order was sent."""
+        name = task.upstream.incarnation
+        had = report.weights.get(task.model, 0)
         report = await self._emptied(task, report)
         if report is None or self._state.stopping:
             return False
@@ -448,7 +540,7 @@
                 upstream=name,
                 model=task.model,
                 version=task.version,
-                had_version=has,
+                had_version=had,
                 fencing=lease.fencing,
                 lease_left_s=lease.until_s - clock.now_s(),
                 expected_orders=report.orders,
--- a/toucanrudder/forwarding/rollout.py
+++ b/toucanrudder/forwarding/rollout.py
@@ -1,6 +1,7 @@
 """Which engine is to load which weights next.  No I/O."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 import enum
@@ -225,16 +226,27 @@
 
 @attrs.define
 class Given:
-    """An order that was given and has not shown its effect."""
+    """An order that is being given, or has not shown its effect.
+
+    Parameters
+    ----------
+    version : int
+        Weights that the engine is to load.
+    at_s : float
+        Monotonic time of the last step.
+    has_place : bool
+        Whether the engine counts among those that load at once.
+    """
 
     version: int
     at_s: float
+    has_place: bool = True
 
 
 def missing(
     upstreams: Iterable[model.Upstream], newest: Mapping[str, int]
 ) -> list[Task]:
-    """Return what is left to do.
+    """Return what is left to do; engines that leave need no new weights.
 
     Examples
     --------
@@ -247,6 +259,7 @@
     return [
         Task(upstream, name, newest[name])
         for upstream in upstreams
+        if not upstream.is_leaving
         for name, version in upstream.weights.items()
         if name in newest and version < newest[name]
     ]
@@ -273,6 +286,52 @@
     return max(1, math.ceil(engines * share))
 
 
+def _under_way(given: Mapping[str, Given], now_s: float) -> dict[str, Given]:
+    return {
+        name: order
+        for name, order in given.items()
+        if now_s - order.at_s < PATIENCE_S
+    }
+
+
+def room(
+    engines: Iterable[model.Upstream],
+    given: Mapping[str, Given],
+    oldest_s: float,
+    now_s: float,
+    pace: Pace = USUAL_PACE,
+) -> int:
+    """Return how many more of a service's engines may load now.
+
+    Parameters
+    ----------
+    engines : iterable of model.Upstream
+        Those that stay.
+    given : mapping of str to Given
+        Orders under way, by incarnation.
+    oldest_s : float
+        Age of the oldest weights among the engines.
+    now_s : float
+        Monotonic time.
+    pace : Pace
+        How fast engines must follow.
+
+    Examples
+    --------
+    >>> engines = [model.Upstream(f"i{n}", "s", "") for n in range(10)]
+    >>> given = {"i1": Given(2, 0.0), "i2": Given(2, 0.0, has_place=False)}
+    >>> room(engines, given, 0.0, now_s=0.5)
+    1
+    """
+    names = {each.incarnation for each in engines}
+    taken = sum(
+        order.has_place
+        for name, order in _under_way(given, now_s).items()
+        if name in names
+    )
+    return at_once(len(names), oldest_s, pace) - taken
+
+
 def plan(
     upstreams: Iterable[model.Upstream],
     newest: Mapping[str, int],
@@ -281,6 +340,7 @@
     age_s: Callable[[Task], float],
     now_s: float,
     pace: Pace = USUAL_PACE,
+    stuck: Collection[str] = (),
 ) -> list[Task]:
     """Return the orders to give now, the cheapest engines first.
 
@@ -288,6 +348,13 @@
     versions follow each other faster than engines can load them, a busy
     one would be passed over each time.
 
+    Engines that could not be ordered when last asked are asked again beside
+    those that have a place.  Failure: some are silent.  They have no work,
+    so they would be the cheapest, and take a place until a call has timed
+    out, again and again.  Symptom: with as many of them as places, no other
+    engine is ever ordered.  As it is, each takes a place from another only
+    once, and goes on as soon as it answers.
+
     Parameters
     ----------
     upstreams : iterable of model.Upstream
@@ -304,22 +371,20 @@
         Monotonic time.
     pace : Pace
         How fast engines must follow.
+    stuck : collection of str
+        Engines that could not be ordered, by incarnation.
     """
     engines = [each for each in upstreams if not each.is_leaving]
-    under_way = {
-        name
-        for name, order in given.items()
-        if now_s - order.at_s < PATIENCE_S
-    }
+    under_way = _under_way(given, now_s)
     open_tasks = [
         task
         for task in missing(engines, newest)
         if task.upstream.incarnation not in under_way
     ]
     oldest_s = max(map(age_s, open_tasks), default=0.0)
-    room = at_once(len(engines), oldest_s, pace) - len(
-        under_way & {each.incarnation for each in engines}
-    )
+    free = room(engines, given, oldest_s, now_s, pace)
+    asked = [task for task in open_tasks if task.upstream.incarnation in stuck]
+    open_tasks = [task for task in open_tasks if task not in asked]
     open_tasks.sort(
         key=lambda task: (
             -max(0.0, age_s(task) - pace.urgent_s),
@@ -327,4 +392,4 @@
             task.upstream.incarnation,
         )
     )
-    return open_tasks[: max(0, room)]
+    return open_tasks[: max(0, free)] + asked
--- a/toucanrudder/forwarding/tests/test_orders.py
+++ b/toucanrudder/forwarding/tests/test_orders.py
@@ -57,6 +57,13 @@
         return True
 
 
+async def _confirms(registry):
+    """Let the registry answer, with no change to tell."""
+    while True:
+        registry.confirmed(clock.now_s())
+        await asyncio.sleep(1.0)
+
+
 class Fleet:
     """Engines, and routers that may give them orders."""
 
@@ -97,6 +104,7 @@
             avoid=avoid,
         )
         self.running.append(asyncio.ensure_future(controller.run()))
+        self.running.append(asyncio.ensure_future(_confirms(state.registry)))
 
     async def lag_after(self, wait_s):
         """Return the engines that answer and have older weights."""
--- /dev/null
+++ b/toucanrudder/forwarding/turns.py
@@ -0,0 +1,153 @@
+"""Whose turn it is to give orders, and when a turn ends.  No I/O.
+
+A holder of the lease may be unable to do the work: its list of engines is
+old, or its calls to engines get no answer while the store's do.  It cannot
+tell that from engines that are down.  So a turn ends when work is left
+that this router gets no further with, and another router tries.
+"""
+
+from collections.abc import Iterable
+import enum
+
+import attrs
+
+#: Time without any engine's answer after which a turn ends: three calls
+#: one after the other, none of which may take longer than 0.4 s.
+NOTHING_S = 1.5
+
+#: Time after which it ends for engines that give no answer while others
+#: do.  The registry drops an engine that is down after three signs of life,
+#: some four seconds.
+SOME_S = 5.0
+
+#: Age of a router's list of engines from which it does not begin a turn
+#: before others: two rounds of asking a reader and then the store.
+LIST_S = 3.0
+
+#: Time after a turn that was given up in which another router begins one;
+#: also how much longer a router with an old list waits.  The next in line
+#: needs half a second to see that the lease is free.
+REST_S = 3.0
+
+#: Time for which an engine may carry out an order before it counts as one
+#: that cannot be ordered: it may wait for its slowest request.
+BUSY_S = 4.0
+
+
+class Ending(enum.Enum):
+    """Why a router gives its turn up."""
+
+    NO_ANSWER = "no_answer"
+    SILENT_ENGINE = "silent_engine"
+    OLD_LIST = "old_list"
+
+
+@attrs.define
+class Turn:
+    """What came of this router's questions to engines during its turn.
+
+    Parameters
+    ----------
+    began_s : float
+        When the turn began.
+    has_new_list : bool
+        Whether this router's list of engines was new then.
+
+    Examples
+    --------
+    >>> turn = Turn(0.0)
+    >>> turn.unanswered("i2", 1.0); turn.answered("i1", 2.4)
+    >>> turn.ending(["i1", "i2"], 0.1, 3.0)
+    >>> turn.ending(["i1", "i2"], 0.1, 4.0)
+    <Ending.NO_ANSWER: 'no_answer'>
+    >>> turn.answered("i1", 6.0)
+    >>> turn.ending(["i1", "i2"], 0.1, 6.1)
+    <Ending.SILENT_ENGINE: 'silent_engine'>
+    >>> turn.ending(["i1"], 0.1, 6.1), turn.ending(["i1"], 9.0, 6.1)
+    (None, <Ending.OLD_LIST: 'old_list'>)
+    """
+
+    began_s: float
+    has_new_list: bool = True
+    _heard_s: float = attrs.field(
+        default=attrs.Factory(lambda self: self.began_s, takes_self=True)
+    )
+    _silent_since_s: dict[str, float] = attrs.field(factory=dict)
+    _busy_since_s: dict[str, float] = attrs.field(factory=dict)
+
+    def heard(self, now_s: float) -> None:
+        """Note that some engine has answered."""
+        self._heard_s = now_s
+
+    def answered(self, name: str, now_s: float) -> None:
+        """Note an engine that can be ordered."""
+        self.heard(now_s)
+        self._silent_since_s.pop(name, None)
+        self._busy_since_s.pop(name, None)
+
+    def busy(self, name: str, now_s: float) -> None:
+        """Note an engine that carries out another order."""
+        self.heard(now_s)
+        self._silent_since_s.pop(name, None)
+        self._busy_since_s.setdefault(name, now_s)
+
+    def unanswered(self, name: str, now_s: float) -> None:
+        """Note an engine that gave no report."""
+        self._silent_since_s.setdefault(name, now_s)
+
+    def silent_s(self, name: str, now_s: float) -> float:
+        """Return for how long an engine has given no report."""
+        return now_s - self._silent_since_s.get(name, now_s)
+
+    def stuck(self, now_s: float) -> set[str]:
+        """Return the engines that could not be ordered when last asked."""
+        busy = {
+            name
+            for name, since_s in self._busy_since_s.items()
+            if now_s - since_s > BUSY_S
+        }
+        return busy | set(self._silent_since_s)
+
+    def ending(
+        self, left: Iterable[str], list_age_s: float, now_s: float
+    ) -> Ending | None:
+        """Return why the turn ends now, if it does.
+
+        Parameters
+        ----------
+        left : iterable of str
+            Engines that lack weights.
+        list_age_s : float
+            Age of this router's list of engines.
+        now_s : float
+            Monotonic time.
+        """
+        if self.has_new_list and list_age_s > LIST_S:
+            return Ending.OLD_LIST
+        if self._silent_since_s and now_s - self._heard_s > NOTHING_S:
+            return Ending.NO_ANSWER
+        if any(self.silent_s(name, now_s) > SOME_S for name in left):
+            return Ending.SILENT_ENGINE
+        return None
+
+
+def waits_s(place: int, each_s: float, list_age_s: float) -> float:
+    """Return how long a router waits before it begins a turn.
+
+    Parameters
+    ----------
+    place : int
+        Routers that go before it.
+    each_s : float
+        How long it waits for each of them.
+    list_age_s : float
+        Age of its list of engines.  One with an old list goes after all
+        that have a new one, but it goes: the registry may be out of reach
+        of everybody.
+
+    Examples
+    --------
+    >>> waits_s(2, 1.0, 0.5), waits_s(0, 1.0, 60.0)
+    (2.0, 3.0)
+    """
+    return place * each_s + (REST_S if list_age_s > LIST_S else 0.0)
--- a/toucanrudder/observability/decisions.py
+++ b/toucanrudder/observability/decisions.py
@@ -96,6 +96,16 @@
     left_s: float
 
 
+@attrs.frozen(kw_only=True)
+class TurnEnded:
+    """This router gives the lease up, as it gets no further."""
+
+    reason: str
+    engines_left: int
+    list_age_s: float
+    lasted_s: float
+
+
 @attrs.frozen(kw_only=True)
 class OrderGiven:
     """An engine was ordered to load weights."""
@@ -250,6 +260,7 @@
     UpstreamSeen,
     WeightsNamed,
     LeaseChanged,
+    TurnEnded,
     OrderGiven,
     OrderEnded,
     OrderMissed,
