Test questions about caches that end by an unexpected error

Symptom: an engine whose question ended by an error of the dialect or of the index, or by a cancellation from inside, is never asked again; after a restart of the controller no engine is. Prompts that they hold are computed again.

--- /dev/null
+++ b/toucanrudder/forwarding/tests/test_cache_feed.py
@@ -0,0 +1,131 @@
+"""Questions about caches that end in an unexpected way."""
+
+import asyncio
+import logging
+import random
+
+import pytest
+
+from toucanrudder import clock
+from toucanrudder.forwarding import cache
+from toucanrudder.forwarding import cache_feed
+from toucanrudder.forwarding import model
+from toucanrudder.forwarding import shares
+from toucanrudder.forwarding import state as states
+from toucanrudder.testing.virtual import timing
+
+PART = model.Part("a", 500)
+FAULT_S = 3.0
+
+
+class Dialect(cache_feed.CacheDialect):
+    """Answers, but does once what it is given for one source."""
+
+    def __init__(self, faulty, fault):
+        self.faulty = faulty
+        self.fault = fault
+
+    async def cache_events(self, source, since, *, wait_s):
+        await asyncio.sleep(wait_s)
+        name = cache_feed.identity(source)
+        if name == self.faulty and clock.now_s() >= FAULT_S and self.fault:
+            fault, self.fault = self.fault, None
+            return fault()
+        events = ()
+        if clock.now_s() > FAULT_S:
+            events = (cache.Event("1", PART.identity, PART.tokens, True),)
+        return cache_feed.Told(1, since + 1, events)
+
+
+def _broken():
+    raise RuntimeError("fault")
+
+
+def _cancelled():
+    raise asyncio.CancelledError
+
+
+def _strange():
+    return cache_feed.Told(1, 1, (None,))
+
+
+FAULTS = [
+    pytest.param(_broken, "RuntimeError", id="dialect"),
+    pytest.param(_cancelled, "CancelledError", id="cancelled"),
+    pytest.param(_strange, "AttributeError", id="index"),
+]
+
+
+def _controller(fault, faulty="e1", routers=lambda: ["r0"]):
+    rng = random.Random(1)
+    state = states.ForwardingState("r0", "", rng, shares.BudgetBounds())
+    service = model.Service("s", model.Engine(64, 100_000))
+    state.offer(model.Configuration(1, services={"s": service}))
+    for name in ("e1", "e2"):
+        state.registry.put(model.Upstream(name, "s", f"{name}:80"))
+    controller = cache_feed.CacheFeedController(
+        state, Dialect(faulty, fault), routers, rng
+    )
+    return state, controller
+
+
+def _known(state):
+    return [
+        name
+        for name in ("e1", "e2")
+        if state.cache.cached_tokens(name, "1", (PART,))
+    ]
+
+
+@pytest.mark.parametrize(("fault", "logged"), FAULTS)
+def test_a_source_is_asked_again_after_an_unexpected_end(
+    fault, logged, caplog
+):
+    """Prompts that an engine holds are computed again, for ever.
+
+    The task that asks it ends by an error that nobody expected.  It stays
+    in the table of those that ask, so that no other takes its place.
+    """
+
+    async def main():
+        state, controller = _controller(fault)
+        running = asyncio.ensure_future(controller.run())
+        await asyncio.sleep(FAULT_S + 2 * cache_feed.LOOK_S + 2.5)
+        running.cancel()
+        return _known(state)
+
+    with caplog.at_level(logging.ERROR, cache_feed.__name__):
+        assert timing.run(main) == ["e1", "e2"]
+    (line,) = [
+        each.getMessage()
+        for each in caplog.records
+        if each.name == cache_feed.__name__
+    ]
+    assert "e1" in line
+    assert logged in line
+
+
+def test_all_sources_are_asked_again_after_a_restart():
+    """No engine's cache is used any more, for ever.
+
+    A look ends by an error, and with it the controller, which cancels all
+    tasks.  Started again, it finds them in its table and starts none.
+    """
+    left = [True]
+
+    def routers():
+        if left and clock.now_s() >= FAULT_S:
+            left.pop()
+            raise RuntimeError("fault")
+        return ["r0"]
+
+    async def main():
+        state, controller = _controller(None, routers=routers)
+        with pytest.raises(RuntimeError):
+            await controller.run()
+        running = asyncio.ensure_future(controller.run())
+        await asyncio.sleep(2.5)
+        running.cancel()
+        return _known(state)
+
+    assert timing.run(main) == ["e1", "e2"]
