Ask a source again when its question ended by an unexpected error

Cause: the table of those that ask kept tasks that had ended, and a look starts tasks only for names that are not in it. The end of the controller left its cancelled tasks there too, so that its next start asked nobody.

Why it holds: each look first takes all ended tasks off the table, whatever ended them, and logs each with its source; the next look starts them anew, so a lasting fault costs one question in a look. A controller that ends leaves an empty table.

--- a/toucanrudder/forwarding/cache_feed.py
+++ b/toucanrudder/forwarding/cache_feed.py
@@ -4,6 +4,7 @@
 import asyncio
 from collections.abc import Callable
 import functools
+import logging
 import random
 
 import attrs
@@ -15,6 +16,8 @@
 from toucanrudder.observability import decisions
 from toucanrudder.placement import rendezvous
 
+LOG = logging.getLogger(__name__)
+
 #: How long a question waits at an engine; longer waits cost nothing, and
 #: a connection that has gone silent is noticed this late.
 WAIT_S = 1.0
@@ -121,10 +124,13 @@
                 self._look()
                 await asyncio.sleep(LOOK_S)
         finally:
-            for task in self._asking.values():
-                task.cancel()
+            # Left in the table, they would keep the next run from asking:
+            # no cache of theirs would be used again.
+            while self._asking:
+                self._asking.popitem()[1].cancel()
 
     def _look(self) -> None:
+        ended = self._forget_ended()
         engines, stores = self._state.engines(), self._state.cache_stores()
         known = {identity(each): each for each in (*engines, *stores)}
         routers = tuple(sorted(self._routers()))
@@ -138,12 +144,32 @@
         }
         for name in set(self._asking) - set(wanted):
             self._asking.pop(name).cancel()
-        for name in set(wanted) - set(self._asking):
+        for name in set(wanted) - set(self._asking) - ended:
             self._asking[name] = asyncio.get_running_loop().create_task(
                 self._ask(wanted[name])
             )
         self._state.cache.keep(set(known))
 
+    def _forget_ended(self) -> set[str]:
+        """Forget tasks that have ended; return their sources' names.
+
+        None ends by itself: an error that nobody expected, or a
+        cancellation inside a call, has ended it.  Kept, it would count as
+        asking, and the source's cache would not be used again.  Each look
+        comes here first, and the next one asks again, so that a lasting
+        fault costs one question in a look.
+        """
+        ended = {name for name, task in self._asking.items() if task.done()}
+        for name in ended:
+            error = _reason(self._asking.pop(name))
+            LOG.error(
+                "no longer asked %s for its cache: %r; asking again",
+                name,
+                error,
+                exc_info=error,
+            )
+        return ended
+
     def _is_asker(self, name: str, routers: tuple[str, ...]) -> bool:
         """Whether this router is among those that ask the source.
 
@@ -173,6 +199,13 @@
             self._state.cache.told(identity(source), told.epoch, told.events)
 
 
+def _reason(task: asyncio.Task) -> BaseException | None:
+    """Return what ended a task."""
+    if task.cancelled():
+        return asyncio.CancelledError()
+    return task.exception()
+
+
 @functools.singledispatch
 def _is_of(source: Source, told: Told) -> bool:
     """Whether the words come from this start of the source."""
