Let a strange cache event break its own engine's stream alone

Cause: an event of another shape raises KeyError, TypeError, OverflowError or RecursionError, which ended the group of tasks that reads all streams. The controller was started again with a table that still named the ended tasks, and so started none.

Why it holds: lookups, conversions and the decoder raise nothing else, and all of these are now the ValueError that breaks one stream. Whatever else ends the controller, each run begins with an empty table, and the group has waited for all tasks of the run before.

--- a/toucanrudder/controllers/cache_events.py
+++ b/toucanrudder/controllers/cache_events.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 import json
 import logging
 import random
@@ -73,6 +75,10 @@
 
     async def run(self) -> None:
         """Follow the configured engines for ever."""
+        # Tasks of an earlier run have all ended with its group.  Left in
+        # the table they would count as following, and no engine's events
+        # would be read again.
+        self._following.clear()
         async with asyncio.TaskGroup() as group:
             while True:
                 self._adjust(group)
@@ -127,20 +133,34 @@
     def _take(self, upstream: str, line: bytes, position: "_Position") -> None:
         if not line.strip():
             return
-        event = json.loads(line)
-        sequence = int(event["seq"])
-        position.advance(str(event["incarnation"]), sequence)
-        take = _TAKE.get(str(event["kind"]))
-        if take is not None:
+        with _reading():
+            event = json.loads(line)
+            sequence = int(event["seq"])
+            incarnation = str(event["incarnation"])
+        position.advance(incarnation, sequence)
+        with _reading():
+            take = _TAKE.get(str(event["kind"]))
+            if take is None:
+                return
             keys = tuple(
                 bytes.fromhex(each) for each in event.get("blocks", ())
             )
-            take(
-                self._beliefs,
-                (upstream, str(event["incarnation"]), sequence),
-                keys,
-                self._clock(),
-            )
+        place = (upstream, incarnation, sequence)
+        take(self._beliefs, place, keys, self._clock())
+
+
+@contextlib.contextmanager
+def _reading() -> Iterator[None]:
+    """Turn what an event of another shape raises into a ValueError.
+
+    Any other error would end the group of tasks, and with it the reading
+    of all engines' events.  Lookups, conversions and the decoder raise no
+    errors but these; a ValueError breaks this engine's stream alone.
+    """
+    try:
+        yield
+    except (LookupError, TypeError, OverflowError, RecursionError) as error:
+        raise ValueError(f"not a cache event: {error!r}") from error
 
 
 def _stored(believed, place, keys, now_s):
