Poll all upstreams again after a strange report or a restart

Cause: the decoder raises RecursionError for deep nesting and LookupError for a character set that is no text encoding, which ended the group of all polls. A poll that the group cancels before its first step does not reach the block that takes its name off, so that the next run took the upstream for one that is being polled.

Why it holds: both errors are now a failed poll of that upstream. Whatever else ends the controller, each run begins with an empty set, and the group has waited for all polls of the run before.

--- a/toucanrudder/controllers/loads.py
+++ b/toucanrudder/controllers/loads.py
@@ -91,6 +91,10 @@
 
     async def run(self) -> None:
         """Poll for ever."""
+        # A poll that was cancelled before its first step has not taken its
+        # name off: its upstream would never be polled again, and count as
+        # failed.  All polls of an earlier run have ended with its group.
+        self._polling.clear()
         async with asyncio.TaskGroup() as group:
             while True:
                 self._start_due(group)
@@ -138,7 +142,13 @@
         ) as response:
             if response.status != 200:
                 raise ValueError(f"status {response.status}")
-            return loads.parse(await response.json())
+            try:
+                return loads.parse(await response.json())
+            except (LookupError, RecursionError) as error:
+                # A character set that is none, or a body that is nested
+                # too deeply.  They would end the polls of all upstreams;
+                # decoding raises nothing else but ValueErrors.
+                raise ValueError(f"not a load report: {error}") from error
 
     def _presumed_incarnation(self, name: str) -> str:
         known = self._table.get(name)
