Split the order to one engine from whose turn it is to give orders

The controller of orders held both; asking, emptying, ordering and watching one engine stand in forwarding.loading now. A turn that one silent engine ends lasts a part of the configured bound in place of five seconds, and engines that are no longer listed do not end it.

--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -21,6 +21,7 @@
 from toucanrudder.forwarding import dialect as dialects
 from toucanrudder.forwarding import following
 from toucanrudder.forwarding import forwarder
+from toucanrudder.forwarding import loading
 from toucanrudder.forwarding import orders
 from toucanrudder.forwarding import peering
 from toucanrudder.forwarding import rollout
@@ -78,7 +79,7 @@
     kinds: following.Kinds
     encode: Callable
     decode: Callable
-    engine_calls: Callable[..., orders.OrderDialect]
+    engine_calls: Callable[..., loading.OrderDialect]
 
 
 class Router:
--- a/toucanrudder/forwarding/orders.py
+++ b/toucanrudder/forwarding/orders.py
@@ -1,17 +1,14 @@
 """Gives engines the orders to load new weights, under a lease."""
 
-import abc
 import asyncio
-from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
 import logging
 
-import attrs
-
 from toucanrudder import clock
 from toucanrudder import errors
+from toucanrudder.forwarding import loading
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import rollout
 from toucanrudder.forwarding import state as states
@@ -19,28 +16,15 @@
 from toucanrudder.leases import decision
 from toucanrudder.leases import holder
 from toucanrudder.observability import decisions
-from toucanrudder.observability import metrics
 from toucanrudder.store import interface
 
 LOG = logging.getLogger(__name__)
 
-STEP = "order"
 LEASE = "weights"
 
 #: Pause between two looks at what is left to do.
 LOOK_S = 0.15
 
-#: Pause between two questions to an engine that carries out an order.
-ASK_S = 0.2
-
-#: The same while the engine works off what it has: its reports are about a
-#: tenth of a second old.
-EMPTY_ASK_S = 0.15
-
-#: A call to an engine; well below the margin of the lease, so that an
-#: order sent just in time arrives in time.
-CALL_S = 0.4
-
 #: Work that stays undone for this long is taken up by the next router in
 #: line: the first has died, or cannot reach the store.
 IN_LINE_S = 1.0
@@ -69,35 +53,6 @@
 )
 
 
-class OrderDialect(abc.ABC):
-    """Calls to an engine that are not requests of callers."""
-
-    @abc.abstractmethod
-    async def report(
-        self, upstream: model.Upstream, *, timeout_s: float
-    ) -> rollout.Report | None:
-        """Return the engine's report; None if it gave none."""
-
-    @abc.abstractmethod
-    async def load(
-        self,
-        task: rollout.Task,
-        report: rollout.Report,
-        *,
-        mode: rollout.Mode,
-        holder: str,
-        fencing: int,
-        timeout_s: float,
-    ) -> bool:
-        """Order new weights; say whether the engine took the order.
-
-        Raises
-        ------
-        RudderError
-            ``order_fenced``: another holder has a higher number.
-        """
-
-
 class RolloutController:
     """Brings all engines to the newest weights.
 
@@ -105,7 +60,7 @@
     ----------
     state : states.ForwardingState
         Tells which engines there are.
-    dialect : OrderDialect
+    dialect : loading.OrderDialect
         Speaks with engines.
     lease : holder.LeaseHolder
         Proves that no other router gives orders.
@@ -119,21 +74,22 @@
     def __init__(
         self,
         state: states.ForwardingState,
-        dialect: OrderDialect,
+        dialect: loading.OrderDialect,
         lease: holder.LeaseHolder,
         *,
         place_in_line: Callable[[], int],
         avoid: Callable[[str, float], Awaitable[None]],
     ):
         self._state = state
-        self._dialect = dialect
         self._lease = lease
         self._place_in_line = place_in_line
-        self._avoid = avoid
+        self._loader = loading.Loader(
+            state, dialect, lease, avoid=avoid, heard=self._heard
+        )
+        self.asked = self._loader.asked
         self._given: dict[str, rollout.Given] = {}
         self._undone_since_s: float | None = None
         self._held_before = False
-        self._calls = 0
         self._tasks: set[asyncio.Task] = set()
         self._doubted: set[str] = set()
         self._turn: turns.Turn | None = None
@@ -182,10 +138,12 @@
         """
         list_age_s = self._state.registry.age_s(now_s)
         if self._turn is None:
-            self._turn = turns.Turn(now_s, list_age_s <= turns.LIST_S)
+            self._turn = turns.Turn(
+                now_s, self._state.pace, list_age_s <= turns.LIST_S
+            )
         left = [task.upstream.incarnation for task in self._left()]
         ending = self._turn.ending(left, list_age_s, now_s)
-        if ending is None or self._calls:
+        if ending is None or self._loader.calls:
             return ending is not None
         decisions.record(
             decisions.TurnEnded(
@@ -205,7 +163,7 @@
         Orders that engines have taken are carried out without us; only
         one that is being given must end first.
         """
-        if self._held_before and not self._calls:
+        if self._held_before and not self._loader.calls:
             self._held_before = False
             self._turn = None
             await self._lease.release()
@@ -254,7 +212,7 @@
         self._held_before = lease is not None
         if lease is None:
             # The store gave no answer, or another was faster.
-            await asyncio.sleep(ASK_S)
+            await asyncio.sleep(loading.ASK_S)
             return False
         return True
 
@@ -316,9 +274,11 @@
         ]
 
     def _age_s(self, task: rollout.Task) -> float:
-        named = self._state.newest_weights[task.model]
-        version = task.upstream.weights.get(task.model, 0)
-        return named.age_s(version, clock.now_s())
+        return self._state.weights_age_s(task.upstream, task.model)
+
+    def _heard(self) -> None:
+        if self._turn is not None:
+            self._turn.heard(clock.now_s())
 
     def _busy(self, upstream: model.Upstream, now_s: float) -> float:
         known = self._state.states.of(upstream.incarnation)
@@ -341,7 +301,7 @@
 
     async def _refreshed(self, upstream: model.Upstream) -> None:
         try:
-            report = await self.asked(upstream)
+            report = await self._loader.asked(upstream)
             for name, version in (report.weights if report else {}).items():
                 self._state.registry.has_weights(
                     upstream.incarnation, name, version
@@ -363,11 +323,7 @@
             report = await self._ready(task)
             if report is None or not self._takes_place(task, given):
                 return
-            async with self._avoided(name):
-                if await self._ordered(task, report):
-                    # It may take as long again until the engine has them.
-                    given.at_s = clock.now_s()
-                    await self._watched(task)
+            await self._loader.load(task, report, given)
         except errors.RudderError as error:
             LOG.warning("order refused: %s", error, extra={"peer": name})
         finally:
@@ -395,48 +351,6 @@
             )
         return given.has_place
 
-    @contextlib.asynccontextmanager
-    async def _avoided(self, name: str) -> AsyncIterator[None]:
-        """Keep work from an engine during the block, here and at peers."""
-        await self._avoid(name, rollout.PATIENCE_S)
-        try:
-            yield
-        finally:
-            await self._avoid(name, 0.0)
-
-    async def _watched(self, task: rollout.Task) -> None:
-        """Wait until the engine has the weights, or has given up."""
-        name = task.upstream.incarnation
-        began_s = clock.now_s()
-        has = 0
-        while clock.now_s() < began_s + rollout.PATIENCE_S:
-            await asyncio.sleep(ASK_S)
-            report = await self.asked(task.upstream)
-            if report is None:
-                continue
-            has = report.weights.get(task.model, 0)
-            self._state.registry.has_weights(name, task.model, has)
-            if has >= task.version or not report.is_busy:
-                break
-        decisions.record(
-            decisions.OrderEnded(
-                upstream=name,
-                model=task.model,
-                version=task.version,
-                has_version=has,
-                took_s=clock.now_s() - began_s,
-            )
-        )
-
-    async def asked(self, upstream: model.Upstream) -> rollout.Report | None:
-        """Return an engine's report; None if it gives none."""
-        report = await self._dialect.report(upstream, timeout_s=CALL_S)
-        if report is None or not upstream.says(report.born_ms):
-            return None
-        if self._turn is not None:
-            self._turn.heard(clock.now_s())
-        return report
-
     def _note_answer(
         self, task: rollout.Task, report: rollout.Report | None
     ) -> None:
@@ -467,88 +381,15 @@
             )
         )
 
-    async def _emptied(
-        self, task: rollout.Task, report: rollout.Report
-    ) -> rollout.Report | None:
-        """Wait while the engine, which gets no new work, has much of it.
-
-        A report that is lost says nothing: an engine under pressure turns
-        new connections away.  The one before it will do, as the order
-        names the count of orders that it was made with.
-
-        Returns
-        -------
-        rollout.Report or None
-            The engine's newest report; None if it carries out an order.
-        """
-        began_s = clock.now_s()
-        while rollout.waits_for_runs(
-            report,
-            clock.now_s() - began_s,
-            self._age_s(task),
-            self._state.pace,
-        ):
-            await asyncio.sleep(EMPTY_ASK_S)
-            report = await self.asked(task.upstream) or report
-            if report.is_busy:
-                return None
-        return report
-
     async def _ready(self, task: rollout.Task) -> rollout.Report | None:
         """Return the report of an engine that can be ordered, or None."""
-        report = await self.asked(task.upstream)
+        report = await self._loader.asked(task.upstream)
         self._note_answer(task, report)
         if report is None or report.is_busy:
-            await asyncio.sleep(ASK_S)
+            await asyncio.sleep(loading.ASK_S)
             return None
         has = report.weights.get(task.model, 0)
         self._state.registry.has_weights(
             task.upstream.incarnation, task.model, has
         )
         return report if has < task.version else None
-
-    async def _ordered(
-        self, task: rollout.Task, report: rollout.Report
-    ) -> bool:
-        """Empty an engine and order it; say whether an order was sent."""
-        name = task.upstream.incarnation
-        had = report.weights.get(task.model, 0)
-        report = await self._emptied(task, report)
-        if report is None or self._state.stopping:
-            return False
-        mode = rollout.mode(report)
-        # Versions named while the engine was emptied are skipped.
-        task = attrs.evolve(task, version=self._newest()[task.model])
-        lease = self._lease.check(clock.now_s())
-        self._calls += 1
-        try:
-            taken = await self._dialect.load(
-                task,
-                report,
-                mode=mode,
-                holder=self._lease.me,
-                fencing=lease.fencing,
-                timeout_s=CALL_S,
-            )
-        finally:
-            self._calls -= 1
-        metrics.counter("toucanrudder_orders", "Orders to engines").add(
-            1, {"taken": str(taken).lower()}
-        )
-        decisions.record(
-            decisions.OrderGiven(
-                upstream=name,
-                model=task.model,
-                version=task.version,
-                had_version=had,
-                fencing=lease.fencing,
-                lease_left_s=lease.until_s - clock.now_s(),
-                expected_orders=report.orders,
-                running=report.running,
-                reading=report.reading,
-                memory_share=report.memory_share,
-                mode=mode.value,
-                taken=taken,
-            )
-        )
-        return True
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -149,6 +149,11 @@
         decisions.record(decisions.WeightsNamed(model=name, version=version))
         return True
 
+    def weights_age_s(self, upstream: model.Upstream, name: str) -> float:
+        """Return for how long an engine's weights have been superseded."""
+        named = self.newest_weights[name]
+        return named.age_s(upstream.weights.get(name, 0), clock.now_s())
+
     def engines(self) -> list[model.Upstream]:
         """Return the upstreams of all services that are engines."""
         configuration = self.configuration
--- a/toucanrudder/forwarding/turns.py
+++ b/toucanrudder/forwarding/turns.py
@@ -11,14 +11,16 @@
 
 import attrs
 
+from toucanrudder.forwarding import rollout
+
 #: Time without any engine's answer after which a turn ends: three calls
 #: one after the other, none of which may take longer than 0.4 s.
 NOTHING_S = 1.5
 
-#: Time after which it ends for engines that give no answer while others
-#: do.  The registry drops an engine that is down after three signs of life,
-#: some four seconds.
-SOME_S = 5.0
+#: Part of the time within which engines must follow, after which a turn
+#: ends for an engine that gives no answer while others do: six seconds of
+#: ten.  The registry drops an engine that is down after some four.
+SOME_SHARE = 0.6
 
 #: Age of a router's list of engines from which it does not begin a turn
 #: before others: two rounds of asking a reader and then the store.
@@ -29,10 +31,6 @@
 #: needs half a second to see that the lease is free.
 REST_S = 3.0
 
-#: Time for which an engine may carry out an order before it counts as one
-#: that cannot be ordered: it may wait for its slowest request.
-BUSY_S = 4.0
-
 
 class Ending(enum.Enum):
     """Why a router gives its turn up."""
@@ -50,6 +48,8 @@
     ----------
     began_s : float
         When the turn began.
+    pace : rollout.Pace
+        How fast engines must follow.
     has_new_list : bool
         Whether this router's list of engines was new then.
 
@@ -68,6 +68,7 @@
     """
 
     began_s: float
+    pace: rollout.Pace = rollout.USUAL_PACE
     has_new_list: bool = True
     _heard_s: float = attrs.field(
         default=attrs.Factory(lambda self: self.began_s, takes_self=True)
@@ -104,7 +105,7 @@
         busy = {
             name
             for name, since_s in self._busy_since_s.items()
-            if now_s - since_s > BUSY_S
+            if now_s - since_s > rollout.PATIENCE_S
         }
         return busy | set(self._silent_since_s)
 
@@ -124,10 +125,11 @@
         """
         if self.has_new_list and list_age_s > LIST_S:
             return Ending.OLD_LIST
-        if self._silent_since_s and now_s - self._heard_s > NOTHING_S:
-            return Ending.NO_ANSWER
-        if any(self.silent_s(name, now_s) > SOME_S for name in left):
+        silent_s = max((self.silent_s(n, now_s) for n in left), default=0.0)
+        if silent_s > SOME_SHARE * self.pace.bound_s:
             return Ending.SILENT_ENGINE
+        if silent_s > 0.0 and now_s - self._heard_s > NOTHING_S:
+            return Ending.NO_ANSWER
         return None
 
 
--- a/toucanrudder/platform/orders.py
+++ b/toucanrudder/platform/orders.py
@@ -6,8 +6,8 @@
 from toucanrudder import errors
 from toucanrudder.forwarding import cache
 from toucanrudder.forwarding import cache_feed
+from toucanrudder.forwarding import loading
 from toucanrudder.forwarding import model
-from toucanrudder.forwarding import orders
 from toucanrudder.forwarding import rollout
 from toucanrudder.http1 import calls
 from toucanrudder.http1 import client
@@ -31,7 +31,7 @@
 _MODES = {rollout.Mode.WAIT: "block", rollout.Mode.KEEP: "retain"}
 
 
-class EngineCalls(orders.OrderDialect, cache_feed.CacheDialect):
+class EngineCalls(loading.OrderDialect, cache_feed.CacheDialect):
     """Calls to engines on their own address.
 
     Parameters
@@ -96,7 +96,7 @@
             raise errors.RudderError(
                 errors.Code.ORDER_FENCED,
                 "another holder has given orders",
-                step=orders.STEP,
+                step=loading.STEP,
                 peer=task.upstream.incarnation,
             )
         return status in (200, 202)
--- a/toucanrudder/testing/virtual/sites.py
+++ b/toucanrudder/testing/virtual/sites.py
@@ -20,8 +20,8 @@
 from toucanrudder.forwarding import cache_feed
 from toucanrudder.forwarding import daemon
 from toucanrudder.forwarding import following
+from toucanrudder.forwarding import loading
 from toucanrudder.forwarding import model
-from toucanrudder.forwarding import orders
 from toucanrudder.forwarding import rollout
 from toucanrudder.peers import client as peer_clients
 from toucanrudder.peers import messages
@@ -74,7 +74,7 @@
 )
 
 
-class EngineCalls(orders.OrderDialect, cache_feed.CacheDialect):
+class EngineCalls(loading.OrderDialect, cache_feed.CacheDialect):
     """One router's calls to engines.
 
     Parameters
