Test weights after a crossed answer; engines that go down as they load

Symptom: an engine is never ordered to load new weights after one answer that belonged to another request and named newer ones.

--- a/toucanrudder/forwarding/tests/test_rollout_at_size.py
+++ b/toucanrudder/forwarding/tests/test_rollout_at_size.py
@@ -147,7 +147,17 @@
     await asyncio.sleep(1.0)
 
 
+async def loaders_go_down(day):
+    """Engines go down just as they carry out their orders."""
+    day.site.name_weights(2)
+    await asyncio.sleep(1.0)
+    for _ in range(3):
+        loading = [e for e in day.site.engines.values() if e.is_loading]
+        await day.down(loading, 3.0)
+
+
 DAYS = (
+    loaders_go_down,
     silent_and_back,
     series_and_crashes,
     many_killed,
--- a/toucanrudder/platform/testing/standins.py
+++ b/toucanrudder/platform/testing/standins.py
@@ -388,9 +388,13 @@
 
 
 async def crosses(upstream: Server, run: Run, answer) -> None:
-    """Give the answer to another request."""
+    """Give the answer to another request, of an engine with newer weights."""
     upstream.runs.append(run)
-    fields = ((b"Request-Id", b"another"), (b"Server-Seal", b"s"))
+    fields = (
+        (b"Request-Id", b"another"),
+        (b"Server-Seal", b"s"),
+        (b"Weight-Versions", b"9"),
+    )
     await answer.whole(200, fields, b"not yours")
 
 
--- a/toucanrudder/platform/tests/test_platform.py
+++ b/toucanrudder/platform/tests/test_platform.py
@@ -632,6 +632,18 @@
     assert answer.body == EVENTS
 
 
+async def test_weights_are_not_learned_from_another_requests_answer(site):
+    # An engine keeps its old weights for as long as it lives: one crossed
+    # answer names newer ones, so that it passes for up to date at this
+    # router, and what is believed of a start's weights only rises.
+    engine = await site.engine()
+    engine.behaviours = [standins.crosses]
+    router = await site.router()
+    await asked(router, b"/s/x")
+    site.store.put("versions", "m", {"model": "m", "version": 4})
+    await until(lambda: engine.version == 4)
+
+
 async def test_weights_past_their_time_get_no_work(site):
     # The router that gives the orders is cut off, and new weights were
     # named almost as long ago as engines have to follow.  A request sent
