Learn nothing from an answer to another request

An engine that is believed to have newer weights is left out of the orders, and what is believed of one start only rises.

Cause: the weights that an answer names were taken in before it was clear that the answer belonged to the request; its load was not.

Why it holds: an answer to another request ends the try before anything is learned.

--- a/toucanrudder/forwarding/attempt.py
+++ b/toucanrudder/forwarding/attempt.py
@@ -246,9 +246,12 @@
         """
         head = await self._next_event(connection, self._patience_s())
         facts = self.course.dialect.facts(self.course.call, upstream, head)
-        self._learn(upstream, facts)
         if not facts.is_for:
+            # Nothing is learned from it: weights that another engine has
+            # would be believed of this one for as long as it lives, and
+            # nobody would order it to load them.
             raise TryEnded(tries.Ended.CROSSED)
+        self._learn(upstream, facts)
         connection.keep_for_s = pool.keep_for_s(head.headers)
         refused = _refused(facts)
         if refused is not None:
@@ -263,7 +266,7 @@
 
     def _learn(self, upstream, facts) -> None:
         now_s = clock.now_s()
-        if facts.load is not None and facts.is_for:
+        if facts.load is not None:
             self.state.states.told(upstream.incarnation, facts.load, now_s)
         if facts.weights_version is not None and self.prompt:
             self.state.registry.has_weights(
