Test that the next holder gets past silent engines

Symptom: engines that answer keep their weights while half of the others are silent, once the first holder has given the lease up: one router after the other takes it and lets it go. In the virtual site requests now go where the product would place them.

--- a/toucanrudder/forwarding/tests/test_orders.py
+++ b/toucanrudder/forwarding/tests/test_orders.py
@@ -174,3 +174,26 @@
         return await fleet.lag_after(10 * BOUND_S)
 
     assert timing.run(day) == []
+
+
+def test_the_next_holder_gets_past_silent_engines():
+    """Engines that answer follow although the first holder reached none.
+
+    The first in line gives its turn up.  The next one waits a second for
+    what that one may have sent, then asks the engines with the least work
+    first: those that are silent.  It must not take them for all engines,
+    or one router after the other would give up before it has asked more.
+    """
+    names = [f"i{number:02}" for number in range(45)]
+
+    async def day():
+        engines = {
+            name: Engine(is_silent=place < 22)
+            for place, name in enumerate(names)
+        }
+        fleet = Fleet(engines)
+        fleet.router(0, names, is_choked=True)
+        fleet.router(1, names)
+        return await fleet.lag_after(2 * BOUND_S)
+
+    assert timing.run(day) == []
--- a/toucanrudder/testing/virtual/sites.py
+++ b/toucanrudder/testing/virtual/sites.py
@@ -22,6 +22,7 @@
 from toucanrudder.forwarding import following
 from toucanrudder.forwarding import loading
 from toucanrudder.forwarding import model
+from toucanrudder.forwarding import placing
 from toucanrudder.forwarding import rollout
 from toucanrudder.peers import client as peer_clients
 from toucanrudder.peers import messages
@@ -403,20 +404,24 @@
         """Send a request as one router sees the engines."""
         node = self.rng.choice(list(self.nodes.values()))
         state, now_s = node.daemon.state, self.now_s()
-        candidates = [
-            each
-            for each in state.registry.of(virtual_engines.SERVICE)
-            if state.states.of(each.incarnation).avoided_until_s <= now_s
-        ]
+        prompt = model.Prompt(virtual_engines.MODEL)
+        candidates = placing.usable(
+            state.candidates(virtual_engines.SERVICE, prompt, now_s),
+            now_s,
+            self.bound_s,
+        )
         if candidates:
             chosen = min(
                 self.rng.sample(candidates, min(2, len(candidates))),
-                key=lambda each: self.engines[each.address].running,
-            )
+                key=lambda each: self._running(each.upstream),
+            ).upstream
             engine = self.engines[chosen.address]
             if not engine.is_dark and engine.name == chosen.name:
                 engine.arrive(1)
 
+    def _running(self, upstream: model.Upstream) -> int:
+        return self.engines[upstream.address].running
+
     def _spawn(self, coroutine) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
