Count a holder's silence from its first question on

Cause: a turn that follows another one waits a second before the first order, and the time without an answer was counted from its beginning. The engines that are asked first are those with the least work, so the silent ones; with as many of them as places the turn ended before any other had been asked, and so did the next.

Why it holds: three calls one after the other fit between the first question and the end of a turn, and silent engines take a place in the first round only.

--- a/toucanrudder/forwarding/orders.py
+++ b/toucanrudder/forwarding/orders.py
@@ -139,18 +139,19 @@
         list_age_s = self._state.registry.age_s(now_s)
         if self._turn is None:
             self._turn = turns.Turn(
-                now_s, self._state.pace, list_age_s <= turns.LIST_S
+                self._state.pace, list_age_s <= turns.LIST_S
             )
         left = [task.upstream.incarnation for task in self._left()]
         ending = self._turn.ending(left, list_age_s, now_s)
         if ending is None or self._loader.calls:
             return ending is not None
+        lease = self._lease.held(now_s)
         decisions.record(
             decisions.TurnEnded(
                 reason=ending.value,
                 engines_left=len(left),
                 list_age_s=list_age_s,
-                lasted_s=now_s - self._turn.began_s,
+                held_s=now_s - lease.acquired_s if lease else 0.0,
             )
         )
         self._resting_until_s = now_s + turns.REST_S
@@ -235,7 +236,7 @@
         if now_s - lease.acquired_s < settle_s:
             return
         newest = self._newest()
-        stuck = self._turn.stuck(now_s) if self._turn else set()
+        stuck = self._turn.stuck(now_s)
         for engines in self._engines().values():
             busy = {
                 each.incarnation: self._busy(each, now_s) for each in engines
@@ -254,6 +255,7 @@
                 name = task.upstream.incarnation
                 given = rollout.Given(task.version, now_s, name not in stuck)
                 self._given[name] = given
+                self._turn.asks(now_s)
                 self._start(self._carried_out(task, given))
 
     def _orderable(self, engines, now_s: float) -> list[model.Upstream]:
@@ -356,7 +358,7 @@
     ) -> None:
         """Say why an engine gets no order, if it gets none."""
         name, now_s = task.upstream.incarnation, clock.now_s()
-        turn = self._turn or turns.Turn(now_s)
+        turn = self._turn or turns.Turn()
         if report is None:
             turn.unanswered(name, now_s)
         elif report.is_busy:
--- a/toucanrudder/forwarding/turns.py
+++ b/toucanrudder/forwarding/turns.py
@@ -46,8 +46,6 @@
 
     Parameters
     ----------
-    began_s : float
-        When the turn began.
     pace : rollout.Pace
         How fast engines must follow.
     has_new_list : bool
@@ -55,8 +53,8 @@
 
     Examples
     --------
-    >>> turn = Turn(0.0)
-    >>> turn.unanswered("i2", 1.0); turn.answered("i1", 2.4)
+    >>> turn = Turn()
+    >>> turn.asks(0.8); turn.unanswered("i2", 1.0); turn.answered("i1", 2.4)
     >>> turn.ending(["i1", "i2"], 0.1, 3.0)
     >>> turn.ending(["i1", "i2"], 0.1, 4.0)
     <Ending.NO_ANSWER: 'no_answer'>
@@ -67,15 +65,19 @@
     (None, <Ending.OLD_LIST: 'old_list'>)
     """
 
-    began_s: float
     pace: rollout.Pace = rollout.USUAL_PACE
     has_new_list: bool = True
-    _heard_s: float = attrs.field(
-        default=attrs.Factory(lambda self: self.began_s, takes_self=True)
-    )
+    #: When an engine last answered, or else when one was first asked: a
+    #: turn may begin with a wait for what the last holder has sent.
+    _heard_s: float | None = None
     _silent_since_s: dict[str, float] = attrs.field(factory=dict)
     _busy_since_s: dict[str, float] = attrs.field(factory=dict)
 
+    def asks(self, now_s: float) -> None:
+        """Note that an engine is asked."""
+        if self._heard_s is None:
+            self._heard_s = now_s
+
     def heard(self, now_s: float) -> None:
         """Note that some engine has answered."""
         self._heard_s = now_s
@@ -128,7 +130,8 @@
         silent_s = max((self.silent_s(n, now_s) for n in left), default=0.0)
         if silent_s > SOME_SHARE * self.pace.bound_s:
             return Ending.SILENT_ENGINE
-        if silent_s > 0.0 and now_s - self._heard_s > NOTHING_S:
+        unheard_s = 0.0 if self._heard_s is None else now_s - self._heard_s
+        if silent_s > 0.0 and unheard_s > NOTHING_S:
             return Ending.NO_ANSWER
         return None
 
--- a/toucanrudder/observability/decisions.py
+++ b/toucanrudder/observability/decisions.py
@@ -103,7 +103,7 @@
     reason: str
     engines_left: int
     list_age_s: float
-    lasted_s: float
+    held_s: float
 
 
 @attrs.frozen(kw_only=True)
