Keep channels open under their calls also when exchanges begin anew

Cause: ending the exchanges closed all channels, with the questions of other tasks on them, and went through the table while it changed. Found in review; the new row of test_questions fails without this. Why it holds: ending gives the channels up like any other, and their last call closes them.

--- a/toucanrudder/peers/client.py
+++ b/toucanrudder/peers/client.py
@@ -129,9 +129,8 @@
 
     async def close(self) -> None:
         """Close all channels."""
-        for lent in self._channels.values():
-            await lent.channel.close()
-        self._channels.clear()
+        for address in list(self._channels):
+            await self.drop(address)
 
 
 class PeerClient:
--- a/toucanrudder/peers/tests/test_questions.py
+++ b/toucanrudder/peers/tests/test_questions.py
@@ -66,7 +66,12 @@
     await fleet.ask(second, revision=REVISION - 1)
 
 
+async def the_exchanges_begin_anew(fleet, first, second):
+    await fleet.client._channels.close()
+
+
 CLOSED = [
+    the_exchanges_begin_anew,
     another_call_to_the_peer_fails,
     more_peers_are_called_than_channels_are_kept,
 ]
