Remember silent engines over turns; let a lone or quiet fleet go on

Found in review, by trials on virtual time; no caller has seen it.

With 15 of 45 engines silent but still listed, one router never followed a second version, and three routers none with 22: each turn forgot who was silent, began with the silent ones, which have the least work, and ended before it had asked another.

Now what engines answered is kept from turn to turn; over the same work a router gives its turn up once; a router that lives alone never does; a list is old when the registry's next word is late, whatever its watch waits. The rest after a turn follows the lease's own time. Silent engines are asked in the order in which they were last asked, and no more at once than may load. LeaseChanged tells each loss of the lease.

Why it holds: test_later_weights_reach_the_engines_that_answer plays 1 to 40 silent engines of 45 at 1 to 3 routers over three versions.

--- a/toucanrudder/controllers/feeds.py
+++ b/toucanrudder/controllers/feeds.py
@@ -58,13 +58,14 @@
     returned : callable
         Called before anything is told after an outage.
     confirmed : callable
-        Called when all that has been told is known to be up to date.
+        Called when all that has been told is up to date, with the time by
+        which the next word is due.
     """
 
     replaced: Callable[[tuple[interface.StoredObject, ...], float], None]
     changed: Callable[[feed.Change, float], None]
     returned: Callable[[float], None] = lambda now_s: None
-    confirmed: Callable[[float], None] = lambda now_s: None
+    confirmed: Callable[[float, float], None] = lambda now_s, due_s: None
 
 
 class FeedController:
@@ -136,7 +137,7 @@
             )
             now_s = self._answered()
             self._follower.replaced(found.objects, now_s)
-            self._follower.confirmed(now_s)
+            self._confirmed(now_s)
             self._revision = found.revision
             return
         # After a failure a short wait tells soon whether the store is back.
@@ -147,11 +148,15 @@
         now_s = self._answered()
         for change in found.changes:
             self._follower.changed(change, now_s)
-        self._follower.confirmed(now_s)
+        self._confirmed(now_s)
         self._revision = found.revision
         if found.changes:
             await asyncio.sleep(gather_s(self._followers()))
 
+    def _confirmed(self, now_s: float) -> None:
+        due_s = now_s + MOST_GATHER_S + self._wait_s()
+        self._follower.confirmed(now_s, due_s)
+
     def _answered(self) -> float:
         now_s = clock.now_s()
         # One call that broke off is no outage: watches are cut now and
--- a/toucanrudder/forwarding/orders.py
+++ b/toucanrudder/forwarding/orders.py
@@ -93,6 +93,8 @@
         self._tasks: set[asyncio.Task] = set()
         self._doubted: set[str] = set()
         self._turn: turns.Turn | None = None
+        self._answers = turns.Answers()
+        self._given_up: set[tuple[str, str, int]] = set()
         self._resting_until_s = float("-inf")
         self._noted_s: dict[str, float] = {}
 
@@ -116,56 +118,69 @@
         """Work until cancelled."""
         while True:
             await asyncio.sleep(LOOK_S)
-            now_s = clock.now_s()
             if self._state.stopping:
                 await self._leave()
                 continue
-            if not self._is_undone(now_s) or not self._is_my_turn(now_s):
+            now_s = clock.now_s()
+            left = self._left()
+            self._note_left(left, now_s)
+            if not left or not self._is_my_turn(now_s):
                 continue
-            if not await self._holds(now_s):
+            if await self._holds(now_s):
+                await self._act(left, clock.now_s())
+            else:
                 self._turn = None
-            elif not await self._gives_up(clock.now_s()):
-                self._give(clock.now_s())
 
-    async def _gives_up(self, now_s: float) -> bool:
-        """End this router's turn if it gets no further.
+    async def _act(self, left: list[rollout.Task], now_s: float) -> None:
+        """Give orders, or end a turn in which this router gets no further.
 
         Failure: this router's list of engines is old, or its calls to them
         get no answer, while the store's do.  Symptom: it holds the lease
         and renews it for as long as it believes that work is left, and
         engines that all others reach keep their weights.  Others cannot
-        see that; so it lets the next in line try.
+        see that; so it lets the next in line try.  Over the same work it
+        does so once: if all others fail as well, the engines are down.
         """
-        list_age_s = self._state.registry.age_s(now_s)
+        registry = self._state.registry
+        overdue_s = registry.overdue_s(now_s)
         if self._turn is None:
-            self._turn = turns.Turn(
-                self._state.pace, list_age_s <= turns.LIST_S
-            )
-        left = [task.upstream.incarnation for task in self._left()]
-        ending = self._turn.ending(left, list_age_s, now_s)
-        if ending is None or self._loader.calls:
-            return ending is not None
+            has_new_list = overdue_s <= turns.OVERDUE_S
+            self._turn = turns.Turn(self._state.pace, has_new_list)
+        untried = {
+            task.upstream.incarnation
+            for task in left
+            if task.key not in self._given_up
+        }
+        ending = self._turn.ending(untried, self._answers, overdue_s, now_s)
+        if ending is None or self._state.live_routers() <= 1:
+            self._give(now_s)
+        elif not self._loader.calls:
+            await self._end_turn(ending, left, now_s)
+
+    async def _end_turn(
+        self, ending: turns.Ending, left: list[rollout.Task], now_s: float
+    ) -> None:
         lease = self._lease.held(now_s)
         decisions.record(
             decisions.TurnEnded(
                 reason=ending.value,
                 engines_left=len(left),
-                list_age_s=list_age_s,
+                list_age_s=self._state.registry.age_s(now_s),
                 held_s=now_s - lease.acquired_s if lease else 0.0,
             )
         )
-        self._resting_until_s = now_s + turns.REST_S
+        self._given_up = {task.key for task in left}
+        self._resting_until_s = now_s + self._lease.terms.lapse_s
         await self._leave()
-        return True
 
     async def _leave(self) -> None:
-        """Let the next in line go on at once when this router stops.
+        """Let the next in line go on at once.
 
         Orders that engines have taken are carried out without us; only
         one that is being given must end first.
         """
         if self._held_before and not self._loader.calls:
-            self._held_before = False
+            self._note_lease(None)
             self._turn = None
             await self._lease.release()
 
@@ -178,39 +193,43 @@
             for task in rollout.missing(engines, newest)
         ]
 
-    def _is_undone(self, now_s: float) -> bool:
-        undone = bool(self._left())
-        if not undone:
+    def _note_left(self, left: list[rollout.Task], now_s: float) -> None:
+        """Note since when work is left, and forget what is done."""
+        names = {task.upstream.incarnation for task in left}
+        self._answers.keep(names)
+        for name in set(self._noted_s) - names:
+            del self._noted_s[name]
+        if not left:
             self._undone_since_s = None
             self._turn = None
-            self._noted_s.clear()
+            self._given_up.clear()
         elif self._undone_since_s is None:
             self._undone_since_s = now_s
-        return undone
 
     def _is_my_turn(self, now_s: float) -> bool:
         if self._held_before:
             return True
         if now_s < self._resting_until_s:
             return False
-        list_age_s = self._state.registry.age_s(now_s)
         waited_s = now_s - self._undone_since_s
         return waited_s >= turns.waits_s(
-            self._place_in_line(), IN_LINE_S, list_age_s
+            self._place_in_line(),
+            IN_LINE_S,
+            self._state.registry.overdue_s(now_s),
+            self._lease.terms.lapse_s,
         )
 
     async def _holds(self, now_s: float) -> bool:
         lease = self._lease.held(now_s)
         renew_below_s = RENEW_SHARE * self._lease.terms.held_s
         if lease is None and self._lease.is_others(now_s):
-            self._held_before = False
+            self._note_lease(None)
             return False
         if lease is None or lease.until_s - now_s < renew_below_s:
             with contextlib.suppress(*_STORE_ERRORS):
                 await self._lease.look()
             lease = self._lease.held(clock.now_s())
-            self._note_lease(lease)
-        self._held_before = lease is not None
+        self._note_lease(lease)
         if lease is None:
             # The store gave no answer, or another was faster.
             await asyncio.sleep(loading.ASK_S)
@@ -220,6 +239,7 @@
     def _note_lease(self, lease: decision.Lease | None) -> None:
         if (lease is not None) == self._held_before:
             return
+        self._held_before = lease is not None
         decisions.record(
             decisions.LeaseChanged(
                 held=lease is not None,
@@ -236,7 +256,7 @@
         if now_s - lease.acquired_s < settle_s:
             return
         newest = self._newest()
-        stuck = self._turn.stuck(now_s)
+        stuck = self._answers.stuck(now_s)
         for engines in self._engines().values():
             busy = {
                 each.incarnation: self._busy(each, now_s) for each in engines
@@ -280,7 +300,7 @@
 
     def _heard(self) -> None:
         if self._turn is not None:
-            self._turn.heard(clock.now_s())
+            self._turn.has_heard = True
 
     def _busy(self, upstream: model.Upstream, now_s: float) -> float:
         known = self._state.states.of(upstream.incarnation)
@@ -358,13 +378,12 @@
     ) -> None:
         """Say why an engine gets no order, if it gets none."""
         name, now_s = task.upstream.incarnation, clock.now_s()
-        turn = self._turn or turns.Turn()
         if report is None:
-            turn.unanswered(name, now_s)
+            self._answers.unanswered(name, now_s)
         elif report.is_busy:
-            turn.busy(name, now_s)
+            self._answers.busy(name, now_s)
         else:
-            turn.answered(name, now_s)
+            self._answers.answered(name)
             return
         if now_s - self._noted_s.get(name, float("-inf")) < NOTE_S:
             return
@@ -377,7 +396,7 @@
                 version=task.version,
                 had_version=task.upstream.weights.get(task.model, 0),
                 reason="busy" if report else "no_report",
-                unanswered_s=turn.silent_s(name, now_s),
+                unanswered_s=self._answers.silent_s(name, now_s),
                 list_age_s=self._state.registry.age_s(now_s),
                 fencing=lease.fencing if lease else 0,
             )
--- a/toucanrudder/forwarding/registry.py
+++ b/toucanrudder/forwarding/registry.py
@@ -45,21 +45,33 @@
         self._births_ms: cachetools.LRUCache = cachetools.LRUCache(MAX_BIRTHS)
         self._by_service: dict[str, tuple[model.Upstream, ...]] | None = None
         self._lenient_until_s = float("-inf")
-        self._confirmed_s = float("-inf")
+        self._confirmed_s = self._due_s = float("-inf")
         self.is_filled = False
 
     def returned(self, now_s: float) -> None:
         """Note that the registry answers again after an outage."""
         self._lenient_until_s = now_s + RELIST_S
 
-    def confirmed(self, now_s: float) -> None:
-        """Note that what is known is what the registry has."""
-        self._confirmed_s = now_s
+    def confirmed(self, now_s: float, due_s: float) -> None:
+        """Note that what is known is what the registry has.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time.
+        due_s : float
+            Time by which the registry is to be heard of again.
+        """
+        self._confirmed_s, self._due_s = now_s, due_s
 
     def age_s(self, now_s: float) -> float:
         """Return for how long the registry may have told of no change."""
         return now_s - self._confirmed_s
 
+    def overdue_s(self, now_s: float) -> float:
+        """Return the time by which the registry's next word is late."""
+        return max(0.0, now_s - self._due_s)
+
     def replace(
         self, upstreams: Iterable[model.Upstream], now_s: float
     ) -> None:
--- a/toucanrudder/forwarding/rollout.py
+++ b/toucanrudder/forwarding/rollout.py
@@ -1,11 +1,11 @@
 """Which engine is to load which weights next.  No I/O."""
 
 from collections.abc import Callable
-from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 import enum
 import math
+import types
 
 import attrs
 
@@ -223,6 +223,11 @@
     model: str
     version: int
 
+    @property
+    def key(self) -> tuple[str, str, int]:
+        """What tells it from all other work."""
+        return self.upstream.incarnation, self.model, self.version
+
 
 @attrs.define
 class Given:
@@ -340,7 +345,7 @@
     age_s: Callable[[Task], float],
     now_s: float,
     pace: Pace = USUAL_PACE,
-    stuck: Collection[str] = (),
+    stuck: Mapping[str, float] = types.MappingProxyType({}),
 ) -> list[Task]:
     """Return the orders to give now, the cheapest engines first.
 
@@ -353,7 +358,8 @@
     so they would be the cheapest, and take a place until a call has timed
     out, again and again.  Symptom: with as many of them as places, no other
     engine is ever ordered.  As it is, each takes a place from another only
-    once, and goes on as soon as it answers.
+    once, and goes on as soon as it answers.  No more are asked than may
+    load, those first that were asked longest ago.
 
     Parameters
     ----------
@@ -371,8 +377,9 @@
         Monotonic time.
     pace : Pace
         How fast engines must follow.
-    stuck : collection of str
-        Engines that could not be ordered, by incarnation.
+    stuck : mapping of str to float
+        Engines that could not be ordered, by incarnation, and when each
+        was last asked.
     """
     engines = [each for each in upstreams if not each.is_leaving]
     under_way = _under_way(given, now_s)
@@ -383,8 +390,15 @@
     ]
     oldest_s = max(map(age_s, open_tasks), default=0.0)
     free = room(engines, given, oldest_s, now_s, pace)
-    asked = [task for task in open_tasks if task.upstream.incarnation in stuck]
-    open_tasks = [task for task in open_tasks if task not in asked]
+    asked = sorted(
+        (t for t in open_tasks if t.upstream.incarnation in stuck),
+        key=lambda task: stuck[task.upstream.incarnation],
+    )
+    asking = sum(not order.has_place for order in under_way.values())
+    may_ask = at_once(len(engines), oldest_s, pace) - asking
+    open_tasks = [
+        task for task in open_tasks if task.upstream.incarnation not in stuck
+    ]
     open_tasks.sort(
         key=lambda task: (
             -max(0.0, age_s(task) - pace.urgent_s),
@@ -392,4 +406,4 @@
             task.upstream.incarnation,
         )
     )
-    return open_tasks[: max(0, free)] + asked
+    return open_tasks[: max(0, free)] + asked[: max(0, may_ask)]
--- a/toucanrudder/forwarding/tests/test_decisions.py
+++ b/toucanrudder/forwarding/tests/test_decisions.py
@@ -628,3 +628,14 @@
     load = model.Load(8, waiting, 8)
     newest = candidate("i1", load=load, load_at_s=10.0)
     assert placing.usable([newest], now_s=10.0, bound_s=bound_s)
+
+
+def test_a_quiet_registry_makes_no_list_old():
+    # A small fleet's watch waits for seconds while nothing changes.  Were
+    # the time since its last answer taken for the list's age, a holder
+    # would give its turn up again and again on a site that is well.
+    found = registry.Registry()
+    assert found.overdue_s(0.0) > 0.0
+    found.confirmed(10.0, due_s=15.5)
+    assert found.overdue_s(15.0) == 0.0
+    assert found.overdue_s(18.0) == 2.5
--- a/toucanrudder/forwarding/tests/test_orders.py
+++ b/toucanrudder/forwarding/tests/test_orders.py
@@ -22,6 +22,9 @@
 BOUND_S = 10.0
 LOAD_S = 0.4
 
+#: How often the registry says that nothing has changed.
+CONFIRMED_EACH_S = 1.0
+
 
 @attrs.define
 class Engine:
@@ -61,8 +64,9 @@
 async def _confirms(registry):
     """Let the registry answer, with no change to tell."""
     while True:
-        registry.confirmed(clock.now_s())
-        await asyncio.sleep(1.0)
+        now_s = clock.now_s()
+        registry.confirmed(now_s, now_s + CONFIRMED_EACH_S)
+        await asyncio.sleep(CONFIRMED_EACH_S)
 
 
 class Fleet:
@@ -72,11 +76,18 @@
         self.engines = engines
         self.store = memory.MemoryObjectStore()
         self.running = []
+        self.routers = 0
+        self.states = []
 
     def router(self, place, known, is_choked=False):
         rng = random.Random(place)
+        self.routers += 1
         state = states.ForwardingState(
-            f"r{place}", "", rng, shares.BudgetBounds()
+            f"r{place}",
+            "",
+            rng,
+            shares.BudgetBounds(),
+            live_routers=lambda: self.routers,
         )
         service = model.Service("s", model.Engine(64, 100_000))
         state.offer(model.Configuration(1, services={"s": service}))
@@ -84,6 +95,7 @@
             entry = model.Upstream(name, "s", f"{name}:80", weights={"m": 1})
             state.registry.put(entry)
         state.weights_named("m", 2, clock.now_s())
+        self.states.append(state)
         lease = holder.LeaseHolder(
             self.store,
             orders.LEASE,
@@ -107,7 +119,7 @@
         self.running.append(asyncio.ensure_future(controller.run()))
         self.running.append(asyncio.ensure_future(_confirms(state.registry)))
 
-    async def lag_after(self, wait_s):
+    async def lag_after(self, wait_s, version=2):
         """Return the engines that answer and have older weights."""
         await asyncio.sleep(wait_s)
         for each in self.running:
@@ -116,7 +128,7 @@
         return sorted(
             name
             for name, engine in self.engines.items()
-            if engine.weights < 2 and not engine.is_silent
+            if engine.weights < version and not engine.is_silent
         )
 
 
@@ -197,3 +209,32 @@
         return await fleet.lag_after(2 * BOUND_S)
 
     assert timing.run(day) == []
+
+
+@pytest.mark.parametrize("silent", [1, 15, 22, 30, 40])
+@pytest.mark.parametrize("routers", [1, 2, 3])
+def test_later_weights_reach_the_engines_that_answer(routers, silent):
+    """Engines that answer follow each version, not the first one alone.
+
+    Some engines are silent and stay on the registry's list.  Over them one
+    router after the other has given a turn up when the next version is
+    named.  If what they have learned is forgotten with the turn, the next
+    one begins with the silent engines again and ends as early.
+    """
+    names = [f"i{number:02}" for number in range(45)]
+
+    async def day():
+        engines = {
+            name: Engine(is_silent=place < silent)
+            for place, name in enumerate(names)
+        }
+        fleet = Fleet(engines)
+        for place in range(routers):
+            fleet.router(place, names)
+        for version in (3, 4):
+            await asyncio.sleep(BOUND_S)
+            for state in fleet.states:
+                state.weights_named("m", version, clock.now_s())
+        return await fleet.lag_after(BOUND_S, version)
+
+    assert timing.run(day) == []
