Pass over the listed failure itself alone

Found in review: a listed test whose fixture failed, that was skipped, that had a lenient mark of its own or whose file was gone did not fail the run, so a second fault could hide behind a listed one. Each is a row now.

--- a/toucanrudder/testing/known_reds.py
+++ b/toucanrudder/testing/known_reds.py
@@ -3,10 +3,13 @@
 ``KNOWN-RED.txt`` at the root lists tests that fail for a fault that is not
 mended yet.  A run passes over exactly these and names them.  A listed test
 that passes fails the run, so that its line goes with the fault; so does a
-line whose test no longer exists.
+line whose test no longer exists, or is skipped, or fails before or after
+its own lines run: that is not the fault which was listed.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Mapping
 import pathlib
 
@@ -85,9 +88,20 @@
 
 
 def unknown(
-    entries: Iterable[KnownRed], collected: Iterable[str]
+    entries: Iterable[KnownRed],
+    collected: Iterable[str],
+    exists: Callable[[str], bool] = lambda path: True,
 ) -> list[KnownRed]:
-    """Return the entries that name no test of a file that was collected.
+    """Return the entries that name no test.
+
+    Parameters
+    ----------
+    entries : iterable of KnownRed
+        What is listed.
+    collected : iterable of str
+        All tests of the files that were asked for.
+    exists : callable
+        Whether there is a file.
 
     Examples
     --------
@@ -102,7 +116,8 @@
     return [
         entry
         for entry in entries
-        if entry.path in paths and entry.test not in tests
+        if entry.test not in tests
+        and (entry.path in paths or not exists(entry.path))
     ]
 
 
@@ -142,13 +157,36 @@
         entry = entries.get(item.nodeid)
         if entry is not None:
             reason = f"{entry.issue}: {entry.seen}"
-            item.add_marker(pytest.mark.xfail(reason=reason, strict=True))
+            # A lenient mark of the test's own must not come first.
+            mark = pytest.mark.xfail(reason=reason, strict=True)
+            item.add_marker(mark, append=False)
     if _is_narrowed(config):
         return
-    for entry in unknown(entries.values(), [item.nodeid for item in items]):
+    collected = [item.nodeid for item in items]
+    root = config.rootpath
+    for entry in unknown(
+        entries.values(), collected, lambda path: (root / path).exists()
+    ):
         items.append(StaleEntry.from_parent(session, name=entry.test))
 
 
+@pytest.hookimpl(wrapper=True, tryfirst=True)
+def pytest_runtest_makereport(
+    item: pytest.Item, call: pytest.CallInfo
+) -> Iterator[pytest.TestReport]:
+    """Let a listed test pass over its own failure alone."""
+    report = yield
+    if item.nodeid not in item.config.stash[_KEY] or not report.skipped:
+        return report
+    is_own_failure = report.when == "call" and hasattr(report, "wasxfail")
+    if not is_own_failure:
+        if hasattr(report, "wasxfail"):
+            del report.wasxfail
+        report.outcome = "failed"
+        report.longrepr = f"{FILE_NAME}: not the failure of the test itself"
+    return report
+
+
 def pytest_terminal_summary(
     terminalreporter: pytest.TerminalReporter, config: pytest.Config
 ) -> None:
--- a/toucanrudder/testing/tests/test_known_reds.py
+++ b/toucanrudder/testing/tests/test_known_reds.py
@@ -16,6 +16,32 @@
 def test_number(number):
     assert number == 2
 """
+ODD_TESTS = """
+import pytest
+
+@pytest.fixture
+def broken():
+    raise OSError
+
+@pytest.fixture
+def broken_at_the_end():
+    yield
+    raise OSError
+
+def test_with_a_broken_fixture(broken):
+    pass
+
+def test_that_ends_badly(broken_at_the_end):
+    raise OSError
+
+@pytest.mark.skip
+def test_skipped():
+    pass
+
+@pytest.mark.xfail(strict=False)
+def test_with_a_lenient_mark():
+    pass
+"""
 FAILING = "test_it.py::test_number[1]"
 PASSING = "test_it.py::test_number[2]"
 
@@ -57,6 +83,10 @@
         line(FAILING) + line("test_it.py::test_gone"),
         {"xfailed": 1, "passed": 1, "failed": 1},
     ),
+    "a test whose file is gone": (
+        line("test_gone.py::test_it"),
+        {"failed": 2, "passed": 1},
+    ),
     "a line without an issue": ("test_it.py::test_number[1] | x | y", None),
     "one test twice": (line(FAILING) * 2, None),
 }
@@ -86,3 +116,19 @@
     result = run(line(FAILING), PASSING)
     result.assert_outcomes(passed=1)
     result.stdout.fnmatch_lines(["*not run (issue 7: an odd number)*"])
+
+
+ODD = (
+    "test_with_a_broken_fixture",
+    "test_that_ends_badly",
+    "test_skipped",
+    "test_with_a_lenient_mark",
+)
+
+
+@pytest.mark.parametrize("name", ODD)
+def test_only_the_listed_failure_itself_is_passed_over(run, pytester, name):
+    pytester.makepyfile(test_odd=ODD_TESTS)
+    test = f"test_odd.py::{name}"
+    result = run(line(test), test)
+    assert result.ret == pytest.ExitCode.TESTS_FAILED
