Test that a holder which has given up does not hold on later

Symptom: an engine that answers keeps its weights: a router that knows only engines that are gone takes the lease a second time and never lets it go.

--- a/toucanrudder/forwarding/tests/test_orders.py
+++ b/toucanrudder/forwarding/tests/test_orders.py
@@ -238,3 +238,25 @@
         return await fleet.lag_after(BOUND_S, version)
 
     assert timing.run(day) == []
+
+
+def test_a_holder_that_has_given_up_does_not_hold_on_later():
+    """An engine that answers follows although a blind router goes first.
+
+    The first in line knows one engine that is gone, and has given a turn up
+    over it.  When the others are done it takes the lease again, for the
+    same work, and holds on.  Then an engine starts on old weights that all
+    others know of, and none of them may give it an order.
+    """
+
+    async def day():
+        fleet = Fleet({"i1": Engine()})
+        fleet.router(0, ["gone"])
+        fleet.router(1, ["i1"])
+        await asyncio.sleep(2 * BOUND_S)
+        fleet.engines["i2"] = Engine()
+        entry = model.Upstream("i2", "s", "i2:80", weights={"m": 1})
+        fleet.states[1].registry.put(entry)
+        return await fleet.lag_after(2 * BOUND_S)
+
+    assert timing.run(day) == []
