Leave the lease free after a turn that was given up over the same work

Cause: over work that it had given up once a router never ended a turn again. It took the lease when the others were done, and held it for work that only it believed in; a new engine that it did not know, or could not reach, was ordered by nobody.

Now each turn ends when it gets no further, and over the same work alone the next one begins only when the time within which engines must follow has passed. In between the lease is free for whoever knows of new work.

Why it holds: no turn lasts longer than its rules without an answer, and a router that cannot get further is out of the way between two of them.

--- a/toucanrudder/forwarding/orders.py
+++ b/toucanrudder/forwarding/orders.py
@@ -95,7 +95,7 @@
         self._turn: turns.Turn | None = None
         self._answers = turns.Answers()
         self._given_up: set[tuple[str, str, int]] = set()
-        self._resting_until_s = float("-inf")
+        self._given_up_s = float("-inf")
         self._noted_s: dict[str, float] = {}
 
     def _newest(self) -> dict[str, int]:
@@ -124,7 +124,7 @@
             now_s = clock.now_s()
             left = self._left()
             self._note_left(left, now_s)
-            if not left or not self._is_my_turn(now_s):
+            if not left or not self._is_my_turn(left, now_s):
                 continue
             if await self._holds(now_s):
                 await self._act(left, clock.now_s())
@@ -138,20 +138,15 @@
         get no answer, while the store's do.  Symptom: it holds the lease
         and renews it for as long as it believes that work is left, and
         engines that all others reach keep their weights.  Others cannot
-        see that; so it lets the next in line try.  Over the same work it
-        does so once: if all others fail as well, the engines are down.
+        see that; so it lets the next in line try.
         """
         registry = self._state.registry
         overdue_s = registry.overdue_s(now_s)
         if self._turn is None:
             has_new_list = overdue_s <= turns.OVERDUE_S
             self._turn = turns.Turn(self._state.pace, has_new_list)
-        untried = {
-            task.upstream.incarnation
-            for task in left
-            if task.key not in self._given_up
-        }
-        ending = self._turn.ending(untried, self._answers, overdue_s, now_s)
+        names = {task.upstream.incarnation for task in left}
+        ending = self._turn.ending(names, self._answers, overdue_s, now_s)
         if ending is None or self._state.live_routers() <= 1:
             self._give(now_s)
         elif not self._loader.calls:
@@ -170,7 +165,7 @@
             )
         )
         self._given_up = {task.key for task in left}
-        self._resting_until_s = now_s + self._lease.terms.lapse_s
+        self._given_up_s = now_s
         await self._leave()
 
     async def _leave(self) -> None:
@@ -203,13 +198,28 @@
             self._undone_since_s = None
             self._turn = None
             self._given_up.clear()
+            self._given_up_s = float("-inf")
         elif self._undone_since_s is None:
             self._undone_since_s = now_s
 
-    def _is_my_turn(self, now_s: float) -> bool:
+    def _may_try_again(self, left: list[rollout.Task], now_s: float) -> bool:
+        """Whether a turn may follow one that this router gave up.
+
+        Not before another had time to begin one.  Over the same work alone
+        not before the time within which engines must follow has passed:
+        if others fail as well, the engines are down, and the lease is left
+        to whoever knows of new work.
+        """
+        since_s = now_s - self._given_up_s
+        if since_s >= self._state.pace.bound_s:
+            return True
+        has_new = any(task.key not in self._given_up for task in left)
+        return has_new and since_s >= self._lease.terms.lapse_s
+
+    def _is_my_turn(self, left: list[rollout.Task], now_s: float) -> bool:
         if self._held_before:
             return True
-        if now_s < self._resting_until_s:
+        if not self._may_try_again(left, now_s):
             return False
         waited_s = now_s - self._undone_since_s
         return waited_s >= turns.waits_s(
--- a/toucanrudder/forwarding/turns.py
+++ b/toucanrudder/forwarding/turns.py
@@ -135,8 +135,7 @@
         Parameters
         ----------
         left : collection of str
-            Engines that lack weights, but for those over which this router
-            has given a turn up before.
+            Engines that lack weights.
         answers : Answers
             What came of the questions.
         overdue_s : float
