Test a holder that hears no engine, and a cancelled event stream

Symptoms: engines keep their weights while a router that hears none of them renews the lease; an engine's events are read no more once its task was cancelled from inside.

--- a/toucanrudder/controllers/tests/test_cache_events.py
+++ b/toucanrudder/controllers/tests/test_cache_events.py
@@ -74,7 +74,7 @@
     async def get(self, url, **options):
         self.asked.append(url)
         lines = self.first.pop(url, GOOD)
-        if isinstance(lines, Exception):
+        if isinstance(lines, BaseException):
             raise lines
         response = mock.Mock()
         response.content.iter_any = lambda: self._chunks(lines)
@@ -170,3 +170,22 @@
         ]
 
     assert timing.run(main) == ["e1", "e2"]
+
+
+def test_an_engine_is_followed_again_after_its_task_was_cancelled():
+    """One engine's prompts are computed again, for as long as the run lasts.
+
+    Something that its task waits on is cancelled by another part of the
+    process.  A cancelled task ends no group, and nobody starts another.
+    """
+
+    async def main():
+        believed = beliefs.Beliefs()
+        streams = Streams({URLS[0]: asyncio.CancelledError(), URLS[1]: b""})
+        running = asyncio.ensure_future(_controller(streams, believed).run())
+        await asyncio.sleep(3 * cache_events.CHECK_S)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        return bool(believed.believed_tokens("e1", "i", KEYS, clock.now_s()))
+
+    assert timing.run(main)
--- a/toucanrudder/leases/tests/test_leases.py
+++ b/toucanrudder/leases/tests/test_leases.py
@@ -17,6 +17,7 @@
 from toucanrudder.leases import weights
 from toucanrudder.store import interface
 from toucanrudder.store import memory
+from toucanrudder.testing.virtual import timing
 from toucanrudder.upstreams import loads
 
 TERM_S, MARGIN_S = decision.TERM_S, decision.MARGIN_S
@@ -380,3 +381,38 @@
     assert not (first.held() and second.held())
     assert (first.held() or second.held()).fencing > fencing
     assert true[0] - 100.0 <= FAILOVER_S + STEP_S
+
+
+def test_a_holder_that_cannot_do_the_work_lets_go():
+    """Engines keep their weights while a router holds the lease in vain.
+
+    The holder hears no engine any more, but reaches the store, so it goes
+    on renewing the lease; another router hears all engines and waits.
+    """
+    deaf_from_s = 20.0
+
+    async def day():
+        store = memory.MemoryObjectStore()
+        contenders = [
+            holder.LeaseHolder(
+                store,
+                "weights",
+                me,
+                is_able=lambda me=me: me == "b" or clock.now_s() < deaf_from_s,
+                rng=random.Random(me),
+                clock=clock.now_s,
+            )
+            for me in ("a", "b")
+        ]
+        running = []
+        for each in contenders:
+            running.append(asyncio.ensure_future(each.run()))
+            await asyncio.sleep(1.0)
+        before = [each.held(clock.now_s()) for each in contenders]
+        await asyncio.sleep(deaf_from_s + ENOUGH_S)
+        after = [each.held(clock.now_s()) for each in contenders]
+        for each in running:
+            each.cancel()
+        return [[lease is not None for lease in at] for at in (before, after)]
+
+    assert timing.run(day) == [[True, False], [False, True]]
