Let go of a lease without the means to use it; follow a cancelled stream again

Cause: in the router of listed engines the lease was renewed whatever the holder heard of engines; a cancelled task stayed in the table of the streams that are read. Now a router that has no fresh report of any engine neither takes the lease nor keeps it, and ended tasks leave the table.

Why it holds: who hears no engine can give no order anyway, as orders are planned from reports.

--- a/toucanrudder/controllers/cache_events.py
+++ b/toucanrudder/controllers/cache_events.py
@@ -92,6 +92,12 @@
         }
         for key in self._following.keys() - wanted.keys():
             self._following.pop(key).cancel()
+        # A task that something else has cancelled ends no group.  Kept, it
+        # would count as following, and that engine's events be read no
+        # more.
+        for key, task in list(self._following.items()):
+            if task.done():
+                del self._following[key]
         for key, upstream in wanted.items():
             if key not in self._following:
                 self._following[key] = group.create_task(
--- a/toucanrudder/leases/holder.py
+++ b/toucanrudder/leases/holder.py
@@ -48,6 +48,8 @@
         Identity of this process, unique also over restarts.
     is_candidate : callable
         Whether this process should try to get the lease.
+    is_able : callable
+        Whether this process could do what the lease is for.
     floor : callable
         Highest fencing number known to be in use; the lease's object may
         be older than that after the store came back in an older state.
@@ -68,6 +70,7 @@
         me: str,
         *,
         is_candidate: Callable[[], bool] = lambda: True,
+        is_able: Callable[[], bool] = lambda: True,
         floor: Callable[[], int] = lambda: 0,
         timeout_s: float = 1.0,
         rng: random.Random | None = None,
@@ -78,6 +81,7 @@
         self.name = name
         self.me = me
         self._is_candidate = is_candidate
+        self._is_able = is_able
         self._floor = floor
         self._timeout_s = timeout_s
         self._rng = rng or random.Random()
@@ -129,9 +133,17 @@
         return step is decision.Step.WAIT
 
     async def run(self) -> None:
-        """Try to get the lease and keep it, until cancelled."""
+        """Try to get the lease and keep it, until cancelled.
+
+        Failure: a holder is cut off from those whom it is to order, but
+        not from the store.  Symptom: it renews the lease, and what it is
+        for is done by nobody.  So who is not able gives it up; what is on
+        its way is covered as at any change of the holder.
+        """
         while True:
-            if self._lease is not None or self._is_candidate():
+            if not self._is_able():
+                await self.release()
+            elif self._lease is not None or self._is_candidate():
                 with contextlib.suppress(*_FAILED):
                     await self.look()
             await asyncio.sleep(LOOK_S * self._rng.uniform(0.75, 1.0))
--- a/toucanrudder/router/assembly.py
+++ b/toucanrudder/router/assembly.py
@@ -99,15 +99,23 @@
         live = [each.name for each in state.routers.live(state.now_s())]
         return name in sorted([*live, name])[:LEASE_CANDIDATES]
 
-    def highest_fencing() -> int:
+    def engines() -> list[loads.Known]:
         known = map(state.loads.get, _engine_names(state))
-        return max((each.report.fencing for each in known if each), default=0)
+        return [each for each in known if each]
+
+    def hears_engines() -> bool:
+        oldest_s = state.now_s() - weight_controllers.MAX_REPORT_AGE_S
+        return any(each.received_s >= oldest_s for each in engines())
+
+    def highest_fencing() -> int:
+        return max((each.report.fencing for each in engines()), default=0)
 
     return holders.LeaseHolder(
         state.objects,
         weight_controllers.LEASE,
         f"{name}.{uuid.uuid4().hex}",
         is_candidate=is_candidate,
+        is_able=hears_engines,
         floor=highest_fencing,
         timeout_s=state.conf.store.timeout_s,
         rng=state.rng,
