Sum what peers tell of their work when it is told

For each request and each engine a router went through the words of all peers, twice, and looked for old ones each time.

A word is now added to the sums when it comes and taken out when it is replaced or too old.

--- a/toucanrudder/forwarding/loads.py
+++ b/toucanrudder/forwarding/loads.py
@@ -60,7 +60,11 @@
 
     def of(self, incarnation: str) -> UpstreamState:
         """Return the state of a process."""
-        return self._states.setdefault(incarnation, UpstreamState())
+        # Asked for each engine and request: made only where it is missing.
+        found = self._states.get(incarnation)
+        if found is None:
+            found = self._states[incarnation] = UpstreamState()
+        return found
 
     def keep(self, incarnations: set[str]) -> None:
         """Forget processes that are gone and serve none of our requests."""
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
 import random
 
 import attrs
@@ -196,30 +197,38 @@
         newest = None
         if prompt is not None:
             newest = self.newest_weights.get(prompt.model)
-        return [
-            self._candidate(upstream, newest, now_s)
-            for upstream in self.registry.of(service)
-        ]
+        upstreams = self.registry.of(service)
+        ages_s = _ages_s(upstreams, newest)
+        others = self.peer_loads.sums(now_s)
+        found = []
+        for upstream in upstreams:
+            name = upstream.incarnation
+            work = others.get(name, peers_loads.NOTHING)
+            version = upstream.weights.get(newest.model) if newest else None
+            found.append(
+                placing.Candidate(
+                    upstream,
+                    self.states.of(name),
+                    ages_s.get(version, 0.0),
+                    work.prefill_tokens,
+                    work.requests,
+                )
+            )
+        return found
 
-    def _candidate(
-        self,
-        upstream: model.Upstream,
-        newest: "NamedWeights | None",
-        now_s: float,
-    ) -> placing.Candidate:
-        name = upstream.incarnation
-        return placing.Candidate(
-            upstream,
-            self.states.of(name),
-            0.0
-            if newest is None
-            else newest.age_s(
-                upstream.weights.get(newest.model, newest.version),
-                clock.now_s(),
-            ),
-            self.peer_loads.prefill_tokens(name, now_s),
-            self.peer_loads.requests(name, now_s),
-        )
+
+def _ages_s(
+    upstreams: Iterable[model.Upstream], newest: "NamedWeights | None"
+) -> dict[int, float]:
+    """Return for how long each version in use has been superseded."""
+    if newest is None:
+        return {}
+    now_s = clock.now_s()
+    versions = {
+        upstream.weights.get(newest.model, newest.version)
+        for upstream in upstreams
+    }
+    return {version: newest.age_s(version, now_s) for version in versions}
 
 
 #: Versions of one model that are remembered; older ones are all too old.
--- a/toucanrudder/peers/loads.py
+++ b/toucanrudder/peers/loads.py
@@ -1,19 +1,45 @@
 """Other routers' work at each upstream, as they last told."""
 
+from collections.abc import Iterable
+from collections.abc import Mapping
+
 import attrs
 
 from toucanrudder.peers import messages
 
 
+@attrs.define
+class Work:
+    """Work of several routers at one upstream.
+
+    Parameters
+    ----------
+    prefill_tokens : int
+        Tokens that they sent there and still wait for.
+    requests : int
+        Requests that they have there.
+    """
+
+    prefill_tokens: int = 0
+    requests: int = 0
+
+
+#: Work at an upstream of which nobody has told.
+NOTHING = Work()
+
+
 @attrs.frozen
 class _Told:
-    loads: dict[str, messages.UpstreamLoad]
+    loads: tuple[messages.UpstreamLoad, ...]
     heard_s: float
 
 
 class PeerLoads:
     """Work of other routers, summed over those heard of lately.
 
+    Summed when it is told, not when it is asked for: each request asks for
+    all engines, and a router of many hears a few others between two.
+
     Parameters
     ----------
     max_age_s : float
@@ -32,7 +58,9 @@
 
     def __init__(self, max_age_s: float):
         self._max_age_s = max_age_s
+        # The one heard of longest ago comes first.
         self._told: dict[str, _Told] = {}
+        self._sums: dict[str, Work] = {}
 
     def heard(
         self,
@@ -41,28 +69,42 @@
         now_s: float,
     ) -> None:
         """Replace what the router said before."""
+        self._forget(router)
+        # Of an upstream that is told twice, the last word counts.
         by_name = {load.upstream: load for load in loads}
-        self._told[router] = _Told(by_name, now_s)
+        told = _Told(tuple(by_name.values()), now_s)
+        self._told[router] = told
+        self._add(told.loads, 1)
+
+    def sums(self, now_s: float) -> Mapping[str, Work]:
+        """Return the work of all others, by upstream; not to be kept."""
+        oldest_s = now_s - self._max_age_s
+        while self._told:
+            router, told = next(iter(self._told.items()))
+            if told.heard_s >= oldest_s:
+                break
+            self._forget(router)
+        return self._sums
 
     def prefill_tokens(self, upstream: str, now_s: float) -> int:
         """Return the tokens that others sent there and still wait for."""
-        return sum(
-            load.prefill_tokens for load in self._loads(upstream, now_s)
-        )
+        return self.sums(now_s).get(upstream, NOTHING).prefill_tokens
 
     def requests(self, upstream: str, now_s: float) -> int:
         """Return the requests that others have there."""
-        return sum(load.requests for load in self._loads(upstream, now_s))
+        return self.sums(now_s).get(upstream, NOTHING).requests
 
-    def _loads(
-        self, upstream: str, now_s: float
-    ) -> list[messages.UpstreamLoad]:
-        oldest_s = now_s - self._max_age_s
-        old = [n for n, told in self._told.items() if told.heard_s < oldest_s]
-        for name in old:
-            del self._told[name]
-        return [
-            told.loads[upstream]
-            for told in self._told.values()
-            if upstream in told.loads
-        ]
+    def _forget(self, router: str) -> None:
+        told = self._told.pop(router, None)
+        if told is not None:
+            self._add(told.loads, -1)
+
+    def _add(
+        self, loads: Iterable[messages.UpstreamLoad], factor: int
+    ) -> None:
+        for load in loads:
+            work = self._sums.setdefault(load.upstream, Work())
+            work.prefill_tokens += factor * load.prefill_tokens
+            work.requests += factor * load.requests
+            if not work.requests and not work.prefill_tokens:
+                del self._sums[load.upstream]
