Ask engines for their caches only once the routers are known

Cause: a router that has just started knows nobody, takes itself for one of few, and asks all engines for everything in their caches.

Now it waits until it has known as many routers for 0.8 s, at most 3 s if it hears of nobody.

Beliefs are kept in plain tables by salt and dropped with the weights that they belong to (BeliefsDropped): they grew with each version.

--- a/toucanrudder/forwarding/cache.py
+++ b/toucanrudder/forwarding/cache.py
@@ -1,15 +1,15 @@
 """Which engine is believed to hold which parts of prompts.  No I/O."""
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 from collections.abc import Sequence
 
 import attrs
-import cachetools
 
 from toucanrudder.forwarding import model
 
-#: Parts remembered for one engine: a few times what its memory holds, at
-#: some hundred tokens a part.
+#: Parts remembered for one engine under one salt: a few times what its
+#: memory holds, at some hundred tokens a part.
 MAX_PARTS = 4096
 
 
@@ -28,7 +28,20 @@
     return f"{version}.{wall}" if wall else version
 
 
-@attrs.frozen
+def version_of(salt_: str) -> int | None:
+    """Return the weights' version in a salt; None if it is not ours.
+
+    Examples
+    --------
+    >>> version_of("3.acme"), version_of("x")
+    (3, None)
+    """
+    number = salt_.partition(".")[0]
+    return int(number) if number.isdecimal() else None
+
+
+# Thousands come at once: making a frozen one takes three times as long.
+@attrs.define
 class Event:
     """A part that an engine has stored or dropped."""
 
@@ -38,12 +51,34 @@
     is_stored: bool
 
 
-@attrs.define
+@attrs.define(eq=False)
 class _Engine:
+    """Tokens of the parts that an engine holds, by salt and part.
+
+    Of each salt, the part that was noted last comes last.
+    """
+
     epoch: int | None = None
-    parts: cachetools.LRUCache = attrs.field(
-        factory=lambda: cachetools.LRUCache(MAX_PARTS)
-    )
+    salts: dict[str, dict[str, int]] = attrs.field(factory=dict)
+
+    def note(self, salt_: str, part: str, tokens: int) -> None:
+        """Note a part; forget the oldest one of too many."""
+        parts = self.salts.get(salt_)
+        if parts is None:
+            parts = self.salts[salt_] = {}
+        parts.pop(part, None)
+        parts[part] = tokens
+        if len(parts) > MAX_PARTS:
+            del parts[next(iter(parts))]
+
+    def forget_before(self, version: int) -> int:
+        """Forget what belongs to earlier weights; return how many parts."""
+        old = [
+            salt_
+            for salt_ in self.salts
+            if (version_of(salt_) or version) < version
+        ]
+        return sum(len(self.salts.pop(salt_)) for salt_ in old)
 
 
 class CacheIndex:
@@ -66,10 +101,29 @@
     def _of(self, incarnation: str) -> _Engine:
         return self._engines.setdefault(incarnation, _Engine())
 
-    def keep(self, incarnations: set[str]) -> None:
-        """Forget engines that are gone."""
-        for name in set(self._engines) - incarnations:
+    def keep(self, oldest: Mapping[str, int]) -> int:
+        """Forget engines that are gone, and what nobody can use any more.
+
+        Failure: each version of the weights begins a table of its own.
+        Symptom: a router's memory grows for as long as it lives.  No
+        engine goes back to earlier weights, so their parts are dropped.
+
+        Parameters
+        ----------
+        oldest : mapping of str to int
+            The oldest weights that may still be used, by engine.
+
+        Returns
+        -------
+        int
+            Parts of engines that are there, forgotten with their weights.
+        """
+        for name in set(self._engines) - set(oldest):
             del self._engines[name]
+        return sum(
+            engine.forget_before(oldest[name])
+            for name, engine in self._engines.items()
+        )
 
     def told(
         self, incarnation: str, epoch: int, events: Iterable[Event]
@@ -77,14 +131,13 @@
         """Take in what an engine told of its cache."""
         engine = self._of(incarnation)
         if engine.epoch != epoch:
-            engine.parts.clear()
+            engine.salts.clear()
             engine.epoch = epoch
         for event in events:
-            key = (event.salt, event.part)
             if event.is_stored:
-                engine.parts[key] = event.tokens
+                engine.note(event.salt, event.part, event.tokens)
             else:
-                engine.parts.pop(key, None)
+                engine.salts.get(event.salt, {}).pop(event.part, None)
 
     def read(
         self, incarnation: str, salt_: str, parts: Sequence[model.Part]
@@ -92,7 +145,7 @@
         """Note that an engine has read these parts of a prompt."""
         engine = self._of(incarnation)
         for part in parts:
-            engine.parts[salt_, part.identity] = part.tokens
+            engine.note(salt_, part.identity, part.tokens)
 
     def cached_tokens(
         self, incarnation: str, salt_: str, parts: Sequence[model.Part]
@@ -104,9 +157,12 @@
         engine = self._engines.get(incarnation)
         if engine is None:
             return 0
+        held = engine.salts.get(salt_)
+        if not held:
+            return 0
         tokens = 0
         for part in parts:
-            if (salt_, part.identity) not in engine.parts:
+            if part.identity not in held:
                 break
             tokens += part.tokens
         return tokens
--- a/toucanrudder/forwarding/cache_feed.py
+++ b/toucanrudder/forwarding/cache_feed.py
@@ -3,6 +3,7 @@
 import abc
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 import functools
 import logging
 import random
@@ -32,6 +33,11 @@
 #: them.  Their requests name the store of parts or a part's home instead.
 MOST_ROUTERS = 16
 
+#: Time without a router that was not known before, after which this one
+#: knows how many there are, and the longest wait for it.
+SETTLE_S = 0.8
+ALONE_S = 3.0
+
 #: Questions that an engine keeps open at once for us, unless the
 #: configuration allows it fewer; the rest is left to others who ask.
 MAX_ASKING = 8
@@ -116,12 +122,15 @@
         self._routers = routers
         self._rng = rng
         self._asking: dict[str, asyncio.Task] = {}
+        self._began_s: float | None = None
+        self._grown_s = float("-inf")
+        self._most_routers = 1
 
     async def run(self) -> None:
         """Ask until cancelled."""
         try:
             while True:
-                self._look()
+                self._look(clock.now_s())
                 await asyncio.sleep(LOOK_S)
         finally:
             # Left in the table, they would keep the next run from asking:
@@ -129,14 +138,40 @@
             while self._asking:
                 self._asking.popitem()[1].cancel()
 
-    def _look(self) -> None:
+    def _look(self, now_s: float) -> None:
         ended = self._forget_ended()
         engines, stores = self._state.engines(), self._state.cache_stores()
-        known = {identity(each): each for each in (*engines, *stores)}
         routers = tuple(sorted(self._routers()))
-        asked: tuple[Source, ...] = (*engines, *stores)
+        if self._knows_how_many(len(routers), now_s):
+            self._adjust((*engines, *stores), routers, ended)
+        self._forget_unused(engines, stores)
+
+    def _knows_how_many(self, routers: int, now_s: float) -> bool:
+        """Whether the routers are known, so that all rank them alike.
+
+        Failure: all routers of a large fleet start at once, and each takes
+        itself for one of few.  Symptom: each asks all engines for all that
+        their caches hold, and answers no caller for seconds while it reads
+        that.  Others are heard of within two exchanges; who knows nobody
+        is alone, or cut off, and does not wait for ever.
+        """
+        if self._began_s is None:
+            self._began_s = now_s
+        if routers > self._most_routers:
+            self._most_routers, self._grown_s = routers, now_s
+        if now_s - self._began_s >= ALONE_S:
+            return True
+        return self._most_routers > 1 and now_s - self._grown_s >= SETTLE_S
+
+    def _adjust(
+        self, sources: tuple[Source, ...], routers: tuple[str, ...], ended
+    ) -> None:
+        """Begin and end questions, so that the right routers ask."""
+        asked = sources
         if len(routers) > MOST_ROUTERS:
-            asked = stores
+            asked = tuple(
+                each for each in sources if isinstance(each, model.CacheStore)
+            )
         wanted = {
             identity(each): each
             for each in asked
@@ -148,7 +183,22 @@
             self._asking[name] = asyncio.get_running_loop().create_task(
                 self._ask(wanted[name])
             )
-        self._state.cache.keep(set(known))
+
+    def _forget_unused(
+        self,
+        engines: Iterable[model.Upstream],
+        stores: Iterable[model.CacheStore],
+    ) -> None:
+        """Drop beliefs in engines that are gone, and in old weights."""
+        oldest = {
+            each.incarnation: min(each.weights.values(), default=0)
+            for each in engines
+        }
+        everywhere = min(oldest.values(), default=0)
+        oldest.update({each.address: everywhere for each in stores})
+        dropped = self._state.cache.keep(oldest)
+        if dropped:
+            decisions.record(decisions.BeliefsDropped(parts=dropped))
 
     def _forget_ended(self) -> set[str]:
         """Forget tasks that have ended; return their sources' names.
--- a/toucanrudder/forwarding/tests/test_cache_feed.py
+++ b/toucanrudder/forwarding/tests/test_cache_feed.py
@@ -1,6 +1,7 @@
 """Questions about caches that end in an unexpected way."""
 
 import asyncio
+import collections
 import logging
 import random
 
@@ -129,3 +130,66 @@
         return _known(state)
 
     assert timing.run(main) == ["e1", "e2"]
+
+
+class Counting(cache_feed.CacheDialect):
+    """Counts the questions to each source."""
+
+    def __init__(self):
+        self.asked = collections.Counter()
+
+    async def cache_events(self, source, since, *, wait_s):
+        self.asked[cache_feed.identity(source)] += 1
+        await asyncio.sleep(wait_s)
+        return cache_feed.Told(1, since + 1, ())
+
+
+GROWTH = [
+    # Routers known by second, whether engines are asked within 3.5 s.
+    pytest.param({0.0: 1, 0.6: 40}, False, id="all start at once"),
+    pytest.param({0.0: 1, 0.4: 5, 1.1: 20, 1.8: 195}, False, id="slowly"),
+    pytest.param({0.0: 1, 0.6: 8}, True, id="few"),
+    pytest.param({0.0: 1}, True, id="alone"),
+]
+
+
+@pytest.mark.parametrize(("known", "is_asked"), GROWTH)
+def test_engines_are_asked_once_the_routers_are_known(known, is_asked):
+    """Callers get no answer for seconds after all routers have restarted.
+
+    Each router knows nobody yet and takes itself for the only one.  So all
+    ask all engines for everything in their caches, and read for seconds.
+    """
+    dialect = Counting()
+
+    def routers():
+        latest = max(at_s for at_s in known if at_s <= clock.now_s())
+        return [f"r{number}" for number in range(known[latest])]
+
+    async def main():
+        _state, controller = _controller(None, routers=routers)
+        controller._dialect = dialect
+        running = asyncio.ensure_future(controller.run())
+        await asyncio.sleep(3.6)
+        running.cancel()
+
+    timing.run(main)
+    assert bool(dialect.asked) is is_asked
+
+
+def test_parts_are_forgotten_with_their_weights():
+    """A router's memory grows with each version, for as long as it lives."""
+
+    async def main():
+        state, controller = _controller(None)
+        running = asyncio.ensure_future(controller.run())
+        for version in range(1, 40):
+            state.registry.has_weights("e1", "m", version)
+            for number in range(50):
+                part = model.Part(f"{version}-{number}", 9)
+                state.cache.read("e1", cache.salt("", version), (part,))
+            await asyncio.sleep(cache_feed.LOOK_S)
+        running.cancel()
+        return state.cache._engines["e1"].salts
+
+    assert len(timing.run(main)) <= 2
--- a/toucanrudder/forwarding/tests/test_restarts.py
+++ b/toucanrudder/forwarding/tests/test_restarts.py
@@ -57,7 +57,7 @@
 
     def keep(self):
         self.states.keep(self.registry.incarnations)
-        self.cache.keep(self.registry.incarnations)
+        self.cache.keep(dict.fromkeys(self.registry.incarnations, 0))
         self.has_read &= self.registry.incarnations
         self.failed &= self.registry.incarnations
 
--- a/toucanrudder/observability/decisions.py
+++ b/toucanrudder/observability/decisions.py
@@ -87,6 +87,13 @@
     version: int
 
 
+@attrs.frozen(kw_only=True)
+class BeliefsDropped:
+    """Parts kept under earlier weights are believed in no more."""
+
+    parts: int
+
+
 @attrs.frozen(kw_only=True)
 class LeaseChanged:
     """This router holds the lease for orders, or holds it no more."""
@@ -259,6 +266,7 @@
     StoreRegained,
     UpstreamSeen,
     WeightsNamed,
+    BeliefsDropped,
     LeaseChanged,
     TurnEnded,
     OrderGiven,
