Tell how far all routers have come; share rounds of urgent news

Two faults that meet in one exchange.

Each heartbeat told 32 routers of all, whole; a word of each came too rarely. Shared limits, readers of the registry and the line for the lease changed all along. Now a heartbeat carries a digest: a key of 32 bits and the newest beat, of up to 256 routers. Those that came or changed are told whole, and those that a digest names and the other lacks are asked for.

The router that gives the orders told 32 peers of each engine that was about to load, by whole exchanges, each with a heartbeat of its own: it used ten times the processor time of the others and answered its callers late. Who asks within 20 ms now shares a round, and a round carries news alone.

Exchanges begin with 16 partners, ranked alike from start to start, so that channels are used again. Who is live is worked out when one comes or goes.

Lies are refused and counted: beats from the future, half a digest, more work than there can be, routers without end.

--- a/toucanrudder/forwarding/following.py
+++ b/toucanrudder/forwarding/following.py
@@ -13,6 +13,7 @@
 from toucanrudder.forwarding import peering as peerings
 from toucanrudder.forwarding import state as states
 from toucanrudder.leases import holder
+from toucanrudder.membership import routers
 from toucanrudder.observability import decisions
 from toucanrudder.peers import peering as peer_peerings
 from toucanrudder.placement import rendezvous
@@ -122,26 +123,36 @@
         self._timeout_s = timeout_s
         self._wait_s = wait_s
         self._rng = rng
+        self._ranked_of: tuple[routers.Member, ...] = ()
+        self._names: tuple[str, ...] = ()
+        self._place = 0
         self._upstream_log = fanout.ChangeLog()
         peering.logs = {kinds.upstreams: self._upstream_log}
 
     # Which router does what.
 
-    def _live(self) -> list[fanout.Reader]:
+    def _live(self) -> tuple[routers.Member, ...]:
         table = self._peering.node.table
-        now_s = asyncio.get_running_loop().time()
-        return [
-            fanout.Reader(member.name, member.address)
-            for member in table.live(now_s)
-        ]
+        return table.live(asyncio.get_running_loop().time())
 
-    def live_names(self) -> list[str]:
+    def live_names(self) -> tuple[str, ...]:
         """Return the names of all live routers, this one included."""
-        return [self._state.name, *(each.name for each in self._live())]
+        self._rank()
+        return self._names
 
     def place_in_line(self) -> int:
         """Return how many live routers go before this one."""
-        return sum(name < self._state.name for name in self.live_names())
+        self._rank()
+        return self._place
+
+    def _rank(self) -> None:
+        """Work out names and place, if a router has come or gone."""
+        live = self._live()
+        if live is self._ranked_of and self._names:
+            return
+        self._ranked_of = live
+        self._names = (self._state.name, *(each.name for each in live))
+        self._place = sum(name < self._state.name for name in self._names)
 
     def _is_reader(self) -> bool:
         names = self.live_names()
@@ -153,12 +164,12 @@
         return fanout.is_fanned_out(len(self.live_names()))
 
     def _choose_reader(self, shunned: set[str]) -> fanout.Reader | None:
-        live = {each.name: each for each in self._live()}
-        readers = fanout.readers([self._state.name, *live])
+        live = {each.name: each.address for each in self._live()}
+        readers = fanout.readers(self.live_names())
         key = self._state.name.encode()[:64]
         for name in rendezvous.ranked(key, readers):
             if name in live and name not in shunned:
-                return live[name]
+                return fanout.Reader(name, live[name])
         return None
 
     async def _ask_reader(
--- a/toucanrudder/membership/tests/test_routers.py
+++ b/toucanrudder/membership/tests/test_routers.py
@@ -107,3 +107,100 @@
         for table in tables
     )
     assert fewest >= 81
+
+
+def known_at_beat(beat, now_s):
+    table = routers.RouterTable(SILENT_S)
+    table.told(member("a", 1, beat), now_s)
+    return table
+
+
+KEY = routers.key_of("a", 1)
+
+DIGESTS = [
+    # Key, beat, whether it can be, live 4 s after the first word.
+    (KEY, 6, True, ["a"]),
+    (KEY, 5, True, []),
+    (KEY, 4, True, []),
+    (KEY, 10**9, False, []),
+    (routers.key_of("a", 2), 6, True, []),
+    (routers.key_of("b", 1), 6, True, []),
+]
+
+
+@pytest.mark.parametrize(("key", "beat", "is_good", "live"), DIGESTS)
+def test_a_digest_tells_of_progress_alone(key, beat, is_good, live):
+    table = known_at_beat(5, 0.0)
+    digest = routers.Digest([key], [beat])
+    assert table.told_digest(digest, 2.0) is is_good
+    assert names(table, 4.0) == live
+    # What it really says next is taken.
+    assert table.told(member("a", 1, 7), 4.0)
+    assert names(table, 4.0) == ["a"]
+
+
+def test_a_beat_from_the_future_is_not_taken():
+    table = known_at_beat(5, 0.0)
+    assert not table.told(member("a", 1, 10**9), 2.0)
+    assert names(table, 4.0) == []
+
+
+def test_routers_that_do_not_exist_fill_no_memory():
+    table = routers.RouterTable(SILENT_S)
+    taken = [
+        table.told(member(f"r{number}"), 0.0)
+        for number in range(routers.MAX_ROUTERS + 10)
+    ]
+    assert taken.count(False) == 10
+    table.heard("real", "real:1", 1, 0.0)
+    assert "real" in names(table, 0.0)
+
+
+def test_two_routers_of_one_key_are_told_whole_only(monkeypatch):
+    # The one would live by the other's beats.
+    monkeypatch.setattr(routers, "key_of", lambda name, incarnation: 7)
+    table = routers.RouterTable(SILENT_S)
+    for name in ("a", "b"):
+        table.told(member(name, 1, 5), 0.0)
+    table.told_digest(routers.Digest([7], [9]), 2.0)
+    assert names(table, 4.0) == []
+    table.heard("a", "a:1", 2, 4.0, beat=1)
+    assert names(table, 4.0) == ["a"]
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_who_is_live_is_what_the_plain_rule_says(seed):
+    rng = random.Random(seed)
+    table, last_s, leaving = routers.RouterTable(SILENT_S), {}, {}
+    beats, now_s = dict.fromkeys("abcdef", 1), 0.0
+    for _ in range(200):
+        now_s += rng.choice((0.0, 0.1, 1.0))
+        name = rng.choice("abcdef")
+        beats[name] += 1
+        leaving.setdefault(name, False)
+        how = rng.randrange(3)
+        if how == 2 and name in last_s:
+            key = routers.key_of(name, 1)
+            table.told_digest(routers.Digest([key], [beats[name]]), now_s)
+        else:
+            leaving[name] = rng.random() < 0.2
+            said = member(name, 1, beats[name], leaving[name])
+            if how:
+                table.told(said, now_s)
+            else:
+                table.heard(
+                    name,
+                    said.address,
+                    1,
+                    now_s,
+                    beat=said.beat,
+                    leaving=said.leaving,
+                )
+        last_s[name] = now_s
+        now_s += rng.choice((0.0, 0.5, 2.0))
+        lately = [n for n in sorted(last_s) if now_s - last_s[n] <= SILENT_S]
+        assert [m.name for m in table.reachable(now_s)] == lately
+        assert names(table, now_s) == [n for n in lately if not leaving[n]]
+        assert all(
+            each.beat == beats[each.name] for each in table.reachable(now_s)
+        )
--- a/toucanrudder/peers/client.py
+++ b/toucanrudder/peers/client.py
@@ -13,6 +13,7 @@
 from grpc import aio
 
 from toucanrudder.document import serialisation
+from toucanrudder.membership import routers
 from toucanrudder.peers import changes
 from toucanrudder.peers import credentials as peer_credentials
 from toucanrudder.peers import messages
@@ -20,6 +21,7 @@
 from toucanrudder.peers import peers_pb2
 from toucanrudder.peers import peers_pb2_grpc
 from toucanrudder.peers import server
+from toucanrudder.placement import rendezvous
 from toucanrudder.store import fanout
 
 LOG = logging.getLogger(__name__)
@@ -41,9 +43,17 @@
 #: exchange tells both sides, so one of the two has to begin it.
 HEARD_SHARE = 0.7
 
-#: Peers told of a crash at once; in larger fleets the exchanges carry it on.
+#: Peers told of urgent news; in larger fleets the exchanges carry it on.
 MAX_TOLD = 32
 
+#: Time for which urgent news waits for more of it.
+GATHER_S = 0.02
+
+#: Peers of many with which exchanges are begun.  Always the same ones, as
+#: ranked by this router's name: a channel costs both sides more than an
+#: exchange does, and so few carry a word to all as fast as all would.
+PARTNERS = 16
+
 #: Channels kept open, beside those that are being used.
 MAX_CHANNELS = 64
 
@@ -184,24 +194,49 @@
         self._haste = asyncio.Event()
         self._heard_s: dict[str, float] = {}
         self._tasks: set[asyncio.Task] = set()
+        self._round: asyncio.Task | None = None
+        self._ranked_of: tuple[routers.Member, ...] = ()
+        self._ranked: list[str] = []
 
     def hasten(self) -> None:
         """Exchange soon: there is news that cannot wait for the interval."""
         self._haste.set()
 
     async def tell_all(self, within_s: float) -> None:
-        """Exchange with all reachable peers now and wait for their answers.
+        """Tell reachable peers what cannot wait, until they have it.
+
+        Failure: many engines are about to load weights, and peers are told
+        of each by a round of its own.  Symptom: the router that gives the
+        orders does nothing else, and its callers wait.  Who asks within
+        `GATHER_S` shares a round, and a round carries nothing but news.
 
         Parameters
         ----------
         within_s : float
             Longest wait; peers that are silent hold nobody up for longer.
         """
-        known = self._node.table.reachable(time.monotonic())
+        if self._round is None:
+            self._round = self._start(self._told_round())
+        await asyncio.wait([self._round], timeout=within_s)
+
+    async def _told_round(self) -> None:
+        await asyncio.sleep(GATHER_S)
+        # Whoever asks from now on may have news that this one lacks.
+        self._round = None
+        now_s = time.monotonic()
+        told = messages.to_wire(self._node.urgent(now_s, time.time()))
+        known = self._node.table.peers(now_s)
         chosen = self._rng.sample(known, min(len(known), MAX_TOLD))
-        tasks = [self._start(self._exchange(m.address)) for m in chosen]
-        if tasks:
-            await asyncio.wait(tasks, timeout=within_s)
+        await asyncio.gather(
+            *(self._tell(member.address, told) for member in chosen)
+        )
+
+    async def _tell(self, address: str, told: peers_pb2.Heartbeat) -> None:
+        try:
+            async with self._channels.called(address) as stub:
+                await stub.Tell(told, timeout=self._deadline_s)
+        except aio.AioRpcError as error:
+            await self._failed(address, error)
 
     async def changes(
         self,
@@ -266,14 +301,13 @@
             self._haste.clear()
 
     def _targets(self, now_s: float, hurried: bool) -> list[str]:
-        known = [m.address for m in self._node.table.reachable(now_s)]
-        usual = MAX_PEERS_OF_MANY if len(known) > MANY_ROUTERS else MAX_PEERS
-        room = MAX_PEERS_FOR_NEWS if hurried else usual
-        strangers = [
-            seed
-            for seed in self._seeds
-            if seed not in known and seed not in self._own_addresses
-        ]
+        peers = self._node.table.peers(now_s)
+        are_many = len(peers) > MANY_ROUTERS
+        room = MAX_PEERS_OF_MANY if are_many else MAX_PEERS
+        if hurried:
+            room = MAX_PEERS_FOR_NEWS
+        strangers = self._strangers(peers)
+        known = self._partners(peers)
         if not hurried:
             known = self._unheard(known, now_s)
         # One place is kept for a seed not heard of: two groups of
@@ -285,6 +319,24 @@
         chosen += self._rng.sample(strangers, count)
         return [address for address in chosen if address not in self._busy]
 
+    def _strangers(self, peers: tuple[routers.Member, ...]) -> list[str]:
+        """Return the seeds that have not been heard of."""
+        known = {each.address for each in peers} | self._own_addresses
+        return [seed for seed in self._seeds if seed not in known]
+
+    def _partners(self, peers: tuple[routers.Member, ...]) -> list[str]:
+        """Return the addresses with which exchanges are begun."""
+        if len(peers) <= MANY_ROUTERS:
+            return [each.address for each in peers]
+        if peers is not self._ranked_of:
+            # One that comes or goes takes the place of one partner.
+            addresses = {each.name: each.address for each in peers}
+            key = self._node.name.encode()[:64]
+            names = rendezvous.ranked(key, addresses)[:PARTNERS]
+            self._ranked = [addresses[name] for name in names]
+            self._ranked_of = peers
+        return self._ranked
+
     def _unheard(self, known: list[str], now_s: float) -> list[str]:
         """Return the peers that were not heard lately; forget others."""
         self._heard_s = {
@@ -326,7 +378,7 @@
         reason = "unreadable_answer"
         if isinstance(error, aio.AioRpcError):
             reason = error.code().name.lower()
-        server.refused(reason)
+        nodes.refused(reason)
         LOG.debug("exchange failed", extra={"peer": address, "code": reason})
         # The connection may have gone silent for good while new ones
         # work.  gRPC would go on using it; the next call opens another.
@@ -349,7 +401,7 @@
             await self._failed(address, error)
         except Exception:
             # A peer of a newer version may hold what cannot be read here.
-            server.refused("unreadable_document")
+            nodes.refused("unreadable_document")
             LOG.exception("a peer's document cannot be read")
         finally:
             self._fetching = False
--- a/toucanrudder/peers/messages.py
+++ b/toucanrudder/peers/messages.py
@@ -15,6 +15,11 @@
 MAX_LOADS = 4096
 MAX_QUARANTINE = 4096
 MAX_HOT = 256
+MAX_DIGEST = 1024
+
+#: What no router can have at one upstream.
+MOST_TOKENS = 1_000_000_000
+MOST_REQUESTS = 1_000_000
 
 
 class BadHeartbeat(Exception):
@@ -92,6 +97,10 @@
         Processes of upstreams that take no work for a while.
     weights : tuple of Weights
         The newest weights that have been named.
+    digest : routers.Digest
+        How far routers have come that the sender has heard of.
+    wanted : tuple of int
+        Keys, as in digests, of routers that the sender does not know.
     """
 
     sender: routers.Member
@@ -105,6 +114,8 @@
     leaving_upstreams: tuple[str, ...] = ()
     avoided: tuple[Avoided, ...] = ()
     weights: tuple[Weights, ...] = ()
+    digest: routers.Digest = routers.NO_DIGEST
+    wanted: tuple[int, ...] = ()
 
 
 def to_wire(heartbeat: Heartbeat) -> peers_pb2.Heartbeat:
@@ -113,7 +124,11 @@
         sender=_member_to_wire(heartbeat.sender),
         generation=heartbeat.generation,
         loads=[
-            peers_pb2.UpstreamLoad(**attrs.asdict(load))
+            peers_pb2.UpstreamLoad(
+                upstream=load.upstream,
+                prefill_tokens=load.prefill_tokens,
+                requests=load.requests,
+            )
             for load in heartbeat.loads
         ],
         quarantine=[
@@ -143,6 +158,9 @@
             peers_pb2.Weights(model=each.model, version=each.version)
             for each in heartbeat.weights
         ],
+        digest_keys=heartbeat.digest.keys,
+        digest_beats=heartbeat.digest.beats,
+        wanted=heartbeat.wanted,
     )
 
 
@@ -152,8 +170,8 @@
     Raises
     ------
     BadHeartbeat
-        It names no sender, or holds an unknown kind or a rate that is
-        not finite.
+        It names no sender, or holds an unknown kind, a rate that is not
+        finite, more work than there can be, or half a digest.
     """
     if not message.sender.name or not message.sender.address:
         raise BadHeartbeat("it names no sender")
@@ -162,8 +180,7 @@
             sender=_member_from_wire(message.sender),
             generation=message.generation,
             loads=tuple(
-                UpstreamLoad(load.upstream, load.prefill_tokens, load.requests)
-                for load in message.loads[:MAX_LOADS]
+                _load_from_wire(load) for load in message.loads[:MAX_LOADS]
             ),
             quarantine=tuple(
                 _entry_from_wire(each)
@@ -188,13 +205,37 @@
                 Weights(each.model, each.version)
                 for each in message.weights[:MAX_HOT]
             ),
+            digest=_digest_from_wire(message),
+            wanted=tuple(message.wanted[:MAX_DIGEST]),
         )
     except ValueError as error:
         raise BadHeartbeat(str(error)) from error
 
 
 def _member_to_wire(member: routers.Member) -> peers_pb2.Member:
-    return peers_pb2.Member(**attrs.asdict(member))
+    return peers_pb2.Member(
+        name=member.name,
+        address=member.address,
+        incarnation=member.incarnation,
+        beat=member.beat,
+        leaving=member.leaving,
+    )
+
+
+def _load_from_wire(message: peers_pb2.UpstreamLoad) -> UpstreamLoad:
+    load = UpstreamLoad(
+        message.upstream, message.prefill_tokens, message.requests
+    )
+    if load.prefill_tokens > MOST_TOKENS or load.requests > MOST_REQUESTS:
+        raise ValueError("more work than there can be")
+    return load
+
+
+def _digest_from_wire(message: peers_pb2.Heartbeat) -> routers.Digest:
+    keys, beats = list(message.digest_keys), list(message.digest_beats)
+    if len(keys) != len(beats) or len(keys) > MAX_DIGEST:
+        raise ValueError("no digest")
+    return routers.Digest(keys, beats)
 
 
 def _member_from_wire(message: peers_pb2.Member) -> routers.Member:
--- a/toucanrudder/peers/node.py
+++ b/toucanrudder/peers/node.py
@@ -1,6 +1,8 @@
 """This router among its peers: what it tells, and what it does with news."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
+import logging
 import random
 from typing import Protocol
 
@@ -8,13 +10,24 @@
 
 from toucanrudder.document import acceptance
 from toucanrudder.membership import routers
+from toucanrudder.observability import metrics
 from toucanrudder.peers import loads as peer_loads
 from toucanrudder.peers import messages
 from toucanrudder.prefix import heat
 from toucanrudder.quarantine import entry
 
-#: Routers passed on in one heartbeat.
+LOG = logging.getLogger(__name__)
+
+#: Routers passed on whole in one heartbeat, and those of them that are no
+#: news: who has missed one hears of it from these.
 MAX_TOLD_MEMBERS = 32
+OTHERS_TOLD = 4
+
+#: Unknown routers that one heartbeat asks for; the answer tells them whole.
+MAX_WANTED = 32
+
+#: Routers of which one heartbeat tells how far they have come.
+MAX_DIGEST = 256
 
 #: Hot prefixes told in one heartbeat.
 MAX_TOLD_HOT = 32
@@ -125,6 +138,7 @@
         self._rng = rng
         self._beat = 0
         self._generations: dict[str, int] = {}
+        table.is_kept_by(name, incarnation)
 
     def generations(self, now_s: float) -> dict[str, int]:
         """Return the generation last told by each reachable router."""
@@ -148,7 +162,12 @@
         )
 
     def heartbeat(
-        self, now_s: float, wall_s: float, *, tell_all: bool = False
+        self,
+        now_s: float,
+        wall_s: float,
+        *,
+        tell_all: bool = False,
+        wanted: Sequence[int] = (),
     ) -> messages.Heartbeat:
         """Return the next heartbeat.
 
@@ -158,6 +177,32 @@
             Monotonic time and wall clock.
         tell_all : bool
             Whether all quarantine entries are told, as a peer has asked.
+        wanted : sequence of int
+            Keys of routers that a peer asks for.
+        """
+        members = self.table.news(
+            MAX_TOLD_MEMBERS, OTHERS_TOLD, now_s, self._rng
+        ) + self.table.whole(wanted[:MAX_WANTED], now_s)
+        return attrs.evolve(
+            self.urgent(now_s, wall_s, tell_all=tell_all),
+            loads=self._sources.loads(),
+            hot_prefixes=self._sources.hot_prefixes(MAX_TOLD_HOT, now_s),
+            total_rate_per_s=self._sources.total_rate_per_s(now_s),
+            members=members,
+            want_all=self._beat % ASK_ALL_EVERY == 1,
+            digest=self.table.digest(MAX_DIGEST, now_s, self._rng),
+            wanted=self.table.wanted(MAX_WANTED, now_s),
+        )
+
+    def urgent(
+        self, now_s: float, wall_s: float, *, tell_all: bool = False
+    ) -> messages.Heartbeat:
+        """Return the part of the next heartbeat that cannot wait.
+
+        Parameters
+        ----------
+        now_s, wall_s, tell_all
+            As of `heartbeat`.
         """
         self._beat += 1
         entries = self._sources.quarantine(wall_s)
@@ -173,27 +218,34 @@
                 self._sources.leaving(),
             ),
             generation=self.generation(),
-            loads=self._sources.loads(),
             quarantine=entries,
-            hot_prefixes=self._sources.hot_prefixes(MAX_TOLD_HOT, now_s),
-            total_rate_per_s=self._sources.total_rate_per_s(now_s),
-            members=self._told_members(now_s),
-            want_all=self._beat % ASK_ALL_EVERY == 1,
             leaving_upstreams=self._sources.leaving_upstreams(now_s),
             avoided=self._sources.avoided(now_s),
             weights=self._sources.weights(),
         )
 
-    def _told_members(self, now_s: float) -> tuple[routers.Member, ...]:
-        members = self.table.reachable(now_s)
-        count = min(MAX_TOLD_MEMBERS, len(members))
-        return tuple(self._rng.sample(members, count))
-
     def heard(
         self, heartbeat: messages.Heartbeat, now_s: float, wall_s: float
     ) -> None:
         """Take in a peer's heartbeat."""
         sender = heartbeat.sender
+        if sender.name == self.name:
+            return
+        self.heard_urgent(heartbeat, now_s, wall_s)
+        self._heard_of_others(heartbeat, now_s)
+        self._loads.heard(sender.name, heartbeat.loads, now_s)
+        self._sources.hot(
+            sender.name,
+            heartbeat.hot_prefixes,
+            heartbeat.total_rate_per_s,
+            now_s,
+        )
+
+    def heard_urgent(
+        self, heartbeat: messages.Heartbeat, now_s: float, wall_s: float
+    ) -> None:
+        """Take in the part of a peer's heartbeat that could not wait."""
+        sender = heartbeat.sender
         if sender.name == self.name:
             return
         self.table.heard(
@@ -205,15 +257,26 @@
             leaving=sender.leaving,
         )
         self._generations[sender.name] = heartbeat.generation
-        for member in heartbeat.members:
-            if member.name != self.name:
-                self.table.told(member, now_s)
-        self._loads.heard(sender.name, heartbeat.loads, now_s)
         self._sources.merge(heartbeat.quarantine, wall_s)
         self._sources.upstream_news(heartbeat, now_s)
-        self._sources.hot(
-            sender.name,
-            heartbeat.hot_prefixes,
-            heartbeat.total_rate_per_s,
-            now_s,
-        )
+
+    def _heard_of_others(
+        self, heartbeat: messages.Heartbeat, now_s: float
+    ) -> None:
+        is_good = self.table.told_digest(heartbeat.digest, now_s)
+        for member in heartbeat.members:
+            if member.name != self.name:
+                is_good &= self.table.told(member, now_s)
+        if not is_good:
+            refused("impossible_member")
+            LOG.warning(
+                "a peer tells of routers that cannot be",
+                extra={"peer": heartbeat.sender.name},
+            )
+
+
+def refused(reason: str) -> None:
+    """Count what was refused of a peer, or a call that failed."""
+    metrics.counter(
+        "toucanrudder_peer_refusals", "Refused or failed calls of peers"
+    ).add(1, {"reason": reason})
--- a/toucanrudder/peers/server.py
+++ b/toucanrudder/peers/server.py
@@ -12,7 +12,6 @@
 
 from toucanrudder import clock
 from toucanrudder.document import serialisation
-from toucanrudder.observability import metrics
 from toucanrudder.peers import changes
 from toucanrudder.peers import credentials as peer_credentials
 from toucanrudder.peers import messages
@@ -44,13 +43,6 @@
 )
 
 
-def refused(reason: str) -> None:
-    """Count a refused or failed call between routers."""
-    metrics.counter(
-        "toucanrudder_peer_refusals", "Refused or failed calls of peers"
-    ).add(1, {"reason": reason})
-
-
 class PeersService(peers_pb2_grpc.PeersServicer):
     """The calls that peers make.
 
@@ -84,19 +76,34 @@
 
     async def Exchange(self, request, context):
         """Take in the caller's heartbeat; answer with this router's."""
-        await self._authenticate(context)
-        try:
-            heartbeat = messages.from_wire(request)
-        except messages.BadHeartbeat as error:
-            refused("bad_heartbeat")
-            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
+        heartbeat = await self._read(request, context)
         now_s, wall_s = time.monotonic(), time.time()
         self._node.heard(heartbeat, now_s, wall_s)
         self._news(heartbeat)
         return messages.to_wire(
-            self._node.heartbeat(now_s, wall_s, tell_all=heartbeat.want_all)
+            self._node.heartbeat(
+                now_s,
+                wall_s,
+                tell_all=heartbeat.want_all,
+                wanted=heartbeat.wanted,
+            )
         )
 
+    async def Tell(self, request, context):
+        """Take in the caller's urgent news."""
+        heartbeat = await self._read(request, context)
+        self._node.heard_urgent(heartbeat, time.monotonic(), time.time())
+        self._news(heartbeat)
+        return peers_pb2.Taken()
+
+    async def _read(self, request, context) -> messages.Heartbeat:
+        await self._authenticate(context)
+        try:
+            return messages.from_wire(request)
+        except messages.BadHeartbeat as error:
+            nodes.refused("bad_heartbeat")
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
+
     async def GetDocument(self, request, context):
         """Answer with the document in force."""
         await self._authenticate(context)
@@ -124,7 +131,7 @@
             return
         names = context.auth_context().get("x509_subject_alternative_name")
         if peer_credentials.PEER_NAME.encode() not in (names or ()):
-            refused("not_a_router")
+            nodes.refused("not_a_router")
             await context.abort(
                 grpc.StatusCode.PERMISSION_DENIED,
                 f"the certificate lacks the name {peer_credentials.PEER_NAME}",
