--- a/toucanrudder/platform/__main__.py
+++ b/toucanrudder/platform/__main__.py
@@ -1,6 +1,7 @@
 """Entry point of ``python -m toucanrudder.platform``."""
 
 import asyncio
+import gc
 import os
 import signal
 import sys
@@ -17,6 +18,9 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # libuv would open a ring otherwise; it reads this at the first loop.
     os.environ["UV_USE_IO_URING"] = "0"
+    # What is imported stays: looked through by the collector again and
+    # again, it would take a tenth of the start, and part of each pause.
+    gc.disable()
     import uvloop
 
     from toucanrudder.forwarding import daemon
@@ -25,6 +29,8 @@
     from toucanrudder.settings import forwarding
     from toucanrudder.settings import loading
 
+    gc.freeze()
+    gc.enable()
     conf = loading.load(os.environ[SETTINGS_PATH], forwarding.GROUPS)
     handler = lines.set_up(conf.logging.level, sys.stdout)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
