Do what a few do for all only once the routers are known

After all routers had started at once, each took itself for the first in line: it listed the orders' lease, and watched it, the weights and the registry for every change, though a handful of routers do that for the rest.

Each still lists the configuration, the registry and the weights itself; the rest waits until the routers are known (membership.settling, which the questions to engines' caches use as well).

--- a/toucanrudder/forwarding/cache_feed.py
+++ b/toucanrudder/forwarding/cache_feed.py
@@ -14,6 +14,7 @@
 from toucanrudder.forwarding import cache
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import state as states
+from toucanrudder.membership import settling
 from toucanrudder.observability import decisions
 from toucanrudder.placement import rendezvous
 
@@ -33,11 +34,6 @@
 #: them.  Their requests name the store of parts or a part's home instead.
 MOST_ROUTERS = 16
 
-#: Time without a router that was not known before, after which this one
-#: knows how many there are, and the longest wait for it.
-SETTLE_S = 0.8
-ALONE_S = 3.0
-
 #: Questions that an engine keeps open at once for us, unless the
 #: configuration allows it fewer; the rest is left to others who ask.
 MAX_ASKING = 8
@@ -122,9 +118,7 @@
         self._routers = routers
         self._rng = rng
         self._asking: dict[str, asyncio.Task] = {}
-        self._began_s: float | None = None
-        self._grown_s = float("-inf")
-        self._most_routers = 1
+        self._settling = settling.Settling()
 
     async def run(self) -> None:
         """Ask until cancelled."""
@@ -142,27 +136,10 @@
         ended = self._forget_ended()
         engines, stores = self._state.engines(), self._state.cache_stores()
         routers = tuple(sorted(self._routers()))
-        if self._knows_how_many(len(routers), now_s):
+        if self._settling.is_settled(len(routers), now_s):
             self._adjust((*engines, *stores), routers, ended)
         self._forget_unused(engines, stores)
 
-    def _knows_how_many(self, routers: int, now_s: float) -> bool:
-        """Whether the routers are known, so that all rank them alike.
-
-        Failure: all routers of a large fleet start at once, and each takes
-        itself for one of few.  Symptom: each asks all engines for all that
-        their caches hold, and answers no caller for seconds while it reads
-        that.  Others are heard of within two exchanges; who knows nobody
-        is alone, or cut off, and does not wait for ever.
-        """
-        if self._began_s is None:
-            self._began_s = now_s
-        if routers > self._most_routers:
-            self._most_routers, self._grown_s = routers, now_s
-        if now_s - self._began_s >= ALONE_S:
-            return True
-        return self._most_routers > 1 and now_s - self._grown_s >= SETTLE_S
-
     def _adjust(
         self, sources: tuple[Source, ...], routers: tuple[str, ...], ended
     ) -> None:
--- a/toucanrudder/forwarding/following.py
+++ b/toucanrudder/forwarding/following.py
@@ -14,6 +14,7 @@
 from toucanrudder.forwarding import state as states
 from toucanrudder.leases import holder
 from toucanrudder.membership import routers
+from toucanrudder.membership import settling
 from toucanrudder.observability import decisions
 from toucanrudder.peers import peering as peer_peerings
 from toucanrudder.placement import rendezvous
@@ -35,6 +36,11 @@
 #: of a second: in a large fleet they are gathered twice on their way.
 MOST_GATHERING = 40
 
+#: Longest wait, after a start, for the routers to be known before changes
+#: of the registry are asked for: half of the shortest time within which a
+#: leaving upstream must have been noticed.
+UPSTREAMS_ALONE_S = 1.0
+
 #: Routers whose watches of the usual wait cost the store little.
 USUAL_WAIT_ROUTERS = 16
 
@@ -126,6 +132,9 @@
         self._ranked_of: tuple[routers.Member, ...] = ()
         self._names: tuple[str, ...] = ()
         self._place = 0
+        self._settling = settling.Settling()
+        self._upstreams_settling = settling.Settling(UPSTREAMS_ALONE_S)
+        self._has_weights = False
         self._upstream_log = fanout.ChangeLog()
         peering.logs = {kinds.upstreams: self._upstream_log}
 
@@ -183,15 +192,26 @@
             deadline_s=fanout.ASK_DEADLINE_S,
         )
 
+    def _is_settled(self, of: settling.Settling) -> bool:
+        return of.is_settled(len(self.live_names()), clock.now_s())
+
     def _follows_weights(self) -> bool:
         """Whether this router follows the weights in the store itself.
 
         Only those that may soon have to give orders do; to the others it
         is a matter of preference, and they hear of it from peers within a
-        second.
+        second.  Each reads them once after its start: of a fleet that
+        starts as a whole, nobody could tell another.
         """
+        if not self._is_settled(self._settling):
+            return not self._has_weights
         return self.place_in_line() < WEIGHTS_FOLLOWERS
 
+    def _watches_lease(self) -> bool:
+        if not self._is_settled(self._settling):
+            return False
+        return self.place_in_line() < orders.WATCHERS
+
     # Who follows.
 
     def controllers(self) -> list[feeds.FeedController]:
@@ -205,6 +225,7 @@
             choose=self._choose_reader,
             ask=self._ask_reader,
             clock=clock.now_s,
+            is_settled=lambda: self._is_settled(self._upstreams_settling),
         )
         return [
             self._controller(
@@ -247,7 +268,7 @@
             self._store,
             holder.KIND,
             feeds.Follower(replaced, _each(replaced)),
-            is_wanted=lambda: self.place_in_line() < orders.WATCHERS,
+            is_wanted=self._watches_lease,
         )
 
     def _controller(
@@ -321,6 +342,7 @@
             self._state.states.keep(registry.incarnations)
 
     def _weights(self, objects, now_s: float) -> None:
+        self._has_weights = True
         for stored in objects:
             named = strange.read_or_none(self._kinds.named_weights, stored)
             if named and self._state.weights_named(*named, now_s):
--- /dev/null
+++ b/toucanrudder/forwarding/tests/test_starts.py
@@ -0,0 +1,90 @@
+"""What a fleet that starts as a whole asks of the store."""
+
+import asyncio
+import collections
+
+import attrs
+import pytest
+
+from toucanrudder.forwarding import following
+from toucanrudder.forwarding import orders
+from toucanrudder.leases import holder
+from toucanrudder.store import fanout
+from toucanrudder.testing.virtual import sites
+from toucanrudder.testing.virtual import stores
+from toucanrudder.testing.virtual import timing
+
+ENGINES = 20
+
+#: Until the routers know each other and do what is theirs.
+STARTED_S = 4.0
+
+#: Calls of each router by then: a list of the configuration, the registry
+#: and the weights, a watch of the first, and a question for what the
+#: registry's readers do not remember.
+MOST_CALLS = 5
+
+#: Routers that do a part for all, each with a call a second for it.
+FEW = fanout.READERS + following.WEIGHTS_FOLLOWERS + orders.WATCHERS
+
+
+@attrs.define(eq=False)
+class Calls:
+    """Routers that made each call, by its verb and kind."""
+
+    by_call: dict = attrs.field(
+        factory=lambda: collections.defaultdict(collections.Counter)
+    )
+
+    @property
+    def count(self):
+        return sum(made.total() for made in self.by_call.values())
+
+
+@pytest.fixture
+def calls(monkeypatch):
+    noted = Calls()
+
+    def counted(verb):
+        make = getattr(stores.Client, verb)
+
+        async def call(self, kind, *args, **kwargs):
+            noted.by_call[verb, kind][self._router] += 1
+            return await make(self, kind, *args, **kwargs)
+
+        monkeypatch.setattr(stores.Client, verb, call)
+
+    for verb in ("snapshot", "changes", "get"):
+        counted(verb)
+    return noted
+
+
+@pytest.mark.parametrize("routers", [16, 60])
+def test_a_fleet_that_starts_asks_no_more_than_one_that_runs(routers, calls):
+    """Callers wait for the configuration behind calls that nobody needs.
+
+    All routers start at once, each knows nobody and takes itself for the
+    first in line.  So all of them list and watch what a few are to follow
+    for the rest, and the store's rate is used up when it is needed most.
+    """
+
+    async def main():
+        site = sites.Site(3, routers=routers, engine_count=ENGINES)
+        with sites.unpacked():
+            site.start()
+            await asyncio.sleep(STARTED_S)
+        return site.astray(), [
+            node.daemon.state.newest_weights["m"].version
+            for node in site.nodes.values()
+        ]
+
+    astray, weights = timing.run(main)
+    assert not astray
+    # Each has read the weights itself: nobody could have told it.
+    assert weights == [1] * routers
+    by_call = calls.by_call
+    lease = by_call["snapshot", holder.KIND]
+    assert len(lease) <= orders.WATCHERS
+    watched = by_call["changes", sites.WEIGHTS]
+    assert len(watched) <= following.WEIGHTS_FOLLOWERS
+    assert calls.count <= MOST_CALLS * routers + FEW * STARTED_S
--- a/toucanrudder/store/fanout.py
+++ b/toucanrudder/store/fanout.py
@@ -39,6 +39,9 @@
 ASK_WAIT_S = 0.8
 ASK_DEADLINE_S = 1.2
 
+#: Pause between two looks at whether the routers are known.
+SETTLE_LOOK_S = 0.1
+
 #: For how long a reader that gave no good answer is not asked again.
 SHUN_S = 3.0
 
@@ -183,6 +186,8 @@
         long as it is given; None if there was no answer.
     clock : callable
         Monotonic time in seconds.
+    is_settled : callable
+        Whether the routers are known, so that all agree on who reads.
     """
 
     def __init__(
@@ -195,7 +200,9 @@
         choose: Callable[[set[str]], Reader | None],
         ask: Callable[[Reader, str, int, float], Awaitable[Told | None]],
         clock: Callable[[], float],
+        is_settled: Callable[[], bool] = lambda: True,
     ):
+        self._is_settled = is_settled
         self._store = store
         self._log = log
         self._is_reader = is_reader
@@ -215,6 +222,7 @@
         self, kind: str, revision: int, *, wait_s: float
     ) -> feed.Changes:
         """Wait for changes after the revision; none if `wait_s` passed."""
+        await self._settled()
         if not self._is_reader():
             told = await self._told(kind, revision, min(wait_s, ASK_WAIT_S))
             if told is not None:
@@ -225,6 +233,12 @@
         self._log.changed(revision, found, self._clock())
         return found
 
+    async def _settled(self) -> None:
+        while True:
+            if self._is_settled():
+                return
+            await asyncio.sleep(SETTLE_LOOK_S)
+
     async def _told(
         self, kind: str, revision: int, wait_s: float
     ) -> feed.Changes | None:
