--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -8,11 +8,13 @@
 import logging
 import random
 import signal
+import sys
 import uuid
 
 import aiomisc
 import attrs
 from oslo_config import cfg
+import uvloop
 
 from toucanrudder import clock
 from toucanrudder import errors
@@ -32,6 +34,7 @@
 from toucanrudder.leases import decision
 from toucanrudder.leases import holder
 from toucanrudder.observability import decisions
+from toucanrudder.observability import lines
 from toucanrudder.observability import metrics
 from toucanrudder.peers import peering as peerings
 from toucanrudder.store import interface
@@ -344,3 +347,13 @@
             router=router.state.name, open_requests=router.state.open_requests
         )
     )
+
+
+def run(conf: cfg.ConfigOpts, platform: Platform) -> None:
+    """Serve in a loop of its own until a signal has led to a planned stop."""
+    handler = lines.set_up(conf.logging.level, sys.stdout)
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        try:
+            runner.run(serve(conf, platform))
+        finally:
+            handler.close()
--- a/toucanrudder/platform/records.py
+++ b/toucanrudder/platform/records.py
@@ -100,24 +100,15 @@
     runs: tuple[Run, ...] = ()
 
 
-#: Number, sign, salt, part, tokens and reason of an event of a cache.
-_CACHE_EVENT = [int, str, str, str, int, str]
-
-
-def _are_cache_events(instance, attribute, value) -> None:
-    # Thousands come at once; a record of each would take ten times as long.
-    for each in value:
-        if type(each) is not list or list(map(type, each)) != _CACHE_EVENT:
-            raise ValueError(f"{attribute.name}: {each!r} is no event")
-
-
 @attrs.frozen
 class CacheNews:
     """What an engine or a store tells of its cache."""
 
     boot_epoch: int
     next: int = attrs.field(validator=typed.NOT_NEGATIVE)
-    events: list[typing.Any] = attrs.field(validator=_are_cache_events)
+    events: list[typing.Any] = attrs.field(
+        validator=typed.rows(int, str, str, str, int, str)
+    )
     born: int = attrs.field(default=0, validator=typed.NOT_NEGATIVE)
 
 
--- a/toucanrudder/store/typed.py
+++ b/toucanrudder/store/typed.py
@@ -163,6 +163,21 @@
     return check
 
 
+def rows(*types: type) -> Callable:
+    """Return a validator of a list of lists, by the types in each.
+
+    Where thousands come at once, a record of each takes ten times as long.
+    """
+    wanted = list(types)
+
+    def check(instance, attribute, value) -> None:
+        for row in value:
+            if type(row) is not list or list(map(type, row)) != wanted:
+                raise ValueError(f"{attribute.name}: {row!r} is no row")
+
+    return check
+
+
 def _is_address(value: str) -> bool:
     found = addresses.ip_of(value)
     is_v4 = isinstance(found, ipaddress.IPv4Address)
