Write down who does what for all, and show how many routers are live

When readers of the registry or watchers of the lease changed, only their calls to the store told of it. DutyChanged says what a router takes up or leaves, toucanrudder_members what it has heard of the others. Sixty routers that start together take up each duty once and give none back.

--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -9,6 +9,7 @@
 import random
 import signal
 import sys
+import time
 import uuid
 
 import aiomisc
@@ -252,6 +253,11 @@
     @contextlib.asynccontextmanager
     async def served(self) -> AsyncIterator[None]:
         """Run the controllers and listeners."""
+        metrics.gauge(
+            "toucanrudder_members",
+            "Other routers, as this one has heard of them",
+            lambda: self.peering.node.table.numbers(time.monotonic()),
+        )
         conf = self.conf.listen
         host, port = _host_port(conf.peers)
         entrypoint = aiomisc.entrypoint(
--- a/toucanrudder/forwarding/following.py
+++ b/toucanrudder/forwarding/following.py
@@ -135,6 +135,7 @@
         self._settling = settling.Settling()
         self._upstreams_settling = settling.Settling(UPSTREAMS_ALONE_S)
         self._has_weights = False
+        self._duties: set[str] = set()
         self._upstream_log = fanout.ChangeLog()
         peering.logs = {kinds.upstreams: self._upstream_log}
 
@@ -163,11 +164,23 @@
         self._names = (self._state.name, *(each.name for each in live))
         self._place = sum(name < self._state.name for name in self._names)
 
+    def _note_duty(self, duty: str, held: bool) -> bool:
+        """Write down that a duty has come or gone; return `held`."""
+        if held is not (duty in self._duties):
+            self._duties ^= {duty}
+            decisions.record(
+                decisions.DutyChanged(
+                    duty=duty, held=held, routers=len(self.live_names())
+                )
+            )
+        return held
+
     def _is_reader(self) -> bool:
         names = self.live_names()
         if not fanout.is_fanned_out(len(names)):
             return True
-        return self._state.name in fanout.readers(names)
+        is_reader = self._state.name in fanout.readers(names)
+        return self._note_duty("registry", is_reader)
 
     def _has_followers(self) -> bool:
         return fanout.is_fanned_out(len(self.live_names()))
@@ -205,12 +218,14 @@
         """
         if not self._is_settled(self._settling):
             return not self._has_weights
-        return self.place_in_line() < WEIGHTS_FOLLOWERS
+        is_follower = self.place_in_line() < WEIGHTS_FOLLOWERS
+        return self._note_duty("weights", is_follower)
 
     def _watches_lease(self) -> bool:
         if not self._is_settled(self._settling):
             return False
-        return self.place_in_line() < orders.WATCHERS
+        is_watcher = self.place_in_line() < orders.WATCHERS
+        return self._note_duty("lease", is_watcher)
 
     # Who follows.
 
--- a/toucanrudder/forwarding/tests/test_starts.py
+++ b/toucanrudder/forwarding/tests/test_starts.py
@@ -9,6 +9,7 @@
 from toucanrudder.forwarding import following
 from toucanrudder.forwarding import orders
 from toucanrudder.leases import holder
+from toucanrudder.observability import decisions
 from toucanrudder.store import fanout
 from toucanrudder.testing.virtual import sites
 from toucanrudder.testing.virtual import stores
@@ -60,7 +61,9 @@
 
 
 @pytest.mark.parametrize("routers", [16, 60])
-def test_a_fleet_that_starts_asks_no_more_than_one_that_runs(routers, calls):
+def test_a_fleet_that_starts_asks_no_more_than_one_that_runs(
+    routers, calls, monkeypatch
+):
     """Callers wait for the configuration behind calls that nobody needs.
 
     All routers start at once, each knows nobody and takes itself for the
@@ -68,6 +71,9 @@
     for the rest, and the store's rate is used up when it is needed most.
     """
 
+    lines = []
+    monkeypatch.setattr(decisions, "record", lines.append)
+
     async def main():
         site = sites.Site(3, routers=routers, engine_count=ENGINES)
         with sites.unpacked():
@@ -88,3 +94,12 @@
     watched = by_call["changes", sites.WEIGHTS]
     assert len(watched) <= following.WEIGHTS_FOLLOWERS
     assert calls.count <= MOST_CALLS * routers + FEW * STARTED_S
+    # Each duty is taken up once, and none is given back.
+    duties = collections.Counter(
+        line.duty for line in lines if isinstance(line, decisions.DutyChanged)
+    )
+    assert duties == {
+        "registry": fanout.READERS,
+        "weights": following.WEIGHTS_FOLLOWERS,
+        "lease": orders.WATCHERS,
+    }
--- a/toucanrudder/membership/routers.py
+++ b/toucanrudder/membership/routers.py
@@ -336,6 +336,12 @@
         """Return the live routers, this one included, for shared limits."""
         return 1 + len(self.live(now_s))
 
+    def numbers(self, now_s: float) -> dict[str, int]:
+        """Return how many others are live, are stopping, and are silent."""
+        live, reached = len(self.live(now_s)), len(self.peers(now_s))
+        silent = len(self._known) - reached
+        return {"live": live, "stopping": reached - live, "silent": silent}
+
     def _put(self, member: Member, now_s: float) -> None:
         known = self._known.get(member.name)
         if known is not None and (
--- a/toucanrudder/membership/tests/test_routers.py
+++ b/toucanrudder/membership/tests/test_routers.py
@@ -204,3 +204,11 @@
         assert all(
             each.beat == beats[each.name] for each in table.reachable(now_s)
         )
+
+
+def test_members_are_counted_by_state():
+    table = routers.RouterTable(SILENT_S)
+    table.heard("a", "a:1", 1, 0.0)
+    table.heard("b", "b:1", 1, 4.0)
+    table.heard("c", "c:1", 1, 4.0, leaving=True)
+    assert table.numbers(4.5) == {"live": 1, "stopping": 1, "silent": 1}
--- a/toucanrudder/observability/decisions.py
+++ b/toucanrudder/observability/decisions.py
@@ -87,6 +87,15 @@
     version: int
 
 
+@attrs.frozen(kw_only=True)
+class DutyChanged:
+    """This router does something for all others, or does it no more."""
+
+    duty: str
+    held: bool
+    routers: int
+
+
 @attrs.frozen(kw_only=True)
 class BeliefsDropped:
     """Parts kept under earlier weights are believed in no more."""
@@ -266,6 +275,7 @@
     StoreRegained,
     UpstreamSeen,
     WeightsNamed,
+    DutyChanged,
     BeliefsDropped,
     LeaseChanged,
     TurnEnded,
--- a/toucanrudder/observability/metrics.py
+++ b/toucanrudder/observability/metrics.py
@@ -1,5 +1,7 @@
 """The process's OpenTelemetry meter, its Prometheus page and counters."""
 
+from collections.abc import Callable
+from collections.abc import Mapping
 import functools
 
 from opentelemetry import metrics
@@ -33,6 +35,22 @@
     return meter().create_histogram(name, unit=unit, description=description)
 
 
+def gauge(
+    name: str, description: str, read: Callable[[], Mapping[str, int]]
+) -> None:
+    """Show numbers that are read when the page is asked for, by state."""
+
+    def observe(_) -> list[metrics.Observation]:
+        return [
+            metrics.Observation(number, {"state": state})
+            for state, number in read().items()
+        ]
+
+    meter().create_observable_gauge(
+        name, callbacks=[observe], description=description
+    )
+
+
 def refused(code: str, step: str) -> None:
     """Count a refusal by its code and step."""
     counter("toucanrudder_refusals", "Refused requests").add(
