--- a/toucanrudder/peers/tests/test_large_fleets.py
+++ b/toucanrudder/peers/tests/test_large_fleets.py
@@ -57,30 +57,41 @@
     def __attrs_post_init__(self):
         seeds = [self.address(number) for number in range(SEEDS)]
         for number in range(self.size):
-            rng = random.Random(number)
-            made = node.Node(
-                self.name(number),
-                1_000 + number,
-                routers.RouterTable(SILENT_S),
-                loads.PeerLoads(SILENT_S),
-                lambda: None,
-                node.Sources(),
-                rng,
-            )
-            made.address = self.address(number)
-            self.nodes.append(made)
-            self.clients.append(
-                client.PeerClient(
-                    made,
-                    lambda document: False,
-                    seeds,
-                    None,
-                    interval_s=INTERVAL_S,
-                    silent_s=SILENT_S,
-                    rng=rng,
-                )
-            )
-            heapq.heappush(self.due, (rng.random() * INTERVAL_S, number))
+            self.nodes.append(self._node(number, 1_000 + number))
+            self.clients.append(self._client(number, seeds))
+            heapq.heappush(self.due, (self.rng.random() * INTERVAL_S, number))
+
+    def _node(self, number, incarnation):
+        made = node.Node(
+            self.name(number),
+            incarnation,
+            routers.RouterTable(SILENT_S),
+            loads.PeerLoads(SILENT_S),
+            lambda: None,
+            node.Sources(),
+            random.Random(number),
+        )
+        made.address = self.address(number)
+        return made
+
+    def _client(self, number, seeds):
+        return client.PeerClient(
+            self.nodes[number],
+            lambda document: False,
+            seeds,
+            None,
+            interval_s=INTERVAL_S,
+            silent_s=SILENT_S,
+            rng=random.Random(number),
+        )
+
+    def restart(self, numbers, incarnation):
+        """Start processes anew; they know nothing but the seeds."""
+        seeds = [self.address(number) for number in range(SEEDS)]
+        for number in numbers:
+            self.nodes[number] = self._node(number, incarnation)
+            self.clients[number] = self._client(number, seeds)
+        self.dead -= set(numbers)
 
     @staticmethod
     def name(number):
@@ -188,6 +199,28 @@
     assert fleet.unseen() == 0
 
 
+RESTARTS = [
+    # Which of 82 routers die, after how many seconds they are back, and by
+    # how much their clocks have jumped.
+    pytest.param(range(82), 0.0, 0, id="all at once"),
+    pytest.param(range(82), 0.0, -3_600_000, id="all, clocks an hour back"),
+    pytest.param(range(0, 82, 2), 2.0, 0, id="every other one"),
+    pytest.param(range(0, 60), 8.0, 0, id="most, for long"),
+]
+
+
+@pytest.mark.parametrize(("which", "away_s", "jump_ms"), RESTARTS)
+def test_routers_that_are_back_are_soon_known(which, away_s, jump_ms):
+    """Routers that start again find no peers, and do alone what few do."""
+    fleet = Fleet(82, loss=0.025)
+    list(fleet.run(KNOWN_WITHIN_S))
+    fleet.dead.update(which)
+    list(fleet.run(fleet.now_s + away_s))
+    fleet.restart(which, 1_000_000 + jump_ms)
+    list(fleet.run(fleet.now_s + KNOWN_WITHIN_S))
+    assert fleet.unseen() == 0
+
+
 def test_one_that_comes_or_goes_changes_few_partners():
     # A channel is kept for as long as the partner is one.
     fleet = Fleet(82)
