--- a/toucanrudder/bench/capacity/measurements.py
+++ b/toucanrudder/bench/capacity/measurements.py
@@ -67,6 +67,13 @@
         (8, 32, 100, 300, 1100),
         {"decision_s": "s"},
     ),
+    Measurement(
+        "choices",
+        pure.choices,
+        "engines of the forwarding path that all hold a prompt's parts",
+        (5, 62, 124, 400, 1100),
+        {"decision_s": "s"},
+    ),
     Measurement(
         "limits",
         pure.limits,
--- a/toucanrudder/bench/capacity/pure.py
+++ b/toucanrudder/bench/capacity/pure.py
@@ -10,6 +10,7 @@
 BLOCKS_PER_EVENT = 4
 BELIEF_ENGINES = 50
 REPEATS = 2000
+CHOICE_REPEATS = 60_000
 ROUTERS = 400
 
 
@@ -79,6 +80,38 @@
     }
 
 
+def choices(size: int) -> dict:
+    """Choose among engines of the forwarding path that all hold the parts."""
+    from toucanrudder.forwarding import cache
+    from toucanrudder.forwarding import loads
+    from toucanrudder.forwarding import model
+    from toucanrudder.forwarding import placing
+
+    parts = (model.Part("a", 500), model.Part("b", 4500))
+    prompt = model.Prompt("m", (*parts, model.Part("own", 6000)), 11_000)
+    index = cache.CacheIndex()
+    candidates = []
+    for number in range(size):
+        upstream = model.Upstream(
+            f"e{number}",
+            "s",
+            f"10.0.{number // 250}.{number % 250}:80",
+            f"z{number % 3}",
+            slots=32,
+            weights={"m": 2},
+        )
+        index.read(upstream.incarnation, cache.salt("", 2), parts)
+        state = loads.UpstreamState(requests=number % 7)
+        candidates.append(placing.Candidate(upstream, state))
+    store = model.CacheStore("10.9.0.1:80", "z0")
+    repeats = max(5, CHOICE_REPEATS // size)
+    meter = isolation.Meter()
+    for _ in range(repeats):
+        usable = placing.usable(candidates, 10.0)
+        placing.for_prompt(prompt, "", usable, index, store=store, now_s=10.0)
+    return {"decision_s": meter.spent_s() / repeats}
+
+
 def placement(size: int) -> dict:
     """Choose among `size` engines for a prompt of ten blocks."""
     from toucanrudder.document import model
