Begin a new round of urgent news after one was cancelled

The round that gathers news was kept as the one to wait for. Cancelled with the other tasks of the exchanges, which begin anew after an error, it would have been waited for again each time, and peers told nothing, for ever. Found by reading; the test failed before.

--- a/toucanrudder/peers/client.py
+++ b/toucanrudder/peers/client.py
@@ -215,7 +215,8 @@
         within_s : float
             Longest wait; peers that are silent hold nobody up for longer.
         """
-        if self._round is None:
+        # One that was cancelled with all other tasks tells nobody.
+        if self._round is None or self._round.done():
             self._round = self._start(self._told_round())
         await asyncio.wait([self._round], timeout=within_s)
 
--- a/toucanrudder/peers/tests/test_large_fleets.py
+++ b/toucanrudder/peers/tests/test_large_fleets.py
@@ -300,3 +300,39 @@
     other.heard_urgent(one.urgent(1.1, 1.1), 1.1, 1.1)
     assert other._loads.requests("e1", 1.2) == 2
     assert other.table.live(1.2)[0].name == one.name
+
+
+async def test_urgent_news_goes_on_after_a_round_was_cancelled():
+    """Peers hear of no crash and no loading engine any more, for ever.
+
+    The controller of the exchanges ends by an error and starts again; a
+    round that was just gathering news is cancelled with its other tasks.
+    Kept as the one to wait for, it is over at once each time.
+    """
+    fleet, sent = Fleet(8), []
+    list(fleet.run(KNOWN_WITHIN_S))
+    beginning = fleet.clients[2]
+    beginning._channels = StubChannels(sent)
+    virtual = types.SimpleNamespace(
+        monotonic=lambda: fleet.now_s, time=lambda: fleet.now_s
+    )
+    with mock.patch.object(client, "time", virtual):
+        telling = asyncio.ensure_future(beginning.tell_all(1.0))
+        await asyncio.sleep(0)
+        for task in list(beginning._tasks):
+            task.cancel()
+        await telling
+        assert not sent
+        await beginning.tell_all(1.0)
+    assert len(sent) == 7
+
+
+def test_news_takes_no_turn_of_a_heartbeat():
+    # Old facts about crashes are asked for with the first heartbeat.
+    one = Fleet(2).nodes[0]
+    for _ in range(5):
+        one.urgent(1.0, 1.0)
+    asked = [
+        one.heartbeat(1.0, 1.0).want_all for _ in range(node.ASK_ALL_EVERY + 1)
+    ]
+    assert asked == [True] + (node.ASK_ALL_EVERY - 1) * [False] + [True]
