--- a/toucanrudder/peers/node.py
+++ b/toucanrudder/peers/node.py
@@ -137,6 +137,7 @@
         self._sources = sources
         self._rng = rng
         self._beat = 0
+        self._heartbeats = 0
         self._generations: dict[str, int] = {}
         table.is_kept_by(name, incarnation)
 
@@ -183,13 +184,14 @@
         members = self.table.news(
             MAX_TOLD_MEMBERS, OTHERS_TOLD, now_s, self._rng
         ) + self.table.whole(wanted[:MAX_WANTED], now_s)
+        self._heartbeats += 1
         return attrs.evolve(
             self.urgent(now_s, wall_s, tell_all=tell_all),
             loads=self._sources.loads(),
             hot_prefixes=self._sources.hot_prefixes(MAX_TOLD_HOT, now_s),
             total_rate_per_s=self._sources.total_rate_per_s(now_s),
             members=members,
-            want_all=self._beat % ASK_ALL_EVERY == 1,
+            want_all=self._heartbeats % ASK_ALL_EVERY == 1,
             digest=self.table.digest(MAX_DIGEST, now_s, self._rng),
             wanted=self.table.wanted(MAX_WANTED, now_s),
         )
