Read the lease for orders once after a start

Traced by the lines of the lease: 55% of the routers die with the holder, and the first in line is one that has just started.

--- a/toucanrudder/forwarding/following.py
+++ b/toucanrudder/forwarding/following.py
@@ -134,7 +134,7 @@
         self._place = 0
         self._settling = settling.Settling()
         self._upstreams_settling = settling.Settling(UPSTREAMS_ALONE_S)
-        self._has_weights = False
+        self._has_weights = self._has_lease = False
         self._duties: set[str] = set()
         self._upstream_log = fanout.ChangeLog()
         peering.logs = {kinds.upstreams: self._upstream_log}
@@ -222,8 +222,15 @@
         return self._note_duty("weights", is_follower)
 
     def _watches_lease(self) -> bool:
+        """Whether this router follows the lease for orders.
+
+        Each reads it once after its start.  Failure: the holder dies with
+        many others, and the first in line has just started.  Symptom: it
+        counts the holder's silence from its first look at the lease on, so
+        engines wait for orders for as long as that look comes later.
+        """
         if not self._is_settled(self._settling):
-            return False
+            return not self._has_lease
         is_watcher = self.place_in_line() < orders.WATCHERS
         return self._note_duty("lease", is_watcher)
 
@@ -275,6 +282,7 @@
         """Return what tells the lease's part of the lease's object."""
 
         def replaced(objects, now_s: float) -> None:
+            self._has_lease = True
             for stored in objects:
                 if stored.name == lease.name:
                     lease.observe(stored, now_s)
