Write down on what evidence a try was taken for ended

The lines of a request that ran twice do not tell whether its connection had carried others, whether the answer named the request, why silence was taken for loss, and where a copy was expected. TryEnded says all four now (carried_requests, identity, silence, copy_at); no decision changes. 716 tests of the parts concerned pass.

--- a/toucanrudder/forwarding/attempt.py
+++ b/toucanrudder/forwarding/attempt.py
@@ -92,6 +92,12 @@
     return tries.Ended.FULL if facts.has_not_run else None
 
 
+def _identity(facts: dialects.Facts) -> tries.Identity:
+    if not facts.names_request:
+        return tries.Identity.MISSING
+    return tries.Identity.SENT if facts.is_for else tries.Identity.OTHER
+
+
 @attrs.define(eq=False)
 class Attempt:
     """A request at the upstream that was chosen for it.
@@ -107,6 +113,7 @@
     course: "courses.Course"
     choice: placing.Choice
     sent_at_s: float = 0.0
+    evidence: tries.Evidence = attrs.field(factory=tries.Evidence)
 
     @property
     def state(self) -> states.ForwardingState:
@@ -181,6 +188,7 @@
             ),
         )
         self._note_placed(choice)
+        self.evidence.carried_requests = connection.uses
         self.sent_at_s = clock.now_s()
         connection.send(head, self.course.request.body)
         self.course.in_doubt = True
@@ -246,6 +254,7 @@
         """
         head = await self._next_event(connection, self._patience_s())
         facts = self.course.dialect.facts(self.course.call, upstream, head)
+        self.evidence.identity = _identity(facts)
         if not facts.is_for:
             # Nothing is learned from it: weights that another engine has
             # would be believed of this one for as long as it lives, and
@@ -369,11 +378,19 @@
         being made.  What may run again is sent elsewhere without asking.
         """
         if self.route.repetition is not model.Repetition.ONCE:
+            self.evidence.silence = tries.Silence.NOT_ASKED
             return True
         report = await self.state.ask_engine(self.choice.upstream)
-        return report is None or report.has_lost(
-            self.course.call.request_id, self.course.progress.events
-        )
+        if report is None:
+            self.evidence.silence = tries.Silence.NO_REPORT
+            return True
+        request_id = self.course.call.request_id
+        if not report.has_lost(request_id, self.course.progress.events):
+            return False
+        self.evidence.silence = tries.Silence.NOT_LISTED
+        if request_id in report.events:
+            self.evidence.silence = tries.Silence.EVENTS_MISSING
+        return True
 
     async def _pass_events(
         self, head: message.AnswerHead, whole: list[bytes]
--- a/toucanrudder/forwarding/course.py
+++ b/toucanrudder/forwarding/course.py
@@ -149,11 +149,12 @@
             upstream = choice.upstream
             self.tried.add(upstream.incarnation)
             self.attempt_count += 1
+            attempt = attempts.Attempt(self, choice)
             try:
-                await attempts.Attempt(self, choice).run()
+                await attempt.run()
                 return
             except attempts.TryEnded as failure:
-                step = self._after(failure, upstream)
+                step = self._after(failure, upstream, attempt.evidence)
                 if step is tries.Step.GIVE_UP:
                     await self._give_up(failure, upstream)
                     return
@@ -259,7 +260,10 @@
         return ""
 
     def _after(
-        self, failure: attempts.TryEnded, upstream: model.Upstream
+        self,
+        failure: attempts.TryEnded,
+        upstream: model.Upstream,
+        evidence: tries.Evidence,
     ) -> tries.Step:
         """Note how a try ended; say what is to follow."""
         ended = failure.ended
@@ -292,6 +296,10 @@
                 budget_left=self.state.retries_to(self.service).left(
                     clock.now_s(), self.state.live_routers()
                 ),
+                carried_requests=evidence.carried_requests,
+                identity=evidence.identity.value,
+                silence=evidence.silence.value,
+                copy_at=self.copy_at.incarnation if self.copy_at else "",
             )
         )
         return step
--- a/toucanrudder/forwarding/dialect.py
+++ b/toucanrudder/forwarding/dialect.py
@@ -55,6 +55,8 @@
     ----------
     is_for : bool
         Whether it answers the request that was sent.
+    names_request : bool
+        Whether it names any request.
     has_not_run : bool
         Whether the upstream proves that it has not run the request.
     is_elsewhere : bool
@@ -70,6 +72,7 @@
     """
 
     is_for: bool
+    names_request: bool = True
     has_not_run: bool = False
     is_elsewhere: bool = False
     has_other_weights: bool = False
--- a/toucanrudder/forwarding/tries.py
+++ b/toucanrudder/forwarding/tries.py
@@ -82,6 +82,53 @@
     has_copy: bool = False
 
 
+class Identity(enum.Enum):
+    """Which request an upstream's answer named."""
+
+    #: No head of an answer came.
+    NO_ANSWER = "no_answer"
+    #: The request that was sent.
+    SENT = "sent"
+    #: None.
+    MISSING = "missing"
+    #: Another request.
+    OTHER = "other"
+
+
+class Silence(enum.Enum):
+    """Why a silent answer was taken for lost."""
+
+    #: It was not.
+    NONE = ""
+    #: The request may run again, so the engine was not asked.
+    NOT_ASKED = "not_asked"
+    #: The engine gave no report.
+    NO_REPORT = "no_report"
+    #: The report does not list the request.
+    NOT_LISTED = "not_listed"
+    #: The report lists events that never came.
+    EVENTS_MISSING = "events_missing"
+
+
+@attrs.define
+class Evidence:
+    """What is known of a try beside how it ended.
+
+    Parameters
+    ----------
+    carried_requests : int
+        Requests that its connection had carried before.
+    identity : Identity
+        Which request the answer named.
+    silence : Silence
+        Why it was taken for lost.
+    """
+
+    carried_requests: int = 0
+    identity: Identity = Identity.NO_ANSWER
+    silence: Silence = Silence.NONE
+
+
 class Step(enum.Enum):
     """What is done next."""
 
--- a/toucanrudder/observability/decisions.py
+++ b/toucanrudder/observability/decisions.py
@@ -221,6 +221,10 @@
     events: int
     next_step: str
     budget_left: float
+    carried_requests: int
+    identity: str
+    silence: str
+    copy_at: str
 
 
 @attrs.frozen(kw_only=True)
--- a/toucanrudder/platform/dialect.py
+++ b/toucanrudder/platform/dialect.py
@@ -147,6 +147,7 @@
             # A refusal that proves that nothing ran may lack the identity.
             is_for=answers == call.request_id
             or (answers is None and (not_run or answer.status == 421)),
+            names_request=answers is not None,
             has_not_run=not_run,
             # One status says both; the identity tells them apart.
             is_elsewhere=answer.status == 421 and not is_same,
