--- a/toucanrudder/platform/testing/standins.py
+++ b/toucanrudder/platform/testing/standins.py
@@ -11,13 +11,18 @@
 import contextlib
 import itertools
 import time
+from typing import ClassVar
 import urllib.parse
+import weakref
 
 import attrs
 import orjson
 
 from toucanrudder.http1 import server
 
+#: Seconds of a run after which its first copy is sent.
+COPY_AFTER_S = 0.4
+
 JSON = ((b"Content-Type", b"application/json"),)
 
 
@@ -215,11 +220,16 @@
         What it does with all others.
     listed : dict of str to int
         Events made of the requests that its report lists as running.
+    copies : set of str
+        Requests of which it holds a copy of another's run.
     born : int
         What it says of its start; 0 for nothing.
     """
 
     _numbers = itertools.count(1)
+    _by_address: ClassVar[weakref.WeakValueDictionary] = (
+        weakref.WeakValueDictionary()
+    )
 
     def __init__(self, service: str, model: str = "", zone: str = "za"):
         super().__init__()
@@ -237,8 +247,22 @@
         self.cut = asyncio.Event()
         self.usual: Behaviour = answers
         self.listed: dict[str, int] = {}
+        self.copies: set[str] = set()
         self.reported = asyncio.Event()
 
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator["Server"]:
+        """Serve during the block."""
+        async with super().running():
+            self._by_address[self.address] = self
+            yield self
+
+    def send_copy(self, run: "Run") -> None:
+        """Let the engine that the run names hold a copy of it."""
+        holder = self._by_address.get(run.headers.get("kv-backup"))
+        if holder is not None:
+            holder.copies.add(run.request_id)
+
     def entry(self) -> dict:
         """Return what it registers."""
         models = [{"name": self.model, "version": self.version}]
@@ -261,6 +285,7 @@
         self.born = self.born + 1_000 if self.born else 1_700_000_000_000
         self.orders.clear()
         self.listed.clear()
+        self.copies.clear()
         self.state, self.busy = "ready", False
 
     async def handle(self, request, answer) -> None:
@@ -346,7 +371,13 @@
 
 
 async def answers(upstream: Server, run: Run, answer) -> None:
-    """Answer with the body that came, or with three events."""
+    """Answer with the body that came, or with three events.
+
+    Without the copy from which a run is to go on, nothing runs.
+    """
+    if "kv-from" in run.headers and run.request_id not in upstream.copies:
+        await sheds(upstream, run, answer)
+        return
     upstream.runs.append(run)
     if not upstream.model:
         await answer.whole(200, upstream.fields(run), run.body or b"done")
@@ -415,6 +446,27 @@
     answer.ended = True
 
 
+async def breaks_off_copied(upstream: Server, run: Run, answer) -> None:
+    """Stop in the middle of the second event, long after the first one."""
+    upstream.runs.append(run)
+    await answer.start(200, upstream.fields(run))
+    await answer.write(event(1))
+    await asyncio.sleep(COPY_AFTER_S)
+    upstream.send_copy(run)
+    await answer.write(event(2)[:9])
+    answer.abort()
+    answer.ended = True
+
+
+async def hangs_copied(upstream: Server, run: Run, answer) -> None:
+    """Be silent for good after the first event, whatever becomes of it."""
+    upstream.runs.append(run)
+    await answer.start(200, upstream.fields(run))
+    await answer.write(event(1))
+    upstream.send_copy(run)
+    await asyncio.Event().wait()
+
+
 async def stalls(upstream: Server, run: Run, answer) -> None:
     """Be silent after the first event until it was asked for its report."""
     upstream.runs.append(run)
--- a/toucanrudder/platform/tests/test_platform.py
+++ b/toucanrudder/platform/tests/test_platform.py
@@ -374,7 +374,7 @@
     # A stream that may run once breaks off at one engine while another
     # holds a copy of its memory: it is the same run that goes on there.
     engines = [await site.engine(), await site.engine()]
-    first_tried_does(engines, standins.breaks_off)
+    first_tried_does(engines, standins.breaks_off_copied)
     router = await site.router()
     answer = await asked(router, b"/once/x")
     assert answer.is_whole
@@ -388,11 +388,9 @@
 
 
 async def test_a_silent_run_goes_on_from_its_copy(site):
-    # An engine has run a stream that may run once, and its answer is lost
-    # without a reset: the connection stays open and nothing comes.  The
-    # caller would leave with nothing; the copy of the run goes on.
+    # The rest of a stream is lost without a reset, and it may run once.
     engines = [await site.engine(), await site.engine()]
-    first_tried_does(engines, standins.hangs)
+    first_tried_does(engines, standins.hangs_copied)
     router = await site.router()
     answer = await asked(router, b"/once/x")
     assert answer.is_whole
@@ -405,6 +403,19 @@
     )
 
 
+@pytest.mark.parametrize("first", ["resets", "breaks_off", "hangs"])
+async def test_a_run_without_a_copy_is_continued_nowhere(site, first):
+    # Engines that lose their answers run what they are asked to go on with.
+    engines = [await site.engine(), await site.engine()]
+    script = [getattr(standins, first), standins.resets]
+    for each in engines:
+        each.behaviours = script
+    router = await site.router()
+    answer = await asked(router, b"/once/x")
+    assert not answer.is_whole or answer.status in (502, 504)
+    assert sum(len(each.runs) for each in engines) == 1
+
+
 async def test_a_run_that_is_put_back_is_waited_for(site):
     # An engine puts a stream that may run once back for a more urgent one
     # and is silent for longer than a lost answer would show.  Cut and sent
