Continue a run elsewhere only where a copy of it can be

Callers saw 502; the request, which may run once, had run at two engines.

Cause: as soon as an answer broke off or stayed silent, the run was continued at the engine that had been asked to hold a copy of it, whether or not one could have been sent. An engine without the copy refuses, but one that loses its answers by resetting the connection has run the request anew. With no event received there was nothing to go on from either: the request went out with the place of the copy and without the point to go on from.

A run is now continued only if the caller has got an event that names a point to go on from, and the stream has lasted for as long as engines need to send a copy.

--- a/toucanrudder/forwarding/attempt.py
+++ b/toucanrudder/forwarding/attempt.py
@@ -239,7 +239,7 @@
 
     def _patience_s(self) -> float | None:
         """Return how long the first part of an answer may take."""
-        if self.course.has_copy():
+        if self.course.copy_is_held():
             return PATIENCE_COPY_OBJECTIVES * self.route.objective_s
         if self.route.repetition is model.Repetition.ONCE:
             return None
@@ -353,7 +353,7 @@
     async def _next_piece(self, connection):
         limit_s = None
         resumable = self.route.repetition is model.Repetition.RESUMABLE
-        if resumable or self.course.has_copy():
+        if resumable or self.course.copy_is_held():
             limit_s = PATIENCE_GAPS * self.route.event_gap_s
             if not self.course.progress.events:
                 limit_s = self._patience_s()
--- a/toucanrudder/forwarding/course.py
+++ b/toucanrudder/forwarding/course.py
@@ -62,6 +62,7 @@
     status: int = 0
     first_s: float = 0.0
     longest_gap_s: float = 0.0
+    first_event_s: float = 0.0
     last_event_s: float = 0.0
     copy_at: model.Upstream | None = None
     continues: bool = False
@@ -119,7 +120,9 @@
     def note_events(self) -> None:
         """Note that events of a stream have been passed on now."""
         now_s = clock.now_s()
-        if self.last_event_s:
+        if not self.last_event_s:
+            self.first_event_s = now_s
+        else:
             gap_s = now_s - self.last_event_s
             self.longest_gap_s = max(self.longest_gap_s, gap_s)
         self.last_event_s = now_s
@@ -274,7 +277,8 @@
             self.progress,
             tries=self.progress.tries + 1,
             may_have_run=self.progress.may_have_run + ran,
-            has_copy=self.has_copy(),
+            streamed_s=self._streamed_s(),
+            copy_was_asked=self.copy_is_held(),
         )
         self.continues = False
         step = tries.next_step(
@@ -318,8 +322,14 @@
         metrics.retried(ended.value)
         return step
 
-    def has_copy(self) -> bool:
-        """Whether another engine can go on from a copy of the run."""
+    def _streamed_s(self) -> float:
+        """Return the time since the caller got the first event."""
+        if not self.progress.events:
+            return 0.0
+        return clock.now_s() - self.first_event_s
+
+    def copy_is_held(self) -> bool:
+        """Whether the engine that was to hold a copy can still have it."""
         if self.copy_at is None:
             return False
         known = self.state.registry.get(self.copy_at.incarnation)
--- a/toucanrudder/forwarding/tries.py
+++ b/toucanrudder/forwarding/tries.py
@@ -57,6 +57,11 @@
 }
 
 
+#: Seconds of a stream within which its engine sends the first copy of the
+#: run: engines send them several times a second, from the prompt on.
+COPY_SENT_S = 0.25
+
+
 @attrs.frozen
 class Progress:
     """What has become of a request so far.
@@ -71,15 +76,34 @@
         Events of a stream that the caller has got.
     can_resume : bool
         Whether the last of them names a point to go on from.
-    has_copy : bool
-        Whether another engine holds a copy of the run's memory.
+    streamed_s : float
+        Time since the caller got the first of them.
+    copy_was_asked : bool
+        Whether another engine was to hold a copy of the run's memory, and
+        is still there.
     """
 
     may_have_run: int = 0
     tries: int = 0
     events: int = 0
     can_resume: bool = True
-    has_copy: bool = False
+    streamed_s: float = 0.0
+    copy_was_asked: bool = False
+
+    @property
+    def has_copy(self) -> bool:
+        """Whether another engine can go on with the run.
+
+        An engine that is asked to go on with a run of which it holds no
+        copy may run it anew, so the copy must have had time to be sent,
+        and there must be an event to go on from.
+        """
+        return (
+            self.copy_was_asked
+            and self.events > 0
+            and self.can_resume
+            and self.streamed_s >= COPY_SENT_S
+        )
 
 
 class Identity(enum.Enum):
@@ -177,7 +201,7 @@
     if progress.tries >= MAX_TRIES or left_s < LEAST_LEFT_S:
         return Step.GIVE_UP
     broke = ended in (Ended.BROKEN, Ended.SILENT)
-    if broke and progress.has_copy and progress.can_resume:
+    if broke and progress.has_copy:
         # It stays one run, so this holds for requests that may run once.
         return Step.CONTINUE
     if progress.may_have_run >= route.max_upstreams:
