Take no silent run for lost because its engine gives no report

A stream that may run once was silent, and the engine did not answer the question for its report: it reset the new connection, as engines under pressure do, or answered later than 0.4 s. The router took that for loss, cut a run that went on and continued it at the engine that was to hold its copy. Callers got a cut stream; where the copy existed the run went on at two engines for as long as the first one did not notice that its connection had been closed.

Silence proves nothing, so only what the engine says counts now: that it does not list the run, or that it made events which never came. Without a report the run is waited for and the engine asked again after the same pause.

What callers may lose by it: an engine that is gone without a reset was left after one question; now its connection has to end first. By its settings (not measured, as no path can be silenced on loopback) the kernel ends it two to three seconds after the last byte (probes after one second of silence, and the limit for bytes not acknowledged); callers stay for two seconds, four objectives or eight pauses, whichever is longest. An engine whose kernel still answers while its process hangs is waited for until the caller leaves.

test_a_run_whose_engine_gives_no_report_is_waited_for failed before on both rows: the caller got the first event and a cut stream. The test of an engine that gives no report and then ends passes before and after; it guards that the copy is still used.

--- a/toucanrudder/forwarding/attempt.py
+++ b/toucanrudder/forwarding/attempt.py
@@ -376,6 +376,11 @@
         is silent as well.  Taken for lost it was cut, and the engine with
         its copy did not always go on: the caller lost an answer that was
         being made.  What may run again is sent elsewhere without asking.
+
+        An engine under pressure gives no report, but its runs go on.  An
+        engine that is gone shows by its connection, which the kernel ends
+        when the path is silent.  So without a report the engine is asked
+        again.
         """
         if self.route.repetition is not model.Repetition.ONCE:
             self.evidence.silence = tries.Silence.NOT_ASKED
@@ -383,7 +388,8 @@
         report = await self.state.ask_engine(self.choice.upstream)
         if report is None:
             self.evidence.silence = tries.Silence.NO_REPORT
-            return True
+            return False
+        self.evidence.silence = tries.Silence.NONE
         request_id = self.course.call.request_id
         if not report.has_lost(request_id, self.course.progress.events):
             return False
--- a/toucanrudder/forwarding/tries.py
+++ b/toucanrudder/forwarding/tries.py
@@ -120,13 +120,13 @@
 
 
 class Silence(enum.Enum):
-    """Why a silent answer was taken for lost."""
+    """What was last learned of a silent answer."""
 
-    #: It was not.
+    #: It was not silent, or not lost.
     NONE = ""
     #: The request may run again, so the engine was not asked.
     NOT_ASKED = "not_asked"
-    #: The engine gave no report.
+    #: The engine gave no report, which proves nothing.
     NO_REPORT = "no_report"
     #: The report does not list the request.
     NOT_LISTED = "not_listed"
@@ -145,7 +145,7 @@
     identity : Identity
         Which request the answer named.
     silence : Silence
-        Why it was taken for lost.
+        What was last learned of its silence.
     """
 
     carried_requests: int = 0
--- a/toucanrudder/platform/testing/standins.py
+++ b/toucanrudder/platform/testing/standins.py
@@ -23,6 +23,9 @@
 #: Seconds of a run after which its first copy is sent.
 COPY_AFTER_S = 0.4
 
+#: Seconds of silence in which the router asks for a report.
+DYING_S = 0.9
+
 JSON = ((b"Content-Type", b"application/json"),)
 
 
@@ -207,6 +210,7 @@
 
 
 Behaviour = Callable[["Server", "Run", server.Answer], Awaitable[None]]
+Question = Callable[["Server", server.Answer], Awaitable[None]]
 
 
 class Server(_Stand):
@@ -224,6 +228,9 @@
         Requests of which it holds a copy of another's run.
     born : int
         What it says of its start; 0 for nothing.
+    before_report : list
+        What it does with the next questions for its report, before it
+        answers those that are still open.
     """
 
     _numbers = itertools.count(1)
@@ -249,6 +256,7 @@
         self.listed: dict[str, int] = {}
         self.copies: set[str] = set()
         self.reported = asyncio.Event()
+        self.before_report: list[Question] = []
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator["Server"]:
@@ -303,6 +311,10 @@
             fields = ((b"Instance-Id", self.incarnation.encode()),)
             await answer.whole(421, fields, b"")
         elif path == b"/report":
+            if self.before_report:
+                await self.before_report.pop(0)(self, answer)
+            if answer.ended:
+                return
             self.reported.set()
             await answer.whole(200, JSON, orjson.dumps(self._report()))
         elif path == b"/order":
@@ -458,6 +470,17 @@
     answer.ended = True
 
 
+async def dies_silently_copied(upstream: Server, run: Run, answer) -> None:
+    """Be silent after the first event, then end with all connections."""
+    upstream.runs.append(run)
+    await answer.start(200, upstream.fields(run))
+    await answer.write(event(1))
+    upstream.send_copy(run)
+    await asyncio.sleep(DYING_S)
+    answer.abort()
+    answer.ended = True
+
+
 async def hangs_copied(upstream: Server, run: Run, answer) -> None:
     """Be silent for good after the first event, whatever becomes of it."""
     upstream.runs.append(run)
@@ -478,3 +501,14 @@
         await answer.write(event(number))
     del upstream.listed[run.request_id]
     await answer.end()
+
+
+async def resets_question(upstream: Server, answer) -> None:
+    """Reset the connection, as an engine under pressure does."""
+    answer.abort()
+    answer.ended = True
+
+
+async def ignores_question(upstream: Server, answer) -> None:
+    """Leave a question for the report without an answer."""
+    await asyncio.Event().wait()
--- a/toucanrudder/platform/tests/test_platform.py
+++ b/toucanrudder/platform/tests/test_platform.py
@@ -429,6 +429,34 @@
     assert any(each.reported.is_set() for each in engines)
 
 
+@pytest.mark.parametrize("unanswered", ["resets_question", "ignores_question"])
+async def test_a_run_whose_engine_gives_no_report_is_waited_for(
+    site, unanswered
+):
+    # An engine under pressure answers no question for its report.
+    engines = [await site.engine(), await site.engine()]
+    first_tried_does(engines, standins.stalls)
+    for each in engines:
+        each.before_report = [getattr(standins, unanswered)]
+    router = await site.router()
+    answer = await asked(router, b"/once/x")
+    assert (answer.is_whole, answer.body) == (True, EVENTS)
+    assert sum(len(each.runs) for each in engines) == 1
+
+
+async def test_a_run_goes_on_elsewhere_once_its_connection_breaks(site):
+    # An engine that gives no report dies some time later.
+    engines = [await site.engine(), await site.engine()]
+    first_tried_does(engines, standins.dies_silently_copied)
+    for each in engines:
+        each.before_report = [standins.resets_question] * 9
+    router = await site.router()
+    answer = await asked(router, b"/once/x")
+    assert (answer.is_whole, answer.body) == (True, EVENTS)
+    assert sum(len(each.runs) for each in engines) == 2
+    assert any(len(each.before_report) < 9 for each in engines)
+
+
 async def test_a_request_that_crashes_engines_is_stopped(site):
     # Each engine that runs this request crashes.  Its caller sends it
     # again and again, to two routers; a third crash must be the last.
