Take events that cross a report for received

After a long silence an engine made several events while it was asked for its report. The report counted them, the router compared it with what it had passed on before the question, and took the run for lost although the events lay in its own connection: a stream that went on was cut, or continued at the engine with its copy.

Whatever has arrived on the run's connection, an event or its end, decides before the report does.

test_events_that_cross_a_report_are_not_lost failed before: the caller got the first event and a cut stream. A router that was frozen or busy reads what waits in its sockets before a question that it sends then is answered, so the same holds there; that was not tried.

--- a/toucanrudder/forwarding/attempt.py
+++ b/toucanrudder/forwarding/attempt.py
@@ -366,10 +366,10 @@
                 async with asyncio.timeout(limit_s):
                     return await connection.next_event()
             except TimeoutError:
-                if await self._has_lost():
+                if await self._has_lost(connection):
                     raise TryEnded(tries.Ended.SILENT) from None
 
-    async def _has_lost(self) -> bool:
+    async def _has_lost(self, connection) -> bool:
         """Say whether a silent answer is lost.
 
         A run that waits for memory, or was put back for a more urgent one,
@@ -390,6 +390,9 @@
             self.evidence.silence = tries.Silence.NO_REPORT
             return False
         self.evidence.silence = tries.Silence.NONE
+        if connection.has_news:
+            # The report may count what came after the question.
+            return False
         request_id = self.course.call.request_id
         if not report.has_lost(request_id, self.course.progress.events):
             return False
--- a/toucanrudder/http1/client.py
+++ b/toucanrudder/http1/client.py
@@ -193,6 +193,11 @@
         """Whether a byte of the present request can have left."""
         return self._sent
 
+    @property
+    def has_news(self) -> bool:
+        """Whether `next_event` has something to return or raise."""
+        return bool(self._events) or self._fault is not None
+
     def error(self, fault: Fault) -> ExchangeError:
         """Return the exception for a fault of the present exchange."""
         return ExchangeError(fault, sent=self._sent, reused=self.uses > 1)
--- a/toucanrudder/platform/testing/standins.py
+++ b/toucanrudder/platform/testing/standins.py
@@ -23,6 +23,9 @@
 #: Seconds of a run after which its first copy is sent.
 COPY_AFTER_S = 0.4
 
+#: Seconds for events to reach the router before a report does.
+CATCH_UP_S = 0.1
+
 #: Seconds of silence in which the router asks for a report.
 DYING_S = 0.9
 
@@ -512,3 +515,22 @@
 async def ignores_question(upstream: Server, answer) -> None:
     """Leave a question for the report without an answer."""
     await asyncio.Event().wait()
+
+
+async def lets_runs_go_on(upstream: Server, answer) -> None:
+    """Make events between a question for the report and its answer."""
+    upstream.reported.set()
+    await asyncio.sleep(CATCH_UP_S)
+
+
+async def stalls_then_catches_up(upstream: Server, run: Run, answer) -> None:
+    """Be silent after the first event, then make several at once."""
+    upstream.runs.append(run)
+    await answer.start(200, upstream.fields(run))
+    await answer.write(event(1))
+    await upstream.reported.wait()
+    await answer.write(event(2) + event(3))
+    upstream.listed[run.request_id] = 3
+    await asyncio.sleep(2 * CATCH_UP_S)
+    del upstream.listed[run.request_id]
+    await answer.end()
--- a/toucanrudder/platform/tests/test_platform.py
+++ b/toucanrudder/platform/tests/test_platform.py
@@ -457,6 +457,18 @@
     assert any(len(each.before_report) < 9 for each in engines)
 
 
+async def test_events_that_cross_a_report_are_not_lost(site):
+    # The report already counts events that came after it was asked for.
+    engines = [await site.engine(), await site.engine()]
+    first_tried_does(engines, standins.stalls_then_catches_up)
+    for each in engines:
+        each.before_report = [standins.lets_runs_go_on]
+    router = await site.router()
+    answer = await asked(router, b"/once/x")
+    assert (answer.is_whole, answer.body) == (True, EVENTS)
+    assert sum(len(each.runs) for each in engines) == 1
+
+
 async def test_a_request_that_crashes_engines_is_stopped(site):
     # Each engine that runs this request crashes.  Its caller sends it
     # again and again, to two routers; a third crash must be the last.
