Let a request that was given up never be read whole

A close leaves to the kernel what it has not sent yet. An upstream that reads slowly has a full window, so the rest of a long request lies in our kernel; after the router gave the request up (silence, the caller's deadline, a caller that left) the upstream got all of it, and would begin to run it with nobody waiting. Nothing on the connection told it before the last byte.

Where bytes are unsent, the connection is reset now, which drops them. Where all was sent, the close stays an ordinary one: a reset that is lost is not sent again, a FIN is.

What an upstream's kernel has taken in whole cannot be called back.

--- a/toucanrudder/http1/client.py
+++ b/toucanrudder/http1/client.py
@@ -168,8 +168,7 @@
     def _spoil(self, fault: Fault) -> None:
         if self._fault is None:
             self._fault = fault
-        if self._transport is not None:
-            self._transport.abort()
+        self.abort()
         self._wake()
 
     def _wake(self) -> None:
@@ -272,6 +271,7 @@
     def abort(self) -> None:
         """Close at once; the upstream notices and stops its work."""
         if self._transport is not None:
+            sockets.drop_unsent(self._transport)
             self._transport.abort()
 
 
--- a/toucanrudder/http1/tests/test_client.py
+++ b/toucanrudder/http1/tests/test_client.py
@@ -252,3 +252,39 @@
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         assert runner.run(short_answer()) is client.Fault.RESET
+
+
+@pytest.mark.parametrize(
+    "loop_factory", [uvloop.new_event_loop, asyncio.new_event_loop]
+)
+def test_an_abandoned_request_is_never_read_whole(loop_factory):
+    # An upstream reads nothing, so its window is full when we give up.
+    body = b"x" * 1_000_000
+    head = message.RequestHead(
+        b"POST",
+        b"/x",
+        ((b"Host", b"h"), (b"Content-Length", str(len(body)).encode())),
+    )
+
+    async def received():
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            host, port = listener.getsockname()
+            connection = await client.connect(f"{host}:{port}", 5)
+            upstream, _ = listener.accept()
+            connection.send(head, body)
+            await asyncio.sleep(0)
+            connection.abort()
+            await asyncio.sleep(0.05)
+            return await asyncio.to_thread(_read_until_end, upstream)
+
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        assert len(runner.run(received())) < len(body)
+
+
+def _read_until_end(upstream):
+    found = b""
+    with upstream, contextlib.suppress(ConnectionResetError):
+        upstream.settimeout(5)
+        while data := upstream.recv(65_536):
+            found += data
+    return found
