Pass no 408, 421 or 429 on that proves nothing

Callers take 408, 421, 429 and 503 for a promise that their request has not run and never will. Of upstreams' answers without that proof only a 503 was kept from them; a sealed 408, 421 or 429 was passed on as it came. A caller whose request had run was told to send it again.

All four are now failures of the upstream: what may run once ends with 502, what may be repeated goes elsewhere.

The rows 'denied' of test_requests_run_again_only_where_they_may failed before with 429. No upstream seen so far does so; found by reading.

--- a/toucanrudder/forwarding/attempt.py
+++ b/toucanrudder/forwarding/attempt.py
@@ -305,12 +305,12 @@
     async def _hold(self, connection, head, facts) -> TryEnded | None:
         """Read a whole answer, then pass it on or return it as a failure."""
         body = await self._read_body(connection)
-        if head.status < 500 and facts.is_sealed:
-            await self.course.pass_on(head, body)
-            return None
         # The upstream did not prove that it has not run the request, so a
         # status that says so to the caller is not passed on.
         true = facts.is_sealed and head.status not in NOT_RUN_STATUSES
+        if head.status < 500 and true:
+            await self.course.pass_on(head, body)
+            return None
         return TryEnded(tries.Ended.FAILED, (head, body) if true else None)
 
     async def _relay_stream(self, connection, head, upstream, sent) -> None:
--- a/toucanrudder/platform/testing/standins.py
+++ b/toucanrudder/platform/testing/standins.py
@@ -427,6 +427,12 @@
     await answer.whole(500, upstream.fields(run), b"failed")
 
 
+async def claims_not_run(upstream: Server, run: Run, answer) -> None:
+    """Run the request and answer with a status that denies it, unproved."""
+    upstream.runs.append(run)
+    await answer.whole(429, upstream.fields(run), b"too many")
+
+
 async def hangs(upstream: Server, run: Run, answer) -> None:
     """Run the request and never answer."""
     upstream.runs.append(run)
--- a/toucanrudder/platform/tests/test_platform.py
+++ b/toucanrudder/platform/tests/test_platform.py
@@ -317,11 +317,13 @@
     "crossed, once": (b"/w/x", standins.crosses, 502, 1),
     "unsealed, once": (b"/w/x", standins.unsealed, 502, 1),
     "failed, once": (b"/w/x", standins.errs, 500, 1),
+    "denied, once": (b"/w/x", standins.claims_not_run, 502, 1),
     "silent, once": (b"/w/x", standins.hangs, 504, 1),
     "lost, repeatable": (b"/r/x", standins.resets, 200, 2),
     "crossed, repeatable": (b"/r/x", standins.crosses, 200, 2),
     "unsealed, repeatable": (b"/r/x", standins.unsealed, 200, 2),
     "failed, repeatable": (b"/r/x", standins.errs, 200, 2),
+    "denied, repeatable": (b"/r/x", standins.claims_not_run, 200, 2),
     "silent, repeatable": (b"/r/x", standins.hangs, 200, 2),
 }
 
