Answer a request that was read before a planned stop closes its connection

A stream's head went out before a planned stop, so it did not announce that the connection ends. A request that the caller had already sent behind it was read, and then dropped with the connection when the stream had ended. Callers do not send again what was read and may run once: such a request was lost, though it had not run.

It is served now, with an answer that announces the close. Where the close was announced, nothing that follows is served (RFC 9112, section 9.6).

test_a_request_that_was_read_before_a_stop_is_answered failed before: the second request never reached the handler. Ruled out beside it, by a new test that passes before and after: an idle connection that is closed while a request is on its way runs nothing, as nothing is read after the close.

--- a/toucanrudder/http1/server.py
+++ b/toucanrudder/http1/server.py
@@ -377,10 +377,12 @@
             self.abort()
         if self._lost:
             return
-        if self._hooks.closing() or h11.MUST_CLOSE in (
+        is_announced = h11.MUST_CLOSE in (
             self._http.our_state,
             self._http.their_state,
-        ):
+        )
+        # What was read before the caller could know of the close is served.
+        if is_announced or (self._hooks.closing() and not self._ahead):
             self.close()
             return
         self._next_request()
--- a/toucanrudder/http1/tests/test_server.py
+++ b/toucanrudder/http1/tests/test_server.py
@@ -28,7 +28,7 @@
         self.entered = asyncio.Event()
         self.listener = server.Listener(
             server.Hooks(
-                handle=self.handle,
+                handle=lambda *args: self.handle(*args),
                 limits=lambda: LIMITS,
                 closing=lambda: self.closing,
                 refusal_body=lambda refusal: refusal.code.encode(),
@@ -209,3 +209,43 @@
         with contextlib.suppress(ConnectionError):
             assert await asyncio.wait_for(reader.read(), 5) == b""
         await asyncio.wait_for(found.cancelled.wait(), 5)
+
+
+async def test_a_request_that_was_read_before_a_stop_is_answered():
+    # A planned stop begins while a streamed answer is under way whose head
+    # did not announce the end of the connection.
+    async with served() as found:
+        go_on = asyncio.Event()
+
+        async def streams(request, answer):
+            found.requests.append(request)
+            await answer.start(200, ())
+            await go_on.wait()
+            await answer.end()
+
+        found.handle = streams
+        reader, writer = await opened(found)
+        writer.write(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+        await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 5)
+        writer.write(b"GET /b HTTP/1.1\r\nHost: h\r\n\r\n")
+        await asyncio.sleep(0.05)
+        found.closing = True
+        go_on.set()
+        rest = await asyncio.wait_for(reader.read(), 5)
+        writer.close()
+    assert [each.head.target for each in found.requests] == [b"/a", b"/b"]
+    assert rest.count(b"HTTP/1.1 200") == 1
+    assert b"connection: close" in rest.lower()
+
+
+async def test_a_request_that_crosses_a_close_is_not_run():
+    # The idle connection is closed while a request is on its way.
+    async with served() as found:
+        reader, writer = await opened(found)
+        await asyncio.sleep(0.05)
+        writer.write(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+        found.listener.close_idle()
+        with contextlib.suppress(ConnectionError):
+            assert not await asyncio.wait_for(reader.read(), 5)
+        writer.close()
+    assert not found.requests
