Test that a continuation is the last send of a request

Ruled out for runs that went on at two engines: whatever the continuation ends with (a proved or unproved refusal, 421, a reset, a failure, a strange answer, a cut, silence), nothing is sent again though other engines have room; an engine that started again under its name and address refuses, as its copies went with its former start; engines whose weights changed under the run and its copy refuse as well.

--- a/toucanrudder/platform/testing/standins.py
+++ b/toucanrudder/platform/testing/standins.py
@@ -231,6 +231,8 @@
         Requests of which it holds a copy of another's run.
     born : int
         What it says of its start; 0 for nothing.
+    resets_runs : asyncio.Event
+        Lets runs end that wait for it.
     before_report : list
         What it does with the next questions for its report, before it
         answers those that are still open.
@@ -259,6 +261,7 @@
         self.listed: dict[str, int] = {}
         self.copies: set[str] = set()
         self.reported = asyncio.Event()
+        self.resets_runs = asyncio.Event()
         self.before_report: list[Question] = []
 
     @contextlib.asynccontextmanager
@@ -414,6 +417,17 @@
     await answer.whole(503, ((b"Not-Executed", b"1"),), b"")
 
 
+async def is_elsewhere(upstream: Server, run: Run, answer) -> None:
+    """Say that another process has the address now."""
+    await answer.whole(421, (), b"")
+
+
+async def has_other_weights(upstream: Server, run: Run, answer) -> None:
+    """Say that the weights are not those that were expected."""
+    fields = ((b"Instance-Id", upstream.incarnation.encode()),)
+    await answer.whole(421, fields, b"")
+
+
 async def resets(upstream: Server, run: Run, answer) -> None:
     """Run the request and lose the answer."""
     upstream.runs.append(run)
@@ -479,6 +493,19 @@
     answer.ended = True
 
 
+async def hangs_until_reset(upstream: Server, run: Run, answer) -> None:
+    """Be silent after the first event until the connection is reset."""
+    upstream.runs.append(run)
+    await answer.start(200, upstream.fields(run))
+    await answer.write(event(1))
+    upstream.send_copy(run)
+    upstream.listed[run.request_id] = 1
+    await upstream.resets_runs.wait()
+    del upstream.listed[run.request_id]
+    answer.abort()
+    answer.ended = True
+
+
 async def dies_silently_copied(upstream: Server, run: Run, answer) -> None:
     """Be silent after the first event, then end with all connections."""
     upstream.runs.append(run)
--- a/toucanrudder/platform/tests/test_platform.py
+++ b/toucanrudder/platform/tests/test_platform.py
@@ -471,6 +471,63 @@
     assert sum(len(each.runs) for each in engines) == 1
 
 
+@pytest.mark.parametrize(
+    "second",
+    [
+        "sheds",
+        "is_elsewhere",
+        "has_other_weights",
+        "claims_not_run",
+        "resets",
+        "errs",
+        "crosses",
+        "unsealed",
+        "breaks_off",
+        "hangs",
+    ],
+)
+async def test_a_run_goes_on_from_its_copy_only_once(site, second):
+    # The continuation fails, and other engines have room.
+    engines = [await site.engine() for _ in range(4)]
+    script = [standins.breaks_off_copied, getattr(standins, second)]
+    script.append(standins.answers)
+    for each in engines:
+        each.behaviours = script
+    router = await site.router()
+    answer = await asked(router, b"/once/x", Deadline_Ms="1500")
+    assert not answer.is_whole
+    assert answer.status == 200
+    assert script == [standins.answers]
+
+
+async def test_a_copy_ends_with_the_start_that_held_it(site):
+    # The engine with the copy starts again under its name and address.
+    engines = [await site.engine() for _ in range(3)]
+    first_tried_does(engines, standins.hangs_until_reset)
+    router = await site.router()
+    answer = asyncio.ensure_future(asked(router, b"/once/x"))
+    await until(lambda: any(each.copies for each in engines))
+    holder = next(each for each in engines if each.copies)
+    holder.start_again()
+    next(each for each in engines if each.runs).resets_runs.set()
+    assert not (await answer).is_whole
+    assert sum(len(each.runs) for each in engines) == 1
+
+
+async def test_a_run_whose_weights_changed_goes_on_nowhere(site):
+    # New weights spoil the run at one engine and the copy at another.
+    engines = [await site.engine() for _ in range(3)]
+    first_tried_does(engines, standins.hangs_until_reset)
+    router = await site.router()
+    answer = asyncio.ensure_future(asked(router, b"/once/x"))
+    await until(lambda: any(each.copies for each in engines))
+    for each in engines:
+        each.version = 2
+    next(each for each in engines if each.runs).resets_runs.set()
+    assert not (await answer).is_whole
+    assert sum(len(each.runs) for each in engines) == 1
+
+
 async def test_a_request_that_crashes_engines_is_stopped(site):
     # Each engine that runs this request crashes.  Its caller sends it
     # again and again, to two routers; a third crash must be the last.
