Continue no run that goes on under new weights

An engine loads new weights while it runs a stream that may run once, which goes on under them; the engine that is sent its copy keeps the old ones. When the run's connection broke, it was continued from memory that was made under both versions, at the engine with the old one. Only the weights of the engine with the copy were compared with those at the run's beginning; now those of the run's engine are as well, as far as the registry, orders and answers have told them.

test_a_run_that_goes_on_under_new_weights_is_not_continued failed before: the caller got a whole answer made of both. Not covered: a change that this router has not heard of; the event that carries it in its first line is not read.

--- a/toucanrudder/forwarding/course.py
+++ b/toucanrudder/forwarding/course.py
@@ -332,12 +332,13 @@
         """Whether the engine that was to hold a copy can still have it."""
         if self.copy_at is None:
             return False
+        weights = self.copy_at.weights
         known = self.state.registry.get(self.copy_at.incarnation)
-        return (
-            known is not None
-            and not known.is_leaving
-            and known.weights == self.copy_at.weights
-        )
+        if known is None or known.is_leaving or known.weights != weights:
+            return False
+        # Under new weights a run goes on with memory made under both.
+        runs_at = self.state.registry.get(self.upstream)
+        return runs_at is None or runs_at.weights == weights
 
     def _blame(self, ended: tries.Ended, upstream: model.Upstream) -> None:
         now_s = clock.now_s()
--- a/toucanrudder/platform/tests/test_platform.py
+++ b/toucanrudder/platform/tests/test_platform.py
@@ -528,6 +528,23 @@
     assert sum(len(each.runs) for each in engines) == 1
 
 
+async def test_a_run_that_goes_on_under_new_weights_is_not_continued(site):
+    # The run's engine changes weights under it, that with the copy does not.
+    engines = [await site.engine(), await site.engine()]
+    first_tried_does(engines, standins.hangs_until_reset)
+    router = await site.router()
+    answer = asyncio.ensure_future(asked(router, b"/once/x"))
+    await until(lambda: any(each.copies for each in engines))
+    first = next(each for each in engines if each.runs)
+    first.version = 2
+    site.store.put("servers", first.incarnation, first.entry())
+    registry = router.state.registry
+    await until(lambda: registry.named(first.incarnation).weights == {"m": 2})
+    first.resets_runs.set()
+    assert not (await answer).is_whole
+    assert sum(len(each.runs) for each in engines) == 1
+
+
 async def test_a_request_that_crashes_engines_is_stopped(site):
     # Each engine that runs this request crashes.  Its caller sends it
     # again and again, to two routers; a third crash must be the last.
