Continue a run elsewhere only once its engine has ended it

An engine made events of a stream that may run once which never arrived. Its report said so, the router closed the connection and sent the run on to the engine with its copy at once. By the same report the first engine was still at work; most engines drop a run when its connection closes, not all, and not all at once. Then the run went on at two engines.

After such an end the first engine is asked until it does not list the run any more, and only then the run goes on. If it never does, the caller's deadline ends the request. Connections that break, and runs that the report did not list, are continued at once as before.

--- a/toucanrudder/forwarding/attempt.py
+++ b/toucanrudder/forwarding/attempt.py
@@ -47,6 +47,10 @@
 #: may be resumed goes on elsewhere.
 PATIENCE_GAPS = 2.5
 
+#: Pause between two questions whether an engine has ended a run: its
+#: reports are about a tenth of a second old.
+STOPPED_ASK_S = 0.15
+
 #: Statuses by which callers take it that a request has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -148,6 +152,9 @@
                     failure = await self._receive(connection, upstream, sent)
             except client.ExchangeError as error:
                 raise TryEnded(_ended(error)) from error
+            except TryEnded:
+                await self._stopped()
+                raise
         if failure is not None:
             raise failure
         self.state.states.succeeded(name)
@@ -401,6 +408,22 @@
             self.evidence.silence = tries.Silence.EVENTS_MISSING
         return True
 
+    async def _stopped(self) -> None:
+        """Wait until an engine whose events were lost has ended its run.
+
+        It worked on when it was last heard, and not every engine notices at
+        once that its connection was closed.  What may run once must not go
+        on from its copy meanwhile.
+        """
+        if self.evidence.silence is not tries.Silence.EVENTS_MISSING:
+            return
+        while self.course.copy_is_held():
+            report = await self.state.ask_engine(self.choice.upstream)
+            request_id = self.course.call.request_id
+            if report is not None and request_id not in report.events:
+                return
+            await asyncio.sleep(STOPPED_ASK_S)
+
     async def _pass_events(
         self, head: message.AnswerHead, whole: list[bytes]
     ) -> None:
--- a/toucanrudder/platform/testing/standins.py
+++ b/toucanrudder/platform/testing/standins.py
@@ -29,6 +29,9 @@
 #: Seconds of silence in which the router asks for a report.
 DYING_S = 0.9
 
+#: Seconds for which an engine works on after a connection was closed.
+NOTICE_S = 0.6
+
 JSON = ((b"Content-Type", b"application/json"),)
 
 
@@ -526,6 +529,21 @@
     await asyncio.Event().wait()
 
 
+async def notices_late(upstream: Server, run: Run, answer) -> None:
+    """Lose events after the first, and work on when the router closes."""
+    upstream.runs.append(run)
+    await answer.start(200, upstream.fields(run))
+    await answer.write(event(1))
+    upstream.send_copy(run)
+    upstream.listed[run.request_id] = 9
+    try:
+        await asyncio.Event().wait()
+    finally:
+        asyncio.get_running_loop().call_later(
+            NOTICE_S, upstream.listed.pop, run.request_id
+        )
+
+
 async def stalls(upstream: Server, run: Run, answer) -> None:
     """Be silent after the first event until it was asked for its report."""
     upstream.runs.append(run)
--- a/toucanrudder/platform/tests/test_platform.py
+++ b/toucanrudder/platform/tests/test_platform.py
@@ -471,6 +471,26 @@
     assert sum(len(each.runs) for each in engines) == 1
 
 
+async def test_a_run_goes_on_elsewhere_once_its_engine_has_stopped(site):
+    # An engine loses the events that it makes, and notices late that its
+    # connection was closed.
+    engines = [await site.engine(), await site.engine()]
+    listed = []
+
+    async def goes_on(engine, run, answer):
+        listed.extend(name for each in engines for name in each.listed)
+        await standins.answers(engine, run, answer)
+
+    script = [standins.notices_late, goes_on]
+    for each in engines:
+        each.behaviours = script
+    router = await site.router()
+    answer = await asked(router, b"/once/x")
+    assert (answer.is_whole, answer.body) == (True, EVENTS)
+    assert not script
+    assert not listed
+
+
 @pytest.mark.parametrize(
     "second",
     [
