Leave a pause between two questions about a silent run

Where a route allows no pause between events (target_gap_ms 0) a silent run's engine was asked again at once, and an engine that gives no report does not end the asking any more: the router asked 99 times in under a second in test_an_engine_is_asked_with_pauses, which failed before. It asks every 0.15 s now at most.

--- a/toucanrudder/forwarding/attempt.py
+++ b/toucanrudder/forwarding/attempt.py
@@ -47,9 +47,9 @@
 #: may be resumed goes on elsewhere.
 PATIENCE_GAPS = 2.5
 
-#: Pause between two questions whether an engine has ended a run: its
-#: reports are about a tenth of a second old.
-STOPPED_ASK_S = 0.15
+#: Least pause before a question about a run: an engine's reports are about
+#: a tenth of a second old.
+ASK_S = 0.15
 
 #: Statuses by which callers take it that a request has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -368,6 +368,8 @@
 
     async def _next_event(self, connection, limit_s: float | None):
         """Return the answer's next part, or end a try that lost it."""
+        if limit_s is not None:
+            limit_s = max(limit_s, ASK_S)
         while True:
             try:
                 async with asyncio.timeout(limit_s):
@@ -422,7 +424,7 @@
             request_id = self.course.call.request_id
             if report is not None and request_id not in report.events:
                 return
-            await asyncio.sleep(STOPPED_ASK_S)
+            await asyncio.sleep(ASK_S)
 
     async def _pass_events(
         self, head: message.AnswerHead, whole: list[bytes]
--- a/toucanrudder/platform/tests/test_platform.py
+++ b/toucanrudder/platform/tests/test_platform.py
@@ -446,6 +446,20 @@
     assert sum(len(each.runs) for each in engines) == 1
 
 
+async def test_an_engine_is_asked_with_pauses(site):
+    # The configuration allows no pause between two events.
+    routes = [each | {"target_gap_ms": 0} for each in CONFIGURATION["routes"]]
+    site.store.put("config", "main", CONFIGURATION | {"routes": routes})
+    engines = [await site.engine(), await site.engine()]
+    first_tried_does(engines, standins.dies_silently_copied)
+    for each in engines:
+        each.before_report = [standins.resets_question] * 99
+    router = await site.router()
+    answer = await asked(router, b"/once/x")
+    assert (answer.is_whole, answer.body) == (True, EVENTS)
+    assert min(len(each.before_report) for each in engines) > 89
+
+
 async def test_a_run_goes_on_elsewhere_once_its_connection_breaks(site):
     # An engine that gives no report dies some time later.
     engines = [await site.engine(), await site.engine()]
