Never send a request twice on one connection

Callers saw a request that may run once run twice.

Cause: a request that its only free upstream had refused was sent there again on the same kept connection. A second copy of that refusal, late and with the right Request-Id, was read as the answer to the second send, and the request was sent once more while the upstream ran it. A request has one identity for all its sends, so nothing in the answer tells the copies apart.

Evidence: the new test of the platform failed before, the upstream ran the request twice (`['id1', 'id1']`).

Mend: the course keeps the connections that have carried its request, at most as many as it has tries, and the pool passes them over; they stay kept for other requests, to which such a copy bears the wrong identity.

Weighed against it: closing each connection on a refusal costs a new connection for every refusal of a full upstream, where now only a second send to the same upstream costs one; excluding the address would give up requests whose only free upstream refused for a moment; identities remembered at each connection would grow with its use and would make the pool know what requests are; an identity of our own for each send is not allowed, as the caller's is passed on unchanged.

Not covered: an upstream that sends the copy on a connection other than the one that carried the request.

--- a/toucanrudder/forwarding/attempt.py
+++ b/toucanrudder/forwarding/attempt.py
@@ -168,6 +168,7 @@
             connect_timeout_s=min(CONNECT_S, self.course.left_s()),
             clock=clock.now_s,
             newest_idle_s=newest_idle_s,
+            without=self.course.sent_on,
         )
 
     def _send(
@@ -197,6 +198,7 @@
         self._note_placed(choice)
         self.evidence.carried_requests = connection.uses
         self.sent_at_s = clock.now_s()
+        self.course.sent_on.append(connection)
         connection.send(head, self.course.request.body)
         self.course.in_doubt = True
 
--- a/toucanrudder/forwarding/course.py
+++ b/toucanrudder/forwarding/course.py
@@ -15,6 +15,7 @@
 from toucanrudder.forwarding import routing
 from toucanrudder.forwarding import state as states
 from toucanrudder.forwarding import tries
+from toucanrudder.http1 import client
 from toucanrudder.http1 import message
 from toucanrudder.http1 import server
 from toucanrudder.observability import decisions
@@ -45,7 +46,14 @@
 
 @attrs.define(eq=False)
 class Course:
-    """One request's way over one or more upstreams."""
+    """One request's way over one or more upstreams.
+
+    Attributes
+    ----------
+    sent_on : list of client.UpstreamConnection
+        Connections that have carried the request.  Another answer to it
+        may still come on them, so they never carry it again.
+    """
 
     state: states.ForwardingState
     dialect: dialects.Dialect
@@ -57,6 +65,7 @@
     progress: tries.Progress = attrs.field(factory=tries.Progress)
     last_event: str | None = None
     tried: set[str] = attrs.field(factory=set)
+    sent_on: list[client.UpstreamConnection] = attrs.field(factory=list)
     attempt_count: int = 0
     upstream: str = ""
     status: int = 0
--- a/toucanrudder/http1/pool.py
+++ b/toucanrudder/http1/pool.py
@@ -1,6 +1,7 @@
 """Kept connections to upstreams."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Collection
 import contextlib
 import re
 
@@ -45,18 +46,28 @@
         self.opened = 0
 
     def _take(
-        self, address: str, now_s: float, newest_idle_s: float
+        self,
+        address: str,
+        now_s: float,
+        newest_idle_s: float,
+        without: Collection[client.UpstreamConnection],
     ) -> client.UpstreamConnection | None:
-        kept = self._kept.get(address, [])
-        while kept:
-            found = kept.pop()
-            idle_s = now_s - found.idle_since_s
-            limit_s = min(found.keep_for_s or 0.0, newest_idle_s)
-            if found.usable and idle_s < limit_s:
-                return found
-            found.abort()
-        self._kept.pop(address, None)
-        return None
+        kept = self._kept.pop(address, [])
+        found, passed_over = None, []
+        while kept and found is None:
+            newest = kept.pop()
+            idle_s = now_s - newest.idle_since_s
+            limit_s = min(newest.keep_for_s or 0.0, newest_idle_s)
+            if not newest.usable or idle_s >= limit_s:
+                newest.abort()
+            elif newest in without:
+                passed_over.append(newest)
+            else:
+                found = newest
+        kept.extend(reversed(passed_over))
+        if kept:
+            self._kept[address] = kept
+        return found
 
     def _keep(self, connection: client.UpstreamConnection, now_s) -> None:
         kept = self._kept.setdefault(connection.address, [])
@@ -81,6 +92,7 @@
         connect_timeout_s: float,
         clock,
         newest_idle_s: float = float("inf"),
+        without: Collection[client.UpstreamConnection] = (),
     ) -> AsyncIterator[client.UpstreamConnection]:
         """Lend a connection for one exchange.
 
@@ -97,13 +109,15 @@
             Monotonic time in seconds.
         newest_idle_s : float
             A connection that was idle for longer is not taken.
+        without : collection of UpstreamConnection
+            These are not taken, and stay kept.
 
         Raises
         ------
         ExchangeError
             ``NOT_CONNECTED``.
         """
-        found = self._take(address, clock(), newest_idle_s)
+        found = self._take(address, clock(), newest_idle_s, without)
         if found is None:
             found = await client.connect(address, connect_timeout_s)
             self.opened += 1
--- a/toucanrudder/http1/tests/test_client.py
+++ b/toucanrudder/http1/tests/test_client.py
@@ -129,11 +129,12 @@
     assert not caught.value.sent
 
 
-def lent(connections, upstream):
+def lent(connections, upstream, **fields):
     return connections.connection(
         upstream.address,
         connect_timeout_s=5,
         clock=asyncio.get_running_loop().time,
+        **fields,
     )
 
 
@@ -153,6 +154,24 @@
         connections.close()
 
 
+async def test_a_connection_that_is_passed_over_stays_kept():
+    # Dropped, each second try would cost a connection; taken, it would
+    # carry the same request twice.
+    connections = pool.ConnectionPool()
+    async with running(*[sends(WHOLE)] * 3) as upstream:
+        async with lent(connections, upstream) as first:
+            head, _ = await exchanged(first)
+            first.keep_for_s = pool.keep_for_s(head.headers)
+        async with lent(connections, upstream, without=[first]) as second:
+            head, _ = await exchanged(second)
+            second.keep_for_s = pool.keep_for_s(head.headers)
+        assert second is not first
+        async with lent(connections, upstream, without=[second]) as third:
+            await exchanged(third)
+        assert third is first
+        connections.close()
+
+
 NOT_KEPT = {
     "a second answer": WHOLE + WHOLE,
     "rubbish behind the answer": WHOLE + b"rubbish",
--- a/toucanrudder/platform/testing/standins.py
+++ b/toucanrudder/platform/testing/standins.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 import contextlib
 import itertools
+import re
+import socket
 import time
 from typing import ClassVar
 import urllib.parse
@@ -391,6 +393,91 @@
         )
 
 
+@attrs.frozen
+class RawRequest:
+    """A request as a raw upstream read it.
+
+    Parameters
+    ----------
+    request_id : str
+        Its identity.
+    before : tuple of str
+        Identities of the requests before it on its connection.
+    """
+
+    request_id: str
+    before: tuple[str, ...]
+
+
+class RawServer(Server):
+    """A service that answers with bytes as a test writes them.
+
+    Parameters
+    ----------
+    service : str
+        Which one.
+    answer : callable
+        Called with this upstream and each `RawRequest`; returns bytes.
+
+    Attributes
+    ----------
+    ran : list of str
+        Identities of the requests that `answer` says it ran.
+    connections : list of socket.socket
+        All that were accepted, for bytes at moments of a test's own.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        answer: Callable[["RawServer", RawRequest], bytes],
+    ):
+        super().__init__(service)
+        self.ran: list[str] = []
+        self.connections: list[socket.socket] = []
+        self._answer = answer
+        self._address = ""
+
+    @property
+    def address(self) -> str:
+        """``IP:port``."""
+        return self._address
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator["RawServer"]:
+        """Serve during the block."""
+        listener = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = listener.sockets[0].getsockname()
+        self._address = f"{host}:{port}"
+        try:
+            yield self
+        finally:
+            listener.close()
+
+    async def _serve(self, reader, writer) -> None:
+        self.connections.append(writer.get_extra_info("socket"))
+        before: tuple[str, ...] = ()
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                found = re.search(rb"(?im)^request-id: *(\S+)", head)
+                request = RawRequest(found[1].decode(), before)
+                before = (*before, request.request_id)
+                writer.write(self._answer(self, request))
+                await writer.drain()
+        writer.close()
+
+
+def raw_answer(status: int, *fields: str, body: str = "") -> bytes:
+    """Return a whole answer as bytes."""
+    lines = [
+        f"HTTP/1.1 {status} Said",
+        f"Content-Length: {len(body)}",
+        *fields,
+    ]
+    return "\r\n".join([*lines, "", body]).encode()
+
+
 async def answers(upstream: Server, run: Run, answer) -> None:
     """Answer with the body that came, or with three events.
 
--- a/toucanrudder/platform/tests/test_platform.py
+++ b/toucanrudder/platform/tests/test_platform.py
@@ -130,6 +130,12 @@
     async def engine(self):
         return await self.server("engines", "m")
 
+    async def raw(self, answer):
+        found = standins.RawServer("desk", answer)
+        await self.stack.enter_async_context(found.running())
+        self.store.put("servers", found.incarnation, found.entry())
+        return found
+
     def settings(self, name, seeds):
         path = self.tmp_path / f"{name}.ini"
         text = textwrap.dedent(SETTINGS).format(
@@ -344,6 +350,39 @@
     assert sum(len(each.runs) for each in servers) == runs
 
 
+def named(request_id):
+    return f"Request-Id: {request_id}"
+
+
+def refused(request_id):
+    return standins.raw_answer(503, "Not-Executed: 1", named(request_id))
+
+
+def runs_whole(upstream, request):
+    upstream.ran.append(request.request_id)
+    return standins.raw_answer(
+        200, named(request.request_id), "Server-Seal: s", body="done"
+    )
+
+
+async def test_a_late_copy_of_a_refusal_is_no_second_refusal(site):
+    # The first refusal comes once more where the request was sent again.
+    def answer(upstream, request):
+        if request.request_id in request.before:
+            late = refused(request.request_id)
+            return late + runs_whole(upstream, request)
+        if len(upstream.connections) == 1:
+            return refused(request.request_id)
+        return runs_whole(upstream, request)
+
+    desk = await site.raw(answer)
+    router = await site.router()
+    found = await asked(router, b"/w/x")
+    assert found.status == 200
+    assert len(desk.ran) == 1
+    assert len(desk.connections) == 2
+
+
 async def test_a_stream_goes_on_at_another_engine(site):
     # An engine crashes in the middle of an event.  The caller gets the
     # rest from another one, no event twice and none joined of two halves.
