Believe a refusal that names no request only on an unused connection

Callers could see a request that may run once run twice.

Cause: an answer without a Request-Id that says "not executed", or bears status 421, counted as the answer to the request under way. On a kept connection it can be a late or second answer to the request before. The present one was then sent again "with proof" while the upstream ran it.

Evidence: the new test failed before in all of its eight cases of such a refusal (503, 429, 400, 421; read behind the request, or in the kernel's buffer already when the connection is taken): the caller got 200 from a second run. The six cases of an answer that bears another identity held before and stay as tests.

Mend: the dialect says whether an answer bears no identity; such a refusal counts on a connection that has carried no other request, where nobody can have left it, and is a crossed answer on any other. There, nothing is learned from it either. An empty identity is none.

Ruled out: to believe none of them would turn the refusal of an upstream that has not read the request into a lost answer; to look into the kernel's buffer before each send costs a call each and leaves the time after it.

Not covered: an upstream that refuses on an unused connection before it reads the request, and runs it all the same.

--- a/toucanrudder/forwarding/attempt.py
+++ b/toucanrudder/forwarding/attempt.py
@@ -97,11 +97,23 @@
 
 
 def _identity(facts: dialects.Facts) -> tries.Identity:
-    if not facts.names_request:
+    if facts.is_anonymous:
         return tries.Identity.MISSING
     return tries.Identity.SENT if facts.is_for else tries.Identity.OTHER
 
 
+def _is_for(facts: dialects.Facts, *, reused: bool) -> bool:
+    """Return whether an answer is that to the request under way.
+
+    An upstream that refuses before it has read the request cannot name
+    it.  On a connection that has carried another request, the refusal may
+    be that one's, left over or sent twice, while this one runs.
+    """
+    if facts.is_anonymous:
+        return not reused and _refused(facts) is not None
+    return facts.is_for
+
+
 @attrs.define(eq=False)
 class Attempt:
     """A request at the upstream that was chosen for it.
@@ -264,7 +276,7 @@
         head = await self._next_event(connection, self._patience_s())
         facts = self.course.dialect.facts(self.course.call, upstream, head)
         self.evidence.identity = _identity(facts)
-        if not facts.is_for:
+        if not _is_for(facts, reused=connection.reused):
             # Nothing is learned from it: weights that another engine has
             # would be believed of this one for as long as it lives, and
             # nobody would order it to load them.
--- a/toucanrudder/forwarding/dialect.py
+++ b/toucanrudder/forwarding/dialect.py
@@ -54,9 +54,9 @@
     Parameters
     ----------
     is_for : bool
-        Whether it answers the request that was sent.
-    names_request : bool
-        Whether it names any request.
+        Whether it bears the identity of the request that was sent.
+    is_anonymous : bool
+        Whether it bears no request's identity.
     has_not_run : bool
         Whether the upstream proves that it has not run the request.
     is_elsewhere : bool
@@ -72,7 +72,7 @@
     """
 
     is_for: bool
-    names_request: bool = True
+    is_anonymous: bool = False
     has_not_run: bool = False
     is_elsewhere: bool = False
     has_other_weights: bool = False
--- a/toucanrudder/http1/client.py
+++ b/toucanrudder/http1/client.py
@@ -197,9 +197,14 @@
         """Whether `next_event` has something to return or raise."""
         return bool(self._events) or self._fault is not None
 
+    @property
+    def reused(self) -> bool:
+        """Whether it carried another request before the present one."""
+        return self.uses > 1
+
     def error(self, fault: Fault) -> ExchangeError:
         """Return the exception for a fault of the present exchange."""
-        return ExchangeError(fault, sent=self._sent, reused=self.uses > 1)
+        return ExchangeError(fault, sent=self._sent, reused=self.reused)
 
     def send(self, head: message.RequestHead, body: bytes) -> None:
         """Send a whole request; its length must stand in the head.
--- a/toucanrudder/platform/dialect.py
+++ b/toucanrudder/platform/dialect.py
@@ -139,15 +139,13 @@
         answer: message.AnswerHead,
     ) -> dialect.Facts:
         """Read the head of an upstream's answer."""
-        answers = _text(answer, b"request-id")
+        answers = _text(answer, b"request-id") or None
         version = _text(answer, b"weight-versions")
         not_run = answer.get(b"not-executed") is not None
         is_same = _text(answer, b"instance-id") == upstream.name
         return dialect.Facts(
-            # A refusal that proves that nothing ran may lack the identity.
-            is_for=answers == call.request_id
-            or (answers is None and (not_run or answer.status == 421)),
-            names_request=answers is not None,
+            is_for=answers == call.request_id,
+            is_anonymous=answers is None,
             has_not_run=not_run,
             # One status says both; the identity tells them apart.
             is_elsewhere=answer.status == 421 and not is_same,
--- a/toucanrudder/platform/testing/standins.py
+++ b/toucanrudder/platform/testing/standins.py
@@ -319,8 +319,10 @@
         if path == b"/kv-events":
             await self._events(answer)
         elif expected != self.incarnation or version != str(self.version):
-            fields = ((b"Instance-Id", self.incarnation.encode()),)
-            await answer.whole(421, fields, b"")
+            fields = [(b"Instance-Id", self.incarnation.encode())]
+            if "request-id" in headers:
+                fields.append((b"Request-Id", headers["request-id"].encode()))
+            await answer.whole(421, tuple(fields), b"")
         elif path == b"/report":
             if self.before_report:
                 await self.before_report.pop(0)(self, answer)
@@ -504,7 +506,11 @@
 
 async def sheds(upstream: Server, run: Run, answer) -> None:
     """Refuse, and prove that nothing ran."""
-    await answer.whole(503, ((b"Not-Executed", b"1"),), b"")
+    fields = (
+        (b"Not-Executed", b"1"),
+        (b"Request-Id", run.request_id.encode()),
+    )
+    await answer.whole(503, fields, b"")
 
 
 async def is_elsewhere(upstream: Server, run: Run, answer) -> None:
--- a/toucanrudder/platform/tests/test_platform.py
+++ b/toucanrudder/platform/tests/test_platform.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 import textwrap
 import time
 
@@ -383,6 +384,65 @@
     assert len(desk.connections) == 2
 
 
+LATE = {
+    "503 of nobody": standins.raw_answer(503, "Not-Executed: 1"),
+    "429 of nobody": standins.raw_answer(429, "Not-Executed: 1"),
+    "400 of nobody": standins.raw_answer(400, "Not-Executed: 1"),
+    "421 of nobody": standins.raw_answer(421),
+    "503 of another": refused("another"),
+    "421 of another": standins.raw_answer(421, named("another")),
+    "200 of another": standins.raw_answer(
+        200, named("another"), "Server-Seal: s", body="not yours"
+    ),
+}
+
+
+def before_the_next_request(monkeypatch, router, upstream, data):
+    """Let bytes be there, unread, when a kept connection is taken."""
+    take = router.state.pool._take
+
+    def taken(*args):
+        found = take(*args)
+        if found is not None:
+            os.write(upstream.connections[0].fileno(), data)
+        return found
+
+    monkeypatch.setattr(router.state.pool, "_take", taken)
+
+
+@pytest.mark.parametrize("is_early", (False, True), ids=("behind", "before"))
+@pytest.mark.parametrize("late", LATE.values(), ids=LATE.keys())
+async def test_an_earlier_requests_answer_proves_nothing(
+    site, monkeypatch, late, is_early
+):
+    # It is read on a kept connection as the answer to the next request.
+    def answer(upstream, request):
+        whole = runs_whole(upstream, request)
+        return late + whole if request.before and not is_early else whole
+
+    desk = await site.raw(answer)
+    router = await site.router()
+    assert (await asked(router, b"/w/x")).status == 200
+    if is_early:
+        before_the_next_request(monkeypatch, router, desk, late)
+    assert (await asked(router, b"/w/x")).status == 502
+    assert len(desk.ran) == 2
+    assert len(desk.connections) == 1
+
+
+async def test_a_refusal_of_nobody_counts_on_an_unused_connection(site):
+    # No other request can have left it there.
+    def answer(upstream, request):
+        if len(upstream.connections) == 1:
+            return standins.raw_answer(503, "Not-Executed: 1")
+        return runs_whole(upstream, request)
+
+    desk = await site.raw(answer)
+    router = await site.router()
+    assert (await asked(router, b"/w/x")).status == 200
+    assert len(desk.ran) == 1
+
+
 async def test_a_stream_goes_on_at_another_engine(site):
     # An engine crashes in the middle of an event.  The caller gets the
     # rest from another one, no event twice and none joined of two halves.
