Take no success and no failure for a refusal

Callers could see a request that may run once run up to four times, and were then told with 503 that it had not run.

Cause: "Not-Executed" was believed whatever stood beside it, also in an answer with a success status, a seal and the right Request-Id, or in an upstream's own 500, which counts as run.

What still counts as a refusal has a test, which held before: 421 with or without the name of the process, as either says that the request was not run and the name only tells why; and a refusal that bears a seal, which says who made the answer and not that it ran.

--- a/toucanrudder/platform/tests/test_platform.py
+++ b/toucanrudder/platform/tests/test_platform.py
@@ -443,6 +443,74 @@
     assert len(desk.ran) == 1
 
 
+NOT_EXECUTED, SEALED = "Not-Executed: 1", "Server-Seal: s"
+ELSEWHERE = "Instance-Id: i-other"
+
+#: Status and fields of an answer that has run, and the caller's status.
+CONTRADICTORY = {
+    "sealed success": (200, (NOT_EXECUTED, SEALED), 200),
+    "success": (200, (NOT_EXECUTED,), 502),
+    "sealed success of another process": (200, (ELSEWHERE, SEALED), 200),
+    "sealed denial": (404, (NOT_EXECUTED, SEALED), 404),
+    "sealed failure": (500, (NOT_EXECUTED, SEALED), 500),
+    "failure": (500, (NOT_EXECUTED,), 502),
+    "sealed time limit": (504, (NOT_EXECUTED, SEALED), 504),
+    "failure of another process": (500, (ELSEWHERE,), 502),
+}
+
+
+def runs_saying(status, *fields):
+    """Run each request and give all of them this answer."""
+
+    def answer(upstream, request):
+        upstream.ran.append(request.request_id)
+        return standins.raw_answer(status, named(request.request_id), *fields)
+
+    return answer
+
+
+@pytest.mark.parametrize(
+    ("status", "fields", "told"),
+    CONTRADICTORY.values(),
+    ids=CONTRADICTORY.keys(),
+)
+async def test_an_answer_that_contradicts_itself_is_no_refusal(
+    site, status, fields, told
+):
+    # A run's answer is spoilt so that it says "not executed" as well.
+    desk = await site.raw(runs_saying(status, *fields))
+    router = await site.router()
+    assert (await asked(router, b"/w/x")).status == told
+    assert len(desk.ran) == 1
+
+
+REFUSALS = {
+    "full": (503, NOT_EXECUTED),
+    "full, sealed": (503, NOT_EXECUTED, SEALED),
+    "too many": (429, NOT_EXECUTED),
+    "not read": (400, NOT_EXECUTED),
+    "another process": (421, ELSEWHERE),
+    "another process, no proof beside": (421,),
+    "another process, sealed": (421, ELSEWHERE, NOT_EXECUTED, SEALED),
+}
+
+
+@pytest.mark.parametrize("said", REFUSALS.values(), ids=REFUSALS.keys())
+async def test_a_refusal_sends_the_request_elsewhere(site, said):
+    def answer(upstream, request):
+        if not any(other.connections for other in servers - {upstream}):
+            status, *fields = said
+            name = named(request.request_id)
+            return standins.raw_answer(status, name, *fields)
+        return runs_whole(upstream, request)
+
+    servers = {await site.raw(answer), await site.raw(answer)}
+    router = await site.router()
+    assert (await asked(router, b"/w/x")).status == 200
+    assert sorted(len(each.ran) for each in servers) == [0, 1]
+    assert all(len(each.connections) == 1 for each in servers)
+
+
 async def test_a_stream_goes_on_at_another_engine(site):
     # An engine crashes in the middle of an event.  The caller gets the
     # rest from another one, no event twice and none joined of two halves.
