Test what proves that no byte of a request has left

A try that ended with nothing sent is repeated, also for a request that may run once, so "not sent" must never be said too early. A head or body that cannot be written raises before the first byte is handed over, as the whole request is written at once.

--- a/toucanrudder/http1/tests/test_client.py
+++ b/toucanrudder/http1/tests/test_client.py
@@ -6,6 +6,7 @@
 import struct
 import threading
 
+import h11
 import pytest
 import uvloop
 
@@ -237,6 +238,111 @@
         assert not connection.usable
 
 
+def ended(found):
+    found.shutdown(socket.SHUT_WR)
+
+
+def reset(found):
+    found.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    found.close()
+
+
+async def seen(connection):
+    while connection.usable:
+        await asyncio.sleep(0.001)
+
+
+async def unseen(connection):
+    """Leave the end unread in the kernel."""
+
+
+async def let_go(connection):
+    connection.abort()
+
+
+#: What ends the connection, how the client learns of it before it sends,
+#: and whether bytes of the request can have left.
+ENDS_BEFORE = {
+    "end seen": (ended, seen, False),
+    "reset seen": (reset, seen, False),
+    "own abort": (ended, let_go, False),
+    "end not seen": (ended, unseen, True),
+    "reset not seen": (reset, unseen, True),
+}
+
+
+@pytest.mark.parametrize(
+    "loop_factory",
+    (asyncio.new_event_loop, uvloop.new_event_loop),
+    ids=("asyncio", "uvloop"),
+)
+@pytest.mark.parametrize(
+    ("end", "learned", "sent"), ENDS_BEFORE.values(), ids=ENDS_BEFORE.keys()
+)
+def test_not_sent_is_said_only_if_no_byte_left(
+    loop_factory, end, learned, sent
+):
+    # What has not been sent is sent again, also if it may run once.
+    async def fault_and_bytes():
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            host, port = listener.getsockname()
+            connection = await client.connect(f"{host}:{port}", 5)
+            accepted, _ = listener.accept()
+            with accepted:
+                end(accepted)
+                async with asyncio.timeout(5):
+                    await learned(connection)
+                    with pytest.raises(client.ExchangeError) as caught:
+                        await exchanged(connection)
+                await asyncio.sleep(0.05)
+                left = accepted.fileno() >= 0 and accepted.recv(4096)
+            return caught.value, left
+
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        error, left = runner.run(fault_and_bytes())
+    assert error.sent is sent
+    assert sent or not left
+
+
+@pytest.mark.parametrize(
+    ("head", "body"),
+    (
+        (message.RequestHead(b"GET", b"/x", ((b"Bad name", b"h"),)), b""),
+        (
+            message.RequestHead(
+                b"PUT", b"/x", ((b"Host", b"h"), (b"Content-Length", b"2"))
+            ),
+            b"three",
+        ),
+    ),
+    ids=("bad field", "body longer than told"),
+)
+async def test_a_request_that_cannot_be_written_leaves_no_byte(head, body):
+    # Half of it would be a request of its own at the upstream.
+    received = asyncio.get_running_loop().create_future()
+
+    async def serve(reader, writer):
+        received.set_result(await reader.read())
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    connections = pool.ConnectionPool()
+    with pytest.raises(h11.LocalProtocolError):
+        async with connections.connection(
+            f"{host}:{port}",
+            connect_timeout_s=5,
+            clock=asyncio.get_running_loop().time,
+        ) as connection:
+            connection.send(head, body)
+    assert not connection.sent
+    async with asyncio.timeout(5):
+        assert await received == b""
+    server.close()
+
+
 def test_a_reset_that_comes_with_the_data_is_no_end():
     # An upstream sends part of a body without length and resets.  The
     # event loop is busy, so data and reset are there at once; libuv then
