Take no answer to a request for an engine's report

Callers could see a stream that may run once go on at a second engine while the first one worked on it.

Cause: questions to engines share kept connections with requests. A request's late or second answer that stood there was read as the engine's report; it was none, and an engine that gives no report counts as having lost its run.

Evidence: the new test failed before for a success and for a refusal of another request, two runs in place of one.

Mend: an answer that bears a Request-Id is not to a call, as calls have none. The connection is closed, and a question is asked once more; an order is not, it may be under way.

Not covered: a second copy of an earlier report on the same connection bears nothing that tells it apart, and its list of runs would be believed.

--- a/toucanrudder/http1/calls.py
+++ b/toucanrudder/http1/calls.py
@@ -24,6 +24,10 @@
     """The answer is too large, or says nothing that can be parsed."""
 
 
+class Crossed(ValueError):
+    """The answer is to something else that was asked."""
+
+
 @attrs.frozen
 class Answer:
     """A whole answer.
@@ -108,6 +112,7 @@
     timeout_s: float,
     connect_timeout_s: float,
     clock: Callable[[], float],
+    is_ours: Callable[[message.AnswerHead], bool] = lambda answer: True,
 ) -> Answer:
     """Return the whole answer to one request.
 
@@ -127,11 +132,13 @@
         For all, and for a new connection.
     clock : callable
         Monotonic time in seconds.
+    is_ours : callable
+        Says of an answer's head whether it can be to this call.
 
     Raises
     ------
-    ExchangeError, TimeoutError, Unreadable
-        There is no whole answer.
+    ExchangeError, TimeoutError, Unreadable, Crossed
+        There is no whole answer; after the last, the connection is closed.
     """
     content = b"" if body is None else orjson.dumps(body)
     sent_headers = [*headers, (b"Host", address.encode())]
@@ -149,6 +156,8 @@
     ):
         connection.send(head, content)
         answer = await connection.next_event()
+        if not is_ours(answer):
+            raise Crossed("the answer is not to this call")
         connection.keep_for_s = pool.keep_for_s(answer.headers)
         received = await _received(connection)
     return Answer(answer.status, parsed(received))
--- a/toucanrudder/platform/testing/standins.py
+++ b/toucanrudder/platform/testing/standins.py
@@ -650,6 +650,15 @@
     await answer.end()
 
 
+def sends_ahead(content: bytes) -> Question:
+    """Send what belongs to no question, then answer."""
+
+    async def send(upstream: Server, answer) -> None:
+        answer._connection._transport.write(content)
+
+    return send
+
+
 async def resets_question(upstream: Server, answer) -> None:
     """Reset the connection, as an engine under pressure does."""
     answer.abort()
--- a/toucanrudder/platform/tests/test_platform.py
+++ b/toucanrudder/platform/tests/test_platform.py
@@ -746,6 +746,24 @@
     assert sum(len(each.runs) for each in engines) == 1
 
 
+@pytest.mark.parametrize(
+    "late",
+    (LATE["200 of another"], LATE["503 of another"]),
+    ids=("answer", "refusal"),
+)
+async def test_a_requests_late_answer_is_no_report(site, late):
+    # An engine is asked whether a silent run is lost, on a connection on
+    # which the answer to an earlier request comes once more.
+    engines = [await site.engine(), await site.engine()]
+    first_tried_does(engines, standins.stalls)
+    router = await site.router()
+    for each in engines:
+        each.before_report = [standins.sends_ahead(late)]
+    answer = await asked(router, b"/once/x")
+    assert (answer.is_whole, answer.body) == (True, EVENTS)
+    assert sum(len(each.runs) for each in engines) == 1
+
+
 async def test_a_request_that_crashes_engines_is_stopped(site):
     # Each engine that runs this request crashes.  Its caller sends it
     # again and again, to two routers; a third crash must be the last.
