Give up a run whose engine works on after its connection was closed

A stream that may run once had lost events, and its engine listed the run for as long as it was asked. The router asked until the caller's deadline, also where no copy could have been sent and nothing was to follow, and only then said that the outcome is unknown.

It asks only while the run could be continued, for one second at most; then the caller is told at once. test_a_run_whose_engine_works_on_is_given_up failed before: the answer ended at the deadline.

--- a/toucanrudder/forwarding/attempt.py
+++ b/toucanrudder/forwarding/attempt.py
@@ -51,6 +51,10 @@
 #: a tenth of a second old.
 ASK_S = 0.15
 
+#: Seconds within which an engine is to notice that its connection was
+#: closed.
+STOPS_WITHIN_S = 1.0
+
 #: Statuses by which callers take it that a request has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -165,7 +169,7 @@
             except client.ExchangeError as error:
                 raise TryEnded(_ended(error)) from error
             except TryEnded:
-                await self._stopped()
+                await self._wait_until_stopped()
                 raise
         if failure is not None:
             raise failure
@@ -424,21 +428,29 @@
             self.evidence.silence = tries.Silence.EVENTS_MISSING
         return True
 
-    async def _stopped(self) -> None:
+    async def _wait_until_stopped(self) -> None:
         """Wait until an engine whose events were lost has ended its run.
 
         It worked on when it was last heard, and not every engine notices at
         once that its connection was closed.  What may run once must not go
-        on from its copy meanwhile.
+        on from its copy meanwhile, so one that works on for too long leaves
+        no copy to go on from.
         """
         if self.evidence.silence is not tries.Silence.EVENTS_MISSING:
             return
-        while self.course.copy_is_held():
-            report = await self.state.ask_engine(self.choice.upstream)
-            request_id = self.course.call.request_id
-            if report is not None and request_id not in report.events:
-                return
-            await asyncio.sleep(ASK_S)
+        try:
+            async with asyncio.timeout(STOPS_WITHIN_S):
+                while self.course.can_continue():
+                    if await self._has_stopped():
+                        return
+                    await asyncio.sleep(ASK_S)
+        except TimeoutError:
+            self.course.copy_at = None
+
+    async def _has_stopped(self) -> bool:
+        report = await self.state.ask_engine(self.choice.upstream)
+        request_id = self.course.call.request_id
+        return report is not None and request_id not in report.events
 
     async def _pass_events(
         self, head: message.AnswerHead, whole: list[bytes]
--- a/toucanrudder/forwarding/course.py
+++ b/toucanrudder/forwarding/course.py
@@ -283,11 +283,9 @@
         self.in_doubt = False
         ran = ended not in tries.PROVES_NOT_RUN
         self.progress = attrs.evolve(
-            self.progress,
+            self._progress_now(),
             tries=self.progress.tries + 1,
             may_have_run=self.progress.may_have_run + ran,
-            streamed_s=self._streamed_s(),
-            copy_was_asked=self.copy_is_held(),
         )
         self.continues = False
         step = tries.next_step(
@@ -337,6 +335,17 @@
             return 0.0
         return clock.now_s() - self.first_event_s
 
+    def can_continue(self) -> bool:
+        """Whether another engine can go on with the run now."""
+        return self._progress_now().has_copy
+
+    def _progress_now(self) -> tries.Progress:
+        return attrs.evolve(
+            self.progress,
+            streamed_s=self._streamed_s(),
+            copy_was_asked=self.copy_is_held(),
+        )
+
     def copy_is_held(self) -> bool:
         """Whether the engine that was to hold a copy can still have it."""
         if self.copy_at is None:
--- a/toucanrudder/platform/testing/standins.py
+++ b/toucanrudder/platform/testing/standins.py
@@ -637,6 +637,16 @@
         )
 
 
+async def never_notices(upstream: Server, run: Run, answer) -> None:
+    """Lose events after the first, and work on after the router closes."""
+    upstream.runs.append(run)
+    await answer.start(200, upstream.fields(run))
+    await answer.write(event(1))
+    upstream.send_copy(run)
+    upstream.listed[run.request_id] = 9
+    await asyncio.Event().wait()
+
+
 async def stalls(upstream: Server, run: Run, answer) -> None:
     """Be silent after the first event until it was asked for its report."""
     upstream.runs.append(run)
--- a/toucanrudder/platform/tests/test_platform.py
+++ b/toucanrudder/platform/tests/test_platform.py
@@ -672,6 +672,18 @@
     assert not listed
 
 
+async def test_a_run_whose_engine_works_on_is_given_up(site):
+    # The first engine never notices that its connection was closed.
+    engines = [await site.engine(), await site.engine()]
+    first_tried_does(engines, standins.never_notices)
+    router = await site.router()
+    began_s = time.monotonic()
+    answer = await asked(router, b"/once/x", Deadline_Ms="9000")
+    assert not answer.is_whole
+    assert time.monotonic() - began_s < 2.5
+    assert sum(len(each.runs) for each in engines) == 1
+
+
 @pytest.mark.parametrize(
     "second",
     [
