Do not say "not run" when a request sent anew is refused

Callers saw "not_run" for a model request that may have run. Its first sending ended without an answer, the engine did not know it when asked (404), and the router sent it anew to the same engine. When that second sending was refused or found no connection, the refusal was taken as proof for both. The 404 is no proof: an engine that lost its answer by a reset forgets a run that nobody reads.

Model requests may be repeated, so nothing ran twice by the router's own retries. A caller that takes "not_run" at its word could have let it.

The attempt already notes that the engine may hold the request; that now decides, instead of the way in which the last connection was opened.

--- a/toucanrudder/relay/attempt.py
+++ b/toucanrudder/relay/attempt.py
@@ -284,9 +284,10 @@
         gone = resuming and failure.connection_refused
         if (failure.kind is failures.Kind.LOST and restarted) or gone:
             return attrs.evolve(failure, kind=failures.Kind.CRASHED)
-        if resuming and failure.kind in failures.PROVES_NOT_RUN:
+        if self.may_hold and failure.kind in failures.PROVES_NOT_RUN:
             # The request went out on an earlier connection: that this one
-            # failed proves nothing about it.
+            # failed, or that the engine refused to begin anew, proves
+            # nothing about it.
             return attrs.evolve(failure, kind=failures.Kind.SILENT)
         return failure
 
