Release a claim only after it was read as one's own

A router that had proof that its request did not run released its claim by an update on the version that it had been given. A store that comes back in an older state gives versions out again. So the version may by then be that of another try's claim on the same key: the try that runs was marked as not run, and the caller's next try ran it a second time.

The release now reads the claim first, as releases in the background always did, and leaves a claim that another attempt holds. It costs one read where an upstream refused or was not reached. Answers are still stored without a read: a result over another try's claim says that the request ran, which is true. What is left is a store that goes back between that read and the update; a claim that it has lost is not covered by this (see the design).

--- a/toucanrudder/claims/keeper.py
+++ b/toucanrudder/claims/keeper.py
@@ -106,7 +106,7 @@
         """Let the next try run; call only with proof that nothing ran."""
         self.dispatched = False
         self.record = attrs.evolve(self.record, state=record.State.NOT_RUN)
-        await self.keeper.abandon(self.name, self.record, self.version)
+        await self.keeper.abandon(self.name, self.record)
 
 
 @attrs.frozen
@@ -320,13 +320,13 @@
             retry_after_s=self.limits.retry_after_s,
         )
 
-    async def abandon(
-        self, name: str, last: record.Record, version: int | None
-    ) -> None:
+    async def abandon(self, name: str, last: record.Record) -> None:
         """Mark the claim not run, now or in the background."""
         self._remember(last.attempt)
         _outcome("released")
-        await self.settle(name, last, version)
+        # Read first, whatever its version was: a store that has gone back
+        # gives versions out again, also to another attempt's claim.
+        await self.settle(name, last, None)
 
     def _abandon_later(self, name: str, wanted: record.Record) -> None:
         self._remember(wanted.attempt)
--- a/toucanrudder/claims/tests/test_keeper.py
+++ b/toucanrudder/claims/tests/test_keeper.py
@@ -290,3 +290,31 @@
     assert (await refusal(router(objects, "r3")))[0] is (
         errors.Code.ALREADY_STARTED
     )
+
+
+class RevertingStore(memory.MemoryObjectStore):
+    """A store that gives versions out again once it has gone back."""
+
+    def snapshot(self):
+        """Return the present state and version."""
+        return super().snapshot(), self._version
+
+    def restore(self, snapshot):
+        """Come back in an older state and at its version."""
+        state, self._version = snapshot
+        super().restore(state)
+
+
+async def test_a_release_after_the_store_went_back_frees_no_others_claim():
+    """A claim is lost, its key taken elsewhere at the same version."""
+    objects = RevertingStore()
+    before = objects.snapshot()
+    lost = await router(objects).acquire("acme", "k", BODY, 0.0)
+    objects.restore(before)
+    runs = await router(objects, "r2").acquire("acme", "k", BODY, 1.0)
+    assert runs.version == lost.version
+    runs.check(1.0)
+    await lost.release()
+    assert (await refusal(router(objects, "r3")))[0] is (
+        errors.Code.ALREADY_STARTED
+    )
