Count a run in the soak as the same one only if its copy exists

The soak took a request that names a copy of its run's memory for the same run, whether that copy existed or not. Well engines refuse where there is no copy; a sick one begins at once, and its run was passed over by the check for requests that run twice. So the soak could not see a run that is continued where no copy of it is.

--- a/toucanrudder/platform/testing/soaking.py
+++ b/toucanrudder/platform/testing/soaking.py
@@ -231,7 +231,9 @@
 
     def begin(self, run: standins.Run) -> None:
         """Note that a request begins to run, and how it was asked for."""
-        goes_on = "kv-from" in run.headers
+        copy = _copy_named(run)
+        goes_on = copy in self.site.copies
+        self.site.copies.discard(copy)
         self.site.record.runs.append(
             records.Run(
                 run.request_id,
@@ -282,12 +284,10 @@
 
     async def serve(self, run: standins.Run, answer) -> None:
         """Answer well."""
-        come_from = run.headers.get("kv-from")
-        if come_from is not None:
-            address, _, identity = come_from.partition("/")
-            if (address, identity) not in self.site.copies:
-                await standins.sheds(self, run, answer)
-                return
+        copy = _copy_named(run)
+        if copy is not None and copy not in self.site.copies:
+            await standins.sheds(self, run, answer)
+            return
         self.begin(run)
         if run.body == b"poison":
             self.site.record.crashes.append(time.monotonic())
@@ -312,6 +312,15 @@
         await answer.end()
 
 
+def _copy_named(run: standins.Run) -> tuple[str, str] | None:
+    """Return the copy that a request is to go on from, if any."""
+    come_from = run.headers.get("kv-from")
+    if come_from is None:
+        return None
+    address, _, identity = come_from.partition("/")
+    return address, identity
+
+
 async def well(upstream: Upstream, run: standins.Run, answer) -> None:
     """Answer well."""
     await upstream.serve(run, answer)
