Wait for a stream that has not begun, as nothing could follow

A stream that may run once and is silent from its beginning was given up after two and a half objectives where another engine had been asked for a copy, and the caller was told that the outcome is unknown. Without an event it is not continued any more, so nothing was gained, and an engine that was only slow was cut at its work.

--- a/toucanrudder/forwarding/attempt.py
+++ b/toucanrudder/forwarding/attempt.py
@@ -38,11 +38,6 @@
 #: upstream that has not begun to answer, and given to another.
 PATIENCE_OBJECTIVES = 3.0
 
-#: The same for a stream of whose run another engine holds a copy.  An
-#: answer that is lost without a reset shows by nothing else, and callers
-#: leave after four objectives.
-PATIENCE_COPY_OBJECTIVES = 2.5
-
 #: Pauses (longest allowed between two events) after which a stream that
 #: may be resumed goes on elsewhere.
 PATIENCE_GAPS = 2.5
@@ -264,9 +259,8 @@
 
     def _patience_s(self) -> float | None:
         """Return how long the first part of an answer may take."""
-        if self.course.copy_is_held():
-            return PATIENCE_COPY_OBJECTIVES * self.route.objective_s
         if self.route.repetition is model.Repetition.ONCE:
+            # Nothing could follow, and the answer may still come.
             return None
         if self.course.progress.may_have_run + 1 >= self.route.max_upstreams:
             return None
