Write to the store on a connection of its own

The answer to a write is what proves that a router holds a claim or a lease, and it names no request. On a kept connection a second copy of an earlier answer, which comes after the next write was sent, was read as the answer to that write. A router then believed a claim to be its own that another held, and dispatched: a booking that may run once could run twice.

Evidence: a store that gives each answer again when the next request comes. A copy that came in the same bytes as the answer was seen by aiohttp.

Writes now use the session whose connections serve once. Reads keep theirs: a stale one leads to a write whose condition fails.

--- a/toucanrudder/router/assembly.py
+++ b/toucanrudder/router/assembly.py
@@ -171,7 +171,9 @@
 
 def _state(conf, sessions: _Sessions) -> states.RouterState:
     rng = _random(conf.policy.seed)
-    objects = http_store.HttpObjectStore(conf.store.address, sessions.shared)
+    objects = http_store.HttpObjectStore(
+        conf.store.address, sessions.shared, sessions.fresh
+    )
     load_table = loads.LoadTable()
     own = in_flight.InFlight()
     believed = beliefs.Beliefs()
--- a/toucanrudder/store/http.py
+++ b/toucanrudder/store/http.py
@@ -51,6 +51,8 @@
         ``IP:port`` of the object API.
     session : aiohttp.ClientSession
         Session whose connections are used; the caller closes it.
+    fresh_session : aiohttp.ClientSession
+        The same with a connector that uses each connection once.
 
     Attributes
     ----------
@@ -58,10 +60,16 @@
         Calls made so far, by ``(kind of object, operation)``.
     """
 
-    def __init__(self, address: str, session: aiohttp.ClientSession):
+    def __init__(
+        self,
+        address: str,
+        session: aiohttp.ClientSession,
+        fresh_session: aiohttp.ClientSession,
+    ):
         self.counts: collections.Counter = collections.Counter()
         self._base = f"http://{address}/objects"
         self._session = session
+        self._fresh = fresh_session
 
     def _url(self, kind: str, name: str = "") -> str:
         url = f"{self._base}/{urllib.parse.quote(kind, safe='')}"
@@ -76,13 +84,18 @@
         )
 
     async def _call(
-        self, method: str, url: str, timeout_s: float, **options
+        self,
+        session: aiohttp.ClientSession,
+        method: str,
+        url: str,
+        timeout_s: float,
+        **options,
     ) -> tuple[int, dict]:
         timeout = aiohttp.ClientTimeout(
             total=timeout_s, sock_connect=timeout_s
         )
         try:
-            async with self._session.request(
+            async with session.request(
                 method,
                 url,
                 timeout=timeout,
@@ -103,7 +116,9 @@
         self, url: str, timeout_s: float, **options
     ) -> tuple[int, dict]:
         try:
-            status, body = await self._call("GET", url, timeout_s, **options)
+            status, body = await self._call(
+                self._session, "GET", url, timeout_s, **options
+            )
         except interface.OutcomeUnknown as error:
             raise interface.StoreUnavailable(str(error)) from error
         if status >= http.HTTPStatus.BAD_REQUEST and (
@@ -115,7 +130,11 @@
     async def _write(
         self, method: str, url: str, timeout_s: float, **options
     ) -> dict:
-        status, body = await self._call(method, url, timeout_s, **options)
+        # An answer names no request.  On a kept connection the second copy
+        # of an earlier one would prove a write that never took effect.
+        status, body = await self._call(
+            self._fresh, method, url, timeout_s, **options
+        )
         if status < http.HTTPStatus.BAD_REQUEST:
             return body
         if status in _CONDITION_FAILED:
--- a/toucanrudder/store/tests/test_stores.py
+++ b/toucanrudder/store/tests/test_stores.py
@@ -20,9 +20,11 @@
 
     def __init__(self):
         self.mode = "silent"
+        self.repeats = "never"
         self.requests = []
 
     async def serve(self, reader, writer):
+        late = b""
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
@@ -37,22 +39,36 @@
                     break
                 status, body = self.mode
                 data = json.dumps(body).encode()
-                writer.write(
+                answer = (
                     f"HTTP/1.1 {status} X\r\nContent-Length: "
                     f"{len(data)}\r\n\r\n".encode()
                     + data
                 )
+                again = answer if self.repeats == "at once" else b""
+                writer.write(late + answer + again)
+                late = answer if self.repeats == "late" else b""
                 await writer.drain()
         writer.close()
 
 
+@contextlib.asynccontextmanager
+async def sessions():
+    """Yield a session that keeps connections, and one that does not."""
+    connector = aiohttp.TCPConnector(force_close=True)
+    async with (
+        aiohttp.ClientSession() as session,
+        aiohttp.ClientSession(connector=connector) as fresh,
+    ):
+        yield session, fresh
+
+
 @pytest.fixture
 async def wire():
     state = Wire()
     server = await asyncio.start_server(state.serve, "127.0.0.1", 0)
     address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-    async with aiohttp.ClientSession() as session:
-        state.store = http.HttpObjectStore(address, session)
+    async with sessions() as (session, fresh):
+        state.store = http.HttpObjectStore(address, session, fresh)
         yield state
     server.close()
 
@@ -98,6 +114,19 @@
     assert len(wire.requests) == 1
 
 
+@pytest.mark.parametrize("operation", WRITES)
+@pytest.mark.parametrize("repeats", ["at once", "late"])
+async def test_an_answer_given_twice_is_no_answer_to_the_next_write(
+    wire, operation, repeats
+):
+    """A write's answer comes again where that of the next is expected."""
+    wire.mode, wire.repeats = (200, {"version": 1}), repeats
+    await wire.store.create("k", "n", {}, **OPTIONS)
+    wire.mode = (409, {"version": 1})
+    with pytest.raises(interface.ConditionFailed):
+        await WRITES[operation](wire.store, 5)
+
+
 @pytest.mark.parametrize("operation", READS)
 @pytest.mark.parametrize("mode", ["cut", "silent", (503, {}), (200, [])])
 async def test_a_failed_read_is_unavailable(
@@ -116,8 +145,8 @@
 
 @pytest.mark.parametrize("operation", [*WRITES, *READS])
 async def test_a_refused_connection_has_no_effect(operation):
-    async with aiohttp.ClientSession() as session:
-        store = http.HttpObjectStore("127.0.0.1:1", session)
+    async with sessions() as (session, fresh):
+        store = http.HttpObjectStore("127.0.0.1:1", session, fresh)
         with pytest.raises(interface.StoreUnavailable):
             await {**WRITES, **READS}[operation](store, 5)
         assert store.counts == {("k", operation): 1}
@@ -200,8 +229,8 @@
     site = web.TCPSite(runner, "127.0.0.1", 0)
     await site.start()
     port = runner.addresses[0][1]
-    async with aiohttp.ClientSession() as session:
-        yield http.HttpObjectStore(f"127.0.0.1:{port}", session)
+    async with sessions() as (session, fresh):
+        yield http.HttpObjectStore(f"127.0.0.1:{port}", session, fresh)
     await runner.cleanup()
 
 
