Send a model request to no other place than the engine chosen for it

aiohttp's client follows redirects unless told not to. An engine's 307 sent the request on to any address it named, outside the choice, the count of tries and the checks of which upstreams are in use; where nothing listened there, the failed connection was taken as proof that nothing ran, and the caller heard "not_run".

Evidence: two rows of the new test failed before: the other place was asked, and with nobody there the failure said that the request was not run. No engine is known to redirect. Calls of services never followed. A redirect is now an answer like other failures, after which the outcome is unknown.

--- a/toucanrudder/upstreams/engine.py
+++ b/toucanrudder/upstreams/engine.py
@@ -114,6 +114,7 @@
                 "X-Cache-Salt": call.salt_hex,
             },
             timeout=self._timeout,
+            allow_redirects=False,
             middlewares=(sending.once(upstream.name),),
         )
         async with self._answer(request, upstream, call.engine_id) as answer:
@@ -137,6 +138,7 @@
             f"http://{upstream.address}/v1/streams/{engine_id}",
             params={"after": str(after)},
             timeout=self._timeout,
+            allow_redirects=False,
             middlewares=(sending.once(upstream.name),),
         )
         async with self._answer(request, upstream, engine_id) as answer:
