Do not take a service's refusal of another request for proof

A 503 with "X-Not-Run: 1" lets a booking go to the next instance, or its claim be released. For engines such a refusal must repeat the request's identity; for services nothing was compared, so a refusal that something between the ends had mixed up counted for whichever call waited there.

Evidence: the row with another identity failed before. Connections to services serve one call each, so this needs a balancer that crosses answers; none has been seen to. Services need not repeat the identity, so a refusal without one is still believed, on a connection that nothing else used.

After a crossed refusal the outcome is unknown, the claim stays started, and a call that may not be repeated is not sent again.

--- a/toucanrudder/upstreams/service.py
+++ b/toucanrudder/upstreams/service.py
@@ -11,6 +11,8 @@
 from toucanrudder.upstreams import failures
 from toucanrudder.upstreams import sending
 
+_IDENTITY = "X-Request-Id"
+
 #: Headers that belong to one connection, and those that are ours.
 _NOT_PASSED = frozenset(
     name.lower()
@@ -28,7 +30,7 @@
         "Trailer",
         "Transfer-Encoding",
         "Upgrade",
-        "X-Request-Id",
+        _IDENTITY,
     )
 )
 
@@ -86,7 +88,7 @@
         ------
         UpstreamFailure
             ``not_reached`` or ``refused`` prove that nothing ran;
-            ``silent`` and ``error`` leave it open.
+            ``silent`` and ``crossed`` leave it open.
         """
         timeout = aiohttp.ClientTimeout(
             total=timeout_s, sock_connect=self._connect_timeout_s
@@ -107,9 +109,23 @@
                 response.status == 503
                 and response.headers.get("X-Not-Run") == "1"
             ):
-                raise failures.UpstreamFailure(
-                    failures.Kind.REFUSED, upstream.name, "refused"
+                raise _refusal(
+                    upstream.name,
+                    headers.get(_IDENTITY, ""),
+                    response.headers.get(_IDENTITY),
                 )
             yield response
         finally:
             response.close()
+
+
+def _refusal(
+    name: str, sent: str, repeated: str | None
+) -> failures.UpstreamFailure:
+    # A service need not repeat the identity.  If it repeats another, the
+    # answer was mixed up on the way and proves nothing of this call.
+    if repeated is not None and repeated != sent:
+        return failures.UpstreamFailure(
+            failures.Kind.CROSSED, name, "refusal of another request"
+        )
+    return failures.UpstreamFailure(failures.Kind.REFUSED, name, "refused")
--- a/toucanrudder/upstreams/tests/test_proofs.py
+++ b/toucanrudder/upstreams/tests/test_proofs.py
@@ -58,6 +58,7 @@
     # who asks, the identity in the refusal, what it proves
     (call_service, OURS, NOT_RUN),
     (call_service, None, NOT_RUN),
+    (call_service, "another", UNKNOWN),
     (call_engine, OURS, NOT_RUN),
     (call_engine, None, UNKNOWN),
     (call_engine, "another", UNKNOWN),
