Keep claims for as long as a call may take

The operator's bound on claims may be as short as 60 s, and the time of a service as long as an hour. A claim ends 600 s after its bound, so with such a document a claim could end while its call was running; the key was free again, and a resend ran the booking a second time beside the first.

Evidence: by reading; the reaper took the document's bound as it was.

Ruled out: refusing such documents, which would make one unusable that is in force today. A service that works on after the router has given it up can still outlast its claim; the bound is the memory of a key.

--- a/toucanrudder/router/assembly.py
+++ b/toucanrudder/router/assembly.py
@@ -156,6 +156,26 @@
     return max(1, round(ADMISSION_FACTOR * slots / max(1, routers)))
 
 
+def claim_retention_s(document: model.Document) -> float:
+    """Return for how long a claim is kept: no call outlasts its claim.
+
+    The document's own bound may be shorter than a call may take, and a
+    claim that ends under its run lets a resend run beside it.
+
+    Parameters
+    ----------
+    document : model.Document
+        Names the services and the time that each may take.
+
+    Returns
+    -------
+    float
+        Seconds.
+    """
+    longest_s = max((each.timeout_s for each in document.services), default=0)
+    return max(document.policy.claim_retention_s, longest_s)
+
+
 @contextlib.asynccontextmanager
 async def built(conf: cfg.ConfigOpts) -> AsyncIterator[states.RouterState]:
     """Yield the state of a router; close its clients afterwards.
@@ -313,7 +333,7 @@
 
 def _reaper(state: states.RouterState) -> reaper.Reaper:
     def retention_s() -> float:
-        return state.document().policy.claim_retention_s
+        return claim_retention_s(state.document())
 
     def live() -> list[str]:
         return [each.name for each in state.routers.live(state.now_s())]
