Release no lease that another has taken over

Two routers could give orders at once. A holder was paused for longer than its lease lasts, and another took it over; awake again, the first was told of that by its watch before it looked itself, and then stopped or ended its turn. Its release was written on condition of the version that the watch had told, which is the next holder's: the lease was marked as given up while its holder acted, and a third took it at once.

Only the forwarding path hands what a watch tells to a holder.

A release now needs the newest known record to be one's own. A store that comes back older and gives the same version to another's lease is not covered by that.

--- a/toucanrudder/leases/holder.py
+++ b/toucanrudder/leases/holder.py
@@ -176,6 +176,9 @@
         if self._lease is None or self._seen is None:
             return
         self._forget()
+        if self._seen.record.holder != self.me:
+            # A watch has told that another took it over meanwhile.
+            return
         record = attrs.evolve(self._seen.record, holder="")
         with contextlib.suppress(*_FAILED):
             await self._store.update(
--- a/toucanrudder/leases/tests/test_leases.py
+++ b/toucanrudder/leases/tests/test_leases.py
@@ -103,6 +103,17 @@
     def releases(self, name):
         asyncio.run(self.contenders[name].holder.release())
 
+    @stateful.rule(name=names)
+    def is_told(self, name):
+        found = asyncio.run(self._stored())
+        contender = self.contenders[name]
+        if found is not None:
+            contender.holder.observe(found, contender.clock())
+
+    async def _stored(self):
+        with contextlib.suppress(interface.StoreUnavailable):
+            return await self.store.get(holder.KIND, "weights", timeout_s=1)
+
     @stateful.invariant()
     def one_acts(self):
         acting = [c.held() for c in self.contenders.values() if c.held()]
@@ -416,3 +427,19 @@
         return [[lease is not None for lease in at] for at in (before, after)]
 
     assert timing.run(day) == [[True, False], [False, True]]
+
+
+async def test_a_holder_does_not_release_anothers_lease():
+    """It wakes from a pause, is told of the next holder, and stops."""
+    store, true = memory.MemoryObjectStore(), [100.0]
+    first, second, third = (Contender(store, true, name) for name in "abc")
+    await first.look()
+    for contender in (second, third):
+        await contender.look()
+    true[0] += ENOUGH_S
+    await second.look()
+    found = await store.get(holder.KIND, "weights", timeout_s=1)
+    first.holder.observe(found, first.clock())
+    await first.holder.release()
+    await third.look()
+    assert second.held() and not third.held()
