Answer a request that came together with the one before a planned stop

A caller sends two requests without waiting, and both arrive in one read. While the first is answered by a stream whose head said nothing of an end, a planned stop begins. The connection was closed behind the first answer; the second request had been read, and got none.

Only bytes that came while the first request was being answered counted as read ahead. What came in the same read lies in the parser, which counts nothing. The parser is asked now; it holds both.

The test of a request read before a stop failed before for two requests in one read; in two reads, and with the second begun in the first read, it passed before as well.

--- a/toucanrudder/http1/server.py
+++ b/toucanrudder/http1/server.py
@@ -382,7 +382,8 @@
             self._http.their_state,
         )
         # What was read before the caller could know of the close is served.
-        if is_announced or (self._hooks.closing() and not self._ahead):
+        has_read = bool(self._http.trailing_data[0])
+        if is_announced or (self._hooks.closing() and not has_read):
             self.close()
             return
         self._next_request()
--- a/toucanrudder/http1/tests/test_server.py
+++ b/toucanrudder/http1/tests/test_server.py
@@ -211,7 +211,18 @@
         await asyncio.wait_for(found.cancelled.wait(), 5)
 
 
-async def test_a_request_that_was_read_before_a_stop_is_answered():
+FIRST, SECOND = (
+    b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n",
+    b"GET /b HTTP/1.1\r\nHost: h\r\n\r\n",
+)
+
+
+@pytest.mark.parametrize(
+    ("first", "then"),
+    ((FIRST, SECOND), (FIRST + SECOND, b""), (FIRST + SECOND[:9], SECOND[9:])),
+    ids=("in two reads", "in one read", "begun in the first read"),
+)
+async def test_a_request_that_was_read_before_a_stop_is_answered(first, then):
     # A planned stop begins while a streamed answer is under way whose head
     # did not announce the end of the connection.
     async with served() as found:
@@ -225,9 +236,9 @@
 
         found.handle = streams
         reader, writer = await opened(found)
-        writer.write(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+        writer.write(first)
         await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 5)
-        writer.write(b"GET /b HTTP/1.1\r\nHost: h\r\n\r\n")
+        writer.write(then)
         await asyncio.sleep(0.05)
         found.closing = True
         go_on.set()
