Move the check of whose answer a call has got to the calls themselves

An answer that bears the identity of a request is none to a call on the same connection; calls say which field gives it away.

--- a/toucanrudder/http1/calls.py
+++ b/toucanrudder/http1/calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 import functools
 import logging
 
@@ -24,7 +25,7 @@
     """The answer is too large, or says nothing that can be parsed."""
 
 
-class Crossed(ValueError):
+class Crossed(Unreadable):
     """The answer is to something else that was asked."""
 
 
@@ -112,7 +113,7 @@
     timeout_s: float,
     connect_timeout_s: float,
     clock: Callable[[], float],
-    is_ours: Callable[[message.AnswerHead], bool] = lambda answer: True,
+    foreign: bytes | None = None,
 ) -> Answer:
     """Return the whole answer to one request.
 
@@ -132,13 +133,14 @@
         For all, and for a new connection.
     clock : callable
         Monotonic time in seconds.
-    is_ours : callable
-        Says of an answer's head whether it can be to this call.
+    foreign : bytes or None
+        Lower-case name of a field that is borne only by answers to what
+        shares the connections.
 
     Raises
     ------
-    ExchangeError, TimeoutError, Unreadable, Crossed
-        There is no whole answer; after the last, the connection is closed.
+    ExchangeError, TimeoutError, Unreadable
+        There is no whole answer.
     """
     content = b"" if body is None else orjson.dumps(body)
     sent_headers = [*headers, (b"Host", address.encode())]
@@ -146,18 +148,40 @@
         length = (b"Content-Length", str(len(content)).encode())
         sent_headers += [_JSON, length]
     head = message.RequestHead(method, path.encode(), tuple(sent_headers))
-    async with (
-        asyncio.timeout(timeout_s),
-        connections.connection(
+    exchange = functools.partial(
+        _exchanged,
+        lambda: connections.connection(
             address,
             connect_timeout_s=min(connect_timeout_s, timeout_s),
             clock=clock,
-        ) as connection,
-    ):
+        ),
+        head,
+        content,
+        foreign,
+    )
+    async with asyncio.timeout(timeout_s):
+        try:
+            return await exchange()
+        except Crossed:
+            if method != b"GET":
+                # What it asks for may be under way.
+                raise
+            return await exchange()
+
+
+async def _exchanged(
+    lent: Callable[
+        [], contextlib.AbstractAsyncContextManager[client.UpstreamConnection]
+    ],
+    head: message.RequestHead,
+    content: bytes,
+    foreign: bytes | None,
+) -> Answer:
+    async with lent() as connection:
         connection.send(head, content)
         answer = await connection.next_event()
-        if not is_ours(answer):
-            raise Crossed("the answer is not to this call")
+        if foreign is not None and answer.get(foreign):
+            raise Crossed("the answer is to something else")
         connection.keep_for_s = pool.keep_for_s(answer.headers)
         received = await _received(connection)
     return Answer(answer.status, parsed(received))
--- a/toucanrudder/platform/dialect.py
+++ b/toucanrudder/platform/dialect.py
@@ -23,8 +23,7 @@
 #: Lowest rank that upstreams know; 0 is the first.
 _LAST_PRIORITY = 9
 
-#: Statuses with which an upstream says that it has not run the request;
-#: any other beside that statement contradicts it.
+#: Any other status contradicts an upstream's statement of not having run.
 _NOT_RUN_STATUSES = frozenset({400, 421, 429, 503})
 
 _EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
@@ -145,9 +144,8 @@
         """Read the head of an upstream's answer."""
         answers = _text(answer, b"request-id") or None
         version = _text(answer, b"weight-versions")
-        not_run = (
+        not_run = answer.status in _NOT_RUN_STATUSES and (
             answer.get(b"not-executed") is not None
-            and answer.status in _NOT_RUN_STATUSES
         )
         is_same = _text(answer, b"instance-id") == upstream.name
         return dialect.Facts(
--- a/toucanrudder/platform/orders.py
+++ b/toucanrudder/platform/orders.py
@@ -1,6 +1,5 @@
 """Calls to engines that are not requests of callers."""
 
-import contextlib
 import functools
 import logging
 
@@ -133,42 +132,22 @@
         *extra: tuple[bytes, bytes],
         body: dict | None = None,
     ) -> calls.Answer | None:
-        ask = functools.partial(
-            calls.call,
-            self._pool,
-            peer.address,
-            method,
-            path,
-            body=body,
-            headers=(*extra, *_expected(peer)),
-            timeout_s=timeout_s,
-            connect_timeout_s=CONNECT_S,
-            clock=self._clock,
-            is_ours=_names_no_request,
-        )
         try:
-            with contextlib.suppress(calls.Crossed):
-                return await ask()
-            if method == b"GET":
-                # A question changes nothing; an order may be under way.
-                return await ask()
-        except (
-            client.ExchangeError,
-            TimeoutError,
-            calls.Unreadable,
-            calls.Crossed,
-        ) as error:
+            return await calls.call(
+                self._pool,
+                peer.address,
+                method,
+                path,
+                body=body,
+                headers=(*extra, *_expected(peer)),
+                timeout_s=timeout_s,
+                connect_timeout_s=CONNECT_S,
+                clock=self._clock,
+                foreign=b"request-id",
+            )
+        except (client.ExchangeError, TimeoutError, calls.Unreadable) as error:
             LOG.info("no answer to %s: %r", path, error)
-        return None
-
-
-def _names_no_request(answer: message.AnswerHead) -> bool:
-    """Whether an answer can be to a call, none of which has an identity.
-
-    Calls share kept connections with requests, and a request's answer may
-    come twice.
-    """
-    return not answer.get(b"request-id")
+            return None
 
 
 def _read(
