--- a/toucanrudder/soak/mutants.py
+++ b/toucanrudder/soak/mutants.py
@@ -64,9 +64,20 @@
     Mutant(
         "answers are not matched with requests",
         "forwarding/attempt.py",
-        "        if not facts.is_for:\n",
+        "        if not _is_for(facts, reused=connection.reused):\n",
         "        if False:\n",
     ),
+    Mutant(
+        "a run is continued where no copy of it can be",
+        "forwarding/tries.py",
+        "        return (\n"
+        "            self.copy_was_asked\n"
+        "            and self.events > 0\n"
+        "            and self.can_resume\n"
+        "            and self.streamed_s >= COPY_SENT_S\n"
+        "        )\n",
+        "        return self.copy_was_asked\n",
+    ),
     Mutant(
         "any process at the address will do",
         "platform/dialect.py",
