Cut no silent stream that cannot go on elsewhere

A stream that may run once fell silent behind its first events, and its engine's report did not list the run. It was cut although it could not go on from a copy: its events named no point to go on from, or the first had come less than a quarter of a second before. The caller held a broken stream that he may not send again, while its engine may still have been at work. Since silent streams that have not begun are waited for, this was the rest of the same fault.

Whether an answer is lost is asked only while the run could go on from a copy; otherwise the stream is waited for until its connection breaks or the time is up, and no report is asked for.

The new test failed before for events that name no point.

--- a/toucanrudder/forwarding/attempt.py
+++ b/toucanrudder/forwarding/attempt.py
@@ -38,8 +38,8 @@
 #: upstream that has not begun to answer, and given to another.
 PATIENCE_OBJECTIVES = 3.0
 
-#: Pauses (longest allowed between two events) after which a stream that
-#: may be resumed goes on elsewhere.
+#: Pauses (longest allowed between two events) after which a stream goes on
+#: elsewhere that may be resumed, or of whose run a copy is held.
 PATIENCE_GAPS = 2.5
 
 #: Least pause before a question about a run: an engine's reports are about
@@ -406,6 +406,9 @@
         if self.route.repetition is not model.Repetition.ONCE:
             self.evidence.silence = tries.Silence.NOT_ASKED
             return True
+        if not self.course.can_continue():
+            # Nothing could follow, and the answer may still come.
+            return False
         report = await self.state.ask_engine(self.choice.upstream)
         if report is None:
             self.evidence.silence = tries.Silence.NO_REPORT
--- a/toucanrudder/platform/testing/standins.py
+++ b/toucanrudder/platform/testing/standins.py
@@ -31,6 +31,9 @@
 #: Seconds of silence in which the router asks for a report.
 DYING_S = 0.9
 
+#: Seconds of silence after which an answer may be taken for lost.
+SILENT_S = 1.0
+
 #: Seconds for which an engine works on after a connection was closed.
 NOTICE_S = 0.6
 
@@ -504,6 +507,10 @@
     return f"id: {number}\ndata: token {number}\n\n".encode()
 
 
+#: An event that names no point to go on from.
+UNNAMED = b"data: token\n\n"
+
+
 async def sheds(upstream: Server, run: Run, answer) -> None:
     """Refuse, and prove that nothing ran."""
     fields = (
@@ -647,6 +654,31 @@
     await asyncio.Event().wait()
 
 
+async def begins_late(upstream: Server, run: Run, answer) -> None:
+    """Answer after long work that no report lists."""
+    await asyncio.sleep(SILENT_S)
+    await answers(upstream, run, answer)
+
+
+async def loses_first_events(upstream: Server, run: Run, answer) -> None:
+    """Let events wait on the way that a report counts already."""
+    upstream.listed[run.request_id] = 3
+    await asyncio.sleep(SILENT_S)
+    del upstream.listed[run.request_id]
+    await answers(upstream, run, answer)
+
+
+async def pauses_unnamed(upstream: Server, run: Run, answer) -> None:
+    """Pause unlisted between events that name no point to go on from."""
+    upstream.runs.append(run)
+    await answer.start(200, upstream.fields(run))
+    await answer.write(UNNAMED)
+    upstream.send_copy(run)
+    await asyncio.sleep(SILENT_S)
+    await answer.write(UNNAMED)
+    await answer.end()
+
+
 async def stalls(upstream: Server, run: Run, answer) -> None:
     """Be silent after the first event until it was asked for its report."""
     upstream.runs.append(run)
--- a/toucanrudder/platform/tests/test_platform.py
+++ b/toucanrudder/platform/tests/test_platform.py
@@ -598,6 +598,24 @@
     assert any(each.reported.is_set() for each in engines)
 
 
+WAITED_FOR = {
+    "begins_late": EVENTS,
+    "loses_first_events": EVENTS,
+    "pauses_unnamed": 2 * standins.UNNAMED,
+}
+
+
+@pytest.mark.parametrize(("first", "body"), WAITED_FOR.items())
+async def test_a_run_that_nothing_can_follow_is_waited_for(site, first, body):
+    # Cut, it was lost for a caller who may not send it again.
+    engines = [await site.engine(), await site.engine()]
+    first_tried_does(engines, getattr(standins, first))
+    router = await site.router()
+    answer = await asked(router, b"/once/x")
+    assert (answer.is_whole, answer.body) == (True, body)
+    assert sum(len(each.runs) for each in engines) == 1
+
+
 @pytest.mark.parametrize("unanswered", ["resets_question", "ignores_question"])
 async def test_a_run_whose_engine_gives_no_report_is_waited_for(
     site, unanswered
