Choose once more after a choice that took long

While all upstreams are full a request waits here for a bounded time, and is refused after it. The time was looked at after each choice, so a choice that took long was the last one although an upstream had had room again meanwhile: the caller was told to come back where his request could have been sent.

--- a/toucanrudder/forwarding/course.py
+++ b/toucanrudder/forwarding/course.py
@@ -188,11 +188,13 @@
         )
         give_up_s = clock.now_s() + wait_s
         while True:
+            # Looked at before the choice: one that took long is not the last.
+            is_last = clock.now_s() >= give_up_s
             try:
                 return self._choose()
             except errors.RudderError as error:
                 is_full = error.code is errors.Code.QUEUE_FULL
-                if not is_full or clock.now_s() >= give_up_s:
+                if not is_full or is_last:
                     raise
             await asyncio.sleep(FULL_S / 2)
 
--- a/toucanrudder/platform/tests/test_platform.py
+++ b/toucanrudder/platform/tests/test_platform.py
@@ -9,6 +9,7 @@
 import pytest
 
 from toucanrudder import clock
+from toucanrudder.forwarding import course
 from toucanrudder.forwarding import daemon
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import poison
@@ -384,6 +385,23 @@
     assert len(desk.connections) == 2
 
 
+async def test_a_slow_choice_is_not_the_last_one(site, monkeypatch):
+    # The upstream has room again after the time that a choice took.
+    desk = await site.server()
+    desk.behaviours = [standins.sheds]
+    router = await site.router()
+    choose = course.Course._choose
+
+    def slowly(self):
+        try:
+            return choose(self)
+        finally:
+            time.sleep(0.06)
+
+    monkeypatch.setattr(course.Course, "_choose", slowly)
+    assert (await asked(router, b"/w/x")).status == 200
+
+
 LATE = {
     "503 of nobody": standins.raw_answer(503, "Not-Executed: 1"),
     "429 of nobody": standins.raw_answer(429, "Not-Executed: 1"),
