--- a/toucanrudder/forwarding/attempt.py
+++ b/toucanrudder/forwarding/attempt.py
@@ -326,11 +326,11 @@
         body = await self._read_body(connection)
         # The upstream did not prove that it has not run the request, so a
         # status that says so to the caller is not passed on.
-        true = facts.is_sealed and head.status not in NOT_RUN_STATUSES
-        if head.status < 500 and true:
+        is_true = facts.is_sealed and head.status not in NOT_RUN_STATUSES
+        if head.status < 500 and is_true:
             await self.course.pass_on(head, body)
             return None
-        return TryEnded(tries.Ended.FAILED, (head, body) if true else None)
+        return TryEnded(tries.Ended.FAILED, (head, body) if is_true else None)
 
     async def _relay_stream(self, connection, head, upstream, sent) -> None:
         splitter = events.EventSplitter()
@@ -372,7 +372,7 @@
     async def _next_piece(self, connection):
         limit_s = None
         resumable = self.route.repetition is model.Repetition.RESUMABLE
-        if resumable or self.course.copy_is_held():
+        if resumable or self.course.copy_may_exist():
             limit_s = PATIENCE_GAPS * self.route.event_gap_s
             if not self.course.progress.events:
                 limit_s = self._patience_s()
--- a/toucanrudder/forwarding/course.py
+++ b/toucanrudder/forwarding/course.py
@@ -339,16 +339,16 @@
 
     def can_continue(self) -> bool:
         """Whether another engine can go on with the run now."""
-        return self._progress_now().has_copy
+        return self._progress_now().can_continue
 
     def _progress_now(self) -> tries.Progress:
         return attrs.evolve(
             self.progress,
             streamed_s=self._streamed_s(),
-            copy_was_asked=self.copy_is_held(),
+            copy_was_asked=self.copy_may_exist(),
         )
 
-    def copy_is_held(self) -> bool:
+    def copy_may_exist(self) -> bool:
         """Whether the engine that was to hold a copy can still have it."""
         if self.copy_at is None:
             return False
--- a/toucanrudder/forwarding/rollout.py
+++ b/toucanrudder/forwarding/rollout.py
@@ -133,7 +133,8 @@
         """
         made = self.events.get(request_id)
         if made is None:
-            # It has ended, unless it is one of those that wait.
+            # It has ended, so far as the report is not too old, unless it
+            # is one of those that wait.
             return not self.waiting
         return made > received + EVENTS_ON_THEIR_WAY
 
--- a/toucanrudder/forwarding/tries.py
+++ b/toucanrudder/forwarding/tries.py
@@ -91,7 +91,7 @@
     copy_was_asked: bool = False
 
     @property
-    def has_copy(self) -> bool:
+    def can_continue(self) -> bool:
         """Whether another engine can go on with the run.
 
         An engine that is asked to go on with a run of which it holds no
@@ -201,7 +201,7 @@
     if progress.tries >= MAX_TRIES or left_s < LEAST_LEFT_S:
         return Step.GIVE_UP
     broke = ended in (Ended.BROKEN, Ended.SILENT)
-    if broke and progress.has_copy:
+    if broke and progress.can_continue:
         # It stays one run, so this holds for requests that may run once.
         return Step.CONTINUE
     if progress.may_have_run >= route.max_upstreams:
