--- a/toucanrudder/forwarding/attempt.py
+++ b/toucanrudder/forwarding/attempt.py
@@ -42,8 +42,7 @@
 #: elsewhere that may be resumed, or of whose run a copy is held.
 PATIENCE_GAPS = 2.5
 
-#: Least pause before a question about a run: an engine's reports are about
-#: a tenth of a second old.
+#: Least seconds of silence before a question about a run.
 ASK_S = 0.15
 
 #: Seconds within which an engine is to notice that its connection was
--- a/toucanrudder/forwarding/tries.py
+++ b/toucanrudder/forwarding/tries.py
@@ -58,7 +58,7 @@
 
 
 #: Seconds of a stream within which its engine sends the first copy of the
-#: run: engines send them several times a second, from the prompt on.
+#: run.
 COPY_SENT_S = 0.25
 
 
--- a/toucanrudder/platform/tests/test_platform.py
+++ b/toucanrudder/platform/tests/test_platform.py
@@ -994,6 +994,24 @@
     await until(lambda: names.incarnations == {staying.incarnation})
 
 
+@pytest.mark.parametrize("written_since", (0, 3))
+async def test_what_a_store_lost_is_believed_no_more(site, written_since):
+    # The store comes back from an older copy, and gives revisions out again.
+    staying = await site.server()
+    router = await site.router()
+    names = router.state.registry
+    copy = site.store.copy()
+    lost = await site.server()
+    await until(lambda: lost.incarnation in names.incarnations)
+    site.store.become("busy")
+    await asyncio.sleep(0.3)
+    site.store.go_back(copy)
+    since = [await site.server() for _ in range(written_since)]
+    site.store.become("well")
+    expected = {each.incarnation for each in (staying, *since)}
+    await until(lambda: names.incarnations == expected)
+
+
 async def test_an_outage_of_the_store_stops_nothing(site):
     await site.server()
     router = await site.router()
