--- a/toucanrudder/forwarding/attempt.py
+++ b/toucanrudder/forwarding/attempt.py
@@ -38,8 +38,8 @@
 #: upstream that has not begun to answer, and given to another.
 PATIENCE_OBJECTIVES = 3.0
 
-#: Pauses (longest allowed between two events) after which a stream goes on
-#: elsewhere that may be resumed, or of whose run a copy is held.
+#: Pauses (longest allowed between two events) of silence after which a
+#: stream is taken for lost, or its engine is asked about it.
 PATIENCE_GAPS = 2.5
 
 #: Least seconds of silence before a question about a run.
