Say which upstreams are believed though the registry lists them no more

After an outage a router believes missing entries for a while. Neither a line nor a number said so: a list that lacked an entry left no line, a change that removed one was written as 'went' while the upstream was still used, and the moment of the drop was written nowhere.

UpstreamSeen has change=missing from the moment at which an entry is missing and believed, and change=went when the upstream is used no more, whether a list, a change or the end of that time led to it. The metric toucanrudder_upstreams counts those known and missing. What is decided does not change.

--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -250,7 +250,7 @@
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
-            self.state.registry.tick(clock.now_s())
+            self.following.tick(clock.now_s())
 
     def controllers(self) -> list[tasks.TaskService]:
         """Return the tasks that keep the state."""
@@ -281,6 +281,11 @@
             "Other routers, as this one has heard of them",
             lambda: self.peering.node.table.numbers(time.monotonic()),
         )
+        metrics.gauge(
+            "toucanrudder_upstreams",
+            "Upstreams in use; missing: believed though not registered",
+            self.state.registry.numbers,
+        )
         conf = self.conf.listen
         host, port = _host_port(conf.peers)
         entrypoint = aiomisc.entrypoint(
--- a/toucanrudder/forwarding/following.py
+++ b/toucanrudder/forwarding/following.py
@@ -12,6 +12,7 @@
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import orders
 from toucanrudder.forwarding import peering as peerings
+from toucanrudder.forwarding import registry as registries
 from toucanrudder.forwarding import state as states
 from toucanrudder.leases import holder
 from toucanrudder.membership import routers
@@ -346,7 +347,8 @@
     def _upstreams(self, objects, now_s: float) -> None:
         registry = self._state.registry
         read = (self._read_upstream(each) for each in objects)
-        registry.replace(filter(None, read), now_s)
+        for upstream, absence in registry.replace(filter(None, read), now_s):
+            _note_upstream(upstream, absence.value)
         self._state.states.keep(registry.incarnations)
 
     def _read_upstream(
@@ -365,10 +367,20 @@
         is_earlier = upstream is not None and registry.is_past(upstream)
         if known is None or is_earlier:
             return
-        registry.remove(known.incarnation, now_s)
-        _note_upstream(known, "went")
+        absence = registry.remove(known.incarnation, now_s)
+        if absence is not None:
+            _note_upstream(known, absence.value)
         self._state.states.keep(registry.incarnations)
 
+    def tick(self, now_s: float) -> None:
+        """Drop the upstreams whose entries have stayed missing."""
+        registry = self._state.registry
+        dropped = registry.tick(now_s)
+        for upstream in dropped:
+            _note_upstream(upstream, registries.Absence.GONE.value)
+        if dropped:
+            self._state.states.keep(registry.incarnations)
+
     def _registered(self, upstream: model.Upstream) -> None:
         registry = self._state.registry
         if registry.is_past(upstream):
--- a/toucanrudder/forwarding/registry.py
+++ b/toucanrudder/forwarding/registry.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+import enum
 
 import attrs
 import cachetools
@@ -13,6 +14,15 @@
 RELIST_S = 2.4
 
 
+class Absence(enum.Enum):
+    """What the registry's silence on an upstream is taken for."""
+
+    #: Its entry is missing after an outage; it is still believed to live.
+    MISSING = "missing"
+    #: It is not used any more.
+    GONE = "went"
+
+
 @attrs.define
 class _Known:
     upstream: model.Upstream
@@ -74,15 +84,26 @@
 
     def replace(
         self, upstreams: Iterable[model.Upstream], now_s: float
-    ) -> None:
-        """Take in a whole list."""
+    ) -> list[tuple[model.Upstream, Absence]]:
+        """Take in a whole list; return those that it lacks for the first time.
+
+        An upstream that has started again under its name is not among them.
+        """
         listed = {each.name: each for each in upstreams}
-        for name in set(self._by_name) - set(listed):
-            self.remove(self._by_name[name], now_s)
+        unlisted = [
+            self._known[self._by_name[name]].upstream
+            for name in sorted(set(self._by_name) - set(listed))
+        ]
+        absent = [
+            (each, absence)
+            for each in unlisted
+            if (absence := self.remove(each.incarnation, now_s)) is not None
+        ]
         for upstream in listed.values():
             self.put(upstream)
         self.is_filled = True
         self._by_service = None
+        return absent
 
     def put(self, upstream: model.Upstream) -> None:
         """Take in a new or changed entry.
@@ -122,28 +143,41 @@
         del self._by_name[found.upstream.name]
         self._by_service = None
 
-    def remove(self, incarnation: str, now_s: float) -> None:
-        """Take in that an entry is gone."""
+    def remove(self, incarnation: str, now_s: float) -> Absence | None:
+        """Take in that an entry is gone; None if that is no news."""
         known = self._known.get(incarnation)
         if known is None:
-            return
+            return None
         if now_s < self._lenient_until_s and not known.upstream.is_leaving:
-            if known.missing_since_s is None:
-                known.missing_since_s = now_s
-            return
+            if known.missing_since_s is not None:
+                return None
+            known.missing_since_s = now_s
+            return Absence.MISSING
         self._forget(incarnation)
+        return Absence.GONE
 
-    def tick(self, now_s: float) -> None:
-        """Drop the entries that have stayed missing."""
+    def tick(self, now_s: float) -> list[model.Upstream]:
+        """Drop the entries that have stayed missing; return them."""
         if now_s < self._lenient_until_s:
-            return
-        missing = [
-            incarnation
-            for incarnation, known in self._known.items()
+            return []
+        dropped = self._missing()
+        for upstream in dropped:
+            self._forget(upstream.incarnation)
+        return dropped
+
+    def _missing(self) -> list[model.Upstream]:
+        return [
+            known.upstream
+            for known in self._known.values()
             if known.missing_since_s is not None
         ]
-        for incarnation in missing:
-            self._forget(incarnation)
+
+    def numbers(self) -> dict[str, int]:
+        """Return how many upstreams are used, and missing of them."""
+        return {
+            "known": len(self._known),
+            Absence.MISSING.value: len(self._missing()),
+        }
 
     def leaving(self, incarnation: str) -> bool:
         """Note that an upstream said itself, or to a peer, that it leaves.
--- a/toucanrudder/forwarding/tests/test_decisions.py
+++ b/toucanrudder/forwarding/tests/test_decisions.py
@@ -546,6 +546,20 @@
     assert found.incarnations == {"i2"}
 
 
+def test_what_a_list_lacks_is_told_once():
+    found = registered("i1", "i2", "i3")
+    found.leaving("i2")
+    found.returned(5.0)
+    absent = found.replace([upstream("i3")], 5.0)
+    assert [(each.name, absence) for each, absence in absent] == [
+        ("i1", registry.Absence.MISSING),
+        ("i2", registry.Absence.GONE),
+    ]
+    assert found.numbers() == {"known": 2, "missing": 1}
+    assert found.replace([upstream("i3")], 5.1) == []
+    assert [each.name for each in found.tick(60.0)] == ["i1"]
+
+
 def test_an_entry_that_is_back_stays():
     found = registered("i1")
     found.returned(5.0)
--- a/toucanrudder/observability/decisions.py
+++ b/toucanrudder/observability/decisions.py
@@ -79,7 +79,7 @@
 
 @attrs.frozen(kw_only=True)
 class UpstreamSeen:
-    """An upstream has come, gone, or leaves."""
+    """An upstream came, leaves, or went; missing: believed for a while."""
 
     upstream: str
     service: str
