Test that engines which left are used by no router back from its own outage

The product's control path on virtual time: some routers lose the store, and in one case all other routers too, for 4 to 12 s; an engine's entry is removed in that time or within 2 s after it, and the engine serves on. Nobody may send there 2 s after the removal and 3 s after the cut's end.

In the virtual store a watch that waits while its router is cut off gets no answer any more; it was answered before.

--- a/toucanrudder/testing/virtual/engines.py
+++ b/toucanrudder/testing/virtual/engines.py
@@ -78,6 +78,7 @@
     highest_fence: int = 0
     is_dark: bool = False
     is_leaving: bool = False
+    is_registering: bool = True
     late_share: float = 0.0
     refused_share: float = 0.0
     has_since_s: dict[int, float] = attrs.field(factory=dict)
--- a/toucanrudder/testing/virtual/sites.py
+++ b/toucanrudder/testing/virtual/sites.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Iterator
+from collections.abc import Sequence
 import contextlib
 import random
 import types
@@ -411,7 +412,7 @@
         seen_s: dict[str, float] = {}
         while True:
             now_s = self.now_s()
-            if not engine.is_dark:
+            if engine.is_registering and not engine.is_dark:
                 seen_s[engine.name] = now_s
                 self.store.put(UPSTREAMS, engine.name, engine.entry())
             for name, at_s in list(seen_s.items()):
@@ -420,6 +421,16 @@
                     del seen_s[name]
             await asyncio.sleep(virtual_engines.HEARTBEAT_S / 4)
 
+    def unlist(self, engine: virtual_engines.Engine) -> None:
+        """Remove an engine's entry; it goes on serving."""
+        engine.is_registering = False
+        self.store.delete(UPSTREAMS, engine.name)
+
+    def relist(self, engine: virtual_engines.Engine) -> None:
+        """Let an engine register again."""
+        engine.is_registering = True
+        self.store.put(UPSTREAMS, engine.name, engine.entry())
+
     async def _work(self) -> None:
         due = 0.0
         while True:
@@ -432,16 +443,23 @@
                 if not engine.is_dark:
                     engine.step()
 
-    def _send_one(self) -> None:
-        """Send a request as one router sees the engines."""
-        node = self.rng.choice(list(self.nodes.values()))
-        state, now_s = node.daemon.state, self.now_s()
+    def _usable(self, node: Node) -> Sequence[placing.Candidate]:
+        """Return the engines that a router would send a request to."""
+        now_s = self.now_s()
         prompt = model.Prompt(virtual_engines.MODEL)
-        candidates = placing.usable(
-            state.candidates(virtual_engines.SERVICE, prompt, now_s),
-            now_s,
-            self.bound_s,
+        candidates = node.daemon.state.candidates(
+            virtual_engines.SERVICE, prompt, now_s
         )
+        return placing.usable(candidates, now_s, self.bound_s)
+
+    def used_by(self, router: str) -> set[str]:
+        """Return the names of the engines that a router would send to."""
+        node = self.nodes[self._address(router)]
+        return {each.upstream.name for each in self._usable(node)}
+
+    def _send_one(self) -> None:
+        """Send a request as one router sees the engines."""
+        candidates = self._usable(self.rng.choice(list(self.nodes.values())))
         if candidates:
             chosen = min(
                 self.rng.sample(candidates, min(2, len(candidates))),
--- a/toucanrudder/testing/virtual/stores.py
+++ b/toucanrudder/testing/virtual/stores.py
@@ -121,14 +121,17 @@
 
     async def answered(self, router: str, timeout_s: float) -> None:
         """Wait until a router's call is answered."""
-        way = self._ways.get(router, Way.WELL)
-        if way is Way.SILENT:
-            await asyncio.sleep(timeout_s)
-            raise interface.StoreUnavailable("no answer")
+        await self.reached(router, timeout_s)
         await asyncio.sleep(self.rng.uniform(*CALL_S))
-        if way is Way.REFUSES:
+        if self._ways.get(router) is Way.REFUSES:
             raise interface.StoreUnavailable("refused")
 
+    async def reached(self, router: str, timeout_s: float) -> None:
+        """Return at once unless the store is silent to a router."""
+        if self._ways.get(router) is Way.SILENT:
+            await asyncio.sleep(timeout_s)
+            raise interface.StoreUnavailable("no answer")
+
     async def news(self, wait_s: float) -> None:
         """Wait until something changes, for some time at most."""
         with contextlib.suppress(TimeoutError):
@@ -215,5 +218,7 @@
             found = self._store.since(kind, position)
             left_s = until_s - self._clock()
             if found or left_s <= 0:
+                margin_s = max(0.0, left_s) + WATCH_MARGIN_S
+                await self._store.reached(self._router, margin_s)
                 return feed.Changes(found, self._store.position)
             await self._store.news(left_s)
