Ask whether the registry served other routers before believing missing entries

Callers of a router that had been cut off from the registry were sent to an engine up to 12.6 s after its leaving had been acknowledged, where 2 s are allowed. After an outage a router believes entries that are missing for 2.4 s, since living upstreams whose entries ran out register anew within about two seconds of the registry's return. It counted an outage of its own path as one of the registry, and the 2.4 s from its own return, up to 1.75 s after the cut's end: 4.15 s in all, where 3 s after the cut's end the bound holds again.

Routers now tell each other when the registry served a call of any of them; joined, these times say since when it has served without a gap in which an entry that is renewed could run out. The 2.4 s count from there, so there is no such time at all if only the router's own path was away. Counted is when a call was sent: a watch may be answered while new calls are refused. Where no change comes, three routers ask every 1.4 to 2 s, so that there is no gap.

Ruled out: a missed piece of history (the use ended 2.37 s after the list, no era changed, and the code that orders by era shows the fault), a change that was heard late (the list was read 2.1 s before the request), an entry that came back (no second 'came').

--- a/toucanrudder/forwarding/following.py
+++ b/toucanrudder/forwarding/following.py
@@ -20,6 +20,7 @@
 from toucanrudder.observability import decisions
 from toucanrudder.peers import peering as peer_peerings
 from toucanrudder.placement import rendezvous
+from toucanrudder.store import continuity
 from toucanrudder.store import fanout
 from toucanrudder.store import feed
 from toucanrudder.store import interface
@@ -201,6 +202,16 @@
         is_reader = self._state.name in fanout.readers(names)
         return self._note_duty("registry", is_reader)
 
+    def _upstreams_wait_s(self) -> float:
+        """Return how long a watch on the registry waits.
+
+        A few routers ask often enough to show that the registry serves
+        calls.
+        """
+        names = fanout.readers(self.live_names())
+        waits_s = dict(zip(names, continuity.WATCH_WAITS_S, strict=False))
+        return min(self._wait_s, waits_s.get(self._state.name, self._wait_s))
+
     def _has_followers(self) -> bool:
         return fanout.is_fanned_out(len(self.live_names()))
 
@@ -288,8 +299,9 @@
                     self._upstreams,
                     self._upstream,
                     self._state.registry.returned,
-                    self._state.registry.confirmed,
+                    self._confirmed,
                 ),
+                self._upstreams_wait_s,
             ),
             self._controller(
                 self._store,
@@ -351,6 +363,12 @@
             _note_upstream(upstream, absence.value)
         self._state.states.keep(registry.incarnations)
 
+    def _confirmed(self, now_s: float, due_s: float) -> None:
+        registry = self._state.registry
+        registry.confirmed(now_s, due_s)
+        if self._upstream_log.served is not None:
+            registry.was_served(self._upstream_log.served)
+
     def _read_upstream(
         self, stored: interface.StoredObject
     ) -> model.Upstream | None:
--- a/toucanrudder/forwarding/peering.py
+++ b/toucanrudder/forwarding/peering.py
@@ -12,6 +12,7 @@
 from toucanrudder.peers import messages
 from toucanrudder.peers import node as nodes
 from toucanrudder.peers import peering as peerings
+from toucanrudder.store import continuity
 
 #: Seconds for which the word that an upstream leaves is passed on: by
 #: then each router has read it in the registry itself.
@@ -84,6 +85,8 @@
             for each in heartbeat.avoided
             if each.upstream in known
         }
+        if heartbeat.registry is not None:
+            self.state.registry.was_served(_span(heartbeat.registry, now_s))
         sender = heartbeat.sender.name
         for name in self._told_by.pop(sender, set()) - set(told):
             self.state.states.avoid(name, now_s)
@@ -107,6 +110,15 @@
             for each in self.state.newest_weights.values()
         )
 
+    def registry(self, now_s: float) -> messages.Served | None:
+        """Return when the registry served calls, as this router knows."""
+        span = self.state.registry.served
+        if span is None:
+            return None
+        return messages.Served(
+            for_s=span.until_s - span.since_s, age_s=now_s - span.until_s
+        )
+
     def loads(self) -> tuple[messages.UpstreamLoad, ...]:
         """Return this router's own work at upstreams."""
         return tuple(
@@ -115,6 +127,11 @@
         )
 
 
+def _span(told: messages.Served, now_s: float) -> continuity.Span:
+    until_s = now_s - told.age_s
+    return continuity.Span(until_s - told.for_s, until_s)
+
+
 def build(
     state: states.ForwardingState,
     gossip: Gossip,
@@ -157,6 +174,7 @@
         # on upstreams age on.
         leaving_upstreams=lambda _: gossip.leaving(clock.now_s()),
         avoided=lambda _: gossip.avoided(clock.now_s()),
+        registry=lambda _: gossip.registry(clock.now_s()),
         upstream_news=lambda heartbeat, _: gossip.heard(
             heartbeat, clock.now_s()
         ),
--- a/toucanrudder/forwarding/registry.py
+++ b/toucanrudder/forwarding/registry.py
@@ -8,6 +8,7 @@
 import cachetools
 
 from toucanrudder.forwarding import model
+from toucanrudder.store import continuity
 
 #: Seconds after the registry's return within which an upstream that lives
 #: is listed again.  Upstreams register anew within about two seconds.
@@ -47,6 +48,11 @@
     While the registry is away, entries run out although their upstreams
     live.  So an entry that is missing after an outage is believed for a
     while longer; one that goes while the registry is well is gone.
+
+    Failure: a router that was cut off takes its own outage for the
+    registry's.  Symptom: it goes on sending to upstreams that have left.
+    So the while counts from when the registry served any router again, and
+    there is none if it served some router all along.
     """
 
     def __init__(self):
@@ -54,13 +60,26 @@
         self._by_name: dict[str, str] = {}
         self._births_ms: cachetools.LRUCache = cachetools.LRUCache(MAX_BIRTHS)
         self._by_service: dict[str, tuple[model.Upstream, ...]] | None = None
-        self._lenient_until_s = float("-inf")
+        self._returned_s = float("-inf")
+        self.served: continuity.Span | None = None
         self._confirmed_s = self._due_s = float("-inf")
         self.is_filled = False
 
     def returned(self, now_s: float) -> None:
-        """Note that the registry answers again after an outage."""
-        self._lenient_until_s = now_s + RELIST_S
+        """Note that the registry answers this router again."""
+        self._returned_s = now_s
+
+    def was_served(self, span: continuity.Span) -> None:
+        """Note a time in which the registry served some router."""
+        self.served = span.joined(self.served)
+
+    @property
+    def _lenient_until_s(self) -> float:
+        """Time until which missing entries are believed."""
+        since_s, span = self._returned_s, self.served
+        if span and span.until_s >= since_s - continuity.LONGEST_GAP_S:
+            since_s = min(since_s, span.since_s)
+        return since_s + RELIST_S
 
     def confirmed(self, now_s: float, due_s: float) -> None:
         """Note that what is known is what the registry has.
--- a/toucanrudder/forwarding/tests/test_decisions.py
+++ b/toucanrudder/forwarding/tests/test_decisions.py
@@ -13,6 +13,7 @@
 from toucanrudder.forwarding import rollout
 from toucanrudder.forwarding import routing
 from toucanrudder.forwarding import tries
+from toucanrudder.store import continuity
 
 Ended, Progress, Step = tries.Ended, tries.Progress, tries.Step
 
@@ -546,6 +547,32 @@
     assert found.incarnations == {"i2"}
 
 
+@pytest.mark.parametrize(
+    ("served", "until_s"),
+    [
+        # Nobody else was served; others were until long before.
+        (None, 10.0 + registry.RELIST_S),
+        (continuity.Span(0.0, 7.0), 10.0 + registry.RELIST_S),
+        # Others were served all along, or sooner again than this router.
+        (continuity.Span(0.0, 9.9), 10.0),
+        (continuity.Span(9.0, 10.1), 9.0 + registry.RELIST_S),
+        # Others were served again only later.
+        (continuity.Span(11.0, 12.0), 10.0 + registry.RELIST_S),
+    ],
+)
+def test_own_outage_is_not_taken_for_one_of_the_registry(served, until_s):
+    """A router that was cut off goes on sending to upstreams that left."""
+    found = registered("i1")
+    found.returned(10.0)
+    found.remove("i1", 10.0)
+    if served is not None:
+        found.was_served(served)
+    found.tick(until_s - 0.01)
+    assert found.incarnations == ({"i1"} if until_s > 10.0 else set())
+    found.tick(until_s)
+    assert not found.incarnations
+
+
 def test_what_a_list_lacks_is_told_once():
     found = registered("i1", "i2", "i3")
     found.leaving("i2")
--- a/toucanrudder/peers/messages.py
+++ b/toucanrudder/peers/messages.py
@@ -69,6 +69,22 @@
     version: int
 
 
+@attrs.frozen
+class Served:
+    """A time in which the registry served some router or other.
+
+    Parameters
+    ----------
+    for_s : float
+        How long it is.
+    age_s : float
+        Time since the last call that was served.
+    """
+
+    for_s: float
+    age_s: float
+
+
 @attrs.frozen
 class Heartbeat:
     """One router's word to another.
@@ -97,6 +113,8 @@
         Processes of upstreams that take no work for a while.
     weights : tuple of Weights
         The newest weights that have been named.
+    registry : Served or None
+        When the registry served the sender, or others that it has heard.
     digest : routers.Digest
         How far routers have come that the sender has heard of.
     wanted : tuple of int
@@ -114,6 +132,7 @@
     leaving_upstreams: tuple[str, ...] = ()
     avoided: tuple[Avoided, ...] = ()
     weights: tuple[Weights, ...] = ()
+    registry: Served | None = None
     digest: routers.Digest = routers.NO_DIGEST
     wanted: tuple[int, ...] = ()
 
@@ -158,6 +177,7 @@
             peers_pb2.Weights(model=each.model, version=each.version)
             for each in heartbeat.weights
         ],
+        registry=_served_to_wire(heartbeat.registry),
         digest_keys=heartbeat.digest.keys,
         digest_beats=heartbeat.digest.beats,
         wanted=heartbeat.wanted,
@@ -171,7 +191,8 @@
     ------
     BadHeartbeat
         It names no sender, or holds an unknown kind, a rate that is not
-        finite, more work than there can be, or half a digest.
+        finite, a negative duration, more work than there can be, or half a
+        digest.
     """
     if not message.sender.name or not message.sender.address:
         raise BadHeartbeat("it names no sender")
@@ -205,6 +226,7 @@
                 Weights(each.model, each.version)
                 for each in message.weights[:MAX_HOT]
             ),
+            registry=_served_from_wire(message),
             digest=_digest_from_wire(message),
             wanted=tuple(message.wanted[:MAX_DIGEST]),
         )
@@ -212,6 +234,19 @@
         raise BadHeartbeat(str(error)) from error
 
 
+def _served_to_wire(served: Served | None) -> peers_pb2.Served | None:
+    if served is None:
+        return None
+    return peers_pb2.Served(for_s=served.for_s, age_s=served.age_s)
+
+
+def _served_from_wire(message: peers_pb2.Heartbeat) -> Served | None:
+    if not message.HasField("registry"):
+        return None
+    told = message.registry
+    return Served(_duration_s(told.for_s), _duration_s(told.age_s))
+
+
 def _member_to_wire(member: routers.Member) -> peers_pb2.Member:
     return peers_pb2.Member(
         name=member.name,
@@ -263,3 +298,9 @@
     if not math.isfinite(value):
         raise ValueError("a number is not finite")
     return value
+
+
+def _duration_s(value: float) -> float:
+    if _finite(value) < 0:
+        raise ValueError("a duration is negative")
+    return value
--- a/toucanrudder/peers/node.py
+++ b/toucanrudder/peers/node.py
@@ -62,6 +62,8 @@
         Takes a peer's name, prefixes, total rate and monotonic time.
     leaving_upstreams, avoided : callable
         Given the monotonic time, return what is told of upstreams.
+    registry : callable
+        Given the monotonic time, returns when the registry served calls.
     weights : callable
         Returns the newest weights that have been named.
     upstream_news : callable
@@ -83,6 +85,7 @@
     )
     leaving_upstreams: Callable[[float], tuple[str, ...]] = lambda now_s: ()
     avoided: Callable[[float], tuple[messages.Avoided, ...]] = lambda now_s: ()
+    registry: Callable[[float], messages.Served | None] = lambda now_s: None
     weights: Callable[[], tuple[messages.Weights, ...]] = tuple
     upstream_news: Callable[[messages.Heartbeat, float], None] = (
         lambda heartbeat, now_s: None
@@ -223,6 +226,7 @@
             quarantine=entries,
             leaving_upstreams=self._sources.leaving_upstreams(now_s),
             avoided=self._sources.avoided(now_s),
+            registry=self._sources.registry(now_s),
             weights=self._sources.weights(),
         )
 
--- a/toucanrudder/store/fanout.py
+++ b/toucanrudder/store/fanout.py
@@ -17,6 +17,7 @@
 import attrs
 
 from toucanrudder.placement import rendezvous
+from toucanrudder.store import continuity
 from toucanrudder.store import feed
 
 #: Routers from which on changes are fanned out.  Below, readers and
@@ -100,6 +101,11 @@
 class ChangeLog:
     """The newest changes that this router has read of a kind.
 
+    Attributes
+    ----------
+    served : continuity.Span or None
+        When the store served this router; None if it has not yet.
+
     Examples
     --------
     >>> log = ChangeLog()
@@ -119,6 +125,11 @@
         )
         self._read_at_s = float("-inf")
         self._news = asyncio.Event()
+        self.served: continuity.Span | None = None
+
+    def was_served(self, sent_s: float) -> None:
+        """Note that the store answered a call that was sent at that time."""
+        self.served = continuity.served(self.served, sent_s)
 
     def replaced(self, found: feed.Snapshot, now_s: float) -> None:
         """Begin anew with a whole list."""
@@ -229,7 +240,9 @@
 
     async def snapshot(self, kind: str, *, timeout_s: float) -> feed.Snapshot:
         """Return all objects of the kind."""
+        sent_s = self._clock()
         found = await self._store.snapshot(kind, timeout_s=timeout_s)
+        self._log.was_served(sent_s)
         self._log.replaced(found, self._clock())
         return found
 
@@ -244,7 +257,9 @@
                 return told
         if self._has_followers():
             wait_s = min(wait_s, READER_WAIT_S)
+        sent_s = self._clock()
         found = await self._store.changes(kind, position, wait_s=wait_s)
+        self._log.was_served(sent_s)
         self._log.changed(position, found, self._clock())
         return found
 
