--- a/toucanrudder/platform/store.py
+++ b/toucanrudder/platform/store.py
@@ -45,6 +45,11 @@
     def __init__(self, address: str):
         self.calls = rest.RestCalls(address, ERA_FIELD)
 
+    @property
+    def era(self) -> int:
+        """Era of the newest answer."""
+        return self.calls.era_guard.newest
+
     def close(self) -> None:
         """Close the kept connections."""
         self.calls.connections.close()
--- a/toucanrudder/store/interface.py
+++ b/toucanrudder/store/interface.py
@@ -55,6 +55,15 @@
     call ends within the `timeout_s` it was given.
     """
 
+    @property
+    def era(self) -> int:
+        """Era of the newest answer; 0 from a store that tells none.
+
+        It rises each time the store is restored from an older copy, and
+        versions are then given out again.
+        """
+        return 0
+
     @abc.abstractmethod
     async def get(
         self, kind: str, name: str, *, timeout_s: float
--- a/toucanrudder/testing/virtual/stores.py
+++ b/toucanrudder/testing/virtual/stores.py
@@ -29,6 +29,14 @@
     SILENT = "silent"
 
 
+@attrs.frozen
+class Copy:
+    """What a store held at one moment."""
+
+    revision: int
+    objects: dict[tuple[str, str], interface.StoredObject]
+
+
 @attrs.define
 class Store:
     """Objects of all kinds and the history of their changes.
@@ -80,6 +88,20 @@
         """Let watches from before now fail."""
         self._oldest = self.revision
 
+    def copied(self) -> Copy:
+        """Return what it holds now."""
+        return Copy(self.revision, dict(self._objects))
+
+    def go_back(self, copied: Copy) -> None:
+        """Lose all that came after a copy, and give revisions out again."""
+        self.era += 1
+        self.revision = copied.revision
+        self._objects = dict(copied.objects)
+        self._history.clear()
+        self.forget_history()
+        self._news.set()
+        self._news = asyncio.Event()
+
     def treat(self, router: str, way: Way) -> None:
         """Choose how a router's calls end from now on."""
         self._ways[router] = way
@@ -156,12 +178,22 @@
         self._store = store
         self._router = router
         self._clock = clock
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        """Era of the newest answer."""
+        return self._era
+
+    async def _answered(self, timeout_s: float) -> None:
+        await self._store.answered(self._router, timeout_s)
+        self._era = self._store.era
 
     async def get(
         self, kind: str, name: str, *, timeout_s: float
     ) -> interface.StoredObject | None:
         """Return the object, or None when there is none."""
-        await self._store.answered(self._router, timeout_s)
+        await self._answered(timeout_s)
         return self._store.get(kind, name)
 
     async def create(
@@ -183,7 +215,7 @@
         return await self._written(kind, name, value, version, timeout_s)
 
     async def _written(self, kind, name, value, version, timeout_s) -> int:
-        await self._store.answered(self._router, timeout_s)
+        await self._answered(timeout_s)
         present = self._store.get(kind, name)
         if (present.version if present else None) != version:
             raise interface.ConditionFailed(f"{kind}/{name}")
@@ -197,7 +229,7 @@
         self, kind: str, name: str, version: int, *, timeout_s: float
     ) -> None:
         """Delete the object if it has `version`."""
-        await self._store.answered(self._router, timeout_s)
+        await self._answered(timeout_s)
         present = self._store.get(kind, name)
         if present is None or present.version != version:
             raise interface.ConditionFailed(f"{kind}/{name}")
@@ -205,14 +237,14 @@
 
     async def snapshot(self, kind: str, *, timeout_s: float) -> feed.Snapshot:
         """Return all objects of the kind."""
-        await self._store.answered(self._router, timeout_s)
+        await self._answered(timeout_s)
         return feed.Snapshot(self._store.all_of(kind), self._store.position)
 
     async def changes(
         self, kind: str, position: feed.Position, *, wait_s: float
     ) -> feed.Changes:
         """Wait for changes after the position; none if `wait_s` passed."""
-        await self._store.answered(self._router, wait_s + WATCH_MARGIN_S)
+        await self._answered(wait_s + WATCH_MARGIN_S)
         until_s = self._clock() + wait_s
         while True:
             found = self._store.since(kind, position)
@@ -220,5 +252,6 @@
             if found or left_s <= 0:
                 margin_s = max(0.0, left_s) + WATCH_MARGIN_S
                 await self._store.reached(self._router, margin_s)
+                self._era = self._store.era
                 return feed.Changes(found, self._store.position)
             await self._store.news(left_s)
