Keep one holder of a lease when the store comes back from an older copy

After a restoration versions are given out again and the newest holder's record may be lost. The lease's part went by bare versions: a new write under a used version counted as unchanged, so another took the lease with the holder's own fencing number; newer writes under lower versions were not heard of; a copy without the lease, with a released one or with an earlier record of one's own let a process take it at once while the newest holder acted on; and a release could give up another's lease. Engines would obey two routers.

A lease holds in the era in which it was written: whoever has read an answer of another era acts no more before it has written the lease there. Whoever notices a new era waits a whole term, but for a holder whose time is not over. Records are told apart by era and version. The upper part of a fencing number is the store's era, so none is given out twice, also by a process that knows nothing of before.

Open: a process that starts within a term after the restoration.

--- a/toucanrudder/leases/decision.py
+++ b/toucanrudder/leases/decision.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from toucanrudder.store import feed
+
 #: Time for which a lease is held after it was written.
 TERM_S = 10.0
 
@@ -73,6 +75,11 @@
     return Terms(TERM_SHARE * failover_s, MARGIN_SHARE * failover_s)
 
 
+#: Fencing numbers for each era of a store: what an older copy lacks, nobody
+#: may know of, and no number may be given out twice.
+FENCING_PER_ERA = 1 << 20
+
+
 @attrs.frozen
 class Record:
     """The value of a lease's object in the store.
@@ -107,12 +114,15 @@
     follows_release : bool
         Whether another gave it up, whose last order may still be on its
         way; one that fell silent had stopped acting long before.
+    era : int
+        Of the store, when the lease was last written.
     """
 
     fencing: int
     acquired_s: float
     until_s: float
     follows_release: bool = False
+    era: int = 0
 
     def is_valid(self, now_s: float) -> bool:
         """Say whether the holder may act now."""
@@ -123,11 +133,22 @@
 class Seen:
     """What was last read of a lease, and since when it is unchanged."""
 
-    version: int
+    position: feed.Position
     record: Record
     since_s: float
 
 
+def least_fencing(era: int) -> int:
+    """Return a fencing number above all that earlier eras have given out.
+
+    Examples
+    --------
+    >>> least_fencing(0), least_fencing(2) > least_fencing(1) + 1_000_000
+    (0, True)
+    """
+    return era * FENCING_PER_ERA
+
+
 class Step(enum.Enum):
     """What a process does next about a lease."""
 
@@ -138,19 +159,28 @@
 
 
 def observe(
-    seen: Seen | None, version: int, record: Record, now_s: float
+    seen: Seen | None, position: feed.Position, record: Record, now_s: float
 ) -> Seen:
     """Return what is known after a read that ended at `now_s`."""
-    if seen is not None and seen.version == version:
+    if seen is not None and seen.position == position:
         return seen
-    return Seen(version, record, now_s)
+    return Seen(position, record, now_s)
 
 
 def next_step(
-    seen: Seen | None, me: str, now_s: float, terms: Terms = DEFAULT_TERMS
+    seen: Seen | None,
+    me: str,
+    now_s: float,
+    terms: Terms = DEFAULT_TERMS,
+    *,
+    restored_s: float = float("-inf"),
+    is_held: bool = False,
 ) -> Step:
     """Say what to do.
 
+    A store that was restored may lack the newest holder's record, and that
+    holder acts on until its time is over.
+
     Parameters
     ----------
     seen : Seen or None
@@ -161,19 +191,28 @@
         Monotonic time.
     terms : Terms
         The same for all processes that want the lease.
+    restored_s : float
+        Monotonic time at which this process noticed that the store was
+        restored.
+    is_held : bool
+        Whether this process's own lease has not run out.
 
     Examples
     --------
-    >>> seen = Seen(1, Record("other", 5, "w"), since_s=0.0)
+    >>> position = feed.Position(era=1, revision=1)
+    >>> seen = Seen(position, Record("other", 5, "w"), since_s=0.0)
     >>> next_step(seen, "me", now_s=TERM_S)
     <Step.WAIT: 'wait'>
     >>> next_step(seen, "me", now_s=TERM_S + MARGIN_S)
     <Step.TAKE: 'take'>
     """
+    may_be_others = now_s - restored_s < terms.lapse_s
+    if seen is not None and seen.record.holder == me:
+        return Step.RENEW if is_held or not may_be_others else Step.WAIT
+    if may_be_others:
+        return Step.WAIT
     if seen is None:
         return Step.CREATE
-    if seen.record.holder == me:
-        return Step.RENEW
     if not seen.record.holder:
         return Step.TAKE
     # Engines that ignore fencing numbers would obey two holders.  So the
--- a/toucanrudder/leases/holder.py
+++ b/toucanrudder/leases/holder.py
@@ -12,6 +12,7 @@
 from toucanrudder import errors
 from toucanrudder.leases import decision
 from toucanrudder.observability import metrics
+from toucanrudder.store import feed
 from toucanrudder.store import interface
 from toucanrudder.store import strange
 from toucanrudder.store import typed
@@ -89,12 +90,18 @@
         self.terms = terms
         self._seen: decision.Seen | None = None
         self._lease: decision.Lease | None = None
+        self._era = 0
+        self._restored_s = float("-inf")
 
     def held(self, now_s: float) -> decision.Lease | None:
-        """Return the lease if this process may act on it now."""
-        if self._lease is not None and self._lease.is_valid(now_s):
-            return self._lease
-        return None
+        """Return the lease if this process may act on it now.
+
+        A lease that was written before the store was restored may be lost.
+        """
+        lease = self._lease
+        if lease is None or lease.era != self._store.era:
+            return None
+        return lease if lease.is_valid(now_s) else None
 
     def check(self, now_s: float) -> decision.Lease:
         """Return the lease; call right before each order.
@@ -124,13 +131,34 @@
         so the next orders come twice as late as they could.  Whoever was
         told of each write counts from the last one.
         """
-        if self._seen is None or found.version > self._seen.version:
-            self._seen = _seen(self._seen, found, now_s)
+        position = feed.Position(self._store.era, found.version)
+        if self._seen is None or position > self._seen.position:
+            self._take_in(found, now_s)
+
+    def _take_in(
+        self, found: interface.StoredObject | None, now_s: float
+    ) -> None:
+        """Note what the store has just answered."""
+        era = self._store.era
+        if era != self._era:
+            if self._era:
+                self._restored_s = now_s
+            self._era = era
+        self._seen = _seen(self._seen, found, era, now_s)
+
+    def _next_step(self, now_s: float) -> decision.Step:
+        return decision.next_step(
+            self._seen,
+            self.me,
+            now_s,
+            self.terms,
+            restored_s=self._restored_s,
+            is_held=self._lease is not None and self._lease.is_valid(now_s),
+        )
 
     def is_others(self, now_s: float) -> bool:
         """Whether another is known to hold it; asking would tell no more."""
-        step = decision.next_step(self._seen, self.me, now_s, self.terms)
-        return step is decision.Step.WAIT
+        return self._next_step(now_s) is decision.Step.WAIT
 
     async def run(self) -> None:
         """Try to get the lease and keep it, until cancelled.
@@ -157,8 +185,8 @@
             KIND, self.name, timeout_s=self._timeout_s
         )
         now_s = self._clock()
-        self._seen = _seen(self._seen, found, now_s)
-        step = decision.next_step(self._seen, self.me, now_s, self.terms)
+        self._take_in(found, now_s)
+        step = self._next_step(now_s)
         if step is decision.Step.WAIT:
             self._forget()
             return
@@ -176,8 +204,10 @@
         if self._lease is None or self._seen is None:
             return
         self._forget()
-        if self._seen.record.holder != self.me:
-            # A watch has told that another took it over meanwhile.
+        is_others = self._seen.record.holder != self.me
+        if is_others or self._seen.position.era != self._store.era:
+            # A watch has told that another took it over meanwhile, or
+            # another's write may have the same version.
             return
         record = attrs.evolve(self._seen.record, holder="")
         with contextlib.suppress(*_FAILED):
@@ -185,7 +215,7 @@
                 KIND,
                 self.name,
                 attrs.asdict(record),
-                self._seen.version,
+                self._seen.position.revision,
                 timeout_s=self._timeout_s,
             )
 
@@ -204,7 +234,7 @@
                     KIND,
                     self.name,
                     value,
-                    self._seen.version,
+                    self._seen.position.revision,
                     timeout_s=self._timeout_s,
                 )
         except interface.OutcomeUnknown:
@@ -212,15 +242,23 @@
             # time counts from before it was sent, as if it had answered.
             _count("answer_lost")
             version = await self._version_if_written(record)
-        self._seen = decision.Seen(version, record, self._clock())
+        era = self._store.era
+        if era != self._era:
+            raise interface.ConditionFailed("the store was restored meanwhile")
+        position = feed.Position(era, version)
+        self._seen = decision.Seen(position, record, self._clock())
         self._hold(record, sent_s, released)
 
     def _next_record(self, step: decision.Step) -> decision.Record:
         before = self._seen.record if self._seen else decision.Record()
-        floor = self._floor()
-        fencing = before.fencing
-        renewal = step is decision.Step.RENEW and self._lease is not None
-        if not renewal or floor > fencing:
+        floor = max(self._floor(), decision.least_fencing(self._era))
+        fencing, lease = before.fencing, self._lease
+        is_renewal = (
+            step is decision.Step.RENEW
+            and lease is not None
+            and lease.fencing == fencing
+        )
+        if not is_renewal or self._floor() > fencing:
             # Above the floor too: the store may have come back older,
             # and engines that check would refuse a number they are past.
             fencing = max(fencing, floor) + 1
@@ -230,7 +268,7 @@
         found = await self._store.get(
             KIND, self.name, timeout_s=self._timeout_s
         )
-        seen = _seen(None, found, self._clock())
+        seen = _seen(None, found, self._store.era, self._clock())
         if seen is None or seen.record.write_id != record.write_id:
             raise interface.ConditionFailed("another write came first")
         return found.version
@@ -241,11 +279,11 @@
         before = self._lease
         until_s = decision.until_s(sent_s, self.terms)
         if before is not None and before.fencing == record.fencing:
-            self._lease = attrs.evolve(before, until_s=until_s)
+            self._lease = attrs.evolve(before, until_s=until_s, era=self._era)
             return
         _count("acquired")
         self._lease = decision.Lease(
-            record.fencing, self._clock(), until_s, released
+            record.fencing, self._clock(), until_s, released, self._era
         )
 
     def _forget(self) -> None:
@@ -257,6 +295,7 @@
 def _seen(
     before: decision.Seen | None,
     found: interface.StoredObject | None,
+    era: int,
     now_s: float,
 ) -> decision.Seen | None:
     if found is None:
@@ -268,7 +307,8 @@
     except interface.StrangeObject as error:
         strange.note(error)
         record = _unreadable(before, found.version)
-    return decision.observe(before, found.version, record, now_s)
+    position = feed.Position(era, found.version)
+    return decision.observe(before, position, record, now_s)
 
 
 def _unreadable(before: decision.Seen | None, version: int) -> decision.Record:
--- a/toucanrudder/platform/store.py
+++ b/toucanrudder/platform/store.py
@@ -33,7 +33,7 @@
     return feed.Change(_stored(kind, found.object), found.deleted)
 
 
-class PlatformStore(interface.ConditionalStore, feed.KindFeed):
+class PlatformStore(rest.RestStore, feed.KindFeed):
     """The store behind one address.
 
     Parameters
@@ -43,16 +43,7 @@
     """
 
     def __init__(self, address: str):
-        self.calls = rest.RestCalls(address, ERA_FIELD)
-
-    @property
-    def era(self) -> int:
-        """Era of the newest answer."""
-        return self.calls.era_guard.newest
-
-    def close(self) -> None:
-        """Close the kept connections."""
-        self.calls.connections.close()
+        super().__init__(rest.RestCalls(address, ERA_FIELD))
 
     async def get(
         self, kind: str, name: str, *, timeout_s: float
--- a/toucanrudder/store/rest.py
+++ b/toucanrudder/store/rest.py
@@ -150,3 +150,25 @@
         if not self.era_field:
             return 0
         return self.era_guard.check(message.first(headers, self.era_field))
+
+
+class RestStore(interface.ConditionalStore):
+    """A store that is called over HTTP.
+
+    Parameters
+    ----------
+    calls : RestCalls
+        To it.
+    """
+
+    def __init__(self, calls: RestCalls):
+        self.calls = calls
+
+    @property
+    def era(self) -> int:
+        """Era of the newest answer; 0 from a store that tells none."""
+        return self.calls.era_guard.newest
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        self.calls.connections.close()
