--- a/toucanrudder/admission/tests/test_caps.py
+++ b/toucanrudder/admission/tests/test_caps.py
@@ -76,6 +76,19 @@
     assert shares[1] >= shares[0] / 2
 
 
+def test_a_large_request_passes_though_small_ones_come_just_before(ledger):
+    """Small requests that are always first leave a large one no balance."""
+    asked = dict.fromkeys((2_000, 60_000), 0)
+    passed = dict(asked)
+    for step in range(1500):
+        now_s = 100.0 + step / 15.0
+        for cost in asked:
+            asked[cost] += 1
+            passed[cost] += ledger.take("n", CAP, cost, now_s) is caps.GRANTED
+    shares = [passed[cost] / asked[cost] for cost in asked]
+    assert shares[1] >= shares[0] / 2
+
+
 def test_an_owner_that_stood_still_grants_no_second_burst(ledger):
     drained(ledger, 100.0)
     ledger.empty(103.0)
