Keep one span of served calls, in the registry alone

The log of changes kept a span of its own calls that the registry joined into its own at each answer. The log now notes when its newest answered call was sent, and the registry joins that moment: the same span, kept once. The function that prolonged a span by one call goes.

--- a/toucanrudder/forwarding/following.py
+++ b/toucanrudder/forwarding/following.py
@@ -366,8 +366,9 @@
     def _confirmed(self, now_s: float, due_s: float) -> None:
         registry = self._state.registry
         registry.confirmed(now_s, due_s)
-        if self._upstream_log.served is not None:
-            registry.was_served(self._upstream_log.served)
+        sent_s = self._upstream_log.served_s
+        if sent_s is not None:
+            registry.was_served(continuity.Span(sent_s, sent_s))
 
     def _read_upstream(
         self, stored: interface.StoredObject
--- a/toucanrudder/leases/holder.py
+++ b/toucanrudder/leases/holder.py
@@ -251,17 +251,18 @@
 
     def _next_record(self, step: decision.Step) -> decision.Record:
         before = self._seen.record if self._seen else decision.Record()
-        floor = max(self._floor(), decision.least_fencing(self._era))
+        floor = self._floor()
         fencing, lease = before.fencing, self._lease
         is_renewal = (
             step is decision.Step.RENEW
             and lease is not None
             and lease.fencing == fencing
         )
-        if not is_renewal or self._floor() > fencing:
+        if not is_renewal or floor > fencing:
             # Above the floor too: the store may have come back older,
             # and engines that check would refuse a number they are past.
-            fencing = max(fencing, floor) + 1
+            least = decision.least_fencing(self._era)
+            fencing = max(fencing, floor, least) + 1
         return decision.Record(self.me, fencing, uuid.uuid4().hex)
 
     async def _version_if_written(self, record: decision.Record) -> int:
--- a/toucanrudder/store/continuity.py
+++ b/toucanrudder/store/continuity.py
@@ -45,8 +45,3 @@
             return later
         until_s = max(earlier.until_s, later.until_s)
         return Span(earlier.since_s, until_s)
-
-
-def served(span: Span | None, sent_s: float) -> Span:
-    """Return the span that a served call prolongs or begins."""
-    return Span(sent_s, sent_s).joined(span)
--- a/toucanrudder/store/fanout.py
+++ b/toucanrudder/store/fanout.py
@@ -17,7 +17,6 @@
 import attrs
 
 from toucanrudder.placement import rendezvous
-from toucanrudder.store import continuity
 from toucanrudder.store import feed
 
 #: Routers from which on changes are fanned out.  Below, readers and
@@ -103,8 +102,9 @@
 
     Attributes
     ----------
-    served : continuity.Span or None
-        When the store served this router; None if it has not yet.
+    served_s : float or None
+        When the newest call was sent that the store answered; None if
+        there is none yet.
 
     Examples
     --------
@@ -125,11 +125,7 @@
         )
         self._read_at_s = float("-inf")
         self._news = asyncio.Event()
-        self.served: continuity.Span | None = None
-
-    def was_served(self, sent_s: float) -> None:
-        """Note that the store answered a call that was sent at that time."""
-        self.served = continuity.served(self.served, sent_s)
+        self.served_s: float | None = None
 
     def replaced(self, found: feed.Snapshot, now_s: float) -> None:
         """Begin anew with a whole list."""
@@ -242,7 +238,7 @@
         """Return all objects of the kind."""
         sent_s = self._clock()
         found = await self._store.snapshot(kind, timeout_s=timeout_s)
-        self._log.was_served(sent_s)
+        self._log.served_s = sent_s
         self._log.replaced(found, self._clock())
         return found
 
@@ -259,7 +255,7 @@
             wait_s = min(wait_s, READER_WAIT_S)
         sent_s = self._clock()
         found = await self._store.changes(kind, position, wait_s=wait_s)
-        self._log.was_served(sent_s)
+        self._log.served_s = sent_s
         self._log.changed(position, found, self._clock())
         return found
 
