Look for sources of copies only where an engine may copy

In large fleets shared parts come from their store, and no engine copies from another; the sources were still worked out of all engines for each choice. Choices do not change.

--- a/toucanrudder/forwarding/placing.py
+++ b/toucanrudder/forwarding/placing.py
@@ -305,7 +305,7 @@
     """
     held = _held(prompt, wall, candidates, index)
     copying = held if engines_tell else _storeless(held, prompt, store)
-    _copy_from_engines(copying, _sources(held, now_s), speed)
+    _copy_from_engines(copying, held, speed, now_s)
     _copy_from_store(held, prompt, wall, store, index, speed)
     shared_tokens = sum(part.tokens for part in prompt.shared)
 
@@ -455,10 +455,14 @@
 
 def _copy_from_engines(
     copying: list[_Held],
-    sources: dict[frozenset[tuple[str, int]], list[_Held]],
+    held: list[_Held],
     speed: speeds.Speeds,
+    now_s: float,
 ) -> None:
-    """Note for each engine the one that it can copy most from."""
+    """Note for each engine that copies the one that holds most for it."""
+    if not copying:
+        return
+    sources = _sources(held, now_s)
     if not sources:
         return
     costs = {
