--- a/toucanrudder/peers/client.py
+++ b/toucanrudder/peers/client.py
@@ -2,9 +2,11 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
 import contextlib
+import functools
 import logging
 import random
 import time
@@ -264,13 +266,11 @@
             era=position.era,
             wait_s=wait_s,
         )
-        try:
-            async with self._channels.called(address) as stub:
-                reply = await stub.GetChanges(request, timeout=deadline_s)
-            return changes.from_wire(kind, reply)
-        except (aio.AioRpcError, ValueError) as error:
-            await self._failed(address, error)
-            return None
+        return await self._asked(
+            address,
+            lambda stub: stub.GetChanges(request, timeout=deadline_s),
+            functools.partial(changes.from_wire, kind),
+        )
 
     async def use_cap(
         self,
@@ -293,10 +293,23 @@
             units=units,
             is_settlement=is_settlement,
         )
+        return await self._asked(
+            address,
+            lambda stub: stub.UseCap(request, timeout=deadline_s),
+            cap_words.from_wire,
+        )
+
+    async def _asked(
+        self,
+        address: str,
+        ask: Callable[[peers_pb2_grpc.PeersStub], Awaitable],
+        read: Callable,
+    ):
+        """Return what a peer answers; None if there is nothing to read."""
         try:
             async with self._channels.called(address) as stub:
-                reply = await stub.UseCap(request, timeout=deadline_s)
-            return cap_words.from_wire(reply)
+                reply = await ask(stub)
+            return read(reply)
         except (aio.AioRpcError, ValueError) as error:
             await self._failed(address, error)
             return None
