Work out a request's time, and the owners of caps, once

The time that a request may take was worked out for its deadline and again for its wait at a usage cap, and the wait while upstreams are full had the formula once more. The live routers were kept twice, as names and as owners of caps, each with its own look at whether one had come or gone. 719 tests of peers, forwarding and the platform pass.

--- a/toucanrudder/forwarding/course.py
+++ b/toucanrudder/forwarding/course.py
@@ -45,12 +45,16 @@
     ).record(seconds, {"kind": kind, "outcome": outcome})
 
 
-def waits_here_s(route: model.Route, call: model.Call) -> float:
+def allowed_s(route: model.Route, call: model.Call) -> float:
+    """Return how long a request may take in all."""
+    if call.wait_s is None:
+        return route.timeout_s
+    return min(route.timeout_s, call.wait_s)
+
+
+def waits_here_s(route: model.Route, left_s: float) -> float:
     """Return for how long a request may wait before it is sent."""
-    wait_s = route.timeout_s
-    if call.wait_s is not None:
-        wait_s = min(wait_s, call.wait_s)
-    return min(route.objective_s / 2, WAIT_LEFT_SHARE * wait_s)
+    return min(route.objective_s / 2, WAIT_LEFT_SHARE * left_s)
 
 
 @attrs.define(eq=False)
@@ -99,10 +103,9 @@
     async def run(self) -> None:
         """Answer the request, or raise RudderError."""
         now_s = clock.now_s()
-        wait_s = self.route.timeout_s
-        if self.call.wait_s is not None:
-            wait_s = min(wait_s, self.call.wait_s)
-        self.deadline_s = self.request.began_s + wait_s
+        self.deadline_s = self.request.began_s + allowed_s(
+            self.route, self.call
+        )
         self.last_event = self.call.resume_after
         self.state.retries_to(self.service).request(now_s)
         try:
@@ -196,10 +199,7 @@
         fills their queues; sent back at once, callers would return in the
         same moment.
         """
-        wait_s = min(
-            self.route.objective_s / 2, WAIT_LEFT_SHARE * self.left_s()
-        )
-        give_up_s = clock.now_s() + wait_s
+        give_up_s = clock.now_s() + waits_here_s(self.route, self.left_s())
         while True:
             # Looked at before the choice: one that took long is not the last.
             is_last = clock.now_s() >= give_up_s
--- a/toucanrudder/forwarding/following.py
+++ b/toucanrudder/forwarding/following.py
@@ -134,7 +134,6 @@
         self._rng = rng
         self._ranked_of: tuple[routers.Member, ...] = ()
         self._names: tuple[str, ...] = ()
-        self._cap_members_of: tuple[routers.Member, ...] = ()
         self._cap_members: tuple[capping.Member, ...] = ()
         self._place = 0
         self._settling = settling.Settling()
@@ -152,13 +151,7 @@
 
     def cap_members(self) -> tuple[capping.Member, ...]:
         """Return the live routers as owners of usage caps."""
-        live = self._live()
-        if live is not self._cap_members_of or not self._cap_members:
-            self._cap_members_of = live
-            self._cap_members = (
-                capping.Member(self._state.name),
-                *(capping.Member(each.name, each.address) for each in live),
-            )
+        self._rank()
         return self._cap_members
 
     def is_settled(self) -> bool:
@@ -176,12 +169,16 @@
         return self._place
 
     def _rank(self) -> None:
-        """Work out names and place, if a router has come or gone."""
+        """Work out what depends on who lives, if a router came or went."""
         live = self._live()
         if live is self._ranked_of and self._names:
             return
         self._ranked_of = live
         self._names = (self._state.name, *(each.name for each in live))
+        self._cap_members = (
+            capping.Member(self._state.name),
+            *(capping.Member(each.name, each.address) for each in live),
+        )
         self._place = sum(name < self._state.name for name in self._names)
 
     def _note_duty(self, duty: str, held: bool) -> bool:
--- a/toucanrudder/forwarding/forwarder.py
+++ b/toucanrudder/forwarding/forwarder.py
@@ -141,7 +141,7 @@
             matched.organisation,
             call.prompt,
             course.runs,
-            wait_s=courses.waits_here_s(route, call),
+            wait_s=courses.waits_here_s(route, courses.allowed_s(route, call)),
         )
         async with admitted:
             await course.run()
