Log the software version of upstreams, and which stream a request resumes

The version in a registry entry reaches the router's types; UpstreamSeen and Placed name it, and Placed says after which event a stream goes on and which request began it. Nothing decides by them yet.

--- a/toucanrudder/forwarding/model.py
+++ b/toucanrudder/forwarding/model.py
@@ -233,6 +233,9 @@
         Name of the process, which a restart keeps.
     started_at_ms : int
         Unix time of this start; 0 if unknown.
+    software_version : str
+        Version of its software, in no particular order; empty if it states
+        none.
     """
 
     incarnation: str
@@ -246,6 +249,7 @@
         default=attrs.Factory(lambda self: self.incarnation, takes_self=True)
     )
     started_at_ms: int = 0
+    software_version: str = ""
     #: Hashable form of `weights` for frequent lookups.
     weights_key: frozenset[tuple[str, int]] = attrs.field(
         init=False,
@@ -346,6 +350,8 @@
         Prompt description, for engines.
     resume_after : str or None
         ID of the event after which the caller resumes a stream.
+    resumes : str or None
+        ID of the caller's request that received the stream's first event.
     """
 
     request_id: str
@@ -355,3 +361,4 @@
     wait_s: float | None = None
     prompt: Prompt | None = None
     resume_after: str | None = None
+    resumes: str | None = None
--- a/toucanrudder/forwarding/store_watch.py
+++ b/toucanrudder/forwarding/store_watch.py
@@ -452,6 +452,7 @@
         decisions.UpstreamSeen(
             upstream=upstream.incarnation,
             service=upstream.service,
+            software_version=upstream.software_version,
             change=change,
             source="registry",
         )
--- a/toucanrudder/observability/decisions.py
+++ b/toucanrudder/observability/decisions.py
@@ -83,6 +83,7 @@
 
     upstream: str
     service: str
+    software_version: str
     change: str
     source: str
 
@@ -183,13 +184,20 @@
 
 @attrs.frozen(kw_only=True)
 class Placed:
-    """A request was placed on an upstream."""
+    """A request was placed on an upstream.
+
+    ``resume_after`` is the ID of the event after which a stream goes on, and
+    ``resumes`` the caller's request that received the stream's first event.
+    """
 
     request_id: str
     organisation: str
     route: str
     upstream: str
+    software_version: str
     attempt: int
+    resume_after: str | None
+    resumes: str | None
     reason: str
     waited_s: float
     left_s: float
--- a/toucanrudder/platform/dialect.py
+++ b/toucanrudder/platform/dialect.py
@@ -88,6 +88,7 @@
             wait_s=None if wait_ms is None else wait_ms / 1000,
             prompt=_parse_prompt(head),
             resume_after=_text(head, b"last-event-id"),
+            resumes=_text(head, b"resumes"),
         )
 
     def upstream_request(
--- a/toucanrudder/platform/objects.py
+++ b/toucanrudder/platform/objects.py
@@ -133,8 +133,7 @@
         zone=entry.zone,
         slots=entry.slots,
         is_leaving=entry.state == "draining",
-        # "version" in an entry is that of the upstream's software; the
-        # versions of the weights are in "models".
+        software_version=entry.version,
         weights=weights_by_model(entry.models),
     )
 
--- a/toucanrudder/platform/records.py
+++ b/toucanrudder/platform/records.py
@@ -77,6 +77,7 @@
     #: Unix time of its start in milliseconds; 0 if unknown.
     born: int = attrs.field(default=0, validator=typed.NOT_NEGATIVE)
     zone: str = ""
+    version: str = ""
     slots: int = attrs.field(default=1, validator=typed.COUNT)
     models: tuple[LoadedModel, ...] = ()
 
--- a/toucanrudder/platform/testing/cluster.py
+++ b/toucanrudder/platform/testing/cluster.py
@@ -115,16 +115,21 @@
         await self.stack.enter_async_context(self.store.running())
         self.store.put("config", "main", CONFIGURATION)
 
-    async def server(self, service="desk", model="", zone="za"):
+    async def server(
+        self, service="desk", model="", zone="za", software_version="v1"
+    ):
         """Start and register an upstream."""
         server = standins.Server(service, model, zone)
+        server.software_version = software_version
         await self.stack.enter_async_context(server.running())
         self.store.put("servers", server.incarnation, server.entry())
         return server
 
-    async def engine(self):
+    async def engine(self, software_version="v1"):
         """Start and register an engine."""
-        return await self.server("engines", "m")
+        return await self.server(
+            "engines", "m", software_version=software_version
+        )
 
     async def raw_server(self, answer):
         """Start and register an upstream that answers with raw bytes."""
--- a/toucanrudder/platform/testing/standins.py
+++ b/toucanrudder/platform/testing/standins.py
@@ -271,6 +271,8 @@
         Requests of which it holds a copy of another engine's run.
     born : int
         Start time that it reports; 0 for none.
+    software_version : str
+        Version of its software, as in its registry entry.
     reset_runs : asyncio.Event
         Ends the runs that wait for it.
     before_report : list
@@ -291,6 +293,7 @@
         self.zone = zone
         self.model = model
         self.version = 1
+        self.software_version = "v1"
         self.state = "ready"
         self.orders: list[dict] = []
         self.busy = False
@@ -324,6 +327,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
+            "version": self.software_version,
             "slots": 8,
             "state": self.state,
             "models": models if self.model else [],
--- a/toucanrudder/platform/tests/test_records.py
+++ b/toucanrudder/platform/tests/test_records.py
@@ -130,6 +130,7 @@
         {"m": 3},
         name="i1",
         started_at_ms=1_700_000_000_000,
+        software_version="v1",
     )
     configuration = read_document(CONFIGURATION).configuration
     (route,) = configuration.routes
