Divide keys among live routers in one place

Usage caps and the slots of brittle upstreams each kept their own rankings of the live routers. What began a stream needs owners as well; a third copy would be one too many.

--- a/toucanrudder/forwarding/brittleness.py
+++ b/toucanrudder/forwarding/brittleness.py
@@ -18,8 +18,8 @@
 
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import upstream_states
+from toucanrudder.membership import ownership
 from toucanrudder.membership import routers
-from toucanrudder.placement import rendezvous
 
 #: Time for which a service counts as brittle after its upstreams last said
 #: so.
@@ -121,8 +121,6 @@
 class SlotOwners:
     """Which routers own the slots of an upstream.
 
-    Rankings are kept until the live routers change.
-
     Parameters
     ----------
     name : str
@@ -143,22 +141,15 @@
 
     name: str
     _peers: tuple[routers.Member, ...] = ()
-    _rankings: dict[str, list[str]] = attrs.field(factory=dict)
+    _ownership: ownership.Ownership = attrs.field(factory=ownership.Ownership)
 
     def _ranking(
         self, upstream: model.Upstream, peers: tuple[routers.Member, ...]
-    ) -> list[str]:
-        if peers is not self._peers:
+    ) -> Sequence[str]:
+        if peers is not self._peers or not self._ownership.names:
             self._peers = peers
-            self._rankings.clear()
-        ranking = self._rankings.get(upstream.incarnation)
-        if ranking is None:
-            names = [self.name, *(peer.name for peer in peers)]
-            ranking = rendezvous.ranked(
-                upstream.incarnation.encode()[:64], names
-            )
-            self._rankings[upstream.incarnation] = ranking
-        return ranking
+            self._ownership.update([self.name, *(peer.name for peer in peers)])
+        return self._ownership.owners(upstream.incarnation)
 
     def own_slots(
         self, upstream: model.Upstream, peers: tuple[routers.Member, ...]
--- a/toucanrudder/forwarding/capping.py
+++ b/toucanrudder/forwarding/capping.py
@@ -19,8 +19,8 @@
 from toucanrudder import errors
 from toucanrudder.admission import caps
 from toucanrudder.forwarding import model
+from toucanrudder.membership import ownership
 from toucanrudder.observability import decisions
-from toucanrudder.placement import rendezvous
 
 STEP = "cap"
 
@@ -85,7 +85,10 @@
 
     members: Callable[[], Sequence[Member]]
     _ranked_members: Sequence[Member] = ()
-    _owners: dict[str, tuple[Member, ...]] = attrs.field(factory=dict)
+    _by_name: dict[str, Member] = attrs.field(factory=dict)
+    _ownership: ownership.Ownership = attrs.field(
+        factory=lambda: ownership.Ownership(caps.OWNER_COUNT)
+    )
 
     def refresh(self) -> bool:
         """Update the live routers; return whether they have changed."""
@@ -93,7 +96,8 @@
         if members == self._ranked_members:
             return False
         self._ranked_members = members
-        self._owners.clear()
+        self._by_name = {member.name: member for member in members}
+        self._ownership.update(self._by_name)
         return True
 
     @property
@@ -103,14 +107,10 @@
 
     def of(self, organisation: str) -> tuple[Member, ...]:
         """Return the owners of an organisation's balances."""
-        owners = self._owners.get(organisation)
-        if owners is None:
-            by_name = {member.name: member for member in self._ranked_members}
-            key = f"cap/{organisation}".encode()[:64]
-            ranked = rendezvous.ranked(key, by_name)[: caps.OWNER_COUNT]
-            owners = tuple(by_name[name] for name in ranked)
-            self._owners[organisation] = owners
-        return owners
+        return tuple(
+            self._by_name[name]
+            for name in self._ownership.owners(f"cap/{organisation}")
+        )
 
     def include_self(self, organisation: str) -> bool:
         """Return whether this router is one of an organisation's owners."""
