Let streams go on only at the software that began them

Callers saw streams of which engines of two software versions had written parts: after a crash in one answer, by a retry or from a copy of the run, and when they resumed a stream at another router.

Cause: routers did not know the software of upstreams, so that all of a service counted as interchangeable wherever a stream may go on; and what began a stream was known to nobody once its router's attempt had ended.

The origin of a stream (service and software of the upstream that brought the first event to the caller) is a property of the request now, and the candidates of each choice satisfy it: retries, copies, and peers that take the request over. A caller's return is looked up under the request that it names: at this router, else, unless the service has had a single version for as long as a stream may live, at the routers that keep the origin; each router sends it to two of them when it sends the request to an upstream, so before the first event. What nobody knows is refused at once as not run, never guessed.

A router relies on a single version only if it would know of another one by now; so a new version begins no resumable streams for its first seconds, and neither does one that has a single upstream left, unless nothing else is there.

--- a/toucanrudder/errors/codes.py
+++ b/toucanrudder/errors/codes.py
@@ -48,6 +48,8 @@
     UPSTREAM_TIMEOUT = "upstream_timeout"
     UPSTREAM_CROSSED_ANSWER = "upstream_crossed_answer"
     STREAM_BROKEN = "stream_broken"
+    STREAM_ORIGIN_UNKNOWN = "stream_origin_unknown"
+    STREAM_SOFTWARE_GONE = "stream_software_gone"
     QUARANTINED = "quarantined"
     STOPPING = "stopping"
     NOT_CONFIGURED = "not_configured"
@@ -117,6 +119,8 @@
     ),
     Code.UPSTREAM_CROSSED_ANSWER: _BAD_GATEWAY,
     Code.STREAM_BROKEN: _BAD_GATEWAY,
+    Code.STREAM_ORIGIN_UNKNOWN: _UNAVAILABLE,
+    Code.STREAM_SOFTWARE_GONE: _UNAVAILABLE,
     Code.QUARANTINED: Traits(http.HTTPStatus.UNPROCESSABLE_ENTITY),
     Code.STOPPING: _UNAVAILABLE,
     Code.NOT_CONFIGURED: _UNAVAILABLE,
--- a/toucanrudder/errors/tests/test_not_run.py
+++ b/toucanrudder/errors/tests/test_not_run.py
@@ -27,6 +27,8 @@
     "claim_expired": "test_service_runs",
     "body_too_slow": "test_bad_callers",
     "stream_broken": "test_streams",
+    "stream_origin_unknown": "test_software_versions",
+    "stream_software_gone": "test_software_versions",
     "upstream_crossed_answer": "test_own_answers",
     "quarantined": "test_poison_fleet",
 }
--- a/toucanrudder/forwarding/attempt.py
+++ b/toucanrudder/forwarding/attempt.py
@@ -224,8 +224,11 @@
         self, connection: client.UpstreamConnection, choice: placing.Choice
     ) -> None:
         upstream = choice.upstream
-        if self.state.registry.get(upstream.incarnation) is None:
-            # It was deregistered while the connection was opened.
+        known = self.state.registry.get(upstream.incarnation)
+        if known is None or (
+            known.software_version != upstream.software_version
+        ):
+            # It left, or was replaced, while the connection was opened.
             raise relaying.AttemptFailed(retry_policy.FailureKind.NOT_THERE)
         copy_upstream = self.execution.copy_upstream
         head = self.execution.dialect.upstream_request(
@@ -250,6 +253,7 @@
         self.evidence.carried_requests = connection.uses
         self.sent_at_s = clock.now_s()
         self.execution.used_connections.append(connection)
+        self.execution.record_attempt(upstream)
         connection.send(head, self.execution.request.body)
         self.execution.is_in_flight = True
 
@@ -390,6 +394,7 @@
 
     async def _relay_stream(self, connection, head, upstream, tracked) -> None:
         def record_prompt_read() -> None:
+            self.execution.set_origin(upstream.software_version)
             if tracked.prefill_tokens:
                 self._record_prompt_read(upstream, tracked.prefill_tokens)
                 tracked.prefill_done()
--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -267,7 +267,9 @@
     async def _expire_missing(self) -> None:
         while True:
             await asyncio.sleep(MISSING_CHECK_S)
-            self.store_watch.expire_missing(clock.now_s())
+            now_s = clock.now_s()
+            self.store_watch.expire_missing(now_s)
+            self.state.streams.observe(now_s)
 
     def controllers(self) -> list[tasks.TaskService]:
         """Return the tasks that keep the router's state up to date."""
@@ -281,6 +283,7 @@
             for controller in watches
         }
         running["peers"] = self.peering.run
+        running["stream origins"] = self.state.streams.directory.run
         running["contact"] = self.contact_monitor.run
         running["cache events"] = self._cache_feed().run
         running["rollout"] = self._rollout(lease).run
--- a/toucanrudder/forwarding/execution.py
+++ b/toucanrudder/forwarding/execution.py
@@ -18,6 +18,8 @@
 from toucanrudder.forwarding import state as states
 from toucanrudder.forwarding.handover import choice as handover_choice
 from toucanrudder.forwarding.handover import handing
+from toucanrudder.forwarding.streams import origins
+from toucanrudder.forwarding.streams import resuming
 from toucanrudder.http1 import client
 from toucanrudder.http1 import message
 from toucanrudder.http1 import server
@@ -82,6 +84,11 @@
         Attempts for which no connection could be opened.
     tried_peers : set of str
         Peers to which the request was offered.
+    origin : origins.Origin or None
+        What began the stream of which the caller has events; nothing else
+        may continue it.
+    earlier_attempts : int
+        Attempts of the router that handed the request over.
     """
 
     state: states.ForwardingState
@@ -112,6 +119,8 @@
     is_taken_over: bool = False
     unreached_attempts: int = 0
     tried_peers: set[str] = attrs.field(factory=set)
+    origin: origins.Origin | None = None
+    earlier_attempts: int = 0
 
     @property
     def route(self) -> model.Route:
@@ -168,6 +177,43 @@
             "toucanrudder_first_part_seconds", "s", "Until the answer began"
         ).record(self.first_part_s, {"kind": kind})
 
+    def set_origin(self, software_version: str | None) -> None:
+        """Set what begins the stream, unless the caller has events of it.
+
+        Parameters
+        ----------
+        software_version : str or None
+            Software that brings the first events; None if it is not known.
+        """
+        if self.origin is not None:
+            return
+        if software_version is None:
+            software_version = self.state.streams.sole_version(
+                self.service, clock.now_s()
+            )
+        self.origin = origins.Origin(self.service, software_version)
+
+    def software_version(self) -> str | None:
+        """Return the software that began the stream, if it is known."""
+        return self.origin.software_version if self.origin else None
+
+    def record_attempt(self, upstream: model.Upstream) -> None:
+        """Record where the request is sent, for callers that return."""
+        order = self.earlier_attempts * resuming.ORDERS_PER_ATTEMPT
+        if not self.is_taken_over:
+            order += self.attempt_count * resuming.ORDERS_PER_ATTEMPT
+        else:
+            order += self.attempt_count
+        self.state.streams.record(
+            self.route_match, upstream, order, clock.now_s()
+        )
+
+    def _candidates(self, now_s: float):
+        """Return the upstreams that may get the request, and usable ones."""
+        return self.state.usable_candidates(
+            self.service, self.call.prompt, now_s, self.origin
+        )
+
     def record_stream_events(self) -> None:
         """Update the event timings after events were relayed."""
         now_s = clock.now_s()
@@ -235,6 +281,8 @@
         now_s = clock.now_s()
         if self.is_taken_over:
             return None
+        if self.origin and self.origin.software_version is None:
+            return None
         if len(self.request.body) > handovers.MAX_BODY_BYTES:
             return None
         if (
@@ -260,9 +308,7 @@
         """Return peers that may have room if only this router has none."""
         if self.state.brittle.limit_per_s(self.service, now_s) is None:
             return []
-        candidates, usable = self.state.usable_candidates(
-            self.service, self.call.prompt, now_s
-        )
+        candidates, usable = self._candidates(now_s)
         if usable:
             return []
         not_full = placing.usable_candidates(
@@ -298,9 +344,11 @@
 
     def _choose(self) -> placing.Choice:
         now_s = clock.now_s()
-        candidates, usable = self.state.usable_candidates(
-            self.service, self.call.prompt, now_s
-        )
+        candidates, usable = self._candidates(now_s)
+        if self._begins_resumable_stream():
+            usable = placing.lasting_candidates(
+                usable, self.state.streams.is_new
+            )
         usable = [
             candidate
             for candidate in usable
@@ -332,6 +380,10 @@
             self.state.zone, usable, now_s=now_s, rng=self.state.rng
         )
 
+    def _begins_resumable_stream(self) -> bool:
+        is_resumable = self.route.repetition is model.Repetition.RESUMABLE
+        return is_resumable and self.origin is None
+
     def _choose_copy_upstream(
         self, choice, candidates, now_s: float
     ) -> model.Upstream | None:
@@ -355,6 +407,10 @@
                 self.service,
                 0.0,
             )
+        if self.origin is not None and all(
+            candidate.upstream.is_leaving for candidate in candidates
+        ):
+            return resuming.gone_error(self.origin)
         code, retry_after_s = errors.Code.QUEUE_FULL, RETRY_AFTER_S
         now_s, bound_s = clock.now_s(), self.state.pace.bound_s
         if not candidates:
@@ -480,6 +536,8 @@
         known = self.state.registry.get(self.copy_upstream.incarnation)
         if known is None or known.is_leaving or known.weights != weights:
             return False
+        if known.software_version != self.copy_upstream.software_version:
+            return False
         # If the running engine has loaded new weights, its KV cache mixes
         # both versions.
         runner = self.state.registry.get(self.upstream)
--- a/toucanrudder/forwarding/forwarder.py
+++ b/toucanrudder/forwarding/forwarder.py
@@ -129,13 +129,17 @@
         route = route_match.route
         summary.route, summary.kind = route.name, route.repetition.value
         self._refuse_if_cut_by_stop(route, call)
+        origin = await self.state.streams.find(route_match)
         execution = executions.RequestExecution(
             self.state,
             self.dialect,
             request,
             answer,
             route_match,
-            routing.pick_service(route, self.state.rng),
+            origin.service
+            if origin
+            else routing.pick_service(route, self.state.rng),
+            origin=origin,
         )
         execution.refuse_if_poison()
         summary.attempt_count = lambda: execution.attempt_count
--- a/toucanrudder/forwarding/handover/handing.py
+++ b/toucanrudder/forwarding/handover/handing.py
@@ -102,11 +102,14 @@
         )
         async with asyncio.timeout(OFFER_TIMEOUT_S):
             verdict = await exchange.offer(offer)
-        if verdict is handovers.Verdict.ACCEPTED:
+        keeps_origin = exchange.keeps_software or execution.origin is None
+        if verdict is handovers.Verdict.ACCEPTED and keeps_origin:
             return
         if verdict is handovers.Verdict.UNREACHED:
             self._record_peer_lost()
         self.evidence.unsent = f"declined_{verdict.name.lower()}"
+        if not keeps_origin:
+            self.evidence.unsent = "peer_ignores_software"
         kind = retry_policy.FailureKind.NOT_REACHED
         if verdict is handovers.Verdict.FULL:
             kind = retry_policy.FailureKind.FULL
@@ -146,6 +149,8 @@
                 execution.progress.possible_runs,
                 execution.progress.events,
                 execution.last_event_id,
+                execution.software_version(),
+                execution.attempt_count,
             )
         )
 
@@ -154,7 +159,12 @@
             head = await exchange.next_event()
             if head.status < 300 and self.execution.route.is_stream:
                 await relaying.relay_stream(
-                    self.execution, head, exchange.next_event
+                    self.execution,
+                    head,
+                    exchange.next_event,
+                    lambda: self.execution.set_origin(
+                        exchange.software_version
+                    ),
                 )
                 return
             body = await relaying.read_body(exchange.next_event)
--- a/toucanrudder/forwarding/handover/taking.py
+++ b/toucanrudder/forwarding/handover/taking.py
@@ -1,6 +1,7 @@
 """Requests that a router takes over from peers."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 
@@ -10,10 +11,12 @@
 from toucanrudder import errors
 from toucanrudder.forwarding import dialect as dialects
 from toucanrudder.forwarding import execution as executions
+from toucanrudder.forwarding import model
 from toucanrudder.forwarding import retry_policy
 from toucanrudder.forwarding import routing
 from toucanrudder.forwarding import state as states
 from toucanrudder.forwarding.handover import choice
+from toucanrudder.forwarding.streams import origins
 from toucanrudder.http1 import message
 from toucanrudder.http1 import server
 from toucanrudder.observability import decisions
@@ -34,13 +37,16 @@
 
     def __init__(self, exchange: handovers.IncomingExchange):
         self._exchange = exchange
+        self.software_version: Callable[[], str | None] = lambda: None
         self.started = False
         self.ended = False
 
     async def start(self, status: int, headers: message.Headers) -> None:
         """Send the head."""
         self.started = True
-        await self._exchange.send_head(status, headers)
+        await self._exchange.send_head(
+            status, headers, self.software_version()
+        )
 
     async def write(self, content: bytes) -> None:
         """Send a piece of the body."""
@@ -94,7 +100,7 @@
                 request = await exchange.read_request()
             if len(request.body) > offer.body_bytes:
                 raise handovers.BadExchange("the body exceeds the offer")
-            await self._execute(request, exchange, offer.origin)
+            await self._execute(request, exchange, offer)
 
     def _receiver(self, offer: handovers.Offer) -> choice.Receiver:
         now_s = clock.now_s()
@@ -132,14 +138,15 @@
         self,
         handed: handovers.HandedRequest,
         exchange: handovers.IncomingExchange,
-        origin: str,
+        offer: handovers.Offer,
     ) -> None:
         began_s = clock.now_s()
         answer = HandedAnswer(exchange)
         refusal, execution = "", None
         try:
-            execution = self._execution(handed, answer, began_s)
+            execution = await self._execution(handed, answer, began_s, offer)
             exchange.possible_runs = execution.possible_runs
+            answer.software_version = execution.software_version
             async with exchange.shown_working():
                 await execution.run()
         except errors.RudderError as error:
@@ -150,7 +157,7 @@
             decisions.record(
                 decisions.TakenOver(
                     request_id=execution.call.request_id if execution else "",
-                    origin=origin,
+                    origin=offer.origin,
                     upstream=execution.upstream if execution else "",
                     outcome=outcome,
                     status=execution.status if execution else 0,
@@ -160,11 +167,12 @@
                 )
             )
 
-    def _execution(
+    async def _execution(
         self,
         handed: handovers.HandedRequest,
         answer: HandedAnswer,
         began_s: float,
+        offer: handovers.Offer,
     ) -> executions.RequestExecution:
         call = attrs.evolve(
             self.dialect.read_call(handed.head),
@@ -172,17 +180,43 @@
             resume_after=handed.resume_after,
         )
         route_match = self.state.table().match(call)
+        origin = await self._origin(handed, route_match, offer)
         execution = executions.RequestExecution(
             self.state,
             self.dialect,
             server.Request(handed.head, handed.body, began_s),
             answer,
             route_match,
-            routing.pick_service(route_match.route, self.state.rng),
+            self._service(route_match.route, origin, offer),
             progress=retry_policy.Progress(
                 possible_runs=handed.possible_runs, events=handed.events
             ),
             is_taken_over=True,
+            origin=origin,
+            earlier_attempts=handed.attempts,
         )
         execution.refuse_if_poison()
         return execution
+
+    async def _origin(
+        self,
+        handed: handovers.HandedRequest,
+        match: routing.RouteMatch,
+        offer: handovers.Offer,
+    ) -> origins.Origin | None:
+        if handed.software_version is not None:
+            return origins.Origin(offer.service, handed.software_version)
+        return await self.state.streams.find(match)
+
+    def _service(
+        self,
+        route: model.Route,
+        origin: origins.Origin | None,
+        offer: handovers.Offer,
+    ) -> str:
+        """Return the service of a request, that of the offer if it may."""
+        if origin is not None:
+            return origin.service
+        if offer.service in route.services:
+            return offer.service
+        return routing.pick_service(route, self.state.rng)
--- a/toucanrudder/forwarding/model.py
+++ b/toucanrudder/forwarding/model.py
@@ -75,6 +75,16 @@
     priority: int = 5
     is_public: bool = False
 
+    @property
+    def weighted_splits(self) -> list[Split]:
+        """The splits that get requests."""
+        return [split for split in self.splits if split.weight > 0]
+
+    @property
+    def services(self) -> list[str]:
+        """The services that get requests."""
+        return [split.service for split in self.weighted_splits]
+
 
 @attrs.frozen
 class Engine:
--- a/toucanrudder/forwarding/peering.py
+++ b/toucanrudder/forwarding/peering.py
@@ -1,6 +1,7 @@
 """Information about upstreams that routers exchange by gossip."""
 
 from collections.abc import Callable
+import functools
 import random
 import time
 
@@ -8,6 +9,7 @@
 
 from toucanrudder import clock
 from toucanrudder.forwarding import state as states
+from toucanrudder.forwarding.streams import directory
 from toucanrudder.membership import routers
 from toucanrudder.peers import client as peer_clients
 from toucanrudder.peers import messages
@@ -124,6 +126,7 @@
             )
         for name in heartbeat.leaving_upstreams:
             self.record_leaving(name, now_s)
+        self.state.streams.software.merge(heartbeat.software, now_s)
         self._merge_store_outages(heartbeat, now_s)
         self._merge_brittle(heartbeat, now_s)
         self.state.peer_contacts.replace(
@@ -237,6 +240,7 @@
         unreached=lambda _: lost_services(),
         brittle=lambda _: gossip.brittle(clock.now_s()),
         full=lambda _: gossip.full(clock.now_s()),
+        software=lambda _: state.streams.news(clock.now_s()),
         on_upstream_news=lambda heartbeat, _: gossip.merge(
             heartbeat, clock.now_s()
         ),
@@ -269,5 +273,17 @@
     state.tell_full = tell_full
     state.peers = lambda: node.table.live(time.monotonic())
     state.hand_over = client.hand_over
+    state.streams.has_silent_peer = lambda: node.table.has_silent(
+        time.monotonic()
+    )
+    origins = state.streams.directory
+    origins.keep_at = functools.partial(
+        client.keep_origins, deadline_s=directory.KEEP_TIMEOUT_S
+    )
+    origins.ask_at = functools.partial(
+        client.find_origin, deadline_s=directory.ASK_TIMEOUT_S
+    )
     state.live_routers = lambda: node.table.live_count(time.monotonic())
-    return peerings.Peering(node, client, None, "", encode)
+    peering = peerings.Peering(node, client, None, "", encode)
+    peering.origin_keeper = origins
+    return peering
--- a/toucanrudder/forwarding/placing.py
+++ b/toucanrudder/forwarding/placing.py
@@ -11,6 +11,8 @@
 from it.
 """
 
+import collections
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
 import heapq
@@ -242,6 +244,38 @@
     ]
 
 
+def lasting_candidates(
+    candidates: Sequence[Candidate],
+    is_new: Callable[[model.Upstream], bool],
+) -> Sequence[Candidate]:
+    """Return the candidates to begin a stream at that may be resumed.
+
+    Only upstreams of the same software can continue it.  So software that
+    other routers may not know of yet, or that only one upstream has, begins
+    no streams unless nothing else is left.
+
+    Parameters
+    ----------
+    candidates : sequence of Candidate
+        The usable ones of a service.
+    is_new : callable
+        Returns whether some routers may not know of an upstream's software.
+    """
+    counts = collections.Counter(
+        candidate.upstream.software_version for candidate in candidates
+    )
+    if len(counts) < 2:
+        return candidates
+    known = [
+        candidate for candidate in candidates if not is_new(candidate.upstream)
+    ] or candidates
+    return [
+        candidate
+        for candidate in known
+        if counts[candidate.upstream.software_version] > 1
+    ] or known
+
+
 def choose_backup(
     choice: Choice,
     prompt: model.Prompt,
@@ -252,10 +286,10 @@
 ) -> model.Upstream | None:
     """Return the engine that is to hold a copy of the request's KV cache.
 
-    This is the least busy one with the same weights, in another zone if
-    possible, as a failure may take down a whole zone.  None if copies would
-    evict cached parts: on a loaded fleet that costs more answers than
-    crashes do.
+    This is the least busy one with the same weights and software, in another
+    zone if possible, as a failure may take down a whole zone.  None if
+    copies would evict cached parts: on a loaded fleet that costs more
+    answers than crashes do.
     """
     max_tokens = BACKUP_MEMORY_SHARE * engine.cache_tokens
     chosen = choice.upstream
@@ -264,6 +298,7 @@
         for candidate in candidates
         if candidate.upstream.incarnation != chosen.incarnation
         and candidate.upstream.weights == chosen.weights
+        and candidate.upstream.software_version == chosen.software_version
         and candidate.state.backoff_until_s <= now_s
         and candidate.state.avoided_until_s <= now_s
         and (candidate.requests(now_s) + 1) * prompt.prompt_tokens < max_tokens
--- a/toucanrudder/forwarding/registry.py
+++ b/toucanrudder/forwarding/registry.py
@@ -137,7 +137,7 @@
         if self.is_superseded(upstream):
             return
         entry = self._entries.get(upstream.incarnation)
-        if entry is not None:
+        if entry is not None and _is_same_process(entry.upstream, upstream):
             upstream = _merged(entry.upstream, upstream)
         earlier = self._by_name.get(upstream.name)
         if earlier is not None and earlier != upstream.incarnation:
@@ -244,6 +244,10 @@
         """Incarnations of all known upstreams."""
         return set(self._entries)
 
+    def upstreams(self) -> list[model.Upstream]:
+        """Return all known upstreams."""
+        return [entry.upstream for entry in self._entries.values()]
+
     def for_service(self, service: str) -> tuple[model.Upstream, ...]:
         """Return the upstreams of a service, including leaving ones."""
         if self._by_service is None:
@@ -251,6 +255,15 @@
         return self._by_service.get(service, ())
 
 
+def _is_same_process(known: model.Upstream, entry: model.Upstream) -> bool:
+    """Whether an entry is of the process that is known.
+
+    An entry without a start time may be of a later start, which other
+    software proves.
+    """
+    return known.software_version == entry.software_version
+
+
 def _merged(known: model.Upstream, entry: model.Upstream) -> model.Upstream:
     weights = {
         name: max(version, known.weights.get(name, 0))
--- a/toucanrudder/forwarding/routing.py
+++ b/toucanrudder/forwarding/routing.py
@@ -62,6 +62,19 @@
     return {urgency: rank for rank, urgency in enumerate(sorted(urgencies))}
 
 
+def _resumable_timeouts_s(
+    configuration: model.Configuration,
+) -> dict[str, float]:
+    """Return the longest timeout of resumable streams by service."""
+    timeouts_s: dict[str, float] = {}
+    for route in configuration.routes:
+        if route.repetition is model.Repetition.RESUMABLE:
+            for service in route.services:
+                known_s = timeouts_s.get(service, 0.0)
+                timeouts_s[service] = max(known_s, route.timeout_s)
+    return timeouts_s
+
+
 class RoutingTable:
     """Indexes over one configuration.
 
@@ -87,6 +100,7 @@
             for organisation in configuration.organisations
         }
         self._ranks = _ranks(configuration)
+        self.resumable_timeouts_s = _resumable_timeouts_s(configuration)
 
     def organisation(self, name: str) -> model.Organisation | None:
         """Return the organisation with this name."""
@@ -158,7 +172,7 @@
     RudderError
         ``no_upstream``: no service of the route has a weight above 0.
     """
-    splits = [split for split in route.splits if split.weight > 0]
+    splits = route.weighted_splits
     if not splits:
         raise errors.RudderError(
             errors.Code.NO_UPSTREAM, "the route has no service", step=STEP
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -25,6 +25,9 @@
 from toucanrudder.forwarding import stores
 from toucanrudder.forwarding import upstream_states
 from toucanrudder.forwarding.handover import contact as contacts
+from toucanrudder.forwarding.streams import directory
+from toucanrudder.forwarding.streams import origins
+from toucanrudder.forwarding.streams import resuming
 from toucanrudder.http1 import pool as pools
 from toucanrudder.membership import routers
 from toucanrudder.observability import decisions
@@ -122,6 +125,9 @@
     report_weights_mismatch: Callable[[model.Upstream], None] = (
         lambda upstream: None
     )
+    streams: resuming.StreamResumption = attrs.field(
+        default=attrs.Factory(lambda self: self._streams(), takes_self=True)
+    )
     stopping: bool = False
     stopping_since_s: float = float("inf")
     stop_at_s: float = float("inf")
@@ -132,6 +138,18 @@
     def __attrs_post_init__(self):
         self.pool.on_connect = self.contact.record
 
+    def _streams(self) -> resuming.StreamResumption:
+        resumption = resuming.StreamResumption(
+            self.registry,
+            lambda: self._table.resumable_timeouts_s if self._table else {},
+            directory.OriginDirectory(
+                self.name,
+                lambda: self.peers(),
+                lambda now_s: resumption.shared_services(now_s),
+            ),
+        )
+        return resumption
+
     @property
     def configuration(self) -> model.Configuration | None:
         """The active configuration; None before the first."""
@@ -257,10 +275,17 @@
         )
 
     def usable_candidates(
-        self, service: str, prompt: model.Prompt | None, now_s: float
+        self,
+        service: str,
+        prompt: model.Prompt | None,
+        now_s: float,
+        origin: origins.Origin | None = None,
     ) -> tuple[Sequence[placing.Candidate], Sequence[placing.Candidate]]:
-        """Return a service's upstreams, and those worth sending to."""
-        candidates = self.candidates(service, prompt, time.monotonic())
+        """Return a service's upstreams, and those worth sending to.
+
+        Only those that can continue the stream of `origin`, if there is one.
+        """
+        candidates = self.candidates(service, prompt, time.monotonic(), origin)
         usable = placing.usable_candidates(
             candidates, now_s, self.pace.bound_s
         )
@@ -271,13 +296,19 @@
         return candidates, usable
 
     def candidates(
-        self, service: str, prompt: model.Prompt | None, now_s: float
+        self,
+        service: str,
+        prompt: model.Prompt | None,
+        now_s: float,
+        origin: origins.Origin | None = None,
     ) -> list[placing.Candidate]:
         """Return the service's upstreams with their load and weights age."""
         newest = None
         if prompt is not None:
             newest = self.newest_weights.get(prompt.model)
         upstreams = self.registry.for_service(service)
+        if origin is not None:
+            upstreams = tuple(filter(origin.allows, upstreams))
         ages_s = _weights_ages_s(upstreams, newest)
         peer_work = self.peer_loads.totals(now_s)
         candidates = []
--- a/toucanrudder/forwarding/store_watch.py
+++ b/toucanrudder/forwarding/store_watch.py
@@ -383,6 +383,7 @@
         ):
             _record_upstream_change(upstream, absence.value)
         self._state.upstream_stats.retain(registry.incarnations)
+        self._state.streams.observe(now_s)
 
     def _on_synced(self, now_s: float, due_s: float) -> None:
         registry = self._state.registry
@@ -437,6 +438,15 @@
         if known is None:
             # Drops the state of an earlier start under the same name.
             self._state.upstream_stats.retain(registry.incarnations)
+        self._observe_software(upstream)
+
+    def _observe_software(self, upstream: model.Upstream) -> None:
+        streams = self._state.streams
+        was_known = streams.software.is_known(upstream)
+        streams.observe(clock.now_s())
+        if not was_known:
+            # Peers without access to the registry learn it from this router.
+            self._peering.client.exchange_soon()
 
     def _on_weights(self, objects, now_s: float) -> None:
         self._has_read_weights = True
--- /dev/null
+++ b/toucanrudder/forwarding/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Streams that go on: where they began, and what may continue them."""
--- /dev/null
+++ b/toucanrudder/forwarding/streams/origins.py
@@ -0,0 +1,162 @@
+"""Where streams began, and what may continue them.  No I/O."""
+
+import hashlib
+
+import attrs
+
+from toucanrudder.forwarding import model
+from toucanrudder.peers import origins as messages
+
+#: Records kept at one router; bounds the memory that callers can fill.
+MAX_RECORDS = 20_000
+
+
+@attrs.frozen
+class Origin:
+    """What began a stream; only upstreams of the same kind can continue it.
+
+    Parameters
+    ----------
+    service : str
+        Service of the upstream that brought the first event to the caller.
+    software_version : str or None
+        Its software; None if that is not known.
+
+    Examples
+    --------
+    >>> old = model.Upstream("i1", "s", "10.0.0.1:1", software_version="v1")
+    >>> Origin("s", "v1").allows(old), Origin("s", "v2").allows(old)
+    (True, False)
+    >>> Origin("s", None).allows(old)
+    False
+    """
+
+    service: str
+    software_version: str | None
+
+    def allows(self, upstream: model.Upstream) -> bool:
+        """Return whether an upstream can continue the stream."""
+        return (
+            upstream.service == self.service
+            and upstream.software_version == self.software_version
+        )
+
+
+def stream_key(organisation: str, request_id: str) -> bytes:
+    """Return the key of a stream.
+
+    Organisations have separate streams, so that one that guesses a request
+    ID of another cannot change where the other's stream goes on.
+
+    Parameters
+    ----------
+    organisation : str
+        Name of the caller's organisation; empty on public routes.
+    request_id : str
+        ID of the caller's request that received the first event.
+
+    Examples
+    --------
+    >>> len(stream_key("north", "id1"))
+    16
+    >>> stream_key("a", "b/c") == stream_key("a/b", "c")
+    False
+    """
+    text = f"{len(organisation)}:{organisation}/{request_id}"
+    return hashlib.blake2b(
+        text.encode(errors="surrogateescape"),
+        digest_size=messages.KEY_BYTES,
+    ).digest()
+
+
+@attrs.define(eq=False)
+class _Entry:
+    record: messages.OriginRecord
+    until_s: float
+    is_own: bool
+    is_shared: bool = False
+
+
+@attrs.define(eq=False)
+class OriginTable:
+    """Origins of recent streams, bounded in number and time.
+
+    Parameters
+    ----------
+    max_records : int
+        Records kept; the oldest are dropped first.
+
+    Examples
+    --------
+    >>> table = OriginTable(max_records=2)
+    >>> for number in range(3):
+    ...     table.put(
+    ...         messages.OriginRecord(bytes([number]), "s", "v1", 1, 5.0), 0.0
+    ...     )
+    >>> [table.get(bytes([number]), 1.0) is None for number in range(3)]
+    [True, False, False]
+    >>> table.get(bytes([2]), 5.0) is None
+    True
+    """
+
+    max_records: int = MAX_RECORDS
+    _entries: dict[bytes, _Entry] = attrs.field(factory=dict)
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def put(
+        self,
+        record: messages.OriginRecord,
+        now_s: float,
+        *,
+        is_own: bool = False,
+    ) -> None:
+        """Keep a record, unless a later attempt of the stream is known."""
+        known = self._entries.get(record.key)
+        if known is not None and known.record.order > record.order:
+            return
+        until_s = now_s + record.kept_for_s
+        if known is not None:
+            # Puts it at the end: the first entries are the oldest.
+            del self._entries[record.key]
+            is_own |= known.is_own
+            if known.record.software_version == record.software_version:
+                until_s = max(until_s, known.until_s)
+        self._entries[record.key] = _Entry(record, until_s, is_own)
+        while len(self._entries) > self.max_records:
+            del self._entries[next(iter(self._entries))]
+
+    def get(self, key: bytes, now_s: float) -> messages.OriginRecord | None:
+        """Return a record with the time left; None if there is none."""
+        entry = self._entries.get(key)
+        if entry is None or entry.until_s <= now_s:
+            return None
+        return attrs.evolve(entry.record, kept_for_s=entry.until_s - now_s)
+
+    def expire(self, now_s: float) -> None:
+        """Drop the records whose time is over."""
+        self._entries = {
+            key: entry
+            for key, entry in self._entries.items()
+            if entry.until_s > now_s
+        }
+
+    def unshare(self) -> None:
+        """Mark all own records as not shared, as their owners changed."""
+        for entry in self._entries.values():
+            entry.is_shared = False
+
+    def take_unshared(
+        self, now_s: float, services: set[str]
+    ) -> list[messages.OriginRecord]:
+        """Return own records of services to share; mark them as shared."""
+        records = []
+        for key, entry in self._entries.items():
+            if not entry.is_own or entry.is_shared:
+                continue
+            record = self.get(key, now_s)
+            if record is not None and record.service in services:
+                entry.is_shared = True
+                records.append(record)
+        return records
--- a/toucanrudder/membership/routers.py
+++ b/toucanrudder/membership/routers.py
@@ -360,6 +360,16 @@
         self._refresh(now_s)
         return tuple(entry.current() for entry in self._reachable)
 
+    def has_silent(self, now_s: float) -> bool:
+        """Return whether a router fell silent that was not stopping."""
+        if len(self.peers(now_s)) == len(self._entries):
+            return False
+        reachable = {entry.member.name for entry in self._reachable}
+        return any(
+            name not in reachable and not entry.member.leaving
+            for name, entry in self._entries.items()
+        )
+
     def silence_s(self, name: str, now_s: float) -> float:
         """Return the seconds since a known router's beat last rose."""
         return now_s - self._entries[name].last_heard_s
--- a/toucanrudder/observability/decisions.py
+++ b/toucanrudder/observability/decisions.py
@@ -244,6 +244,24 @@
     unsent: str
 
 
+@attrs.frozen(kw_only=True)
+class StreamResumed:
+    """A caller has taken up a stream that it began with an earlier request.
+
+    ``source`` says how it was decided where the stream may go on.
+    """
+
+    request_id: str
+    resumes: str | None
+    route: str
+    source: str
+    service: str
+    software_version: str | None
+    asked: int
+    answered: int
+    took_s: float
+
+
 @attrs.frozen(kw_only=True)
 class HandedOver:
     """A peer has accepted a request whose service is not reached from here."""
--- a/toucanrudder/peers/client.py
+++ b/toucanrudder/peers/client.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Sequence
 import contextlib
 import functools
 import logging
@@ -24,6 +25,7 @@
 from toucanrudder.peers import handovers
 from toucanrudder.peers import messages
 from toucanrudder.peers import node as nodes
+from toucanrudder.peers import origins
 from toucanrudder.peers import peers_pb2
 from toucanrudder.peers import peers_pb2_grpc
 from toucanrudder.peers import server
@@ -320,6 +322,40 @@
             cap_messages.from_wire,
         )
 
+    async def keep_origins(
+        self,
+        address: str,
+        records: Sequence[origins.OriginRecord],
+        *,
+        deadline_s: float,
+    ) -> bool:
+        """Let a peer keep what began some streams; return whether it does."""
+        wire = origins.records_to_wire(records)
+        reply = await self._call(
+            address,
+            lambda stub: stub.KeepOrigins(wire, timeout=deadline_s),
+            lambda taken: True,
+        )
+        return reply is not None
+
+    async def find_origin(
+        self, address: str, key: bytes, *, deadline_s: float
+    ) -> tuple[bool, origins.OriginRecord | None]:
+        """Ask a peer what began a stream.
+
+        Returns
+        -------
+        tuple of bool and origins.OriginRecord or None
+            Whether the peer answered, and the record if it has one.
+        """
+        query = peers_pb2.OriginQuery(key=key)
+        found = await self._call(
+            address,
+            lambda stub: stub.FindOrigin(query, timeout=deadline_s),
+            lambda reply: (True, origins.found_from_wire(reply)),
+        )
+        return found or (False, None)
+
     @contextlib.asynccontextmanager
     async def hand_over(
         self, address: str, deadline_s: float
--- a/toucanrudder/peers/handovers.py
+++ b/toucanrudder/peers/handovers.py
@@ -84,6 +84,10 @@
         Stream events that the caller has received.
     resume_after : str or None
         ID of the event after which the stream resumes.
+    software_version : str or None
+        Software that began the stream of which the caller has events.
+    attempts : int
+        Attempts of the origin, this one included.
     """
 
     head: message.RequestHead
@@ -92,6 +96,8 @@
     possible_runs: int = 0
     events: int = 0
     resume_after: str | None = None
+    software_version: str | None = None
+    attempts: int = 0
 
 
 def request_to_wire(request: HandedRequest) -> peers_pb2.HandedRequest:
@@ -105,6 +111,8 @@
         possible_runs=request.possible_runs,
         events=request.events,
         resume_after=request.resume_after,
+        software_version=request.software_version,
+        attempts=request.attempts,
     )
 
 
@@ -127,6 +135,8 @@
         wire.possible_runs,
         wire.events,
         wire.resume_after if wire.HasField("resume_after") else None,
+        wire.software_version if wire.HasField("software_version") else None,
+        wire.attempts,
     )
 
 
@@ -188,11 +198,18 @@
     ----------
     possible_runs : int
         Upstreams that may have run the request, as last reported.
+    keeps_software : bool
+        Whether the peer lets a stream go on only at the software that began
+        it; those of an earlier version of the router do not.
+    software_version : str or None
+        Software of the upstream whose answer the peer relays.
     """
 
     def __init__(self, call):
         self._call = call
         self.possible_runs = 0
+        self.keeps_software = False
+        self.software_version: str | None = None
 
     async def offer(self, offer: Offer) -> Verdict:
         """Offer a request; return whether the peer accepts it.
@@ -212,6 +229,7 @@
         part = await self._read()
         if part.WhichOneof("part") != "reply":
             raise BadExchange("the first part is not a reply")
+        self.keeps_software = part.reply.keeps_software
         try:
             return Verdict(part.reply.verdict)
         except ValueError as error:
@@ -247,6 +265,8 @@
                 case "working":
                     continue
                 case "head":
+                    if part.head.HasField("software_version"):
+                        self.software_version = part.head.software_version
                     return message.AnswerHead(
                         part.head.status,
                         _headers_from_wire(part.head.headers),
@@ -289,17 +309,26 @@
 
     async def reply(self, verdict: Verdict) -> None:
         """Answer the offer."""
-        reply = peers_pb2.HandOverReply(verdict=verdict.value)
+        reply = peers_pb2.HandOverReply(
+            verdict=verdict.value, keeps_software=True
+        )
         await self._send(reply=reply)
 
     async def read_request(self) -> HandedRequest:
         """Return the request; raise BadExchange if there is none."""
         return request_from_wire((await self._read("request")).request)
 
-    async def send_head(self, status: int, headers: message.Headers) -> None:
+    async def send_head(
+        self,
+        status: int,
+        headers: message.Headers,
+        software_version: str | None = None,
+    ) -> None:
         """Send the head of the answer."""
         head = peers_pb2.HandedAnswerHead(
-            status=status, headers=_headers_to_wire(headers)
+            status=status,
+            headers=_headers_to_wire(headers),
+            software_version=software_version,
         )
         await self._send(head=head)
 
--- a/toucanrudder/peers/messages.py
+++ b/toucanrudder/peers/messages.py
@@ -17,6 +17,7 @@
 MAX_QUARANTINE = 4096
 MAX_HOT = 256
 MAX_DIGEST = 1024
+MAX_SOFTWARE = 256
 
 #: Largest plausible load of one router at one upstream.
 MAX_PREFILL_TOKENS = 1_000_000_000
@@ -105,6 +106,40 @@
     age_s: float
 
 
+@attrs.frozen
+class SoftwareVersion:
+    """A software version that upstreams of a service have or had.
+
+    Parameters
+    ----------
+    service, version : str
+        The service and the version.
+    first_age_s, last_age_s : float
+        Seconds since it was first and last registered.
+    """
+
+    service: str
+    version: str
+    first_age_s: float
+    last_age_s: float
+
+
+@attrs.frozen
+class SoftwareNews:
+    """Software versions that a router has seen.
+
+    Parameters
+    ----------
+    complete_for_s : float or None
+        For how long it has known all of them; None if it does not.
+    versions : tuple of SoftwareVersion
+        Those that it remembers.
+    """
+
+    complete_for_s: float | None = None
+    versions: tuple[SoftwareVersion, ...] = ()
+
+
 @attrs.frozen
 class Heartbeat:
     """Periodic message of one router to another.
@@ -145,6 +180,8 @@
         Services whose upstreams fail if they refuse too often.
     full : tuple of Avoided
         Upstream processes that have refused a request for want of room.
+    software : SoftwareNews
+        Software versions that the sender has seen.
     """
 
     sender: routers.Member
@@ -164,6 +201,7 @@
     unreached: tuple[str, ...] = ()
     brittle: tuple[Brittle, ...] = ()
     full: tuple[Avoided, ...] = ()
+    software: SoftwareNews = SoftwareNews()
 
 
 def to_wire(heartbeat: Heartbeat) -> peers_pb2.Heartbeat:
@@ -217,6 +255,7 @@
             for brittle in heartbeat.brittle
         ],
         full=_avoided_to_wire(heartbeat.full),
+        software=_software_to_wire(heartbeat.software),
     )
 
 
@@ -272,6 +311,7 @@
                 for brittle in message.brittle[:MAX_HOT]
             ),
             full=_avoided_from_wire(message.full),
+            software=_software_from_wire(message.software),
         )
     except ValueError as error:
         raise BadHeartbeat(str(error)) from error
@@ -304,6 +344,42 @@
     return Served(_duration_s(served.for_s), _duration_s(served.age_s))
 
 
+def _software_to_wire(news: SoftwareNews) -> peers_pb2.SoftwareNews:
+    return peers_pb2.SoftwareNews(
+        complete_for_s=news.complete_for_s,
+        versions=[
+            peers_pb2.SoftwareVersion(
+                service=each.service,
+                version=each.version,
+                first_age_s=each.first_age_s,
+                last_age_s=each.last_age_s,
+            )
+            for each in news.versions
+        ],
+    )
+
+
+def _software_from_wire(message: peers_pb2.SoftwareNews) -> SoftwareNews:
+    complete_for_s = None
+    if message.HasField("complete_for_s"):
+        complete_for_s = _duration_s(message.complete_for_s)
+    if len(message.versions) > MAX_SOFTWARE:
+        # The sender may know of versions that would not be read.
+        complete_for_s = None
+    return SoftwareNews(
+        complete_for_s,
+        tuple(
+            SoftwareVersion(
+                each.service,
+                each.version,
+                _duration_s(each.first_age_s),
+                _duration_s(each.last_age_s),
+            )
+            for each in message.versions[:MAX_SOFTWARE]
+        ),
+    )
+
+
 def _member_to_wire(member: routers.Member) -> peers_pb2.Member:
     return peers_pb2.Member(
         name=member.name,
--- a/toucanrudder/peers/node.py
+++ b/toucanrudder/peers/node.py
@@ -68,6 +68,8 @@
         Given the monotonic time, returns when the registry served calls.
     weights : callable
         Returns the newest weights versions named in the store.
+    software : callable
+        Given the monotonic time, returns the software versions seen.
     on_upstream_news : callable
         Given a peer's heartbeat and the monotonic time.
     """
@@ -92,6 +94,9 @@
     full: Callable[[float], tuple[messages.Avoided, ...]] = lambda now_s: ()
     registry: Callable[[float], messages.Served | None] = lambda now_s: None
     weights: Callable[[], tuple[messages.Weights, ...]] = tuple
+    software: Callable[[float], messages.SoftwareNews] = lambda now_s: (
+        messages.SoftwareNews()
+    )
     on_upstream_news: Callable[[messages.Heartbeat, float], None] = (
         lambda heartbeat, now_s: None
     )
@@ -241,6 +246,7 @@
             full=self._hooks.full(now_s),
             registry=self._hooks.registry(now_s),
             weights=self._hooks.weights(),
+            software=self._hooks.software(now_s),
         )
 
     def receive(
--- a/toucanrudder/peers/peering.py
+++ b/toucanrudder/peers/peering.py
@@ -72,6 +72,8 @@
         Decides on the usage caps that this router owns.
     take_over : callable
         Takes over a request that a peer offers.
+    origin_keeper : peer_servers.OriginKeeper
+        Keeps what began streams.
     """
 
     node: nodes.Node
@@ -82,6 +84,9 @@
     logs: Mapping[str, fanout.ChangeLog] = attrs.field(factory=dict)
     answer_cap: peer_servers.AnswerCap = peer_servers.no_caps_owned
     take_over: handovers.TakeOver = handovers.decline
+    origin_keeper: peer_servers.OriginKeeper = attrs.field(
+        factory=peer_servers.NoOrigins
+    )
     _bound: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     @contextlib.asynccontextmanager
@@ -97,6 +102,7 @@
             self.logs,
             self.answer_cap,
             self.take_over,
+            self.origin_keeper,
         ) as address:
             self.node.address = self.advertise or address
             self._bound.set()
--- a/toucanrudder/peers/server.py
+++ b/toucanrudder/peers/server.py
@@ -2,10 +2,12 @@
 
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 import contextlib
 import logging
 import time
+from typing import Protocol
 
 import grpc
 from grpc import aio
@@ -19,6 +21,7 @@
 from toucanrudder.peers import handovers
 from toucanrudder.peers import messages
 from toucanrudder.peers import node as nodes
+from toucanrudder.peers import origins
 from toucanrudder.peers import peers_pb2
 from toucanrudder.peers import peers_pb2_grpc
 from toucanrudder.store import fanout
@@ -58,6 +61,27 @@
     return None
 
 
+class OriginKeeper(Protocol):
+    """Keeps what began streams, for the routers at which they go on."""
+
+    def keep(self, records: Iterable[origins.OriginRecord]) -> None:
+        """Keep records of a peer."""
+
+    def answer(self, key: bytes) -> origins.OriginRecord | None:
+        """Return the record of a stream, if it is known here."""
+
+
+class NoOrigins:
+    """Keeps no records, as a router that resumes no streams."""
+
+    def keep(self, records: Iterable[origins.OriginRecord]) -> None:
+        """Drop the records."""
+
+    def answer(self, key: bytes) -> origins.OriginRecord | None:
+        """Return None."""
+        return None
+
+
 class PeersService(peers_pb2_grpc.PeersServicer):
     """Implementation of the calls that peers make.
 
@@ -77,6 +101,8 @@
         Decides on the usage caps that this router owns.
     take_over : callable
         Takes over a request that a peer offers.
+    origin_keeper : OriginKeeper
+        Keeps what began streams.
     """
 
     def __init__(
@@ -88,6 +114,7 @@
         logs: Mapping[str, fanout.ChangeLog] | None = None,
         answer_cap: AnswerCap = no_caps_owned,
         take_over: handovers.TakeOver = handovers.decline,
+        origin_keeper: OriginKeeper | None = None,
     ):
         self._node = node
         self._requires_certificate = requires_certificate
@@ -96,6 +123,7 @@
         self._logs = logs or {}
         self._answer_cap = answer_cap
         self._take_over = take_over
+        self._origins = origin_keeper or NoOrigins()
 
     async def Exchange(self, request, context):
         """Handle the caller's heartbeat; answer with this router's."""
@@ -158,6 +186,25 @@
             )
         )
 
+    async def KeepOrigins(self, request, context):
+        """Keep what began some streams."""
+        await self._authenticate(context)
+        try:
+            records = origins.records_from_wire(request)
+        except ValueError as error:
+            nodes.count_refusal("bad_origin")
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
+        self._origins.keep(records)
+        return peers_pb2.Taken()
+
+    async def FindOrigin(self, request, context):
+        """Answer what began a stream, if it is known here."""
+        await self._authenticate(context)
+        record = self._origins.answer(request.key)
+        if record is None:
+            return peers_pb2.OriginReply()
+        return peers_pb2.OriginReply(record=origins.to_wire(record))
+
     async def HandOver(self, request_iterator, context):
         """Take over a request that the caller of this method received."""
         await self._authenticate(context)
@@ -196,6 +243,7 @@
     logs: Mapping[str, fanout.ChangeLog] | None = None,
     answer_cap: AnswerCap = no_caps_owned,
     take_over: handovers.TakeOver = handovers.decline,
+    origin_keeper: OriginKeeper | None = None,
 ) -> AsyncIterator[str]:
     """Serve peers during the block; yield the address that was bound.
 
@@ -219,6 +267,8 @@
         Decides on the usage caps that this router owns.
     take_over : callable
         Takes over a request that a peer offers.
+    origin_keeper : OriginKeeper
+        Keeps what began streams.
     """
     server = aio.server(
         options=OPTIONS,
@@ -234,6 +284,7 @@
             logs,
             answer_cap,
             take_over,
+            origin_keeper,
         ),
         server,
     )
--- a/toucanrudder/platform/tests/test_cut_off_routers.py
+++ b/toucanrudder/platform/tests/test_cut_off_routers.py
@@ -162,7 +162,9 @@
     address = first.peering.node.address
     serve = peer_servers.serve
 
-    def broken(node, host, port, credentials, heard, encode, logs, caps, _):
+    def broken(
+        node, host, port, credentials, heard, encode, logs, caps, _, origins
+    ):
         async def take_over(exchange):
             await exchange.read_offer()
             if is_silent:
@@ -173,7 +175,16 @@
             raise handovers.BadExchange("broken by the test")
 
         return serve(
-            node, host, port, credentials, heard, encode, logs, caps, take_over
+            node,
+            host,
+            port,
+            credentials,
+            heard,
+            encode,
+            logs,
+            caps,
+            take_over,
+            origins,
         )
 
     with monkeypatch.context() as patched:
@@ -278,6 +289,9 @@
 
     async def break_and_cut(upstream, run, answer):
         cuts.enter_context(cut_off(routers[0], refuse))
+        # The peer may know of the load at the first engine, and avoid it.
+        for each in upstreams:
+            each.behaviours.clear()
         await standins.breaks_mid_event(upstream, run, answer)
 
     for upstream in upstreams[:ENGINES]:
--- a/toucanrudder/platform/tests/test_software_versions.py
+++ b/toucanrudder/platform/tests/test_software_versions.py
@@ -1,9 +1,12 @@
 """Streams of a service whose upstreams have several software versions."""
 
 import asyncio
+import contextlib
 
 import pytest
 
+from toucanrudder import clock
+from toucanrudder.forwarding.streams import resuming
 from toucanrudder.http1 import client
 from toucanrudder.platform.testing import cluster as clusters
 from toucanrudder.platform.testing import standins
@@ -108,9 +111,19 @@
     )
 
 
+def backed_off(router, engines):
+    """Return the engines that the router leaves alone for a while."""
+    stats, now_s = router.state.upstream_stats, clock.now_s()
+    return [
+        engine
+        for engine in engines
+        if stats.of(engine.incarnation).backoff_until_s > now_s
+    ]
+
+
 BREAKS = [
-    (b"/s/x", standins.breaks_mid_event),
-    (b"/once/x", standins.breaks_after_copy),
+    (b"/s/%d", standins.breaks_mid_event),
+    (b"/once/%d", standins.breaks_after_copy),
 ]
 
 
@@ -122,8 +135,9 @@
     set_behaviour(engines, behaviour)
     (router,) = await start_routers(cluster, 1)
     for number in range(STREAMS):
+        await clusters.wait_until(lambda: not backed_off(router, engines))
         answer = await clusters.send_request(
-            router, path, Request_Id=f"stream{number}"
+            router, path % number, Request_Id=f"stream{number}"
         )
         assert answer.is_whole
         assert answer.body == clusters.EVENTS
@@ -142,3 +156,116 @@
         assert answer.is_whole
         ids = (f"stream{number}", f"next{number}")
         assert len(versions_of(engines, *ids)) == 1
+
+
+async def test_router_that_has_just_started_keeps_to_the_software(cluster):
+    engines = await start_engines(cluster)
+    set_behaviour(engines, hangs_after_event)
+    routers = await start_routers(cluster)
+    for number in range(STREAMS):
+        await receive_first_event(routers[number % 3], number)
+    await leave(cluster, routers, engines[::2])
+    address = routers[0].peering.node.address
+    started = await cluster.router("r4", address)
+    await clusters.wait_until(lambda: len(started.state.peers()) == 3)
+    for number in range(STREAMS):
+        answer = await take_up(started, number)
+        assert answer.is_whole
+        ids = (f"stream{number}", f"next{number}")
+        assert len(versions_of(engines, *ids)) == 1
+
+
+async def test_stream_goes_on_after_the_router_that_began_it_has_died(
+    cluster, tmp_path
+):
+    engines = await start_engines(cluster)
+    set_behaviour(engines, hangs_after_event)
+    async with contextlib.AsyncExitStack() as stack:
+        mortal = clusters.Cluster(tmp_path, stack)
+        mortal.store = cluster.store
+        first = await mortal.router("r0")
+        address = first.peering.node.address
+        routers = [
+            await cluster.router(f"r{number}", address)
+            for number in range(1, 4)
+        ]
+        await clusters.wait_until(
+            lambda: all(each.state.live_routers() == 4 for each in routers)
+        )
+        await clusters.wait_until(lambda: first.state.live_routers() == 4)
+        for number in range(STREAMS):
+            await receive_first_event(first, number)
+    for number in range(STREAMS):
+        answer = await take_up(routers[number % 3], number)
+        assert answer.is_whole
+        ids = (f"stream{number}", f"next{number}")
+        assert len(versions_of(engines, *ids)) == 1
+
+
+def is_refused_at_once(answer, code):
+    """Whether an answer says that the request was not run, and why."""
+    return answer.status == 503 and code in answer.body
+
+
+@pytest.mark.parametrize("resumes", [None, "nobody's", "x" * 4000])
+async def test_stream_of_unknown_software_is_refused_as_not_run(
+    cluster, resumes
+):
+    engines = await start_engines(cluster)
+    routers = await start_routers(cluster)
+    answer = await clusters.send_request(
+        routers[0], b"/s/x", Last_Event_Id="1", Resumes=resumes
+    )
+    assert is_refused_at_once(answer, b"stream_origin_unknown")
+    assert not any(engine.runs for engine in engines)
+
+
+async def test_stream_whose_software_is_gone_is_refused_as_not_run(cluster):
+    engines = await start_engines(cluster)
+    set_behaviour(engines, hangs_after_event)
+    routers = await start_routers(cluster)
+    await receive_first_event(routers[0], 0)
+    (version,) = versions_of(engines, "stream0")
+    gone = [each for each in engines if each.software_version == version]
+    await leave(cluster, routers, gone)
+    began_s = clock.now_s()
+    answer = await take_up(routers[1], 0)
+    assert is_refused_at_once(answer, b"stream_software_gone")
+    assert clock.now_s() - began_s < 1.0
+    assert not versions_of(engines, "next0")
+
+
+async def test_another_organisation_does_not_change_where_a_stream_goes_on(
+    cluster,
+):
+    engines = await start_engines(cluster)
+    set_behaviour(engines, hangs_after_event)
+    routers = await start_routers(cluster)
+    await receive_first_event(routers[0], 0)
+    answer = await clusters.send_request(
+        routers[1],
+        b"/s/x",
+        Last_Event_Id="1",
+        Resumes="stream0",
+        Authorization="Bearer key-of-south",
+    )
+    assert is_refused_at_once(answer, b"stream_origin_unknown")
+
+
+async def test_single_software_lets_any_stream_go_on(cluster, monkeypatch):
+    monkeypatch.setattr(resuming, "WINDOW_MARGIN_S", -5.5)
+    await start_engines(cluster, ("v1", "v1"))
+    routers = await start_routers(cluster)
+    await clusters.wait_until(
+        lambda: all(
+            each.state.streams.sole_version("engines", clock.now_s())
+            for each in routers
+        )
+    )
+    shared = [each.state.streams.directory for each in routers]
+    for each in shared:
+        each.keep_at = each.ask_at = None
+    answer = await clusters.send_request(
+        routers[0], b"/s/x", Last_Event_Id="1"
+    )
+    assert answer.is_whole
