Continue answers of the own interface only at the same software

Callers of the own interface were exposed to the same cause: an answer of a crashed engine was continued from its text at any engine of the model. Load reports state the engine's software; an answer that has begun is continued only at an engine that states the same, trials of suspect requests included, and ends with stream_software_gone otherwise.

--- a/toucanrudder/filters/model_call.py
+++ b/toucanrudder/filters/model_call.py
@@ -8,6 +8,7 @@
 from toucanrudder import quarantine
 from toucanrudder import relay
 from toucanrudder import retries
+from toucanrudder.document import model
 from toucanrudder.filters import engine_try
 from toucanrudder.filters import exchange as exchanges
 from toucanrudder.observability import metrics
@@ -57,6 +58,9 @@
         Receives the answer.
     sequencer : relay.Sequencer
         Tracks the order of the answer's events.
+    software_version : str or None
+        Software of the engine that began the answer; None before its first
+        event.  Only engines of the same software can continue it.
     """
 
     exchange: exchanges.Exchange
@@ -66,6 +70,7 @@
     tries: int = 0
     may_have_run: bool = False
     crashes: int = 0
+    software_version: str | None = None
 
     async def run(self) -> None:
         """Try engines until the answer is complete, or raise RudderError."""
@@ -86,10 +91,13 @@
             decision, isolated = await self._place_with_outcome()
             self.tried.add(decision.upstream)
             self.tries += 1
+            software_version = self._software_version(decision.upstream)
             try:
                 await self._try_engine(decision, isolated)
                 return
             except failures.UpstreamFailure as failure:
+                if self.sequencer.last and self.software_version is None:
+                    self.software_version = software_version
                 step = self._next_step(failure)
             await state.sleep(step.delay_s)
 
@@ -116,7 +124,7 @@
             if trial is not None:
                 return _trial_decision(state, trial), True
         now_s = state.now_s()
-        engines = state.usable_engines(request.model, now_s)
+        engines = self._continuing(state.usable_engines(request.model, now_s))
         # A retry uses an engine that was not tried yet, if there is one.
         engines = self._untried(engines) or engines
         decision = state.place(request, engines, now_s)
@@ -125,16 +133,39 @@
     async def _wait_for_trial(self) -> quarantine.Trial | None:
         state = self.exchange.state
         request = self.exchange.request
-        trial = state.plan_trial(request, state.now_s())
+        trial = state.plan_trial(request, state.now_s(), self._can_continue)
         while trial is not None and trial.wait_s > 0:
             await state.sleep(trial.wait_s)
             # During the wait, a copy of the request may have crashed
             # another engine, or peers may have reported more suspects.
             # Raises if the request is quarantined by now.
             state.standing(request)
-            trial = state.plan_trial(request, state.now_s())
+            trial = state.plan_trial(
+                request, state.now_s(), self._can_continue
+            )
         return trial
 
+    def _software_version(self, name: str) -> str:
+        load = self.exchange.state.loads.get(name)
+        return load.report.software_version if load else ""
+
+    def _can_continue(self, engine: model.Upstream) -> bool:
+        return self.software_version is None or (
+            self._software_version(engine.name) == self.software_version
+        )
+
+    def _continuing(self, engines):
+        """Return the engines that can write the next event of the answer."""
+        same = tuple(filter(self._can_continue, engines))
+        if engines and not same:
+            raise errors.RudderError(
+                errors.Code.STREAM_SOFTWARE_GONE,
+                "no engine has the software that began the answer",
+                step=STEP,
+                peer=self.exchange.request.model,
+            )
+        return same
+
     def _untried(self, engines):
         return tuple(
             engine for engine in engines if engine.name not in self.tried
--- a/toucanrudder/relay/tests/test_streams.py
+++ b/toucanrudder/relay/tests/test_streams.py
@@ -233,3 +233,40 @@
         fleet.session, fleet.routers[1].url, answer, fleets.ORGANISATIONS[1]
     )
     assert (other.status, other.error["code"]) == (404, "unknown_stream")
+
+
+@pytest.mark.parametrize("third", ["1", "2"])
+async def test_crashed_engine_is_not_continued_by_other_software(third):
+    """Only an engine of the software that began the answer continues it."""
+    plan = fleets.Plan(
+        engines=3,
+        engine_options={"decode_s_per_token": 0.02},
+        own_options={
+            "engine-0": {"software_version": "1"},
+            "engine-1": {"software_version": "2"},
+            "engine-2": {"software_version": third},
+        },
+    )
+    async with fleets.running(plan) as fleet:
+        for name in fleet.upstreams:
+            await fleet.put_faults(name, crash_after_event=2)
+        body = _body()
+        answer = await callers.stream(
+            fleet.session, fleet.routers[0].url, body
+        )
+        dead = {
+            name
+            for name, upstream in fleet.upstreams.items()
+            if upstream.process.returncode is not None
+        }
+        runs = await _runs_of(fleet, body)
+    versions = {
+        plan.own_options[name]["software_version"]
+        for name in dead | {run["upstream"] for run in runs}
+    }
+    assert len(versions) == 1
+    sources = [name for name in plan.own_options if name not in dead]
+    has_twin = versions & {
+        plan.own_options[name]["software_version"] for name in sources
+    }
+    assert (answer.end is callers.End.DONE) == bool(has_twin)
--- a/toucanrudder/router/state.py
+++ b/toucanrudder/router/state.py
@@ -275,17 +275,31 @@
         return standing
 
     def plan_trial(
-        self, request: requests.ModelRequest, now_s: float
+        self,
+        request: requests.ModelRequest,
+        now_s: float,
+        can_run: Callable[[model.Upstream], bool] = lambda engine: True,
     ) -> quarantine.Trial | None:
         """Return on which engine and when a suspect request may run.
 
+        Parameters
+        ----------
+        request : requests.ModelRequest
+            The request.
+        now_s : float
+            Current monotonic time.
+        can_run : callable
+            Returns whether an engine can run it.
+
         Returns
         -------
         quarantine.Trial or None
             None if no engine can run the model or the request is no suspect.
         """
         usable = {
-            engine.name for engine in self.usable_engines(request.model, now_s)
+            engine.name
+            for engine in self.usable_engines(request.model, now_s)
+            if can_run(engine)
         }
         configured = [
             upstream.name
--- a/toucanrudder/standins/engine.py
+++ b/toucanrudder/standins/engine.py
@@ -279,6 +279,7 @@
             "models": self.orders.versions(),
             "role": self.orders.role,
             "fencing": self.orders.fencing,
+            "software_version": self.options.software_version,
         }
 
     def _refusal(
--- a/toucanrudder/standins/options.py
+++ b/toucanrudder/standins/options.py
@@ -34,6 +34,8 @@
         Time that loading weights takes beside the fetch.
     import_tokens_per_s : float
         Speed of imports of KV cache; 0 for no cost.
+    software_version : str
+        Version of its software in load reports.
     """
 
     name: str = "engine"
@@ -51,6 +53,7 @@
     platform: str = ""
     load_s: float = 0.1
     import_tokens_per_s: float = 0.0
+    software_version: str = "1"
 
     def weights(self) -> dict[str, tuple[str, str]]:
         """Return weights version and adapter of each model."""
--- a/toucanrudder/testing/fleet.py
+++ b/toucanrudder/testing/fleet.py
@@ -41,6 +41,8 @@
         How many of each.
     engine_options, service_options, platform_options : dict
         Options of the stand-ins.
+    own_options : dict
+        Further options of single upstreams by name.
     settings : dict
         Settings of the routers by section, over those for tests.
     document : dict
@@ -57,6 +59,7 @@
     services: int = 0
     routers: int = 1
     engine_options: dict = attrs.field(factory=dict)
+    own_options: dict[str, dict] = attrs.field(factory=dict)
     service_options: dict = attrs.field(factory=dict)
     platform_options: dict = attrs.field(factory=dict)
     settings: dict[str, dict] = attrs.field(factory=dict)
@@ -110,7 +113,12 @@
             else self.plan.service_options
         )
         process = await self.stack.enter_async_context(
-            processes.standin(kind, name=name, **options)
+            processes.standin(
+                kind,
+                name=name,
+                **options,
+                **self.plan.own_options.get(name, {}),
+            )
         )
         self.upstreams[name] = process
         if name in self.proxies:
--- a/toucanrudder/upstreams/loads.py
+++ b/toucanrudder/upstreams/loads.py
@@ -25,6 +25,7 @@
     models: dict[str, str] = attrs.field(factory=dict)
     role: str = ""
     fencing: int = 0
+    software_version: str = ""
     at_s: float = 0.0
 
 
