Share a stream's origin with routers that own it after others died

A record was sent again to all of its keepers whenever a router joined or left, and only by the router that began the stream. Each router remembers which peers have a record, and sends those that it keeps to routers that become its keepers. A stream that a peer takes over keeps the key of the caller's request: it was computed from the peer's own point of resumption, so that nothing was recorded there.

--- a/toucanrudder/forwarding/model.py
+++ b/toucanrudder/forwarding/model.py
@@ -362,6 +362,8 @@
         ID of the event after which the caller resumes a stream.
     resumes : str or None
         ID of the caller's request that received the stream's first event.
+    stream_id : str or None
+        The same for any stream: the ID of this request if it begins one.
     """
 
     request_id: str
@@ -372,3 +374,11 @@
     prompt: Prompt | None = None
     resume_after: str | None = None
     resumes: str | None = None
+    stream_id: str | None = attrs.field(
+        default=attrs.Factory(
+            lambda self: (
+                self.request_id if self.resume_after is None else self.resumes
+            ),
+            takes_self=True,
+        )
+    )
--- a/toucanrudder/forwarding/streams/directory.py
+++ b/toucanrudder/forwarding/streams/directory.py
@@ -132,31 +132,43 @@
         is_shared : bool
             Whether other routers may need it.
         """
-        self.table.put(record, now_s, is_own=True)
+        self.table.put(record, now_s)
         if is_shared:
-            self._share(now_s, {record.service})
-
-    def _share(self, now_s: float, services: set[str]) -> None:
-        for record in self.table.take_unshared(now_s, services):
-            for address in self._ranked(record.key)[:KEEPERS]:
-                self._pending.setdefault(address, []).append(record)
-                self._due.set()
-
-    def _ranked(self, key: bytes) -> list[str]:
-        """Return the addresses of the peers that own a key, by rank."""
-        self._refresh()
+            self._refresh()
+            self._send_to_keepers(self.table.entry(record.key), now_s)
+
+    def _send_to_keepers(self, entry: origins.Entry, now_s: float) -> None:
+        """Send a record to its keepers, unless they have it."""
+        keepers = frozenset(self._owners(entry.record.key)[:KEEPERS])
+        for name in keepers - entry.shared_with:
+            address = self._addresses[name]
+            self._pending.setdefault(address, []).append(entry.at(now_s))
+            self._due.set()
+        entry.shared_with |= keepers
+
+    def _owners(self, key: bytes) -> tuple[str, ...]:
+        """Return the names of the peers that own a key, by rank."""
         partition = int.from_bytes(key[:2]) % PARTITIONS
-        names = self._ownership.owners(f"stream/{partition}")
-        return [self._addresses[name] for name in names]
+        return self._ownership.owners(f"stream/{partition}")
 
-    def _refresh(self) -> bool:
-        """Update the live routers; return whether they have changed."""
+    def _refresh(self) -> None:
+        """Update the live routers, if they have changed."""
         peers = self.peers()
-        if peers is self._known_peers:
-            return False
-        self._known_peers = peers
-        self._addresses = {peer.name: peer.address for peer in peers}
-        return self._ownership.update(sorted(self._addresses))
+        if peers is not self._known_peers:
+            self._known_peers = peers
+            self._addresses = {peer.name: peer.address for peer in peers}
+            self._ownership.update(sorted(self._addresses))
+
+    def share(self, now_s: float, services: set[str]) -> None:
+        """Send the records of services to keepers that lack them.
+
+        Also those of other routers, which may have died since.
+        """
+        if not services:
+            return
+        for entry in self.table.entries(now_s):
+            if entry.record.service in services:
+                self._send_to_keepers(entry, now_s)
 
     async def find(self, key: bytes) -> Finding:
         """Return what began a stream; ask the owners of its key."""
@@ -164,7 +176,8 @@
         known = self.table.get(key, now_s)
         if known is not None:
             return Finding(known)
-        addresses = self._ranked(key)
+        self._refresh()
+        addresses = [self._addresses[name] for name in self._owners(key)]
         replies = await asyncio.gather(
             *(self.ask_at(address, key) for address in addresses)
         )
@@ -184,8 +197,11 @@
     def keep(self, records: Iterable[messages.OriginRecord]) -> None:
         """Keep records of a peer."""
         now_s = clock.now_s()
+        self._refresh()
         for record in records:
-            self.table.put(record, now_s)
+            # The router that sent it has sent it to the other keepers too.
+            keepers = frozenset(self._owners(record.key)[:KEEPERS])
+            self.table.put(record, now_s, keepers)
 
     def answer(self, key: bytes) -> messages.OriginRecord | None:
         """Return the record of a stream, if it is known here."""
@@ -210,9 +226,8 @@
         while True:
             now_s = clock.now_s()
             self.table.expire(now_s)
-            if self._refresh():
-                self.table.unshare()
-            self._share(now_s, self.shared_services(now_s))
+            self._refresh()
+            self.share(now_s, self.shared_services(now_s))
             await asyncio.sleep(CHECK_INTERVAL_S)
 
     def _send(self) -> None:
--- a/toucanrudder/forwarding/streams/origins.py
+++ b/toucanrudder/forwarding/streams/origins.py
@@ -70,11 +70,26 @@
 
 
 @attrs.define(eq=False)
-class _Entry:
+class Entry:
+    """A record that is kept.
+
+    Parameters
+    ----------
+    record : messages.OriginRecord
+        The record.
+    until_s : float
+        Monotonic time at which it is dropped.
+    shared_with : frozenset of str
+        Names of the peers that have it, as far as this router knows.
+    """
+
     record: messages.OriginRecord
     until_s: float
-    is_own: bool
-    is_shared: bool = False
+    shared_with: frozenset[str] = frozenset()
+
+    def at(self, now_s: float) -> messages.OriginRecord:
+        """Return the record with the time that is left."""
+        return attrs.evolve(self.record, kept_for_s=self.until_s - now_s)
 
 
 @attrs.define(eq=False)
@@ -100,7 +115,7 @@
     """
 
     max_records: int = MAX_RECORDS
-    _entries: dict[bytes, _Entry] = attrs.field(factory=dict)
+    _entries: dict[bytes, Entry] = attrs.field(factory=dict)
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -109,8 +124,7 @@
         self,
         record: messages.OriginRecord,
         now_s: float,
-        *,
-        is_own: bool = False,
+        shared_with: frozenset[str] = frozenset(),
     ) -> None:
         """Keep a record, unless a later attempt of the stream is known."""
         known = self._entries.get(record.key)
@@ -120,10 +134,9 @@
         if known is not None:
             # Puts it at the end: the first entries are the oldest.
             del self._entries[record.key]
-            is_own |= known.is_own
             if known.record.software_version == record.software_version:
                 until_s = max(until_s, known.until_s)
-        self._entries[record.key] = _Entry(record, until_s, is_own)
+        self._entries[record.key] = Entry(record, until_s, shared_with)
         while len(self._entries) > self.max_records:
             del self._entries[next(iter(self._entries))]
 
@@ -132,7 +145,7 @@
         entry = self._entries.get(key)
         if entry is None or entry.until_s <= now_s:
             return None
-        return attrs.evolve(entry.record, kept_for_s=entry.until_s - now_s)
+        return entry.at(now_s)
 
     def expire(self, now_s: float) -> None:
         """Drop the records whose time is over."""
@@ -142,21 +155,12 @@
             if entry.until_s > now_s
         }
 
-    def unshare(self) -> None:
-        """Mark all own records as not shared, as their owners changed."""
-        for entry in self._entries.values():
-            entry.is_shared = False
-
-    def take_unshared(
-        self, now_s: float, services: set[str]
-    ) -> list[messages.OriginRecord]:
-        """Return own records of services to share; mark them as shared."""
-        records = []
-        for key, entry in self._entries.items():
-            if not entry.is_own or entry.is_shared:
-                continue
-            record = self.get(key, now_s)
-            if record is not None and record.service in services:
-                entry.is_shared = True
-                records.append(record)
-        return records
+    def entry(self, key: bytes) -> Entry:
+        """Return what is kept of a stream; raise KeyError if nothing is."""
+        return self._entries[key]
+
+    def entries(self, now_s: float) -> list[Entry]:
+        """Return all records whose time is not over."""
+        return [
+            entry for entry in self._entries.values() if entry.until_s > now_s
+        ]
--- a/toucanrudder/forwarding/streams/resuming.py
+++ b/toucanrudder/forwarding/streams/resuming.py
@@ -37,14 +37,10 @@
 
 def key_of(match: routing.RouteMatch) -> bytes | None:
     """Return the key of a request's stream; None if it names none."""
-    call = match.call
-    request_id = call.request_id
-    if call.resume_after is not None:
-        request_id = call.resumes or ""
-    if not request_id:
+    if not match.call.stream_id:
         return None
     organisation = match.organisation.name if match.organisation else ""
-    return origins.stream_key(organisation, request_id)
+    return origins.stream_key(organisation, match.call.stream_id)
 
 
 @attrs.define(eq=False)
