Test on virtual time that software counts as single only if that is certain

Fleets of 8, 82 and 195 routers, cut off at random from each other, from the store and by deaths, while a second version appears: no router may take the first for the only one once any router begins streams at the second.

--- /dev/null
+++ b/toucanrudder/forwarding/streams/tests/test_software.py
@@ -0,0 +1,200 @@
+"""Routers rely on a single software version only if that is certain."""
+
+import random
+
+import attrs
+import pytest
+
+from toucanrudder.forwarding import model
+from toucanrudder.forwarding import registry as registries
+from toucanrudder.forwarding.streams import directory
+from toucanrudder.forwarding.streams import resuming
+from toucanrudder.forwarding.streams import software
+from toucanrudder.peers import messages
+from toucanrudder.store import continuity
+
+SERVICE = "s"
+TIMEOUT_S = 3.0
+WINDOW_S = 2 * TIMEOUT_S + resuming.WINDOW_MARGIN_S
+STEP_S = 0.1
+GOSSIP_S = 0.5
+SILENT_S = 3.0
+LENGTH_S = 45.0
+
+
+def upstream(name, version):
+    return model.Upstream(name, SERVICE, f"{name}:1", software_version=version)
+
+
+OLD, NEW = upstream("i1", "v1"), upstream("i2", "v2")
+
+
+def resumption(registry):
+    return resuming.StreamResumption(
+        registry,
+        lambda: {SERVICE: TIMEOUT_S},
+        directory.OriginDirectory("r", tuple, lambda now_s: set()),
+    )
+
+
+def observed(*sightings):
+    """Return what a router knows that has seen these for some times."""
+    versions = software.SoftwareVersions()
+    for from_s, until_s, upstreams in sightings:
+        for tenth in range(round(from_s * 10), round(until_s * 10)):
+            versions.observe(upstreams, tenth / 10, is_current=True)
+    return versions
+
+
+SOLE = {
+    "one version for long": (observed((0, 9, [OLD])), "v1"),
+    "one version since a start": (observed((5, 9, [OLD])), None),
+    "another one now": (observed((0, 8, [OLD]), (8, 9, [OLD, NEW])), None),
+    "another one left a moment ago": (
+        observed((0, 5, [OLD, NEW]), (5, 9, [OLD])),
+        None,
+    ),
+    "another one left long ago": (
+        observed((0, 1, [OLD, NEW]), (1, 9, [OLD])),
+        "v1",
+    ),
+    "suspended meanwhile": (observed((0, 4, [OLD]), (8, 9, [OLD])), None),
+    "no upstream": (observed((0, 9, [])), None),
+}
+
+
+@pytest.mark.parametrize(
+    ("versions", "expected"), SOLE.values(), ids=SOLE.keys()
+)
+def test_version_counts_as_single_only_if_all_others_would_be_known(
+    versions, expected
+):
+    assert versions.sole_version(SERVICE, WINDOW_S, 9.0) == expected
+
+
+def test_started_router_learns_from_a_peer_how_long_a_version_was_single():
+    peer, started = observed((0, 9, [OLD])), observed((8, 9, [OLD]))
+    started.merge(peer.news(9.0), 9.0)
+    assert started.sole_version(SERVICE, WINDOW_S, 9.0) == "v1"
+
+
+def test_started_router_learns_from_a_peer_what_has_left():
+    peer = observed((0, 5, [OLD, NEW]), (5, 9, [OLD]))
+    started = observed((8, 9, [OLD]))
+    started.merge(peer.news(9.0), 9.0)
+    assert started.sole_version(SERVICE, WINDOW_S, 9.0) is None
+
+
+def test_peer_that_was_cut_off_does_not_vouch_for_its_list():
+    versions = observed((0, 9, [OLD]))
+    versions.observe([OLD], 9.0, is_current=False)
+    assert versions.news(9.0).complete_for_s is None
+
+
+@attrs.define(eq=False)
+class Router:
+    """A router on virtual time.
+
+    Parameters
+    ----------
+    island : int
+        Routers of one island reach each other.
+    reaches_store : bool
+        Whether the registry answers it.
+    """
+
+    name: int
+    island: int = 0
+    reaches_store: bool = True
+    lives: bool = True
+    heard_s: dict = attrs.field(factory=dict)
+    registry: registries.Registry = attrs.field(factory=registries.Registry)
+    streams: resuming.StreamResumption = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        self.streams = resumption(self.registry)
+
+    def step(self, store, now_s):
+        if self.reaches_store:
+            self.registry.replace(store, now_s)
+            self.registry.add_served_span(continuity.Span(now_s, now_s))
+        self.streams.has_silent_peer = lambda: any(
+            now_s - heard_s > SILENT_S for heard_s in self.heard_s.values()
+        )
+        self.streams.observe(now_s)
+
+    def hear(self, peer, now_s):
+        self.heard_s[peer.name] = now_s
+        for name, heard_s in peer.heard_s.items():
+            if name != self.name:
+                known_s = self.heard_s.get(name, heard_s)
+                self.heard_s[name] = max(known_s, heard_s)
+        self.streams.software.merge(peer.streams.news(now_s), now_s)
+        if peer.registry.served is not None:
+            self.registry.add_served_span(peer.registry.served)
+
+    def begins_streams_at_new(self, now_s):
+        versions = self.streams.software
+        return versions.is_known(NEW) and not versions.is_new(
+            SERVICE, "v2", now_s
+        )
+
+
+def cut(rng, routers):
+    """Cut some routers off from others, from the store or from both."""
+    count = rng.choice((1, len(routers) // 2, len(routers) - 1))
+    for router in rng.sample(routers, count):
+        kind = rng.randrange(4)
+        router.island = kind % 2
+        router.reaches_store = kind < 2
+        router.lives = router.lives and rng.random() < 0.9
+
+
+@pytest.mark.parametrize(
+    ("size", "seed"),
+    [(8, seed) for seed in range(40)] + [(82, 1), (82, 2), (195, 3)],
+)
+def test_no_router_takes_a_version_for_single_once_another_begins_streams(
+    size, seed
+):
+    rng = random.Random(seed)
+    routers = [Router(number) for number in range(size)]
+    store = [OLD]
+    new_at_s = rng.uniform(14.0, 20.0)
+    cuts_s = [rng.uniform(11.0, 30.0) for _ in range(3)]
+    was_certain = False
+    for tenth in range(round(LENGTH_S / STEP_S)):
+        now_s = tenth * STEP_S
+        if now_s >= new_at_s:
+            store = [OLD, NEW]
+        while cuts_s and now_s >= min(cuts_s):
+            cuts_s.remove(min(cuts_s))
+            cut(rng, routers)
+        living = [router for router in routers if router.lives]
+        for router in living:
+            router.step(store, now_s)
+        if tenth % round(GOSSIP_S / STEP_S) == 0:
+            for router in living:
+                near = [p for p in living if p.island == router.island]
+                for peer in rng.sample(near, min(3, len(near))):
+                    if peer is not router:
+                        router.hear(peer, now_s)
+                        peer.hear(router, now_s)
+        certain = [
+            router.name
+            for router in living
+            if router.streams.sole_version(SERVICE, now_s) == "v1"
+        ]
+        was_certain |= len(certain) == len(living)
+        if any(router.begins_streams_at_new(now_s) for router in living):
+            assert not certain
+    assert was_certain
+
+
+def test_news_of_software_survive_the_wire():
+    news = observed((0, 5, [OLD, NEW]), (5, 9, [OLD])).news(9.0)
+    wire = messages._software_to_wire(news)
+    back = messages._software_from_wire(wire)
+    assert back.complete_for_s == pytest.approx(news.complete_for_s)
+    assert [each.version for each in back.versions] == ["v1", "v2"]
+    assert back.versions[1].last_age_s == pytest.approx(4.1, abs=0.01)
