Let the soak's engines have two software versions, and callers return

Callers take a broken stream up again at any router, up to twice, and the events name the software that wrote them. A new check sees whether one stream holds events of two versions, over all calls; two mutants take out the condition on candidates and the look-up of a caller's return.

--- a/toucanrudder/platform/testing/soaking.py
+++ b/toucanrudder/platform/testing/soaking.py
@@ -19,11 +19,14 @@
 #: Organisation that shares no cache with others.
 ISOLATED_ORGANISATION = "south"
 
+#: Software versions of engines.
+SOFTWARE_VERSIONS = ("v1", "v2")
+
 #: Time between two events of a stream, and time to load weights.
 EVENT_GAP_S = 0.03
 LOAD_TIME_S = 0.2
 
-_EVENT = re.compile(rb"id: (\d+)\ndata: (\S+)\n\n")
+_EVENT = re.compile(rb"id: (\d+)\ndata: ([^\s@]+)@(\S+)\n\n")
 
 _PATHS = {
     records.Kind.STREAM_ONCE: "/once/x",
@@ -98,6 +101,9 @@
         "Authorization": f"Bearer {API_KEYS[organisation]}",
     }
     method, body = b"GET", b""
+    if call.resumed_after:
+        headers["Last-Event-Id"] = str(call.resumed_after)
+        headers["Resumes"] = call.stream_id
     if call.kind.is_stream:
         headers |= {
             "Model": MODEL,
@@ -126,8 +132,10 @@
         return
     if call.kind.is_stream:
         events = _EVENT.findall(body)
-        call.events = [int(number) for number, _ in events]
-        texts = {text for _, text in events}
+        call.events = [int(number) for number, *_ in events]
+        call.software = {version.decode() for *_, version in events}
+        # A resumed stream is a request of its own.
+        texts = {text for _, text, _ in events}
     else:
         texts = {body} if call.is_whole else set()
     call.is_own &= texts <= {call.request_id.encode()}
@@ -318,7 +326,10 @@
         first = int(run.headers.get("last-event-id", 0)) + 1
         for number in range(first, oracles.EVENTS + 1):
             await asyncio.sleep(EVENT_GAP_S)
-            text = f"id: {number}\ndata: {run.request_id}\n\n"
+            text = (
+                f"id: {number}\n"
+                f"data: {run.request_id}@{self.software_version}\n\n"
+            )
             await answer.write(text.encode())
         await answer.end()
 
--- a/toucanrudder/soak/callers.py
+++ b/toucanrudder/soak/callers.py
@@ -25,6 +25,9 @@
 #: Part of the calls that are broken off early by their caller.
 LEAVE_SHARE = 0.03
 
+#: How often a caller takes one stream up again.
+MAX_RESUMPTIONS = 2
+
 #: Shared parts that prompts begin with.
 PARTS = 4
 
@@ -67,9 +70,12 @@
         """Ask a router, and note what comes."""
         self._site.record.calls.append(call)
         organisation = self._rng.choice(list(soaking.API_KEYS))
+        if call.resumed_after:
+            organisation = call.organisation
         if call.kind is records.Kind.POISON:
             # It is known by its caller, path and body.
             organisation = next(iter(soaking.API_KEYS))
+        call.organisation = organisation
         head, body = soaking.build_request(
             call, organisation, self._rng.randrange(PARTS)
         )
@@ -121,9 +127,27 @@
             (kind,) = self._rng.choices(kinds, shares)
             router = self._rng.choice(self._site.routers)
             leaves = self._rng.random() < LEAVE_SHARE
-            await self.ask(self.call(kind, router), router, leaves=leaves)
+            call = await self.ask(
+                self.call(kind, router), router, leaves=leaves
+            )
+            if kind is records.Kind.STREAM_RESUMABLE:
+                await self._resume(call)
             await asyncio.sleep(self._rng.uniform(0, 2 * pause_s))
 
+    async def _resume(self, call: records.Call) -> None:
+        """Take a broken stream up again, at any router."""
+        # Its own generator, so that other draws do not depend on breaks.
+        rng = random.Random(call.request_id)
+        for _ in range(MAX_RESUMPTIONS):
+            if call.is_served or not call.events:
+                return
+            router = rng.choice(self._site.routers)
+            resumed = self.call(call.kind, router)
+            resumed.organisation = call.organisation
+            resumed.stream_id = call.stream_id or call.request_id
+            resumed.resumed_after = call.events[-1]
+            call = await self.ask(resumed, router)
+
     async def probe(self, until_s: float, pause_s: float) -> None:
         """Ask all routers for the newest route until a time."""
         while time.monotonic() < until_s:
--- a/toucanrudder/soak/faults.py
+++ b/toucanrudder/soak/faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 import signal
 import time
 
@@ -186,21 +187,29 @@
     async def _crash(self, step: plans.Step) -> None:
         upstream = self._upstream(step)
         if upstream is not None:
-            await self._replace(upstream)
+            await self._replace(upstream, _software_version(step))
 
-    async def _replace(self, upstream: sites.Upstream) -> None:
+    async def _replace(
+        self,
+        upstream: sites.Upstream,
+        software_version: str = soaking.SOFTWARE_VERSIONS[0],
+    ) -> None:
         standin = upstream.standin
         with self._span("upstream crash", standin.incarnation):
             await self._site.end_upstream(upstream)
             await asyncio.sleep(REPLACED_S)
-            await self._site.add_upstream(standin.service, standin.zone)
+            await self._site.add_upstream(
+                standin.service, standin.zone, software_version
+            )
 
     async def _drain(self, step: plans.Step) -> None:
         upstream = self._upstream(step)
         if upstream is None or self._site.store.mode != "well":
             return
         standin = upstream.standin
-        await self._site.add_upstream(standin.service, standin.zone)
+        await self._site.add_upstream(
+            standin.service, standin.zone, _software_version(step)
+        )
         self._site.leave(upstream)
         await asyncio.sleep(LINGER_S + step.for_s)
         with self._span("upstream left", standin.incarnation):
@@ -232,6 +241,11 @@
         self._site.name_weights()
 
 
+def _software_version(step: plans.Step) -> str:
+    """Return the software of the upstream that replaces another."""
+    return random.Random(step.draw).choice(soaking.SOFTWARE_VERSIONS)
+
+
 def _mode(mode: str):
     async def act(injector: Injector, step: plans.Step) -> None:
         await injector._store_mode(mode, step)
--- a/toucanrudder/soak/mutants.py
+++ b/toucanrudder/soak/mutants.py
@@ -57,9 +57,11 @@
     Mutant(
         "a stream goes on one event too early",
         "forwarding/attempt.py",
-        "resume_after=self.execution.last_event_id",
+        "resume_after=self.execution.last_event_id,\n"
+        "                fetch_from",
         "resume_after=self.execution.last_event_id and "
-        "str(int(self.execution.last_event_id) - 1)",
+        "str(int(self.execution.last_event_id) - 1),\n"
+        "                fetch_from",
     ),
     Mutant(
         "answers are not matched with requests",
@@ -127,6 +129,18 @@
         "        if cap is None:\n            yield",
         "        if True:\n            yield",
     ),
+    Mutant(
+        "a broken stream goes on at any software",
+        "forwarding/streams/origins.py",
+        "            and upstream.software_version == self.software_version\n",
+        "",
+    ),
+    Mutant(
+        "a caller that returns is sent to any software",
+        "forwarding/streams/resuming.py",
+        "if call.resume_after is None or not route.is_stream:",
+        "if True:",
+    ),
     Mutant(
         "a poisonous request is not recognised",
         "forwarding/poison.py",
--- a/toucanrudder/soak/records.py
+++ b/toucanrudder/soak/records.py
@@ -56,6 +56,15 @@
         Whether the caller has left before the end.
     generation : int
         For a probe: the generation whose route was asked for.
+    organisation : str
+        Whose key it carries.
+    stream_id : str
+        Request that received the first event of the stream; empty for its
+        own.
+    resumed_after : int
+        Number of the event after which it resumes the stream; 0 for none.
+    software : set of str
+        Software versions of the events that came.
     """
 
     request_id: str
@@ -70,6 +79,10 @@
     events: list[int] = attrs.field(factory=list)
     left: bool = False
     generation: int = 0
+    organisation: str = ""
+    stream_id: str = ""
+    resumed_after: int = 0
+    software: set[str] = attrs.field(factory=set)
 
     @property
     def is_served(self) -> bool:
--- a/toucanrudder/soak/site.py
+++ b/toucanrudder/soak/site.py
@@ -215,10 +215,16 @@
 
     # Upstreams.
 
-    async def add_upstream(self, service: str, zone: str) -> Upstream:
+    async def add_upstream(
+        self,
+        service: str,
+        zone: str,
+        software_version: str = soaking.SOFTWARE_VERSIONS[0],
+    ) -> Upstream:
         """Start an upstream and register it."""
         stack = contextlib.AsyncExitStack()
         standin = soaking.Upstream(self.shared, service, zone)
+        standin.software_version = software_version
         standin.version = max(1, self.version)
         await stack.enter_async_context(standin.running())
         proxy = await stack.enter_async_context(
--- a/toucanrudder/soak/tests/test_oracles.py
+++ b/toucanrudder/soak/tests/test_oracles.py
@@ -64,6 +64,28 @@
         oracles.streams_whole,
         record([call(Kind.STREAM_RESUMABLE, events=[1, 2])]),
     ),
+    "events of two versions in one answer": (
+        oracles.one_software,
+        record([call(Kind.STREAM_RESUMABLE, software={"v1", "v2"})]),
+    ),
+    "resumed at another version": (
+        oracles.one_software,
+        record(
+            [
+                call(Kind.STREAM_RESUMABLE, software={"v1"}),
+                call(
+                    Kind.STREAM_RESUMABLE,
+                    "c2",
+                    stream_id="c1",
+                    software={"v2"},
+                ),
+            ]
+        ),
+    ),
+    "resumed one event too late": (
+        oracles.streams_whole,
+        record([call(Kind.STREAM_RESUMABLE, resumed_after=2, events=[4, 5])]),
+    ),
     "another's answer": (oracles.own_answers, record([call(is_own=False)])),
     "asked wrongly": (
         oracles.asked_rightly,
@@ -133,6 +155,27 @@
         oracles.streams_whole,
         record([call(Kind.STREAM_ONCE, events=[1, 2], is_whole=False)]),
     ),
+    "resumed at the same version": (
+        oracles.one_software,
+        record(
+            [
+                call(Kind.STREAM_RESUMABLE, software={"v1"}),
+                call(
+                    Kind.STREAM_RESUMABLE,
+                    "c2",
+                    stream_id="c1",
+                    software={"v1"},
+                ),
+                call(Kind.STREAM_RESUMABLE, "c3", software={"v2"}),
+            ]
+        ),
+    ),
+    "resumed and whole": (
+        oracles.streams_whole,
+        record(
+            [call(Kind.STREAM_RESUMABLE, resumed_after=4, events=WHOLE[4:])]
+        ),
+    ),
     "a whole stream": (
         oracles.streams_whole,
         record([call(Kind.STREAM_ONCE, events=WHOLE)]),
