Test streams that go on by way of peers between two software versions

A stream that breaks when its router loses contact goes on through a peer, at its own software; one that a peer relays is known to the others; one that has begun is not handed to a peer of an earlier version of the router, which would not keep to the software; a new version begins no resumable streams at first, unless nothing else is left. A later try of a stream keeps its record even if an earlier request had more attempts.

--- a/toucanrudder/forwarding/streams/origins.py
+++ b/toucanrudder/forwarding/streams/origins.py
@@ -127,15 +127,17 @@
         shared_with: frozenset[str] = frozenset(),
     ) -> None:
         """Keep a record, unless a later attempt of the stream is known."""
-        known = self._entries.get(record.key)
-        if known is not None and known.record.order > record.order:
-            return
         until_s = now_s + record.kept_for_s
+        # Put again, it comes last: the first entries are the oldest.
+        known = self._entries.pop(record.key, None)
         if known is not None:
-            # Puts it at the end: the first entries are the oldest.
-            del self._entries[record.key]
-            if known.record.software_version == record.software_version:
+            if known.record.is_same_software(record):
                 until_s = max(until_s, known.until_s)
+                order = max(record.order, known.record.order)
+                record = attrs.evolve(record, order=order)
+            elif known.record.order > record.order:
+                self._entries[record.key] = known
+                return
         self._entries[record.key] = Entry(record, until_s, shared_with)
         while len(self._entries) > self.max_records:
             del self._entries[next(iter(self._entries))]
--- a/toucanrudder/peers/origins.py
+++ b/toucanrudder/peers/origins.py
@@ -41,6 +41,13 @@
     order: int
     kept_for_s: float
 
+    def is_same_software(self, other: "OriginRecord") -> bool:
+        """Return whether another record names the same software."""
+        return (self.service, self.software_version) == (
+            other.service,
+            other.software_version,
+        )
+
 
 def to_wire(record: OriginRecord) -> peers_pb2.OriginRecord:
     """Return a record as a protobuf message."""
--- a/toucanrudder/platform/testing/cluster.py
+++ b/toucanrudder/platform/testing/cluster.py
@@ -238,3 +238,26 @@
 
 
 EVENTS = b"".join(map(standins.event, (1, 2, 3)))
+
+
+async def refuse(address, timeout_s):
+    """Refuse a new connection at once."""
+    raise client.ExchangeError(client.Fault.NOT_CONNECTED, sent=False)
+
+
+async def hang(address, timeout_s):
+    """Let a new connection time out, as behind a partition."""
+    await asyncio.sleep(timeout_s)
+    raise client.ExchangeError(client.Fault.CONNECT_TIMEOUT, sent=False)
+
+
+@contextlib.contextmanager
+def cut_off(router, how):
+    """Cut a router off from all upstreams during the block."""
+    pool = router.state.pool
+    connect, pool.connect = pool.connect, how
+    pool.close()
+    try:
+        yield
+    finally:
+        pool.connect = connect
--- a/toucanrudder/platform/tests/test_cut_off_routers.py
+++ b/toucanrudder/platform/tests/test_cut_off_routers.py
@@ -18,29 +18,6 @@
 PATHS = (b"/r/x", b"/w/x", b"/s/x", b"/once/x")
 
 
-async def refuse(address, timeout_s):
-    """Refuse a new connection at once."""
-    raise client.ExchangeError(client.Fault.NOT_CONNECTED, sent=False)
-
-
-async def hang(address, timeout_s):
-    """Let a new connection time out, as behind a partition."""
-    await asyncio.sleep(timeout_s)
-    raise client.ExchangeError(client.Fault.CONNECT_TIMEOUT, sent=False)
-
-
-@contextlib.contextmanager
-def cut_off(router, how):
-    """Cut a router off from all upstreams during the block."""
-    pool = router.state.pool
-    connect, pool.connect = pool.connect, how
-    pool.close()
-    try:
-        yield
-    finally:
-        pool.connect = connect
-
-
 async def start_fleet(cluster):
     """Start upstreams of two services and routers that know each other."""
     upstreams = [await cluster.engine() for _ in range(ENGINES)]
@@ -55,12 +32,12 @@
     return upstreams, routers
 
 
-@pytest.mark.parametrize("how", [refuse, hang])
+@pytest.mark.parametrize("how", [clusters.refuse, clusters.hang])
 async def test_callers_of_a_cut_off_router_are_served_through_peers(
     cluster, how
 ):
     _, routers = await start_fleet(cluster)
-    with cut_off(routers[0], how):
+    with clusters.cut_off(routers[0], how):
         statuses = [
             (await clusters.send_request(routers[0], path)).status
             for path in PATHS * 3
@@ -68,12 +45,12 @@
     assert statuses == [200] * len(statuses)
 
 
-@pytest.mark.parametrize("how", [refuse, hang])
+@pytest.mark.parametrize("how", [clusters.refuse, clusters.hang])
 async def test_without_upstreams_all_routers_refuse_as_not_run(cluster, how):
     upstreams, routers = await start_fleet(cluster)
     with contextlib.ExitStack() as stack:
         for router in routers:
-            stack.enter_context(cut_off(router, how))
+            stack.enter_context(clusters.cut_off(router, how))
         for path in PATHS:
             answer = await clusters.send_request(routers[0], path)
             assert answer.status == 503
@@ -97,7 +74,7 @@
 
     async def connect(address, timeout_s):
         if address == first:
-            await hang(address, timeout_s)
+            await clusters.hang(address, timeout_s)
         return await client.connect(address, timeout_s)
 
     pool.connect = connect
@@ -109,7 +86,7 @@
 async def test_router_sends_requests_itself_once_contact_returns(cluster):
     _, routers = await start_fleet(cluster)
     state = routers[0].state
-    with cut_off(routers[0], refuse):
+    with clusters.cut_off(routers[0], clusters.refuse):
         for path in PATHS:
             await clusters.send_request(routers[0], path)
         await clusters.wait_until(routers[0].contact_monitor.lost_services)
@@ -126,7 +103,7 @@
 async def test_handed_over_request_is_forwarded_unchanged(cluster):
     upstreams, routers = await start_fleet(cluster)
     body = bytes(range(256)) * 20
-    with cut_off(routers[0], refuse):
+    with clusters.cut_off(routers[0], clusters.refuse):
         answer = await clusters.send_request(
             routers[0], b"/w/x?q=%2F", body=body, method=b"POST", X_Own="kept"
         )
@@ -144,7 +121,7 @@
     upstreams, routers = await start_fleet(cluster)
     with contextlib.ExitStack() as stack:
         for router in routers[:2]:
-            stack.enter_context(cut_off(router, refuse))
+            stack.enter_context(clusters.cut_off(router, clusters.refuse))
         for path in PATHS * 2:
             answer = await clusters.send_request(routers[0], path)
             assert answer.status == 200
@@ -217,7 +194,7 @@
     upstreams, first = await start_pair(
         cluster, monkeypatch, is_after_sending=is_after_sending
     )
-    with cut_off(first, refuse):
+    with clusters.cut_off(first, clusters.refuse):
         answer = await clusters.send_request(first, path)
     assert answer.status == status
     assert sum(len(each.runs) for each in upstreams) == runs
@@ -236,7 +213,7 @@
 
     first.state.hand_over = count_offers
     monkeypatch.setattr(contact.PeerContacts, "replace", lambda *_: None)
-    with cut_off(first, refuse):
+    with clusters.cut_off(first, clusters.refuse):
         for _ in range(3):
             answer = await clusters.send_request(first, b"/w/x")
             assert answer.status == 200
@@ -247,7 +224,7 @@
     upstreams, routers = await start_fleet(cluster)
     for upstream in upstreams:
         upstream.default_behaviour = standins.hangs
-    with cut_off(routers[0], refuse):
+    with clusters.cut_off(routers[0], clusters.refuse):
         head, body = clusters.build_request(b"/once/x")
         connection = await client.connect(
             routers[0].request_listener.address, clusters.DEADLINE_S
@@ -277,7 +254,7 @@
 
     for upstream in upstreams:
         upstream.default_behaviour = answers_late
-    with cut_off(routers[0], refuse):
+    with clusters.cut_off(routers[0], clusters.refuse):
         answer = await clusters.send_request(routers[0], b"/once/x")
     assert answer.body == clusters.EVENTS
     assert sum(len(each.runs) for each in upstreams) == 1
@@ -288,7 +265,7 @@
     cuts = contextlib.ExitStack()
 
     async def break_and_cut(upstream, run, answer):
-        cuts.enter_context(cut_off(routers[0], refuse))
+        cuts.enter_context(clusters.cut_off(routers[0], clusters.refuse))
         # The peer may know of the load at the first engine, and avoid it.
         for each in upstreams:
             each.behaviours.clear()
@@ -305,7 +282,7 @@
 
 async def test_handed_over_request_counts_once_for_the_retry_budget(cluster):
     _, routers = await start_fleet(cluster)
-    with cut_off(routers[0], refuse):
+    with clusters.cut_off(routers[0], clusters.refuse):
         await clusters.send_request(routers[0], b"/r/x")
     counts = [
         each.state.retries_for("desk")._requests.total() for each in routers
--- a/toucanrudder/platform/tests/test_software_versions.py
+++ b/toucanrudder/platform/tests/test_software_versions.py
@@ -8,11 +8,13 @@
 from toucanrudder import clock
 from toucanrudder.forwarding.streams import resuming
 from toucanrudder.http1 import client
+from toucanrudder.peers import handovers
 from toucanrudder.platform.testing import cluster as clusters
 from toucanrudder.platform.testing import standins
 
 VERSIONS = ("v1", "v1", "v2", "v2")
 STREAMS = 24
+CUT_STREAMS = 8
 
 
 def breaks_first(behaviour):
@@ -269,3 +271,96 @@
         routers[0], b"/s/x", Last_Event_Id="1"
     )
     assert answer.is_whole
+
+
+async def test_stream_that_goes_on_by_way_of_a_peer_keeps_its_software(
+    cluster,
+):
+    engines = await start_engines(cluster)
+    routers = await start_routers(cluster)
+    cut = contextlib.ExitStack()
+
+    async def break_and_cut(upstream, run, answer):
+        cut.enter_context(clusters.cut_off(routers[0], clusters.refuse))
+        await standins.breaks_mid_event(upstream, run, answer)
+
+    set_behaviour(engines, break_and_cut)
+    for number in range(CUT_STREAMS):
+        await clusters.wait_until(
+            lambda: (
+                not routers[0].contact_monitor.lost_services()
+                and not any(backed_off(each, engines) for each in routers)
+            )
+        )
+        request_id = f"stream{number}"
+        with cut:
+            answer = await clusters.send_request(
+                routers[0],
+                b"/s/%d" % number,
+                Request_Id=request_id,
+                Prompt_Prefix=prompt_of(number),
+            )
+        assert answer.is_whole
+        assert len(versions_of(engines, request_id)) == 1
+
+
+async def test_begun_stream_is_not_handed_to_a_peer_that_ignores_software(
+    cluster, monkeypatch
+):
+    engines = await start_engines(cluster)
+    routers = await start_routers(cluster)
+    set_behaviour(engines, hangs_after_event)
+    await receive_first_event(routers[1], 0)
+    runs = [run for engine in engines for run in engine.runs]
+    offer = handovers.OutgoingExchange.offer
+
+    async def offer_to_earlier_version(exchange, *args):
+        verdict = await offer(exchange, *args)
+        exchange.keeps_software = False
+        return verdict
+
+    monkeypatch.setattr(
+        handovers.OutgoingExchange, "offer", offer_to_earlier_version
+    )
+    with clusters.cut_off(routers[0], clusters.refuse):
+        answer = await take_up(routers[0], 0)
+    assert answer.status == 503
+    assert runs == [run for engine in engines for run in engine.runs]
+
+
+async def test_begun_stream_that_a_peer_relays_is_known_to_others(cluster):
+    engines = await start_engines(cluster)
+    set_behaviour(engines, hangs_after_event)
+    routers = await start_routers(cluster)
+    with clusters.cut_off(routers[0], clusters.refuse):
+        for number in range(CUT_STREAMS):
+            await receive_first_event(routers[0], number)
+    await leave(cluster, routers, engines[::2])
+    for number in range(CUT_STREAMS):
+        answer = await take_up(routers[2], number)
+        assert answer.is_whole
+        ids = (f"stream{number}", f"next{number}")
+        assert len(versions_of(engines, *ids)) == 1
+
+
+async def test_new_version_begins_no_resumable_streams_at_first(cluster):
+    engines = await start_engines(cluster, ("v1", "v1"))
+    routers = await start_routers(cluster)
+    new = await start_engines(cluster, ("v2", "v2"))
+    await clusters.wait_until(
+        lambda: all(
+            router.state.registry.get(engine.incarnation)
+            for router in routers
+            for engine in new
+        )
+    )
+    for number in range(STREAMS):
+        answer = await clusters.send_request(
+            routers[number % 3], b"/s/x", Prompt_Prefix=prompt_of(number)
+        )
+        assert answer.is_whole
+    assert sum(len(engine.runs) for engine in engines) == STREAMS
+    await leave(cluster, routers, engines)
+    answer = await clusters.send_request(routers[0], b"/s/x")
+    assert answer.is_whole
+    assert sum(len(engine.runs) for engine in new) == 1
