Let each stream of the soak have a path of its own

All streams of an organisation had one path and no body, so that three that broke looked like one poisonous request, and the soak asked for just these until its end.

--- a/toucanrudder/platform/testing/soaking.py
+++ b/toucanrudder/platform/testing/soaking.py
@@ -94,6 +94,9 @@
 ) -> tuple[message.RequestHead, bytes]:
     """Return head and body of a caller's request."""
     path = _PATHS.get(call.kind, f"/g{call.generation}/x")
+    if call.kind.is_stream:
+        # Streams of one path and body would look like one poisonous request.
+        path += call.stream_id or call.request_id
     headers = {
         "Host": "soak.example",
         "Request-Id": call.request_id,
--- a/toucanrudder/soak/tests/test_soak.py
+++ b/toucanrudder/soak/tests/test_soak.py
@@ -16,6 +16,7 @@
     "a caller that leaves looked cut by a stop": (1, USUAL),
     "a hang-up met a router that was starting": (7, USUAL),
     "two callers' poison looked like one": (108, USUAL),
+    "broken streams looked like one poisonous request": (1040, USUAL),
 }
 
 
