Let the soak's callers break streams off and take them up elsewhere

Half of the engines have the second version from the start, and three in ten resumable streams are broken off by their caller after some events and taken up again at any router.

--- a/toucanrudder/soak/callers.py
+++ b/toucanrudder/soak/callers.py
@@ -25,6 +25,14 @@
 #: Part of the calls that are broken off early by their caller.
 LEAVE_SHARE = 0.03
 
+#: Time after which such a call is broken off.
+LEAVE_AFTER_S = 0.05
+
+#: Part of the resumable streams that are broken off by their caller, after
+#: some events, and taken up again at any router.
+BREAK_SHARE = 0.3
+BREAK_AFTER_S = 0.14
+
 #: How often a caller takes one stream up again.
 MAX_RESUMPTIONS = 2
 
@@ -65,7 +73,11 @@
         )
 
     async def ask(
-        self, call: records.Call, router: sites.Router, *, leaves: bool = False
+        self,
+        call: records.Call,
+        router: sites.Router,
+        *,
+        patience_s: float = PATIENCE_S,
     ) -> records.Call:
         """Ask a router, and note what comes."""
         self._site.record.calls.append(call)
@@ -80,7 +92,6 @@
             call, organisation, self._rng.randrange(PARTS)
         )
         connection = self._kept.pop(router.name, None)
-        patience_s = 0.05 if leaves else PATIENCE_S
         try:
             async with asyncio.timeout(patience_s):
                 if connection is None or not connection.usable:
@@ -92,7 +103,7 @@
             # What has come so far stands in the call.
             pass
         except TimeoutError:
-            call.left = leaves
+            call.left = patience_s < PATIENCE_S
         finally:
             call.ended_s = time.monotonic()
             self._keep(call, router, connection)
@@ -127,11 +138,16 @@
             (kind,) = self._rng.choices(kinds, shares)
             router = self._rng.choice(self._site.routers)
             leaves = self._rng.random() < LEAVE_SHARE
-            call = await self.ask(
-                self.call(kind, router), router, leaves=leaves
-            )
+            call = self.call(kind, router)
+            patience_s = LEAVE_AFTER_S if leaves else PATIENCE_S
             if kind is records.Kind.STREAM_RESUMABLE:
+                # Its own generator, so that other draws stay as they are.
+                if random.Random(call.request_id).random() < BREAK_SHARE:
+                    patience_s = BREAK_AFTER_S
+                await self.ask(call, router, patience_s=patience_s)
                 await self._resume(call)
+            else:
+                await self.ask(call, router, patience_s=patience_s)
             await asyncio.sleep(self._rng.uniform(0, 2 * pause_s))
 
     async def _resume(self, call: records.Call) -> None:
--- a/toucanrudder/soak/site.py
+++ b/toucanrudder/soak/site.py
@@ -179,7 +179,11 @@
             await stack.enter_async_context(self.part_store.running())
             stack.push_async_callback(self._stop_upstreams)
             for number in range(engines):
-                await self.add_upstream(soaking.ENGINES, "zab"[number % 3])
+                await self.add_upstream(
+                    soaking.ENGINES,
+                    "zab"[number % 3],
+                    soaking.SOFTWARE_VERSIONS[number % 2],
+                )
             for number in range(desks):
                 await self.add_upstream(
                     soaking.PLAIN_SERVICE, "zab"[number % 3]
