Send origins of streams again to keepers that have restarted

A keeper that restarts under its name, faster than its silence is noticed, has lost its records, but the others took it for one that has them: in a rolling restart of all routers each record was gone in the end. Who has a record is a process now, by name and start. The test restarts 8, 82 and 195 routers one by one; it fails for all three sizes without the change.

--- a/toucanrudder/forwarding/streams/directory.py
+++ b/toucanrudder/forwarding/streams/directory.py
@@ -106,7 +106,7 @@
     ask_at: AskAt = _ask_nobody
     table: origins.OriginTable = attrs.field(factory=origins.OriginTable)
     _known_peers: tuple[routers.Member, ...] | None = None
-    _addresses: dict[str, str] = attrs.field(factory=dict)
+    _members: dict[str, routers.Member] = attrs.field(factory=dict)
     _ownership: ownership.Ownership = attrs.field(
         factory=lambda: ownership.Ownership(ASKED)
     )
@@ -139,25 +139,28 @@
 
     def _send_to_keepers(self, entry: origins.Entry, now_s: float) -> None:
         """Send a record to its keepers, unless they have it."""
-        keepers = frozenset(self._owners(entry.record.key)[:KEEPERS])
-        for name in keepers - entry.shared_with:
-            address = self._addresses[name]
-            self._pending.setdefault(address, []).append(entry.at(now_s))
+        keepers = self._owners(entry.record.key)[:KEEPERS]
+        for keeper in keepers:
+            if _process_of(keeper) in entry.shared_with:
+                continue
+            pending = self._pending.setdefault(keeper.address, [])
+            pending.append(entry.at(now_s))
             self._due.set()
-        entry.shared_with |= keepers
+        entry.shared_with |= frozenset(map(_process_of, keepers))
 
-    def _owners(self, key: bytes) -> tuple[str, ...]:
-        """Return the names of the peers that own a key, by rank."""
+    def _owners(self, key: bytes) -> list[routers.Member]:
+        """Return the peers that own a key, by rank."""
         partition = int.from_bytes(key[:2]) % PARTITIONS
-        return self._ownership.owners(f"stream/{partition}")
+        names = self._ownership.owners(f"stream/{partition}")
+        return [self._members[name] for name in names]
 
     def _refresh(self) -> None:
         """Update the live routers, if they have changed."""
         peers = self.peers()
         if peers is not self._known_peers:
             self._known_peers = peers
-            self._addresses = {peer.name: peer.address for peer in peers}
-            self._ownership.update(sorted(self._addresses))
+            self._members = {peer.name: peer for peer in peers}
+            self._ownership.update(sorted(self._members))
 
     def share(self, now_s: float, services: set[str]) -> None:
         """Send the records of services to keepers that lack them.
@@ -177,9 +180,9 @@
         if known is not None:
             return Finding(known)
         self._refresh()
-        addresses = [self._addresses[name] for name in self._owners(key)]
+        owners = self._owners(key)
         replies = await asyncio.gather(
-            *(self.ask_at(address, key) for address in addresses)
+            *(self.ask_at(owner.address, key) for owner in owners)
         )
         records = [
             record
@@ -188,7 +191,7 @@
         ]
         return Finding(
             max(records, key=lambda record: record.order, default=None),
-            len(addresses),
+            len(owners),
             sum(is_answered for is_answered, _ in replies),
         )
 
@@ -200,8 +203,8 @@
         self._refresh()
         for record in records:
             # The router that sent it has sent it to the other keepers too.
-            keepers = frozenset(self._owners(record.key)[:KEEPERS])
-            self.table.put(record, now_s, keepers)
+            keepers = map(_process_of, self._owners(record.key)[:KEEPERS])
+            self.table.put(record, now_s, frozenset(keepers))
 
     def answer(self, key: bytes) -> messages.OriginRecord | None:
         """Return the record of a stream, if it is known here."""
@@ -246,3 +249,8 @@
         metrics.counter(
             "toucanrudder_stream_origins", "Origins of streams sent to peers"
         ).add(len(records), {"kept": str(is_kept).lower()})
+
+
+def _process_of(member: routers.Member) -> str:
+    """Return the identity of a router's process; it ends with a restart."""
+    return f"{member.name}/{member.incarnation}"
--- a/toucanrudder/forwarding/streams/origins.py
+++ b/toucanrudder/forwarding/streams/origins.py
@@ -80,7 +80,7 @@
     until_s : float
         Monotonic time at which it is dropped.
     shared_with : frozenset of str
-        Names of the peers that have it, as far as this router knows.
+        Processes of peers that have it, as far as this router knows.
     """
 
     record: messages.OriginRecord
--- a/toucanrudder/forwarding/streams/tests/test_directory.py
+++ b/toucanrudder/forwarding/streams/tests/test_directory.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import attrs
 import pytest
 
 from toucanrudder import clock
@@ -75,6 +76,15 @@
     def kill(self, names):
         self.lives -= set(names)
 
+    def restart(self, number):
+        """Restart a router, faster than its silence is noticed."""
+        member = self.members[number]
+        self.members[number] = attrs.evolve(
+            member, incarnation=member.incarnation + 1
+        )
+        self.directories[member.name] = self._directory(member.name)
+        self.detect()
+
     def detect(self):
         self.known = tuple(
             member for member in self.members if member.name in self.lives
@@ -147,6 +157,16 @@
     assert await found_share(fleet, rng, range(STREAMS)) == 1.0
 
 
+@pytest.mark.parametrize("size", SIZES)
+async def test_origins_survive_routers_that_restart_under_their_names(size):
+    fleet, rng = Fleet(size), random.Random(size)
+    await begin_streams(fleet, rng)
+    for number in range(size):
+        fleet.restart(number)
+        await fleet.settle()
+    assert await found_share(fleet, rng, range(STREAMS)) == 1.0
+
+
 @pytest.mark.parametrize("size", SIZES)
 async def test_router_that_joins_finds_origins_and_becomes_a_keeper(size):
     fleet, rng = Fleet(size), random.Random(size)
