Log which request and which parts of its prompt a crash is counted for

CrashSuspected names the request's and its parts' fingerprints, and the crashes known for the request. No decision changes.

--- a/toucanrudder/forwarding/attempt.py
+++ b/toucanrudder/forwarding/attempt.py
@@ -191,9 +191,24 @@
         else:
             self.state.upstream_stats.record_failure(name, now_s)
         if kind is retry_policy.FailureKind.BROKEN:
-            self.state.crash_counts.record_crash(
-                self.execution.fingerprint(), upstream, time.time()
+            self._record_crash()
+
+    def _record_crash(self) -> None:
+        execution, crash_counts = self.execution, self.state.crash_counts
+        fingerprint = execution.fingerprint()
+        crash_counts.record_crash(
+            fingerprint, self.choice.upstream, time.time()
+        )
+        decisions.record(
+            decisions.CrashSuspected(
+                request_id=execution.call.request_id,
+                upstream=self.target,
+                request=fingerprint,
+                parts=execution.part_fingerprints(),
+                crashes=crash_counts.count(fingerprint),
+                events=execution.progress.events,
             )
+        )
 
     def _record_full(self, name: str, now_s: float) -> None:
         limit_per_s = self.state.brittle.limit_per_s(
--- a/toucanrudder/forwarding/execution.py
+++ b/toucanrudder/forwarding/execution.py
@@ -561,13 +561,22 @@
 
     def fingerprint(self) -> str:
         """Return what identifies the request in the quarantine."""
-        organisation = self.route_match.organisation
         return poison.fingerprint(
-            organisation.name if organisation else "",
+            self._organisation_name(),
             self.request.head.target,
             self.request.body,
         )
 
+    def part_fingerprints(self) -> tuple[str, ...]:
+        """Return what identifies its prompt's parts in the quarantine."""
+        return poison.part_fingerprints(
+            self._organisation_name(), self.call.prompt
+        )
+
+    def _organisation_name(self) -> str:
+        organisation = self.route_match.organisation
+        return organisation.name if organisation else ""
+
     def is_poison(self) -> bool:
         """Whether the request is quarantined because upstreams crashed."""
         crash_counts = self.state.crash_counts
--- a/toucanrudder/forwarding/poison.py
+++ b/toucanrudder/forwarding/poison.py
@@ -29,6 +29,18 @@
     return quarantine.fingerprint(organisation, digest)
 
 
+def part_fingerprints(
+    organisation: str, prompt: model.Prompt | None
+) -> tuple[str, ...]:
+    """Return the identities of the parts that other prompts may share."""
+    if prompt is None:
+        return ()
+    return tuple(
+        quarantine.part_fingerprint(organisation, prompt.model, part.identity)
+        for part in prompt.shared_parts
+    )
+
+
 class CrashCounts:
     """Crashes by request, of this router and, by merging, of its peers.
 
@@ -80,7 +92,10 @@
                 crashes = self._crashes.setdefault(entry.fingerprint, set())
                 crashes.add(entry.crash)
 
+    def count(self, fingerprint_: str) -> int:
+        """Return the number of known crashes during a request."""
+        return len(self._crashes.get(fingerprint_, ()))
+
     def is_poison(self, fingerprint_: str) -> bool:
         """Whether the request must not be sent to any upstream."""
-        crashes = self._crashes.get(fingerprint_, ())
-        return len(crashes) >= MAX_CRASHES
+        return self.count(fingerprint_) >= MAX_CRASHES
--- a/toucanrudder/observability/decisions.py
+++ b/toucanrudder/observability/decisions.py
@@ -244,6 +244,22 @@
     unsent: str
 
 
+@attrs.frozen(kw_only=True)
+class CrashSuspected:
+    """An upstream's connection broke during a request.
+
+    ``request`` and ``parts`` are fingerprints in the quarantine, and
+    ``crashes`` is how many crashes are known for the request, this included.
+    """
+
+    request_id: str
+    upstream: str
+    request: str
+    parts: tuple[str, ...]
+    crashes: int
+    events: int
+
+
 @attrs.frozen(kw_only=True)
 class StreamResumed:
     """A caller has taken up a stream that it began with an earlier request.
@@ -384,6 +400,7 @@
     PartStoreSeen,
     Placed,
     TryEnded,
+    CrashSuspected,
     HandedOver,
     TakenOver,
     ContactChanged,
--- a/toucanrudder/quarantine/__init__.py
+++ b/toucanrudder/quarantine/__init__.py
@@ -4,6 +4,7 @@
 from toucanrudder.quarantine.entry import fingerprint
 from toucanrudder.quarantine.entry import InFlight
 from toucanrudder.quarantine.entry import Kind
+from toucanrudder.quarantine.entry import part_fingerprint
 from toucanrudder.quarantine.suspects import Detail
 from toucanrudder.quarantine.suspects import Standing
 from toucanrudder.quarantine.suspects import SuspectTracker
@@ -18,4 +19,5 @@
     "SuspectTracker",
     "Trial",
     "fingerprint",
+    "part_fingerprint",
 )
--- a/toucanrudder/quarantine/entry.py
+++ b/toucanrudder/quarantine/entry.py
@@ -1,6 +1,7 @@
 """Entries about crashes, exchanged between routers."""
 
 import enum
+import functools
 import hashlib
 
 import attrs
@@ -92,3 +93,44 @@
     """
     text = f"{organisation}\0{body_sha256}".encode()
     return hashlib.blake2b(text, digest_size=16).hexdigest()
+
+
+@functools.lru_cache(maxsize=4096)
+def part_fingerprint(organisation: str, model: str, identity: str) -> str:
+    """Return the identity of a part of prompts in one organisation.
+
+    Its first half is the same for all organisations, see `content_of`.
+
+    Parameters
+    ----------
+    organisation : str
+        Organisation of the requests; none can block another's prompts.
+    model : str
+        Name of the model.
+    identity : str
+        Identity of the part, as callers state it.
+
+    Returns
+    -------
+    str
+        32 hex digits.
+
+    Examples
+    --------
+    >>> ours = part_fingerprint("acme", "m", "5c1e")
+    >>> theirs = part_fingerprint("other", "m", "5c1e")
+    >>> ours == theirs, content_of(ours) == content_of(theirs)
+    (False, True)
+    """
+    content = f"{model}\0{identity}".encode()
+    owned = f"{organisation}\0".encode() + content
+    return _short_digest(content) + _short_digest(owned)
+
+
+def _short_digest(content: bytes) -> str:
+    return hashlib.blake2b(content, digest_size=8).hexdigest()
+
+
+def content_of(part: str) -> str:
+    """Return what the fingerprint of a part has in all organisations."""
+    return part[:16]
