Block parts of prompts at which engines crash, in requests never alike

Cause: the quarantine knew a request by its whole body, so that each of them counted from zero and took two engines, its attempt and its retry.

Each part of a prompt that was in flight at a crash is now held against it; a complete answer to any request with it clears it. What counts is how often a part was sent after an earlier crash with it was known and crashed an engine again: crashes at the same time are one step, and no clocks are compared. Three steps block a part; five, if it was answered a short time before. Parts that cannot be told apart are refused only together. Another organisation's crashes count only once the organisation has one of its own, and its answers clear nothing. A crash that a blocked part explains is not held against the requests beside it, and a process that answers after its presumed crash has not crashed. Crashes are told to peers at once, blocked parts with each heartbeat; a router that has just started hears from a peer before it sends prompts. Requests are checked when they are sent, on all ways, and refused with crashed_upstreams (502) without Retry-After.

--- a/toucanrudder/errors/codes.py
+++ b/toucanrudder/errors/codes.py
@@ -51,6 +51,7 @@
     STREAM_ORIGIN_UNKNOWN = "stream_origin_unknown"
     STREAM_SOFTWARE_GONE = "stream_software_gone"
     QUARANTINED = "quarantined"
+    CRASHED_UPSTREAMS = "crashed_upstreams"
     STOPPING = "stopping"
     NOT_CONFIGURED = "not_configured"
     CONFIG_INVALID = "config_invalid"
@@ -122,6 +123,7 @@
     Code.STREAM_ORIGIN_UNKNOWN: _UNAVAILABLE,
     Code.STREAM_SOFTWARE_GONE: _UNAVAILABLE,
     Code.QUARANTINED: Traits(http.HTTPStatus.UNPROCESSABLE_ENTITY),
+    Code.CRASHED_UPSTREAMS: _BAD_GATEWAY,
     Code.STOPPING: _UNAVAILABLE,
     Code.NOT_CONFIGURED: _UNAVAILABLE,
     Code.CONFIG_INVALID: Traits(http.HTTPStatus.UNPROCESSABLE_ENTITY),
--- a/toucanrudder/errors/tests/test_not_run.py
+++ b/toucanrudder/errors/tests/test_not_run.py
@@ -31,6 +31,7 @@
     "stream_software_gone": "test_software_versions",
     "upstream_crossed_answer": "test_own_answers",
     "quarantined": "test_poison_fleet",
+    "crashed_upstreams": "test_crashing_parts",
 }
 
 #: Codes of operators' calls and of the routers' internal operations; no
--- a/toucanrudder/forwarding/attempt.py
+++ b/toucanrudder/forwarding/attempt.py
@@ -122,6 +122,8 @@
     choice: placing.Choice
     is_handed_over = False
     sent_at_s: float = 0.0
+    sent_parts: tuple[tuple[str, int], ...] = ()
+    was_presumed_dead: bool = False
     evidence: retry_policy.Evidence = attrs.field(
         factory=retry_policy.Evidence
     )
@@ -176,6 +178,16 @@
         if failure is not None:
             raise failure
         self.state.upstream_stats.record_success(name)
+        self._record_answered()
+
+    def _record_answered(self) -> None:
+        if self.prompt is None or self.execution.status >= 300:
+            return
+        suspicions = self.state.crash_counts.suspicions
+        if suspicions.record_answered(
+            self.execution.part_fingerprints(), time.time()
+        ):
+            self.state.tell_crashes()
 
     def record_failure(self, kind: retry_policy.FailureKind) -> None:
         """Update this router's view of the upstream after a failure."""
@@ -195,17 +207,19 @@
 
     def _record_crash(self) -> None:
         execution, crash_counts = self.execution, self.state.crash_counts
-        fingerprint = execution.fingerprint()
+        fingerprint, wall_s = execution.fingerprint(), time.time()
         crash_counts.record_crash(
-            fingerprint, self.choice.upstream, time.time()
+            fingerprint, self.sent_parts, self.choice.upstream, wall_s
         )
+        # The next request may arrive at any router.
+        self.state.tell_crashes()
         decisions.record(
             decisions.CrashSuspected(
                 request_id=execution.call.request_id,
                 upstream=self.target,
                 request=fingerprint,
                 parts=execution.part_fingerprints(),
-                crashes=crash_counts.count(fingerprint),
+                crashes=crash_counts.count(fingerprint, wall_s),
                 events=execution.progress.events,
             )
         )
@@ -264,7 +278,13 @@
                 else "",
             ),
         )
+        self.execution.refuse_if_quarantined()
         self._record_placed(choice)
+        crash_counts = self.state.crash_counts
+        self.sent_parts = crash_counts.sent(self.execution.part_fingerprints())
+        self.was_presumed_dead = crash_counts.is_presumed_dead(
+            upstream, time.time()
+        )
         self.evidence.carried_requests = connection.uses
         self.sent_at_s = clock.now_s()
         self.execution.used_connections.append(connection)
@@ -355,6 +375,8 @@
             # them.
             raise relaying.AttemptFailed(retry_policy.FailureKind.CROSSED)
         self._update_from_answer(upstream, facts)
+        if facts.is_for_request and self.was_presumed_dead:
+            self._record_alive(upstream)
         connection.keep_for_s = pool.keep_for_s(head.headers)
         not_run = _proof_not_run(facts)
         if not_run is not None:
@@ -367,6 +389,12 @@
             return None
         return await self._buffer_answer(connection, head, facts)
 
+    def _record_alive(self, upstream: model.Upstream) -> None:
+        # Where restarts keep their name, another process may have answered.
+        if not upstream.started_at_ms:
+            self.state.crash_counts.record_alive(upstream, time.time())
+            self.was_presumed_dead = False
+
     def _update_from_answer(self, upstream, facts) -> None:
         now_s = clock.now_s()
         if facts.load is not None:
--- a/toucanrudder/forwarding/execution.py
+++ b/toucanrudder/forwarding/execution.py
@@ -1,6 +1,7 @@
 """Execution of one request with retries on other upstreams."""
 
 import asyncio
+import time
 
 import attrs
 
@@ -96,7 +97,7 @@
     request: server.Request
     answer: server.Answer
     route_match: routing.RouteMatch
-    service: str
+    service: str = ""
     deadline_s: float = 0.0
     progress: retry_policy.Progress = attrs.field(
         factory=retry_policy.Progress
@@ -246,6 +247,7 @@
     async def _run_attempts(self) -> None:
         step = retry_policy.Step.RETRY
         while True:
+            self.refuse_if_quarantined()
             attempt = await self._next_attempt(step)
             self.attempt_count += 1
             try:
@@ -332,6 +334,7 @@
             self.route, self.remaining_s()
         )
         while True:
+            self.refuse_if_quarantined()
             # Checked before the choice, so that a slow choice is not the last.
             is_last = clock.now_s() >= wait_until_s
             try:
@@ -460,7 +463,7 @@
             self.route,
             remaining_s=self.remaining_s(),
         )
-        if self.is_poison() or self._is_out_of_reach():
+        if self.is_quarantined() or self._is_out_of_reach():
             step = retry_policy.Step.GIVE_UP
         was_sent = not is_unreached and not evidence.unsent
         step = self._apply_retry_budget(failure_kind, step, was_sent)
@@ -552,6 +555,7 @@
             head, body = failure.answer
             await self.send_answer(head, body)
             return
+        self.refuse_if_quarantined()
         raise retry_policy.final_error(
             failure.kind,
             self.progress,
@@ -577,26 +581,32 @@
         organisation = self.route_match.organisation
         return organisation.name if organisation else ""
 
-    def is_poison(self) -> bool:
-        """Whether the request is quarantined because upstreams crashed."""
-        crash_counts = self.state.crash_counts
-        # Without recorded crashes, no request body needs to be hashed.
-        return not crash_counts.is_empty and crash_counts.is_poison(
-            self.fingerprint()
+    def is_quarantined(self) -> bool:
+        """Whether upstreams crashed at the request, or at a part of it."""
+        crash_counts, wall_s = self.state.crash_counts, time.time()
+        # Without recorded crashes, nothing needs to be hashed.
+        if crash_counts.is_empty:
+            return False
+        part = crash_counts.blocked_part(self.part_fingerprints(), wall_s)
+        return part is not None or crash_counts.is_poison(
+            self.fingerprint(), wall_s
         )
 
-    def refuse_if_poison(self) -> None:
+    def refuse_if_quarantined(self) -> None:
         """Raise RudderError if the request is quarantined.
 
-        It has not run this time, but must not be retried: a "not run"
-        status would make the caller repeat it indefinitely.
+        Even if it has not run, it must not be retried: a "not run" status
+        would make the caller repeat it indefinitely.
         """
-        if self.is_poison():
+        if self.is_quarantined():
             raise errors.RudderError(
-                errors.Code.UPSTREAM_FAILED,
-                "several upstreams crashed while running this request",
+                errors.Code.CRASHED_UPSTREAMS,
+                "upstreams crashed at this request, or at others with a part"
+                " of its prompt; do not repeat it",
                 step="quarantine",
-                ran=errors.Ran.UNKNOWN,
+                ran=errors.Ran.UNKNOWN
+                if self.possible_runs()
+                else errors.Ran.NOT_RUN,
             )
 
     # Answer to the caller.
--- a/toucanrudder/forwarding/forwarder.py
+++ b/toucanrudder/forwarding/forwarder.py
@@ -129,19 +129,18 @@
         route = route_match.route
         summary.route, summary.kind = route.name, route.repetition.value
         self._refuse_if_cut_by_stop(route, call)
-        origin = await self.state.streams.find(route_match)
+        if call.prompt is not None:
+            await self.state.wait_for_first_news()
         execution = executions.RequestExecution(
-            self.state,
-            self.dialect,
-            request,
-            answer,
-            route_match,
-            origin.service
-            if origin
-            else routing.pick_service(route, self.state.rng),
-            origin=origin,
+            self.state, self.dialect, request, answer, route_match
+        )
+        execution.refuse_if_quarantined()
+        execution.origin = await self.state.streams.find(route_match)
+        execution.service = (
+            execution.origin.service
+            if execution.origin
+            else routing.pick_service(route, self.state.rng)
         )
-        execution.refuse_if_poison()
         summary.attempt_count = lambda: execution.attempt_count
         admitted = self.gate.admitted(
             route_match.organisation,
--- a/toucanrudder/forwarding/handover/taking.py
+++ b/toucanrudder/forwarding/handover/taking.py
@@ -195,7 +195,7 @@
             origin=origin,
             earlier_attempts=handed.attempts,
         )
-        execution.refuse_if_poison()
+        execution.refuse_if_quarantined()
         return execution
 
     async def _origin(
--- a/toucanrudder/forwarding/peering.py
+++ b/toucanrudder/forwarding/peering.py
@@ -21,6 +21,9 @@
 #: has read it from the registry itself.
 LEAVING_GOSSIP_S = 10.0
 
+#: Time after the start within which prompts wait for news of a peer.
+FIRST_NEWS_TIMEOUT_S = 1.5
+
 
 @attrs.define(eq=False)
 class Gossip:
@@ -230,7 +233,7 @@
         loads=gossip.loads,
         weights=gossip.weights,
         quarantine=state.crash_counts.suspicions.entries,
-        on_quarantine=state.crash_counts.merge,
+        on_quarantine=state.crash_counts.suspicions.merge,
         leaving=lambda: state.stopping,
         # Peers are timed by a clock that stops while the host is suspended;
         # information about upstreams keeps ageing.
@@ -271,6 +274,13 @@
         client.start_broadcast()
 
     state.tell_full = tell_full
+    state.tell_crashes = client.start_broadcast
+    news_until_s = clock.now_s() + FIRST_NEWS_TIMEOUT_S
+
+    async def wait_for_first_news() -> None:
+        await client.wait_for_first_news(news_until_s - clock.now_s())
+
+    state.wait_for_first_news = wait_for_first_news
     state.peers = lambda: node.table.live(time.monotonic())
     state.hand_over = client.hand_over
     state.streams.has_silent_peer = lambda: node.table.has_silent(
--- a/toucanrudder/forwarding/poison.py
+++ b/toucanrudder/forwarding/poison.py
@@ -3,9 +3,11 @@
 Such a request is sent again with the same path, body and organisation, to
 any router.  Routers tell each other which requests were in flight when a
 connection to an upstream broke; a request with too many such crashes is no
-longer sent to any upstream.
+longer sent to any upstream.  The same holds for requests that have a part of
+their prompts in common and nothing else.
 """
 
+from collections.abc import Iterable
 import hashlib
 
 from toucanrudder import quarantine
@@ -49,53 +51,61 @@
     >>> counts = CrashCounts()
     >>> for number in range(3):
     ...     engine = model.Upstream(f"i{number}", "s", "10.0.0.1:80")
-    ...     counts.record_crash("f", engine, wall_s=10.0)
-    >>> counts.is_poison("f"), counts.is_poison("g")
+    ...     _ = counts.record_crash("f", counts.sent(["p"]), engine, 10.0)
+    >>> counts.is_poison("f", 10.0), counts.is_poison("g", 10.0)
     (True, False)
     """
 
     def __init__(self):
         self.suspicions = quarantine.SuspectTracker()
-        self._crashes: dict[str, set[tuple[str, str]]] = {}
 
     @property
     def is_empty(self) -> bool:
         """Whether there were no recent crashes."""
-        return not self._crashes
+        return self.suspicions.is_empty
 
-    @property
-    def fingerprints(self) -> set[str]:
-        """Fingerprints of requests with crashes."""
-        return set(self._crashes)
+    def sent(self, parts: Iterable[str]) -> tuple[tuple[str, int], ...]:
+        """Return parts with their sequences, for a request sent now."""
+        next_sequence = self.suspicions.parts.next_sequence
+        return tuple((part, next_sequence(part)) for part in parts)
 
     def record_crash(
-        self, fingerprint_: str, upstream: model.Upstream, wall_s: float
+        self,
+        fingerprint_: str,
+        sent_parts: tuple[tuple[str, int], ...],
+        upstream: model.Upstream,
+        wall_s: float,
     ) -> None:
         """Record that an upstream's connection broke during the request."""
         self.suspicions.record_crash(
             upstream.address,
             upstream.incarnation,
-            [quarantine.InFlight(fingerprint_)],
+            [quarantine.InFlight(fingerprint_, sent_parts=sent_parts)],
             wall_s,
         )
-        self._update_crashes(wall_s)
 
-    def merge(self, entries, wall_s: float) -> None:
-        """Merge the entries of another router."""
-        if self.suspicions.merge(entries, wall_s):
-            self._update_crashes(wall_s)
+    def is_presumed_dead(
+        self, upstream: model.Upstream, wall_s: float
+    ) -> bool:
+        """Whether the upstream's process is presumed to have crashed."""
+        return not self.is_empty and self.suspicions.is_presumed_dead(
+            upstream.address, upstream.incarnation, wall_s
+        )
 
-    def _update_crashes(self, wall_s: float) -> None:
-        self._crashes = {}
-        for entry in self.suspicions.entries(wall_s):
-            if entry.kind is quarantine.Kind.CRASH:
-                crashes = self._crashes.setdefault(entry.fingerprint, set())
-                crashes.add(entry.crash)
+    def record_alive(self, upstream: model.Upstream, wall_s: float) -> None:
+        """Record that a process presumed dead has answered."""
+        self.suspicions.record_alive(
+            upstream.address, upstream.incarnation, wall_s
+        )
 
-    def count(self, fingerprint_: str) -> int:
+    def count(self, fingerprint_: str, wall_s: float) -> int:
         """Return the number of known crashes during a request."""
-        return len(self._crashes.get(fingerprint_, ()))
+        return self.suspicions.crash_count(fingerprint_, wall_s)
 
-    def is_poison(self, fingerprint_: str) -> bool:
+    def is_poison(self, fingerprint_: str, wall_s: float) -> bool:
         """Whether the request must not be sent to any upstream."""
-        return self.count(fingerprint_) >= MAX_CRASHES
+        return self.count(fingerprint_, wall_s) >= MAX_CRASHES
+
+    def blocked_part(self, parts: Iterable[str], wall_s: float) -> str | None:
+        """Return a part that must not be sent to any upstream, or None."""
+        return self.suspicions.parts.blocked(parts, wall_s)
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -45,6 +45,10 @@
 PEER_LOADS_KEPT_S = 1.5
 
 
+async def _no_news() -> None:
+    """Wait for no peer; used until the calls to peers are set."""
+
+
 async def _no_report(upstream: model.Upstream) -> None:
     """Return no report; used until the rollout controller is set."""
 
@@ -78,6 +82,10 @@
     tell_full : callable
         Given an upstream's incarnation and a time in seconds, asks peers to
         send it nothing for so long.
+    tell_crashes : callable
+        Tells peers at once which requests were in flight at crashes.
+    wait_for_first_news : callable
+        Waits until a router that has just started knows what peers know.
     """
 
     name: str
@@ -107,6 +115,8 @@
         )
     )
     tell_full: Callable[[str, float], None] = lambda name, for_s: None
+    tell_crashes: Callable[[], object] = lambda: None
+    wait_for_first_news: Callable[[], Awaitable[None]] = _no_news
     contact: contacts.ContactTable = attrs.field(factory=contacts.ContactTable)
     peer_contacts: contacts.PeerContacts = attrs.field(
         factory=contacts.PeerContacts
--- a/toucanrudder/peers/client.py
+++ b/toucanrudder/peers/client.py
@@ -206,6 +206,7 @@
         self._fetching = False
         self._own_addresses: set[str] = set()
         self._urgent = asyncio.Event()
+        self._first_news = asyncio.Event()
         self._last_exchange_s: dict[str, float] = {}
         self._tasks: set[asyncio.Task] = set()
         self._pending_broadcast: asyncio.Task | None = None
@@ -216,6 +217,23 @@
         """Start the next round without waiting for the interval."""
         self._urgent.set()
 
+    async def wait_for_first_news(self, within_s: float) -> None:
+        """Wait until a peer has told what it knows, if there are peers.
+
+        Parameters
+        ----------
+        within_s : float
+            Longest wait in seconds, for peers that do not answer.
+        """
+        if self._first_news.is_set() or within_s <= 0:
+            return
+        if not self._seeds and not self._node.table.peers(time.monotonic()):
+            return
+        self.exchange_soon()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(within_s):
+                await self._first_news.wait()
+
     async def broadcast_urgent(self, within_s: float) -> None:
         """Send urgent news to reachable peers and wait for their answers.
 
@@ -515,6 +533,7 @@
             return
         self._last_exchange_s[address] = time.monotonic()
         self._node.receive(answer, time.monotonic(), time.time())
+        self._first_news.set()
         if answer.generation > self._node.generation():
             self._start_fetch(address)
 
--- a/toucanrudder/peers/messages.py
+++ b/toucanrudder/peers/messages.py
@@ -225,6 +225,8 @@
                 upstream=record.upstream,
                 incarnation=record.incarnation,
                 isolated=record.isolated,
+                sequence=record.sequence,
+                is_vouched=record.is_vouched,
             )
             for record in heartbeat.quarantine
         ],
@@ -429,6 +431,8 @@
         message.upstream,
         message.incarnation,
         message.isolated,
+        message.sequence,
+        message.is_vouched,
     )
 
 
--- a/toucanrudder/peers/node.py
+++ b/toucanrudder/peers/node.py
@@ -49,7 +49,8 @@
     loads : callable
         Returns this router's own load at upstreams.
     quarantine : callable
-        Given the wall clock, returns all quarantine entries.
+        Given the wall clock and a time of it, returns the quarantine entries
+        since then, and older ones that peers must not lack.
     leaving : callable
         Returns whether this router is stopping.
     hot_prefixes : callable
@@ -76,7 +77,9 @@
 
     loads: Callable[[], tuple[messages.UpstreamLoad, ...]] = tuple
     leaving: Callable[[], bool] = lambda: False
-    quarantine: Callable[[float], tuple[entry.Entry, ...]] = lambda _: ()
+    quarantine: Callable[[float, float], tuple[entry.Entry, ...]] = (
+        lambda wall_s, since_s: ()
+    )
     hot_prefixes: Callable[
         [int, float], tuple[request_rates.HotPrefix, ...]
     ] = lambda count, now_s: ()
@@ -224,10 +227,8 @@
             As for `heartbeat`.
         """
         self._beat += 1
-        entries = self._hooks.quarantine(wall_s)
-        if not all_entries:
-            oldest_s = wall_s - RECENT_ENTRY_S
-            entries = tuple(e for e in entries if e.at_s >= oldest_s)
+        since_s = float("-inf") if all_entries else wall_s - RECENT_ENTRY_S
+        entries = self._hooks.quarantine(wall_s, since_s)
         return messages.Heartbeat(
             sender=routers.Member(
                 self.name,
--- a/toucanrudder/peers/tests/test_peers.py
+++ b/toucanrudder/peers/tests/test_peers.py
@@ -45,7 +45,9 @@
             nodes.HeartbeatHooks(
                 loads=lambda: self.own,
                 leaving=lambda: self.leaving,
-                quarantine=lambda _: tuple(self.entries),
+                quarantine=lambda _, since_s: tuple(
+                    each for each in self.entries if each.at_s >= since_s
+                ),
                 on_quarantine=lambda new, _: self.entries.extend(
                     each for each in new if each not in self.entries
                 ),
--- a/toucanrudder/platform/testing/crashing.py
+++ b/toucanrudder/platform/testing/crashing.py
@@ -28,8 +28,8 @@
         Where they run.
     bad_parts : iterable of str
         IDs of parts at which an engine ends, unless they come last.
-    events_before : int
-        Events that a crashing run sends before its engine ends.
+    organisation : str
+        Organisation at whose requests they end; empty for all.
 
     Attributes
     ----------
@@ -45,11 +45,11 @@
         self,
         cluster: clusters.Cluster,
         bad_parts: Iterable[str],
-        events_before: int = 0,
+        organisation: str = "",
     ):
         self._cluster = cluster
         self._bad_parts = set(bad_parts)
-        self._events_before = events_before
+        self._organisation = organisation
         self._tasks: set[asyncio.Task] = set()
         self.engines: list[standins.Server] = []
         self.arrivals: list[str] = []
@@ -67,6 +67,8 @@
 
     def is_bad(self, run: standins.Run) -> bool:
         """Return whether a run makes its engine crash."""
+        if self._organisation not in ("", run.headers["tenant"]):
+            return False
         return not self._bad_parts.isdisjoint(part_ids(run)[:-1])
 
     async def _behave(self, engine, run, answer) -> None:
@@ -77,8 +79,6 @@
         self.arrivals.append(run.request_id)
         await asyncio.sleep(CRASH_AFTER_S)
         await answer.start(200, engine.answer_headers(run))
-        for number in range(1, self._events_before + 1):
-            await answer.write(standins.event(number))
         if engine in self.engines:
             self._spawn(self._replace(engine))
         await asyncio.Event().wait()
--- a/toucanrudder/platform/tests/test_crashing_parts.py
+++ b/toucanrudder/platform/tests/test_crashing_parts.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import itertools
+import json
 
 import pytest
 
 from toucanrudder.platform.testing import cluster as clusters
 from toucanrudder.platform.testing import crashing
+from toucanrudder.platform.testing import standins
 
 ENGINES = 8
 ROUTERS = 3
@@ -87,3 +89,107 @@
     sound_parts = [part for part in parts if part != BAD]
     answers = [await ask(router, *sound_parts) for router in routers]
     assert {answer.body for answer in answers} == {clusters.EVENTS}
+
+
+async def block(engines, routers, *parts):
+    """Crash engines until no router sends the parts to any."""
+    await crash_engines(engines, routers, *parts)
+    while len(engines.arrivals) < FREE_CRASHES:
+        arrived = len(engines.arrivals)
+        await asyncio.sleep(PAUSE_S)
+        await ask(routers[0], *parts)
+        if len(engines.arrivals) == arrived:
+            return
+
+
+async def start_blocked(cluster, count=ROUTERS):
+    """Start engines and routers that have blocked the bad part."""
+    engines = crashing.CrashingEngines(cluster, {BAD})
+    await engines.start(ENGINES)
+    routers = await start_routers(cluster, count)
+    await block(engines, routers, SHARED, BAD)
+    return engines, routers
+
+
+@pytest.mark.parametrize("path", [b"/s/", b"/once/"])
+async def test_blocked_prompt_is_refused_without_being_invited_back(
+    cluster, path
+):
+    engines, routers = await start_blocked(cluster)
+    arrived = len(engines.arrivals)
+    for router in routers:
+        answer = await ask(router, SHARED, BAD, path=path)
+        error = json.loads(answer.body)["error"]
+        assert (answer.status, error["code"], error["ran"]) == (
+            502,
+            "crashed_upstreams",
+            "not_run",
+        )
+        assert answer.get(b"retry-after") is None
+    assert len(engines.arrivals) == arrived
+
+
+async def test_router_without_peers_counts_what_it_sees(cluster):
+    engines, routers = await start_blocked(cluster, 1)
+    assert await count_late_arrivals(engines, routers, SHARED, BAD) == 0
+
+
+async def test_router_that_has_just_started_sends_no_blocked_part(cluster):
+    engines, routers = await start_blocked(cluster)
+    arrived = len(engines.arrivals)
+    newcomer = await cluster.router("r9", routers[0].peering.node.address)
+    for _ in range(3):
+        assert (await ask(newcomer, SHARED, BAD)).status == 502
+    assert len(engines.arrivals) == arrived
+
+
+async def test_router_cut_off_from_engines_hands_no_blocked_part_over(cluster):
+    engines, routers = await start_blocked(cluster)
+    arrived = len(engines.arrivals)
+    with clusters.cut_off(routers[1], clusters.refuse):
+        assert (await ask(routers[1], SHARED, BAD)).status == 502
+    assert len(engines.arrivals) == arrived
+
+
+async def test_no_organisation_blocks_a_part_of_another(cluster):
+    engines = crashing.CrashingEngines(cluster, {BAD}, "north")
+    await engines.start(ENGINES)
+    routers = await start_routers(cluster)
+    await block(engines, routers, SHARED, BAD)
+    key = "Bearer key-of-south"
+    for router in routers:
+        answer = await ask(router, SHARED, BAD, Authorization=key)
+        assert answer.body == clusters.EVENTS
+        assert (await ask(router, SHARED, BAD)).status == 502
+
+
+async def test_two_parts_that_crash_engines_are_both_stopped(cluster):
+    engines = crashing.CrashingEngines(cluster, {BAD, "worse"})
+    await engines.start(ENGINES)
+    routers = await start_routers(cluster)
+    await block(engines, routers, SHARED, BAD)
+    assert (await ask(routers[0], SHARED, "a3")).status == 200
+    engines.arrivals.clear()
+    engines.ended = 0
+    await block(engines, routers, SHARED, "worse", "a3")
+    late = await count_late_arrivals(engines, routers, SHARED, "worse", "a3")
+    assert late <= MOST_LATE
+    answers = [await ask(router, SHARED, "a3") for router in routers]
+    assert {answer.body for answer in answers} == {clusters.EVENTS}
+
+
+async def test_connections_that_break_without_a_crash_block_no_part(cluster):
+    engines = [await cluster.engine() for _ in range(4)]
+    routers = await start_routers(cluster)
+    for round_number in range(8):
+        for engine in engines:
+            engine.behaviours = [standins.resets]
+        # Each request with the part is reset; others show that engines live.
+        await ask(routers[round_number % ROUTERS], "a1", "a2")
+        for engine in engines:
+            engine.behaviours = []
+        for router in routers * 2:
+            assert (await ask(router, "a9")).status == 200
+        await asyncio.sleep(0.1)
+    answer = await ask(routers[0], "a1", "a2")
+    assert answer.body == clusters.EVENTS
--- a/toucanrudder/platform/tests/test_platform.py
+++ b/toucanrudder/platform/tests/test_platform.py
@@ -661,7 +661,10 @@
     await clusters.wait_until(lambda: not crash_counts.is_empty)
     for router in (first, second):
         await clusters.wait_until(
-            lambda: any(map(crash_counts.is_poison, crash_counts.fingerprints))
+            lambda: any(
+                crash_counts.is_poison(each.fingerprint, time.time())
+                for each in crash_counts.suspicions.entries(time.time())
+            )
         )
         answer = await clusters.send_request(
             router, b"/once/x", body=b"poison", method=b"POST"
--- a/toucanrudder/quarantine/entry.py
+++ b/toucanrudder/quarantine/entry.py
@@ -35,6 +35,12 @@
         The engine process; empty for ``CLEARED`` and ``RELEASED``.
     isolated : bool
         Whether the request was the only suspect in flight there.
+    sequence : int
+        0 for a request.  For a part of prompts, how many crashes with it,
+        each sent after the one before was known, this one is; of ``CLEARED``
+        and ``RELEASED``, the sequence up to which it is cleared.
+    is_vouched : bool
+        Whether a request with the part was answered a short time before.
     """
 
     kind: Kind
@@ -43,6 +49,8 @@
     upstream: str = ""
     incarnation: str = ""
     isolated: bool = False
+    sequence: int = 0
+    is_vouched: bool = False
 
     @property
     def crash(self) -> tuple[str, str]:
@@ -65,10 +73,14 @@
         Identity of the request.
     isolated : bool
         Whether it was sent there as a suspect for a trial.
+    sent_parts : tuple of tuple
+        The parts that its prompt may share with others, each with its
+        sequence when the request was sent.
     """
 
     fingerprint: str
     isolated: bool = False
+    sent_parts: tuple[tuple[str, int], ...] = ()
 
 
 def fingerprint(organisation: str, body_sha256: str) -> str:
--- a/toucanrudder/quarantine/suspects.py
+++ b/toucanrudder/quarantine/suspects.py
@@ -6,6 +6,7 @@
 again in a trial: each engine gets one suspect at a time, so that the next
 crash identifies the request that caused it.  A request that has crashed two
 engines is quarantined; the others in flight with it are no longer suspects.
+Parts of prompts that crash engines in ever new requests are tracked beside.
 """
 
 from collections.abc import Iterable
@@ -15,10 +16,13 @@
 import attrs
 
 from toucanrudder.quarantine import entry as entry_types
+from toucanrudder.quarantine import parts as part_trackers
 
 #: Age at which an entry expires.
 EXPIRY_S = 3600.0
 MAX_ENTRIES = 4096
+#: Entries of parts that are sent to a peer at once.
+MAX_SENT_PARTS = 512
 #: Time for which the entries of a crash spread before trials begin.
 SETTLE_S = 0.3
 #: Length of a round of trials.
@@ -81,6 +85,7 @@
     suspects: tuple[str, ...]
     ranked: tuple[str, ...]
     crashes: frozenset[tuple[str, str]]
+    crashes_of: dict[str, set[tuple[str, str]]]
     first_crash_s: float
     last_crash_s: float
     until_s: float
@@ -130,6 +135,19 @@
         self._round_s = round_s
         self._entries: dict[tuple, entry_types.Entry] = {}
         self._conclusions: _Conclusions | None = None
+        self._requests_at: dict[tuple[str, str], set[str]] = {}
+        self.parts = part_trackers.PartTracker(
+            lambda process: self._requests_at.get(process, ())
+        )
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing was recorded."""
+        return not self._entries and self.parts.is_empty
+
+    def crash_count(self, fingerprint: str, now_s: float) -> int:
+        """Return the crashes of a request that no part explains."""
+        return len(self._current(now_s).crashes_of.get(fingerprint, ()))
 
     def standing(self, fingerprint: str, now_s: float) -> Standing:
         """Return whether the request is free, a suspect or quarantined.
@@ -244,6 +262,7 @@
             # The process is unknown.  Counted as a separate crash, a second
             # try at the same dead engine would quarantine the request.
             return
+        in_flight = tuple(in_flight)
         crash_entries = [
             entry_types.Entry(
                 entry_types.Kind.CRASH,
@@ -256,6 +275,12 @@
             for request in in_flight
         ]
         self.merge(crash_entries, now_s)
+        sent_parts = [
+            sent for request in in_flight for sent in request.sent_parts
+        ]
+        process = (upstream, incarnation)
+        if self.parts.record_crash(process, sent_parts, now_s):
+            self._conclusions = None
 
     def is_presumed_dead(
         self, upstream: str, incarnation: str, now_s: float
@@ -282,8 +307,25 @@
         if self.standing(fingerprint, now_s) is Standing.SUSPECT:
             self._add(entry_types.Kind.CLEARED, fingerprint, now_s)
 
+    def record_answered(self, parts: Iterable[str], now_s: float) -> bool:
+        """Record a complete answer to a prompt with some parts.
+
+        Returns
+        -------
+        bool
+            Whether it clears any of them.
+        """
+        if not self.parts.record_completion(parts, now_s):
+            return False
+        self._conclusions = None
+        return True
+
     def release(self, fingerprint: str, now_s: float) -> None:
-        """Release a request on an operator's order."""
+        """Release a request, or a part, on an operator's order."""
+        if fingerprint in self.parts.all_blocked(now_s):
+            self.parts.release(fingerprint, now_s)
+            self._conclusions = None
+            return
         self._add(entry_types.Kind.RELEASED, fingerprint, now_s)
 
     def _add(
@@ -308,28 +350,64 @@
         bool
             Whether any entry was new.
         """
-        has_new = False
+        has_new, of_parts = False, []
         for entry in entries:
+            if entry.sequence:
+                of_parts.append(entry)
+                continue
             if abs(now_s - entry.at_s) >= self._expiry_s:
                 continue
             known = self._entries.get(entry.key)
             merged = entry if known is None else _merge(known, entry)
             if merged != known:
-                self._entries[entry.key] = merged
+                self._insert(merged)
                 has_new = True
+        has_new |= self.parts.merge(of_parts, now_s)
         if has_new:
             self._conclusions = None
             self._evict_oldest()
         return has_new
 
-    def entries(self, now_s: float) -> tuple[entry_types.Entry, ...]:
-        """Return all entries that have not expired, to send to others."""
+    def _insert(self, entry: entry_types.Entry) -> None:
+        self._entries[entry.key] = entry
+        if entry.kind is entry_types.Kind.ALIVE:
+            self.parts.record_alive(entry.crash)
+        if entry.kind is entry_types.Kind.CRASH:
+            present = self._requests_at.setdefault(entry.crash, set())
+            present.add(entry.fingerprint)
+
+    def _remove(self, key: tuple) -> None:
+        entry = self._entries.pop(key)
+        if entry.kind is entry_types.Kind.ALIVE:
+            self.parts.forget_alive(entry.crash)
+        present = self._requests_at.get(entry.crash, set())
+        present.discard(entry.fingerprint)
+        if not present:
+            self._requests_at.pop(entry.crash, None)
+
+    def entries(
+        self, now_s: float, since_s: float = float("-inf")
+    ) -> tuple[entry_types.Entry, ...]:
+        """Return the entries to send to others.
+
+        Parameters
+        ----------
+        now_s : float
+            Unix time.
+        since_s : float
+            Unix time before which only entries of blocked parts are wanted.
+        """
         self._expire(now_s)
-        return tuple(self._entries.values())
+        of_parts = self.parts.entries(now_s, since_s, MAX_SENT_PARTS)
+        of_requests = [
+            entry for entry in self._entries.values() if entry.at_s >= since_s
+        ]
+        return (*of_parts, *of_requests)
 
     def quarantined(self, now_s: float) -> tuple[str, ...]:
-        """Return the fingerprints of quarantined requests."""
-        return tuple(sorted(self._current(now_s).quarantined))
+        """Return the fingerprints of quarantined requests and parts."""
+        blocked = self.parts.all_blocked(now_s)
+        return tuple(sorted({*self._current(now_s).quarantined, *blocked}))
 
     def detail(self, fingerprint: str, now_s: float) -> "Detail":
         """Return the reason for which a request is quarantined.
@@ -346,6 +424,9 @@
         Detail
             Its crashes, and the time until the first expires.
         """
+        if fingerprint in self.parts.all_blocked(now_s):
+            ends_s = self.parts.block_ends_s(fingerprint, now_s)
+            return Detail(self.parts.crashes(fingerprint), ends_s - now_s)
         crashes = self._current(now_s).crashes
         own_entries = [
             entry
@@ -366,7 +447,7 @@
             key=lambda e: (e.at_s, e.fingerprint, e.crash, e.kind.value),
         )
         for entry in oldest[:surplus]:
-            del self._entries[entry.key]
+            self._remove(entry.key)
 
     def _expire(self, now_s: float) -> None:
         expired = [
@@ -375,7 +456,7 @@
             if now_s - entry.at_s >= self._expiry_s
         ]
         for key in expired:
-            del self._entries[key]
+            self._remove(key)
         if expired:
             self._conclusions = None
 
@@ -384,7 +465,10 @@
             self._conclusions = None
             self._expire(now_s)
             self._conclusions = _conclude(
-                tuple(self._entries.values()), now_s, self._expiry_s
+                tuple(self._entries.values()),
+                now_s,
+                self._expiry_s,
+                self.parts.explained(now_s),
             )
         return self._conclusions
 
@@ -399,17 +483,25 @@
 
 
 def _conclude(
-    entries: tuple[entry_types.Entry, ...], now_s: float, expiry_s: float
+    entries: tuple[entry_types.Entry, ...],
+    now_s: float,
+    expiry_s: float,
+    explained_by_parts: set[tuple[str, str]],
 ) -> _Conclusions:
     released = _latest(entries, entry_types.Kind.RELEASED)
     cleared = _latest(entries, entry_types.Kind.CLEARED)
     # A process that crashed never restarts under the same incarnation.
     alive = {e.crash for e in entries if e.kind is entry_types.Kind.ALIVE}
+    known_crashes = {
+        entry.crash
+        for entry in entries
+        if entry.kind is entry_types.Kind.CRASH and entry.crash not in alive
+    }
     crashes = [
         entry
         for entry in entries
         if entry.kind is entry_types.Kind.CRASH
-        and entry.crash not in alive
+        and entry.crash in known_crashes - explained_by_parts
         and entry.at_s > released.get(entry.fingerprint, float("-inf"))
     ]
     quarantined = _quarantined(crashes)
@@ -434,11 +526,15 @@
         ]
     )
     oldest_s = min((e.at_s for e in entries), default=float("inf"))
+    crashes_of: dict[str, set[tuple[str, str]]] = {}
+    for entry in crashes:
+        crashes_of.setdefault(entry.fingerprint, set()).add(entry.crash)
     return _Conclusions(
         quarantined=frozenset(quarantined),
         suspects=suspects,
         ranked=ranked,
-        crashes=frozenset(entry.crash for entry in crashes),
+        crashes=frozenset(known_crashes),
+        crashes_of=crashes_of,
         first_crash_s=min(times, default=now_s),
         last_crash_s=max(times, default=now_s),
         until_s=oldest_s + expiry_s,
