Block messages of chats that crash engines at the own interface too

The own interface knew a request by organisation and digest of its whole body, as the forwarding one did: chats that share one message, and nothing else, were new each time. Its tracker of suspects has the parts of prompts beside the requests now: the messages of a chat but the last, and beginnings of a plain prompt, each twice as long as the one before.

--- a/toucanrudder/forwarding/poison.py
+++ b/toucanrudder/forwarding/poison.py
@@ -66,8 +66,7 @@
 
     def sent(self, parts: Iterable[str]) -> tuple[tuple[str, int], ...]:
         """Return parts with their sequences, for a request sent now."""
-        next_sequence = self.suspicions.parts.next_sequence
-        return tuple((part, next_sequence(part)) for part in parts)
+        return self.suspicions.parts.sent(parts)
 
     def record_crash(
         self,
--- a/toucanrudder/quarantine/parts.py
+++ b/toucanrudder/quarantine/parts.py
@@ -164,6 +164,10 @@
         evidence = self._evidence.get(part)
         return evidence.sequence + 1 if evidence else 1
 
+    def sent(self, parts: Iterable[str]) -> tuple[tuple[str, int], ...]:
+        """Return parts with their sequences, for a request sent now."""
+        return tuple((part, self.next_sequence(part)) for part in parts)
+
     def record_crash(
         self,
         process: Process,
--- a/toucanrudder/quarantine/tests/test_poison_fleet.py
+++ b/toucanrudder/quarantine/tests/test_poison_fleet.py
@@ -78,3 +78,34 @@
             )
             assert answer.end is callers.End.DONE, answer.error
         assert len(_dead(fleet)) <= 2
+
+
+async def test_message_that_crashes_engines_is_stopped_in_ever_new_chats():
+    """Chats that share one message, and nothing else, crash each engine."""
+    plan = fleets.Plan(
+        engines=8, routers=3, document={"policy": {"retry_ratio": 1.0}}
+    )
+    async with fleets.running(plan) as fleet:
+        for name in fleet.upstreams:
+            await fleet.put_faults(name, crash_marker=MARKER)
+        urls = [router.url for router in fleet.routers]
+
+        async def chat(number, *contents):
+            messages = [
+                {"role": "user", "content": content}
+                for content in (*contents, f"question {number}")
+            ]
+            return await callers.stream(
+                fleet.session,
+                urls[number % 3],
+                {"model": "demo", "messages": messages, "max_tokens": 4},
+                path="/v1/chat/completions",
+            )
+
+        answers = []
+        for number in range(9):
+            sound = await chat(number, "greeting")
+            assert sound.end is callers.End.DONE, sound.error
+            answers.append(await chat(number, "greeting", f"{MARKER} text"))
+        assert len(_dead(fleet)) <= 5
+        assert answers[-1].error["code"] == "quarantined"
--- a/toucanrudder/router/state.py
+++ b/toucanrudder/router/state.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import functools
+import hashlib
 import random
 import time
 
@@ -262,10 +263,10 @@
         RudderError
             ``quarantined``: the request crashed engines and is not run again.
         """
-        standing = self.suspects.standing(
-            fingerprint_of(request), self.wall_s()
-        )
-        if standing is quarantine.Standing.QUARANTINED:
+        wall_s = self.wall_s()
+        standing = self.suspects.standing(fingerprint_of(request), wall_s)
+        part = self.suspects.parts.blocked(part_fingerprints(request), wall_s)
+        if part is not None or standing is quarantine.Standing.QUARANTINED:
             raise errors.RudderError(
                 errors.Code.QUARANTINED,
                 "engines crashed while they ran this request",
@@ -321,7 +322,9 @@
         the crash and are left out.
         """
         involved = [
-            quarantine.InFlight(entry.fingerprint, entry.isolated)
+            quarantine.InFlight(
+                entry.fingerprint, entry.isolated, entry.sent_parts
+            )
             for entry in self.in_flight.entries(upstream)
             if entry.incarnation in ("", incarnation)
         ]
@@ -357,6 +360,32 @@
     return quarantine.fingerprint(request.organisation, request.body_sha256)
 
 
+def part_fingerprints(request: requests.ModelRequest) -> tuple[str, ...]:
+    """Return the identities of the parts that other prompts may share.
+
+    The parts of a chat are its messages, wherever they stand; those of a
+    plain prompt are its beginnings, each twice as long as the one before.
+    """
+    messages = request.body.get("messages")
+    if messages is not None:
+        identities = [
+            hashlib.sha256(
+                f"{message.get('role')}\0{message.get('content')}".encode()
+            ).hexdigest()
+            for message in messages[:-1]
+        ]
+    else:
+        keys = request.prefix_keys
+        counts = (1 << bit for bit in range(len(keys).bit_length()))
+        identities = [keys[count - 1].hex() for count in counts]
+    return tuple(
+        quarantine.part_fingerprint(
+            request.organisation, request.model, identity
+        )
+        for identity in identities
+    )
+
+
 @functools.lru_cache(maxsize=4096)
 def _salt(fleet_key: str, organisation: str) -> bytes:
     return identity.cache_salt(fleet_key, organisation)
--- a/toucanrudder/upstreams/in_flight.py
+++ b/toucanrudder/upstreams/in_flight.py
@@ -24,6 +24,8 @@
         Whether it was sent there as a suspect for a trial.
     priority : int
         Priority class; smaller ones run first.
+    sent_parts : tuple of tuple
+        Parts of its prompt, as in `quarantine.InFlight`.
     """
 
     fingerprint: str
@@ -31,6 +33,7 @@
     incarnation: str = ""
     isolated: bool = False
     priority: int = 0
+    sent_parts: tuple[tuple[str, int], ...] = ()
 
 
 class InFlightTable:
