Let the soak's callers send a part of prompts at which engines end

One series of 24 streams, no two alike, comes in each plan, drawn by a generator of its own, so that the faults of each seed stay as they are. The oracle is the users' bound: at most three reach engines later than contact_ms after the fifth. A mutant takes the check of parts out.

--- a/toucanrudder/forwarding/poison.py
+++ b/toucanrudder/forwarding/poison.py
@@ -52,7 +52,7 @@
     >>> for number in range(3):
     ...     engine = model.Upstream(f"i{number}", "s", "10.0.0.1:80")
     ...     _ = counts.record_crash("f", counts.sent(["p"]), engine, 10.0)
-    >>> counts.is_poison("f", 10.0), counts.is_poison("g", 10.0)
+    >>> counts.is_poison("f", 11.0), counts.is_poison("g", 11.0)
     (True, False)
     """
 
--- a/toucanrudder/platform/testing/soaking.py
+++ b/toucanrudder/platform/testing/soaking.py
@@ -22,6 +22,9 @@
 #: Software versions of engines.
 SOFTWARE_VERSIONS = ("v1", "v2")
 
+#: Part at which each engine ends that begins an answer.
+BAD_PART = "bad"
+
 #: Time between two events of a stream, and time to load weights.
 EVENT_GAP_S = 0.03
 LOAD_TIME_S = 0.2
@@ -34,6 +37,7 @@
     records.Kind.READ: "/read/x",
     records.Kind.WRITE: "/write/x",
     records.Kind.POISON: "/write/poison",
+    records.Kind.POISON_PART: "/again/x",
 }
 
 
@@ -113,6 +117,10 @@
             "Token-Counts": "600,6",
             "Prompt-Prefix": f"a:100,b{part}:300,{call.request_id}:200",
         }
+    if call.kind is records.Kind.POISON_PART:
+        headers["Prompt-Prefix"] = (
+            f"a:100,b{part}:100,{BAD_PART}:200,{call.request_id}:200"
+        )
     if call.kind in (records.Kind.WRITE, records.Kind.POISON):
         method = b"POST"
         is_poison = call.kind is records.Kind.POISON
@@ -313,6 +321,11 @@
             self.shared.record.crashes.append(time.monotonic())
             self.is_poisoned.set()
             await asyncio.Event().wait()
+        if BAD_PART in run.headers.get("prompt-prefix", ""):
+            self.shared.record.part_arrivals.append(time.monotonic())
+            await asyncio.sleep(EVENT_GAP_S)
+            self.is_poisoned.set()
+            await asyncio.Event().wait()
         if not self.model:
             await asyncio.sleep(EVENT_GAP_S)
             await answer.send_whole(
--- a/toucanrudder/quarantine/parts.py
+++ b/toucanrudder/quarantine/parts.py
@@ -26,8 +26,13 @@
 #: Crashes in sequence after which a part is blocked.
 MAX_SEQUENCE = 3
 
-#: The same for a part that was answered completely a short time before.
-MAX_VOUCHED_SEQUENCE = 5
+#: The same for a part that was answered completely a short time before, or
+#: was absent from other crashes of its time.
+MAX_DOUBTED_SEQUENCE = 5
+
+#: Age at which a crash counts, so that peers can report what else was in
+#: flight there.
+SETTLE_S = 0.2
 
 #: Time for which a complete answer vouches for the parts of its prompt.
 VOUCH_S = 60.0
@@ -85,11 +90,6 @@
         """Number of crashes in sequence."""
         return len(set(self.live.values()))
 
-    @property
-    def needed_steps(self) -> int:
-        """Crashes in sequence after which it is blocked."""
-        return MAX_VOUCHED_SEQUENCE if self.is_vouched else MAX_SEQUENCE
-
     @property
     def strength(self) -> tuple[bool, int]:
         """How well it explains the crashes, compared with others."""
@@ -136,7 +136,7 @@
     >>> for number in range(3):
     ...     sent = [("p", tracker.next_sequence("p"))]
     ...     _ = tracker.record_crash(("e", f"i{number}"), sent, now_s=0.0)
-    >>> tracker.blocked(["o", "p"], now_s=0.0)
+    >>> tracker.blocked(["o", "p"], now_s=1.0)
     'p'
     """
 
@@ -148,11 +148,13 @@
         self._requests_at = requests_at
         self._max_entries = max_entries
         self._evidence: dict[str, _Evidence] = {}
+        self._suspects: dict[str, _Suspect] = {}
         self._parts_at: dict[Process, set[str]] = {}
+        self._seen_at_s: dict[Process, float] = {}
         self._alive: set[Process] = set()
         self._vouched_at_s: dict[str, float] = {}
         self._blocked: dict[str, _Block] | None = None
-        self._block_ends_s = float("inf")
+        self._valid_until_s = float("inf")
 
     @property
     def is_empty(self) -> bool:
@@ -220,8 +222,7 @@
         for part in parts:
             self._vouched_at_s.pop(part, None)
             self._vouched_at_s[part] = now_s
-            evidence = self._evidence.get(part)
-            if evidence is not None and evidence.live(self._alive):
+            if part in self._suspects:
                 cleared.append(self._clearance(part, now_s))
         while len(self._vouched_at_s) > MAX_VOUCHED:
             del self._vouched_at_s[next(iter(self._vouched_at_s))]
@@ -252,12 +253,34 @@
     def record_alive(self, process: Process) -> None:
         """Record that a process has answered since its presumed crash."""
         self._alive.add(process)
-        self._blocked = None
+        self._update_suspects(self._parts_at.get(process, ()))
 
     def forget_alive(self, process: Process) -> None:
         """Forget that a process has answered."""
         self._alive.discard(process)
-        self._blocked = None
+        self._update_suspects(self._parts_at.get(process, ()))
+
+    def _update_suspects(self, parts: Iterable[str]) -> None:
+        for part in parts:
+            suspect = self._suspect(part)
+            if suspect is None:
+                self._suspects.pop(part, None)
+            else:
+                self._suspects[part] = suspect
+            self._blocked = None
+
+    def _suspect(self, part: str) -> _Suspect | None:
+        evidence = self._evidence.get(part)
+        live = evidence.live(self._alive) if evidence else {}
+        if not live:
+            return None
+        entries = [evidence.crashes[process] for process in live]
+        return _Suspect(
+            part,
+            live,
+            any(entry.is_vouched for entry in entries),
+            max(entry.at_s for entry in entries),
+        )
 
     def _is_vouched_here(self, part: str, now_s: float) -> bool:
         at_s = self._vouched_at_s.get(part)
@@ -267,14 +290,16 @@
         self, entries: Iterable[entry_types.Entry], now_s: float
     ) -> bool:
         """Merge entries; return whether any was new."""
-        has_new = False
-        for entry in entries:
-            if abs(now_s - entry.at_s) < EXPIRY_S:
-                has_new |= self._merge_entry(entry, now_s)
-        if has_new:
-            self._blocked = None
+        changed = {
+            entry.fingerprint
+            for entry in entries
+            if abs(now_s - entry.at_s) < EXPIRY_S
+            and self._merge_entry(entry, now_s)
+        }
+        if changed:
+            self._update_suspects(changed)
             self._evict()
-        return has_new
+        return bool(changed)
 
     def _merge_entry(self, entry: entry_types.Entry, now_s: float) -> bool:
         evidence = self._evidence.setdefault(entry.fingerprint, _Evidence())
@@ -299,6 +324,7 @@
             return False
         evidence.crashes[entry.crash] = merged
         self._parts_at.setdefault(entry.crash, set()).add(entry.fingerprint)
+        self._seen_at_s.setdefault(entry.crash, now_s)
         return True
 
     # Conclusions.
@@ -335,8 +361,8 @@
 
     def crashes(self, part: str) -> int:
         """Return the number of crashes that count against a part."""
-        evidence = self._evidence.get(part)
-        return len(evidence.live(self._alive)) if evidence else 0
+        suspect = self._suspects.get(part)
+        return len(suspect.live) if suspect else 0
 
     def block_ends_s(self, part: str, now_s: float) -> float:
         """Return the Unix time until which a part is blocked."""
@@ -344,64 +370,89 @@
         return block.suspect.last_crash_s + BLOCK_S if block else now_s
 
     def _current(self, now_s: float) -> dict[str, _Block]:
-        if self._blocked is None or now_s >= self._block_ends_s:
+        if self._blocked is None or now_s >= self._valid_until_s:
             self._expire(now_s)
+            self._valid_until_s = float("inf")
             self._blocked = self._conclude(now_s)
-            self._block_ends_s = min(
-                (
-                    block.suspect.last_crash_s + BLOCK_S
-                    for block in self._blocked.values()
-                ),
-                default=float("inf"),
-            )
         return self._blocked
 
     def _conclude(self, now_s: float) -> dict[str, _Block]:
-        suspects = {
-            suspect.part: suspect
-            for suspect in self._suspects()
-            if now_s - suspect.last_crash_s < BLOCK_S
-        }
+        suspects = [
+            suspect
+            for suspect in self._suspects.values()
+            if suspect.steps >= MAX_SEQUENCE
+            and now_s - suspect.last_crash_s < BLOCK_S
+        ]
+        suspects.sort(
+            key=lambda s: (*(-int(rank) for rank in s.strength), s.part)
+        )
         blocked: dict[str, _Block] = {}
         explained: set[Process] = set()
-        for suspect in sorted(
-            suspects.values(),
-            key=lambda s: (*(-int(rank) for rank in s.strength), s.part),
-        ):
-            left = _without(suspect, explained)
-            if left.steps < left.needed_steps:
+        for suspect in suspects:
+            left = self._settled(_without(suspect, explained), now_s)
+            if left.steps < self._needed_steps(left, explained):
                 continue
-            group = self._indistinguishable(left, suspects, explained)
+            group = self._indistinguishable(left, explained, now_s)
             if group is not None:
                 blocked[suspect.part] = _Block(suspect, group)
                 explained |= set(suspect.live)
+                self._check_again_at(suspect.last_crash_s + BLOCK_S)
+        return blocked | self._blocked_elsewhere(blocked, explained, now_s)
+
+    def _check_again_at(self, at_s: float) -> None:
+        self._valid_until_s = min(self._valid_until_s, at_s)
+
+    def _settled(self, suspect: _Suspect, now_s: float) -> _Suspect:
+        """Return a suspect with the crashes that peers could report on."""
+        settled = {}
+        for process, sequence in suspect.live.items():
+            seen_s = self._seen_at_s[process]
+            if abs(now_s - seen_s) >= SETTLE_S:
+                settled[process] = sequence
+            else:
+                self._check_again_at(seen_s + SETTLE_S)
+        return attrs.evolve(suspect, live=settled)
+
+    def _needed_steps(
+        self, suspect: _Suspect, explained: Collection[Process]
+    ) -> int:
+        """Return the crashes in sequence after which a suspect is blocked."""
+        seen_s = [self._seen_at_s[process] for process in suspect.live]
+        if suspect.is_vouched or not seen_s:
+            return MAX_DOUBTED_SEQUENCE
+        crashes = sum(
+            min(seen_s) <= at_s <= max(seen_s)
+            for process, at_s in self._seen_at_s.items()
+            if process not in explained and process not in self._alive
+        )
+        if crashes > len(suspect.live):
+            return MAX_DOUBTED_SEQUENCE
+        return MAX_SEQUENCE
+
+    def _blocked_elsewhere(
+        self,
+        blocked: dict[str, _Block],
+        explained: Collection[Process],
+        now_s: float,
+    ) -> dict[str, _Block]:
+        """Return suspects that another organisation has shown to be bad."""
         contents = {entry_types.content_of(part) for part in blocked}
-        for part, suspect in suspects.items():
-            # Another organisation has shown that the part crashes engines.
+        found = {}
+        for part, suspect in self._suspects.items() if contents else ():
             is_known = entry_types.content_of(part) in contents
-            left = _without(suspect, explained)
-            if is_known and left.live and not left.is_vouched:
-                blocked.setdefault(part, _Block(suspect, frozenset({part})))
-        return blocked
-
-    def _suspects(self) -> Iterator[_Suspect]:
-        for part, evidence in self._evidence.items():
-            live = evidence.live(self._alive)
-            if not live:
+            is_recent = now_s - suspect.last_crash_s < BLOCK_S
+            if part in blocked or not is_known or not is_recent:
                 continue
-            entries = [evidence.crashes[process] for process in live]
-            yield _Suspect(
-                part,
-                live,
-                any(entry.is_vouched for entry in entries),
-                max(entry.at_s for entry in entries),
-            )
+            left = _without(suspect, explained)
+            if left.live and not left.is_vouched:
+                found[part] = _Block(suspect, frozenset({part}))
+        return found
 
     def _indistinguishable(
         self,
         suspect: _Suspect,
-        suspects: dict[str, _Suspect],
         explained: Collection[Process],
+        now_s: float,
     ) -> frozenset[str] | None:
         """Return the parts that explain a suspect's crashes equally well.
 
@@ -417,9 +468,9 @@
             *(self._parts_at[process] for process in processes)
         )
         rivals = [
-            _without(suspects[part], explained)
+            self._settled(_without(self._suspects[part], explained), now_s)
             for part in present
-            if part in suspects
+            if part in self._suspects
         ]
         if any(rival.strength > suspect.strength for rival in rivals):
             return None
@@ -444,10 +495,11 @@
 
     def _drop(self, part: str, process: Process) -> None:
         del self._evidence[part].crashes[process]
+        self._update_suspects([part])
         present = self._parts_at[process]
         present.discard(part)
         if not present:
-            del self._parts_at[process]
+            del self._parts_at[process], self._seen_at_s[process]
 
     def _evict(self) -> None:
         if len(self._evidence) > 2 * self._max_entries:
@@ -512,7 +564,8 @@
                 if entry.at_s >= wanted_since_s
             ]
             if group:
-                steps = len(set(evidence.live(self._alive).values()))
+                suspect = self._suspects.get(part)
+                steps = suspect.steps if suspect else 0
                 newest_s = max(entry.at_s for entry in group)
                 groups.append(((is_blocked, steps > 1, newest_s), group))
         groups.sort(key=lambda ranked: ranked[0], reverse=True)
--- a/toucanrudder/soak/callers.py
+++ b/toucanrudder/soak/callers.py
@@ -84,8 +84,8 @@
         organisation = self._rng.choice(list(soaking.API_KEYS))
         if call.resumed_after:
             organisation = call.organisation
-        if call.kind is records.Kind.POISON:
-            # It is known by its caller, path and body.
+        if call.kind in (records.Kind.POISON, records.Kind.POISON_PART):
+            # They are known by their caller, and one by path and body.
             organisation = next(iter(soaking.API_KEYS))
         call.organisation = organisation
         head, body = soaking.build_request(
--- a/toucanrudder/soak/faults.py
+++ b/toucanrudder/soak/faults.py
@@ -26,6 +26,10 @@
 POISON_TRIES = 8
 POISON_PAUSE_S = 0.6
 
+#: Requests with a poisonous part, no two alike, and the pause between two.
+PART_REQUESTS = 24
+PART_PAUSE_S = 0.25
+
 
 class Injector:
     """Carries out the steps of a plan.
@@ -39,6 +43,7 @@
     def __init__(self, site: sites.Site):
         self._site = site
         self._rng = site.rng
+        self._rng_of_parts = random.Random("poisonous parts")
         self._tasks: set[asyncio.Task] = set()
         self._poison = callers_.Caller(site, site.rng)
 
@@ -224,6 +229,15 @@
             await asyncio.sleep(POISON_PAUSE_S)
         watch.cancel()
 
+    async def _poisoned_part(self, step: plans.Step) -> None:
+        watch = asyncio.ensure_future(self._crash_when_poisoned())
+        for _ in range(PART_REQUESTS):
+            router = self._rng_of_parts.choice(self._site.routers)
+            call = self._poison.call(records.Kind.POISON_PART, router)
+            await self._poison.ask(call, router)
+            await asyncio.sleep(PART_PAUSE_S)
+        watch.cancel()
+
     async def _crash_when_poisoned(self) -> None:
         while True:
             for upstream in list(self._site.upstreams):
@@ -279,4 +293,5 @@
     plans.Fault.DOCUMENT: Injector._document,
     plans.Fault.WEIGHTS: Injector._weights,
     plans.Fault.POISON: Injector._poisoned,
+    plans.Fault.POISON_PART: Injector._poisoned_part,
 }
--- a/toucanrudder/soak/mutants.py
+++ b/toucanrudder/soak/mutants.py
@@ -144,9 +144,15 @@
     Mutant(
         "a poisonous request is not recognised",
         "forwarding/poison.py",
-        "return len(crashes) >= MAX_CRASHES",
+        "return self.count(fingerprint_, wall_s) >= MAX_CRASHES",
         "return False",
     ),
+    Mutant(
+        "parts of prompts are not held against crashes",
+        "forwarding/execution.py",
+        "return part is not None or crash_counts",
+        "return crash_counts",
+    ),
     Mutant(
         "retries cost nothing",
         "forwarding/execution.py",
--- a/toucanrudder/soak/oracles.py
+++ b/toucanrudder/soak/oracles.py
@@ -36,6 +36,11 @@
 MOST_CRASHES = 3
 LATE_TRIES = 3
 
+#: Engines that may end under one part of prompts, and requests with it that
+#: may reach engines once routers have had time to agree.
+MOST_PART_CRASHES = 5
+LATE_PARTS = 3
+
 #: Within this time after the last fault callers are served again.
 RECOVERY_S = 12.0
 
@@ -197,6 +202,16 @@
         yield f"{len(record.crashes)} upstreams ended under one request"
 
 
+def bad_part_is_stopped(record: records.Record) -> Iterator[str]:
+    """Requests with a part that ends engines cease to reach them."""
+    if len(record.part_arrivals) < MOST_PART_CRASHES:
+        return
+    bound_s = record.part_arrivals[MOST_PART_CRASHES - 1] + CONTACT_S + SLACK_S
+    late = sum(at_s > bound_s for at_s in record.part_arrivals)
+    if late > LATE_PARTS:
+        yield f"{late} requests with a bad part reached engines late"
+
+
 def recovers(record: records.Record) -> Iterator[str]:
     """After the last fault, callers are served again."""
     after_s = record.recovered_after_s
@@ -222,6 +237,7 @@
     document_in_force,
     retry_budget,
     poison_is_stopped,
+    bad_part_is_stopped,
     recovers,
     processes_live,
 )
--- a/toucanrudder/soak/plans.py
+++ b/toucanrudder/soak/plans.py
@@ -27,6 +27,7 @@
     DOCUMENT = "document"
     WEIGHTS = "weights"
     POISON = "poison"
+    POISON_PART = "poison part"
 
 
 #: How often each comes, against the others.
@@ -103,9 +104,22 @@
     while True:
         at_s += rng.expovariate(a_second)
         if at_s > length_s - QUIET_END_S:
-            return tuple(steps)
+            return tuple(
+                sorted((*steps, _part_step(seed, length_s)), key=_at_s)
+            )
         (fault,) = rng.choices(list(WEIGHTS), list(WEIGHTS.values()))
         for _ in range(rng.choice((1, 1, 1, 2, 3))):
             for_s = rng.uniform(0.3, 3.0)
             steps.append(Step(at_s, fault, rng.random(), for_s))
             at_s += rng.uniform(0.1, 0.8)
+
+
+def _at_s(step: Step) -> float:
+    return step.at_s
+
+
+def _part_step(seed: int, length_s: float) -> Step:
+    # Its own generator, so that the other draws stay as they are.
+    rng = random.Random(f"part of {seed}")
+    at_s = rng.uniform(CALM_S, max(CALM_S, length_s / 2))
+    return Step(at_s, Fault.POISON_PART, rng.random(), 0.0)
--- a/toucanrudder/soak/records.py
+++ b/toucanrudder/soak/records.py
@@ -16,16 +16,27 @@
     PROBE = "probe"
     #: A write under which each upstream process ends that runs it.
     POISON = "poison"
+    #: A stream with a part at which each engine ends that begins to answer.
+    POISON_PART = "poison_part"
 
     @property
     def may_repeat(self) -> bool:
         """Whether it may run more than once."""
-        return self in (Kind.STREAM_RESUMABLE, Kind.READ, Kind.PROBE)
+        return self in (
+            Kind.STREAM_RESUMABLE,
+            Kind.READ,
+            Kind.PROBE,
+            Kind.POISON_PART,
+        )
 
     @property
     def is_stream(self) -> bool:
         """Whether its answer is a stream."""
-        return self in (Kind.STREAM_ONCE, Kind.STREAM_RESUMABLE)
+        return self in (
+            Kind.STREAM_ONCE,
+            Kind.STREAM_RESUMABLE,
+            Kind.POISON_PART,
+        )
 
 
 @attrs.define
@@ -153,6 +164,8 @@
     leaving: dict[str, float] = attrs.field(factory=dict)
     #: When the poisonous request ended an upstream's process.
     crashes: list[float] = attrs.field(factory=list)
+    #: When a request with the poisonous part reached an engine.
+    part_arrivals: list[float] = attrs.field(factory=list)
     #: Routers that ended by themselves.
     died: list[str] = attrs.field(factory=list)
     recovered_after_s: float | None = None
--- a/toucanrudder/soak/tests/test_oracles.py
+++ b/toucanrudder/soak/tests/test_oracles.py
@@ -126,6 +126,10 @@
         oracles.poison_is_stopped,
         record(crashes=[100.0] * 7),
     ),
+    "a bad part goes round": (
+        oracles.bad_part_is_stopped,
+        record(part_arrivals=[100.0] * 5 + [104.0] * 4),
+    ),
     "not served again": (oracles.recovers, record()),
     "ended by itself": (oracles.processes_live, record(died=["r1"])),
 }
