Let routers that have just started block parts at the first news of them

Crashes count 0.2 s after a router has heard of them, so that peers can report what else was in flight there. The delay counts from the crash, not from the news. The wait for a peer's news begins with the first prompt, as a start may take longer than it.

PartBlocked logs what is blocked, with the parts that cannot be told from it, and toucanrudder_quarantined counts it; a request's body is hashed once.

--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -270,6 +270,7 @@
             now_s = clock.now_s()
             self.store_watch.expire_missing(now_s)
             self.state.streams.observe(now_s)
+            self.state.crash_counts.record_blocked(time.time())
 
     def controllers(self) -> list[tasks.TaskService]:
         """Return the tasks that keep the router's state up to date."""
@@ -307,6 +308,11 @@
             "Upstreams in use; missing: believed though not registered",
             self.state.registry.counts,
         )
+        metrics.gauge(
+            "toucanrudder_quarantined",
+            "Parts of prompts that are refused, as upstreams crashed at them",
+            self.state.crash_counts.count_blocked,
+        )
         conf = self.conf.listen
         host, port = _host_port(conf.peers)
         entrypoint = aiomisc.entrypoint(
--- a/toucanrudder/forwarding/execution.py
+++ b/toucanrudder/forwarding/execution.py
@@ -122,6 +122,7 @@
     tried_peers: set[str] = attrs.field(factory=set)
     origin: origins.Origin | None = None
     earlier_attempts: int = 0
+    _fingerprint: str | None = None
 
     @property
     def route(self) -> model.Route:
@@ -565,11 +566,13 @@
 
     def fingerprint(self) -> str:
         """Return what identifies the request in the quarantine."""
-        return poison.fingerprint(
-            self._organisation_name(),
-            self.request.head.target,
-            self.request.body,
-        )
+        if self._fingerprint is None:
+            self._fingerprint = poison.fingerprint(
+                self._organisation_name(),
+                self.request.head.target,
+                self.request.body,
+            )
+        return self._fingerprint
 
     def part_fingerprints(self) -> tuple[str, ...]:
         """Return what identifies its prompt's parts in the quarantine."""
--- a/toucanrudder/forwarding/peering.py
+++ b/toucanrudder/forwarding/peering.py
@@ -21,8 +21,9 @@
 #: has read it from the registry itself.
 LEAVING_GOSSIP_S = 10.0
 
-#: Time after the start within which prompts wait for news of a peer.
-FIRST_NEWS_TIMEOUT_S = 1.5
+#: Time after its first prompt for which a router that has just started waits
+#: for news of a peer.
+FIRST_NEWS_TIMEOUT_S = 1.0
 
 
 @attrs.define(eq=False)
@@ -275,12 +276,9 @@
 
     state.tell_full = tell_full
     state.tell_crashes = client.start_broadcast
-    news_until_s = clock.now_s() + FIRST_NEWS_TIMEOUT_S
-
-    async def wait_for_first_news() -> None:
-        await client.wait_for_first_news(news_until_s - clock.now_s())
-
-    state.wait_for_first_news = wait_for_first_news
+    state.wait_for_first_news = functools.partial(
+        client.wait_for_first_news, FIRST_NEWS_TIMEOUT_S
+    )
     state.peers = lambda: node.table.live(time.monotonic())
     state.hand_over = client.hand_over
     state.streams.has_silent_peer = lambda: node.table.has_silent(
--- a/toucanrudder/forwarding/poison.py
+++ b/toucanrudder/forwarding/poison.py
@@ -12,6 +12,7 @@
 
 from toucanrudder import quarantine
 from toucanrudder.forwarding import model
+from toucanrudder.observability import decisions
 
 #: Number of crashed upstream processes at which a request is stopped.  A
 #: caller's tries and resumes of a harmless request meet two crashes at most,
@@ -58,6 +59,7 @@
 
     def __init__(self):
         self.suspicions = quarantine.SuspectTracker()
+        self._known_blocked: set[str] = set()
 
     @property
     def is_empty(self) -> bool:
@@ -105,6 +107,25 @@
         """Whether the request must not be sent to any upstream."""
         return self.count(fingerprint_, wall_s) >= MAX_CRASHES
 
+    def record_blocked(self, wall_s: float) -> None:
+        """Log the parts that were blocked since the last call."""
+        parts = self.suspicions.parts
+        blocked = () if parts.is_empty else parts.all_blocked(wall_s)
+        for part in sorted(set(blocked) - self._known_blocked):
+            decisions.record(
+                decisions.PartBlocked(
+                    part=part,
+                    group=parts.group(part, wall_s),
+                    crashes=parts.crashes(part),
+                    ends_in_s=parts.block_ends_s(part, wall_s) - wall_s,
+                )
+            )
+        self._known_blocked = set(blocked)
+
+    def count_blocked(self) -> dict[str, int]:
+        """Return the number of blocked parts, for metrics."""
+        return {"part": len(self._known_blocked)}
+
     def blocked_part(self, parts: Iterable[str], wall_s: float) -> str | None:
         """Return a part that must not be sent to any upstream, or None."""
         return self.suspicions.parts.blocked(parts, wall_s)
--- a/toucanrudder/observability/decisions.py
+++ b/toucanrudder/observability/decisions.py
@@ -260,6 +260,20 @@
     events: int
 
 
+@attrs.frozen(kw_only=True)
+class PartBlocked:
+    """Prompts with a part are refused, as upstreams crashed at it.
+
+    ``group`` has the parts that explain the crashes equally well; prompts
+    are refused if they have all of them.
+    """
+
+    part: str
+    group: tuple[str, ...]
+    crashes: int
+    ends_in_s: float
+
+
 @attrs.frozen(kw_only=True)
 class StreamResumed:
     """A caller has taken up a stream that it began with an earlier request.
@@ -401,6 +415,7 @@
     Placed,
     TryEnded,
     CrashSuspected,
+    PartBlocked,
     HandedOver,
     TakenOver,
     ContactChanged,
--- a/toucanrudder/peers/client.py
+++ b/toucanrudder/peers/client.py
@@ -207,6 +207,7 @@
         self._own_addresses: set[str] = set()
         self._urgent = asyncio.Event()
         self._first_news = asyncio.Event()
+        self._first_news_by_s: float | None = None
         self._last_exchange_s: dict[str, float] = {}
         self._tasks: set[asyncio.Task] = set()
         self._pending_broadcast: asyncio.Task | None = None
@@ -223,15 +224,21 @@
         Parameters
         ----------
         within_s : float
-            Longest wait in seconds, for peers that do not answer.
+            Longest wait in seconds since the first call, for peers that do
+            not answer.
         """
-        if self._first_news.is_set() or within_s <= 0:
+        if self._first_news.is_set():
             return
-        if not self._seeds and not self._node.table.peers(time.monotonic()):
+        now_s = time.monotonic()
+        if not self._seeds and not self._node.table.peers(now_s):
+            return
+        if self._first_news_by_s is None:
+            self._first_news_by_s = now_s + within_s
+        if now_s >= self._first_news_by_s:
             return
         self.exchange_soon()
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(within_s):
+            async with asyncio.timeout(self._first_news_by_s - now_s):
                 await self._first_news.wait()
 
     async def broadcast_urgent(self, within_s: float) -> None:
--- a/toucanrudder/quarantine/parts.py
+++ b/toucanrudder/quarantine/parts.py
@@ -324,7 +324,8 @@
             return False
         evidence.crashes[entry.crash] = merged
         self._parts_at.setdefault(entry.crash, set()).add(entry.fingerprint)
-        self._seen_at_s.setdefault(entry.crash, now_s)
+        # A router that has just started hears of crashes long after them.
+        self._seen_at_s.setdefault(entry.crash, min(now_s, entry.at_s))
         return True
 
     # Conclusions.
@@ -351,6 +352,11 @@
         """Return the parts that are blocked."""
         return tuple(sorted(self._current(now_s)))
 
+    def group(self, part: str, now_s: float) -> tuple[str, ...]:
+        """Return the parts with which a blocked one is refused."""
+        block = self._current(now_s).get(part)
+        return tuple(sorted(block.group)) if block else ()
+
     def explained(self, now_s: float) -> set[Process]:
         """Return the crashes that blocked parts have caused."""
         return {
