Test that sound requests are served again while bad ones still come

Virtual time, 8 routers, ten seeds: from twice contact_ms after the fifth crash, sound requests are served at the first attempt at least 0.95 times as often as before the series.

--- a/toucanrudder/quarantine/tests/test_part_fleets.py
+++ b/toucanrudder/quarantine/tests/test_part_fleets.py
@@ -43,6 +43,7 @@
     parts: tuple[str, ...]
     router: int
     tries: int = 0
+    asked_s: float = 0.0
     sent: tuple = ()
 
     @property
@@ -66,6 +67,7 @@
         self.crashes_s, self.bad_sent_s = [], []
         self.wrongly_refused = collections.Counter()
         self.refused_bad = 0
+        self.first_attempts = []
 
     def at(self, delay_s, action, *args):
         entry = (self.now_s + delay_s, next(self.order), action, args)
@@ -104,6 +106,10 @@
                 self.wrongly_refused[request.parts] += 1
             return
         live = [n for n, process in self.process.items() if process >= 0]
+        if not request.is_bad and not request.tries:
+            request.asked_s = self.now_s
+            if not live:
+                self.first_attempts.append((self.now_s, False))
         if not live:
             return
         engine = self.rng.choice(live)
@@ -122,6 +128,8 @@
         if request not in self.running[engine]:
             return
         del self.running[engine][request]
+        if request.tries == 1:
+            self.first_attempts.append((request.asked_s, True))
         tracker = self.trackers[request.router]
         if tracker.record_completion(request.parts, self.now_s):
             self.tell(request.router)
@@ -154,6 +162,8 @@
         for router in sorted({request.router for request in lost}):
             self.tell(router)
         for request in lost:
+            if request.tries == 1 and not request.is_bad:
+                self.first_attempts.append((request.asked_s, False))
             if request.tries < 2:
                 self.place(request)
         self.at(self.rng.uniform(*RESTART_S), self.restart, engine)
@@ -190,6 +200,30 @@
         assert not fleet.wrongly_refused, seed
 
 
+def served_share(fleet, since_s, until_s):
+    """Return the share of sound requests served at the first attempt."""
+    served = [
+        is_served
+        for at_s, is_served in fleet.first_attempts
+        if since_s <= at_s < until_s
+    ]
+    assert len(served) >= 20
+    return sum(served) / len(served)
+
+
+def test_sound_requests_are_served_again_while_bad_ones_come():
+    for seed in range(10):
+        fleet = Fleet(SIZES[8], seed)
+        fleet.at(0.0, fleet.send_sound)
+        fleet.at(6.0, fleet.send_bad, 0.25)
+        fleet.run(24.0)
+        before = served_share(fleet, 0.0, 3.0)
+        crashes_s = fleet.crashes_s[:FREE_CRASHES]
+        since_s = crashes_s[-1] + 2 * CONTACT_S
+        after = served_share(fleet, since_s, since_s + 5.0)
+        assert after >= 0.95 * before, (seed, before, after)
+
+
 TROUBLE = [(0.34, 5.0, 0.0), (0.34, 4.0, 1.0), (0.2, 1.0, 0.0)]
 
 
