Try parts that have been blocked for long, one request at a time

A block lasted for an hour and then ended for all requests at once, and a sound part that was blocked by chance had no way back at the forwarding router. Ten minutes after the last crash the router that owns the part's key lets one request with it pass at a time; a complete answer ends the block on all routers, a crash renews it, at the cost of one engine.

--- a/toucanrudder/forwarding/execution.py
+++ b/toucanrudder/forwarding/execution.py
@@ -148,6 +148,8 @@
                 await self._run_attempts()
         except TimeoutError:
             raise self._timeout_error() from None
+        finally:
+            self.state.crash_counts.end_trials(self)
 
     def possible_runs(self) -> int:
         """Return how many upstreams may have run the request."""
@@ -590,9 +592,13 @@
         # Without recorded crashes, nothing needs to be hashed.
         if crash_counts.is_empty:
             return False
+        if crash_counts.is_poison(self.fingerprint(), wall_s):
+            return True
         part = crash_counts.blocked_part(self.part_fingerprints(), wall_s)
-        return part is not None or crash_counts.is_poison(
-            self.fingerprint(), wall_s
+        # One request at a time finds out whether an old block is still right.
+        return part is not None and not (
+            self.state.is_trial_router(part)
+            and crash_counts.may_try(part, self, wall_s)
         )
 
     def refuse_if_quarantined(self) -> None:
--- a/toucanrudder/forwarding/forwarder.py
+++ b/toucanrudder/forwarding/forwarder.py
@@ -135,6 +135,19 @@
             self.state, self.dialect, request, answer, route_match
         )
         execution.refuse_if_quarantined()
+        try:
+            await self._execute(execution, summary)
+        finally:
+            self.state.crash_counts.end_trials(execution)
+        execution.record_answered()
+
+    async def _execute(
+        self,
+        execution: executions.RequestExecution,
+        summary: "_RequestSummary",
+    ) -> None:
+        route_match = execution.route_match
+        route, call = route_match.route, route_match.call
         execution.origin = await self.state.streams.find(route_match)
         execution.service = (
             execution.origin.service
@@ -152,7 +165,6 @@
         )
         async with admitted:
             await execution.run()
-        execution.record_answered()
 
     def _refuse_if_cut_by_stop(
         self, route: model.Route, call: model.Call
--- a/toucanrudder/forwarding/poison.py
+++ b/toucanrudder/forwarding/poison.py
@@ -7,6 +7,7 @@
 their prompts in common and nothing else.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 import hashlib
 
@@ -60,6 +61,7 @@
     def __init__(self):
         self.suspicions = quarantine.SuspectTracker()
         self._known_blocked: set[str] = set()
+        self._on_trial: dict[str, object] = {}
 
     @property
     def is_empty(self) -> bool:
@@ -126,6 +128,19 @@
         """Return the number of blocked parts, for metrics."""
         return {"part": len(self._known_blocked)}
 
-    def blocked_part(self, parts: Iterable[str], wall_s: float) -> str | None:
+    def blocked_part(
+        self, parts: Collection[str], wall_s: float
+    ) -> str | None:
         """Return a part that must not be sent to any upstream, or None."""
         return self.suspicions.parts.blocked(parts, wall_s)
+
+    def may_try(self, part: str, request: object, wall_s: float) -> bool:
+        """Whether a request may try a blocked part after a long time."""
+        if not self.suspicions.parts.is_trial_due(part, wall_s):
+            return False
+        return self._on_trial.setdefault(part, request) is request
+
+    def end_trials(self, request: object) -> None:
+        """Let other requests try the parts that a request has tried."""
+        for part in [p for p, r in self._on_trial.items() if r is request]:
+            del self._on_trial[part]
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -33,6 +33,7 @@
 from toucanrudder.observability import decisions
 from toucanrudder.peers import handovers
 from toucanrudder.peers import loads as peers_loads
+from toucanrudder.placement import rendezvous
 
 STEP = "state"
 
@@ -261,6 +262,11 @@
             self.addresses(service), now_s
         )
 
+    def is_trial_router(self, part: str) -> bool:
+        """Whether this router tries a blocked part for all routers."""
+        names = [self.name, *(peer.name for peer in self.peers())]
+        return rendezvous.ranked(part.encode(), names)[0] == self.name
+
     def cache_stores(self) -> tuple[model.CacheStore, ...]:
         """Return the configured stores of cached prompt parts."""
         configuration = self.configuration
--- a/toucanrudder/platform/testing/crashing.py
+++ b/toucanrudder/platform/testing/crashing.py
@@ -33,6 +33,8 @@
 
     Attributes
     ----------
+    bad_parts : set of str
+        IDs of parts at which an engine ends, unless they come last.
     engines : list of standins.Server
         The engines that run now.
     arrivals : list of str
@@ -48,7 +50,7 @@
         organisation: str = "",
     ):
         self._cluster = cluster
-        self._bad_parts = set(bad_parts)
+        self.bad_parts = set(bad_parts)
         self._organisation = organisation
         self._tasks: set[asyncio.Task] = set()
         self.engines: list[standins.Server] = []
@@ -69,7 +71,7 @@
         """Return whether a run makes its engine crash."""
         if self._organisation not in ("", run.headers["tenant"]):
             return False
-        return not self._bad_parts.isdisjoint(part_ids(run)[:-1])
+        return not self.bad_parts.isdisjoint(part_ids(run)[:-1])
 
     async def _behave(self, engine, run, answer) -> None:
         if not self.is_bad(run):
--- a/toucanrudder/platform/tests/test_crashing_parts.py
+++ b/toucanrudder/platform/tests/test_crashing_parts.py
@@ -9,6 +9,7 @@
 from toucanrudder.platform.testing import cluster as clusters
 from toucanrudder.platform.testing import crashing
 from toucanrudder.platform.testing import standins
+from toucanrudder.quarantine import parts as part_trackers
 
 ENGINES = 8
 ROUTERS = 3
@@ -193,3 +194,32 @@
         await asyncio.sleep(0.1)
     answer = await ask(routers[0], "a1", "a2")
     assert answer.body == clusters.EVENTS
+
+
+async def test_old_block_is_tried_by_one_request_at_a_time(
+    cluster, monkeypatch
+):
+    engines, routers = await start_blocked(cluster)
+    await asyncio.sleep(PAUSE_S)
+    monkeypatch.setattr(part_trackers, "TRIAL_AFTER_S", 2 * PAUSE_S)
+    await asyncio.sleep(2 * PAUSE_S)
+    arrived = len(engines.arrivals)
+    answers = await asyncio.gather(
+        *(ask(router, SHARED, BAD) for router in routers * 4)
+    )
+    assert {answer.status for answer in answers} == {502}
+    assert len(engines.arrivals) == arrived + 1
+
+
+async def test_part_that_crashes_engines_no_more_is_served_again(
+    cluster, monkeypatch
+):
+    engines, routers = await start_blocked(cluster)
+    engines.bad_parts.clear()
+    monkeypatch.setattr(part_trackers, "TRIAL_AFTER_S", PAUSE_S)
+    await asyncio.sleep(2 * PAUSE_S)
+    for router in routers:
+        await ask(router, SHARED, BAD)
+    await asyncio.sleep(PAUSE_S)
+    answers = [await ask(router, SHARED, BAD) for router in routers]
+    assert {answer.body for answer in answers} == {clusters.EVENTS}
--- a/toucanrudder/quarantine/parts.py
+++ b/toucanrudder/quarantine/parts.py
@@ -40,6 +40,10 @@
 #: Time after its last crash for which a part is blocked.
 BLOCK_S = 3600.0
 
+#: Time after its last crash at which a request with a blocked part may be
+#: tried again, one at a time.
+TRIAL_AFTER_S = 600.0
+
 #: Age at which entries expire.  A part that is tried again after `BLOCK_S`
 #: is blocked again at its next crash.
 EXPIRY_S = 2 * BLOCK_S
@@ -121,7 +125,7 @@
 class PartTracker:
     """Parts of prompts, with the crashes that they were in flight at.
 
-    All conclusions depend on the set of merged entries only.
+    Conclusions depend on the merged entries, and on when they came.
 
     Parameters
     ----------
@@ -348,6 +352,13 @@
                 return part
         return None
 
+    def is_trial_due(self, part: str, now_s: float) -> bool:
+        """Whether one request with a blocked part may be tried again."""
+        block = self._current(now_s).get(part)
+        if block is None:
+            return False
+        return now_s - block.suspect.last_crash_s >= TRIAL_AFTER_S
+
     def all_blocked(self, now_s: float) -> tuple[str, ...]:
         """Return the parts that are blocked."""
         return tuple(sorted(self._current(now_s)))
--- a/toucanrudder/soak/mutants.py
+++ b/toucanrudder/soak/mutants.py
@@ -150,8 +150,8 @@
     Mutant(
         "parts of prompts are not held against crashes",
         "forwarding/execution.py",
-        "return part is not None or crash_counts",
-        "return crash_counts",
+        "return part is not None and not (",
+        "return False and not (",
     ),
     Mutant(
         "retries cost nothing",
