Send at most 128 entries of parts to a peer at once

With 512, news of a crash to 32 peers could take seconds on the slowest links of the large deployments; the most telling come first. Crashes that parts explain are subtracted once, not for each entry.

--- a/toucanrudder/quarantine/suspects.py
+++ b/toucanrudder/quarantine/suspects.py
@@ -22,7 +22,7 @@
 EXPIRY_S = 3600.0
 MAX_ENTRIES = 4096
 #: Entries of parts that are sent to a peer at once.
-MAX_SENT_PARTS = 512
+MAX_SENT_PARTS = 128
 #: Time for which the entries of a crash spread before trials begin.
 SETTLE_S = 0.3
 #: Length of a round of trials.
@@ -497,11 +497,12 @@
         for entry in entries
         if entry.kind is entry_types.Kind.CRASH and entry.crash not in alive
     }
+    unexplained = known_crashes - explained_by_parts
     crashes = [
         entry
         for entry in entries
         if entry.kind is entry_types.Kind.CRASH
-        and entry.crash in known_crashes - explained_by_parts
+        and entry.crash in unexplained
         and entry.at_s > released.get(entry.fingerprint, float("-inf"))
     ]
     quarantined = _quarantined(crashes)
