Accept any text in chats when their parts are identified

The identity of a message could not be made of a lone surrogate, which JSON can escape, and an unrelated field 'messages' of a plain prompt was taken for those of a chat; each was answered as an internal error. Found in reading, before anyone met it; the test's rows of both failed to give an identity.

--- a/toucanrudder/router/state.py
+++ b/toucanrudder/router/state.py
@@ -366,13 +366,14 @@
     The parts of a chat are its messages, wherever they stand; those of a
     plain prompt are its beginnings, each twice as long as the one before.
     """
-    messages = request.body.get("messages")
-    if messages is not None:
+    if request.path.endswith("/chat/completions"):
+        texts = [
+            f"{message.get('role')}\0{message.get('content')}"
+            for message in request.body["messages"][:-1]
+        ]
         identities = [
-            hashlib.sha256(
-                f"{message.get('role')}\0{message.get('content')}".encode()
-            ).hexdigest()
-            for message in messages[:-1]
+            hashlib.sha256(text.encode("utf-8", "surrogatepass")).hexdigest()
+            for text in texts
         ]
     else:
         keys = request.prefix_keys
