Let both routers know all upstreams before a stream is broken off

test_peer_that_relays_makes_no_cut_answer_whole[resumable stream reset] failed once in a whole run: the test waited only until the router that hands over knew the second engine. The peer, which did not yet, went on at the first, whose stand-in ignores the event to resume after and sent its events again.

--- a/toucanrudder/platform/tests/test_answers_without_length.py
+++ b/toucanrudder/platform/tests/test_answers_without_length.py
@@ -90,17 +90,21 @@
     return server
 
 
-async def check(cluster, router, row, upstream):
+async def check(cluster, routers, row, upstream):
+    """Ask the first of the routers; all of them know all upstreams."""
     path, service, _, _, status, expected = row
     if service == "engines" and expected is WHOLE:
         # The rest of a broken stream comes from another engine.
         await cluster.engine()
         await clusters.wait_until(
-            lambda: len(router.state.registry.for_service(service)) == 2
+            lambda: all(
+                len(each.state.registry.for_service(service)) == 2
+                for each in routers
+            )
         )
     method = b"POST" if path == b"/w/x" else b"GET"
     for _ in range(6):
-        answer = await clusters.send_request(router, path, method=method)
+        answer = await clusters.send_request(routers[0], path, method=method)
         assert answer.status == status or not answer.is_whole
         if expected is None:
             assert not (answer.is_whole and answer.status == 200)
@@ -116,7 +120,7 @@
     _, service, body, resets, _, _ = row
     upstream = await start(cluster, service, body, resets)
     router = await cluster.router()
-    await check(cluster, router, row, upstream)
+    await check(cluster, [router], row, upstream)
 
 
 @pytest.mark.parametrize("row", ROWS.values(), ids=ROWS.keys())
@@ -129,4 +133,4 @@
         lambda: first.state.live_routers() == second.state.live_routers() == 2
     )
     with clusters.cut_off(first, clusters.refuse):
-        await check(cluster, first, row, upstream)
+        await check(cluster, [first, second], row, upstream)
