Learn the software that began an answer from the process that answered

Callers of a router that has just started got stream_software_gone when an engine crashed during their answer, though another engine had its software: the version was read when the engine was chosen, and before its first load report that is empty, which no engine equals. A report of an earlier process under the same name would have given the wrong version.

The process that sent the events is known with the first of them; the version is that of its report, whether it came before or since. Without one the answer is refused as before.

--- a/toucanrudder/filters/engine_try.py
+++ b/toucanrudder/filters/engine_try.py
@@ -40,6 +40,8 @@
         Deadline of this try's first event, in monotonic time.
     first_try : bool
         Whether this is the request's first try.
+    answered_by : str
+        Incarnation of the process that has sent events; empty before.
     """
 
     exchange: exchanges.Exchange
@@ -50,6 +52,7 @@
     isolated: bool
     first_event_by_s: float
     first_try: bool
+    answered_by: str = ""
 
     async def run(self) -> None:
         """Relay the answer to its end.
@@ -137,7 +140,7 @@
 
         def on_first_event() -> None:
             entry.prefill_tokens = 0
-            entry.incarnation = attempt.answered_by
+            self.answered_by = entry.incarnation = attempt.answered_by
             self._record_first_token()
 
         attempt = attempts.Attempt(
--- a/toucanrudder/filters/model_call.py
+++ b/toucanrudder/filters/model_call.py
@@ -15,6 +15,7 @@
 from toucanrudder.placement import types
 from toucanrudder.relay import sinks
 from toucanrudder.upstreams import failures
+from toucanrudder.upstreams import loads
 
 LOG = logging.getLogger(__name__)
 
@@ -91,13 +92,20 @@
             decision, isolated = await self._place_with_outcome()
             self.tried.add(decision.upstream)
             self.tries += 1
-            software_version = self._software_version(decision.upstream)
+            report_before = state.loads.get(decision.upstream)
+            engine = self._engine_try(decision, isolated)
             try:
-                await self._try_engine(decision, isolated)
+                await engine.run()
                 return
             except failures.UpstreamFailure as failure:
                 if self.sequencer.last and self.software_version is None:
-                    self.software_version = software_version
+                    # The first report may have come since, and one of a
+                    # restarted process as well.
+                    self.software_version = _software_of(
+                        engine.answered_by,
+                        report_before,
+                        state.loads.get(decision.upstream),
+                    )
                 step = self._next_step(failure)
             await state.sleep(step.delay_s)
 
@@ -171,10 +179,10 @@
             engine for engine in engines if engine.name not in self.tried
         )
 
-    async def _try_engine(
+    def _engine_try(
         self, decision: types.Decision, isolated: bool
-    ) -> None:
-        await engine_try.EngineTry(
+    ) -> engine_try.EngineTry:
+        return engine_try.EngineTry(
             exchange=self.exchange,
             sink=self.sink,
             sequencer=self.sequencer,
@@ -183,7 +191,7 @@
             isolated=isolated,
             first_event_by_s=self._first_event_by_s(),
             first_try=self.tries == 1,
-        ).run()
+        )
 
     def _first_event_by_s(self) -> float:
         # The caller's deadline applies to the first token only.  Applied to
@@ -254,6 +262,16 @@
         )
 
 
+def _software_of(
+    incarnation: str, *reports: loads.ReceivedReport | None
+) -> str:
+    """Return the software of a process by its reports; empty if unknown."""
+    for received in reports:
+        if received and received.report.incarnation == incarnation:
+            return received.report.software_version
+    return ""
+
+
 def _trial_decision(state, trial: quarantine.Trial) -> types.Decision:
     load = state.loads.get(trial.upstream)
     return types.Decision(
--- a/toucanrudder/relay/tests/test_streams.py
+++ b/toucanrudder/relay/tests/test_streams.py
@@ -235,6 +235,30 @@
     assert (other.status, other.error["code"]) == (404, "unknown_stream")
 
 
+async def test_answer_begun_before_the_first_load_report_is_continued():
+    """The software that began it is learned from a later report."""
+    plan = fleets.Plan(
+        engines=2,
+        engine_options={"decode_s_per_token": 0.8, "software_version": "1"},
+        # Reports come while the answer goes on, but not before it.
+        settings={"upstreams": {"load_interval_s": 2, "silent_event_s": 9}},
+    )
+    async with fleets.running(plan) as fleet:
+        for name in fleet.upstreams:
+            await fleet.put_faults(name, crash_after_event=2)
+        body = _body() | {"max_tokens": 4}
+        answer = await callers.stream(
+            fleet.session, fleet.routers[0].url, body
+        )
+        dead = [
+            name
+            for name, upstream in fleet.upstreams.items()
+            if upstream.process.returncode is not None
+        ]
+    assert len(dead) == 1
+    assert answer.end is callers.End.DONE, answer.error
+
+
 @pytest.mark.parametrize("third", ["1", "2"])
 async def test_crashed_engine_is_not_continued_by_other_software(third):
     """Only an engine of the software that began the answer continues it."""
