--- a/toucanrudder/filters/engine_try.py
+++ b/toucanrudder/filters/engine_try.py
@@ -73,12 +73,18 @@
             incarnation=self.decision.incarnation,
             isolated=self.isolated,
             priority=int(request.priority),
+            sent_parts=state.suspects.parts.sent(
+                states.part_fingerprints(request)
+            ),
         )
         attempt = self._attempt(entry)
         with state.in_flight.track(self.upstream.name, entry):
             await self._relay(attempt, entry)
         if self.isolated:
             state.suspects.record_completion(entry.fingerprint, state.wall_s())
+        state.suspects.record_answered(
+            states.part_fingerprints(request), state.wall_s()
+        )
         self._record_cache_hits(attempt)
         self._export()
 
