Move what a request is to the quarantine out of its execution

RequestScreen holds the request's fingerprints, which were computed anew for each check and each record, decides whether it may be sent, and records its crashes; the execution keeps when to ask. The check and the end of its trial were written in two places; they are one context manager. A request that waits for room is checked after each wait instead of also before the first, where it has just been checked. Evictions rank by the suspects that the table keeps instead of deriving them again. No decision changes.

--- a/toucanrudder/forwarding/attempt.py
+++ b/toucanrudder/forwarding/attempt.py
@@ -185,7 +185,7 @@
             return
         suspicions = self.state.crash_counts.suspicions
         if suspicions.record_answered(
-            self.execution.part_fingerprints(), time.time()
+            self.execution.screen.parts, time.time()
         ):
             self.state.tell_crashes()
 
@@ -206,23 +206,14 @@
             self._record_crash()
 
     def _record_crash(self) -> None:
-        execution, crash_counts = self.execution, self.state.crash_counts
-        fingerprint, wall_s = execution.fingerprint(), time.time()
-        crash_counts.record_crash(
-            fingerprint, self.sent_parts, self.choice.upstream, wall_s
+        self.execution.screen.record_crash(
+            self.choice.upstream,
+            self.sent_parts,
+            self.execution.progress.events,
+            time.time(),
         )
         # The next request may arrive at any router.
         self.state.tell_crashes()
-        decisions.record(
-            decisions.CrashSuspected(
-                request_id=execution.call.request_id,
-                upstream=self.target,
-                request=fingerprint,
-                parts=execution.part_fingerprints(),
-                crashes=crash_counts.count(fingerprint, wall_s),
-                events=execution.progress.events,
-            )
-        )
 
     def _record_full(self, name: str, now_s: float) -> None:
         limit_per_s = self.state.brittle.limit_per_s(
@@ -281,7 +272,7 @@
         self.execution.refuse_if_quarantined()
         self._record_placed(choice)
         crash_counts = self.state.crash_counts
-        self.sent_parts = crash_counts.sent(self.execution.part_fingerprints())
+        self.sent_parts = crash_counts.sent(self.execution.screen.parts)
         self.was_presumed_dead = crash_counts.is_presumed_dead(
             upstream, time.time()
         )
--- a/toucanrudder/forwarding/execution.py
+++ b/toucanrudder/forwarding/execution.py
@@ -1,6 +1,8 @@
 """Execution of one request with retries on other upstreams."""
 
 import asyncio
+from collections.abc import Iterator
+import contextlib
 import time
 
 import attrs
@@ -12,10 +14,10 @@
 from toucanrudder.forwarding import dialect as dialects
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import placing
-from toucanrudder.forwarding import poison
 from toucanrudder.forwarding import relaying
 from toucanrudder.forwarding import retry_policy
 from toucanrudder.forwarding import routing
+from toucanrudder.forwarding import screening
 from toucanrudder.forwarding import state as states
 from toucanrudder.forwarding.handover import choice as handover_choice
 from toucanrudder.forwarding.handover import handing
@@ -90,6 +92,8 @@
         may continue it.
     earlier_attempts : int
         Attempts of the router that handed the request over.
+    screen : screening.RequestScreen
+        The request before the quarantine.
     """
 
     state: states.ForwardingState
@@ -122,7 +126,18 @@
     tried_peers: set[str] = attrs.field(factory=set)
     origin: origins.Origin | None = None
     earlier_attempts: int = 0
-    _fingerprint: str | None = None
+    screen: screening.RequestScreen = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        organisation = self.route_match.organisation
+        self.screen = screening.RequestScreen(
+            self.state.crash_counts,
+            self.state.is_trial_router,
+            self.call,
+            organisation.name if organisation else "",
+            self.request.head.target,
+            self.request.body,
+        )
 
     @property
     def route(self) -> model.Route:
@@ -148,8 +163,6 @@
                 await self._run_attempts()
         except TimeoutError:
             raise self._timeout_error() from None
-        finally:
-            self.state.crash_counts.end_trials(self)
 
     def possible_runs(self) -> int:
         """Return how many upstreams may have run the request."""
@@ -337,7 +350,6 @@
             self.route, self.remaining_s()
         )
         while True:
-            self.refuse_if_quarantined()
             # Checked before the choice, so that a slow choice is not the last.
             is_last = clock.now_s() >= wait_until_s
             try:
@@ -347,6 +359,7 @@
                 if not is_full or is_last:
                     raise
             await asyncio.sleep(attempts.FULL_BACKOFF_S / 2)
+            self.refuse_if_quarantined()
 
     def _choose(self) -> placing.Choice:
         now_s = clock.now_s()
@@ -566,57 +579,26 @@
             RETRY_AFTER_S,
         )
 
-    def fingerprint(self) -> str:
-        """Return what identifies the request in the quarantine."""
-        if self._fingerprint is None:
-            self._fingerprint = poison.fingerprint(
-                self._organisation_name(),
-                self.request.head.target,
-                self.request.body,
-            )
-        return self._fingerprint
-
-    def part_fingerprints(self) -> tuple[str, ...]:
-        """Return what identifies its prompt's parts in the quarantine."""
-        return poison.part_fingerprints(
-            self._organisation_name(), self.call.prompt
-        )
-
-    def _organisation_name(self) -> str:
-        organisation = self.route_match.organisation
-        return organisation.name if organisation else ""
-
     def is_quarantined(self) -> bool:
         """Whether upstreams crashed at the request, or at a part of it."""
-        crash_counts, wall_s = self.state.crash_counts, time.time()
-        # Without recorded crashes, nothing needs to be hashed.
-        if crash_counts.is_empty:
-            return False
-        if crash_counts.is_poison(self.fingerprint(), wall_s):
-            return True
-        part = crash_counts.blocked_part(self.part_fingerprints(), wall_s)
-        # One request at a time finds out whether an old block is still right.
-        return part is not None and not (
-            self.state.is_trial_router(part)
-            and crash_counts.may_try(part, self, wall_s)
-        )
+        return self.screen.is_quarantined(time.time())
 
     def refuse_if_quarantined(self) -> None:
-        """Raise RudderError if the request is quarantined.
-
-        Even if it has not run, it must not be retried: a "not run" status
-        would make the caller repeat it indefinitely.
-        """
+        """Raise RudderError if the request is quarantined."""
         if self.is_quarantined():
-            raise errors.RudderError(
-                errors.Code.CRASHED_UPSTREAMS,
-                "upstreams crashed at this request, or at others with a part"
-                " of its prompt; do not repeat it",
-                step="quarantine",
-                ran=errors.Ran.UNKNOWN
-                if self.possible_runs()
-                else errors.Ran.NOT_RUN,
-            )
+            ran = errors.Ran.NOT_RUN
+            if self.possible_runs():
+                ran = errors.Ran.UNKNOWN
+            raise self.screen.error(ran)
+
+    @contextlib.contextmanager
+    def screened(self) -> Iterator[None]:
+        """Refuse a quarantined request, or let the block execute it."""
+        self.refuse_if_quarantined()
+        try:
+            yield
+        finally:
+            self.screen.end_trials()
 
     # Answer to the caller.
 
--- a/toucanrudder/forwarding/forwarder.py
+++ b/toucanrudder/forwarding/forwarder.py
@@ -134,11 +134,8 @@
         execution = executions.RequestExecution(
             self.state, self.dialect, request, answer, route_match
         )
-        execution.refuse_if_quarantined()
-        try:
+        with execution.screened():
             await self._execute(execution, summary)
-        finally:
-            self.state.crash_counts.end_trials(execution)
         execution.record_answered()
 
     async def _execute(
--- a/toucanrudder/forwarding/handover/taking.py
+++ b/toucanrudder/forwarding/handover/taking.py
@@ -147,8 +147,9 @@
             execution = await self._execution(handed, answer, began_s, offer)
             exchange.possible_runs = execution.possible_runs
             answer.software_version = execution.software_version
-            async with exchange.shown_working():
-                await execution.run()
+            with execution.screened():
+                async with exchange.shown_working():
+                    await execution.run()
         except errors.RudderError as error:
             refusal = error.code.value
             await exchange.refuse(error)
@@ -181,7 +182,7 @@
         )
         route_match = self.state.table().match(call)
         origin = await self._origin(handed, route_match, offer)
-        execution = executions.RequestExecution(
+        return executions.RequestExecution(
             self.state,
             self.dialect,
             server.Request(handed.head, handed.body, began_s),
@@ -195,8 +196,6 @@
             origin=origin,
             earlier_attempts=handed.attempts,
         )
-        execution.refuse_if_quarantined()
-        return execution
 
     async def _origin(
         self,
--- a/toucanrudder/quarantine/evidence.py
+++ b/toucanrudder/quarantine/evidence.py
@@ -267,13 +267,12 @@
     ) -> Iterator[tuple[tuple, entry_types.Entry]]:
         """Yield each crash with what ranks it; the least proves least."""
         for part, evidence in self._evidence.items():
-            live = evidence.live(self.alive)
-            steps = len(set(live.values()))
+            suspect = self.suspects.get(part)
             for process, entry in evidence.crashes.items():
-                is_live = process in live
+                is_live = suspect is not None and process in suspect.live
+                steps = suspect.steps if is_live else 0
                 is_bare = is_live and not entry.is_vouched
-                rank = (is_live, steps if is_live else 0, is_bare, entry.at_s)
-                yield (*rank, part, process), entry
+                yield (steps, is_bare, entry.at_s, part, process), entry
 
     def groups(self) -> Iterator[tuple[str, list[entry_types.Entry]]]:
         """Yield each part with its entries."""
--- a/toucanrudder/soak/mutants.py
+++ b/toucanrudder/soak/mutants.py
@@ -149,7 +149,7 @@
     ),
     Mutant(
         "parts of prompts are not held against crashes",
-        "forwarding/execution.py",
+        "forwarding/screening.py",
         "return part is not None and not (",
         "return False and not (",
     ),
