--- a/toucanrudder/platform/testing/cluster.py
+++ b/toucanrudder/platform/testing/cluster.py
@@ -156,6 +156,17 @@
             await wait_until(lambda: router.state.is_ready)
         return router
 
+    async def routers(self, count):
+        """Start routers; wait until all of them know each other."""
+        routers = [await self.router("r1")]
+        address = routers[0].peering.node.address
+        for number in range(2, count + 1):
+            routers.append(await self.router(f"r{number}", address))
+        await wait_until(
+            lambda: all(each.state.live_routers() == count for each in routers)
+        )
+        return routers
+
 
 @contextlib.asynccontextmanager
 async def running(tmp_path):
--- a/toucanrudder/platform/tests/test_answers_without_length.py
+++ b/toucanrudder/platform/tests/test_answers_without_length.py
@@ -127,10 +127,6 @@
 async def test_peer_that_relays_makes_no_cut_answer_whole(cluster, row):
     _, service, body, resets, _, _ = row
     upstream = await start(cluster, service, body, resets)
-    first = await cluster.router("r1")
-    second = await cluster.router("r2", first.peering.node.address)
-    await clusters.wait_until(
-        lambda: first.state.live_routers() == second.state.live_routers() == 2
-    )
+    first, second = await cluster.routers(2)
     with clusters.cut_off(first, clusters.refuse):
         await check(cluster, [first, second], row, upstream)
--- a/toucanrudder/platform/tests/test_crashing_parts.py
+++ b/toucanrudder/platform/tests/test_crashing_parts.py
@@ -28,17 +28,6 @@
 NUMBERS = itertools.count()
 
 
-async def start_routers(cluster, count=ROUTERS):
-    routers = [await cluster.router("r1")]
-    address = routers[0].peering.node.address
-    for number in range(2, count + 1):
-        routers.append(await cluster.router(f"r{number}", address))
-    await clusters.wait_until(
-        lambda: all(each.state.live_routers() == count for each in routers)
-    )
-    return routers
-
-
 async def ask(router, *parts, path=b"/s/", **headers):
     """Send a request with the parts and a tail of its own."""
     number = next(NUMBERS)
@@ -83,7 +72,7 @@
 ):
     engines = crashing.CrashingEngines(cluster, {BAD})
     await engines.start(ENGINES)
-    routers = await start_routers(cluster)
+    routers = await cluster.routers(ROUTERS)
     await crash_engines(engines, routers, *parts)
     late = await count_late_arrivals(engines, routers, *parts)
     assert late <= MOST_LATE
@@ -107,7 +96,7 @@
     """Start engines and routers that have blocked the bad part."""
     engines = crashing.CrashingEngines(cluster, {BAD})
     await engines.start(ENGINES)
-    routers = await start_routers(cluster, count)
+    routers = await cluster.routers(count)
     await block(engines, routers, SHARED, BAD)
     return engines, routers
 
@@ -155,7 +144,7 @@
 async def test_no_organisation_blocks_a_part_of_another(cluster):
     engines = crashing.CrashingEngines(cluster, {BAD}, "north")
     await engines.start(ENGINES)
-    routers = await start_routers(cluster)
+    routers = await cluster.routers(ROUTERS)
     await block(engines, routers, SHARED, BAD)
     key = "Bearer key-of-south"
     for router in routers:
@@ -167,7 +156,7 @@
 async def test_two_parts_that_crash_engines_are_both_stopped(cluster):
     engines = crashing.CrashingEngines(cluster, {BAD, "worse"})
     await engines.start(ENGINES)
-    routers = await start_routers(cluster)
+    routers = await cluster.routers(ROUTERS)
     await block(engines, routers, SHARED, BAD)
     assert (await ask(routers[0], SHARED, "a3")).status == 200
     engines.arrivals.clear()
@@ -181,7 +170,7 @@
 
 async def test_connections_that_break_without_a_crash_block_no_part(cluster):
     engines = [await cluster.engine() for _ in range(4)]
-    routers = await start_routers(cluster)
+    routers = await cluster.routers(ROUTERS)
     for round_number in range(8):
         for engine in engines:
             engine.behaviours = [standins.resets]
--- a/toucanrudder/platform/tests/test_crowds.py
+++ b/toucanrudder/platform/tests/test_crowds.py
@@ -94,13 +94,7 @@
     for _ in range(DESKS):
         desk = await cluster.server()
         desk.default_behaviour = desks.behave
-    routers = [await cluster.router("r0")]
-    address = routers[0].peering.node.address
-    for number in range(1, ROUTERS):
-        routers.append(await cluster.router(f"r{number}", address))
-    await clusters.wait_until(
-        lambda: all(each.state.live_routers() == ROUTERS for each in routers)
-    )
+    routers = await cluster.routers(ROUTERS)
     await served_share(routers, SPAN_S / 2)
     spread = await served_share(routers, SPAN_S)
     await served_share(routers[:1], SPAN_S / 2)
--- a/toucanrudder/platform/tests/test_software_versions.py
+++ b/toucanrudder/platform/tests/test_software_versions.py
@@ -41,17 +41,6 @@
     return [await cluster.engine(version) for version in versions]
 
 
-async def start_routers(cluster, count=3):
-    routers = [await cluster.router("r1")]
-    address = routers[0].peering.node.address
-    for number in range(2, count + 1):
-        routers.append(await cluster.router(f"r{number}", address))
-    await clusters.wait_until(
-        lambda: all(each.state.live_routers() == count for each in routers)
-    )
-    return routers
-
-
 def versions_of(engines, *request_ids):
     """Return the software versions that have run the requests."""
     return {
@@ -135,7 +124,7 @@
 ):
     engines = await start_engines(cluster)
     set_behaviour(engines, behaviour)
-    (router,) = await start_routers(cluster, 1)
+    (router,) = await cluster.routers(1)
     for number in range(STREAMS):
         await clusters.wait_until(lambda: not backed_off(router, engines))
         answer = await clusters.send_request(
@@ -149,7 +138,7 @@
 async def test_stream_taken_up_at_another_router_keeps_its_software(cluster):
     engines = await start_engines(cluster)
     set_behaviour(engines, hangs_after_event)
-    routers = await start_routers(cluster)
+    routers = await cluster.routers(3)
     for number in range(STREAMS):
         await receive_first_event(routers[number % 3], number)
     await leave(cluster, routers, engines[::2])
@@ -163,7 +152,7 @@
 async def test_router_that_has_just_started_keeps_to_the_software(cluster):
     engines = await start_engines(cluster)
     set_behaviour(engines, hangs_after_event)
-    routers = await start_routers(cluster)
+    routers = await cluster.routers(3)
     for number in range(STREAMS):
         await receive_first_event(routers[number % 3], number)
     await leave(cluster, routers, engines[::2])
@@ -214,7 +203,7 @@
     cluster, resumes
 ):
     engines = await start_engines(cluster)
-    routers = await start_routers(cluster)
+    routers = await cluster.routers(3)
     answer = await clusters.send_request(
         routers[0], b"/s/x", Last_Event_Id="1", Resumes=resumes
     )
@@ -225,7 +214,7 @@
 async def test_stream_whose_software_is_gone_is_refused_as_not_run(cluster):
     engines = await start_engines(cluster)
     set_behaviour(engines, hangs_after_event)
-    routers = await start_routers(cluster)
+    routers = await cluster.routers(3)
     await receive_first_event(routers[0], 0)
     (version,) = versions_of(engines, "stream0")
     gone = [each for each in engines if each.software_version == version]
@@ -242,7 +231,7 @@
 ):
     engines = await start_engines(cluster)
     set_behaviour(engines, hangs_after_event)
-    routers = await start_routers(cluster)
+    routers = await cluster.routers(3)
     await receive_first_event(routers[0], 0)
     answer = await clusters.send_request(
         routers[1],
@@ -257,7 +246,7 @@
 async def test_single_software_lets_any_stream_go_on(cluster, monkeypatch):
     monkeypatch.setattr(resuming, "WINDOW_MARGIN_S", -5.5)
     await start_engines(cluster, ("v1", "v1"))
-    routers = await start_routers(cluster)
+    routers = await cluster.routers(3)
     await clusters.wait_until(
         lambda: all(
             each.state.streams.sole_version("engines", clock.now_s())
@@ -277,7 +266,7 @@
     cluster,
 ):
     engines = await start_engines(cluster)
-    routers = await start_routers(cluster)
+    routers = await cluster.routers(3)
     cut = contextlib.ExitStack()
 
     async def break_and_cut(upstream, run, answer):
@@ -308,7 +297,7 @@
     cluster, monkeypatch
 ):
     engines = await start_engines(cluster)
-    routers = await start_routers(cluster)
+    routers = await cluster.routers(3)
     set_behaviour(engines, hangs_after_event)
     await receive_first_event(routers[1], 0)
     runs = [run for engine in engines for run in engine.runs]
@@ -331,7 +320,7 @@
 async def test_begun_stream_that_a_peer_relays_is_known_to_others(cluster):
     engines = await start_engines(cluster)
     set_behaviour(engines, hangs_after_event)
-    routers = await start_routers(cluster)
+    routers = await cluster.routers(3)
     with clusters.cut_off(routers[0], clusters.refuse):
         for number in range(CUT_STREAMS):
             await receive_first_event(routers[0], number)
@@ -345,7 +334,7 @@
 
 async def test_new_version_begins_no_resumable_streams_at_first(cluster):
     engines = await start_engines(cluster, ("v1", "v1"))
-    routers = await start_routers(cluster)
+    routers = await cluster.routers(3)
     new = await start_engines(cluster, ("v2", "v2"))
     await clusters.wait_until(
         lambda: all(
