Let the soak see sound answers that are cut, and show that they are

Cause of the blindness: the soak's oracles checked the order of events and false wholeness, and planned stops; an answer of a sound upstream that was cut at any other time broke none of them. Its streams lasted 0.2 s, and engines listed none of their runs in their reports.

Change: callers of long streams (1 to 4 s); routers stopped, and engines that stand still, in series, one or all of them, and engines whose reports overtake the events of their streams; an oracle `sound_answers_whole`. A stream that was sent in the first 3 s of a planned stop and lasts into the last sixth of the grace time is not counted, as its rule has it: the long streams are the first that can.

--- a/toucanrudder/platform/testing/soaking.py
+++ b/toucanrudder/platform/testing/soaking.py
@@ -10,7 +10,6 @@
 from toucanrudder.http1 import message
 from toucanrudder.platform import objects
 from toucanrudder.platform.testing import standins
-from toucanrudder.soak import oracles
 from toucanrudder.soak import records
 
 ENGINES, PLAIN_SERVICE, MODEL = "engines", "desk", "m"
@@ -25,10 +24,20 @@
 #: Part at which each engine ends that begins an answer.
 BAD_PART = "bad"
 
-#: Time between two events of a stream, and time to load weights.
+#: Time between two events of a stream, and of a long one, and time to load
+#: weights.
 EVENT_GAP_S = 0.03
+LONG_EVENT_GAP_S = 0.1
 LOAD_TIME_S = 0.2
 
+#: Routes of long streams: time limit, and longest allowed gap.
+_LONG_ROUTE = {"timeout_ms": 12_000, "target_gap_ms": 200, "max_attempts": 2}
+
+_LONG_PATHS = {
+    records.Kind.STREAM_ONCE: "/longonce/x",
+    records.Kind.STREAM_RESUMABLE: "/longagain/x",
+}
+
 _EVENT = re.compile(rb"id: (\d+)\ndata: ([^\s@]+)@(\S+)\n\n")
 
 _PATHS = {
@@ -66,6 +75,14 @@
         "routes": [
             _route("/once/", "stream", ENGINES),
             _route("/again/", "stream", ENGINES, resumable=True),
+            _route("/longonce/", "stream", ENGINES, **_LONG_ROUTE),
+            _route(
+                "/longagain/",
+                "stream",
+                ENGINES,
+                resumable=True,
+                **_LONG_ROUTE,
+            ),
             _route("/read/", "safe", PLAIN_SERVICE),
             _route("/write/", "unsafe", PLAIN_SERVICE),
             *extra_routes,
@@ -97,14 +114,15 @@
     call: records.Call, organisation: str, part: int
 ) -> tuple[message.RequestHead, bytes]:
     """Return head and body of a caller's request."""
-    path = _PATHS.get(call.kind, f"/g{call.generation}/x")
+    paths = _LONG_PATHS if call.is_long else _PATHS
+    path = paths.get(call.kind, f"/g{call.generation}/x")
     if call.kind.is_stream:
         # Streams of one path and body would look like one poisonous request.
         path += call.stream_id or call.request_id
     headers = {
         "Host": "soak.example",
         "Request-Id": call.request_id,
-        "Deadline-Ms": "3000",
+        "Deadline-Ms": str(int(call.limit_s * 1000)),
         "Authorization": f"Bearer {API_KEYS[organisation]}",
     }
     method, body = b"GET", b""
@@ -114,7 +132,7 @@
     if call.kind.is_stream:
         headers |= {
             "Model": MODEL,
-            "Token-Counts": "600,6",
+            "Token-Counts": f"600,{call.length}",
             "Prompt-Prefix": f"a:100,b{part}:300,{call.request_id}:200",
         }
     if call.kind is records.Kind.POISON_PART:
@@ -214,6 +232,9 @@
         self.is_poisoned = asyncio.Event()
         self.default_behaviour = answers_normally
         self._running = 0
+        self._goes = asyncio.Event()
+        self._goes.set()
+        self.path_delay_s = 0.0
 
     def entry(self) -> dict:
         """Return its registry entry, with its proxy's address."""
@@ -222,8 +243,17 @@
     def _report(self) -> dict:
         return super()._report() | {"active": self._running}
 
+    def stand_still(self) -> None:
+        """Do nothing, as a stopped process, until `go_on`."""
+        self._goes.clear()
+
+    def go_on(self) -> None:
+        """End the standstill."""
+        self._goes.set()
+
     async def handle(self, request, answer) -> None:
         """Record the arrival of a request, then answer it."""
+        await self._goes.wait()
         request_id = request.head.get(b"request-id")
         if request_id is not None:
             self.shared.record.arrivals.append(
@@ -306,9 +336,9 @@
 
     def register_copy(self, run: standins.Run) -> None:
         """Record that the engine named by the run holds a copy of it."""
-        target = run.headers.get("kv-backup")
-        if target:
-            self.shared.copies.add((target, run.request_id))
+        copy = _copy_for(run)
+        if copy[0]:
+            self.shared.copies.add(copy)
 
     async def serve(self, run: standins.Run, answer) -> None:
         """Run a request without faults."""
@@ -339,16 +369,52 @@
 
     async def _stream(self, run: standins.Run, answer) -> None:
         await answer.start(200, self.answer_headers(run))
-        first = int(run.headers.get("last-event-id", 0)) + 1
-        for number in range(first, oracles.EVENTS + 1):
-            await asyncio.sleep(EVENT_GAP_S)
-            text = (
-                f"id: {number}\n"
-                f"data: {run.request_id}@{self.software_version}\n\n"
-            )
-            await answer.write(text.encode())
+        events: asyncio.Queue[_Event | None] = asyncio.Queue()
+        making = asyncio.ensure_future(self._make_events(run, events))
+        try:
+            while (event := await events.get()) is not None:
+                await asyncio.sleep(event.arrives_s - time.monotonic())
+                await answer.write(event.text)
+        finally:
+            making.cancel()
         await answer.end()
 
+    async def _make_events(self, run: standins.Run, events) -> None:
+        """Make the events of a run; its report counts them at once."""
+        first = int(run.headers.get("last-event-id", 0)) + 1
+        length = int(run.headers["token-counts"].partition(",")[2])
+        is_long = length > records.EVENTS
+        gap_s = LONG_EVENT_GAP_S if is_long else EVENT_GAP_S
+        try:
+            for number in range(first, length + 1):
+                await asyncio.sleep(gap_s)
+                await self._goes.wait()
+                self.reported_runs[run.request_id] = number
+                text = (
+                    f"id: {number}\n"
+                    f"data: {run.request_id}@{self.software_version}\n\n"
+                )
+                arrives_s = time.monotonic() + self.path_delay_s
+                events.put_nowait(_Event(text.encode(), arrives_s))
+        finally:
+            self.reported_runs.pop(run.request_id, None)
+        events.put_nowait(None)
+        # A copy of a run is freed when the run has ended.
+        self.shared.copies.discard(_copy_for(run))
+
+
+@attrs.frozen
+class _Event:
+    """An event of a stream, and when it has passed the network path."""
+
+    text: bytes
+    arrives_s: float
+
+
+def _copy_for(run: standins.Run) -> tuple[str, str]:
+    """Return the copy of a run that its engine was asked to make."""
+    return run.headers.get("kv-backup", ""), run.request_id
+
 
 def _named_copy(run: standins.Run) -> tuple[str, str] | None:
     """Return the copy from which a request is to be continued, if any."""
--- a/toucanrudder/soak/callers.py
+++ b/toucanrudder/soak/callers.py
@@ -36,6 +36,16 @@
 #: How often a caller takes one stream up again.
 MAX_RESUMPTIONS = 2
 
+#: Long streams: their kinds, events and time limit, and how much longer a
+#: caller waits than its limit.
+LONG_KINDS = (records.Kind.STREAM_ONCE, records.Kind.STREAM_RESUMABLE)
+LONG_EVENTS = (10, 40)
+LONG_LIMIT_S = 12.0
+OVERTIME_S = 1.0
+
+#: Pause after a long stream that was not served.
+LONG_PAUSE_S = 0.1
+
 #: Shared parts that prompts begin with.
 PARTS = 4
 
@@ -150,6 +160,17 @@
                 await self.ask(call, router, patience_s=patience_s)
             await asyncio.sleep(self._rng.uniform(0, 2 * pause_s))
 
+    async def run_long_streams(self, until_s: float) -> None:
+        """Ask for long streams, one after the other, until a time."""
+        while time.monotonic() < until_s:
+            router = self._rng.choice(self._site.routers)
+            call = self.call(self._rng.choice(LONG_KINDS), router)
+            call.length = self._rng.randint(*LONG_EVENTS)
+            call.limit_s = LONG_LIMIT_S
+            await self.ask(call, router, patience_s=LONG_LIMIT_S + OVERTIME_S)
+            if not call.is_whole:
+                await asyncio.sleep(LONG_PAUSE_S)
+
     async def _resume(self, call: records.Call) -> None:
         """Take a broken stream up again, at any router."""
         # Its own generator, so that other draws do not depend on breaks.
--- a/toucanrudder/soak/faults.py
+++ b/toucanrudder/soak/faults.py
@@ -26,6 +26,19 @@
 POISON_TRIES = 8
 POISON_PAUSE_S = 0.6
 
+#: Standstills in a row, and the time between two.
+STANDSTILLS = 4
+STANDSTILL_PAUSE_S = 0.5
+
+#: How much longer a standstill of engines is than one of routers.
+ENGINE_STANDSTILLS = 2.0
+
+#: Time by which a report of an engine overtakes events of its streams.
+PATH_DELAY_S = 0.3
+
+#: Share of the standstills that all routers or engines have together.
+TOGETHER_SHARE = 0.5
+
 #: Requests with a poisonous part, no two alike, and the pause between two.
 PART_REQUESTS = 24
 PART_PAUSE_S = 0.25
@@ -121,6 +134,27 @@
         if router is not None and router.heeds(signal.SIGHUP):
             router.signal(signal.SIGHUP)
 
+    async def _stand_still(self, step: plans.Step) -> None:
+        """Let routers stand still again and again, one or all of them."""
+        routers = list(self._site.routers)
+        if step.draw > TOGETHER_SHARE:
+            routers = [routers[int(step.draw * len(routers))]]
+        for _ in range(STANDSTILLS):
+            with contextlib.ExitStack() as stack:
+                for router in routers:
+                    stack.enter_context(self._stopped(router))
+                await asyncio.sleep(step.for_s)
+            await asyncio.sleep(STANDSTILL_PAUSE_S)
+
+    @contextlib.contextmanager
+    def _stopped(self, router: sites.Router):
+        with self._span("standstill", router.name):
+            router.signal(signal.SIGSTOP)
+            try:
+                yield
+            finally:
+                router.signal(signal.SIGCONT)
+
     # The store.
 
     async def _store_mode(self, mode: str, step: plans.Step) -> None:
@@ -173,6 +207,34 @@
                 )
             await asyncio.sleep(1.0)
 
+    async def _upstreams_stand_still(self, step: plans.Step) -> None:
+        """Let engines stand still again and again, one or all of them."""
+        engines = [
+            upstream.standin
+            for upstream in self._site.upstreams
+            if upstream.standin.service == soaking.ENGINES
+        ]
+        if step.draw > TOGETHER_SHARE:
+            engines = [engines[int(step.draw * len(engines))]]
+        for _ in range(STANDSTILLS):
+            with contextlib.ExitStack() as stack:
+                for engine in engines:
+                    stack.enter_context(self._standing_still(engine))
+                await asyncio.sleep(step.for_s * ENGINE_STANDSTILLS)
+            await asyncio.sleep(STANDSTILL_PAUSE_S)
+        for engine in engines:
+            engine.path_delay_s = 0.0
+
+    @contextlib.contextmanager
+    def _standing_still(self, engine: soaking.Upstream):
+        with self._span("upstream standstill", engine.incarnation):
+            engine.stand_still()
+            try:
+                yield
+            finally:
+                engine.path_delay_s = PATH_DELAY_S
+                engine.go_on()
+
     async def _sick(self, step: plans.Step) -> None:
         upstream = self._upstream(step)
         if upstream is None:
@@ -294,4 +356,6 @@
     plans.Fault.WEIGHTS: Injector._weights,
     plans.Fault.POISON: Injector._poisoned,
     plans.Fault.POISON_PART: Injector._poisoned_part,
+    plans.Fault.STANDSTILL: Injector._stand_still,
+    plans.Fault.UPSTREAM_STANDSTILL: Injector._upstreams_stand_still,
 }
--- a/toucanrudder/soak/oracles.py
+++ b/toucanrudder/soak/oracles.py
@@ -23,6 +23,11 @@
 #: Allowed beside a bound for a machine that also runs all the rest.
 SLACK_S = 0.7
 
+#: Time that a planned stop may take, and time from its beginning within
+#: which requests are accepted that may outlast it.
+GRACE_S = 4.0
+ACCEPTED_STREAMS_S = 3.0
+
 #: Statuses that promise that a request has not run and never will.
 PROMISES = frozenset({408, 421, 429, 503})
 
@@ -41,11 +46,17 @@
 MOST_PART_CRASHES = 5
 LATE_PARTS = 3
 
+#: Disturbances that cut no answer of a sound upstream.
+STANDSTILLS = frozenset({"pause", "standstill", "upstream standstill"})
+
+#: An answer that ends this much before its time limit may be due to it.
+LIMIT_SLACK_S = 0.1
+
 #: Within this time after the last fault callers are served again.
 RECOVERY_S = 12.0
 
-#: Events of a whole stream.
-EVENTS = 6
+#: Events of a whole stream of the usual length.
+EVENTS = records.EVENTS
 
 Oracle = Callable[[records.Record], Iterator[str]]
 
@@ -85,7 +96,7 @@
         last = call.resumed_after + len(call.events)
         if call.events != list(range(first, last + 1)):
             yield f"{call.request_id} got events {call.events}"
-        if call.is_served and last != EVENTS:
+        if call.is_served and last != call.length:
             yield f"{call.request_id} looks whole after {last}"
 
 
@@ -147,10 +158,51 @@
                 if each.until_s > call.sent_s and each.from_s < call.ended_s
             )
             lost = not call.is_whole and not call.left
+            if _outlasts(call, stop):
+                continue
             if is_alone and lost and call.request_id in ran:
                 yield f"{call.request_id} was cut by a planned stop"
 
 
+def _outlasts(call: records.Call, stop: records.Span) -> bool:
+    """Whether a call was sent early in a planned stop and outlasts it."""
+    return (
+        call.sent_s <= stop.from_s + ACCEPTED_STREAMS_S
+        and call.ended_s >= stop.from_s + GRACE_S * 5 / 6
+    )
+
+
+def sound_answers_whole(record: records.Record) -> Iterator[str]:
+    """What has run at sound upstreams gets its whole answer.
+
+    Neither standing still, of routers, upstreams or the soak itself, nor a
+    new document is a reason to cut an answer.
+    """
+    runs = collections.defaultdict(list)
+    for run in record.runs:
+        runs[run.request_id].append(run)
+    for call in record.calls:
+        ran = runs[call.request_id]
+        if not ran or call.is_whole or call.left:
+            continue
+        if call.kind in (records.Kind.POISON, records.Kind.POISON_PART):
+            continue
+        if call.ended_s - call.sent_s >= call.limit_s - LIMIT_SLACK_S:
+            continue
+        places = {call.router, *(run.incarnation for run in ran)}
+        if not any(
+            span.kind not in STANDSTILLS
+            and span.target in places
+            and span.from_s < call.ended_s
+            and call.sent_s - CONTACT_S < span.until_s
+            for span in record.spans
+        ):
+            yield (
+                f"{call.request_id} was cut after {len(call.events)} events "
+                f"by {call.router}"
+            )
+
+
 def document_in_force(record: records.Record) -> Iterator[str]:
     """A new document is in force in time, and never goes back."""
     served = collections.defaultdict(int)
@@ -234,6 +286,7 @@
     asked_rightly,
     drained,
     stops_cut_nothing,
+    sound_answers_whole,
     document_in_force,
     retry_budget,
     poison_is_stopped,
--- a/toucanrudder/soak/plans.py
+++ b/toucanrudder/soak/plans.py
@@ -1,5 +1,6 @@
 """Which faults a soak injects, and when.  No I/O."""
 
+from collections.abc import Iterator
 import enum
 import random
 
@@ -28,6 +29,8 @@
     WEIGHTS = "weights"
     POISON = "poison"
     POISON_PART = "poison part"
+    STANDSTILL = "standstill"
+    UPSTREAM_STANDSTILL = "upstream standstill"
 
 
 #: How often each comes, against the others.
@@ -52,6 +55,10 @@
     Fault.POISON: 1,
 }
 
+#: How long one standstill lasts, and time from one series to the next.
+STANDSTILL_S = (0.6, 0.9)
+STANDSTILL_EVERY_S = 5.5
+
 #: Seconds before the first fault, and without a new one at the end.
 CALM_S = 1.0
 QUIET_END_S = 3.0
@@ -104,9 +111,9 @@
     while True:
         at_s += rng.expovariate(a_second)
         if at_s > length_s - QUIET_END_S:
-            return tuple(
-                sorted((*steps, _part_step(seed, length_s)), key=_at_s)
-            )
+            steps.append(_part_step(seed, length_s))
+            steps.extend(_standstill_steps(seed, length_s))
+            return tuple(sorted(steps, key=_at_s))
         (fault,) = rng.choices(list(WEIGHTS), list(WEIGHTS.values()))
         for _ in range(rng.choice((1, 1, 1, 2, 3))):
             for_s = rng.uniform(0.3, 3.0)
@@ -118,6 +125,40 @@
     return step.at_s
 
 
+def standstills(
+    seed: int, length_s: float, *faults: Fault
+) -> tuple[Step, ...]:
+    """Return a plan with nothing but standstills of all that a fault names.
+
+    Parameters
+    ----------
+    seed : int
+        The same seed gives the same plan.
+    length_s : float
+        Length of the soak.
+    *faults : Fault
+        Kinds of standstills, which begin again and again.
+    """
+    rng = random.Random(seed)
+    steps = []
+    at_s = CALM_S
+    while at_s < length_s - QUIET_END_S:
+        for fault in faults:
+            for_s = rng.uniform(*STANDSTILL_S)
+            steps.append(Step(at_s, fault, 0.0, for_s))
+        at_s += STANDSTILL_EVERY_S
+    return tuple(steps)
+
+
+def _standstill_steps(seed: int, length_s: float) -> Iterator[Step]:
+    # Its own generator, so that the other draws stay as they are.
+    rng = random.Random(f"standstills of {seed}")
+    for fault in (Fault.STANDSTILL, Fault.UPSTREAM_STANDSTILL):
+        at_s = rng.uniform(CALM_S, max(CALM_S, length_s - QUIET_END_S))
+        for_s = rng.uniform(*STANDSTILL_S)
+        yield Step(at_s, fault, rng.random(), for_s)
+
+
 def _part_step(seed: int, length_s: float) -> Step:
     # Its own generator, so that the other draws stay as they are.
     rng = random.Random(f"part of {seed}")
--- a/toucanrudder/soak/records.py
+++ b/toucanrudder/soak/records.py
@@ -4,6 +4,9 @@
 
 import attrs
 
+#: Events of a whole stream, unless a call says otherwise.
+EVENTS = 6
+
 
 class Kind(enum.Enum):
     """What a caller asks for."""
@@ -76,6 +79,10 @@
         Number of the event after which it resumes the stream; 0 for none.
     software : set of str
         Software versions of the events that came.
+    length : int
+        Events of the whole stream that is asked for.
+    limit_s : float
+        Time limit that the request states.
     """
 
     request_id: str
@@ -94,6 +101,13 @@
     stream_id: str = ""
     resumed_after: int = 0
     software: set[str] = attrs.field(factory=set)
+    length: int = EVENTS
+    limit_s: float = 3.0
+
+    @property
+    def is_long(self) -> bool:
+        """Whether it asks for a stream that lasts for seconds."""
+        return self.length > EVENTS
 
     @property
     def is_served(self) -> bool:
--- a/toucanrudder/soak/runs.py
+++ b/toucanrudder/soak/runs.py
@@ -36,6 +36,8 @@
         How long faults and calls come.
     routers, engines, desks, callers : int
         Numbers of each.
+    long_streams : int
+        Callers that ask for long streams beside the others.
     faults_a_second : float
         On average.
     """
@@ -45,6 +47,7 @@
     engines: int = 4
     desks: int = 3
     callers: int = 12
+    long_streams: int = 6
     faults_a_second: float = 0.8
 
 
@@ -67,7 +70,12 @@
     figures: dict[str, object]
 
 
-async def run(seed: int, size: Size, folder: pathlib.Path) -> Result:
+async def run(
+    seed: int,
+    size: Size,
+    folder: pathlib.Path,
+    steps: tuple[plans.Step, ...] | None = None,
+) -> Result:
     """Play one seed; logs of the routers stay in the folder.
 
     Parameters
@@ -78,11 +86,14 @@
         How large.
     folder : pathlib.Path
         For settings and logs.
+    steps : tuple of plans.Step, optional
+        Faults in place of those that the seed draws.
     """
     folder.mkdir(parents=True, exist_ok=True)
     rng = random.Random(seed)
     record = records.Record()
-    steps = plans.plan(seed, size.length_s, size.faults_a_second)
+    if steps is None:
+        steps = plans.plan(seed, size.length_s, size.faults_a_second)
     site = sites.Site(rng, folder, record)
     async with site.running(size.routers, size.engines, size.desks):
         watch = asyncio.ensure_future(_watch(site, record))
@@ -95,6 +106,12 @@
             )
             for _ in range(size.callers)
         ]
+        asking += [
+            callers.Caller(
+                site, random.Random(f"long streams {number} of {seed}")
+            ).run_long_streams(end_s)
+            for number in range(size.long_streams)
+        ]
         probing = callers.Caller(site, rng).probe(end_s, PROBE_S)
         await asyncio.gather(injector.run(steps, begin_s), probing, *asking)
         record.recovered_after_s = await _recovered(site)
@@ -140,14 +157,21 @@
         "served": round(served / max(1, len(record.calls)), 3),
         "runs": len(record.runs),
         "recovered_after_s": record.recovered_after_s,
+        "long": sum(call.is_long for call in record.calls),
+        "cut": sum(1 for _ in oracles.sound_answers_whole(record)),
         "stalls": sum(each.kind == "stall" for each in record.spans),
     }
 
 
-def play(seed: int, size: Size, folder: str = "") -> Result:
+def play(
+    seed: int,
+    size: Size,
+    folder: str = "",
+    steps: tuple[plans.Step, ...] | None = None,
+) -> Result:
     """Play one seed in a loop of its own."""
     if folder:
         path = pathlib.Path(folder, str(seed))
-        return asyncio.run(run(seed, size, path))
+        return asyncio.run(run(seed, size, path, steps))
     with tempfile.TemporaryDirectory() as temporary:
-        return asyncio.run(run(seed, size, pathlib.Path(temporary)))
+        return asyncio.run(run(seed, size, pathlib.Path(temporary), steps))
--- a/toucanrudder/soak/site.py
+++ b/toucanrudder/soak/site.py
@@ -16,13 +16,13 @@
 from toucanrudder.platform import __main__ as entry
 from toucanrudder.platform.testing import soaking
 from toucanrudder.platform.testing import standins
+from toucanrudder.soak import oracles
 from toucanrudder.soak import records
 from toucanrudder.testing import ports
 from toucanrudder.testing import processes
 from toucanrudder.testing import proxy as proxies
 
-#: Time that a router has to stop; the longest that one needs to start.
-GRACE_S = 4.0
+#: The longest time that a router needs to start.
 START_S = 60.0
 
 SETTINGS = """
@@ -106,7 +106,7 @@
     async def ended(self) -> None:
         """Wait for the process; end it by force after its grace."""
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(GRACE_S + 1.0):
+            async with asyncio.timeout(oracles.GRACE_S + 1.0):
                 await self.process.wait()
                 return
         self.signal(signal.SIGKILL)
@@ -280,7 +280,7 @@
                 ports=of_router,
                 seeds=seeds,
                 store=self.store_proxy.address,
-                grace_s=GRACE_S,
+                grace_s=oracles.GRACE_S,
             )
             path.write_text(text)
             log = self.folder / f"{name}.log"
--- a/toucanrudder/soak/tests/test_oracles.py
+++ b/toucanrudder/soak/tests/test_oracles.py
@@ -43,7 +43,21 @@
 CUT = call(status=None, is_whole=False)
 LATE_RUN = run(at_s=109.0)
 
+LONG = {"length": 20, "limit_s": 12.0, "ended_s": 101.0, "is_whole": False}
+
 BROKEN = {
+    "cut while routers and engines stood still": (
+        oracles.sound_answers_whole,
+        record(
+            [call(Kind.STREAM_ONCE, **LONG)],
+            [run()],
+            spans=[
+                span("standstill", "r1"),
+                span("upstream standstill", "i1"),
+                span("upstream crash", "i2"),
+            ],
+        ),
+    ),
     "ran twice": (
         oracles.at_most_once,
         record([call()], [run(), run(incarnation="i2")]),
@@ -146,6 +160,34 @@
 
 
 ALLOWED = {
+    "its upstream crashed": (
+        oracles.sound_answers_whole,
+        record(
+            [call(Kind.STREAM_ONCE, **LONG)],
+            [run()],
+            spans=[span("upstream crash", "i1")],
+        ),
+    ),
+    "its caller left a long stream": (
+        oracles.sound_answers_whole,
+        record([call(Kind.STREAM_ONCE, **LONG, left=True)], [run()]),
+    ),
+    "it did not run": (
+        oracles.sound_answers_whole,
+        record([call(Kind.STREAM_ONCE, **LONG | {"status": 503})]),
+    ),
+    "its time limit was reached": (
+        oracles.sound_answers_whole,
+        record([call(Kind.STREAM_ONCE, **LONG | {"limit_s": 1.0})], [run()]),
+    ),
+    "it outlasts the stop during which it was sent": (
+        oracles.stops_cut_nothing,
+        record(
+            [call(Kind.STREAM_ONCE, **LONG | {"ended_s": 103.0})],
+            [run()],
+            spans=[span("term", "r1", 99.0, 103.0)],
+        ),
+    ),
     "a repeatable one ran twice": (
         oracles.at_most_once,
         record([call(Kind.READ)], [run(), run()]),
--- a/toucanrudder/soak/tests/test_soak.py
+++ b/toucanrudder/soak/tests/test_soak.py
@@ -27,6 +27,26 @@
     assert result.figures["runs"] > 0
 
 
+STANDSTILLS = {
+    "routers": (plans.Fault.STANDSTILL,),
+    "engines": (plans.Fault.UPSTREAM_STANDSTILL,),
+    "both": (plans.Fault.STANDSTILL, plans.Fault.UPSTREAM_STANDSTILL),
+}
+
+
+@pytest.mark.parametrize(
+    "faults", STANDSTILLS.values(), ids=STANDSTILLS.keys()
+)
+def test_standstills_cut_no_answer(faults, tmp_path):
+    size = runs.Size(
+        length_s=9.0, routers=3, engines=6, callers=4, long_streams=30
+    )
+    steps = plans.standstills(907, size.length_s, *faults)
+    result = runs.play(907, size, str(tmp_path), steps)
+    assert result.broken == []
+    assert result.figures["long"] > 0
+
+
 def test_a_plan_draws_each_kind_of_fault():
     drawn = {
         step.fault
