Measure when a router did not run, and how answers and callers were lost

`TryEnded` says how the connection ended (`timed_out` where the kernel gave up, which was `reset` before), how long the answer was silent and how much of it this router did not run. `CallerLeft` says how the caller's connection ended. Nothing is decided by these yet.

--- a/toucanrudder/forwarding/attempt.py
+++ b/toucanrudder/forwarding/attempt.py
@@ -7,6 +7,7 @@
 import attrs
 
 from toucanrudder import clock
+from toucanrudder import stalls
 from toucanrudder.forwarding import brittleness
 from toucanrudder.forwarding import cache
 from toucanrudder.forwarding import dialect as dialects
@@ -59,6 +60,7 @@
     client.Fault.NOT_CONNECTED: retry_policy.FailureKind.NOT_REACHED,
     client.Fault.CONNECT_TIMEOUT: retry_policy.FailureKind.NOT_REACHED,
     client.Fault.RESET: retry_policy.FailureKind.BROKEN,
+    client.Fault.TIMED_OUT: retry_policy.FailureKind.BROKEN,
     client.Fault.CLOSED: retry_policy.FailureKind.BROKEN,
     client.Fault.NOT_HTTP: retry_policy.FailureKind.CROSSED,
     client.Fault.TIMEOUT: retry_policy.FailureKind.SILENT,
@@ -124,6 +126,8 @@
     sent_at_s: float = 0.0
     sent_parts: tuple[tuple[str, int], ...] = ()
     was_presumed_dead: bool = False
+    progress_at_s: float = 0.0
+    progress_running_s: float = 0.0
     evidence: retry_policy.Evidence = attrs.field(
         factory=retry_policy.Evidence
     )
@@ -169,10 +173,13 @@
                         connection, upstream, tracked
                     )
             except client.ExchangeError as error:
+                self._record_silence()
+                self.evidence.fault = error.fault.value
                 if not error.sent:
                     self.evidence.unsent = error.fault.value
                 raise relaying.AttemptFailed(_failure_kind(error)) from error
             except relaying.AttemptFailed:
+                self._record_silence()
                 await self._wait_for_engine_stop()
                 raise
         if failure is not None:
@@ -180,6 +187,18 @@
         self.state.upstream_stats.record_success(name)
         self._record_answered()
 
+    def _record_progress(self) -> None:
+        self.progress_at_s = clock.now_s()
+        self.progress_running_s = stalls.running_s()
+
+    def _record_silence(self) -> None:
+        if not self.progress_at_s:
+            return
+        silent_s = clock.now_s() - self.progress_at_s
+        running_s = stalls.running_s() - self.progress_running_s
+        self.evidence.silent_s = silent_s
+        self.evidence.stalled_s = max(0.0, silent_s - running_s)
+
     def _record_answered(self) -> None:
         if self.prompt is None or self.execution.status >= 300:
             return
@@ -281,6 +300,7 @@
         self.execution.used_connections.append(connection)
         self.execution.record_attempt(upstream)
         connection.send(head, self.execution.request.body)
+        self._record_progress()
         self.execution.is_in_flight = True
 
     def _record_placed(self, choice: placing.Choice) -> None:
@@ -474,7 +494,9 @@
         while True:
             try:
                 async with asyncio.timeout(timeout_s):
-                    return await connection.next_event()
+                    event = await connection.next_event()
+                self._record_progress()
+                return event
             except TimeoutError:
                 if await self._is_answer_lost(connection):
                     raise relaying.AttemptFailed(
--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -19,6 +19,7 @@
 
 from toucanrudder import clock
 from toucanrudder import errors
+from toucanrudder import stalls
 from toucanrudder import tasks
 from toucanrudder.admission import caps
 from toucanrudder.forwarding import cache_feed
@@ -264,6 +265,18 @@
         self.state.fetch_engine_report = controller.request_report
         return controller
 
+    def _record_stall(self, for_s: float) -> None:
+        metrics.histogram(
+            "toucanrudder_stall_seconds", "s", "The router did not run"
+        ).record(for_s)
+        decisions.record(
+            decisions.Stalled(
+                router=self.state.name,
+                for_s=for_s,
+                open_requests=self.state.open_requests,
+            )
+        )
+
     async def _expire_missing(self) -> None:
         while True:
             await asyncio.sleep(MISSING_CHECK_S)
@@ -289,6 +302,7 @@
         running["cache events"] = self._cache_feed().run
         running["rollout"] = self._rollout(lease).run
         running["tick"] = self._expire_missing
+        running["stalls"] = functools.partial(stalls.watch, self._record_stall)
         running["caps"] = self.gate.run
         return [
             tasks.TaskService(run=run, label=label)
--- a/toucanrudder/forwarding/execution.py
+++ b/toucanrudder/forwarding/execution.py
@@ -500,6 +500,9 @@
                 identity=evidence.identity.value,
                 silence=evidence.silence.value,
                 unsent=evidence.unsent,
+                fault=evidence.fault,
+                silent_s=evidence.silent_s,
+                stalled_s=evidence.stalled_s,
                 copy_at=self.copy_upstream.incarnation
                 if self.copy_upstream
                 else "",
--- a/toucanrudder/forwarding/forwarder.py
+++ b/toucanrudder/forwarding/forwarder.py
@@ -113,6 +113,7 @@
                     route=summary.route,
                     after_s=after_s,
                     attempts=summary.attempt_count(),
+                    cause=answer.end_cause.value,
                 )
             )
             executions.record_duration(summary.kind, "left", after_s)
--- a/toucanrudder/forwarding/retry_policy.py
+++ b/toucanrudder/forwarding/retry_policy.py
@@ -149,12 +149,21 @@
     unsent : str
         Why the request could not be sent, as a `client.Fault`; empty if it
         was sent.
+    fault : str
+        How its connection ended, as a `client.Fault`; empty if it did not.
+    silent_s : float
+        Time since something arrived, or since the request was sent.
+    stalled_s : float
+        Part of that time in which this router did not run.
     """
 
     carried_requests: int = 0
     identity: AnswerIdentity = AnswerIdentity.NO_ANSWER
     silence: SilenceFinding = SilenceFinding.NONE
     unsent: str = ""
+    fault: str = ""
+    silent_s: float = 0.0
+    stalled_s: float = 0.0
 
 
 class Step(enum.Enum):
--- a/toucanrudder/http1/client.py
+++ b/toucanrudder/http1/client.py
@@ -25,6 +25,8 @@
     NOT_CONNECTED = "not_connected"
     CONNECT_TIMEOUT = "connect_timeout"
     RESET = "reset"
+    #: The peer's host has acknowledged nothing for too long.
+    TIMED_OUT = "timed_out"
     CLOSED = "closed"
     NOT_HTTP = "not_http"
     TIMEOUT = "timeout"
@@ -137,7 +139,8 @@
 
     def connection_lost(self, error) -> None:
         """Fail the current exchange."""
-        self._fail(Fault.RESET)
+        is_timeout = isinstance(error, TimeoutError)
+        self._fail(Fault.TIMED_OUT if is_timeout else Fault.RESET)
 
     def _read_events(self) -> None:
         while not self._response_ended:
--- a/toucanrudder/http1/server.py
+++ b/toucanrudder/http1/server.py
@@ -66,6 +66,20 @@
         return self.value[1]
 
 
+class EndCause(enum.Enum):
+    """How a caller's connection ended."""
+
+    NONE = ""
+    CLOSED = "closed"
+    RESET = "reset"
+    #: The caller's host has acknowledged nothing for too long.
+    TIMED_OUT = "timed_out"
+    #: The caller did not read what was written.
+    UNREAD = "unread"
+    #: This router closed it.
+    ABORTED = "aborted"
+
+
 class CallerGone(Exception):
     """The caller has disconnected or reads too slowly."""
 
@@ -131,6 +145,11 @@
         self.started = False
         self.ended = False
 
+    @property
+    def end_cause(self) -> EndCause:
+        """How the connection has ended, if it has."""
+        return self._connection.end_cause
+
     async def start(self, status: int, headers: message.Headers) -> None:
         """Send the head; without a length the body is sent in chunks."""
         self.started = True
@@ -201,6 +220,7 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._closed = False
+        self.end_cause = EndCause.NONE
         self._reset_request()
 
     def _new_parser(self) -> h11.Connection:
@@ -256,6 +276,8 @@
 
     def connection_lost(self, error) -> None:
         """Cancel the handler, since no one waits for its response."""
+        if self.end_cause is EndCause.NONE:
+            self.end_cause = _end_cause(error)
         self._closed = True
         self._cancel_timer()
         self._writable.set()
@@ -428,6 +450,7 @@
             async with asyncio.timeout(WRITE_TIMEOUT_S):
                 await self._writable.wait()
         except TimeoutError:
+            self.end_cause = EndCause.UNREAD
             self.abort()
             raise CallerGone("caller reads too slowly") from None
         if self._closed:
@@ -454,12 +477,21 @@
 
     def abort(self) -> None:
         """Close the connection at once, without flushing buffered bytes."""
+        if self.end_cause is EndCause.NONE and not self._closed:
+            self.end_cause = EndCause.ABORTED
         self._closed = True
         self._cancel_timer()
         if self._transport is not None:
             self._transport.abort()
 
 
+def _end_cause(error: Exception | None) -> EndCause:
+    if error is None:
+        return EndCause.CLOSED
+    is_timeout = isinstance(error, TimeoutError)
+    return EndCause.TIMED_OUT if is_timeout else EndCause.RESET
+
+
 def _refusal_for(error: h11.RemoteProtocolError) -> Refusal:
     return {
         431: Refusal.HEAD_TOO_LARGE,
--- a/toucanrudder/observability/decisions.py
+++ b/toucanrudder/observability/decisions.py
@@ -226,7 +226,12 @@
 
 @attrs.frozen(kw_only=True)
 class TryEnded:
-    """An attempt got no complete answer; names the step that follows."""
+    """An attempt got no complete answer; names the step that follows.
+
+    ``fault`` says how its connection ended, ``silent_s`` for how long nothing
+    had arrived, and ``stalled_s`` for how much of that this router did not
+    run.
+    """
 
     request_id: str
     upstream: str
@@ -242,6 +247,18 @@
     silence: str
     copy_at: str
     unsent: str
+    fault: str
+    silent_s: float
+    stalled_s: float
+
+
+@attrs.frozen(kw_only=True)
+class Stalled:
+    """This router did not run for a while: stopped, or without a processor."""
+
+    router: str
+    for_s: float
+    open_requests: int
 
 
 @attrs.frozen(kw_only=True)
@@ -385,16 +402,23 @@
 
 @attrs.frozen(kw_only=True)
 class CallerLeft:
-    """A caller disconnected before its answer was complete."""
+    """A caller disconnected before its answer was complete.
+
+    ``cause`` says how its connection ended: closed or reset by the caller,
+    timed out as its host acknowledged nothing, or closed here as the caller
+    did not read.
+    """
 
     request_id: str
     route: str
     after_s: float
     attempts: int
+    cause: str
 
 
 KINDS = (
     Started,
+    Stalled,
     Stopping,
     Stopped,
     Reloaded,
--- a/toucanrudder/testing/virtual/timing.py
+++ b/toucanrudder/testing/virtual/timing.py
@@ -11,6 +11,7 @@
 from unittest import mock
 
 from toucanrudder import clock
+from toucanrudder import stalls
 from toucanrudder.forwarding import peering
 from toucanrudder.peers import client
 from toucanrudder.peers import server
@@ -19,7 +20,7 @@
 EPOCH_S = 1_700_000_000.0
 
 #: Modules of the control path that read a clock themselves.
-_READERS = (clock, peering, client, server)
+_READERS = (clock, stalls, peering, client, server)
 
 
 class Stuck(Exception):
