Count no standstill of the router as the silence of others

Callers saw: a request on a kept connection, sent while the router did not run, was answered by a reset; requests and streams were begun again at other upstreams, and cut where no retry was left.

Cause: after a standstill (stopped, or without a processor) the timers of a process become due before its sockets are read, so its own absence looks like the silence of whoever it waits for. Each timeout that judges another process had this fault.

Change: `stalls.timeout` and `stalls.Timer` count the time in which this process runs, and read the sockets once before time is up. They replace the timeouts of upstreams' answers, connects and calls, of offers and requests between routers, of callers' heads, bodies, idle connections and writes, and those of the own interface. Routers judge each other's heartbeats by the same clock (`stalls.running_s`): after a common standstill nobody counts as dead.

Leases, versions of weights and the ages of news about upstreams still go by real time, as others act meanwhile.

--- a/toucanrudder/filters/body.py
+++ b/toucanrudder/filters/body.py
@@ -1,6 +1,5 @@
 """Filters that read a request body within limits and parse it."""
 
-import asyncio
 import hashlib
 import json
 
@@ -8,6 +7,7 @@
 
 from toucanrudder import errors
 from toucanrudder import messages
+from toucanrudder import stalls
 from toucanrudder.document import model
 from toucanrudder.filters import chain
 from toucanrudder.filters import exchange as exchanges
@@ -40,7 +40,7 @@
     try:
         # The deadline covers the whole body: a limit on the pauses between
         # bytes would not stop a caller that sends one byte per second.
-        async with asyncio.timeout(timeout_s):
+        async with stalls.timeout(timeout_s):
             async for chunk in request.content.iter_any():
                 received += chunk
                 if len(received) > max_bytes:
--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -315,7 +315,7 @@
         metrics.gauge(
             "toucanrudder_members",
             "Other routers, as this one has heard of them",
-            lambda: self.peering.node.table.count_by_state(time.monotonic()),
+            lambda: self.peering.node.table.count_by_state(stalls.running_s()),
         )
         metrics.gauge(
             "toucanrudder_upstreams",
--- a/toucanrudder/forwarding/handover/taking.py
+++ b/toucanrudder/forwarding/handover/taking.py
@@ -1,6 +1,5 @@
 """Requests that a router takes over from peers."""
 
-import asyncio
 from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
@@ -9,6 +8,7 @@
 
 from toucanrudder import clock
 from toucanrudder import errors
+from toucanrudder import stalls
 from toucanrudder.forwarding import dialect as dialects
 from toucanrudder.forwarding import execution as executions
 from toucanrudder.forwarding import model
@@ -96,7 +96,7 @@
             await exchange.reply(verdict)
             if verdict is not handovers.Verdict.ACCEPTED:
                 return
-            async with asyncio.timeout(REQUEST_TIMEOUT_S):
+            async with stalls.timeout(REQUEST_TIMEOUT_S):
                 request = await exchange.read_request()
             if len(request.body) > offer.body_bytes:
                 raise handovers.BadExchange("the body exceeds the offer")
--- a/toucanrudder/forwarding/peering.py
+++ b/toucanrudder/forwarding/peering.py
@@ -8,6 +8,7 @@
 import attrs
 
 from toucanrudder import clock
+from toucanrudder import stalls
 from toucanrudder.forwarding import state as states
 from toucanrudder.forwarding.streams import directory
 from toucanrudder.membership import routers
@@ -279,10 +280,14 @@
     state.wait_for_first_news = functools.partial(
         client.wait_for_first_news, FIRST_NEWS_TIMEOUT_S
     )
-    state.peers = lambda: node.table.live(time.monotonic())
+    state.peers = lambda: node.table.live(stalls.running_s())
+    state.is_peer_live = lambda peer: any(
+        (each.name, each.incarnation) == (peer.name, peer.incarnation)
+        for each in node.table.peers(stalls.running_s())
+    )
     state.hand_over = client.hand_over
     state.streams.has_silent_peer = lambda: node.table.has_silent(
-        time.monotonic()
+        stalls.running_s()
     )
     origins = state.streams.directory
     origins.keep_at = functools.partial(
@@ -291,7 +296,7 @@
     origins.ask_at = functools.partial(
         client.find_origin, deadline_s=directory.ASK_TIMEOUT_S
     )
-    state.live_routers = lambda: node.table.live_count(time.monotonic())
+    state.live_routers = lambda: node.table.live_count(stalls.running_s())
     peering = peerings.Peering(node, client, None, "", encode)
     peering.origin_keeper = origins
     return peering
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -6,12 +6,12 @@
 from collections.abc import Sequence
 import contextlib
 import random
-import time
 
 import attrs
 
 from toucanrudder import clock
 from toucanrudder import errors
+from toucanrudder import stalls
 from toucanrudder.forwarding import brittleness
 from toucanrudder.forwarding import cache as caches
 from toucanrudder.forwarding import model
@@ -75,6 +75,8 @@
         Returns the number of live routers, including this one.
     peers : callable
         Returns the other live routers that are not stopping.
+    is_peer_live : callable
+        Given a peer, returns whether it is heard of, stopping or not.
     hand_over : callable
         Given a peer's address and a deadline in seconds, begins to hand a
         request over.
@@ -95,6 +97,7 @@
     budget_bounds: retry_window.RetryBounds
     live_routers: Callable[[], int] = lambda: 1
     peers: Callable[[], tuple[routers.Member, ...]] = tuple
+    is_peer_live: Callable[[routers.Member], bool] = lambda peer: False
     hand_over: Callable[
         [str, float],
         contextlib.AbstractAsyncContextManager[handovers.OutgoingExchange],
@@ -301,7 +304,9 @@
 
         Only those that can continue the stream of `origin`, if there is one.
         """
-        candidates = self.candidates(service, prompt, time.monotonic(), origin)
+        candidates = self.candidates(
+            service, prompt, stalls.running_s(), origin
+        )
         usable = placing.usable_candidates(
             candidates, now_s, self.pace.bound_s
         )
--- a/toucanrudder/forwarding/store_watch.py
+++ b/toucanrudder/forwarding/store_watch.py
@@ -1,12 +1,12 @@
 """Watches of the store's objects that a forwarding router depends on."""
 
-import asyncio
 from collections.abc import Callable
 import random
 
 import attrs
 
 from toucanrudder import clock
+from toucanrudder import stalls
 from toucanrudder.controllers import feeds
 from toucanrudder.forwarding import capping
 from toucanrudder.forwarding import model
@@ -151,7 +151,7 @@
 
     def _live(self) -> tuple[routers.Member, ...]:
         table = self._peering.node.table
-        return table.live(asyncio.get_running_loop().time())
+        return table.live(stalls.running_s())
 
     def cap_members(self) -> tuple[capping.Member, ...]:
         """Return the live routers, which own the usage caps."""
--- a/toucanrudder/http1/calls.py
+++ b/toucanrudder/http1/calls.py
@@ -1,6 +1,5 @@
 """Calls with small JSON bodies on pooled connections."""
 
-import asyncio
 from collections.abc import Callable
 import contextlib
 import functools
@@ -9,6 +8,7 @@
 import attrs
 import orjson
 
+from toucanrudder import stalls
 from toucanrudder.http1 import client
 from toucanrudder.http1 import message
 from toucanrudder.http1 import pool
@@ -173,7 +173,7 @@
         content,
         foreign_header,
     )
-    async with asyncio.timeout(timeout_s):
+    async with stalls.timeout(timeout_s):
         try:
             return await attempt()
         except MismatchedAnswer:
--- a/toucanrudder/http1/client.py
+++ b/toucanrudder/http1/client.py
@@ -9,6 +9,7 @@
 import attrs
 import h11
 
+from toucanrudder import stalls
 from toucanrudder.http1 import message
 from toucanrudder.http1 import sockets
 
@@ -302,7 +303,7 @@
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(timeout_s):
+        async with stalls.timeout(timeout_s):
             _, protocol = await loop.create_connection(
                 lambda: UpstreamConnection(address), host, int(port)
             )
--- a/toucanrudder/http1/server.py
+++ b/toucanrudder/http1/server.py
@@ -10,6 +10,7 @@
 import attrs
 import h11
 
+from toucanrudder import stalls
 from toucanrudder.http1 import message
 from toucanrudder.http1 import sockets
 
@@ -216,7 +217,7 @@
         self._transport: asyncio.Transport | None = None
         self._http = self._new_parser()
         self._task: asyncio.Task | None = None
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer: stalls.Timer | None = None
         self._writable = asyncio.Event()
         self._writable.set()
         self._closed = False
@@ -447,7 +448,7 @@
         if self._writable.is_set():
             return
         try:
-            async with asyncio.timeout(WRITE_TIMEOUT_S):
+            async with stalls.timeout(WRITE_TIMEOUT_S):
                 await self._writable.wait()
         except TimeoutError:
             self.end_cause = EndCause.UNREAD
@@ -460,8 +461,7 @@
 
     def _set_timer(self, delay_s: float, callback: Callable[[], None]) -> None:
         self._cancel_timer()
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(delay_s, callback)
+        self._timer = stalls.Timer(delay_s, callback)
 
     def _cancel_timer(self) -> None:
         if self._timer is not None:
--- a/toucanrudder/peers/client.py
+++ b/toucanrudder/peers/client.py
@@ -16,6 +16,7 @@
 import grpc
 from grpc import aio
 
+from toucanrudder import stalls
 from toucanrudder.admission import caps
 from toucanrudder.document import serialisation
 from toucanrudder.membership import routers
@@ -229,7 +230,7 @@
         """
         if self._first_news.is_set():
             return
-        now_s = time.monotonic()
+        now_s = stalls.running_s()
         if not self._seeds and not self._node.table.peers(now_s):
             return
         if self._first_news_by_s is None:
@@ -268,7 +269,7 @@
         await asyncio.sleep(BROADCAST_BATCHING_S)
         # Later calls may have news that this broadcast does not contain.
         self._pending_broadcast = None
-        now_s = time.monotonic()
+        now_s = stalls.running_s()
         heartbeat = messages.to_wire(
             self._node.urgent_heartbeat(now_s, time.time())
         )
@@ -427,7 +428,7 @@
 
     def handle_heartbeat(self, heartbeat: messages.Heartbeat) -> None:
         """Note a received heartbeat; fetch the sender's document if newer."""
-        self._last_exchange_s[heartbeat.sender.address] = time.monotonic()
+        self._last_exchange_s[heartbeat.sender.address] = stalls.running_s()
         if heartbeat.generation > self._node.generation():
             self._start_fetch(heartbeat.sender.address)
 
@@ -437,7 +438,7 @@
             is_urgent = False
             while True:
                 for address in self._exchange_targets(
-                    time.monotonic(), is_urgent
+                    stalls.running_s(), is_urgent
                 ):
                     self._spawn(self._exchange(address))
                 is_urgent = await self._wait_for_round()
@@ -524,7 +525,7 @@
     async def _exchange(self, address: str) -> None:
         self._busy.add(address)
         try:
-            heartbeat = self._node.heartbeat(time.monotonic(), time.time())
+            heartbeat = self._node.heartbeat(stalls.running_s(), time.time())
             async with self._channels.stub_for(address) as stub:
                 answer = await stub.Exchange(
                     messages.to_wire(heartbeat), timeout=self._deadline_s
@@ -538,8 +539,8 @@
         if self._node.is_self(answer.sender):
             self._own_addresses.add(address)
             return
-        self._last_exchange_s[address] = time.monotonic()
-        self._node.receive(answer, time.monotonic(), time.time())
+        self._last_exchange_s[address] = stalls.running_s()
+        self._node.receive(answer, stalls.running_s(), time.time())
         self._first_news.set()
         if answer.generation > self._node.generation():
             self._start_fetch(address)
--- a/toucanrudder/peers/server.py
+++ b/toucanrudder/peers/server.py
@@ -13,6 +13,7 @@
 from grpc import aio
 
 from toucanrudder import clock
+from toucanrudder import stalls
 from toucanrudder.admission import caps
 from toucanrudder.document import serialisation
 from toucanrudder.peers import cap_messages
@@ -128,7 +129,7 @@
     async def Exchange(self, request, context):
         """Handle the caller's heartbeat; answer with this router's."""
         heartbeat = await self._read_heartbeat(request, context)
-        now_s, wall_s = time.monotonic(), time.time()
+        now_s, wall_s = stalls.running_s(), time.time()
         self._node.receive(heartbeat, now_s, wall_s)
         self._on_heartbeat(heartbeat)
         return messages.to_wire(
@@ -143,7 +144,7 @@
     async def Tell(self, request, context):
         """Handle the caller's urgent news."""
         heartbeat = await self._read_heartbeat(request, context)
-        self._node.receive_urgent(heartbeat, time.monotonic(), time.time())
+        self._node.receive_urgent(heartbeat, stalls.running_s(), time.time())
         self._on_heartbeat(heartbeat)
         return peers_pb2.Taken()
 
--- a/toucanrudder/peers/tests/test_large_fleets.py
+++ b/toucanrudder/peers/tests/test_large_fleets.py
@@ -14,6 +14,7 @@
 import attrs
 import pytest
 
+from toucanrudder import stalls
 from toucanrudder.membership import routers
 from toucanrudder.peers import client
 from toucanrudder.peers import loads
@@ -282,7 +283,10 @@
     virtual = types.SimpleNamespace(
         monotonic=lambda: fleet.now_s, time=lambda: fleet.now_s
     )
-    with mock.patch.object(client, "time", virtual):
+    with (
+        mock.patch.object(client, "time", virtual),
+        mock.patch.object(stalls, "time", virtual),
+    ):
         await asyncio.gather(
             *(sender.broadcast_urgent(1.0) for _ in range(20))
         )
@@ -324,7 +328,10 @@
     virtual = types.SimpleNamespace(
         monotonic=lambda: fleet.now_s, time=lambda: fleet.now_s
     )
-    with mock.patch.object(client, "time", virtual):
+    with (
+        mock.patch.object(client, "time", virtual),
+        mock.patch.object(stalls, "time", virtual),
+    ):
         broadcast = asyncio.ensure_future(sender.broadcast_urgent(1.0))
         await asyncio.sleep(0)
         for task in list(sender._tasks):
--- a/toucanrudder/relay/attempt.py
+++ b/toucanrudder/relay/attempt.py
@@ -10,6 +10,7 @@
 import aiohttp
 import attrs
 
+from toucanrudder import stalls
 from toucanrudder.document import model
 from toucanrudder.relay import sequencer
 from toucanrudder.relay import sinks
@@ -58,7 +59,7 @@
     decode_s_per_token : float
         The engine's decode time per token, as it reports it.
     first_token_by_s : float
-        Deadline of the first event, on the event loop's clock.
+        Deadline of the first event, on the clock `stalls.running_s`.
     """
 
     silent_event_s: float
@@ -120,7 +121,7 @@
     _has_events: bool = False
     _is_resent: bool = False
     _is_resume_dropped: bool = False
-    _deadline: asyncio.Timeout | None = None
+    _deadline: stalls.Timer | None = None
 
     async def run(self) -> None:
         """Relay the answer to its end.
@@ -133,8 +134,8 @@
             The caller disconnected or does not read.
         """
         try:
-            async with asyncio.timeout_at(
-                self.limits.first_token_by_s
+            async with stalls.timeout(
+                self.limits.first_token_by_s - stalls.running_s()
             ) as self._deadline:
                 await self._connect_until_done()
         except TimeoutError as error:
@@ -236,9 +237,7 @@
             chunk = content.read_nowait()
             if chunk:
                 return chunk
-            async with asyncio.timeout(
-                self.limits.silence_s(self._has_events)
-            ):
+            async with stalls.timeout(self.limits.silence_s(self._has_events)):
                 return await content.readany()
         except TimeoutError as error:
             raise _ConnectionLost(failures.NO_BYTES_IN_TIME) from error
@@ -262,7 +261,7 @@
         if not self._has_events:
             self._has_events = True
             if self._deadline is not None:
-                self._deadline.reschedule(None)
+                self._deadline.cancel()
             self.on_first_event()
 
     async def _before_reconnecting(self, reason: str) -> None:
--- a/toucanrudder/relay/sinks.py
+++ b/toucanrudder/relay/sinks.py
@@ -1,6 +1,5 @@
 """Receivers of an answer: streamed to the caller, or collected."""
 
-import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 import json
@@ -8,6 +7,7 @@
 from aiohttp import web
 
 from toucanrudder import errors
+from toucanrudder import stalls
 from toucanrudder.relay import assembly
 from toucanrudder.relay import sequencer
 from toucanrudder.relay import transcript
@@ -141,7 +141,7 @@
     buffer is full, so a deadline on the write bounds all three.
     """
     try:
-        async with asyncio.timeout(timeout_s):
+        async with stalls.timeout(timeout_s):
             await awaitable
     except TimeoutError as error:
         if http_request.transport is not None:
--- a/toucanrudder/router/assembly.py
+++ b/toucanrudder/router/assembly.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
+import functools
+import logging
 import random
 import uuid
 
@@ -13,6 +15,7 @@
 from toucanrudder import admission
 from toucanrudder import claims
 from toucanrudder import quarantine
+from toucanrudder import stalls
 from toucanrudder import tasks
 from toucanrudder.claims import reaper
 from toucanrudder.controllers import cache_events
@@ -289,6 +292,13 @@
     )
 
 
+LOG = logging.getLogger(__name__)
+
+
+def _log_stall(for_s: float) -> None:
+    LOG.warning("this router did not run for a while", extra={"for_s": for_s})
+
+
 def controllers(
     state: states.RouterState, peers: peerings.Peering
 ) -> tuple[tasks.TaskService, ...]:
@@ -337,6 +347,7 @@
             ("loads", load_controller.run),
             ("cache events", events.run),
             ("instances", instance_controller.run),
+            ("stalls", functools.partial(stalls.watch, _log_stall)),
             ("peers", peers.run),
             ("lease", holder.run),
             ("weights", weight_controller.run),
--- a/toucanrudder/router/state.py
+++ b/toucanrudder/router/state.py
@@ -18,6 +18,7 @@
 from toucanrudder import errors
 from toucanrudder import quarantine
 from toucanrudder import retries
+from toucanrudder import stalls
 from toucanrudder import store
 from toucanrudder.controllers import configuration
 from toucanrudder.controllers import kv_transfer
@@ -111,8 +112,8 @@
 
     @staticmethod
     def now_s() -> float:
-        """Return the monotonic time, on the clock of the loop's timeouts."""
-        return time.monotonic()
+        """Return the monotonic time without the stalls of this process."""
+        return stalls.running_s()
 
     @staticmethod
     def wall_s() -> float:
--- a/toucanrudder/stalls.py
+++ b/toucanrudder/stalls.py
@@ -95,55 +95,75 @@
             await asyncio.sleep(TICK_S)
 
 
-class _Expiry:
-    """Ends a timeout once the process has run for long enough.
+class Timer:
+    """Calls back once a time has passed and the sockets have been read since.
 
     Parameters
     ----------
-    limit : asyncio.Timeout
-        The timeout to end.
     delay_s : float
-        Running time until then.
+        Time until then.
+    callback : callable
+        Called without arguments.
+    clock : callable
+        Clock of that time; by default the time in which this process runs.
     """
 
-    def __init__(self, limit: asyncio.Timeout, delay_s: float):
-        self._limit = limit
-        self._ends_s = running_s() + delay_s
+    def __init__(
+        self,
+        delay_s: float,
+        callback: Callable[[], object],
+        clock: Callable[[], float] = running_s,
+    ):
+        self._callback = callback
+        self._clock = clock
+        self._ends_s = clock() + delay_s
         self._has_polled = False
         self._loop = asyncio.get_running_loop()
-        self._timer = self._loop.call_later(delay_s, self._check)
+        self._handle = self._loop.call_later(delay_s, self._check)
 
     def _check(self) -> None:
-        left_s = self._ends_s - running_s()
+        left_s = self._ends_s - self._clock()
         if left_s > 0:
-            self._timer = self._loop.call_later(left_s, self._check)
+            self._handle = self._loop.call_later(left_s, self._check)
         elif not self._has_polled:
             # What has arrived by now must be read before time is up.
             self._has_polled = True
-            self._timer = self._loop.call_later(POLL_S, self._check)
+            self._handle = self._loop.call_later(POLL_S, self._check)
         else:
-            self._limit.reschedule(self._loop.time())
+            self._callback()
 
     def cancel(self) -> None:
-        """Leave the timeout as it is."""
-        self._timer.cancel()
+        """Call nothing any more."""
+        self._handle.cancel()
 
 
 @contextlib.asynccontextmanager
-async def timeout(delay_s: float | None) -> AsyncIterator[None]:
-    """Raise TimeoutError if the block takes longer, stalls left out.
+async def timeout(
+    delay_s: float | None, clock: Callable[[], float] = running_s
+) -> AsyncIterator[Timer | None]:
+    """Raise TimeoutError if the block takes longer.
 
     Parameters
     ----------
     delay_s : float or None
-        Time for which this process has to run meanwhile; None for no limit.
+        Longest time; None for no limit.
+    clock : callable
+        Clock of that time; by default the time in which this process runs.
+
+    Yields
+    ------
+    Timer or None
+        Its cancellation removes the limit.
     """
     async with asyncio.timeout(None) as limit:
         if delay_s is None:
-            yield
+            yield None
             return
-        expiry = _Expiry(limit, delay_s)
+        loop = asyncio.get_running_loop()
+        timer = Timer(
+            delay_s, lambda: limit.reschedule(loop.time()), clock=clock
+        )
         try:
-            yield
+            yield timer
         finally:
-            expiry.cancel()
+            timer.cancel()
--- a/toucanrudder/tests/test_stalls.py
+++ b/toucanrudder/tests/test_stalls.py
@@ -6,6 +6,7 @@
 import time
 
 import pytest
+import uvloop
 
 from toucanrudder import stalls
 
@@ -34,7 +35,13 @@
     assert len(reported) == 1
 
 
-async def test_bytes_that_came_in_a_standstill_are_read_before_a_timeout():
+def test_bytes_that_came_in_a_standstill_are_read_before_a_timeout():
+    # This loop runs its timers before it reads.
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(_bytes_are_read_before_a_timeout())
+
+
+async def _bytes_are_read_before_a_timeout():
     # Not watched: no stall is measured, and time is up at once.
     ours, theirs = socket.socketpair()
     ours.setblocking(False)
--- a/toucanrudder/upstreams/engine.py
+++ b/toucanrudder/upstreams/engine.py
@@ -1,12 +1,12 @@
 """Client of model engines: start, resume and cancel streams."""
 
-import asyncio
 from collections.abc import AsyncIterator
 import contextlib
 
 import aiohttp
 import attrs
 
+from toucanrudder import stalls
 from toucanrudder.document import model
 from toucanrudder.upstreams import failures
 from toucanrudder.upstreams import sending
@@ -162,7 +162,7 @@
         # A request written to a pooled connection whose network path is lost
         # raises no error; only the timeout detects it.
         with sending.translated_errors(name):
-            async with asyncio.timeout(self._headers_timeout_s):
+            async with stalls.timeout(self._headers_timeout_s):
                 response = await request
         try:
             _check_identity(response, name, engine_id)
@@ -196,7 +196,7 @@
 
 async def _error_body(response, timeout_s: float) -> bytes:
     try:
-        async with asyncio.timeout(timeout_s):
+        async with stalls.timeout(timeout_s):
             return await response.content.read(MAX_ERROR_BYTES)
     except (aiohttp.ClientError, TimeoutError, OSError):
         return b""
