Bear peers that do not read for some seconds

Callers saw: an answer of 3 MB to a caller that stood still for 4.5 s was reset; a request of 3 MB to an upstream that stood still as long failed.

Cause: TCP_USER_TIMEOUT counts a full receive window like a dead path, though the peer's kernel answers each probe. 2.5 s bear no standstill of 3 s, while writes are promised 10 s.

Change: once more bytes are unacknowledged than the smallest common window holds, the connection gets 10 s; towards an upstream only until its answer begins. Connections with few bytes in flight keep 2.5 s, so a dead path is noticed as soon as before.

What it costs: a caller or upstream whose host dies while more than 16 KiB are on their way to it is noticed after 10 s, not 3. A system call for each write of a connection that has carried more than 16 KiB to its caller.

--- a/toucanrudder/http1/client.py
+++ b/toucanrudder/http1/client.py
@@ -90,6 +90,7 @@
         self._in_exchange = False
         self._sent = False
         self._response_ended = False
+        self._bears_slow_reader = False
 
     # Callbacks of the transport.
 
@@ -158,6 +159,9 @@
 
     def _convert_event(self, event):
         if isinstance(event, h11.Response):
+            if self._bears_slow_reader:
+                sockets.end_slow_reader(self._transport)
+                self._bears_slow_reader = False
             return message.AnswerHead(
                 event.status_code, tuple(event.headers.raw_items())
             )
@@ -234,6 +238,8 @@
         data += self._http.send(h11.EndOfMessage())
         self._sent = True
         self._transport.write(data)
+        if len(data) > sockets.WINDOW_BYTES:
+            self._bears_slow_reader = sockets.bear_slow_reader(self._transport)
 
     async def next_event(self) -> message.AnswerHead | Data | End:
         """Return the next part of the response.
--- a/toucanrudder/http1/server.py
+++ b/toucanrudder/http1/server.py
@@ -222,6 +222,8 @@
         self._writable.set()
         self._closed = False
         self.end_cause = EndCause.NONE
+        self._written_bytes = 0
+        self._bears_slow_reader = False
         self._reset_request()
 
     def _new_parser(self) -> h11.Connection:
@@ -445,6 +447,12 @@
             raise CallerGone("connection closed")
         data = b"".join(self._http.send(event) or b"" for event in events)
         self._transport.write(data)
+        self._written_bytes += len(data)
+        if (
+            self._written_bytes > sockets.WINDOW_BYTES
+            and not self._bears_slow_reader
+        ):
+            self._bears_slow_reader = sockets.bear_slow_reader(self._transport)
         if self._writable.is_set():
             return
         try:
--- a/toucanrudder/http1/sockets.py
+++ b/toucanrudder/http1/sockets.py
@@ -4,6 +4,7 @@
 import fcntl
 import socket
 import struct
+import sys
 
 #: Idle time before the first TCP keep-alive probe, interval between probes,
 #: and number of unanswered probes that end the connection.
@@ -18,6 +19,14 @@
 #: may be silent for longer than a second.
 UNACKNOWLEDGED_TIMEOUT_MS = 2_500
 
+#: Bytes that may be unacknowledged because a sound peer does not read: less
+#: than the smallest receive window of common systems.
+WINDOW_BYTES = 16_384
+
+#: The same timeout once more bytes are unacknowledged.  The kernel applies it
+#: to a peer that does not read as well, though its host answers each probe.
+UNREAD_TIMEOUT_MS = 10_000
+
 _SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -27,7 +36,9 @@
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS),
 )
 
-#: Linux ioctl that returns the number of unsent bytes.
+#: Linux ioctls that return the number of unacknowledged bytes, and of those
+#: that are unsent.
+_SIOCOUTQ = 0x5411
 _SIOCOUTQNSD = 0x894B
 
 _LINGER_RESET = struct.pack("ii", 1, 0)
@@ -49,6 +60,44 @@
             sock.setsockopt(level, option, value)
 
 
+def bear_slow_reader(transport) -> bool:
+    """Give a peer more time to read if it may have stopped reading.
+
+    A peer that stands still for some seconds is sound, but with a full
+    receive window it acknowledges no more bytes.
+
+    Returns
+    -------
+    bool
+        Whether it has more time from now on.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return False
+    with contextlib.suppress(OSError):
+        queued = fcntl.ioctl(sock.fileno(), _SIOCOUTQ, bytes(4))
+        if int.from_bytes(queued, sys.byteorder) <= WINDOW_BYTES:
+            return False
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNREAD_TIMEOUT_MS
+        )
+        return True
+    return False
+
+
+def end_slow_reader(transport) -> None:
+    """Take back what `bear_slow_reader` gave, as the peer has read all."""
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return
+    with contextlib.suppress(OSError):
+        sock.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            UNACKNOWLEDGED_TIMEOUT_MS,
+        )
+
+
 def drop_unsent(transport) -> None:
     """Make a close discard the bytes that the kernel has not sent yet.
 
