Wait for silent answers, and make other attempts beside them

Callers saw: streams of sound engines were cut after their status, on real processes that stood still for a while; resumable ones after the second silence, or the first without retry budget, and streams that may run once when a report had overtaken their last events.

Cause: an attempt was ended on the suspicion that its answer was lost, before it was known whether anything could follow. For requests that may be repeated, silence alone decided. For streams that may run once, the report decided, though answers on different connections may overtake each other: the run went on, or had ended well, its events were on their way, its copy was freed, and the engine that was to hold it refused. Where the retry budget was spent, the attempt was dropped all the same.

Change: a silent answer is waited for. A run that its engine's report lists no more is continued from its copy in the same way. Only where the engine goes on with a run whose events are missing must it be stopped first: after two retransmissions without news, and with a retry reserved. Attempts by way of a peer are waited for as long as its heartbeats come. A resumable stream gets attempts of one software version beside each other only. New line `AnswerSilent`; the losers end with `ended=overtaken`.

One test of the platform assumed that the silent attempt had ended before the answer began; it waits for that end now.

--- a/toucanrudder/forwarding/attempt.py
+++ b/toucanrudder/forwarding/attempt.py
@@ -35,12 +35,13 @@
 MAX_IDLE_RUN_ONCE_S = 0.5
 
 #: Timeout until the first part of an answer, as a multiple of the route's
-#: latency objective, after which a repeatable request is sent to another
-#: upstream.
+#: latency objective, after which a repeatable request may be sent to another
+#: upstream as well.
 FIRST_PART_TIMEOUT_OBJECTIVES = 3.0
 
 #: Silence, as a multiple of the route's longest allowed gap between events,
-#: after which a stream counts as lost or its engine is asked for a report.
+#: after which another attempt may be made beside a stream, or its engine is
+#: asked for a report.
 SILENCE_TIMEOUT_GAPS = 2.5
 
 #: Least seconds of silence before the engine is asked about a run.
@@ -49,6 +50,10 @@
 #: Backoff after a refusal by a full upstream.
 FULL_BACKOFF_S = 0.05
 
+#: Seconds for which events that an engine has sent must stay missing until
+#: they count as lost: two TCP retransmissions.
+MISSING_EVENTS_S = 0.7
+
 #: Seconds within which an engine must end a run whose connection was closed.
 ENGINE_STOP_TIMEOUT_S = 1.0
 
@@ -118,16 +123,31 @@
         The request with its earlier attempts.
     choice : placing.Choice
         The upstream, and where it gets cached parts from.
+    continues_copy : bool
+        Whether it continues a run from its copy there.
+
+    Attributes
+    ----------
+    is_sent : bool
+        Whether the request may have been sent.
+    is_silent : bool
+        Whether its answer has made no progress for too long.
+    missing_since_s : float or None
+        Since when its engine has reported more events than have arrived.
     """
 
     execution: "executions.RequestExecution"
     choice: placing.Choice
+    continues_copy: bool = False
     is_handed_over = False
+    is_sent: bool = False
+    is_silent: bool = False
     sent_at_s: float = 0.0
     sent_parts: tuple[tuple[str, int], ...] = ()
     was_presumed_dead: bool = False
     progress_at_s: float = 0.0
     progress_running_s: float = 0.0
+    missing_since_s: float | None = None
     evidence: retry_policy.Evidence = attrs.field(
         factory=retry_policy.Evidence
     )
@@ -137,6 +157,11 @@
         """Incarnation of the upstream, for log lines."""
         return self.choice.upstream.incarnation
 
+    @property
+    def software_version(self) -> str:
+        """Software of the upstream."""
+        return self.choice.upstream.software_version
+
     @property
     def state(self) -> states.ForwardingState:
         """The shared state of this router."""
@@ -190,6 +215,8 @@
     def _record_progress(self) -> None:
         self.progress_at_s = clock.now_s()
         self.progress_running_s = stalls.running_s()
+        self.is_silent, self.missing_since_s = False, None
+        self.evidence.silence = retry_policy.SilenceFinding.NONE
 
     def _record_silence(self) -> None:
         if not self.progress_at_s:
@@ -283,9 +310,7 @@
                 fetch_from=choice.copy_from,
                 save_to=choice.save_to,
                 copy_to=copy_upstream.address if copy_upstream else "",
-                continue_at=upstream.address
-                if self.execution.continues_from_copy
-                else "",
+                continue_at=upstream.address if self.continues_copy else "",
             ),
         )
         self.execution.refuse_if_quarantined()
@@ -301,7 +326,7 @@
         self.execution.record_attempt(upstream)
         connection.send(head, self.execution.request.body)
         self._record_progress()
-        self.execution.is_in_flight = True
+        self.is_sent = True
 
     def _record_placed(self, choice: placing.Choice) -> None:
         now_s = clock.now_s()
@@ -359,10 +384,7 @@
         if self.route.repetition is model.Repetition.ONCE:
             # No retry is possible, and the answer may still arrive.
             return None
-        if (
-            self.execution.progress.possible_runs + 1
-            >= self.route.max_upstreams
-        ):
+        if self.execution.possible_runs() >= self.route.max_upstreams:
             return None
         return FIRST_PART_TIMEOUT_OBJECTIVES * self.route.objective_s
 
@@ -439,6 +461,7 @@
         # tell the caller so is not relayed.
         is_reliable = facts.is_sealed and head.status not in NOT_RUN_STATUSES
         if head.status < 500 and is_reliable:
+            self.execution.claim_answer(self)
             await self.execution.send_answer(head, body)
             return None
         return relaying.AttemptFailed(
@@ -448,6 +471,7 @@
 
     async def _relay_stream(self, connection, head, upstream, tracked) -> None:
         def record_prompt_read() -> None:
+            self.execution.claim_answer(self)
             self.execution.set_origin(upstream.software_version)
             if tracked.prefill_tokens:
                 self._record_prompt_read(upstream, tracked.prefill_tokens)
@@ -488,58 +512,97 @@
         return await self._next_event(connection, timeout_s)
 
     async def _next_event(self, connection, timeout_s: float | None):
-        """Return the answer's next part; raise AttemptFailed if it is lost."""
+        """Return the answer's next part; raise AttemptFailed if it is lost.
+
+        Parameters
+        ----------
+        timeout_s : float or None
+            Silence after which the answer is judged; None for no limit.
+        """
         if timeout_s is not None:
             timeout_s = max(timeout_s, MIN_SILENCE_S)
+        wait_s = timeout_s
         while True:
             try:
-                async with asyncio.timeout(timeout_s):
+                async with stalls.timeout(wait_s):
                     event = await connection.next_event()
                 self._record_progress()
                 return event
             except TimeoutError:
-                if await self._is_answer_lost(connection):
-                    raise relaying.AttemptFailed(
-                        retry_policy.FailureKind.SILENT
-                    ) from None
+                wait_s = await self._judge_silence(connection, timeout_s)
 
-    async def _is_answer_lost(self, connection) -> bool:
-        """Return whether an answer without progress is lost.
+    async def _judge_silence(self, connection, timeout_s: float) -> float:
+        """Return how much longer to wait for an answer without progress.
 
-        A run that waits for memory, or was preempted by a more urgent one,
-        makes no progress either.  Cutting such a run lost answers that
-        were still being generated, as the engine with its copy does not
-        always continue.  A request that may be repeated is sent elsewhere
-        without asking the engine.
+        A run that waits for memory, was preempted by a more urgent one, or
+        whose engine stands still makes no progress either, and its answer
+        may be on its way.  So it is waited for, and another attempt may be
+        made beside it.
 
         An overloaded engine may send no report although its runs continue.
         An engine that is gone is detected by its connection, which the
         kernel closes when the path is silent.  So if there is no report,
         the engine is asked again later.
+
+        Raises
+        ------
+        relaying.AttemptFailed
+            The engine has sent events that are lost.
         """
         if self.route.repetition is not model.Repetition.ONCE:
-            self.evidence.silence = retry_policy.SilenceFinding.NOT_ASKED
-            return True
+            self._record_silent(retry_policy.SilenceFinding.NOT_ASKED)
+            return timeout_s
         if not self.execution.can_continue_from_copy():
-            # No retry is possible, and the answer may still arrive.
-            return False
-        report = await self.state.fetch_engine_report(self.choice.upstream)
-        if report is None:
-            self.evidence.silence = retry_policy.SilenceFinding.NO_REPORT
-            return False
-        self.evidence.silence = retry_policy.SilenceFinding.NONE
+            return timeout_s
+        finding = await self._ask_engine()
+        self.evidence.silence = finding
         if connection.has_pending_event:
             # The report may count events that arrived since it was requested.
-            return False
+            return timeout_s
+        if finding is retry_policy.SilenceFinding.NOT_LISTED:
+            # The run has ended, so its copy can be continued meanwhile.
+            self._record_silent(finding)
+        if finding is not retry_policy.SilenceFinding.EVENTS_MISSING:
+            self.missing_since_s = None
+            return timeout_s
+        return self._judge_missing_events(timeout_s)
+
+    def _record_silent(self, finding: retry_policy.SilenceFinding) -> None:
+        self.evidence.silence = finding
+        if not self.is_silent:
+            self.state.upstream_stats.record_failure(
+                self.choice.upstream.incarnation, clock.now_s()
+            )
+        self.is_silent = True
+        self.execution.race.report_silence(self)
+
+    async def _ask_engine(self) -> retry_policy.SilenceFinding:
+        report = await self.state.fetch_engine_report(self.choice.upstream)
+        if report is None:
+            return retry_policy.SilenceFinding.NO_REPORT
         request_id = self.execution.call.request_id
-        if not report.has_lost_events(
-            request_id, self.execution.progress.events
-        ):
-            return False
-        self.evidence.silence = retry_policy.SilenceFinding.NOT_LISTED
+        received = self.execution.progress.events
+        if not report.has_lost_events(request_id, received):
+            return retry_policy.SilenceFinding.NONE
         if request_id in report.events:
-            self.evidence.silence = retry_policy.SilenceFinding.EVENTS_MISSING
-        return True
+            return retry_policy.SilenceFinding.EVENTS_MISSING
+        return retry_policy.SilenceFinding.NOT_LISTED
+
+    def _judge_missing_events(self, timeout_s: float) -> float:
+        """Return how much longer to wait for events that were sent.
+
+        The run must be stopped before its copy is continued, so that it is
+        waited for until nothing but the copy can help.
+        """
+        now_s = stalls.running_s()
+        if self.missing_since_s is None:
+            self.missing_since_s = now_s
+        left_s = self.missing_since_s + MISSING_EVENTS_S - now_s
+        if left_s > 0:
+            return left_s
+        if not self.execution.reserve_retry():
+            return timeout_s
+        raise relaying.AttemptFailed(retry_policy.FailureKind.SILENT)
 
     async def _wait_for_engine_stop(self) -> None:
         """Wait until an engine whose events were lost has ended its run.
@@ -555,7 +618,7 @@
         ):
             return
         try:
-            async with asyncio.timeout(ENGINE_STOP_TIMEOUT_S):
+            async with stalls.timeout(ENGINE_STOP_TIMEOUT_S):
                 while self.execution.can_continue_from_copy():
                     if await self._has_run_ended():
                         return
--- a/toucanrudder/forwarding/execution.py
+++ b/toucanrudder/forwarding/execution.py
@@ -9,11 +9,13 @@
 
 from toucanrudder import clock
 from toucanrudder import errors
+from toucanrudder import stalls
 from toucanrudder.forwarding import attempt as attempts
 from toucanrudder.forwarding import cache_feed
 from toucanrudder.forwarding import dialect as dialects
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import placing
+from toucanrudder.forwarding import racing
 from toucanrudder.forwarding import relaying
 from toucanrudder.forwarding import retry_policy
 from toucanrudder.forwarding import routing
@@ -77,10 +79,12 @@
         request again.
     copy_upstream : model.Upstream or None
         Engine that was asked to hold a copy of the run's KV cache.
-    continues_from_copy : bool
-        Whether the current attempt continues a run from such a copy.
-    is_in_flight : bool
-        Whether the current attempt was sent and has not failed.
+    race : racing.Race
+        The attempts that have not ended.
+    has_reserved_retry : bool
+        Whether the retry budget was charged for the next attempt already.
+    recorded_silence : tuple or None
+        Events and attempts at the last silence that was logged.
     is_taken_over : bool
         Whether a peer has handed the request over to this router.
     unreached_attempts : int
@@ -119,8 +123,9 @@
     first_event_at_s: float = 0.0
     last_event_at_s: float = 0.0
     copy_upstream: model.Upstream | None = None
-    continues_from_copy: bool = False
-    is_in_flight: bool = False
+    race: racing.Race = attrs.field(factory=racing.Race)
+    has_reserved_retry: bool = False
+    recorded_silence: tuple[int, int] | None = None
     is_taken_over: bool = False
     unreached_attempts: int = 0
     tried_peers: set[str] = attrs.field(factory=set)
@@ -159,14 +164,19 @@
         if not self.is_taken_over:
             self.state.retries_for(self.service).record_request(now_s)
         try:
-            async with asyncio.timeout(self.deadline_s - now_s):
+            async with stalls.timeout(
+                self.deadline_s - now_s, clock=clock.now_s
+            ):
                 await self._run_attempts()
         except TimeoutError:
             raise self._timeout_error() from None
 
     def possible_runs(self) -> int:
         """Return how many upstreams may have run the request."""
-        return self.progress.possible_runs + self.is_in_flight
+        return self.progress.possible_runs + self._sent_attempts()
+
+    def _sent_attempts(self) -> int:
+        return sum(attempt.is_sent for attempt in self.race.running)
 
     def record_answered(self) -> None:
         """Log and count a completely delivered answer."""
@@ -242,7 +252,7 @@
         self.last_event_at_s = now_s
 
     def _timeout_error(self) -> errors.RudderError:
-        if self.is_in_flight or self.progress.possible_runs:
+        if self.progress.possible_runs:
             return errors.RudderError(
                 errors.Code.UPSTREAM_TIMEOUT,
                 "the upstream did not answer before the deadline",
@@ -261,27 +271,124 @@
         return self.deadline_s - clock.now_s()
 
     async def _run_attempts(self) -> None:
-        step = retry_policy.Step.RETRY
-        while True:
-            self.refuse_if_quarantined()
-            attempt = await self._next_attempt(step)
-            self.attempt_count += 1
-            try:
-                await attempt.run()
-                return
-            except relaying.AttemptFailed as failure:
-                step = self._handle_failure(failure, attempt)
-                if step is retry_policy.Step.GIVE_UP:
-                    await self._give_up(failure, attempt)
-                    return
+        try:
+            await self._begin_attempt(retry_policy.Step.RETRY)
+            while not await self._handle_news(await self.race.next_news()):
+                pass
+        finally:
+            # What was sent may have run, however this ends.
+            runs = self.possible_runs()
+            await self.race.close()
+            self.progress = attrs.evolve(self.progress, possible_runs=runs)
+
+    async def _begin_attempt(self, step: retry_policy.Step) -> None:
+        self.refuse_if_quarantined()
+        self._start(await self._next_attempt(step))
+
+    def _start(self, attempt: racing.Attempt) -> None:
+        self.attempt_count += 1
+        self.race.start(attempt)
+
+    async def _handle_news(self, news: racing.Silent | racing.Ended) -> bool:
+        """Begin what follows; return whether the caller has its answer."""
+        if isinstance(news, racing.Silent):
+            if news.attempt.is_silent:
+                self._try_beside(retry_policy.FailureKind.SILENT)
+            return False
+        if news.error is None:
+            self._count_end(True)
+            return True
+        if not isinstance(news.error, relaying.AttemptFailed):
+            self._count_end(news.attempt.is_sent)
+            if isinstance(news.error, errors.RudderError) and (
+                self.race.running
+            ):
+                # Another attempt may still have an answer.
+                return False
+            raise news.error
+        step = self._handle_failure(news.error, news.attempt)
+        if self.race.running:
+            self._try_beside(news.error.kind)
+            return False
+        if step is retry_policy.Step.GIVE_UP:
+            await self._give_up(news.error, news.attempt)
+            return True
+        await self._begin_attempt(step)
+        return False
+
+    def _try_beside(self, cause: retry_policy.FailureKind) -> None:
+        """Make another attempt beside silent ones, if it is allowed.
+
+        A silent answer is not given up for it: whichever goes on first is
+        relayed.
+        """
+        if not self.race.is_silent or self.is_quarantined():
+            return
+        progress = self._progress_with_running()
+        step = retry_policy.next_step(
+            cause, progress, self.route, remaining_s=self.remaining_s()
+        )
+        attempt = self._attempt_beside(step, cause)
+        if attempt is None:
+            step = retry_policy.Step.WAIT
+        self._record_silence(step)
+        if attempt is not None:
+            self._start(attempt)
+
+    def _record_silence(self, step: retry_policy.Step) -> None:
+        silence = (self.progress.events, self.attempt_count)
+        if silence == self.recorded_silence:
+            return
+        self.recorded_silence = silence
+        silent = self.race.running[-1]
+        decisions.record(
+            decisions.AnswerSilent(
+                request_id=self.call.request_id,
+                upstream=silent.target,
+                attempt=self.attempt_count,
+                events=self.progress.events,
+                silence=silent.evidence.silence.value,
+                next_step=step.value,
+                after_s=clock.now_s() - self.request.began_s,
+            )
+        )
+
+    def _attempt_beside(
+        self, step: retry_policy.Step, cause: retry_policy.FailureKind
+    ) -> attempts.Attempt | None:
+        """Return an attempt elsewhere; None if there is none to be made."""
+        if step is retry_policy.Step.CONTINUE:
+            return self._continuation() if self._spend_retry(cause) else None
+        if step is retry_policy.Step.GIVE_UP:
+            return None
+        try:
+            choice = self._choose(beside=True)
+        except errors.RudderError:
+            return None
+        if not self._spend_retry(cause):
+            return None
+        self.tried_incarnations.add(choice.upstream.incarnation)
+        return attempts.Attempt(self, choice)
+
+    def _continuation(self) -> attempts.Attempt:
+        choice = placing.Choice(self.copy_upstream, reason="copy")
+        self.copy_upstream = None
+        return attempts.Attempt(self, choice, continues_copy=True)
+
+    def claim_answer(self, winner: racing.Attempt) -> None:
+        """Let an attempt answer the caller; abandon the others."""
+        if len(self.race.running) == 1:
+            return
+        self.upstream = winner.target
+        for loser in self.race.win(winner):
+            self._count_end(loser.is_sent)
+            self._record_end(loser, "overtaken", retry_policy.Step.GIVE_UP)
 
     async def _next_attempt(
         self, step: retry_policy.Step
     ) -> attempts.Attempt | handing.HandOverAttempt:
         if step is retry_policy.Step.CONTINUE:
-            choice = placing.Choice(self.copy_upstream, reason="copy")
-            self.continues_from_copy, self.copy_upstream = True, None
-            return attempts.Attempt(self, choice)
+            return self._continuation()
         peer = self._choose_peer()
         if peer is not None:
             self.copy_upstream = None
@@ -361,18 +468,31 @@
             await asyncio.sleep(attempts.FULL_BACKOFF_S / 2)
             self.refuse_if_quarantined()
 
-    def _choose(self) -> placing.Choice:
+    def _choose(self, *, beside: bool = False) -> placing.Choice:
+        """Choose an upstream.
+
+        Parameters
+        ----------
+        beside : bool
+            Whether an earlier attempt goes on.
+        """
         now_s = clock.now_s()
         candidates, usable = self._candidates(now_s)
         if self._begins_resumable_stream():
             usable = placing.lasting_candidates(
                 usable, self.state.streams.is_new
             )
-        usable = [
+        untried = [
             candidate
             for candidate in usable
             if candidate.upstream.incarnation not in self.tried_incarnations
-        ] or usable
+        ]
+        if beside:
+            usable = untried
+            if self.route.repetition is model.Repetition.RESUMABLE:
+                usable = self._of_same_software(untried)
+        else:
+            usable = untried or usable
         if not usable:
             raise self._no_upstream_error(candidates)
         if self.call.prompt is not None:
@@ -399,6 +519,21 @@
             self.state.zone, usable, now_s=now_s, rng=self.state.rng
         )
 
+    def _of_same_software(
+        self, candidates: list[placing.Candidate]
+    ) -> list[placing.Candidate]:
+        """Return the candidates with the software of the running attempts.
+
+        Any of them may begin the stream, and callers that return to another
+        router are sent to the software of the last one.
+        """
+        versions = {attempt.software_version for attempt in self.race.running}
+        return [
+            candidate
+            for candidate in candidates
+            if versions <= {candidate.upstream.software_version}
+        ]
+
     def _begins_resumable_stream(self) -> bool:
         is_resumable = self.route.repetition is model.Repetition.RESUMABLE
         return is_resumable and self.origin is None
@@ -461,34 +596,47 @@
         attempt: attempts.Attempt | handing.HandOverAttempt,
     ) -> retry_policy.Step:
         """Record a failed attempt and return the next step."""
-        failure_kind, evidence = failure.kind, attempt.evidence
-        attempt.record_failure(failure_kind)
-        is_unreached = failure_kind is retry_policy.FailureKind.NOT_REACHED
+        kind = failure.kind
+        attempt.record_failure(kind)
+        is_unreached = kind is retry_policy.FailureKind.NOT_REACHED
         self.unreached_attempts += is_unreached and not attempt.is_handed_over
-        self.is_in_flight = False
-        may_have_run = failure_kind not in retry_policy.PROVES_NOT_RUN
-        self.progress = attrs.evolve(
-            self._current_progress(),
-            attempts=self.progress.attempts + 1,
-            possible_runs=self.progress.possible_runs + may_have_run,
-        )
-        self.continues_from_copy = False
+        self._count_end(kind not in retry_policy.PROVES_NOT_RUN)
         step = retry_policy.next_step(
-            failure_kind,
-            self.progress,
+            kind,
+            self._progress_with_running(),
             self.route,
             remaining_s=self.remaining_s(),
         )
         if self.is_quarantined() or self._is_out_of_reach():
             step = retry_policy.Step.GIVE_UP
-        was_sent = not is_unreached and not evidence.unsent
-        step = self._apply_retry_budget(failure_kind, step, was_sent)
+        was_sent = not is_unreached and not attempt.evidence.unsent
+        if self.race.running:
+            # The budget is charged once it is known what follows.
+            step = retry_policy.Step.WAIT
+        step = self._apply_retry_budget(kind, step, was_sent)
+        self._record_end(attempt, kind.value, step)
+        return step
+
+    def _count_end(self, may_have_run: bool) -> None:
+        self.progress = attrs.evolve(
+            self._current_progress(),
+            attempts=self.progress.attempts + 1,
+            possible_runs=self.progress.possible_runs + may_have_run,
+        )
+
+    def _record_end(
+        self,
+        attempt: racing.Attempt,
+        ended: str,
+        step: retry_policy.Step,
+    ) -> None:
+        evidence = attempt.evidence
         decisions.record(
             decisions.TryEnded(
                 request_id=self.call.request_id,
                 upstream=attempt.target,
                 attempt=self.progress.attempts,
-                ended=failure_kind.value,
+                ended=ended,
                 after_s=clock.now_s() - self.request.began_s,
                 may_have_run=bool(self.progress.possible_runs),
                 events=self.progress.events,
@@ -508,7 +656,6 @@
                 else "",
             )
         )
-        return step
 
     def _is_out_of_reach(self) -> bool:
         """Whether the origin had better offer the request to another peer."""
@@ -524,14 +671,29 @@
         was_sent: bool,
     ) -> retry_policy.Step:
         # An attempt that reached no upstream adds no load there.
-        if step is retry_policy.Step.GIVE_UP or not was_sent:
+        begins = step in (
+            retry_policy.Step.RETRY,
+            retry_policy.Step.CONTINUE,
+        )
+        if not begins or not was_sent or self._spend_retry(failure_kind):
             return step
-        window = self.state.retries_for(self.service)
-        if not window.spend(clock.now_s(), self.state.live_routers()):
+        return retry_policy.Step.GIVE_UP
+
+    def reserve_retry(self) -> bool:
+        """Charge the retry budget for the next attempt, if it allows one."""
+        if not self.has_reserved_retry:
+            self.has_reserved_retry = self.state.retries_for(
+                self.service
+            ).spend(clock.now_s(), self.state.live_routers())
+        return self.has_reserved_retry
+
+    def _spend_retry(self, cause: retry_policy.FailureKind) -> bool:
+        if not self.reserve_retry():
             metrics.count_refusal("retry_budget_spent", retry_policy.STEP)
-            return retry_policy.Step.GIVE_UP
-        metrics.count_retry(failure_kind.value)
-        return step
+            return False
+        self.has_reserved_retry = False
+        metrics.count_retry(cause.value)
+        return True
 
     def _streamed_s(self) -> float:
         """Return the time since the first event was delivered."""
@@ -550,6 +712,16 @@
             is_copy_requested=self.copy_may_exist(),
         )
 
+    def _progress_with_running(self) -> retry_policy.Progress:
+        """Return the progress as if no running attempt brought an answer."""
+        progress = self._current_progress()
+        running = len(self.race.running)
+        return attrs.evolve(
+            progress,
+            attempts=progress.attempts + running,
+            possible_runs=progress.possible_runs + self._sent_attempts(),
+        )
+
     def copy_may_exist(self) -> bool:
         """Whether the backup engine may still hold its copy of the run."""
         if self.copy_upstream is None:
--- a/toucanrudder/forwarding/handover/handing.py
+++ b/toucanrudder/forwarding/handover/handing.py
@@ -1,6 +1,5 @@
 """One attempt of a request by way of a peer."""
 
-import asyncio
 from typing import TYPE_CHECKING
 
 import attrs
@@ -8,6 +7,7 @@
 
 from toucanrudder import clock
 from toucanrudder import errors
+from toucanrudder import stalls
 from toucanrudder.forwarding import relaying
 from toucanrudder.forwarding import retry_policy
 from toucanrudder.forwarding import state as states
@@ -47,6 +47,9 @@
     execution: "executions.RequestExecution"
     peer: routers.Member
     is_handed_over = True
+    is_sent: bool = False
+    is_silent: bool = False
+    software_version: str | None = None
     evidence: retry_policy.Evidence = attrs.field(
         factory=retry_policy.Evidence
     )
@@ -87,7 +90,7 @@
             # Its next heartbeat shows whether the peer is back.
             self._record_peer_lost()
             kind = retry_policy.FailureKind.BROKEN
-            if not execution.is_in_flight:
+            if not self.is_sent:
                 kind = retry_policy.FailureKind.NOT_REACHED
                 self.evidence.unsent = "peer_not_reached"
             raise relaying.AttemptFailed(kind) from error
@@ -100,7 +103,7 @@
             self.state.generation,
             len(execution.request.body),
         )
-        async with asyncio.timeout(OFFER_TIMEOUT_S):
+        async with stalls.timeout(OFFER_TIMEOUT_S):
             verdict = await exchange.offer(offer)
         keeps_origin = exchange.keeps_software or execution.origin is None
         if verdict is handovers.Verdict.ACCEPTED and keeps_origin:
@@ -137,7 +140,7 @@
             )
         )
         # From here on the peer may have sent the request to an upstream.
-        execution.is_in_flight = True
+        self.is_sent = True
         await exchange.send(
             handovers.HandedRequest(
                 request.head,
@@ -156,23 +159,45 @@
 
     async def _relay(self, exchange: handovers.OutgoingExchange) -> None:
         try:
-            head = await exchange.next_event()
+            head = await self._next_event(exchange)
             if head.status < 300 and self.execution.route.is_stream:
                 await relaying.relay_stream(
                     self.execution,
                     head,
-                    exchange.next_event,
-                    lambda: self.execution.set_origin(
-                        exchange.software_version
-                    ),
+                    lambda: self._next_event(exchange),
+                    lambda: self._claim_stream(exchange),
                 )
                 return
-            body = await relaying.read_body(exchange.next_event)
+            body = await relaying.read_body(lambda: self._next_event(exchange))
+            self.execution.claim_answer(self)
             await self.execution.send_answer(head, body)
         except errors.RudderError as error:
             self._raise_if_retryable(error)
             raise
 
+    def _claim_stream(self, exchange: handovers.OutgoingExchange) -> None:
+        self.execution.claim_answer(self)
+        self.execution.set_origin(exchange.software_version)
+
+    async def _next_event(self, exchange: handovers.OutgoingExchange):
+        """Return the next part of the answer.
+
+        A peer that is silent but still live is waited for: it may stand
+        still while the upstream's answer goes on.
+        """
+        while True:
+            try:
+                event = await exchange.next_event()
+            except TimeoutError:
+                if not self.state.is_peer_live(self.peer):
+                    raise
+                self.is_silent = True
+                self.execution.race.report_silence(self)
+                continue
+            self.is_silent = False
+            self.software_version = exchange.software_version
+            return event
+
     def _raise_if_retryable(self, error: errors.RudderError) -> None:
         """Raise AttemptFailed if the peer reached no upstream either."""
         is_unreached = error.code is errors.Code.UPSTREAM_NOT_REACHED
--- a/toucanrudder/forwarding/retry_policy.py
+++ b/toucanrudder/forwarding/retry_policy.py
@@ -124,7 +124,7 @@
 
     #: The answer made progress, or is not lost.
     NONE = ""
-    #: The request may be repeated, so the engine was not asked.
+    #: The request may be repeated, so the upstream was not asked.
     NOT_ASKED = "not_asked"
     #: The engine sent no report; the run may still be in progress.
     NO_REPORT = "no_report"
@@ -172,6 +172,8 @@
     RETRY = "retry"
     #: Another engine holds a copy of the run's KV cache and continues it.
     CONTINUE = "continue"
+    #: Another attempt goes on.
+    WAIT = "wait"
     GIVE_UP = "give_up"
 
 
--- a/toucanrudder/observability/decisions.py
+++ b/toucanrudder/observability/decisions.py
@@ -252,6 +252,22 @@
     stalled_s: float
 
 
+@attrs.frozen(kw_only=True)
+class AnswerSilent:
+    """All attempts of a request are silent; names what is done beside them.
+
+    ``next_step`` is ``wait`` if no further attempt is allowed or possible.
+    """
+
+    request_id: str
+    upstream: str
+    attempt: int
+    events: int
+    silence: str
+    next_step: str
+    after_s: float
+
+
 @attrs.frozen(kw_only=True)
 class Stalled:
     """This router did not run for a while: stopped, or without a processor."""
@@ -438,6 +454,7 @@
     PartStoreSeen,
     Placed,
     TryEnded,
+    AnswerSilent,
     CrashSuspected,
     PartBlocked,
     HandedOver,
--- a/toucanrudder/peers/handovers.py
+++ b/toucanrudder/peers/handovers.py
@@ -15,6 +15,7 @@
 import attrs
 
 from toucanrudder import errors
+from toucanrudder import stalls
 from toucanrudder.http1 import client as http_clients
 from toucanrudder.http1 import message
 from toucanrudder.peers import peers_pb2
@@ -23,8 +24,7 @@
 MAX_BODY_BYTES = 2_097_152
 
 #: Interval of the parts by which a peer shows that it is still working, and
-#: the silence after which the exchange counts as broken.  A sound peer may
-#: stand still for about a second.
+#: the silence after which it is looked at whether it lives.
 WORKING_INTERVAL_S = 0.4
 MAX_SILENCE_S = 2.0
 
@@ -210,6 +210,7 @@
         self.possible_runs = 0
         self.keeps_software = False
         self.software_version: str | None = None
+        self._reading: asyncio.Task | None = None
 
     async def offer(self, offer: Offer) -> Verdict:
         """Offer a request; return whether the peer accepts it.
@@ -253,12 +254,12 @@
         RudderError
             The peer refuses the request, or gave it up.
         TimeoutError
-            The peer was silent for too long.
+            The peer was silent for too long; it may be asked again.
         BadExchange, grpc.aio.AioRpcError
             The exchange broke before the answer was complete.
         """
         while True:
-            async with asyncio.timeout(MAX_SILENCE_S):
+            async with stalls.timeout(MAX_SILENCE_S):
                 part = await self._read()
             self.possible_runs = max(self.possible_runs, part.possible_runs)
             match part.WhichOneof("part"):
@@ -280,7 +281,11 @@
             raise BadExchange("the part is not one of an answer")
 
     async def _read(self) -> peers_pb2.HandOverPart:
-        part = await self._call.read()
+        # gRPC would end the call if a read of it were cancelled.
+        if self._reading is None:
+            self._reading = asyncio.ensure_future(self._call.read())
+        part = await asyncio.shield(self._reading)
+        self._reading = None
         if not isinstance(part, peers_pb2.HandOverPart):
             raise BadExchange("the exchange ended before the answer")
         return part
--- a/toucanrudder/platform/tests/test_cut_off_routers.py
+++ b/toucanrudder/platform/tests/test_cut_off_routers.py
@@ -260,6 +260,28 @@
     assert sum(len(each.runs) for each in upstreams) == 1
 
 
+@pytest.mark.parametrize("path", [b"/once/x", b"/s/x", b"/w/x"])
+async def test_answer_of_a_peer_that_stands_still_is_waited_for(
+    cluster, monkeypatch, path
+):
+    # The peer shows for longer than the limit not that it is at work.
+    monkeypatch.setattr(handovers, "MAX_SILENCE_S", 0.1)
+    monkeypatch.setattr(handovers, "WORKING_INTERVAL_S", 10.0)
+
+    async def pauses(upstream, run, answer):
+        await asyncio.sleep(0.4)
+        await standins.answers_normally(upstream, run, answer)
+
+    add = cluster.server if path == b"/w/x" else cluster.engine
+    upstream = await add()
+    upstream.behaviours = [pauses]
+    first, _ = await cluster.routers(2)
+    with clusters.cut_off(first, clusters.refuse):
+        answer = await clusters.send_request(first, path)
+    assert (answer.is_whole, answer.status) == (True, 200)
+    assert len(upstream.runs) == 1
+
+
 async def test_stream_that_breaks_goes_on_by_way_of_a_peer(cluster):
     upstreams, routers = await start_fleet(cluster)
     cuts = contextlib.ExitStack()
--- a/toucanrudder/platform/tests/test_platform.py
+++ b/toucanrudder/platform/tests/test_platform.py
@@ -392,13 +392,8 @@
     assert answer.body == clusters.EVENTS
     runs = [run for each in engines for run in each.runs]
     assert sorted("kv-from" in run.headers for run in runs) == [False, True]
-    await asyncio.wait_for(
-        next(
-            each.run_cancelled
-            for each in engines
-            if each.run_cancelled.is_set()
-        ).wait(),
-        clusters.DEADLINE_S,
+    await clusters.wait_until(
+        lambda: any(each.run_cancelled.is_set() for each in engines)
     )
 
 
--- a/toucanrudder/soak/mutants.py
+++ b/toucanrudder/soak/mutants.py
@@ -48,6 +48,20 @@
         "    if progress.possible_runs:\n        code =",
         "    if False:\n        code =",
     ),
+    Mutant(
+        "a silent answer is given up for another attempt",
+        "forwarding/attempt.py",
+        "        self.is_silent = True\n"
+        "        self.execution.race.report_silence(self)\n",
+        "        raise relaying.AttemptFailed("
+        "retry_policy.FailureKind.SILENT)\n",
+    ),
+    Mutant(
+        "a report that overtakes events ends their run",
+        "forwarding/attempt.py",
+        "MISSING_EVENTS_S = 0.7",
+        "MISSING_EVENTS_S = 0.0",
+    ),
     Mutant(
         "a broken stream is ended as a whole one",
         "forwarding/forwarder.py",
@@ -156,8 +170,8 @@
     Mutant(
         "retries cost nothing",
         "forwarding/execution.py",
-        "if not window.spend(clock.now_s(), self.state.live_routers()):",
-        "if False:",
+        "        return self.has_reserved_retry\n",
+        "        return True\n",
     ),
     Mutant(
         "history that is gone is not read anew",
