--- /dev/null
+++ b/toucanrudder/forwarding/attempts/__init__.py
@@ -0,0 +1,1 @@
+"""Attempts of requests at upstreams: sending, relaying, retrying."""
--- a/toucanrudder/forwarding/attempt.py
+++ b/toucanrudder/forwarding/attempts/attempt.py
@@ -1,21 +1,20 @@
 """One attempt of a request at one upstream."""
 
-import asyncio
 import time
 from typing import TYPE_CHECKING
 
 import attrs
 
 from toucanrudder import clock
-from toucanrudder import stalls
 from toucanrudder.forwarding import brittleness
 from toucanrudder.forwarding import cache
 from toucanrudder.forwarding import dialect as dialects
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import placing
-from toucanrudder.forwarding import relaying
-from toucanrudder.forwarding import retry_policy
 from toucanrudder.forwarding import state as states
+from toucanrudder.forwarding.attempts import relaying
+from toucanrudder.forwarding.attempts import retry_policy
+from toucanrudder.forwarding.attempts import silence as silences
 from toucanrudder.http1 import client
 from toucanrudder.http1 import pool
 from toucanrudder.observability import decisions
@@ -44,19 +43,9 @@
 #: asked for a report.
 SILENCE_TIMEOUT_GAPS = 2.5
 
-#: Least seconds of silence before the engine is asked about a run.
-MIN_SILENCE_S = 0.15
-
 #: Backoff after a refusal by a full upstream.
 FULL_BACKOFF_S = 0.05
 
-#: Seconds for which events that an engine has sent must stay missing until
-#: they count as lost: two TCP retransmissions.
-MISSING_EVENTS_S = 0.7
-
-#: Seconds within which an engine must end a run whose connection was closed.
-ENGINE_STOP_TIMEOUT_S = 1.0
-
 #: Statuses that tell callers that a request has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -132,8 +121,8 @@
         Whether the request may have been sent.
     is_silent : bool
         Whether its answer has made no progress for too long.
-    missing_since_s : float or None
-        Since when its engine has reported more events than have arrived.
+    silence : silences.SilenceJudge
+        Judges its answer while that makes no progress.
     """
 
     execution: "executions.RequestExecution"
@@ -145,12 +134,12 @@
     sent_at_s: float = 0.0
     sent_parts: tuple[tuple[str, int], ...] = ()
     was_presumed_dead: bool = False
-    progress_at_s: float = 0.0
-    progress_running_s: float = 0.0
-    missing_since_s: float | None = None
     evidence: retry_policy.Evidence = attrs.field(
         factory=retry_policy.Evidence
     )
+    silence: silences.SilenceJudge = attrs.field(
+        default=attrs.Factory(silences.SilenceJudge, takes_self=True)
+    )
 
     @property
     def target(self) -> str:
@@ -198,34 +187,20 @@
                         connection, upstream, tracked
                     )
             except client.ExchangeError as error:
-                self._record_silence()
+                self.silence.record_end()
                 self.evidence.fault = error.fault.value
                 if not error.sent:
                     self.evidence.unsent = error.fault.value
                 raise relaying.AttemptFailed(_failure_kind(error)) from error
             except relaying.AttemptFailed:
-                self._record_silence()
-                await self._wait_for_engine_stop()
+                self.silence.record_end()
+                await self.silence.wait_for_engine_stop()
                 raise
         if failure is not None:
             raise failure
         self.state.upstream_stats.record_success(name)
         self._record_answered()
 
-    def _record_progress(self) -> None:
-        self.progress_at_s = clock.now_s()
-        self.progress_running_s = stalls.running_s()
-        self.is_silent, self.missing_since_s = False, None
-        self.evidence.silence = retry_policy.SilenceFinding.NONE
-
-    def _record_silence(self) -> None:
-        if not self.progress_at_s:
-            return
-        silent_s = clock.now_s() - self.progress_at_s
-        running_s = stalls.running_s() - self.progress_running_s
-        self.evidence.silent_s = silent_s
-        self.evidence.stalled_s = max(0.0, silent_s - running_s)
-
     def _record_answered(self) -> None:
         if self.prompt is None or self.execution.status >= 300:
             return
@@ -325,7 +300,7 @@
         self.execution.used_connections.append(connection)
         self.execution.record_attempt(upstream)
         connection.send(head, self.execution.request.body)
-        self._record_progress()
+        self.silence.record_progress()
         self.is_sent = True
 
     def _record_placed(self, choice: placing.Choice) -> None:
@@ -396,7 +371,9 @@
         After a returned failure the connection can be reused; after a
         raised one it cannot.
         """
-        head = await self._next_event(connection, self._first_part_timeout_s())
+        head = await self.silence.next_event(
+            connection, self._first_part_timeout_s()
+        )
         facts = self.execution.dialect.answer_facts(
             self.execution.call, upstream, head
         )
@@ -509,124 +486,4 @@
             timeout_s = SILENCE_TIMEOUT_GAPS * self.route.event_gap_s
             if not self.execution.progress.events:
                 timeout_s = self._first_part_timeout_s()
-        return await self._next_event(connection, timeout_s)
-
-    async def _next_event(self, connection, timeout_s: float | None):
-        """Return the answer's next part; raise AttemptFailed if it is lost.
-
-        Parameters
-        ----------
-        timeout_s : float or None
-            Silence after which the answer is judged; None for no limit.
-        """
-        if timeout_s is not None:
-            timeout_s = max(timeout_s, MIN_SILENCE_S)
-        wait_s = timeout_s
-        while True:
-            try:
-                async with stalls.timeout(wait_s):
-                    event = await connection.next_event()
-                self._record_progress()
-                return event
-            except TimeoutError:
-                wait_s = await self._judge_silence(connection, timeout_s)
-
-    async def _judge_silence(self, connection, timeout_s: float) -> float:
-        """Return how much longer to wait for an answer without progress.
-
-        A run that waits for memory, was preempted by a more urgent one, or
-        whose engine stands still makes no progress either, and its answer
-        may be on its way.  So it is waited for, and another attempt may be
-        made beside it.
-
-        An overloaded engine may send no report although its runs continue.
-        An engine that is gone is detected by its connection, which the
-        kernel closes when the path is silent.  So if there is no report,
-        the engine is asked again later.
-
-        Raises
-        ------
-        relaying.AttemptFailed
-            The engine has sent events that are lost.
-        """
-        if self.route.repetition is not model.Repetition.ONCE:
-            self._record_silent(retry_policy.SilenceFinding.NOT_ASKED)
-            return timeout_s
-        if not self.execution.can_continue_from_copy():
-            return timeout_s
-        finding = await self._ask_engine()
-        self.evidence.silence = finding
-        if connection.has_pending_event:
-            # The report may count events that arrived since it was requested.
-            return timeout_s
-        if finding is retry_policy.SilenceFinding.NOT_LISTED:
-            # The run has ended, so its copy can be continued meanwhile.
-            self._record_silent(finding)
-        if finding is not retry_policy.SilenceFinding.EVENTS_MISSING:
-            self.missing_since_s = None
-            return timeout_s
-        return self._judge_missing_events(timeout_s)
-
-    def _record_silent(self, finding: retry_policy.SilenceFinding) -> None:
-        self.evidence.silence = finding
-        if not self.is_silent:
-            self.state.upstream_stats.record_failure(
-                self.choice.upstream.incarnation, clock.now_s()
-            )
-        self.is_silent = True
-        self.execution.race.report_silence(self)
-
-    async def _ask_engine(self) -> retry_policy.SilenceFinding:
-        report = await self.state.fetch_engine_report(self.choice.upstream)
-        if report is None:
-            return retry_policy.SilenceFinding.NO_REPORT
-        request_id = self.execution.call.request_id
-        received = self.execution.progress.events
-        if not report.has_lost_events(request_id, received):
-            return retry_policy.SilenceFinding.NONE
-        if request_id in report.events:
-            return retry_policy.SilenceFinding.EVENTS_MISSING
-        return retry_policy.SilenceFinding.NOT_LISTED
-
-    def _judge_missing_events(self, timeout_s: float) -> float:
-        """Return how much longer to wait for events that were sent.
-
-        The run must be stopped before its copy is continued, so that it is
-        waited for until nothing but the copy can help.
-        """
-        now_s = stalls.running_s()
-        if self.missing_since_s is None:
-            self.missing_since_s = now_s
-        left_s = self.missing_since_s + MISSING_EVENTS_S - now_s
-        if left_s > 0:
-            return left_s
-        if not self.execution.reserve_retry():
-            return timeout_s
-        raise relaying.AttemptFailed(retry_policy.FailureKind.SILENT)
-
-    async def _wait_for_engine_stop(self) -> None:
-        """Wait until an engine whose events were lost has ended its run.
-
-        The run was still in progress at the last report, and not every
-        engine notices immediately that its connection was closed.  A
-        request that may run only once must not be continued from its copy
-        meanwhile; if the run does not end in time, the copy is not used.
-        """
-        if (
-            self.evidence.silence
-            is not retry_policy.SilenceFinding.EVENTS_MISSING
-        ):
-            return
-        try:
-            async with stalls.timeout(ENGINE_STOP_TIMEOUT_S):
-                while self.execution.can_continue_from_copy():
-                    if await self._has_run_ended():
-                        return
-                    await asyncio.sleep(MIN_SILENCE_S)
-        except TimeoutError:
-            self.execution.copy_upstream = None
-
-    async def _has_run_ended(self) -> bool:
-        report = await self.state.fetch_engine_report(self.choice.upstream)
-        request_id = self.execution.call.request_id
-        return report is not None and request_id not in report.events
+        return await self.silence.next_event(connection, timeout_s)
--- a/toucanrudder/forwarding/racing.py
+++ b/toucanrudder/forwarding/attempts/racing.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from toucanrudder.forwarding import retry_policy
+from toucanrudder.forwarding.attempts import retry_policy
 
 
 class Attempt(Protocol):
--- a/toucanrudder/forwarding/relaying.py
+++ b/toucanrudder/forwarding/attempts/relaying.py
@@ -7,7 +7,7 @@
 import attrs
 
 from toucanrudder.forwarding import events
-from toucanrudder.forwarding import retry_policy
+from toucanrudder.forwarding.attempts import retry_policy
 from toucanrudder.http1 import client
 from toucanrudder.http1 import message
 
--- a/toucanrudder/forwarding/tests/test_retry_window.py
+++ b/toucanrudder/forwarding/attempts/tests/test_retry_window.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from toucanrudder.forwarding import retry_window
+from toucanrudder.forwarding.attempts import retry_window
 
 BOUNDS = retry_window.RetryBounds(0.2, 56.0, 10.0)
 
--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -29,10 +29,10 @@
 from toucanrudder.forwarding import loading
 from toucanrudder.forwarding import orders
 from toucanrudder.forwarding import peering
-from toucanrudder.forwarding import retry_window
 from toucanrudder.forwarding import rollout
 from toucanrudder.forwarding import state as states
 from toucanrudder.forwarding import store_watch
+from toucanrudder.forwarding.attempts import retry_window
 from toucanrudder.forwarding.handover import monitoring
 from toucanrudder.forwarding.handover import taking
 from toucanrudder.http1 import message
--- a/toucanrudder/forwarding/execution.py
+++ b/toucanrudder/forwarding/execution.py
@@ -1,6 +1,5 @@
 """Execution of one request with retries on other upstreams."""
 
-import asyncio
 from collections.abc import Iterator
 import contextlib
 import time
@@ -10,17 +9,17 @@
 from toucanrudder import clock
 from toucanrudder import errors
 from toucanrudder import stalls
-from toucanrudder.forwarding import attempt as attempts
-from toucanrudder.forwarding import cache_feed
+from toucanrudder.forwarding import choosing
 from toucanrudder.forwarding import dialect as dialects
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import placing
-from toucanrudder.forwarding import racing
-from toucanrudder.forwarding import relaying
-from toucanrudder.forwarding import retry_policy
 from toucanrudder.forwarding import routing
 from toucanrudder.forwarding import screening
 from toucanrudder.forwarding import state as states
+from toucanrudder.forwarding.attempts import attempt as attempts
+from toucanrudder.forwarding.attempts import racing
+from toucanrudder.forwarding.attempts import relaying
+from toucanrudder.forwarding.attempts import retry_policy
 from toucanrudder.forwarding.handover import choice as handover_choice
 from toucanrudder.forwarding.handover import handing
 from toucanrudder.forwarding.streams import origins
@@ -28,22 +27,8 @@
 from toucanrudder.http1 import client
 from toucanrudder.http1 import message
 from toucanrudder.http1 import server
-from toucanrudder.membership import routers
 from toucanrudder.observability import decisions
 from toucanrudder.observability import metrics
-from toucanrudder.peers import handovers
-
-#: Default ``Retry-After`` of a refusal: a slot of a plain service becomes
-#: free within about its mean service time.
-RETRY_AFTER_S = 0.25
-
-#: The same while the weights of all engines are too old: the first engine
-#: that is loading has new ones after about half a second.
-STALE_WEIGHTS_RETRY_AFTER_S = 0.5
-
-#: Share of a caller's remaining time that a request may wait here; the
-#: rest leaves the caller time to retry.
-MAX_WAIT_SHARE = 0.25
 
 
 def record_duration(kind: str, outcome: str, seconds: float) -> None:
@@ -60,11 +45,6 @@
     return min(route.timeout_s, call.wait_s)
 
 
-def max_wait_s(route: model.Route, remaining_s: float) -> float:
-    """Return how long a request may wait in the router before it is sent."""
-    return min(route.objective_s / 2, MAX_WAIT_SHARE * remaining_s)
-
-
 @attrs.define(eq=False)
 class RequestExecution:
     """One request with its attempts on one or more upstreams.
@@ -98,6 +78,8 @@
         Attempts of the router that handed the request over.
     screen : screening.RequestScreen
         The request before the quarantine.
+    chooser : choosing.UpstreamChooser
+        Chooses where attempts are made.
     """
 
     state: states.ForwardingState
@@ -132,8 +114,10 @@
     origin: origins.Origin | None = None
     earlier_attempts: int = 0
     screen: screening.RequestScreen = attrs.field(init=False)
+    chooser: choosing.UpstreamChooser = attrs.field(init=False)
 
     def __attrs_post_init__(self):
+        self.chooser = choosing.UpstreamChooser(self)
         organisation = self.route_match.organisation
         self.screen = screening.RequestScreen(
             self.state.crash_counts,
@@ -235,12 +219,6 @@
             self.route_match, upstream, order, clock.now_s()
         )
 
-    def _candidates(self, now_s: float):
-        """Return the upstreams that may get the request, and usable ones."""
-        return self.state.usable_candidates(
-            self.service, self.call.prompt, now_s, self.origin
-        )
-
     def record_stream_events(self) -> None:
         """Update the event timings after events were relayed."""
         now_s = clock.now_s()
@@ -263,7 +241,7 @@
             errors.Code.DEADLINE_UNMET,
             "no upstream accepted the request before the deadline",
             step=retry_policy.STEP,
-            retry_after_s=RETRY_AFTER_S,
+            retry_after_s=choosing.RETRY_AFTER_S,
         )
 
     def remaining_s(self) -> float:
@@ -362,7 +340,7 @@
         if step is retry_policy.Step.GIVE_UP:
             return None
         try:
-            choice = self._choose(beside=True)
+            choice = self.chooser.choose(beside=True)
         except errors.RudderError:
             return None
         if not self._spend_retry(cause):
@@ -389,200 +367,15 @@
     ) -> attempts.Attempt | handing.HandOverAttempt:
         if step is retry_policy.Step.CONTINUE:
             return self._continuation()
-        peer = self._choose_peer()
+        peer = self.chooser.choose_peer()
         if peer is not None:
             self.copy_upstream = None
             self.tried_peers.add(peer.name)
             return handing.HandOverAttempt(self, peer)
-        choice = await self._choose_with_wait()
+        choice = await self.chooser.choose_with_wait()
         self.tried_incarnations.add(choice.upstream.incarnation)
         return attempts.Attempt(self, choice)
 
-    def _choose_peer(self) -> routers.Member | None:
-        """Return the peer to hand the request over to; None if not needed.
-
-        A request that was handed over already is never handed on.
-        """
-        now_s = clock.now_s()
-        if self.is_taken_over:
-            return None
-        if self.origin and self.origin.software_version is None:
-            return None
-        if len(self.request.body) > handovers.MAX_BODY_BYTES:
-            return None
-        if (
-            self.unreached_attempts >= handover_choice.MAX_UNREACHED
-            or self.state.has_lost_contact(self.service, now_s)
-        ):
-            peers = self.state.peers()
-        elif len(self.tried_peers) < handover_choice.MAX_OFFERS_FOR_ROOM:
-            peers = self._owners_of_room(now_s)
-        else:
-            return None
-        return handover_choice.choose_peer(
-            peers,
-            service=self.service,
-            zone=self.state.zone,
-            contacts=self.state.peer_contacts,
-            excluded=self.tried_peers,
-            now_s=now_s,
-            rng=self.state.rng,
-        )
-
-    def _owners_of_room(self, now_s: float) -> list[routers.Member]:
-        """Return peers that may have room if only this router has none."""
-        if self.state.brittle.limit_per_s(self.service, now_s) is None:
-            return []
-        candidates, usable = self._candidates(now_s)
-        if usable:
-            return []
-        not_full = placing.usable_candidates(
-            candidates, now_s, self.state.pace.bound_s
-        )
-        if not not_full:
-            return []
-        upstream = self.state.rng.choice(not_full).upstream
-        peers = self.state.peers()
-        owners = set(self.state.slot_owners.owners(upstream, peers))
-        return [peer for peer in peers if peer.name in owners]
-
-    async def _choose_with_wait(self) -> placing.Choice:
-        """Choose an upstream; wait up to a limit while all are full.
-
-        Upstreams refuse for short times only, while they load weights or
-        a burst fills their queues.  Callers that were refused immediately
-        would all retry at once.
-        """
-        wait_until_s = clock.now_s() + max_wait_s(
-            self.route, self.remaining_s()
-        )
-        while True:
-            # Checked before the choice, so that a slow choice is not the last.
-            is_last = clock.now_s() >= wait_until_s
-            try:
-                return self._choose()
-            except errors.RudderError as error:
-                is_full = error.code is errors.Code.QUEUE_FULL
-                if not is_full or is_last:
-                    raise
-            await asyncio.sleep(attempts.FULL_BACKOFF_S / 2)
-            self.refuse_if_quarantined()
-
-    def _choose(self, *, beside: bool = False) -> placing.Choice:
-        """Choose an upstream.
-
-        Parameters
-        ----------
-        beside : bool
-            Whether an earlier attempt goes on.
-        """
-        now_s = clock.now_s()
-        candidates, usable = self._candidates(now_s)
-        if self._begins_resumable_stream():
-            usable = placing.lasting_candidates(
-                usable, self.state.streams.is_new
-            )
-        untried = [
-            candidate
-            for candidate in usable
-            if candidate.upstream.incarnation not in self.tried_incarnations
-        ]
-        if beside:
-            usable = untried
-            if self.route.repetition is model.Repetition.RESUMABLE:
-                usable = self._of_same_software(untried)
-        else:
-            usable = untried or usable
-        if not usable:
-            raise self._no_upstream_error(candidates)
-        if self.call.prompt is not None:
-            store = self.state.store_for(
-                self.call.prompt, self.cache_scope(), now_s
-            )
-            choice = placing.choose_for_prompt(
-                self.call.prompt,
-                self.cache_scope(),
-                usable,
-                self.state.cache,
-                store=store,
-                speed=self.state.speeds_for(self.service, store),
-                engines_report_cache=cache_feed.polls_engines(
-                    self.state.live_routers()
-                ),
-                now_s=now_s,
-            )
-            self.copy_upstream = self._choose_copy_upstream(
-                choice, candidates, now_s
-            )
-            return choice
-        return placing.choose_for_plain(
-            self.state.zone, usable, now_s=now_s, rng=self.state.rng
-        )
-
-    def _of_same_software(
-        self, candidates: list[placing.Candidate]
-    ) -> list[placing.Candidate]:
-        """Return the candidates with the software of the running attempts.
-
-        Any of them may begin the stream, and callers that return to another
-        router are sent to the software of the last one.
-        """
-        versions = {attempt.software_version for attempt in self.race.running}
-        return [
-            candidate
-            for candidate in candidates
-            if versions <= {candidate.upstream.software_version}
-        ]
-
-    def _begins_resumable_stream(self) -> bool:
-        is_resumable = self.route.repetition is model.Repetition.RESUMABLE
-        return is_resumable and self.origin is None
-
-    def _choose_copy_upstream(
-        self, choice, candidates, now_s: float
-    ) -> model.Upstream | None:
-        service = self.state.configuration.services.get(self.service)
-        engine = service.engine if service else None
-        if engine is None or not engine.takes_copies:
-            return None
-        is_run_once = self.route.repetition is model.Repetition.ONCE
-        if not self.route.is_stream or not is_run_once:
-            # Resumable requests can safely be run again elsewhere.
-            return None
-        return placing.choose_backup(
-            choice, self.call.prompt, engine, candidates, now_s
-        )
-
-    def _no_upstream_error(self, candidates) -> errors.RudderError:
-        if self.progress.possible_runs:
-            return retry_policy.final_error(
-                retry_policy.FailureKind.BROKEN,
-                self.progress,
-                self.service,
-                0.0,
-            )
-        if self.origin is not None and all(
-            candidate.upstream.is_leaving for candidate in candidates
-        ):
-            return resuming.gone_error(self.origin)
-        code, retry_after_s = errors.Code.QUEUE_FULL, RETRY_AFTER_S
-        now_s, bound_s = clock.now_s(), self.state.pace.bound_s
-        if not candidates:
-            code = errors.Code.NO_UPSTREAM
-        elif all(
-            placing.time_to_cutoff_s(candidate, bound_s, now_s) <= 0
-            for candidate in candidates
-        ):
-            code = errors.Code.WEIGHTS_TOO_OLD
-            retry_after_s = STALE_WEIGHTS_RETRY_AFTER_S
-        return errors.RudderError(
-            code,
-            "no upstream can accept the request now",
-            step=retry_policy.STEP,
-            peer=self.service,
-            retry_after_s=retry_after_s,
-        )
-
     def cache_scope(self) -> str:
         """Return the organisation whose own cache is used; empty if shared."""
         organisation = self.route_match.organisation
@@ -751,7 +544,7 @@
             failure.kind,
             self.progress,
             attempt.target,
-            RETRY_AFTER_S,
+            choosing.RETRY_AFTER_S,
         )
 
     def is_quarantined(self) -> bool:
--- a/toucanrudder/forwarding/handover/handing.py
+++ b/toucanrudder/forwarding/handover/handing.py
@@ -8,9 +8,9 @@
 from toucanrudder import clock
 from toucanrudder import errors
 from toucanrudder import stalls
-from toucanrudder.forwarding import relaying
-from toucanrudder.forwarding import retry_policy
 from toucanrudder.forwarding import state as states
+from toucanrudder.forwarding.attempts import relaying
+from toucanrudder.forwarding.attempts import retry_policy
 from toucanrudder.membership import routers
 from toucanrudder.observability import decisions
 from toucanrudder.peers import handovers
--- a/toucanrudder/forwarding/handover/taking.py
+++ b/toucanrudder/forwarding/handover/taking.py
@@ -12,9 +12,9 @@
 from toucanrudder.forwarding import dialect as dialects
 from toucanrudder.forwarding import execution as executions
 from toucanrudder.forwarding import model
-from toucanrudder.forwarding import retry_policy
 from toucanrudder.forwarding import routing
 from toucanrudder.forwarding import state as states
+from toucanrudder.forwarding.attempts import retry_policy
 from toucanrudder.forwarding.handover import choice
 from toucanrudder.forwarding.streams import origins
 from toucanrudder.http1 import message
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -18,12 +18,12 @@
 from toucanrudder.forwarding import placing
 from toucanrudder.forwarding import poison
 from toucanrudder.forwarding import registry as registries
-from toucanrudder.forwarding import retry_window
 from toucanrudder.forwarding import rollout
 from toucanrudder.forwarding import routing
 from toucanrudder.forwarding import speeds
 from toucanrudder.forwarding import stores
 from toucanrudder.forwarding import upstream_states
+from toucanrudder.forwarding.attempts import retry_window
 from toucanrudder.forwarding.handover import contact as contacts
 from toucanrudder.forwarding.streams import directory
 from toucanrudder.forwarding.streams import origins
--- a/toucanrudder/forwarding/tests/test_cache_feed.py
+++ b/toucanrudder/forwarding/tests/test_cache_feed.py
@@ -11,8 +11,8 @@
 from toucanrudder.forwarding import cache
 from toucanrudder.forwarding import cache_feed
 from toucanrudder.forwarding import model
-from toucanrudder.forwarding import retry_window
 from toucanrudder.forwarding import state as states
+from toucanrudder.forwarding.attempts import retry_window
 from toucanrudder.testing.virtual import timing
 
 PART = model.Part("a", 500)
--- a/toucanrudder/forwarding/tests/test_decisions.py
+++ b/toucanrudder/forwarding/tests/test_decisions.py
@@ -9,10 +9,10 @@
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import placing
 from toucanrudder.forwarding import registry
-from toucanrudder.forwarding import retry_policy
 from toucanrudder.forwarding import rollout
 from toucanrudder.forwarding import routing
 from toucanrudder.forwarding import upstream_states
+from toucanrudder.forwarding.attempts import retry_policy
 from toucanrudder.store import continuity
 
 FailureKind, Progress, Step = (
--- a/toucanrudder/forwarding/tests/test_orders.py
+++ b/toucanrudder/forwarding/tests/test_orders.py
@@ -10,9 +10,9 @@
 from toucanrudder.forwarding import loading
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import orders
-from toucanrudder.forwarding import retry_window
 from toucanrudder.forwarding import rollout
 from toucanrudder.forwarding import state as states
+from toucanrudder.forwarding.attempts import retry_window
 from toucanrudder.leases import decision
 from toucanrudder.leases import holder
 from toucanrudder.store import memory
--- a/toucanrudder/platform/tests/test_platform.py
+++ b/toucanrudder/platform/tests/test_platform.py
@@ -7,7 +7,7 @@
 import pytest
 
 from toucanrudder import clock
-from toucanrudder.forwarding import execution
+from toucanrudder.forwarding import choosing
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import poison
 from toucanrudder.http1 import client
@@ -187,7 +187,7 @@
     desk = await cluster.server()
     desk.behaviours = [standins.sheds]
     router = await cluster.router()
-    choose = execution.RequestExecution._choose
+    choose = choosing.UpstreamChooser.choose
 
     def choose_slowly(self):
         try:
@@ -195,7 +195,7 @@
         finally:
             time.sleep(0.06)
 
-    monkeypatch.setattr(execution.RequestExecution, "_choose", choose_slowly)
+    monkeypatch.setattr(choosing.UpstreamChooser, "choose", choose_slowly)
     assert (await clusters.send_request(router, b"/w/x")).status == 200
 
 
--- a/toucanrudder/soak/mutants.py
+++ b/toucanrudder/soak/mutants.py
@@ -37,30 +37,30 @@
 MUTANTS = (
     Mutant(
         "requests that may run once are sent again",
-        "forwarding/retry_policy.py",
+        "forwarding/attempts/retry_policy.py",
         "if progress.possible_runs and route.repetition is "
         "model.Repetition.ONCE:",
         "if False:",
     ),
     Mutant(
         "a lost answer is called not run",
-        "forwarding/retry_policy.py",
+        "forwarding/attempts/retry_policy.py",
         "    if progress.possible_runs:\n        code =",
         "    if False:\n        code =",
     ),
     Mutant(
         "a silent answer is given up for another attempt",
-        "forwarding/attempt.py",
-        "        self.is_silent = True\n"
-        "        self.execution.race.report_silence(self)\n",
+        "forwarding/attempts/silence.py",
+        "        attempt.is_silent = True\n"
+        "        attempt.execution.race.report_silence(attempt)\n",
         "        raise relaying.AttemptFailed("
         "retry_policy.FailureKind.SILENT)\n",
     ),
     Mutant(
         "a report that overtakes events ends their run",
-        "forwarding/attempt.py",
-        "MISSING_EVENTS_S = 0.7",
-        "MISSING_EVENTS_S = 0.0",
+        "forwarding/attempts/silence.py",
+        "CONFIRMATION_S = 0.7",
+        "CONFIRMATION_S = 0.0",
     ),
     Mutant(
         "a broken stream is ended as a whole one",
@@ -70,7 +70,7 @@
     ),
     Mutant(
         "a stream goes on one event too early",
-        "forwarding/attempt.py",
+        "forwarding/attempts/attempt.py",
         "resume_after=self.execution.last_event_id,\n"
         "                fetch_from",
         "resume_after=self.execution.last_event_id and "
@@ -79,13 +79,13 @@
     ),
     Mutant(
         "answers are not matched with requests",
-        "forwarding/attempt.py",
+        "forwarding/attempts/attempt.py",
         "        if not _matches_request(facts, reused=connection.reused):\n",
         "        if False:\n",
     ),
     Mutant(
         "a run is continued where no copy of it can be",
-        "forwarding/retry_policy.py",
+        "forwarding/attempts/retry_policy.py",
         "        return (\n"
         "            self.is_copy_requested\n"
         "            and self.events > 0\n"
