Continue a run from its copy only if two reports list it no more

A report is some tenths of a second old, and a run that was put back and has just been admitted again may be missing in it: listed as open since the incident of requests that ran twice. Before the answer was waited for, the connection was closed first; now the run would go on beside its continuation.

Change: that a run has ended needs the same confirmation as events that are missing: a second report after 0.7 s with no event between.

`test_run_that_one_report_misses_is_not_continued`: two runs before, one now. What it costs: a run whose end was lost is continued 0.7 s later.

--- a/toucanrudder/forwarding/attempts/silence.py
+++ b/toucanrudder/forwarding/attempts/silence.py
@@ -125,16 +125,15 @@
         if finding not in _LOST or connection.has_pending_event:
             self.lost_since_s = None
             return timeout_s
-        if finding is retry_policy.SilenceFinding.NOT_LISTED:
-            self._report(finding)
-            return timeout_s
         now_s = stalls.running_s()
         if self.lost_since_s is None:
             self.lost_since_s = now_s
         unconfirmed_s = self.lost_since_s + CONFIRMATION_S - now_s
         if unconfirmed_s > 0:
             return unconfirmed_s
-        if attempt.execution.reserve_retry():
+        if finding is retry_policy.SilenceFinding.NOT_LISTED:
+            self._report(finding)
+        elif attempt.execution.reserve_retry():
             # The run goes on, so it must end before its copy is continued.
             raise relaying.AttemptFailed(retry_policy.FailureKind.SILENT)
         return timeout_s
--- a/toucanrudder/platform/tests/test_silent_answers.py
+++ b/toucanrudder/platform/tests/test_silent_answers.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from toucanrudder.forwarding import retry_window
+from toucanrudder.forwarding.attempts import retry_window
 from toucanrudder.platform.testing import cluster as clusters
 from toucanrudder.platform.testing import standins
 
@@ -134,6 +134,27 @@
     assert (answer.status, answer.body) == (200, b"done")
 
 
+async def test_run_that_one_report_misses_is_not_continued(cluster):
+    async def is_listed_late(engine, run, answer):
+        engine.runs.append(run)
+        engine.report_requested.clear()
+        await answer.start(200, engine.answer_headers(run))
+        await answer.write(standins.event(1))
+        engine.send_copy(run)
+        await engine.report_requested.wait()
+        engine.reported_runs[run.request_id] = 1
+        await asyncio.sleep(PAUSE_S)
+        await answer.write(standins.event(2) + standins.event(3))
+        await answer.end()
+
+    engines = [await cluster.engine(), await cluster.engine()]
+    set_behaviours(engines, standins.answers_normally, is_listed_late)
+    router = await cluster.router()
+    answer = await clusters.send_request(router, ONCE)
+    assert (answer.is_whole, answer.body) == (True, clusters.EVENTS)
+    assert sum(len(each.runs) for each in engines) == 1
+
+
 @pytest.mark.parametrize("path", [RESUMABLE, ONCE])
 async def test_silent_stream_is_not_cut_without_retry_budget(cluster, path):
     engines = [await cluster.engine(), await cluster.engine()]
