--- a/toucanrudder/soak/callers.py
+++ b/toucanrudder/soak/callers.py
@@ -44,7 +44,7 @@
 OVERTIME_S = 1.0
 
 #: Pause after a long stream that was not served.
-LONG_PAUSE_S = 0.1
+LONG_PAUSE_S = 0.3
 
 #: Shared parts that prompts begin with.
 PARTS = 4
@@ -168,7 +168,7 @@
             call.length = self._rng.randint(*LONG_EVENTS)
             call.limit_s = LONG_LIMIT_S
             await self.ask(call, router, patience_s=LONG_LIMIT_S + OVERTIME_S)
-            if not call.is_whole:
+            if not call.is_served:
                 await asyncio.sleep(LONG_PAUSE_S)
 
     async def _resume(self, call: records.Call) -> None:
