Count a spent retry budget as a refusal only where one follows

A silent answer that may get no second attempt is waited for; its check of the budget, twice a second, was counted with the refusals to callers.

--- a/toucanrudder/forwarding/execution.py
+++ b/toucanrudder/forwarding/execution.py
@@ -470,6 +470,7 @@
         )
         if not begins or not was_sent or self._spend_retry(failure_kind):
             return step
+        metrics.count_refusal("retry_budget_spent", retry_policy.STEP)
         return retry_policy.Step.GIVE_UP
 
     def reserve_retry(self) -> bool:
@@ -482,7 +483,6 @@
 
     def _spend_retry(self, cause: retry_policy.FailureKind) -> bool:
         if not self.reserve_retry():
-            metrics.count_refusal("retry_budget_spent", retry_policy.STEP)
             return False
         self.has_reserved_retry = False
         metrics.count_retry(cause.value)
