Let the soak's engines finish their loads, and register their weights

Traced: an engine of the soak stopped loading when the router that had ordered it disconnected, and stayed busy for good; and no engine wrote the weights that it had loaded to the registry, as the platform's do. A router that sent nothing in the seconds of a load, as it stood still, learned of them from nothing. Both are the stand-in's own.

--- a/toucanrudder/platform/testing/soaking.py
+++ b/toucanrudder/platform/testing/soaking.py
@@ -1,6 +1,7 @@
 """The platform's side of a soak run: its requests, answers and upstreams."""
 
 import asyncio
+from collections.abc import Callable
 import os
 import re
 import time
@@ -235,6 +236,8 @@
         self._goes = asyncio.Event()
         self._goes.set()
         self.path_delay_s = 0.0
+        self.on_loaded: Callable[[], None] = lambda: None
+        self._loading: asyncio.Task | None = None
 
     def entry(self) -> dict:
         """Return its registry entry, with its proxy's address."""
@@ -270,12 +273,17 @@
             return
         self.orders.append(order)
         self.busy = True
+        # The load goes on though the router that ordered it disconnects.
+        self._loading = asyncio.ensure_future(self._load(order))
         await answer.send_whole(202, standins.JSON, b"{}")
+
+    async def _load(self, order: dict) -> None:
         while order["mode"] == "block" and self._running:
             await asyncio.sleep(0.01)
         await asyncio.sleep(LOAD_TIME_S)
         self.shared.caches[self.proxy_address] = {}
         self.version, self.busy = order["version"], False
+        self.on_loaded()
 
     async def _run(self, run: standins.Run, answer) -> None:
         if self.busy:
--- a/toucanrudder/soak/site.py
+++ b/toucanrudder/soak/site.py
@@ -237,9 +237,15 @@
         standin.proxy_address = proxy.address
         found = Upstream(standin, proxy, stack)
         self.upstreams.append(found)
+        standin.on_loaded = lambda: self._register_if_there(found)
         self.register(found)
         return found
 
+    def _register_if_there(self, upstream: Upstream) -> None:
+        # Its load may end after its process has.
+        if upstream in self.upstreams:
+            self.register(upstream)
+
     def register(self, upstream: Upstream) -> None:
         """Write an upstream's entry."""
         standin = upstream.standin
--- a/toucanrudder/soak/tests/test_soak.py
+++ b/toucanrudder/soak/tests/test_soak.py
@@ -17,6 +17,7 @@
     "a hang-up met a router that was starting": (7, USUAL),
     "two callers' poison looked like one": (108, USUAL),
     "broken streams looked like one poisonous request": (1040, USUAL),
+    "engines did not register the weights that they had loaded": (6117, USUAL),
 }
 
 
