Say wait, not give up, of an attempt that was overtaken

TryEnded of an attempt that lost to another said next_step=give_up, though its caller has the answer.

--- a/toucanrudder/forwarding/execution.py
+++ b/toucanrudder/forwarding/execution.py
@@ -360,7 +360,7 @@
         self.upstream = winner.target
         for loser in self.race.win(winner):
             self._count_end(loser.is_sent)
-            self._record_end(loser, "overtaken", retry_policy.Step.GIVE_UP)
+            self._record_end(loser, "overtaken", retry_policy.Step.WAIT)
 
     async def _next_attempt(
         self, step: retry_policy.Step
@@ -394,21 +394,23 @@
         is_unreached = kind is retry_policy.FailureKind.NOT_REACHED
         self.unreached_attempts += is_unreached and not attempt.is_handed_over
         self._count_end(kind not in retry_policy.PROVES_NOT_RUN)
-        step = retry_policy.next_step(
+        was_sent = not is_unreached and not attempt.evidence.unsent
+        step = self._apply_retry_budget(kind, self._step_after(kind), was_sent)
+        self._record_end(attempt, kind.value, step)
+        return step
+
+    def _step_after(self, kind: retry_policy.FailureKind) -> retry_policy.Step:
+        if self.race.running:
+            # What follows is decided, and charged, beside those.
+            return retry_policy.Step.WAIT
+        if self.is_quarantined() or self._is_out_of_reach():
+            return retry_policy.Step.GIVE_UP
+        return retry_policy.next_step(
             kind,
-            self._progress_with_running(),
+            self._current_progress(),
             self.route,
             remaining_s=self.remaining_s(),
         )
-        if self.is_quarantined() or self._is_out_of_reach():
-            step = retry_policy.Step.GIVE_UP
-        was_sent = not is_unreached and not attempt.evidence.unsent
-        if self.race.running:
-            # The budget is charged once it is known what follows.
-            step = retry_policy.Step.WAIT
-        step = self._apply_retry_budget(kind, step, was_sent)
-        self._record_end(attempt, kind.value, step)
-        return step
 
     def _count_end(self, may_have_run: bool) -> None:
         self.progress = attrs.evolve(
