Split the overdraft of a cap among all of its owners

What all of them together may overdraw was bounded for two.

An owner's overdraft is now its share of the slack, and a new owner's grows over one window, as an owner before it may have overdrawn. A request that costs more than this and a full bucket is granted by a full one, so that no size waits for ever. Two new tests fail on the code of before: 109,200 for 65,000 allowed by one new owner in a second; 655,200 for 618,500 by four.

Not covered, as before: a request that costs more than the overdraft and a full bucket takes an owner's balance further down than the slack allows, and both owners can grant one in the same window.

--- a/toucanrudder/admission/caps.py
+++ b/toucanrudder/admission/caps.py
@@ -8,12 +8,15 @@
 lost, the other still grants its half.
 
 Guarantee over any window of length W, for a cap of R units a second and a
-burst B, with the overrun O and the slack S: the two owners together grant
-at most ``(R * W + B) * (1 + O / 2) + S``, where ``S / 2`` is the amount by
-which one request may overdraw each owner's bucket.  A new owner begins
-without a burst.  While no owner can be reached, all routers together admit
-``(R * W + B) * O / 2`` at most on average, and more in the second after the
-start of a whole fleet (`START_SHARE`).
+burst B, with the overrun O and the slack S: the owners together grant at
+most ``(R * W + B) * (1 + O / 2) + S``, where ``S / 2`` is the amount by which
+one request may overdraw each of two owners' buckets, and less where a fleet
+that is cut in two has more of them.  A new owner begins without a burst, and
+may overdraw its bucket more and more over one window: the owner before it may
+have done so.  A request that costs more than that and a full bucket is
+granted by a full one.  While no owner can be reached, all routers together
+admit ``(R * W + B) * O / 2`` at most on average, and more in the second after
+the start of a whole fleet (`START_SHARE`).
 """
 
 import enum
@@ -124,6 +127,19 @@
         """Units by which one request may overdraw an owner's bucket."""
         return self.slack / OWNER_COUNT
 
+    def overdraft(self, owned_s: float) -> float:
+        """Return the units by which all owners' buckets may be overdrawn.
+
+        Others may have owned them before and overdrawn them in the same
+        window.
+
+        Parameters
+        ----------
+        owned_s : float
+            Time for which the owners have been owners.
+        """
+        return self.slack * min(1.0, max(0.0, owned_s / self.window_s))
+
     def window_allowance(self, cap: Cap) -> float:
         """Return the units that a cap permits in one window."""
         return cap.rate_per_s * self.window_s + cap.burst
@@ -194,6 +210,8 @@
         Units left; negative while it is overdrawn.
     at_s : float
         Monotonic time of the level.
+    since_s : float
+        Monotonic time from which it is used.
     next_retry_s : float
         Monotonic time at which the next refused request may retry.
 
@@ -209,6 +227,7 @@
 
     level: float
     at_s: float
+    since_s: float = float("-inf")
     next_retry_s: float = float("-inf")
 
     def refill(self, limits: "Limits", now_s: float) -> None:
@@ -274,7 +293,7 @@
         """Return the level from which a request of that cost is granted."""
         if cost <= SMALL_COST_SHARE * self.max_overdraft:
             return -SMALL_OVERDRAFT_SHARE * self.max_overdraft
-        return max(0.0, min(cost, self.max_units) - self.max_overdraft)
+        return max(0.0, min(cost - self.max_overdraft, self.max_units))
 
 
 class Ledger:
@@ -321,7 +340,7 @@
         self._owner_since_s = now_s
         for bucket in self._buckets.values():
             bucket.level = min(bucket.level, 0.0)
-            bucket.at_s = now_s
+            bucket.at_s = bucket.since_s = now_s
 
     def try_spend(
         self,
@@ -349,12 +368,11 @@
         """
         if cost > self.bounds.window_allowance(cap):
             return TOO_LARGE
-        limits = Limits(
-            share * cap.rate_per_s,
-            share * self.bounds.burst(cap),
-            self.bounds.max_overdraft,
-        )
-        return self._bucket(name, limits, now_s).try_spend(cost, limits, now_s)
+        limits = Limits(share * cap.rate_per_s, share * self.bounds.burst(cap))
+        bucket = self._bucket(name, limits, now_s)
+        overdraft = share * self.bounds.overdraft(now_s - bucket.since_s)
+        limits = attrs.evolve(limits, max_overdraft=overdraft)
+        return bucket.try_spend(cost, limits, now_s)
 
     def charge(self, name: str, units: float) -> None:
         """Deduct units used without a grant, if the organisation has a bucket.
@@ -370,7 +388,8 @@
         if bucket is None:
             owned_s = max(0.0, now_s - self._owner_since_s)
             level = min(limits.max_units, owned_s * limits.rate_per_s)
-            bucket = self._buckets[name] = TokenBucket(level, now_s)
+            bucket = TokenBucket(level, now_s, self._owner_since_s)
+            self._buckets[name] = bucket
         return bucket
 
 
--- a/toucanrudder/admission/tests/test_caps.py
+++ b/toucanrudder/admission/tests/test_caps.py
@@ -198,6 +198,38 @@
     assert used / plays <= BOUNDS.reserve(CAP)
 
 
+def test_a_new_owner_overdraws_no_second_time():
+    """The owner before it may have overdrawn in the same window."""
+    cap = caps.Cap(330_000.0, 330_000.0, caps.Unit.TOKENS)
+    share, passed_s = 0.17, 1.0
+    ledger = caps.Ledger(BOUNDS)
+    ledger.set_owner_since(100.0)
+    used = 0
+    for tick in range(100):
+        now_s = 100.0 + passed_s * tick / 100
+        decision = ledger.try_spend("n", cap, 54_600, now_s, share=share)
+        used += 54_600 * (decision is caps.GRANTED)
+    overdraft = BOUNDS.max_overdraft * passed_s / BOUNDS.window_s
+    assert used <= share * cap.rate_per_s * passed_s + overdraft
+
+
+@pytest.mark.parametrize("owners", [2, 4])
+def test_owners_together_overdraw_by_the_slack(owners):
+    """Each side of a fleet that is cut in two has owners of its own."""
+    cap = caps.Cap(330_000.0, 330_000.0, caps.Unit.TOKENS)
+    share = 1.0 / owners
+    used = 0
+    for _ in range(owners):
+        ledger = caps.Ledger(BOUNDS)
+        ledger.set_owner_since(0.0)
+        while (
+            ledger.try_spend("n", cap, 54_600, 100.0, share=share)
+            is caps.GRANTED
+        ):
+            used += 54_600
+    assert used <= BOUNDS.burst(cap) + BOUNDS.slack
+
+
 @pytest.mark.parametrize("units", [float("nan"), float("inf")])
 def test_units_that_are_not_finite_are_invalid(units):
     assert not caps.is_finite(units)
