Fill a cap's balance for the largest request that it has refused

Callers with large prompts at their organisation's cap were refused for ever while small requests came just before them: each refill went to the small ones, so that a request of 60,000 tokens never found a balance that is not overdrawn.

Once a request is refused, the balance fills until the largest of those refused finds its units, a quarter of the balance at most, before it grants again; the wait that a refused caller is told counts this.

--- a/toucanrudder/admission/caps.py
+++ b/toucanrudder/admission/caps.py
@@ -45,6 +45,9 @@
 #: the permitted overdraft.
 SMALL_OVERDRAFT_SHARE = 0.25
 
+#: Fraction of a bucket to which it fills at most for a refused request.
+AWAITED_SHARE = 0.25
+
 #: Approximate retry delay of a request refused while no owner can be
 #: reached: another router may reach one.
 RESERVE_RETRY_S = 1.0
@@ -200,9 +203,10 @@
     """A token bucket that one request may overdraw.
 
     A request is granted unless the bucket is overdrawn, whatever the request
-    costs, and may overdraw it.  Otherwise small requests would use up each
-    refill, and large ones would never find enough units.  Small requests are
-    granted a little longer, as they cost others almost nothing.
+    costs, and may overdraw it.  Once requests are refused, the bucket fills
+    until the largest of them finds its units.  Otherwise small requests would
+    use up each refill.  Requests that cost others almost nothing are granted
+    a little longer.
 
     Parameters
     ----------
@@ -212,6 +216,8 @@
         Monotonic time of the level.
     since_s : float
         Monotonic time from which it is used.
+    awaited_level : float
+        Level to which it fills before it grants again; 0 if none is refused.
     next_retry_s : float
         Monotonic time at which the next refused request may retry.
 
@@ -222,12 +228,13 @@
     >>> bucket.try_spend(200, limits, 0.1).outcome
     <Outcome.GRANTED: 'granted'>
     >>> bucket.try_spend(10, limits, 0.1)
-    Decision(outcome=<Outcome.REFUSED: 'refused'>, wait_s=1.9)
+    Decision(outcome=<Outcome.REFUSED: 'refused'>, wait_s=2.0)
     """
 
     level: float
     at_s: float
     since_s: float = float("-inf")
+    awaited_level: float = 0.0
     next_retry_s: float = float("-inf")
 
     def refill(self, limits: "Limits", now_s: float) -> None:
@@ -252,12 +259,26 @@
             Monotonic time.
         """
         self.refill(limits, now_s)
-        min_level = limits.min_level(cost)
+        if limits.is_small(cost):
+            min_level = limits.min_small_level
+        else:
+            min_level = max(self._awaited(limits), limits.min_level(cost))
         if self.level >= min_level or cost == 0:
             self.level -= cost
             return GRANTED
+        self.awaited_level = max(self.awaited_level, cost)
+        if not limits.is_small(cost):
+            min_level = max(min_level, self._awaited(limits))
         return self._refuse(cost, min_level, limits, now_s)
 
+    def _awaited(self, limits: "Limits") -> float:
+        awaited = min(self.awaited_level, AWAITED_SHARE * limits.max_units)
+        if self.level < awaited:
+            return awaited
+        # The largest refused request may come now, after smaller ones.
+        self.awaited_level = 0.0
+        return 0.0
+
     def _refuse(
         self, cost: float, min_level: float, limits: "Limits", now_s: float
     ) -> Decision:
@@ -289,10 +310,17 @@
     max_units: float
     max_overdraft: float = 0.0
 
+    def is_small(self, cost: float) -> bool:
+        """Whether a request costs others almost nothing."""
+        return cost <= SMALL_COST_SHARE * self.max_overdraft
+
+    @property
+    def min_small_level(self) -> float:
+        """The level from which small requests are granted."""
+        return -SMALL_OVERDRAFT_SHARE * self.max_overdraft
+
     def min_level(self, cost: float) -> float:
-        """Return the level from which a request of that cost is granted."""
-        if cost <= SMALL_COST_SHARE * self.max_overdraft:
-            return -SMALL_OVERDRAFT_SHARE * self.max_overdraft
+        """Return the level from which another request is granted."""
         return max(0.0, min(cost - self.max_overdraft, self.max_units))
 
 
