Admit a fifth of a cap while a whole fleet starts

Callers could use more than their organisation's cap after all routers had ended and started at once: what was admitted before is forgotten, and the fleet admitted 0.35 of a window on top of it. The limit is for all of a window, whoever remembers it.

A share of 0.2 bounds no worst case: a fleet that is started again right after a window was used up admits that much beyond it.

--- a/toucanrudder/admission/caps.py
+++ b/toucanrudder/admission/caps.py
@@ -57,7 +57,7 @@
 
 #: Fraction of a cap that all routers together admit in one window while the
 #: fleet starts and the owners are not known yet.
-START_SHARE = 0.35
+START_SHARE = 0.2
 
 
 class Unit(enum.Enum):
--- a/toucanrudder/forwarding/tests/test_capping.py
+++ b/toucanrudder/forwarding/tests/test_capping.py
@@ -50,8 +50,9 @@
             await asyncio.sleep(rng.expovariate(1.0 / self.gap_s))
             sizes, shares = zip(*SIZES, strict=True)
             tokens = rng.choices(sizes, shares)[0]
-            node = rng.choice(list(self.site.nodes.values()))
-            self.site._spawn(self.send(node, tokens))
+            nodes = list(self.site.nodes.values())
+            if nodes:
+                self.site._spawn(self.send(rng.choice(nodes), tokens))
 
     async def send(self, node, tokens):
         prompt = model.Prompt("m", prompt_tokens=tokens)
