Let virtual routers serve whole requests and hand them over

The fleets on virtual time ran the control path only. Requests of virtual callers now take the product's own path: forwarder, execution, hand-over by the messages between routers, and plain upstreams that answer, refuse or fail. Routers can be cut off from upstreams, from each other in two parts, or each from all others; a router that is killed ends its requests and those that it has taken over. No product code changes.

--- a/toucanrudder/forwarding/tests/test_capping.py
+++ b/toucanrudder/forwarding/tests/test_capping.py
@@ -52,7 +52,7 @@
             tokens = rng.choices(sizes, shares)[0]
             nodes = list(self.site.nodes.values())
             if nodes:
-                self.site._spawn(self.send(rng.choice(nodes), tokens))
+                self.site.spawn(self.send(rng.choice(nodes), tokens))
 
     async def send(self, node, tokens):
         prompt = model.Prompt("m", prompt_tokens=tokens)
@@ -136,9 +136,9 @@
             site.start()
             await asyncio.sleep(STARTED_S)
             caller = Caller(site, organisation, rate_factor)
-            site._spawn(caller.run())
+            site.spawn(caller.run())
             began_s = site.now_s()
-            site._spawn(fault(site))
+            site.spawn(fault(site))
             await asyncio.sleep(SENDING_S)
         # The burst is used up in the first second.
         return caller, caller.served_share(began_s + 1.0)
--- a/toucanrudder/testing/virtual/sites.py
+++ b/toucanrudder/testing/virtual/sites.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Sequence
 import contextlib
@@ -21,6 +22,7 @@
 from toucanrudder.admission import caps
 from toucanrudder.forwarding import cache_feed
 from toucanrudder.forwarding import daemon
+from toucanrudder.forwarding import dialect as dialects
 from toucanrudder.forwarding import loading
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import placing
@@ -31,6 +33,7 @@
 from toucanrudder.peers import server as peer_servers
 from toucanrudder.store import interface
 from toucanrudder.testing.virtual import engines as virtual_engines
+from toucanrudder.testing.virtual import exchanges
 from toucanrudder.testing.virtual import stores
 
 #: One way between two processes.
@@ -74,7 +77,7 @@
     spec = stored.value
     return model.Upstream(
         incarnation=f"{stored.name}@{spec['born_ms']}",
-        service=virtual_engines.SERVICE,
+        service=spec.get("service", virtual_engines.SERVICE),
         address=spec["address"],
         slots=virtual_engines.SLOTS,
         is_leaving=spec["leaving"],
@@ -193,35 +196,45 @@
         return call
 
     def stream_stream(self, path: str, *_, **__):
-        """Return what makes one call; requests are not handed over here."""
+        """Return what begins one call."""
 
-        def call(**_):
-            raise _unreachable()
+        def call(*, timeout: float, **_) -> exchanges.PeerCall:
+            return exchanges.PeerCall(
+                lambda context: self._hand_over(context, timeout), self._hop
+            )
 
         return call
 
+    async def _hand_over(self, context, timeout: float) -> None:
+        node = await self._reached(timeout)
+        try:
+            await node.serve(node.service.HandOver(None, context))
+        except asyncio.CancelledError:
+            raise _unreachable() from None
+
+    async def _hop(self) -> None:
+        await asyncio.sleep(self.site.hop_s())
+
     async def close(self) -> None:
         """Cancel the calls that wait."""
         for task in self._calls:
             task.cancel()
 
-    async def _reached(self, timeout: float) -> peer_servers.PeersService:
+    async def _reached(self, timeout: float) -> "Node":
         await asyncio.sleep(self.site.hop_s())
         node = self.site.nodes.get(self.address)
         if node is None:
             raise _unreachable()
-        if (node.router in self.site.apart) != (
-            self.caller in self.site.apart
-        ):
+        if not self.site.is_connected(self.caller, node.router):
             await asyncio.sleep(timeout)
             raise _unreachable()
-        return node.service
+        return node
 
     async def _call(self, name: str, request, timeout: float):
-        service = await self._reached(timeout)
+        node = await self._reached(timeout)
         try:
             async with asyncio.timeout(timeout):
-                answer = await getattr(service, name)(request, None)
+                answer = await getattr(node.service, name)(request, None)
         except TimeoutError:
             raise _unreachable() from None
         await asyncio.sleep(self.site.hop_s())
@@ -255,7 +268,28 @@
     router: str
     daemon: daemon.Router
     service: peer_servers.PeersService
-    tasks: list[asyncio.Task] = attrs.field(factory=list)
+    tasks: set[asyncio.Task] = attrs.field(factory=set)
+
+    async def serve(self, coroutine) -> None:
+        """Run a coroutine in this process.
+
+        Raises
+        ------
+        asyncio.CancelledError
+            The process ended, or the caller has given up.
+        """
+        task = asyncio.ensure_future(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        try:
+            await task
+        finally:
+            task.cancel()
+
+    def end(self) -> None:
+        """End the process at once."""
+        for task in list(self.tasks):
+            task.cancel()
 
 
 @attrs.define(eq=False)
@@ -274,15 +308,27 @@
         Within which another router gives the orders.
     requests_per_s : float
         Requests that come to all engines together.
+    retry_slack : float
+        Retries in one window that need no requests.
+    zones : int
+        Availability zones of the routers, which take turns.
 
     Attributes
     ----------
+    configured : model.Configuration
+        Configuration of the routers.
+    dialect : dialects.Dialect or None
+        Reads and writes heads, for routers that get whole requests.
+    on_start : callable
+        Called with each router that starts.
     engines : dict of str to Engine
         By address.
     choked : set of str
         Routers whose calls to engines get no answer in time.
     apart : set of str
         Routers that reach each other, and none of the rest.
+    alone : set of str
+        Routers that reach no other.
     """
 
     seed: int
@@ -291,12 +337,18 @@
     bound_s: float = 10.0
     lease_s: float = 3.0
     requests_per_s: float = 0.0
+    retry_slack: float = 204.0
+    zones: int = 1
+    configured: model.Configuration = CONFIGURED
+    dialect: dialects.Dialect | None = None
+    on_start: Callable[["Node"], None] = lambda node: None
     rng: random.Random = attrs.field(init=False)
     store: stores.Store = attrs.field(init=False)
     engines: dict[str, virtual_engines.Engine] = attrs.field(factory=dict)
     nodes: dict[str, Node] = attrs.field(factory=dict)
     choked: set[str] = attrs.field(factory=set)
     apart: set[str] = attrs.field(factory=set)
+    alone: set[str] = attrs.field(factory=set)
     named_at_s: dict[int, float] = attrs.field(factory=dict)
     _tasks: set[asyncio.Task] = attrs.field(factory=set)
 
@@ -327,11 +379,25 @@
     def _address(router: str) -> str:
         return f"{router}:1"
 
+    def zone_of(self, router: str) -> str:
+        """Return a router's availability zone."""
+        return f"z{self.names.index(router) % self.zones}"
+
+    def is_connected(self, caller: str, called: str) -> bool:
+        """Whether two routers reach each other."""
+        if self.alone & {caller, called}:
+            return False
+        return (caller in self.apart) == (called in self.apart)
+
+    def node_of(self, router: str) -> "Node | None":
+        """Return a router's process; None if it does not run."""
+        return self.nodes.get(self._address(router))
+
     def _settings(self, router: str):
         table = types.SimpleNamespace
         return table(
-            router=table(name=router, zone="z"),
-            retries=table(ratio=0.2, slack=204.0, window_s=10.0),
+            router=table(name=router, zone=self.zone_of(router)),
+            retries=table(ratio=0.2, slack=self.retry_slack, window_s=10.0),
             caps=table(
                 window_s=CAP_BOUNDS.window_s,
                 slack=CAP_BOUNDS.slack,
@@ -351,12 +417,13 @@
     def start_router(self, router: str) -> None:
         """Start a process."""
         calls = EngineCalls(self, router)
+        document = model.Document(self.configured, b"{}")
         platform = daemon.Platform(
-            dialect=None,
+            dialect=self.dialect,
             store=stores.Client(self.store, router, self.now_s),
-            kinds=KINDS,
+            kinds=attrs.evolve(KINDS, read_document=lambda stored: document),
             encode=lambda document: b"{}",
-            decode=lambda content: model.Document(CONFIGURED, content),
+            decode=lambda content: document,
             engine_calls=lambda pool, clock: calls,
         )
         drawn = random.Random(self.rng.random())
@@ -375,6 +442,8 @@
                 peering.encode,
                 peering.logs,
                 peering.answer_cap,
+                peering.take_over,
+                peering.origin_keeper,
             ),
         )
         # The node serves no socket, so nothing would tell its exchanges
@@ -384,15 +453,15 @@
             for each in made.controllers()
         ]
         loop = asyncio.get_running_loop()
-        node.tasks = [loop.create_task(each) for each in running]
+        node.tasks = {loop.create_task(each) for each in running}
         self.nodes[self._address(router)] = node
+        self.on_start(node)
 
     def kill_router(self, router: str) -> None:
         """End a process at once."""
         node = self.nodes.pop(self._address(router), None)
         if node is not None:
-            for task in node.tasks:
-                task.cancel()
+            node.end()
 
     def state_of(self, router: str):
         """Return a router's tables."""
@@ -413,7 +482,7 @@
             self.now_s,
         )
         self.engines[engine.address] = engine
-        self._spawn(self._register(engine))
+        self.spawn(self._register(engine))
 
     async def _register(self, engine: virtual_engines.Engine) -> None:
         """Write its entry as long as it lives, and let old ones run out."""
@@ -480,7 +549,8 @@
     def _running(self, upstream: model.Upstream) -> int:
         return self.engines[upstream.address].running
 
-    def _spawn(self, coroutine) -> None:
+    def spawn(self, coroutine) -> None:
+        """Run a coroutine until the end of the run."""
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -493,7 +563,7 @@
             self._add_engine(number)
         for router in self.names:
             self.start_router(router)
-        self._spawn(self._work())
+        self.spawn(self._work())
 
     # Judgement.
 
--- /dev/null
+++ b/toucanrudder/testing/virtual/traffic.py
@@ -0,0 +1,250 @@
+"""Callers, and fleets of routers before plain services, on virtual time."""
+
+import asyncio
+from collections.abc import Callable
+import functools
+import itertools
+import random
+
+import attrs
+
+from toucanrudder.forwarding import model
+from toucanrudder.http1 import client
+from toucanrudder.http1 import message
+from toucanrudder.http1 import server
+from toucanrudder.testing.virtual import sites
+from toucanrudder.testing.virtual import workers
+
+#: Services of plain upstreams, each with a route for requests that may be
+#: repeated and one for those that may not.
+SERVICES = ("desk", "llm")
+
+
+def _routes(timeout_s: float, objective_s: float) -> tuple[model.Route, ...]:
+    return tuple(
+        model.Route(
+            f"{service} {repetition.value}",
+            "h",
+            f"/{service}/{repetition.value}/",
+            (model.Split(service),),
+            repetition,
+            max_upstreams=2 if repetition is not model.Repetition.ONCE else 1,
+            timeout_s=timeout_s,
+            objective_s=objective_s,
+        )
+        for service in SERVICES
+        for repetition in (model.Repetition.IDEMPOTENT, model.Repetition.ONCE)
+    )
+
+
+CONFIGURED = attrs.evolve(
+    sites.CONFIGURED,
+    routes=_routes(timeout_s=1.7, objective_s=0.16),
+    organisations=(),
+    services={
+        **sites.CONFIGURED.services,
+        **{service: model.Service(service) for service in SERVICES},
+    },
+)
+
+
+class CallerAnswer:
+    """What a caller receives."""
+
+    end_cause = server.EndCause.NONE
+
+    def __init__(self):
+        self.started = self.ended = False
+        self.status = 0
+        self.headers: message.Headers = ()
+
+    async def start(self, status: int, headers: message.Headers) -> None:
+        """Take the head."""
+        self.started, self.status, self.headers = True, status, headers
+
+    async def write(self, content: bytes) -> None:
+        """Take a piece of the body."""
+
+    async def end(self) -> None:
+        """Take the end."""
+        self.ended = True
+
+    async def send_whole(
+        self, status: int, headers: message.Headers, body: bytes
+    ) -> None:
+        """Take a complete answer."""
+        await self.start(status, headers)
+        await self.end()
+
+    def abort(self) -> None:
+        """Take a broken connection."""
+        self.status = 0
+
+
+@attrs.frozen
+class Outcome:
+    """The first attempt of a caller.
+
+    Parameters
+    ----------
+    at_s : float
+        Virtual time at which it was sent.
+    router, service : str
+        Where it was sent, and the service that it asked for.
+    status : int
+        Status of the answer; 0 if the connection was closed.
+    after_s : float
+        Time until the answer.
+    retry_after_s : float or None
+        When the caller may return, if it was told.
+    """
+
+    at_s: float
+    router: str
+    service: str
+    status: int
+    after_s: float
+    retry_after_s: float | None = None
+
+
+@attrs.define(eq=False)
+class Fleet:
+    """Routers before plain services, with callers.
+
+    Parameters
+    ----------
+    site : sites.Site
+        The routers.
+    workers_by_service : dict of str to int
+        How many upstreams each service has.
+
+    Attributes
+    ----------
+    arrivals : list of workers.Arrival
+        All requests that reached an upstream.
+    outcomes : list of Outcome
+        All that callers were told.
+    cut : set of str
+        Routers that reach no upstream.
+    is_refused : bool
+        Whether connections of those are refused at once.
+    """
+
+    site: sites.Site
+    workers_by_service: dict[str, int]
+    arrivals: list[workers.Arrival] = attrs.field(factory=list)
+    outcomes: list[Outcome] = attrs.field(factory=list)
+    cut: set[str] = attrs.field(factory=set)
+    is_refused: bool = False
+    by_address: dict[str, workers.Worker] = attrs.field(factory=dict)
+    _ids: itertools.count = attrs.field(factory=itertools.count)
+
+    def __attrs_post_init__(self):
+        self.site.configured = CONFIGURED
+        self.site.dialect = workers.PlainDialect()
+        self.site.on_start = self._connect_router
+        for service, count in self.workers_by_service.items():
+            for number in range(count):
+                self._add_worker(service, number)
+
+    def _add_worker(self, service: str, number: int) -> None:
+        worker = workers.Worker(
+            f"{service}-{number}",
+            service,
+            f"10.1.{SERVICES.index(service)}.{number + 1}:80",
+            self.arrivals,
+        )
+        self.by_address[worker.address] = worker
+
+    def of_service(self, service: str) -> list[workers.Worker]:
+        """Return the upstreams of a service."""
+        return [
+            worker
+            for worker in self.by_address.values()
+            if worker.service == service
+        ]
+
+    def start(self) -> None:
+        """Start all routers and register all upstreams."""
+        self.site.start()
+        for worker in self.by_address.values():
+            self.site.store.put(sites.UPSTREAMS, worker.name, worker.entry())
+
+    def _connect_router(self, node: sites.Node) -> None:
+        node.daemon.state.pool.connect = functools.partial(
+            self._connect, node.router
+        )
+
+    async def _hop(self) -> None:
+        await asyncio.sleep(self.site.hop_s())
+
+    async def _connect(
+        self, router: str, address: str, timeout_s: float
+    ) -> workers.Connection:
+        if router in self.cut:
+            fault = client.Fault.NOT_CONNECTED
+            if not self.is_refused:
+                await asyncio.sleep(timeout_s)
+                fault = client.Fault.CONNECT_TIMEOUT
+            raise client.ExchangeError(fault, sent=False)
+        await self._hop()
+        return workers.Connection(
+            router,
+            self.by_address[address],
+            self._hop,
+            lambda: router in self.cut,
+        )
+
+    async def send(self, router: str, path: str, wait_s: float = 1.7) -> None:
+        """Send a request to a router and note what comes of it."""
+        node = self.site.node_of(router)
+        began_s = self.site.now_s()
+        service = path.split("/")[1]
+        if node is None:
+            self.outcomes.append(Outcome(began_s, router, service, 0, 0.0))
+            return
+        head = message.RequestHead(
+            b"GET",
+            path.encode(),
+            (
+                (b"id", f"r{next(self._ids)}".encode()),
+                (b"wait", str(wait_s).encode()),
+            ),
+        )
+        answer = CallerAnswer()
+        request = server.Request(head, b"", began_s)
+        try:
+            await node.serve(node.daemon.forwarder.handle(request, answer))
+        except asyncio.CancelledError:
+            # The router was killed.
+            answer.abort()
+        retry_after = message.first_value(answer.headers, b"retry-after")
+        self.outcomes.append(
+            Outcome(
+                began_s,
+                router,
+                service,
+                answer.status,
+                self.site.now_s() - began_s,
+                None if retry_after is None else float(retry_after),
+            )
+        )
+
+    async def call(
+        self,
+        service: str,
+        per_s: float,
+        *,
+        seed: int,
+        once_share: float = 0.5,
+        choose: Callable[[random.Random, list[str]], str] = (
+            lambda rng, names: rng.choice(names)
+        ),
+    ) -> None:
+        """Send requests to routers drawn at random until cancelled."""
+        rng = random.Random(seed)
+        while True:
+            await asyncio.sleep(rng.expovariate(per_s))
+            kind = "once" if rng.random() < once_share else "idempotent"
+            router = choose(rng, self.site.names)
+            self.site.spawn(self.send(router, f"/{service}/{kind}/x"))
