--- a/toucanrudder/forwarding/execution.py
+++ b/toucanrudder/forwarding/execution.py
@@ -30,6 +30,9 @@
 from toucanrudder.observability import decisions
 from toucanrudder.observability import metrics
 
+#: Steps that begin another attempt.
+_BEGINNING_STEPS = (retry_policy.Step.RETRY, retry_policy.Step.CONTINUE)
+
 
 def record_duration(kind: str, outcome: str, seconds: float) -> None:
     """Record the duration of a finished request."""
@@ -396,7 +399,8 @@
         self._count_end(kind not in retry_policy.PROVES_NOT_RUN)
         was_sent = not is_unreached and not attempt.evidence.unsent
         step = self._apply_retry_budget(kind, self._step_after(kind), was_sent)
-        self._record_end(attempt, kind.value, step)
+        is_charged = was_sent and step in _BEGINNING_STEPS
+        self._record_end(attempt, kind.value, step, is_charged=is_charged)
         return step
 
     def _step_after(self, kind: retry_policy.FailureKind) -> retry_policy.Step:
@@ -424,6 +428,8 @@
         attempt: racing.Attempt,
         ended: str,
         step: retry_policy.Step,
+        *,
+        is_charged: bool = False,
     ) -> None:
         evidence = attempt.evidence
         decisions.record(
@@ -436,9 +442,11 @@
                 may_have_run=bool(self.progress.possible_runs),
                 events=self.progress.events,
                 next_step=step.value,
-                budget_left=self.state.retries_for(self.service).remaining(
-                    clock.now_s(), self.state.live_routers()
+                budget_left=self.state.retries_left(
+                    self.service, clock.now_s()
                 ),
+                budget_routers=self.state.live_routers(),
+                is_charged=is_charged,
                 carried_requests=evidence.carried_requests,
                 identity=evidence.identity.value,
                 silence=evidence.silence.value,
@@ -466,10 +474,7 @@
         was_sent: bool,
     ) -> retry_policy.Step:
         # An attempt that reached no upstream adds no load there.
-        begins = step in (
-            retry_policy.Step.RETRY,
-            retry_policy.Step.CONTINUE,
-        )
+        begins = step in _BEGINNING_STEPS
         if not begins or not was_sent or self._spend_retry(failure_kind):
             return step
         metrics.count_refusal("retry_budget_spent", retry_policy.STEP)
@@ -478,9 +483,9 @@
     def reserve_retry(self) -> bool:
         """Charge the retry budget for the next attempt, if it allows one."""
         if not self.has_reserved_retry:
-            self.has_reserved_retry = self.state.retries_for(
-                self.service
-            ).spend(clock.now_s(), self.state.live_routers())
+            self.has_reserved_retry = self.state.spend_retry(
+                self.service, clock.now_s()
+            )
         return self.has_reserved_retry
 
     def _spend_retry(self, cause: retry_policy.FailureKind) -> bool:
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -224,6 +224,14 @@
             self._retries[service] = window
         return window
 
+    def spend_retry(self, service: str, now_s: float) -> bool:
+        """Take a retry from this router's share; False if it is used up."""
+        return self.retries_for(service).spend(now_s, self.live_routers())
+
+    def retries_left(self, service: str, now_s: float) -> float:
+        """Return how many retries this router may make now."""
+        return self.retries_for(service).remaining(now_s, self.live_routers())
+
     def record_weights_version(
         self, name: str, version: int, now_s: float
     ) -> bool:
--- a/toucanrudder/observability/decisions.py
+++ b/toucanrudder/observability/decisions.py
@@ -230,7 +230,8 @@
 
     ``fault`` says how its connection ended, ``silent_s`` for how long nothing
     had arrived, and ``stalled_s`` for how much of that this router did not
-    run.
+    run.  ``is_charged`` says whether the step costs a retry, and
+    ``budget_routers`` by how many routers the slack for retries is divided.
     """
 
     request_id: str
@@ -242,6 +243,8 @@
     events: int
     next_step: str
     budget_left: float
+    budget_routers: int
+    is_charged: bool
     carried_requests: int
     identity: str
     silence: str
