--- a/toucanrudder/testing/virtual/traffic.py
+++ b/toucanrudder/testing/virtual/traffic.py
@@ -128,6 +128,8 @@
         Routers that reach no upstream.
     is_refused : bool
         Whether connections of those are refused at once.
+    dead : set of str
+        Addresses at which no connection can be opened.
     """
 
     site: sites.Site
@@ -136,6 +138,7 @@
     outcomes: list[Outcome] = attrs.field(factory=list)
     cut: set[str] = attrs.field(factory=set)
     is_refused: bool = False
+    dead: set[str] = attrs.field(factory=set)
     by_address: dict[str, workers.Worker] = attrs.field(factory=dict)
     _ids: itertools.count = attrs.field(factory=itertools.count)
 
@@ -181,7 +184,7 @@
     async def _connect(
         self, router: str, address: str, timeout_s: float
     ) -> workers.Connection:
-        if router in self.cut:
+        if router in self.cut or address in self.dead:
             fault = client.Fault.NOT_CONNECTED
             if not self.is_refused:
                 await asyncio.sleep(timeout_s)
