--- a/toucanrudder/forwarding/handover/handing.py
+++ b/toucanrudder/forwarding/handover/handing.py
@@ -91,6 +91,7 @@
             self._record_peer_lost()
             kind = retry_policy.FailureKind.BROKEN
             if not self.is_sent:
+                self._record_offered("none")
                 kind = retry_policy.FailureKind.NOT_REACHED
                 self.evidence.unsent = "peer_not_reached"
             raise relaying.AttemptFailed(kind) from error
@@ -108,6 +109,7 @@
         keeps_origin = exchange.keeps_software or execution.origin is None
         if verdict is handovers.Verdict.ACCEPTED and keeps_origin:
             return
+        self._record_offered(verdict.name.lower())
         if verdict is handovers.Verdict.UNREACHED:
             self._record_peer_lost()
         self.evidence.unsent = f"declined_{verdict.name.lower()}"
@@ -118,6 +120,31 @@
             kind = retry_policy.FailureKind.FULL
         raise relaying.AttemptFailed(kind)
 
+    def _record_offered(self, reply: str) -> None:
+        now_s = clock.now_s()
+        service = self.execution.service
+        peers = self.state.peers()
+        without = [
+            peer
+            for peer in peers
+            if self.state.peer_contacts.is_lost(peer.name, service, now_s)
+        ]
+        decisions.record(
+            decisions.Offered(
+                request_id=self.execution.call.request_id,
+                service=service,
+                peer=self.peer.name,
+                peer_zone=self.peer.zone,
+                reply=reply,
+                after_s=now_s - self.execution.request.began_s,
+                peers=len(peers),
+                peers_without=len(without),
+                zone_without=sum(
+                    peer.zone == self.state.zone for peer in without
+                ),
+            )
+        )
+
     def _record_peer_lost(self) -> None:
         self.state.peer_contacts.record_lost(
             self.peer.name, self.execution.service, clock.now_s()
--- a/toucanrudder/observability/decisions.py
+++ b/toucanrudder/observability/decisions.py
@@ -328,6 +328,25 @@
     took_s: float
 
 
+@attrs.frozen(kw_only=True)
+class Offered:
+    """A peer has declined, or not answered, the offer of a request.
+
+    Of the ``peers`` that could have been asked, ``peers_without`` are known
+    not to reach the service, and ``zone_without`` of those in this zone.
+    """
+
+    request_id: str
+    service: str
+    peer: str
+    peer_zone: str
+    reply: str
+    after_s: float
+    peers: int
+    peers_without: int
+    zone_without: int
+
+
 @attrs.frozen(kw_only=True)
 class HandedOver:
     """A peer has accepted a request whose service is not reached from here."""
@@ -460,6 +479,7 @@
     AnswerSilent,
     CrashSuspected,
     PartBlocked,
+    Offered,
     HandedOver,
     TakenOver,
     ContactChanged,
