Offer requests to more peers, and let idle routers learn of a cut

Cause: the search for a peer was built for a small fleet. Peers of the own zone are asked first, and these are cut off as well. Each offer that they declined counted as one of the four attempts of a request, though it costs a round trip and nothing is sent. That a peer is cut off was known for 3 s, but beyond 16 routers each is heard directly every few seconds, if at all. And a router that got no requests of a service did not know that it was cut off, took offers, and gave them back after 0.6 s.

Change: offers that are declined are no attempts, up to 32 of a request; a zone is preferred only while most of its peers reach the service; what a peer says counts until its next word, for 10 s at most; loss and return of contact are told at once; contact is probed as soon as it is in doubt: after a failed connection, or while a peer does not reach the service, or this router another one, and no connection was opened for 2 s.

--- a/toucanrudder/forwarding/attempts/attempt.py
+++ b/toucanrudder/forwarding/attempts/attempt.py
@@ -129,6 +129,7 @@
     choice: placing.Choice
     continues_copy: bool = False
     is_handed_over = False
+    is_declined = False
     is_sent: bool = False
     is_silent: bool = False
     sent_at_s: float = 0.0
--- a/toucanrudder/forwarding/choosing.py
+++ b/toucanrudder/forwarding/choosing.py
@@ -95,6 +95,8 @@
             return None
         if len(self.execution.request.body) > handovers.MAX_BODY_BYTES:
             return None
+        if len(self.execution.tried_peers) >= handover_choice.MAX_OFFERS:
+            return None
         if (
             self.execution.unreached_attempts >= handover_choice.MAX_UNREACHED
             or self.state.has_lost_contact(self.service, now_s)
--- a/toucanrudder/forwarding/execution.py
+++ b/toucanrudder/forwarding/execution.py
@@ -396,7 +396,8 @@
         attempt.record_failure(kind)
         is_unreached = kind is retry_policy.FailureKind.NOT_REACHED
         self.unreached_attempts += is_unreached and not attempt.is_handed_over
-        self._count_end(kind not in retry_policy.PROVES_NOT_RUN)
+        if not attempt.is_declined:
+            self._count_end(kind not in retry_policy.PROVES_NOT_RUN)
         was_sent = not is_unreached and not attempt.evidence.unsent
         step = self._apply_retry_budget(kind, self._step_after(kind), was_sent)
         is_charged = was_sent and step in _BEGINNING_STEPS
--- a/toucanrudder/forwarding/handover/choice.py
+++ b/toucanrudder/forwarding/handover/choice.py
@@ -19,6 +19,14 @@
 #: over although contact with the service does not count as lost yet.
 MAX_UNREACHED = 2
 
+#: Peers to which one request is offered.  An offer that is declined costs a
+#: round trip, and the peers of a whole availability zone may be cut off.
+MAX_OFFERS = 32
+
+#: Share of the peers of an availability zone that may be cut off from a
+#: service before peers of all zones are preferred alike.
+MAX_ZONE_LOST_SHARE = 0.5
+
 #: Peers to which a request is offered because the upstreams' slots that this
 #: router may use are taken; after that it waits or is refused here.
 MAX_OFFERS_FOR_ROOM = 2
@@ -107,13 +115,17 @@
     rng : random.Random
         Spreads requests over the peers.
     """
-    usable = [
+    in_reach = [
         peer
         for peer in peers
-        if peer.name not in excluded
-        and not contacts.is_lost(peer.name, service, now_s)
+        if not contacts.is_lost(peer.name, service, now_s)
     ]
+    usable = [peer for peer in in_reach if peer.name not in excluded]
     if not usable:
         return None
     near = [peer for peer in usable if peer.zone == zone]
+    zone_peers = sum(peer.zone == zone for peer in peers)
+    zone_in_reach = sum(peer.zone == zone for peer in in_reach)
+    if zone_in_reach < (1.0 - MAX_ZONE_LOST_SHARE) * zone_peers:
+        near = usable
     return rng.choice(near or usable)
--- a/toucanrudder/forwarding/handover/contact.py
+++ b/toucanrudder/forwarding/handover/contact.py
@@ -18,8 +18,14 @@
 #: Time for which a failed connection counts if it is not tried again.
 FAILURE_KEPT_S = 10.0
 
-#: Time for which a peer's word that it has lost contact counts.
-PEER_REPORT_KEPT_S = 3.0
+#: Time for which a peer's word that it has lost contact counts.  In a large
+#: fleet a peer may not be heard of directly again for seconds; its next word
+#: replaces this one.
+PEER_REPORT_KEPT_S = 10.0
+
+#: Time since the last new connection to a service after which contact with it
+#: is in doubt if others have lost theirs.
+PROVEN_S = 2.0
 
 
 @attrs.define(eq=False)
@@ -80,6 +86,31 @@
             LOST_UPSTREAMS, len(addresses)
         )
 
+    def is_in_doubt(
+        self, addresses: Iterable[str], now_s: float, *, others_lost: bool
+    ) -> bool:
+        """Return whether contact may be lost, and has to be probed.
+
+        Parameters
+        ----------
+        addresses : iterable of str
+            Upstreams of the service.
+        now_s : float
+            Monotonic time.
+        others_lost : bool
+            Whether a peer does not reach the service, or this router another
+            service.
+        """
+        addresses = list(addresses)
+        if self.failed(addresses, now_s):
+            return True
+        never_s = float("-inf")
+        connected_s = max(
+            (self._connected_s.get(each, never_s) for each in addresses),
+            default=never_s,
+        )
+        return others_lost and now_s - connected_s > PROVEN_S
+
     def retain(self, addresses: set[str]) -> None:
         """Forget all other addresses."""
         for known in (self._failed_s, self._connected_s):
@@ -100,7 +131,7 @@
     >>> contacts.replace("r2", ("llm",), now_s=1.0)
     >>> contacts.is_lost("r2", "llm", 2.0), contacts.is_lost("r2", "x", 2.0)
     (True, False)
-    >>> contacts.is_lost("r2", "llm", now_s=9.0)
+    >>> contacts.is_lost("r2", "llm", now_s=19.0)
     False
     """
 
--- a/toucanrudder/forwarding/handover/handing.py
+++ b/toucanrudder/forwarding/handover/handing.py
@@ -42,11 +42,17 @@
         The request with its earlier attempts.
     peer : routers.Member
         The router that reaches the service.
+
+    Attributes
+    ----------
+    is_declined : bool
+        Whether the peer has declined the offer.
     """
 
     execution: "executions.RequestExecution"
     peer: routers.Member
     is_handed_over = True
+    is_declined: bool = False
     is_sent: bool = False
     is_silent: bool = False
     software_version: str | None = None
@@ -109,6 +115,7 @@
         keeps_origin = exchange.keeps_software or execution.origin is None
         if verdict is handovers.Verdict.ACCEPTED and keeps_origin:
             return
+        self.is_declined = True
         self._record_offered(verdict.name.lower())
         if verdict is handovers.Verdict.UNREACHED:
             self._record_peer_lost()
--- a/toucanrudder/forwarding/handover/monitoring.py
+++ b/toucanrudder/forwarding/handover/monitoring.py
@@ -1,6 +1,7 @@
 """Controller that watches for loss and return of contact with services."""
 
 import asyncio
+from collections.abc import Collection
 import contextlib
 
 import attrs
@@ -34,17 +35,26 @@
         """Return the services that were out of reach at the last check."""
         return tuple(self._lost_since_s)
 
-    def check(self, now_s: float) -> None:
-        """Check all services and log the changes."""
+    def _services(self) -> Collection[str]:
         configuration = self.state.configuration
-        services = configuration.services if configuration else {}
+        return configuration.services if configuration else ()
+
+    def check(self, now_s: float) -> None:
+        """Check all services; log the changes and tell peers."""
+        before = set(self._lost_since_s)
+        self._check_services(now_s)
+        if before != set(self._lost_since_s):
+            self.state.tell_contact()
+
+    def _check_services(self, now_s: float) -> None:
+        services = self._services()
         registry = self.state.registry
         known = set()
         for service in services:
             upstreams = registry.for_service(service)
             known.update(upstream.address for upstream in upstreams)
             self._check_service(service, now_s)
-        for service in self._lost_since_s.keys() - services:
+        for service in self._lost_since_s.keys() - set(services):
             del self._lost_since_s[service]
         self.state.contact.retain(known)
 
@@ -72,17 +82,34 @@
             )
         )
 
-    async def run(self) -> None:
-        """Check all services until cancelled; probe those that are lost.
+    def services_to_probe(self, now_s: float) -> list[str]:
+        """Return the services with which contact is lost or in doubt.
 
         Requests for a lost service go to peers, so only the probes show
-        that contact has returned.
+        that contact has returned.  A router that gets few requests would
+        learn of a cut by the requests that fail, and accept those of peers
+        meanwhile.
         """
+        return [
+            service
+            for service in self._services()
+            if service in self._lost_since_s
+            or self.state.contact.is_in_doubt(
+                self.state.addresses(service),
+                now_s,
+                others_lost=bool(self._lost_since_s)
+                or bool(self.state.peer_contacts.count_lost(service, now_s)),
+            )
+        ]
+
+    async def run(self) -> None:
+        """Check all services until cancelled; probe contact in doubt."""
         while True:
-            self.check(clock.now_s())
+            now_s = clock.now_s()
+            self.check(now_s)
             await asyncio.gather(
                 asyncio.sleep(CHECK_INTERVAL_S),
-                *(self._probe(service) for service in self._lost_since_s),
+                *map(self._probe, self.services_to_probe(now_s)),
             )
 
     async def _probe(self, service: str) -> None:
--- a/toucanrudder/forwarding/peering.py
+++ b/toucanrudder/forwarding/peering.py
@@ -287,6 +287,7 @@
 
     state.tell_full = tell_full
     state.tell_crashes = client.start_broadcast
+    state.tell_contact = client.start_broadcast
     state.wait_for_first_news = functools.partial(
         client.wait_for_first_news, FIRST_NEWS_TIMEOUT_S
     )
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -86,6 +86,8 @@
     tell_full : callable
         Given an upstream's incarnation and a time in seconds, asks peers to
         send it nothing for so long.
+    tell_contact : callable
+        Tells peers at once which services are out of reach.
     tell_crashes : callable
         Tells peers at once which requests were in flight at crashes.
     wait_for_first_news : callable
@@ -126,6 +128,7 @@
         )
     )
     tell_full: Callable[[str, float], None] = lambda name, for_s: None
+    tell_contact: Callable[[], object] = lambda: None
     tell_crashes: Callable[[], object] = lambda: None
     wait_for_first_news: Callable[[], Awaitable[None]] = _no_news
     contact: contacts.ContactTable = attrs.field(factory=contacts.ContactTable)
--- a/toucanrudder/forwarding/tests/test_contact.py
+++ b/toucanrudder/forwarding/tests/test_contact.py
@@ -30,3 +30,43 @@
         else:
             table.record(f"{step[0]}:1", step[1] == "+", now_s)
     assert table.is_lost(ADDRESSES, now_s) is is_lost
+
+
+A, B = ADDRESSES[:2]
+
+DOUBTS = {
+    "never tried": ((), 9.0, False, False),
+    "reached long ago": (((A, True, 1.0),), 9.0, False, False),
+    "reached long ago, others lost theirs": (
+        ((A, True, 1.0),),
+        9.0,
+        True,
+        True,
+    ),
+    "reached just now, others lost theirs": (
+        ((A, True, 8.5),),
+        9.0,
+        True,
+        False,
+    ),
+    "one failed": (((A, False, 8.9),), 9.0, False, True),
+    "one failed, another was reached since": (
+        ((A, False, 8.8), (B, True, 8.9)),
+        9.0,
+        False,
+        False,
+    ),
+}
+
+
+@pytest.mark.parametrize(
+    ("results", "now_s", "others_lost", "is_in_doubt"),
+    DOUBTS.values(),
+    ids=DOUBTS,
+)
+def test_contact_in_doubt_is_probed(results, now_s, others_lost, is_in_doubt):
+    table = contact.ContactTable()
+    for address, is_connected, at_s in results:
+        table.record(address, is_connected, at_s)
+    found = table.is_in_doubt((A, B), now_s, others_lost=others_lost)
+    assert found is is_in_doubt
--- a/toucanrudder/forwarding/tests/test_handover_choice.py
+++ b/toucanrudder/forwarding/tests/test_handover_choice.py
@@ -71,3 +71,25 @@
         for seed in range(40)
     }
     assert {peer.name for peer in chosen if peer} == expected
+
+
+def test_no_zone_is_preferred_once_most_of_the_own_one_is_cut_off():
+    peers = PEERS + tuple(
+        routers.Member(name, f"{name}:1", 1, zone="za") for name in "ef"
+    )
+    contacts = contact.PeerContacts()
+    for name in "abe":
+        contacts.record_lost(name, "llm", now_s=10.0)
+    chosen = {
+        choice.choose_peer(
+            peers,
+            service="llm",
+            zone="za",
+            contacts=contacts,
+            excluded=(),
+            now_s=10.5,
+            rng=random.Random(seed),
+        ).name
+        for seed in range(40)
+    }
+    assert chosen == {"c", "d", "f"}
