--- a/toucanrudder/forwarding/attempts/attempt.py
+++ b/toucanrudder/forwarding/attempts/attempt.py
@@ -415,6 +415,8 @@
         self.state.brittle.record(
             upstream.service, facts.refusals_per_s, now_s
         )
+        if not facts.is_other_process:
+            self.state.record_rate_limit(upstream, facts.rate_limit_per_s)
         if facts.weights_version is not None and self.prompt:
             self.state.registry.update_weights(
                 upstream.incarnation,
--- a/toucanrudder/forwarding/dialect.py
+++ b/toucanrudder/forwarding/dialect.py
@@ -73,6 +73,9 @@
         None if it does not say so.
     weights_version : int or None
         Weights version that produced the answer.
+    rate_limit_per_s : float or None
+        Requests per second that the upstream takes from all routers together;
+        None if it does not say so, NaN if that cannot be read.
     """
 
     is_for_request: bool
@@ -84,6 +87,7 @@
     load: model.Load | None = None
     weights_version: int | None = None
     refusals_per_s: float | None = None
+    rate_limit_per_s: float | None = None
 
 
 class Dialect(abc.ABC):
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 import contextlib
+import math
 import random
 
 import attrs
@@ -92,6 +93,8 @@
         Tells peers at once which requests were in flight at crashes.
     wait_for_first_news : callable
         Waits until a router that has just started knows what peers know.
+    rate_limits : dict of str to float
+        Requests per second that upstreams say that they take, by incarnation.
     known_fleet : fleet_size.FleetSize
         Recent numbers of live routers.
     has_unknown_seeds : callable
@@ -152,6 +155,7 @@
     streams: resuming.StreamResumption = attrs.field(
         default=attrs.Factory(lambda self: self._streams(), takes_self=True)
     )
+    rate_limits: dict[str, float] = attrs.field(factory=dict)
     known_fleet: fleet_size.FleetSize = attrs.field(
         factory=fleet_size.FleetSize
     )
@@ -255,6 +259,28 @@
         routers, _ = self.known_fleet.largest(now_s)
         return fleet_size.FleetView(routers, not self.has_unknown_seeds())
 
+    def record_rate_limit(
+        self, upstream: model.Upstream, rate_per_s: float | None
+    ) -> None:
+        """Record the rate that an upstream's answer states; log changes."""
+        name = upstream.incarnation
+        if rate_per_s is not None and math.isnan(rate_per_s):
+            return
+        if rate_per_s == self.rate_limits.get(name):
+            return
+        if rate_per_s is None:
+            del self.rate_limits[name]
+        else:
+            self.rate_limits[name] = rate_per_s
+        decisions.record(
+            decisions.LimitStated(
+                upstream=name,
+                service=upstream.service,
+                rate_per_s=rate_per_s,
+                source="",
+            )
+        )
+
     def record_weights_version(
         self, name: str, version: int, now_s: float
     ) -> bool:
--- a/toucanrudder/http1/message.py
+++ b/toucanrudder/http1/message.py
@@ -1,6 +1,7 @@
 """Heads of requests and responses."""
 
 from collections.abc import Iterable
+import math
 
 import attrs
 
@@ -83,6 +84,23 @@
     return value if 0 <= value < float("inf") else None
 
 
+def stated_number(head: RequestHead | AnswerHead, name: bytes) -> float | None:
+    """Return the number in a field; None without the field.
+
+    NaN if the field has no finite number from zero.
+
+    Examples
+    --------
+    >>> head = AnswerHead(200, ((b"A", b"1.5"), (b"B", b"many")))
+    >>> [stated_number(head, name) for name in (b"a", b"b", b"c")]
+    [1.5, nan, None]
+    """
+    if head.get(name) is None:
+        return None
+    value = number(head, name)
+    return math.nan if value is None else value
+
+
 def end_to_end(headers: Headers, excluded: Iterable[bytes] = ()) -> Headers:
     """Return the header fields that a proxy passes on.
 
--- a/toucanrudder/observability/decisions.py
+++ b/toucanrudder/observability/decisions.py
@@ -328,6 +328,20 @@
     took_s: float
 
 
+@attrs.frozen(kw_only=True)
+class LimitStated:
+    """An upstream has changed the requests per second that it takes.
+
+    ``rate_per_s`` is None if it states no limit any more, and ``source`` is
+    the router that has told this one, if it was not an answer.
+    """
+
+    upstream: str
+    service: str
+    rate_per_s: float | None
+    source: str
+
+
 @attrs.frozen(kw_only=True)
 class Offered:
     """A peer has declined, or not answered, the offer of a request.
@@ -479,6 +493,7 @@
     AnswerSilent,
     CrashSuspected,
     PartBlocked,
+    LimitStated,
     Offered,
     HandedOver,
     TakenOver,
--- a/toucanrudder/platform/dialect.py
+++ b/toucanrudder/platform/dialect.py
@@ -17,7 +17,7 @@
     b"authorization tenant deadline-ms expect-instance expect-version"
     b" request-priority cache-salt kv-fetch-from kv-save-to kv-from kv-hold"
     b" kv-backup pin-ms last-event-id content-length instance-id"
-    b" not-executed server-seal server-load".split()
+    b" not-executed server-seal server-load server-limit".split()
 )
 
 #: Least urgent priority that upstreams accept; 0 is the most urgent.
@@ -153,6 +153,7 @@
             is_sealed=answer.get(b"server-seal") is not None,
             load=_parse_load(_text(answer, b"server-load")),
             refusals_per_s=message.number(answer, b"server-brittle"),
+            rate_limit_per_s=message.stated_number(answer, b"server-limit"),
             weights_version=int(version)
             if version and version.isascii() and version.isdecimal()
             else None,
--- a/toucanrudder/testing/virtual/workers.py
+++ b/toucanrudder/testing/virtual/workers.py
@@ -186,6 +186,7 @@
             is_for_request=answer.get(b"id") == call.request_id.encode(),
             has_not_run=answer.status == 503,
             is_sealed=True,
+            rate_limit_per_s=message.stated_number(answer, b"limit"),
         )
 
     def error_answer(self, error, request_id):
