Keep to the rates that upstreams state, by all routers together

What callers saw: nothing at once; an upstream in need was sent several times the requests a second that it said it takes (LIMIT).

Cause: nothing read the statement, so such an upstream was chosen as before.

Change: forwarding.rate_limits. Equal shares of such rates would be less than one request a minute in a large fleet, so they are not divided: one router at a time has the turn at an upstream, by the ranking that slots of brittle upstreams use, and sends from a token bucket (that of the usage caps) that starts empty. The others choose other upstreams or hand the request over to the router with the turn. The right to send is taken in the one place where every attempt is sent: first ones, retries, continuations, those of peers. A router in a part of the fleet uses the part of the rate. Routers that do not reach the service have no turn; it passes on if the statement is not renewed for 5 s. Once a limit ends, the rate doubles each second for 4 s before all may send. What has no room at any upstream is refused at once, with a delay after which an equal share of the rates admits a request, spread.

--- a/toucanrudder/forwarding/attempts/attempt.py
+++ b/toucanrudder/forwarding/attempts/attempt.py
@@ -213,6 +213,8 @@
 
     def record_failure(self, kind: retry_policy.FailureKind) -> None:
         """Update this router's view of the upstream after a failure."""
+        if kind is retry_policy.FailureKind.NO_ROOM:
+            return
         now_s = clock.now_s()
         upstream = self.choice.upstream
         name = upstream.incarnation
@@ -290,6 +292,9 @@
             ),
         )
         self.execution.refuse_if_quarantined()
+        if not self.state.spend_room(upstream, clock.now_s()):
+            self.evidence.unsent = retry_policy.FailureKind.NO_ROOM.value
+            raise relaying.AttemptFailed(retry_policy.FailureKind.NO_ROOM)
         self._record_placed(choice)
         crash_counts = self.state.crash_counts
         self.sent_parts = crash_counts.sent(self.execution.screen.parts)
--- a/toucanrudder/forwarding/attempts/retry_policy.py
+++ b/toucanrudder/forwarding/attempts/retry_policy.py
@@ -21,6 +21,9 @@
     NOT_REACHED = "not_reached"
     #: The upstream states that it has not run the request.
     FULL = "full"
+    #: The upstream's limit leaves no room for a request of this router;
+    #: nothing was sent.
+    NO_ROOM = "no_room"
     #: Another process serves the address now.
     NOT_THERE = "not_there"
     #: The upstream has other weights than the router expected.
@@ -40,6 +43,7 @@
     {
         FailureKind.NOT_REACHED,
         FailureKind.FULL,
+        FailureKind.NO_ROOM,
         FailureKind.NOT_THERE,
         FailureKind.OTHER_WEIGHTS,
     }
@@ -48,6 +52,7 @@
 _CODES = {
     FailureKind.NOT_REACHED: errors.Code.UPSTREAM_NOT_REACHED,
     FailureKind.FULL: errors.Code.QUEUE_FULL,
+    FailureKind.NO_ROOM: errors.Code.QUEUE_FULL,
     FailureKind.NOT_THERE: errors.Code.NO_UPSTREAM,
     FailureKind.OTHER_WEIGHTS: errors.Code.NO_UPSTREAM,
     FailureKind.BROKEN: errors.Code.UPSTREAM_FAILED,
--- a/toucanrudder/forwarding/brittleness.py
+++ b/toucanrudder/forwarding/brittleness.py
@@ -143,9 +143,10 @@
     _peers: tuple[routers.Member, ...] = ()
     _ownership: ownership.Ownership = attrs.field(factory=ownership.Ownership)
 
-    def _ranking(
+    def ranking(
         self, upstream: model.Upstream, peers: tuple[routers.Member, ...]
     ) -> Sequence[str]:
+        """Return the names of all routers in their order at an upstream."""
         if peers is not self._peers or not self._ownership.names:
             self._peers = peers
             self._ownership.update([self.name, *(peer.name for peer in peers)])
@@ -155,7 +156,7 @@
         self, upstream: model.Upstream, peers: tuple[routers.Member, ...]
     ) -> int:
         """Return how many slots of an upstream this router owns."""
-        ranking = self._ranking(upstream, peers)
+        ranking = self.ranking(upstream, peers)
         share, rest = divmod(upstream.slots, len(ranking))
         return share + (ranking.index(self.name) < rest)
 
@@ -163,7 +164,7 @@
         self, upstream: model.Upstream, peers: tuple[routers.Member, ...]
     ) -> Sequence[str]:
         """Return the names of the routers that own slots of an upstream."""
-        return self._ranking(upstream, peers)[: upstream.slots]
+        return self.ranking(upstream, peers)[: upstream.slots]
 
 
 def has_room(
--- a/toucanrudder/forwarding/choosing.py
+++ b/toucanrudder/forwarding/choosing.py
@@ -10,6 +10,7 @@
 from toucanrudder.forwarding import cache_feed
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import placing
+from toucanrudder.forwarding import rate_limits
 from toucanrudder.forwarding import state as states
 from toucanrudder.forwarding.attempts import attempt as attempts
 from toucanrudder.forwarding.attempts import retry_policy
@@ -121,7 +122,7 @@
 
     def _owners_of_room(self, now_s: float) -> list[routers.Member]:
         """Return peers that may have room if only this router has none."""
-        if self.state.brittle.limit_per_s(self.service, now_s) is None:
+        if not self.state.shares_room(self.service, now_s):
             return []
         candidates, usable = self._candidates(now_s)
         if usable:
@@ -133,7 +134,7 @@
             return []
         upstream = self.state.rng.choice(not_full).upstream
         peers = self.state.peers()
-        owners = set(self.state.slot_owners.owners(upstream, peers))
+        owners = set(self.state.owners_of_room(upstream, now_s))
         return [peer for peer in peers if peer.name in owners]
 
     async def choose_with_wait(self) -> placing.Choice:
@@ -153,11 +154,21 @@
                 return self.choose()
             except errors.RudderError as error:
                 is_full = error.code is errors.Code.QUEUE_FULL
-                if not is_full or is_last:
+                if not is_full or is_last or self._is_full_until(wait_until_s):
                     raise
             await asyncio.sleep(attempts.FULL_BACKOFF_S / 2)
             self.execution.refuse_if_quarantined()
 
+    def _is_full_until(self, until_s: float) -> bool:
+        """Whether no limit that upstreams state admits a request before."""
+        now_s = clock.now_s()
+        waits_s = [
+            self.state.wait_for_room_s(upstream, now_s)
+            for upstream in self.state.registry.for_service(self.service)
+            if not upstream.is_leaving
+        ]
+        return bool(waits_s) and now_s + min(waits_s) >= until_s
+
     def choose(self, *, beside: bool = False) -> placing.Choice:
         """Choose an upstream.
 
@@ -242,10 +253,25 @@
         if not self.route.is_stream or not is_run_once:
             # Resumable requests can safely be run again elsewhere.
             return None
+        unlimited = [
+            candidate
+            for candidate in candidates
+            if not self.state.has_limit(candidate.upstream, now_s)
+        ]
         return placing.choose_backup(
-            choice, self.call.prompt, engine, candidates, now_s
+            choice, self.call.prompt, engine, unlimited, now_s
         )
 
+    def _stated_rates(self, candidates) -> list[float]:
+        """Return the stated rates if all upstreams that stay state one."""
+        now_s = clock.now_s()
+        rates_per_s = [
+            self.state.limits.rate_per_s(candidate.upstream.incarnation, now_s)
+            for candidate in candidates
+            if not candidate.upstream.is_leaving
+        ]
+        return [] if None in rates_per_s else rates_per_s
+
     def _no_upstream_error(self, candidates) -> errors.RudderError:
         if self.execution.progress.possible_runs:
             return retry_policy.final_error(
@@ -268,6 +294,10 @@
         ):
             code = errors.Code.WEIGHTS_TOO_OLD
             retry_after_s = STALE_WEIGHTS_RETRY_AFTER_S
+        elif rates_per_s := self._stated_rates(candidates):
+            retry_after_s = rate_limits.retry_after_s(
+                rates_per_s, self.state.live_routers(), self.state.rng
+            )
         return errors.RudderError(
             code,
             "no upstream can accept the request now",
--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -144,6 +144,7 @@
             wait_s=conf.store.watch_wait_s,
             rng=self.rng,
         )
+        self.state.is_settled = self.store_watch.has_converged
         self.gate = self._cap_gate()
         self.peering.answer_cap = self.gate.answer
         self.receiver = taking.HandOverReceiver(self.state, platform.dialect)
@@ -283,6 +284,7 @@
             now_s = clock.now_s()
             self.store_watch.expire_missing(now_s)
             self.state.fleet(now_s)
+            self.state.limits.retain(self.state.registry.incarnations)
             self.state.streams.observe(now_s)
             self.state.crash_counts.record_blocked(time.time())
 
--- a/toucanrudder/forwarding/handover/taking.py
+++ b/toucanrudder/forwarding/handover/taking.py
@@ -105,7 +105,7 @@
     def _receiver(self, offer: handovers.Offer) -> choice.Receiver:
         now_s = clock.now_s()
         has_room = True
-        if self.state.brittle.limit_per_s(offer.service, now_s) is not None:
+        if self.state.shares_room(offer.service, now_s):
             _, usable = self.state.usable_candidates(
                 offer.service, None, now_s
             )
--- a/toucanrudder/forwarding/peering.py
+++ b/toucanrudder/forwarding/peering.py
@@ -109,6 +109,27 @@
             for service, statement in self.state.brittle.current(now_s).items()
         )
 
+    def limited(self, now_s: float) -> tuple[messages.Limited, ...]:
+        """Return the limits that upstreams state, as far as known."""
+        return tuple(
+            messages.Limited(
+                name, statement.stated_rate_per_s, now_s - statement.at_s
+            )
+            for name, statement in self.state.limits.current(now_s).items()
+        )
+
+    def _merge_limits(
+        self, heartbeat: messages.Heartbeat, now_s: float
+    ) -> None:
+        known = self.state.registry.incarnations
+        for entry in heartbeat.limited:
+            if entry.upstream in known and self.state.limits.merge(
+                entry.upstream, entry.rate_per_s, now_s - entry.age_s
+            ):
+                self.state.record_limit_news(
+                    entry.upstream, heartbeat.sender.name
+                )
+
     def _merge_brittle(
         self, heartbeat: messages.Heartbeat, now_s: float
     ) -> None:
@@ -134,6 +155,7 @@
         self.state.streams.software.merge(heartbeat.software, now_s)
         self._merge_store_outages(heartbeat, now_s)
         self._merge_brittle(heartbeat, now_s)
+        self._merge_limits(heartbeat, now_s)
         self.state.peer_contacts.replace(
             heartbeat.sender.name, heartbeat.unreached, now_s
         )
@@ -256,6 +278,7 @@
         full=lambda _: gossip.full(clock.now_s()),
         software=lambda _: state.streams.news(clock.now_s()),
         fleet=lambda _: gossip.fleet(clock.now_s()),
+        limited=lambda _: gossip.limited(clock.now_s()),
         on_upstream_news=lambda heartbeat, _: gossip.merge(
             heartbeat, clock.now_s()
         ),
@@ -288,6 +311,7 @@
     state.tell_full = tell_full
     state.tell_crashes = client.start_broadcast
     state.tell_contact = client.start_broadcast
+    state.tell_limits = client.start_broadcast
     state.wait_for_first_news = functools.partial(
         client.wait_for_first_news, FIRST_NEWS_TIMEOUT_S
     )
--- a/toucanrudder/forwarding/rate_limits.py
+++ b/toucanrudder/forwarding/rate_limits.py
@@ -11,8 +11,8 @@
 
 An upstream that nobody may ask cannot say that it needs no limit any more.  So
 the turn passes to the next router if the statement has not been renewed for
-`TURN_S`.  Once an answer states no limit, routers use the upstream again with
-a probability that grows over `RAMP_S`.
+`TURN_S`.  Once an answer states no limit, the upstream is idle and all routers
+would choose it; so its rate grows for `RAMP_S` before they may.
 """
 
 from collections.abc import Iterable
@@ -22,7 +22,6 @@
 import attrs
 
 from toucanrudder.admission import caps
-from toucanrudder.forwarding import model
 
 #: Age of a statement from which the next router in rank has the turn.
 TURN_S = 5.0
@@ -34,8 +33,10 @@
 #: Time for which a token bucket fills at most; one request if that is less.
 BURST_S = 0.5
 
-#: Time after the last statement until an upstream is used as any other.
+#: Time from the end of a limit until the upstream is used as any other, and
+#: the factor by which its rate grows each second until then.
 RAMP_S = 4.0
+RAMP_GROWTH = 2.0
 
 #: Time for which the end of a limit is kept, so that no older statement of a
 #: peer revives it.
@@ -54,14 +55,33 @@
 
     Parameters
     ----------
-    rate_per_s : float or None
-        Requests per second that it takes; None if it states no limit.
+    rate_per_s : float
+        Requests per second that it takes, or took before the limit ended.
     at_s : float
-        Monotonic time of the answer.
+        Monotonic time of the answer, the first one without a limit if it has
+        ended.
+    is_ended : bool
+        Whether it states no limit any more.
     """
 
-    rate_per_s: float | None
+    rate_per_s: float
     at_s: float
+    is_ended: bool = False
+
+    @property
+    def stated_rate_per_s(self) -> float | None:
+        """The rate that it states now."""
+        return None if self.is_ended else self.rate_per_s
+
+    def current_rate_per_s(self, now_s: float) -> float | None:
+        """Return the rate to keep to; None if there is none."""
+        rate_per_s = max(MIN_RATE_PER_S, self.rate_per_s)
+        if not self.is_ended:
+            return rate_per_s
+        ended_for_s = max(0.0, now_s - self.at_s)
+        if ended_for_s >= RAMP_S:
+            return None
+        return rate_per_s * RAMP_GROWTH**ended_for_s
 
 
 @attrs.frozen
@@ -120,36 +140,42 @@
         now_s : float
             Monotonic time.
         """
-        known = self._statements.get(upstream)
-        known_rate_per_s = known.rate_per_s if known else None
         if rate_per_s is not None and math.isnan(rate_per_s):
             return False
-        if rate_per_s is None and known_rate_per_s is None:
-            return False
-        self._set(upstream, Statement(rate_per_s, now_s))
-        return rate_per_s != known_rate_per_s
+        return self._set(upstream, rate_per_s, now_s)
 
     def merge(
         self, upstream: str, rate_per_s: float | None, said_at_s: float
     ) -> bool:
-        """Record a peer's word unless it is not newer; return if it is news."""
+        """Record a peer's word if it is newer; return whether it is news."""
         known = self._statements.get(upstream)
         if known is not None and said_at_s - known.at_s < SAME_AGE_S:
             return False
-        self._set(upstream, Statement(rate_per_s, said_at_s))
-        return rate_per_s != (known.rate_per_s if known else None)
+        return self._set(upstream, rate_per_s, said_at_s)
 
-    def _set(self, upstream: str, statement: Statement) -> None:
+    def _set(
+        self, upstream: str, rate_per_s: float | None, at_s: float
+    ) -> bool:
+        known = self._statements.get(upstream)
+        stated_per_s = known.stated_rate_per_s if known else None
+        if rate_per_s is None and stated_per_s is None:
+            return False
+        if rate_per_s is None:
+            statement = Statement(stated_per_s, at_s, is_ended=True)
+        else:
+            statement = Statement(rate_per_s, at_s)
         self._statements[upstream] = statement
-        if statement.rate_per_s is None:
-            self._buckets.pop(upstream, None)
+        return rate_per_s != stated_per_s
 
-    def rate_per_s(self, upstream: str) -> float | None:
-        """Return the rate of an upstream; None if it states no limit."""
+    def rate_per_s(self, upstream: str, now_s: float) -> float | None:
+        """Return the rate to keep to at an upstream; None if there is none."""
         statement = self._statements.get(upstream)
-        if statement is None or statement.rate_per_s is None:
-            return None
-        return max(MIN_RATE_PER_S, statement.rate_per_s)
+        return statement and statement.current_rate_per_s(now_s)
+
+    def stated_rate_per_s(self, upstream: str) -> float | None:
+        """Return the rate that an upstream states; None if it states none."""
+        statement = self._statements.get(upstream)
+        return statement and statement.stated_rate_per_s
 
     def turns(self, upstream: str, now_s: float) -> int:
         """Return how often the turn has passed on since the last statement."""
@@ -162,7 +188,7 @@
 
     def wait_s(self, upstream: str, turn: Turn, now_s: float) -> float:
         """Return the time until this router may send; inf without a turn."""
-        rate_per_s = self.rate_per_s(upstream)
+        rate_per_s = self.rate_per_s(upstream, now_s)
         if rate_per_s is None:
             return 0.0
         if not turn.is_own:
@@ -175,7 +201,7 @@
 
     def spend(self, upstream: str, turn: Turn, now_s: float) -> bool:
         """Take the right to send one request; return whether there is one."""
-        if self.rate_per_s(upstream) is None:
+        if self.rate_per_s(upstream, now_s) is None:
             return True
         if not self.may_send(upstream, turn, now_s):
             return False
@@ -188,23 +214,10 @@
             bucket = self._buckets[upstream] = caps.TokenBucket(0.0, now_s)
         return bucket
 
-    def is_ramping(
-        self, upstream: str, now_s: float, rng: random.Random
-    ) -> bool:
-        """Draw whether to pass over an upstream whose limit has just ended.
-
-        It is idle, so that without this all routers would choose it.
-        """
-        statement = self._statements.get(upstream)
-        if statement is None or statement.rate_per_s is not None:
-            return False
-        return rng.random() >= (now_s - statement.at_s) / RAMP_S
-
     def current(self, now_s: float) -> dict[str, Statement]:
         """Return the statements to tell peers, by upstream."""
         for name, statement in list(self._statements.items()):
-            is_ended = statement.rate_per_s is None
-            if is_ended and now_s - statement.at_s >= ENDED_KEPT_S:
+            if statement.is_ended and now_s - statement.at_s >= ENDED_KEPT_S:
                 del self._statements[name]
         return dict(self._statements)
 
@@ -245,14 +258,3 @@
     """
     wait_s = routers / max(MIN_RATE_PER_S, sum(rates_per_s))
     return round(min(MAX_RETRY_AFTER_S, wait_s * rng.uniform(1.0, 2.0)), 3)
-
-
-def limited(
-    upstreams: Iterable[model.Upstream], limits: RateLimits
-) -> list[model.Upstream]:
-    """Return the upstreams that state a limit."""
-    return [
-        upstream
-        for upstream in upstreams
-        if limits.rate_per_s(upstream.incarnation) is not None
-    ]
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Sequence
 import contextlib
-import math
 import random
 
 import attrs
@@ -18,6 +18,7 @@
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import placing
 from toucanrudder.forwarding import poison
+from toucanrudder.forwarding import rate_limits
 from toucanrudder.forwarding import registry as registries
 from toucanrudder.forwarding import rollout
 from toucanrudder.forwarding import routing
@@ -93,8 +94,10 @@
         Tells peers at once which requests were in flight at crashes.
     wait_for_first_news : callable
         Waits until a router that has just started knows what peers know.
-    rate_limits : dict of str to float
-        Requests per second that upstreams say that they take, by incarnation.
+    tell_limits : callable
+        Tells peers at once which limits upstreams state.
+    is_settled : callable
+        Returns whether all live routers are probably known.
     known_fleet : fleet_size.FleetSize
         Recent numbers of live routers.
     has_unknown_seeds : callable
@@ -155,7 +158,11 @@
     streams: resuming.StreamResumption = attrs.field(
         default=attrs.Factory(lambda self: self._streams(), takes_self=True)
     )
-    rate_limits: dict[str, float] = attrs.field(factory=dict)
+    limits: rate_limits.RateLimits = attrs.field(
+        factory=rate_limits.RateLimits
+    )
+    tell_limits: Callable[[], object] = lambda: None
+    is_settled: Callable[[], bool] = lambda: True
     known_fleet: fleet_size.FleetSize = attrs.field(
         factory=fleet_size.FleetSize
     )
@@ -262,23 +269,90 @@
     def record_rate_limit(
         self, upstream: model.Upstream, rate_per_s: float | None
     ) -> None:
-        """Record the rate that an upstream's answer states; log changes."""
+        """Record the rate that an upstream's answer states; tell peers."""
         name = upstream.incarnation
-        if rate_per_s is not None and math.isnan(rate_per_s):
-            return
-        if rate_per_s == self.rate_limits.get(name):
-            return
-        if rate_per_s is None:
-            del self.rate_limits[name]
-        else:
-            self.rate_limits[name] = rate_per_s
+        if self.limits.record(name, rate_per_s, clock.now_s()):
+            self.record_limit_news(name)
+            self.tell_limits()
+
+    def record_limit_news(self, incarnation: str, source: str = "") -> None:
+        """Log that the limit of an upstream has changed."""
+        upstream = self.registry.get(incarnation)
         decisions.record(
             decisions.LimitStated(
-                upstream=name,
-                service=upstream.service,
-                rate_per_s=rate_per_s,
-                source="",
+                upstream=incarnation,
+                service=upstream.service if upstream else "",
+                rate_per_s=self.limits.stated_rate_per_s(incarnation),
+                source=source,
+            )
+        )
+
+    def has_limit(self, upstream: model.Upstream, now_s: float) -> bool:
+        """Whether routers keep to a rate at an upstream."""
+        name = upstream.incarnation
+        return self.limits.rate_per_s(name, now_s) is not None
+
+    def turn_holder(self, upstream: model.Upstream, now_s: float) -> str:
+        """Return the router that may use an upstream that states a limit.
+
+        Routers that do not reach the service have no turn.
+        """
+        service = upstream.service
+        ranking = self.slot_owners.ranking(upstream, self.peers())
+        in_reach = [
+            name
+            for name in ranking
+            if not (
+                self.has_lost_contact(service, now_s)
+                if name == self.name
+                else self.peer_contacts.is_lost(name, service, now_s)
             )
+        ] or ranking
+        turns = self.limits.turns(upstream.incarnation, now_s)
+        return in_reach[turns % len(in_reach)]
+
+    def _turn(
+        self, upstream: model.Upstream, now_s: float
+    ) -> rate_limits.Turn:
+        is_own = (
+            not self.stopping
+            and self.is_settled()
+            and self.turn_holder(upstream, now_s) == self.name
+        )
+        share = self.live_routers() / self.fleet(now_s).routers
+        return rate_limits.Turn(is_own, share)
+
+    def wait_for_room_s(self, upstream: model.Upstream, now_s: float) -> float:
+        """Return the time until an upstream's limit admits a request."""
+        if not self.has_limit(upstream, now_s):
+            return 0.0
+        return self.limits.wait_s(
+            upstream.incarnation, self._turn(upstream, now_s), now_s
+        )
+
+    def spend_room(self, upstream: model.Upstream, now_s: float) -> bool:
+        """Take the right to send an upstream one request, if there is one."""
+        if not self.has_limit(upstream, now_s):
+            return True
+        return self.limits.spend(
+            upstream.incarnation, self._turn(upstream, now_s), now_s
+        )
+
+    def owners_of_room(
+        self, upstream: model.Upstream, now_s: float
+    ) -> Collection[str]:
+        """Return the routers that may have room at an upstream."""
+        if self.has_limit(upstream, now_s):
+            return (self.turn_holder(upstream, now_s),)
+        return self.slot_owners.owners(upstream, self.peers())
+
+    def shares_room(self, service: str, now_s: float) -> bool:
+        """Whether room at a service is divided among the routers."""
+        if self.brittle.limit_per_s(service, now_s) is not None:
+            return True
+        return not self.limits.is_empty and any(
+            self.has_limit(upstream, now_s)
+            for upstream in self.registry.for_service(service)
         )
 
     def record_weights_version(
@@ -365,7 +439,7 @@
             service, prompt, stalls.running_s(), origin
         )
         usable = placing.usable_candidates(
-            candidates, now_s, self.pace.bound_s
+            self._within_limits(candidates, now_s), now_s, self.pace.bound_s
         )
         if self.brittle.limit_per_s(service, now_s) is not None:
             usable = placing.with_room(
@@ -373,6 +447,18 @@
             )
         return candidates, usable
 
+    def _within_limits(
+        self, candidates: Sequence[placing.Candidate], now_s: float
+    ) -> Sequence[placing.Candidate]:
+        """Return the candidates whose limits admit a request now."""
+        if self.limits.is_empty:
+            return candidates
+        return [
+            candidate
+            for candidate in candidates
+            if self.wait_for_room_s(candidate.upstream, now_s) <= 0
+        ]
+
     def candidates(
         self,
         service: str,
--- a/toucanrudder/peers/messages.py
+++ b/toucanrudder/peers/messages.py
@@ -140,6 +140,26 @@
     versions: tuple[SoftwareVersion, ...] = ()
 
 
+@attrs.frozen
+class Limited:
+    """An upstream that states how many requests it takes.
+
+    Parameters
+    ----------
+    upstream : str
+        Identity of the process.
+    rate_per_s : float or None
+        Requests per second from all routers; None if it states no limit any
+        more.
+    age_s : float
+        Seconds since its answer.
+    """
+
+    upstream: str
+    rate_per_s: float | None
+    age_s: float
+
+
 @attrs.frozen
 class FleetSize:
     """A number of routers that were live at one time.
@@ -200,6 +220,8 @@
         Software versions that the sender has seen.
     fleet : FleetSize or None
         Largest number of live routers that the sender knows of.
+    limited : tuple of Limited
+        Upstream processes that state, or stated, how many requests they take.
     """
 
     sender: routers.Member
@@ -221,6 +243,7 @@
     full: tuple[Avoided, ...] = ()
     software: SoftwareNews = SoftwareNews()
     fleet: FleetSize | None = None
+    limited: tuple[Limited, ...] = ()
 
 
 def to_wire(heartbeat: Heartbeat) -> peers_pb2.Heartbeat:
@@ -278,6 +301,14 @@
         full=_avoided_to_wire(heartbeat.full),
         software=_software_to_wire(heartbeat.software),
         fleet=_fleet_to_wire(heartbeat.fleet),
+        limited=[
+            peers_pb2.LimitedUpstream(
+                upstream=limited.upstream,
+                rate_per_s=limited.rate_per_s,
+                age_s=limited.age_s,
+            )
+            for limited in heartbeat.limited
+        ],
     )
 
 
@@ -335,6 +366,10 @@
             full=_avoided_from_wire(message.full),
             software=_software_from_wire(message.software),
             fleet=_fleet_from_wire(message),
+            limited=tuple(
+                _limited_from_wire(limited)
+                for limited in message.limited[:MAX_LOADS]
+            ),
         )
     except ValueError as error:
         raise BadHeartbeat(str(error)) from error
@@ -367,6 +402,13 @@
     return Served(_duration_s(served.for_s), _duration_s(served.age_s))
 
 
+def _limited_from_wire(message: peers_pb2.LimitedUpstream) -> Limited:
+    rate_per_s = None
+    if message.HasField("rate_per_s"):
+        rate_per_s = _duration_s(message.rate_per_s)
+    return Limited(message.upstream, rate_per_s, _duration_s(message.age_s))
+
+
 def _fleet_to_wire(fleet: FleetSize | None) -> peers_pb2.FleetSize | None:
     if fleet is None:
         return None
--- a/toucanrudder/peers/node.py
+++ b/toucanrudder/peers/node.py
@@ -63,7 +63,7 @@
     on_hot_prefixes : callable
         Given a peer's name, hot prefixes and total rate, and the monotonic
         time.
-    leaving_upstreams, avoided, unreached, brittle, full : callable
+    leaving_upstreams, avoided, unreached, brittle, full, limited : callable
         Given the monotonic time, return these fields of the heartbeat.
     registry : callable
         Given the monotonic time, returns when the registry served calls.
@@ -98,6 +98,7 @@
     unreached: Callable[[float], tuple[str, ...]] = lambda now_s: ()
     brittle: Callable[[float], tuple[messages.Brittle, ...]] = lambda now_s: ()
     full: Callable[[float], tuple[messages.Avoided, ...]] = lambda now_s: ()
+    limited: Callable[[float], tuple[messages.Limited, ...]] = lambda now_s: ()
     registry: Callable[[float], messages.Served | None] = lambda now_s: None
     weights: Callable[[], tuple[messages.Weights, ...]] = tuple
     software: Callable[[float], messages.SoftwareNews] = lambda now_s: (
@@ -253,6 +254,7 @@
             weights=self._hooks.weights(),
             software=self._hooks.software(now_s),
             fleet=self._hooks.fleet(now_s),
+            limited=self._hooks.limited(now_s),
         )
 
     def receive(
