Keep counting on the whole fleet once a seed falls silent

A router that had known all others took its view for incomplete when one of the seeds failed within three windows of its own start, and kept to a fifth of its slack for retries, though it remembers the size of the fleet. The test fails without the change.

--- a/toucanrudder/forwarding/attempts/tests/test_retry_window.py
+++ b/toucanrudder/forwarding/attempts/tests/test_retry_window.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from toucanrudder.forwarding import state as states
 from toucanrudder.forwarding.attempts import retry_window
 from toucanrudder.membership import fleet_size
 
@@ -112,3 +113,13 @@
 ):
     window = retry_window.RetryWindow(BOUNDS, 50.0)
     assert count_granted(window, 61.0, fleet) == granted
+
+
+def test_a_router_that_has_known_all_others_remembers_them():
+    state = states.ForwardingState("r1", "", random.Random(1), BOUNDS)
+    state.has_unknown_seeds, state.live_routers = lambda: True, lambda: 4
+    assert state.fleet(1.0) == fleet_size.FleetView(4, is_complete=False)
+    state.has_unknown_seeds, state.live_routers = lambda: False, lambda: 8
+    assert state.fleet(2.0) == fleet_size.FleetView(8)
+    state.has_unknown_seeds, state.live_routers = lambda: True, lambda: 1
+    assert state.fleet(3.0) == fleet_size.FleetView(8)
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -172,6 +172,7 @@
     stopping_since_s: float = float("inf")
     stop_at_s: float = float("inf")
     open_requests: int = 0
+    _has_known_all: bool = False
     _table: routing.RoutingTable | None = None
     _retries: dict[str, retry_window.RetryWindow] = attrs.field(factory=dict)
 
@@ -264,7 +265,10 @@
         """Return the size of the fleet, routers out of reach included."""
         self.known_fleet.record(self.live_routers(), now_s, now_s)
         routers, _ = self.known_fleet.largest(now_s)
-        return fleet_size.FleetView(routers, not self.has_unknown_seeds())
+        # A router that falls silent later is remembered.
+        if not self._has_known_all:
+            self._has_known_all = not self.has_unknown_seeds()
+        return fleet_size.FleetView(routers, self._has_known_all)
 
     def record_rate_limit(
         self, upstream: model.Upstream, rate_per_s: float | None
