--- a/toucanrudder/forwarding/handover/contact.py
+++ b/toucanrudder/forwarding/handover/contact.py
@@ -137,6 +137,11 @@
 
     _reported_s: dict[tuple[str, str], float] = attrs.field(factory=dict)
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no peer has reported a service as lost recently."""
+        return not self._reported_s
+
     def replace(
         self, peer: str, services: Iterable[str], now_s: float
     ) -> None:
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 import contextlib
+import itertools
 import random
 
 import attrs
@@ -299,32 +300,34 @@
     def turn_holder(self, upstream: model.Upstream, now_s: float) -> str:
         """Return the router that may use an upstream that states a limit.
 
-        Routers that do not reach the service have no turn.
+        Routers that do not reach the service are passed over.
         """
-        service = upstream.service
-        ranking = self.slot_owners.ranking(upstream, self.peers())
-        in_reach = [
-            name
-            for name in ranking
-            if not (
-                self.has_lost_contact(service, now_s)
-                if name == self.name
-                else self.peer_contacts.is_lost(name, service, now_s)
-            )
-        ] or ranking
-        turns = self.limits.turns(upstream.incarnation, now_s)
-        return in_reach[turns % len(in_reach)]
+        names = self.slot_owners.ranking(upstream, self.peers())
+        first = self.limits.turns(upstream.incarnation, now_s) % len(names)
+        if self.contact.is_faultless and self.peer_contacts.is_empty:
+            return names[first]
+        for name in itertools.chain(names[first:], names[:first]):
+            if not self._is_out_of_reach(name, upstream.service, now_s):
+                return name
+        return names[first]
+
+    def _is_out_of_reach(self, name: str, service: str, now_s: float) -> bool:
+        """Whether a router, this one or a peer, does not reach a service."""
+        if name == self.name:
+            return self.has_lost_contact(service, now_s)
+        return self.peer_contacts.is_lost(name, service, now_s)
 
     def _turn(
         self, upstream: model.Upstream, now_s: float
     ) -> rate_limits.Turn:
-        is_own = (
-            not self.stopping
-            and self.is_settled()
-            and self.turn_holder(upstream, now_s) == self.name
-        )
+        if (
+            self.stopping
+            or not self.is_settled()
+            or self.turn_holder(upstream, now_s) != self.name
+        ):
+            return rate_limits.Turn(is_own=False)
         share = self.live_routers() / self.fleet(now_s).routers
-        return rate_limits.Turn(is_own, share)
+        return rate_limits.Turn(is_own=True, share=share)
 
     def wait_for_room_s(self, upstream: model.Upstream, now_s: float) -> float:
         """Return the time until an upstream's limit admits a request."""
