Let an upstream of the soak state a limit

A desk states 1.5 requests a second for half of each soak; the new oracle counts its arrivals from all routers in 4 s, but for windows near a disturbance of a router.

--- a/toucanrudder/platform/testing/soaking.py
+++ b/toucanrudder/platform/testing/soaking.py
@@ -236,6 +236,7 @@
         self._goes = asyncio.Event()
         self._goes.set()
         self.path_delay_s = 0.0
+        self.limit: records.StatedLimit | None = None
         self.on_loaded: Callable[[], None] = lambda: None
         self._loading: asyncio.Task | None = None
 
@@ -246,6 +247,15 @@
     def _report(self) -> dict:
         return super()._report() | {"active": self._running}
 
+    def answer_headers(self, run: standins.Run) -> tuple:
+        """Return the headers of an answer, with the limit if it states one."""
+        headers = super().answer_headers(run)
+        if self.limit is None:
+            return headers
+        self.limit.from_s = min(self.limit.from_s, time.monotonic())
+        rate = str(self.limit.rate_per_s).encode()
+        return (*headers, (b"Server-Limit", rate))
+
     def stand_still(self) -> None:
         """Do nothing, as a stopped process, until `go_on`."""
         self._goes.clear()
@@ -262,6 +272,8 @@
             self.shared.record.arrivals.append(
                 (time.monotonic(), self.service, request_id.decode())
             )
+            if self.limit is not None:
+                self.limit.arrivals_s.append(time.monotonic())
         await super().handle(request, answer)
 
     async def _order(self, order: dict, answer) -> None:
--- a/toucanrudder/soak/faults.py
+++ b/toucanrudder/soak/faults.py
@@ -26,6 +26,9 @@
 POISON_TRIES = 8
 POISON_PAUSE_S = 0.6
 
+#: Requests per second that an upstream in need takes.
+LIMIT_PER_S = 1.5
+
 #: Standstills in a row, and the time between two.
 STANDSTILLS = 4
 STANDSTILL_PAUSE_S = 0.5
@@ -235,6 +238,20 @@
                 engine.path_delay_s = PATH_DELAY_S
                 engine.go_on()
 
+    async def _limit(self, step: plans.Step) -> None:
+        """Let an upstream state a limit in all its answers."""
+        plain = [
+            upstream.standin
+            for upstream in self._site.upstreams
+            if upstream.standin.service == soaking.PLAIN_SERVICE
+        ]
+        standin = plain[int(step.draw * len(plain))]
+        limit = records.StatedLimit(standin.incarnation, LIMIT_PER_S)
+        self._site.record.limits.append(limit)
+        standin.limit = limit
+        await asyncio.sleep(step.for_s)
+        standin.limit, limit.until_s = None, time.monotonic()
+
     async def _sick(self, step: plans.Step) -> None:
         upstream = self._upstream(step)
         if upstream is None:
@@ -358,4 +375,5 @@
     plans.Fault.POISON_PART: Injector._poisoned_part,
     plans.Fault.STANDSTILL: Injector._stand_still,
     plans.Fault.UPSTREAM_STANDSTILL: Injector._upstreams_stand_still,
+    plans.Fault.LIMIT: Injector._limit,
 }
--- a/toucanrudder/soak/mutants.py
+++ b/toucanrudder/soak/mutants.py
@@ -173,6 +173,12 @@
         "        return self.has_reserved_retry\n",
         "        return True\n",
     ),
+    Mutant(
+        "rates that upstreams state are not kept to",
+        "forwarding/rate_limits.py",
+        "        return statement and statement.current_rate_per_s(now_s)\n",
+        "        return None\n",
+    ),
     Mutant(
         "history that is gone is not read anew",
         "controllers/feeds.py",
--- a/toucanrudder/soak/oracles.py
+++ b/toucanrudder/soak/oracles.py
@@ -46,6 +46,16 @@
 MOST_PART_CRASHES = 5
 LATE_PARTS = 3
 
+#: Requests in a window that an upstream gets beside the limit that it states.
+LIMIT_WINDOW_S = 4.0
+LIMIT_OVERRUN = 1.5
+LIMIT_SLACK = 5
+
+#: Disturbances after which a router may not know a limit.
+ROUTER_DISTURBANCES = frozenset(
+    {"term", "kill", "start", "pause", "standstill", "stall"}
+)
+
 #: Disturbances that cut no answer of a sound upstream.
 STANDSTILLS = frozenset({"pause", "standstill", "upstream standstill"})
 
@@ -264,6 +274,28 @@
         yield f"{late} requests with a bad part reached engines late"
 
 
+def limits_hold(record: records.Record) -> Iterator[str]:
+    """An upstream gets no more than it says it takes from all routers."""
+    disturbances = [
+        span for span in record.spans if span.kind in ROUTER_DISTURBANCES
+    ]
+    for limit in record.limits:
+        allowed = (
+            LIMIT_OVERRUN * limit.rate_per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+        )
+        for begin_s in limit.arrivals_s:
+            end_s = begin_s + LIMIT_WINDOW_S
+            if begin_s < limit.from_s + CONTACT_S or end_s > limit.until_s:
+                continue
+            count = sum(begin_s <= at_s < end_s for at_s in limit.arrivals_s)
+            if count > allowed and not any(
+                span.from_s < end_s and begin_s - CONTACT_S < span.until_s
+                for span in disturbances
+            ):
+                yield f"{limit.incarnation} got {count} requests in a window"
+                break
+
+
 def recovers(record: records.Record) -> Iterator[str]:
     """After the last fault, callers are served again."""
     after_s = record.recovered_after_s
@@ -291,6 +323,7 @@
     retry_budget,
     poison_is_stopped,
     bad_part_is_stopped,
+    limits_hold,
     recovers,
     processes_live,
 )
--- a/toucanrudder/soak/plans.py
+++ b/toucanrudder/soak/plans.py
@@ -31,6 +31,7 @@
     POISON_PART = "poison part"
     STANDSTILL = "standstill"
     UPSTREAM_STANDSTILL = "upstream standstill"
+    LIMIT = "upstream limit"
 
 
 #: How often each comes, against the others.
@@ -113,6 +114,7 @@
         if at_s > length_s - QUIET_END_S:
             steps.append(_part_step(seed, length_s))
             steps.extend(_standstill_steps(seed, length_s))
+            steps.append(limit_step(seed, length_s))
             return tuple(sorted(steps, key=_at_s))
         (fault,) = rng.choices(list(WEIGHTS), list(WEIGHTS.values()))
         for _ in range(rng.choice((1, 1, 1, 2, 3))):
@@ -159,6 +161,14 @@
         yield Step(at_s, fault, rng.random(), for_s)
 
 
+def limit_step(seed: int, length_s: float) -> Step:
+    """Return the step from which an upstream states a limit for a while."""
+    # Its own generator, so that the other draws stay as they are.
+    rng = random.Random(f"limit of {seed}")
+    at_s = rng.uniform(CALM_S, max(CALM_S, length_s / 4))
+    return Step(at_s, Fault.LIMIT, rng.random(), length_s / 2)
+
+
 def _part_step(seed: int, length_s: float) -> Step:
     # Its own generator, so that the other draws stay as they are.
     rng = random.Random(f"part of {seed}")
--- a/toucanrudder/soak/records.py
+++ b/toucanrudder/soak/records.py
@@ -164,6 +164,29 @@
         return is_there and self.from_s < until_s and from_s < self.until_s
 
 
+@attrs.define
+class StatedLimit:
+    """A limit that an upstream stated for a while.
+
+    Parameters
+    ----------
+    incarnation : str
+        The upstream.
+    rate_per_s : float
+        Requests per second that it took from all routers.
+    from_s, until_s : float
+        When it answered with it first, and when it ceased to.
+    arrivals_s : list of float
+        When requests arrived.
+    """
+
+    incarnation: str
+    rate_per_s: float
+    from_s: float = float("inf")
+    until_s: float = float("inf")
+    arrivals_s: list[float] = attrs.field(factory=list)
+
+
 @attrs.define
 class Record:
     """All that was seen in one soak."""
@@ -180,6 +203,8 @@
     crashes: list[float] = attrs.field(factory=list)
     #: When a request with the poisonous part reached an engine.
     part_arrivals: list[float] = attrs.field(factory=list)
+    #: Limits that upstreams stated.
+    limits: list[StatedLimit] = attrs.field(factory=list)
     #: Routers that ended by themselves.
     died: list[str] = attrs.field(factory=list)
     recovered_after_s: float | None = None
--- a/toucanrudder/soak/runs.py
+++ b/toucanrudder/soak/runs.py
@@ -159,6 +159,7 @@
         "recovered_after_s": record.recovered_after_s,
         "long": sum(call.is_long for call in record.calls),
         "cut": sum(1 for _ in oracles.sound_answers_whole(record)),
+        "limited": sum(len(each.arrivals_s) for each in record.limits),
         "stalls": sum(each.kind == "stall" for each in record.spans),
     }
 
--- a/toucanrudder/soak/tests/test_oracles.py
+++ b/toucanrudder/soak/tests/test_oracles.py
@@ -30,6 +30,10 @@
     return records.Span(kind, target, from_s, until_s)
 
 
+def limit(*arrivals_s):
+    return records.StatedLimit("i1", 1.5, 100.0, 110.0, list(arrivals_s))
+
+
 def record(calls=(), runs=(), **fields):
     return records.Record(list(calls), list(runs), **fields)
 
@@ -144,6 +148,10 @@
         oracles.bad_part_is_stopped,
         record(part_arrivals=[100.0] * 5 + [104.0] * 4),
     ),
+    "more than a stated limit": (
+        oracles.limits_hold,
+        record(limits=[limit(*[104.0 + n / 10 for n in range(15)])]),
+    ),
     "not served again": (oracles.recovers, record()),
     "ended by itself": (oracles.processes_live, record(died=["r1"])),
 }
@@ -160,6 +168,21 @@
 
 
 ALLOWED = {
+    "as many as a stated limit allows": (
+        oracles.limits_hold,
+        record(limits=[limit(*[104.0 + n / 10 for n in range(14)])]),
+    ),
+    "before routers knew of a stated limit": (
+        oracles.limits_hold,
+        record(limits=[limit(*[101.0 + n / 20 for n in range(30)])]),
+    ),
+    "more than a stated limit after a router started": (
+        oracles.limits_hold,
+        record(
+            limits=[limit(*[104.0 + n / 10 for n in range(15)])],
+            spans=[span("start", "r1", 102.0, 102.5)],
+        ),
+    ),
     "its upstream crashed": (
         oracles.sound_answers_whole,
         record(
--- a/toucanrudder/soak/tests/test_soak.py
+++ b/toucanrudder/soak/tests/test_soak.py
@@ -48,6 +48,14 @@
     assert result.figures["long"] > 0
 
 
+def test_a_stated_limit_holds_under_load(tmp_path):
+    size = runs.Size(length_s=14.0, callers=24)
+    steps = (plans.Step(1.0, plans.Fault.LIMIT, 0.5, 11.0),)
+    result = runs.play(907, size, str(tmp_path), steps)
+    assert result.broken == []
+    assert result.figures["limited"] > 0
+
+
 def test_a_plan_draws_each_kind_of_fault():
     drawn = {
         step.fault
