Let a slow choice not be the last where no limit is stated

Since upstreams' rates are kept, a request whose choice took longer than it may wait was refused although the upstream had a free slot again: without a limit the time to room is 0, and now had passed the end of the wait. Found by the whole tests: test_slow_choice_does_not_end_the_attempts fails on the commit before, each time, and passes now.

--- a/toucanrudder/forwarding/choosing.py
+++ b/toucanrudder/forwarding/choosing.py
@@ -167,7 +167,8 @@
             for upstream in self.state.registry.for_service(self.service)
             if not upstream.is_leaving
         ]
-        return bool(waits_s) and now_s + min(waits_s) >= until_s
+        wait_s = min(waits_s, default=0.0)
+        return wait_s > 0 and now_s + wait_s >= until_s
 
     def choose(self, *, beside: bool = False) -> placing.Choice:
         """Choose an upstream.
