Group what upstreams state in their answers in a package of its own

The modules of brittle services and of stated rates, and their tests, move to forwarding/statements; nothing but the imports and the pages that name them changes. The tests of the package and of the pages pass.

--- a/toucanrudder/forwarding/attempts/attempt.py
+++ b/toucanrudder/forwarding/attempts/attempt.py
@@ -6,7 +6,6 @@
 import attrs
 
 from toucanrudder import clock
-from toucanrudder.forwarding import brittleness
 from toucanrudder.forwarding import cache
 from toucanrudder.forwarding import dialect as dialects
 from toucanrudder.forwarding import model
@@ -15,6 +14,7 @@
 from toucanrudder.forwarding.attempts import relaying
 from toucanrudder.forwarding.attempts import retry_policy
 from toucanrudder.forwarding.attempts import silence as silences
+from toucanrudder.forwarding.statements import brittleness
 from toucanrudder.http1 import client
 from toucanrudder.http1 import pool
 from toucanrudder.observability import decisions
--- a/toucanrudder/forwarding/choosing.py
+++ b/toucanrudder/forwarding/choosing.py
@@ -10,11 +10,11 @@
 from toucanrudder.forwarding import cache_feed
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import placing
-from toucanrudder.forwarding import rate_limits
 from toucanrudder.forwarding import state as states
 from toucanrudder.forwarding.attempts import attempt as attempts
 from toucanrudder.forwarding.attempts import retry_policy
 from toucanrudder.forwarding.handover import choice as handover_choice
+from toucanrudder.forwarding.statements import rate_limits
 from toucanrudder.forwarding.streams import resuming
 from toucanrudder.membership import routers
 from toucanrudder.peers import handovers
--- a/toucanrudder/forwarding/placing.py
+++ b/toucanrudder/forwarding/placing.py
@@ -20,13 +20,13 @@
 
 import attrs
 
-from toucanrudder.forwarding import brittleness
 from toucanrudder.forwarding import cache
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import rollout
 from toucanrudder.forwarding import speeds
 from toucanrudder.forwarding import stores
 from toucanrudder.forwarding import upstream_states
+from toucanrudder.forwarding.statements import brittleness
 from toucanrudder.membership import routers
 from toucanrudder.placement import rendezvous
 
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -14,12 +14,10 @@
 from toucanrudder import clock
 from toucanrudder import errors
 from toucanrudder import stalls
-from toucanrudder.forwarding import brittleness
 from toucanrudder.forwarding import cache as caches
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import placing
 from toucanrudder.forwarding import poison
-from toucanrudder.forwarding import rate_limits
 from toucanrudder.forwarding import registry as registries
 from toucanrudder.forwarding import rollout
 from toucanrudder.forwarding import routing
@@ -28,6 +26,8 @@
 from toucanrudder.forwarding import upstream_states
 from toucanrudder.forwarding.attempts import retry_window
 from toucanrudder.forwarding.handover import contact as contacts
+from toucanrudder.forwarding.statements import brittleness
+from toucanrudder.forwarding.statements import rate_limits
 from toucanrudder.forwarding.streams import directory
 from toucanrudder.forwarding.streams import origins
 from toucanrudder.forwarding.streams import resuming
--- /dev/null
+++ b/toucanrudder/forwarding/statements/__init__.py
@@ -0,0 +1,1 @@
+"""What upstreams state of themselves in their answers."""
--- a/toucanrudder/forwarding/tests/test_brittle_services.py
+++ b/toucanrudder/forwarding/statements/tests/test_brittle_services.py
@@ -11,11 +11,11 @@
 
 import pytest
 
-from toucanrudder.forwarding import brittleness
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import placing
 from toucanrudder.forwarding import upstream_states
 from toucanrudder.forwarding.handover import choice
+from toucanrudder.forwarding.statements import brittleness
 from toucanrudder.membership import routers as routers_module
 
 SLOTS = 6
--- a/toucanrudder/forwarding/tests/test_rate_limits.py
+++ b/toucanrudder/forwarding/statements/tests/test_rate_limits.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from toucanrudder.forwarding import rate_limits
+from toucanrudder.forwarding.statements import rate_limits
 
 OWN = rate_limits.Turn(is_own=True)
 OTHER = rate_limits.Turn(is_own=False)
--- a/toucanrudder/soak/mutants.py
+++ b/toucanrudder/soak/mutants.py
@@ -175,7 +175,7 @@
     ),
     Mutant(
         "rates that upstreams state are not kept to",
-        "forwarding/rate_limits.py",
+        "forwarding/statements/rate_limits.py",
         "        return statement and statement.current_rate_per_s(now_s)\n",
         "        return None\n",
     ),
