Put each event of the operators' page on one row of its table

The rows of events whose docstring has more than one paragraph were broken over lines, so the table ended at Placed and the rest was shown as loose text. The new test of the table failed before.

--- a/toucanrudder/cli/reference.py
+++ b/toucanrudder/cli/reference.py
@@ -113,7 +113,8 @@
     ]
     for kind in decisions.KINDS:
         fields = ", ".join(f"`{field.name}`" for field in attrs.fields(kind))
-        meaning = kind.__doc__.strip()
+        # A line break would end the table.
+        meaning = " ".join(kind.__doc__.split())
         lines.append(f"| `{kind.__name__}` | {meaning} | {fields} |")
     return "\n".join(lines) + "\n"
 
--- a/toucanrudder/cli/tests/test_reference.py
+++ b/toucanrudder/cli/tests/test_reference.py
@@ -5,6 +5,7 @@
 
 from toucanrudder import settings
 from toucanrudder.cli import reference
+from toucanrudder.observability import decisions
 from toucanrudder.settings import options
 
 ROOT = pathlib.Path(__file__).parents[3]
@@ -18,6 +19,14 @@
     )
 
 
+def test_each_event_is_one_row_of_its_table():
+    page = (ROOT / reference.EVENTS_PAGE).read_text(encoding="utf-8")
+    table = page[page.index("| event |") :].rstrip().splitlines()
+    names = [row.split("|")[1].strip() for row in table[2:]]
+    assert names == [f"`{kind.__name__}`" for kind in decisions.KINDS]
+    assert {row.count(" | ") for row in table} == {2}
+
+
 def test_a_router_would_start_with_the_sample():
     conf = settings.load(str(ROOT / reference.SAMPLE))
     assert conf.router.name
