--- a/toucanrudder/forwarding/attempts/attempt.py
+++ b/toucanrudder/forwarding/attempts/attempt.py
@@ -78,6 +78,11 @@
     return retry_policy.FailureKind.FULL if facts.has_not_run else None
 
 
+def _is_genuine(facts: dialects.AnswerFacts) -> bool:
+    """Whether an answer is the upstream's own, as far as it shows."""
+    return facts.is_sealed or _proof_not_run(facts) is not None
+
+
 def _answer_identity(
     facts: dialects.AnswerFacts,
 ) -> retry_policy.AnswerIdentity:
@@ -420,6 +425,8 @@
         self.state.brittle.record(
             upstream.service, facts.refusals_per_s, now_s
         )
+        if facts.is_leaving and _is_genuine(facts):
+            self.state.record_leaving(upstream)
         if not facts.is_other_process:
             self.state.record_rate_limit(upstream, facts.rate_limit_per_s)
         if facts.weights_version is not None and self.prompt:
--- a/toucanrudder/forwarding/dialect.py
+++ b/toucanrudder/forwarding/dialect.py
@@ -76,6 +76,8 @@
     rate_limit_per_s : float or None
         Requests per second that the upstream takes from all routers together;
         None if it does not say so, NaN if that cannot be read.
+    is_leaving : bool
+        Whether the upstream announces to leave.
     """
 
     is_for_request: bool
@@ -88,6 +90,7 @@
     weights_version: int | None = None
     refusals_per_s: float | None = None
     rate_limit_per_s: float | None = None
+    is_leaving: bool = False
 
 
 class Dialect(abc.ABC):
--- a/toucanrudder/forwarding/registry.py
+++ b/toucanrudder/forwarding/registry.py
@@ -8,6 +8,7 @@
 import cachetools
 
 from toucanrudder.forwarding import model
+from toucanrudder.forwarding.statements import departures
 from toucanrudder.store import continuity
 
 #: Seconds after an outage of the registry within which a live upstream is
@@ -67,6 +68,7 @@
         self.served: continuity.Span | None = None
         self._synced_s = self._due_s = float("-inf")
         self.has_listing = False
+        self.departures = departures.Departures()
 
     def mark_recovered(self, now_s: float) -> None:
         """Record that the registry answers this router again."""
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -280,6 +280,32 @@
             self.record_limit_news(name)
             self.tell_limits()
 
+    def record_leaving(
+        self, upstream: model.Upstream, source: str = ""
+    ) -> bool:
+        """Record that an upstream leaves; return whether that is new.
+
+        Parameters
+        ----------
+        upstream : model.Upstream
+            The upstream.
+        source : str
+            The peer that told it; empty for an answer of the upstream.
+        """
+        if not self.registry.departures.record(
+            upstream.incarnation, upstream.software_version
+        ):
+            return False
+        decisions.record(
+            decisions.LeavingStated(
+                upstream=upstream.incarnation,
+                service=upstream.service,
+                listed=not upstream.is_leaving,
+                source=source,
+            )
+        )
+        return True
+
     def record_limit_news(self, incarnation: str, source: str = "") -> None:
         """Log that the limit of an upstream has changed."""
         upstream = self.registry.get(incarnation)
--- a/toucanrudder/observability/decisions.py
+++ b/toucanrudder/observability/decisions.py
@@ -342,6 +342,20 @@
     source: str
 
 
+@attrs.frozen(kw_only=True)
+class LeavingStated:
+    """An upstream announces to leave, and gets no new work until it ends.
+
+    ``source`` is the router that has told this one, if it was not an answer;
+    ``listed`` is whether the registry still lists it as staying.
+    """
+
+    upstream: str
+    service: str
+    listed: bool
+    source: str
+
+
 @attrs.frozen(kw_only=True)
 class Offered:
     """A peer has declined, or not answered, the offer of a request.
@@ -494,6 +508,7 @@
     CrashSuspected,
     PartBlocked,
     LimitStated,
+    LeavingStated,
     Offered,
     HandedOver,
     TakenOver,
--- a/toucanrudder/platform/dialect.py
+++ b/toucanrudder/platform/dialect.py
@@ -17,7 +17,8 @@
     b"authorization tenant deadline-ms expect-instance expect-version"
     b" request-priority cache-salt kv-fetch-from kv-save-to kv-from kv-hold"
     b" kv-backup pin-ms last-event-id content-length instance-id"
-    b" not-executed server-seal server-load server-limit".split()
+    b" not-executed server-seal server-load server-limit"
+    b" server-leaving".split()
 )
 
 #: Least urgent priority that upstreams accept; 0 is the most urgent.
@@ -142,18 +143,23 @@
         has_not_run = answer.status in _NOT_RUN_STATUSES and (
             answer.get(b"not-executed") is not None
         )
-        is_expected = _text(answer, b"instance-id") == upstream.name
+        instance = _text(answer, b"instance-id")
+        is_expected = instance == upstream.name
+        is_other_process = answer.status == 421 and not is_expected
+        is_other = is_other_process or instance not in (None, upstream.name)
         return dialect.AnswerFacts(
             is_for_request=answered_id == call.request_id,
             names_no_request=answered_id is None,
             has_not_run=has_not_run,
             # Both have status 421; Instance-Id tells them apart.
-            is_other_process=answer.status == 421 and not is_expected,
+            is_other_process=is_other_process,
             has_other_weights=answer.status == 421 and is_expected,
             is_sealed=answer.get(b"server-seal") is not None,
             load=_parse_load(_text(answer, b"server-load")),
             refusals_per_s=message.number(answer, b"server-brittle"),
             rate_limit_per_s=message.stated_number(answer, b"server-limit"),
+            is_leaving=_text(answer, b"server-leaving") == "1"
+            and not is_other,
             weights_version=int(version)
             if version and version.isascii() and version.isdecimal()
             else None,
--- a/toucanrudder/testing/virtual/workers.py
+++ b/toucanrudder/testing/virtual/workers.py
@@ -52,6 +52,16 @@
         Whether it answers all requests with an error of its own.
     limit_per_s : float or None
         Requests a second that it says it takes.
+    is_leaving : bool
+        Whether its answers say that it leaves.
+    rest_s : float or None
+        Rest that it asks for when it refuses a request.
+    max_requests : int or None
+        Requests that it works on at once; it refuses others.
+    work_s : float
+        Time for which it works on one request.
+    served : int
+        Requests that it has worked on.
     """
 
     name: str
@@ -61,6 +71,12 @@
     is_full: bool = False
     is_failing: bool = False
     limit_per_s: float | None = None
+    is_leaving: bool = False
+    rest_s: float | None = None
+    max_requests: int | None = None
+    work_s: float = WORK_S
+    served: int = 0
+    _running: int = 0
 
     def entry(self) -> dict:
         """Return its entry in the registry."""
@@ -78,9 +94,18 @@
         headers = [(b"id", arrival.request_id.encode())]
         if self.limit_per_s is not None:
             headers.append((b"limit", str(self.limit_per_s).encode()))
-        if self.is_full:
+        if self.is_leaving:
+            headers.append((b"leaving", b"1"))
+        if self.is_full or self._running == self.max_requests:
+            if self.rest_s is not None:
+                headers.append((b"rest", str(self.rest_s).encode()))
             return message.AnswerHead(503, tuple(headers))
-        await asyncio.sleep(WORK_S)
+        self._running += 1
+        try:
+            await asyncio.sleep(self.work_s)
+        finally:
+            self._running -= 1
+        self.served += 1
         status = 500 if self.is_failing else 200
         return message.AnswerHead(status, tuple(headers))
 
@@ -187,6 +212,7 @@
             has_not_run=answer.status == 503,
             is_sealed=True,
             rate_limit_per_s=message.stated_number(answer, b"limit"),
+            is_leaving=answer.get(b"leaving") is not None,
         )
 
     def error_answer(self, error, request_id):
