--- a/toucanrudder/forwarding/attempts/attempt.py
+++ b/toucanrudder/forwarding/attempts/attempt.py
@@ -389,6 +389,10 @@
             self.execution.call, upstream, head
         )
         self.evidence.identity = _answer_identity(facts)
+        if facts.rest_s is not None:
+            # The connection is one process's, so it is its wish even if it
+            # refuses another request than this one.
+            self.state.record_rest(upstream, facts.rest_s, clock.now_s())
         if not _matches_request(facts, reused=connection.reused):
             # The answer's load and weights are ignored: if they were those
             # of another engine, this one would count as having the new
--- a/toucanrudder/forwarding/dialect.py
+++ b/toucanrudder/forwarding/dialect.py
@@ -78,6 +78,9 @@
         None if it does not say so, NaN if that cannot be read.
     is_leaving : bool
         Whether the upstream announces to leave.
+    rest_s : float or None
+        Seconds for which a refusing upstream wants no request of this router;
+        None if it does not say so.
     """
 
     is_for_request: bool
@@ -91,6 +94,7 @@
     refusals_per_s: float | None = None
     rate_limit_per_s: float | None = None
     is_leaving: bool = False
+    rest_s: float | None = None
 
 
 class Dialect(abc.ABC):
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -28,6 +28,7 @@
 from toucanrudder.forwarding.handover import contact as contacts
 from toucanrudder.forwarding.statements import brittleness
 from toucanrudder.forwarding.statements import rate_limits
+from toucanrudder.forwarding.statements import rests
 from toucanrudder.forwarding.streams import directory
 from toucanrudder.forwarding.streams import origins
 from toucanrudder.forwarding.streams import resuming
@@ -163,6 +164,7 @@
         factory=rate_limits.RateLimits
     )
     tell_limits: Callable[[], object] = lambda: None
+    asked_rests: rests.Rests = attrs.field(factory=rests.Rests)
     is_settled: Callable[[], bool] = lambda: True
     known_fleet: fleet_size.FleetSize = attrs.field(
         factory=fleet_size.FleetSize
@@ -306,6 +308,23 @@
         )
         return True
 
+    def record_rest(
+        self, upstream: model.Upstream, asked_s: float, now_s: float
+    ) -> None:
+        """Record for how long an upstream wants no request of this router."""
+        spread = 1.0 + rests.SPREAD_SHARE * self.rng.random()
+        name = upstream.incarnation
+        if not self.asked_rests.record(name, asked_s * spread, now_s):
+            return
+        decisions.record(
+            decisions.RestRequested(
+                upstream=name,
+                service=upstream.service,
+                asked_s=asked_s,
+                for_s=self.asked_rests.wait_s(name, now_s),
+            )
+        )
+
     def record_limit_news(self, incarnation: str, source: str = "") -> None:
         """Log that the limit of an upstream has changed."""
         upstream = self.registry.get(incarnation)
--- a/toucanrudder/observability/decisions.py
+++ b/toucanrudder/observability/decisions.py
@@ -356,6 +356,19 @@
     source: str
 
 
+@attrs.frozen(kw_only=True)
+class RestRequested:
+    """A refusing upstream wants no request of this router for ``for_s``.
+
+    ``asked_s`` is what it says.
+    """
+
+    upstream: str
+    service: str
+    asked_s: float
+    for_s: float
+
+
 @attrs.frozen(kw_only=True)
 class Offered:
     """A peer has declined, or not answered, the offer of a request.
@@ -509,6 +522,7 @@
     PartBlocked,
     LimitStated,
     LeavingStated,
+    RestRequested,
     Offered,
     HandedOver,
     TakenOver,
--- a/toucanrudder/platform/dialect.py
+++ b/toucanrudder/platform/dialect.py
@@ -27,6 +27,9 @@
 #: Statuses with which Not-Executed is believed; others contradict it.
 _NOT_RUN_STATUSES = frozenset({400, 421, 429, 503})
 
+#: Statuses of a refusal for want of room.
+_REFUSED_STATUSES = frozenset({429, 503})
+
 _EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 
 
@@ -160,6 +163,9 @@
             rate_limit_per_s=message.stated_number(answer, b"server-limit"),
             is_leaving=_text(answer, b"server-leaving") == "1"
             and not is_other,
+            rest_s=message.number(answer, b"retry-after")
+            if answer.status in _REFUSED_STATUSES and not is_other
+            else None,
             weights_version=int(version)
             if version and version.isascii() and version.isdecimal()
             else None,
