Show that upstreams are used after an answer has said that they leave

The virtual upstreams note what they say of themselves; an exchange goes on if its reader gives up for now, as a real one does; an address without an upstream refuses connections, where the contact task ended with a KeyError.

--- a/toucanrudder/testing/virtual/traffic.py
+++ b/toucanrudder/testing/virtual/traffic.py
@@ -124,6 +124,10 @@
         All requests that reached an upstream.
     outcomes : list of Outcome
         All that callers were told.
+    statements : list of workers.Statement
+        All that upstreams said of themselves in answers.
+    sent_s : dict of str to float
+        When callers sent each request, by its ID.
     cut : set of str
         Routers that reach no upstream.
     is_refused : bool
@@ -136,6 +140,8 @@
     workers_by_service: dict[str, int]
     arrivals: list[workers.Arrival] = attrs.field(factory=list)
     outcomes: list[Outcome] = attrs.field(factory=list)
+    statements: list[workers.Statement] = attrs.field(factory=list)
+    sent_s: dict[str, float] = attrs.field(factory=dict)
     cut: set[str] = attrs.field(factory=set)
     is_refused: bool = False
     dead: set[str] = attrs.field(factory=set)
@@ -156,6 +162,7 @@
             service,
             f"10.1.{SERVICES.index(service)}.{number + 1}:80",
             self.arrivals,
+            self.statements,
         )
         self.by_address[worker.address] = worker
 
@@ -171,7 +178,21 @@
         """Start all routers and register all upstreams."""
         self.site.start()
         for worker in self.by_address.values():
-            self.site.store.put(sites.UPSTREAMS, worker.name, worker.entry())
+            self.register(worker)
+
+    def register(self, worker: workers.Worker) -> None:
+        """Write an upstream's entry in the registry."""
+        self.site.store.put(sites.UPSTREAMS, worker.name, worker.entry())
+
+    def unregister(self, worker: workers.Worker) -> None:
+        """Remove an upstream's entry; it goes on serving."""
+        self.site.store.delete(sites.UPSTREAMS, worker.name)
+
+    def restart(self, worker: workers.Worker) -> None:
+        """Start an upstream again under its name."""
+        worker.born_ms += 1
+        worker.is_leaving = False
+        self.register(worker)
 
     def _connect_router(self, node: sites.Node) -> None:
         node.daemon.state.pool.connect = functools.partial(
@@ -184,7 +205,8 @@
     async def _connect(
         self, router: str, address: str, timeout_s: float
     ) -> workers.Connection:
-        if router in self.cut or address in self.dead:
+        worker = self.by_address.get(address)
+        if worker is None or router in self.cut or address in self.dead:
             fault = client.Fault.NOT_CONNECTED
             if not self.is_refused:
                 await asyncio.sleep(timeout_s)
@@ -193,7 +215,7 @@
         await self._hop()
         return workers.Connection(
             router,
-            self.by_address[address],
+            worker,
             self._hop,
             lambda: router in self.cut,
         )
@@ -206,11 +228,13 @@
         if node is None:
             self.outcomes.append(Outcome(began_s, router, service, 0, 0.0))
             return
+        request_id = f"r{next(self._ids)}"
+        self.sent_s[request_id] = began_s
         head = message.RequestHead(
             b"GET",
             path.encode(),
             (
-                (b"id", f"r{next(self._ids)}".encode()),
+                (b"id", request_id.encode()),
                 (b"wait", str(wait_s).encode()),
             ),
         )
--- a/toucanrudder/testing/virtual/workers.py
+++ b/toucanrudder/testing/virtual/workers.py
@@ -33,6 +33,29 @@
     request_id: str
 
 
+@attrs.frozen
+class Statement:
+    """What an upstream has said of itself in an answer.
+
+    Parameters
+    ----------
+    at_s : float
+        Virtual time of the answer.
+    upstream, router : str
+        Who said it, and to whom.
+    is_leaving : bool
+        Whether it leaves.
+    rest_s : float or None
+        Rest that it asked for.
+    """
+
+    at_s: float
+    upstream: str
+    router: str
+    is_leaving: bool = False
+    rest_s: float | None = None
+
+
 @attrs.define(eq=False)
 class Worker:
     """An upstream of a plain service.
@@ -43,9 +66,13 @@
         As registered.
     arrivals : list of Arrival
         Where it notes what reaches it.
+    statements : list of Statement
+        Where it notes what it says of itself.
 
     Attributes
     ----------
+    born_ms : int
+        Start time of its process.
     is_full : bool
         Whether it refuses all requests for want of room.
     is_failing : bool
@@ -68,6 +95,8 @@
     service: str
     address: str
     arrivals: list[Arrival] = attrs.field(repr=False)
+    statements: list[Statement] = attrs.field(repr=False)
+    born_ms: int = 1
     is_full: bool = False
     is_failing: bool = False
     limit_per_s: float | None = None
@@ -83,11 +112,17 @@
         return {
             "service": self.service,
             "address": self.address,
-            "born_ms": 1,
+            "born_ms": self.born_ms,
             "leaving": False,
             "weights": {},
         }
 
+    def _record(self, arrival: Arrival, **said) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self.statements.append(
+            Statement(now_s, self.name, arrival.router, **said)
+        )
+
     async def answer(self, arrival: Arrival) -> message.AnswerHead:
         """Work on a request and return the head of the answer."""
         self.arrivals.append(arrival)
@@ -96,9 +131,11 @@
             headers.append((b"limit", str(self.limit_per_s).encode()))
         if self.is_leaving:
             headers.append((b"leaving", b"1"))
+            self._record(arrival, is_leaving=True)
         if self.is_full or self._running == self.max_requests:
             if self.rest_s is not None:
                 headers.append((b"rest", str(self.rest_s).encode()))
+                self._record(arrival, rest_s=self.rest_s)
             return message.AnswerHead(503, tuple(headers))
         self._running += 1
         try:
@@ -134,7 +171,7 @@
     keep_for_s: float | None = None
     uses: int = 0
     has_pending_event: bool = False
-    _sent: message.RequestHead | None = None
+    _exchange: asyncio.Future | None = None
     _events: list = attrs.field(factory=list)
     _is_closed: bool = False
 
@@ -156,22 +193,27 @@
     def send(self, head: message.RequestHead, body: bytes) -> None:
         """Send a request."""
         self.uses += 1
-        self._sent = head
+        self._exchange = asyncio.ensure_future(self._answered(head))
 
     async def next_event(self):
         """Return the next part of the answer."""
-        if self._sent is not None:
-            request_id = self._sent.get(b"id").decode()
-            self._sent = None
-            await self._pass()
-            now_s = asyncio.get_running_loop().time()
-            head = await self.worker.answer(
-                Arrival(now_s, self.worker.name, self.router, request_id)
-            )
-            await self._pass()
+        if self._exchange is not None:
+            # A reader that gives up for now leaves the exchange as it is.
+            head = await asyncio.shield(self._exchange)
+            self._exchange = None
             self._events = [client.End(), head]
         return self._events.pop()
 
+    async def _answered(self, head: message.RequestHead):
+        await self._pass()
+        now_s = asyncio.get_running_loop().time()
+        request_id = head.get(b"id").decode()
+        answer = await self.worker.answer(
+            Arrival(now_s, self.worker.name, self.router, request_id)
+        )
+        await self._pass()
+        return answer
+
     async def _pass(self) -> None:
         if self.is_cut():
             await asyncio.Event().wait()
@@ -184,6 +226,8 @@
     def abort(self) -> None:
         """Close it."""
         self._is_closed = True
+        if self._exchange is not None:
+            self._exchange.cancel()
 
 
 class PlainDialect(dialect.Dialect):
