Let peers learn of the end of a limit that follows a statement at once

Cause: a peer's word that is less than 0.1 s newer than the known one is taken for the same word with the time of a message in its age. An end that soon after a statement was therefore ignored, and as its age never changes, for good, until the turn passed to that router.

Change: of two words of the same age the end counts; an upstream that still has a limit states it in its next answer. Two of the new cases failed before.

--- a/toucanrudder/forwarding/statements/rate_limits.py
+++ b/toucanrudder/forwarding/statements/rate_limits.py
@@ -42,7 +42,9 @@
 #: peer revives it.
 ENDED_KEPT_S = 30.0
 
-#: Differences in age that may be the time of a message on its way.
+#: Differences in age that may be the time of a message on its way.  Of two
+#: statements as old as that the end counts: the upstream is then asked, and
+#: states a limit again if it still has one.
 SAME_AGE_S = 0.1
 
 #: Longest retry delay of a request that found no room.
@@ -149,7 +151,8 @@
     ) -> bool:
         """Record a peer's word if it is newer; return whether it is news."""
         known = self._statements.get(upstream)
-        if known is not None and said_at_s - known.at_s < SAME_AGE_S:
+        least_s = SAME_AGE_S if rate_per_s is not None else -SAME_AGE_S
+        if known is not None and said_at_s - known.at_s < least_s:
             return False
         return self._set(upstream, rate_per_s, said_at_s)
 
--- a/toucanrudder/forwarding/statements/tests/test_rate_limits.py
+++ b/toucanrudder/forwarding/statements/tests/test_rate_limits.py
@@ -135,3 +135,22 @@
     assert min(delays_s) >= min(round(equal_share_s, 3), most_s)
     assert max(delays_s) <= min(2 * equal_share_s, most_s)
     assert len(delays_s) > 25 or min(delays_s) == most_s
+
+
+ENDS = {
+    "a little later than a statement": (10.0, 10.05, None),
+    "a little earlier, by clocks that differ": (10.0, 9.95, None),
+    "much earlier": (10.0, 9.0, 2.0),
+}
+
+
+@pytest.mark.parametrize(
+    ("stated_s", "ended_s", "rate_per_s"), ENDS.values(), ids=ENDS
+)
+def test_a_peer_learns_of_an_end_soon_after_a_statement(
+    stated_s, ended_s, rate_per_s
+):
+    limits = rate_limits.RateLimits()
+    limits.record("u", 2.0, stated_s)
+    limits.merge("u", None, ended_s)
+    assert limits.stated_rate_per_s("u") == rate_per_s
