Keep a stated limit while the upstream's registry entry has lapsed

A limit is now kept for 30 s without an entry, as its end is. The new test failed before; the test of what is forgotten names the time from which it is.

--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -285,7 +285,7 @@
             self.store_watch.expire_missing(now_s)
             self.state.fleet(now_s)
             self.state.asked_rests.expire(now_s)
-            self.state.limits.retain(self.state.registry.incarnations)
+            self.state.limits.retain(self.state.registry.incarnations, now_s)
             self.state.streams.observe(now_s)
             self.state.crash_counts.record_blocked(time.time())
 
--- a/toucanrudder/forwarding/statements/rate_limits.py
+++ b/toucanrudder/forwarding/statements/rate_limits.py
@@ -39,8 +39,9 @@
 RAMP_GROWTH = 2.0
 
 #: Time for which the end of a limit is kept, so that no older statement of a
-#: peer revives it.
-ENDED_KEPT_S = 30.0
+#: peer revives it, and a limit whose upstream is not registered any more, as
+#: its entry may only have lapsed.
+KEPT_S = 30.0
 
 #: Differences in age that may be the time of a message on its way.  Of two
 #: statements as old as that the end counts: the upstream is then asked, and
@@ -220,15 +221,17 @@
     def current(self, now_s: float) -> dict[str, Statement]:
         """Return the statements to tell peers, by upstream."""
         for name, statement in list(self._statements.items()):
-            if statement.is_ended and now_s - statement.at_s >= ENDED_KEPT_S:
+            if statement.is_ended and now_s - statement.at_s >= KEPT_S:
                 del self._statements[name]
         return dict(self._statements)
 
-    def retain(self, incarnations: Iterable[str]) -> None:
-        """Forget all other upstreams."""
-        for known in (self._statements, self._buckets):
-            for name in known.keys() - set(incarnations):
-                del known[name]
+    def retain(self, incarnations: Iterable[str], now_s: float) -> None:
+        """Forget all other upstreams that have said nothing for long."""
+        for name in self._statements.keys() - set(incarnations):
+            if now_s - self._statements[name].at_s >= KEPT_S:
+                del self._statements[name]
+        for name in self._buckets.keys() - self._statements.keys():
+            del self._buckets[name]
 
 
 def _limits(rate_per_s: float, turn: Turn) -> caps.Limits:
--- a/toucanrudder/forwarding/statements/tests/test_rate_limits.py
+++ b/toucanrudder/forwarding/statements/tests/test_rate_limits.py
@@ -116,11 +116,11 @@
     limits = rate_limits.RateLimits()
     limits.record("u", 2.0, 1.0)
     limits.record("v", 2.0, 1.0)
-    limits.retain({"v"})
+    limits.retain({"v"}, 1.0 + rate_limits.KEPT_S)
     assert set(limits.current(2.0)) == {"v"}
     limits.record("v", None, 3.0)
     assert set(limits.current(4.0)) == {"v"}
-    assert not limits.current(3.0 + rate_limits.ENDED_KEPT_S)
+    assert not limits.current(3.0 + rate_limits.KEPT_S)
     assert limits.is_empty
 
 
@@ -154,3 +154,12 @@
     limits.record("u", 2.0, stated_s)
     limits.merge("u", None, ended_s)
     assert limits.stated_rate_per_s("u") == rate_per_s
+
+
+def test_a_limit_outlives_a_lapse_of_its_registry_entry():
+    limits = rate_limits.RateLimits()
+    limits.record("u", 2.0, 10.0)
+    limits.retain((), 11.0)
+    assert limits.stated_rate_per_s("u") == 2.0
+    limits.retain((), 10.0 + rate_limits.KEPT_S)
+    assert limits.is_empty
