Do not wait for the end of a refusal's body

What callers saw, on loopback with one sound and one troubled upstream: 504 after their whole time, or 502, though the head of a refusal had proved that the request had not run.

Cause: the body of such an answer was read to its end, so that the connection could be used again, without a limit of time; one that came fast and without end was taken for an answer that proves nothing.

Change: the body is read for 0.05 s at most, and the connection is closed if it has not ended, or is too large.

--- a/toucanrudder/forwarding/attempts/attempt.py
+++ b/toucanrudder/forwarding/attempts/attempt.py
@@ -6,6 +6,7 @@
 import attrs
 
 from toucanrudder import clock
+from toucanrudder import stalls
 from toucanrudder.forwarding import cache
 from toucanrudder.forwarding import dialect as dialects
 from toucanrudder.forwarding import model
@@ -47,6 +48,10 @@
 #: Backoff after a refusal by a full upstream.
 FULL_BACKOFF_S = 0.05
 
+#: Longest wait for the body of a refusal, which only serves to reuse the
+#: connection.
+DRAIN_TIMEOUT_S = 0.05
+
 #: Statuses that tell callers that a request has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -452,8 +457,13 @@
 
     async def _drain_body(self, connection) -> None:
         try:
-            await relaying.read_body(connection.next_event)
-        except client.ExchangeError:
+            async with stalls.timeout(DRAIN_TIMEOUT_S):
+                await relaying.read_body(connection.next_event)
+        except (
+            client.ExchangeError,
+            relaying.AttemptFailed,
+            TimeoutError,
+        ):
             # The head has proved that the request has not run; only the
             # connection cannot be reused.
             connection.keep_for_s = None
--- /dev/null
+++ b/toucanrudder/platform/tests/test_endless_bytes.py
@@ -0,0 +1,96 @@
+"""Upstreams that send bytes without end, until the router closes."""
+
+import asyncio
+
+import pytest
+
+from toucanrudder.platform.testing import cluster as clusters
+from toucanrudder.platform.testing import standins
+
+#: Pause between bytes of a slow answer.
+PAUSE_S = 0.02
+
+#: Time within which callers must have the answer of a sound upstream: twice
+#: the time after which another attempt may be made beside a silent one.
+ANSWER_S = 0.8
+
+#: Time within which the router must have closed the connection.
+CLOSE_S = 1.0
+
+
+class Endless:
+    """A behaviour that begins an answer and never ends it."""
+
+    def __init__(self, status, *headers, content=b"x", pause_s=PAUSE_S):
+        self.status, self.headers = status, headers
+        self.content, self.pause_s = content, pause_s
+        self.begun = self.ended = 0
+
+    async def __call__(self, upstream, run, answer):
+        upstream.runs.append(run)
+        self.begun += 1
+        try:
+            headers = (*upstream.answer_headers(run), *self.headers)
+            await answer.start(self.status, headers)
+            while True:
+                await answer.write(self.content)
+                await asyncio.sleep(self.pause_s)
+        finally:
+            self.ended += 1
+
+
+NOT_EXECUTED = (b"Not-Executed", b"1")
+
+REFUSALS = {
+    "slow": Endless(503, NOT_EXECUTED),
+    "fast": Endless(503, NOT_EXECUTED, content=b"x" * 32_768, pause_s=0.0),
+    "empty chunks": Endless(503, NOT_EXECUTED, content=b""),
+}
+
+
+async def send_all(router, path, count=12):
+    return await asyncio.gather(
+        *(timed(clusters.send_request(router, path)) for _ in range(count))
+    )
+
+
+async def timed(request):
+    began_s = asyncio.get_running_loop().time()
+    answer = await request
+    return answer, asyncio.get_running_loop().time() - began_s
+
+
+async def start(cluster, endless):
+    troubled, sound = [await cluster.server() for _ in range(2)]
+    troubled.default_behaviour = endless
+    return await cluster.router(), troubled, sound
+
+
+@pytest.mark.parametrize("path", [b"/r/x", b"/w/x"])
+@pytest.mark.parametrize("name", REFUSALS)
+async def test_a_refusal_counts_though_its_body_never_ends(
+    cluster, name, path
+):
+    endless = REFUSALS[name]
+    router, _, _ = await start(cluster, endless)
+    answers = await send_all(router, path)
+    assert {answer.status for answer, _ in answers} == {200}
+    assert max(after_s for _, after_s in answers) < ANSWER_S
+    await clusters.wait_until(lambda: endless.begun == endless.ended)
+
+
+async def test_bytes_beside_a_report_do_not_hold_the_router(cluster):
+    """Calls of the router end by their own time limit and size."""
+    engine = await cluster.engine()
+    router = await cluster.router()
+
+    async def never_ends(upstream, answer):
+        await answer.start(200, standins.JSON)
+        while not answer.ended:
+            await answer.write(b" ")
+            await asyncio.sleep(PAUSE_S)
+
+    engine.before_report.append(never_ends)
+    upstream = router.state.registry.get(engine.incarnation)
+    async with asyncio.timeout(CLOSE_S):
+        assert await router.state.fetch_engine_report(upstream) is None
