Count only what is of use to the caller as progress of an answer

What callers saw, on loopback with one sound and one troubled upstream: 504 after their whole time where an answer's body, or one event of its stream, came a byte at a time and never ended.

Cause: each byte counted as progress, so the answer was never silent, and no other attempt was made beside it. The body of a whole answer was not judged at all once its head had come.

Change: an answer makes progress with its head, with each complete event, and with its complete body; until then it becomes silent as before, and is waited for beside another attempt. Readers of bodies and events keep what they have when a wait is cancelled. The two new tests failed before.

--- a/toucanrudder/forwarding/attempts/attempt.py
+++ b/toucanrudder/forwarding/attempts/attempt.py
@@ -395,8 +395,8 @@
         After a returned failure the connection can be reused; after a
         raised one it cannot.
         """
-        head = await self.silence.next_event(
-            connection, self._first_part_timeout_s()
+        head = await self.silence.wait_for(
+            connection.next_event, connection, self._first_part_timeout_s()
         )
         facts = self.execution.dialect.answer_facts(
             self.execution.call, upstream, head
@@ -458,7 +458,7 @@
     async def _drain_body(self, connection) -> None:
         try:
             async with stalls.timeout(DRAIN_TIMEOUT_S):
-                await relaying.read_body(connection.next_event)
+                await relaying.BodyReader(connection.next_event).read()
         except (
             client.ExchangeError,
             relaying.AttemptFailed,
@@ -472,7 +472,10 @@
         self, connection, head, facts
     ) -> relaying.AttemptFailed | None:
         """Buffer a whole answer, then relay it or return a failure."""
-        body = await relaying.read_body(connection.next_event)
+        reader = relaying.BodyReader(connection.next_event)
+        body = await self.silence.wait_for(
+            reader.read, connection, self._first_part_timeout_s()
+        )
         # Without proof that the request has not run, a status that would
         # tell the caller so is not relayed.
         is_reliable = facts.is_sealed and head.status not in NOT_RUN_STATUSES
@@ -493,10 +496,11 @@
                 self._record_prompt_read(upstream, tracked.prefill_tokens)
                 tracked.prefill_done()
 
+        reader = relaying.EventReader(connection.next_event)
         await relaying.relay_stream(
             self.execution,
             head,
-            lambda: self._next_stream_event(connection),
+            lambda: self._next_stream_events(connection, reader),
             record_prompt_read,
         )
 
@@ -518,11 +522,13 @@
                 self.prompt.parts,
             )
 
-    async def _next_stream_event(self, connection):
+    async def _next_stream_events(
+        self, connection, reader: relaying.EventReader
+    ) -> list[bytes]:
         timeout_s = None
         resumable = self.route.repetition is model.Repetition.RESUMABLE
         if resumable or self.execution.copy_may_exist():
             timeout_s = SILENCE_TIMEOUT_GAPS * self.route.event_gap_s
             if not self.execution.progress.events:
                 timeout_s = self._first_part_timeout_s()
-        return await self.silence.next_event(connection, timeout_s)
+        return await self.silence.wait_for(reader.read, connection, timeout_s)
--- a/toucanrudder/forwarding/attempts/relaying.py
+++ b/toucanrudder/forwarding/attempts/relaying.py
@@ -40,28 +40,73 @@
         self.answer = answer
 
 
-async def read_body(next_event: NextEvent) -> bytes:
-    """Return the rest of an answer.
+@attrs.define(eq=False)
+class BodyReader:
+    """Reads the rest of an answer; goes on where it was cancelled.
 
-    Raises
-    ------
-    AttemptFailed
-        It is too large.
+    Parameters
+    ----------
+    next_event : callable
+        Returns the next part of the answer.
     """
-    body = bytearray()
-    while True:
-        event = await next_event()
-        if isinstance(event, client.End):
-            return bytes(body)
-        body += event.content
-        if len(body) > MAX_BUFFERED_BYTES:
-            raise AttemptFailed(retry_policy.FailureKind.CROSSED)
+
+    next_event: NextEvent
+    _body: bytearray = attrs.field(factory=bytearray)
+
+    async def read(self) -> bytes:
+        """Return the whole rest.
+
+        Raises
+        ------
+        AttemptFailed
+            It is too large.
+        """
+        while not isinstance(event := await self.next_event(), client.End):
+            self._body += event.content
+            if len(self._body) > MAX_BUFFERED_BYTES:
+                raise AttemptFailed(retry_policy.FailureKind.CROSSED)
+        return bytes(self._body)
+
+
+@attrs.define(eq=False)
+class EventReader:
+    """Reads whole events of a stream; goes on where it was cancelled.
+
+    Parameters
+    ----------
+    next_event : callable
+        Returns the next part of the answer.
+    """
+
+    next_event: NextEvent
+    _splitter: events.EventSplitter = attrs.field(factory=events.EventSplitter)
+
+    async def read(self) -> list[bytes]:
+        """Return the next events; an empty list at the end of the stream.
+
+        Raises
+        ------
+        AttemptFailed
+            The answer is not a stream of events, or ends within one.
+        """
+        complete_events: list[bytes] = []
+        while not complete_events:
+            event = await self.next_event()
+            if isinstance(event, client.End):
+                if self._splitter.rest:
+                    raise AttemptFailed(retry_policy.FailureKind.BROKEN)
+                break
+            try:
+                complete_events = self._splitter.feed(event.content)
+            except ValueError:
+                raise AttemptFailed(retry_policy.FailureKind.CROSSED) from None
+        return complete_events
 
 
 async def relay_stream(
     execution: "executions.RequestExecution",
     head: message.AnswerHead,
-    next_event: NextEvent,
+    next_events: Callable[[], Awaitable[list[bytes]]],
     on_events: Callable[[], None] = lambda: None,
 ) -> None:
     """Relay a streamed answer, in whole events.
@@ -72,27 +117,14 @@
         The request.
     head : message.AnswerHead
         Head of the answer.
-    next_event : callable
-        Returns the next part of the answer.
+    next_events : callable
+        Returns the next events, as `EventReader.read`.
     on_events : callable
-        Called before complete events are relayed.
-
-    Raises
-    ------
-    AttemptFailed
-        The answer is not a stream of events, or ends within one.
+        Called before events are relayed.
     """
-    splitter = events.EventSplitter()
-    while not isinstance(event := await next_event(), client.End):
-        try:
-            complete_events = splitter.feed(event.content)
-        except ValueError:
-            raise AttemptFailed(retry_policy.FailureKind.CROSSED) from None
-        if complete_events:
-            on_events()
-            await _relay_events(execution, head, complete_events)
-    if splitter.rest:
-        raise AttemptFailed(retry_policy.FailureKind.BROKEN)
+    while complete_events := await next_events():
+        on_events()
+        await _relay_events(execution, head, complete_events)
     if not execution.answer.started:
         await execution.start_stream(head)
     await execution.answer.end()
--- a/toucanrudder/forwarding/attempts/silence.py
+++ b/toucanrudder/forwarding/attempts/silence.py
@@ -1,7 +1,10 @@
 """Judgement of answers that make no progress."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 from typing import TYPE_CHECKING
+from typing import TypeVar
 
 import attrs
 
@@ -15,6 +18,8 @@
 if TYPE_CHECKING:
     from toucanrudder.forwarding.attempts import attempt as attempts
 
+Part = TypeVar("Part")
+
 #: Least seconds of silence before an answer is judged.
 MIN_SILENCE_S = 0.15
 
@@ -76,17 +81,25 @@
         self._evidence.silent_s = silent_s
         self._evidence.stalled_s = max(0.0, silent_s - running_s)
 
-    async def next_event(
-        self, connection: client.UpstreamConnection, timeout_s: float | None
-    ):
-        """Return the answer's next part.
+    async def wait_for(
+        self,
+        read: Callable[[], Awaitable[Part]],
+        connection: client.UpstreamConnection,
+        timeout_s: float | None,
+    ) -> Part:
+        """Return a part of the answer that is of use to the caller.
+
+        Bytes that are not such a part yet are no progress: they may come
+        without end.
 
         Parameters
         ----------
+        read : callable
+            Reads the part; it goes on where it was cancelled.
         connection : client.UpstreamConnection
             Connection of the attempt.
         timeout_s : float or None
-            Silence after which the answer is judged; None for no limit.
+            Time after which the answer is judged; None for no limit.
 
         Raises
         ------
@@ -99,9 +112,9 @@
         while True:
             try:
                 async with stalls.timeout(wait_s):
-                    event = await connection.next_event()
+                    part = await read()
                 self.record_progress()
-                return event
+                return part
             except TimeoutError:
                 wait_s = await self._judge(connection, timeout_s)
 
--- a/toucanrudder/forwarding/handover/handing.py
+++ b/toucanrudder/forwarding/handover/handing.py
@@ -195,14 +195,19 @@
         try:
             head = await self._next_event(exchange)
             if head.status < 300 and self.execution.route.is_stream:
+                reader = relaying.EventReader(
+                    lambda: self._next_event(exchange)
+                )
                 await relaying.relay_stream(
                     self.execution,
                     head,
-                    lambda: self._next_event(exchange),
+                    reader.read,
                     lambda: self._claim_stream(exchange),
                 )
                 return
-            body = await relaying.read_body(lambda: self._next_event(exchange))
+            body = await relaying.BodyReader(
+                lambda: self._next_event(exchange)
+            ).read()
             self.execution.claim_answer(self)
             await self.execution.send_answer(head, body)
         except errors.RudderError as error:
--- a/toucanrudder/platform/tests/test_endless_bytes.py
+++ b/toucanrudder/platform/tests/test_endless_bytes.py
@@ -66,6 +66,10 @@
     return await cluster.router(), troubled, sound
 
 
+def all_ended(endless):
+    return endless.begun and endless.begun == endless.ended
+
+
 @pytest.mark.parametrize("path", [b"/r/x", b"/w/x"])
 @pytest.mark.parametrize("name", REFUSALS)
 async def test_a_refusal_counts_though_its_body_never_ends(
@@ -79,6 +83,38 @@
     await clusters.wait_until(lambda: endless.begun == endless.ended)
 
 
+async def test_a_body_that_never_ends_is_silence(cluster):
+    endless = Endless(200)
+    router, _, _ = await start(cluster, endless)
+    answers = await send_all(router, b"/r/x")
+    assert {answer.body for answer, _ in answers} == {b"done"}
+    assert max(after_s for _, after_s in answers) < ANSWER_S
+    await clusters.wait_until(lambda: all_ended(endless))
+
+
+async def test_an_event_that_never_ends_is_silence(cluster):
+    begun = []
+
+    async def first_sends_part_of_an_event(upstream, run, answer):
+        if begun:
+            await standins.answers_normally(upstream, run, answer)
+            return
+        begun.append(run)
+        await answer.start(200, upstream.answer_headers(run))
+        await answer.write(standins.event(1) + b"id: 2\ndata: ")
+        while True:
+            await answer.write(b"x")
+            await asyncio.sleep(PAUSE_S)
+
+    for _ in range(2):
+        engine = await cluster.engine()
+        engine.default_behaviour = first_sends_part_of_an_event
+    router = await cluster.router()
+    answer, after_s = await timed(clusters.send_request(router, b"/s/x"))
+    assert answer.body == clusters.EVENTS
+    assert after_s < 2 * ANSWER_S
+
+
 async def test_bytes_beside_a_report_do_not_hold_the_router(cluster):
     """Calls of the router end by their own time limit and size."""
     engine = await cluster.engine()
