Let upstreams of the soak leave by their answers alone, and ask for rest

Each soak now has an upstream whose answers say that it leaves, with nothing in the registry, and one that refuses everything for half of the time and asks for 2 s of rest.

--- a/toucanrudder/platform/testing/soaking.py
+++ b/toucanrudder/platform/testing/soaking.py
@@ -237,6 +237,8 @@
         self._goes.set()
         self.path_delay_s = 0.0
         self.limit: records.StatedLimit | None = None
+        self.says_it_leaves = False
+        self.rest: records.AskedRest | None = None
         self.on_loaded: Callable[[], None] = lambda: None
         self._loading: asyncio.Task | None = None
 
@@ -248,8 +250,11 @@
         return super()._report() | {"active": self._running}
 
     def answer_headers(self, run: standins.Run) -> tuple:
-        """Return the headers of an answer, with the limit if it states one."""
+        """Return the headers of an answer, with what it states of itself."""
         headers = super().answer_headers(run)
+        if self.says_it_leaves:
+            headers = (*headers, (b"Server-Leaving", b"1"))
+            self.shared.record.stated_leaving.append(self._sighting(run))
         if self.limit is None:
             return headers
         self.limit.from_s = min(self.limit.from_s, time.monotonic())
@@ -297,7 +302,26 @@
         self.version, self.busy = order["version"], False
         self.on_loaded()
 
+    def _sighting(self, run: standins.Run) -> records.Sighting:
+        return records.Sighting(
+            time.monotonic(), run.request_id, self.incarnation
+        )
+
+    async def _refuse_for_rest(self, run: standins.Run, answer) -> None:
+        sighting = self._sighting(run)
+        self.rest.arrivals.append(sighting)
+        self.rest.refused.append(sighting)
+        headers = (
+            (b"Not-Executed", b"1"),
+            (b"Request-Id", run.request_id.encode()),
+            (b"Retry-After", str(self.rest.rest_s).encode()),
+        )
+        await answer.send_whole(503, headers, b"")
+
     async def _run(self, run: standins.Run, answer) -> None:
+        if self.rest is not None:
+            await self._refuse_for_rest(run, answer)
+            return
         if self.busy:
             await standins.sheds(self, run, answer)
             return
--- a/toucanrudder/soak/faults.py
+++ b/toucanrudder/soak/faults.py
@@ -29,6 +29,9 @@
 #: Requests per second that an upstream in need takes.
 LIMIT_PER_S = 1.5
 
+#: Rest that an upstream asks for with each refusal.
+REST_S = 2.0
+
 #: Standstills in a row, and the time between two.
 STANDSTILLS = 4
 STANDSTILL_PAUSE_S = 0.5
@@ -187,6 +190,7 @@
             each
             for each in self._site.upstreams
             if each.standin.state == "ready"
+            and not each.standin.says_it_leaves
         ]
         chosen = staying[int(step.draw * len(staying))]
         service = chosen.standin.service
@@ -252,6 +256,34 @@
         await asyncio.sleep(step.for_s)
         standin.limit, limit.until_s = None, time.monotonic()
 
+    async def _leave(self, step: plans.Step) -> None:
+        """Let an upstream say in answers that it leaves, then end it.
+
+        Its entry stays in the registry until then.
+        """
+        upstream = self._upstream(step)
+        if upstream is None:
+            return
+        standin = upstream.standin
+        await self._site.add_upstream(
+            standin.service, standin.zone, _software_version(step)
+        )
+        standin.says_it_leaves = True
+        await asyncio.sleep(LINGER_S + step.for_s)
+        with self._span("upstream left", standin.incarnation):
+            await self._site.end_upstream(upstream)
+
+    async def _rest(self, step: plans.Step) -> None:
+        """Let an upstream refuse all requests and ask for rest."""
+        upstream = self._upstream(step)
+        if upstream is None:
+            return
+        standin = upstream.standin
+        standin.rest = records.AskedRest(standin.incarnation, REST_S)
+        self._site.record.rests.append(standin.rest)
+        await asyncio.sleep(step.for_s)
+        standin.rest = None
+
     async def _sick(self, step: plans.Step) -> None:
         upstream = self._upstream(step)
         if upstream is None:
@@ -376,4 +408,6 @@
     plans.Fault.STANDSTILL: Injector._stand_still,
     plans.Fault.UPSTREAM_STANDSTILL: Injector._upstreams_stand_still,
     plans.Fault.LIMIT: Injector._limit,
+    plans.Fault.LEAVE: Injector._leave,
+    plans.Fault.REST: Injector._rest,
 }
--- a/toucanrudder/soak/mutants.py
+++ b/toucanrudder/soak/mutants.py
@@ -179,6 +179,19 @@
         "        return statement and statement.current_rate_per_s(now_s)\n",
         "        return None\n",
     ),
+    Mutant(
+        "a leaving that answers state is not kept to",
+        "forwarding/attempts/attempt.py",
+        "            self.state.record_answered_leaving("
+        "upstream.incarnation)\n",
+        "            pass\n",
+    ),
+    Mutant(
+        "upstreams do not get the rest that they ask for",
+        "forwarding/statements/rests.py",
+        "        return rest.wait_s(now_s) if rest else 0.0\n",
+        "        return 0.0\n",
+    ),
     Mutant(
         "history that is gone is not read anew",
         "controllers/feeds.py",
--- a/toucanrudder/soak/oracles.py
+++ b/toucanrudder/soak/oracles.py
@@ -51,7 +51,12 @@
 LIMIT_OVERRUN = 1.5
 LIMIT_SLACK = 5
 
-#: Disturbances after which a router may not know a limit.
+#: Time after a refusal from which the rest that it asks for counts, and
+#: requests of one router that may arrive in it.
+REST_COUNTS_AFTER_S = 0.5
+MOST_IN_REST = 2
+
+#: Disturbances after which a router may not know what upstreams state.
 ROUTER_DISTURBANCES = frozenset(
     {"term", "kill", "start", "pause", "standstill", "stall"}
 )
@@ -296,6 +301,56 @@
                 break
 
 
+def _is_undisturbed(
+    record: records.Record, router: str, from_s: float, until_s: float
+) -> bool:
+    """Whether a router ran on, so that it knows what it was told."""
+    return not any(
+        span.kind in ROUTER_DISTURBANCES
+        and span.touches(router, from_s, until_s)
+        for span in record.spans
+    )
+
+
+def stated_leaving_is_kept_to(record: records.Record) -> Iterator[str]:
+    """A router sends nothing new where an answer told it of a leaving."""
+    calls = {call.request_id: call for call in record.calls}
+    told_s: dict[tuple[str, str], float] = {}
+    for told in record.stated_leaving:
+        if call := calls.get(told.request_id):
+            told_s.setdefault((call.router, told.incarnation), told.at_s)
+    for run in record.runs:
+        call = calls.get(run.request_id)
+        if call is None:
+            continue
+        since_s = told_s.get((call.router, run.incarnation), float("inf"))
+        late_s = call.sent_s - since_s - DRAIN_S - SLACK_S
+        if late_s > 0 and _is_undisturbed(
+            record, call.router, since_s, run.at_s
+        ):
+            yield f"{run.request_id} sent {late_s:.2f} s late to a leaving one"
+
+
+def rests_are_kept(record: records.Record) -> Iterator[str]:
+    """A router leaves an upstream alone that asked it for rest."""
+    routers = {call.request_id: call.router for call in record.calls}
+    for rest in record.rests:
+        for refused in rest.refused:
+            router = routers.get(refused.request_id)
+            from_s = refused.at_s + REST_COUNTS_AFTER_S
+            until_s = refused.at_s + rest.rest_s
+            count = sum(
+                from_s <= each.at_s < until_s
+                and routers.get(each.request_id) == router
+                for each in rest.arrivals
+            )
+            if count > MOST_IN_REST and _is_undisturbed(
+                record, router, refused.at_s, until_s
+            ):
+                yield f"{rest.incarnation} got {count} requests in a rest"
+                break
+
+
 def recovers(record: records.Record) -> Iterator[str]:
     """After the last fault, callers are served again."""
     after_s = record.recovered_after_s
@@ -324,6 +379,8 @@
     poison_is_stopped,
     bad_part_is_stopped,
     limits_hold,
+    stated_leaving_is_kept_to,
+    rests_are_kept,
     recovers,
     processes_live,
 )
--- a/toucanrudder/soak/plans.py
+++ b/toucanrudder/soak/plans.py
@@ -32,6 +32,8 @@
     STANDSTILL = "standstill"
     UPSTREAM_STANDSTILL = "upstream standstill"
     LIMIT = "upstream limit"
+    LEAVE = "upstream leaves unregistered"
+    REST = "upstream rest"
 
 
 #: How often each comes, against the others.
@@ -115,6 +117,8 @@
             steps.append(_part_step(seed, length_s))
             steps.extend(_standstill_steps(seed, length_s))
             steps.append(limit_step(seed, length_s))
+            steps.append(leave_step(seed, length_s))
+            steps.append(rest_step(seed, length_s))
             return tuple(sorted(steps, key=_at_s))
         (fault,) = rng.choices(list(WEIGHTS), list(WEIGHTS.values()))
         for _ in range(rng.choice((1, 1, 1, 2, 3))):
@@ -169,6 +173,22 @@
     return Step(at_s, Fault.LIMIT, rng.random(), length_s / 2)
 
 
+def leave_step(seed: int, length_s: float) -> Step:
+    """Return the step from which an upstream's answers say that it leaves."""
+    # Its own generator, so that the other draws stay as they are.
+    rng = random.Random(f"leave of {seed}")
+    at_s = rng.uniform(CALM_S, max(CALM_S, length_s / 3))
+    return Step(at_s, Fault.LEAVE, rng.random(), rng.uniform(1.0, 3.0))
+
+
+def rest_step(seed: int, length_s: float) -> Step:
+    """Return the step from which an upstream asks for rest for a while."""
+    # Its own generator, so that the other draws stay as they are.
+    rng = random.Random(f"rest of {seed}")
+    at_s = rng.uniform(CALM_S, max(CALM_S, length_s / 3))
+    return Step(at_s, Fault.REST, rng.random(), length_s / 2)
+
+
 def _part_step(seed: int, length_s: float) -> Step:
     # Its own generator, so that the other draws stay as they are.
     rng = random.Random(f"part of {seed}")
--- a/toucanrudder/soak/records.py
+++ b/toucanrudder/soak/records.py
@@ -187,6 +187,43 @@
     arrivals_s: list[float] = attrs.field(factory=list)
 
 
+@attrs.frozen
+class Sighting:
+    """A request at an upstream.
+
+    Parameters
+    ----------
+    at_s : float
+        When.
+    request_id, incarnation : str
+        Which request, and where.
+    """
+
+    at_s: float
+    request_id: str
+    incarnation: str
+
+
+@attrs.define
+class AskedRest:
+    """A rest that an upstream asked for when it refused requests.
+
+    Parameters
+    ----------
+    incarnation : str
+        The upstream.
+    rest_s : float
+        Seconds that it asked for.
+    refused, arrivals : list of Sighting
+        The requests that it refused, and all that arrived.
+    """
+
+    incarnation: str
+    rest_s: float
+    refused: list[Sighting] = attrs.field(factory=list)
+    arrivals: list[Sighting] = attrs.field(factory=list)
+
+
 @attrs.define
 class Record:
     """All that was seen in one soak."""
@@ -205,6 +242,10 @@
     part_arrivals: list[float] = attrs.field(factory=list)
     #: Limits that upstreams stated.
     limits: list[StatedLimit] = attrs.field(factory=list)
+    #: Answers in which upstreams said that they leave.
+    stated_leaving: list[Sighting] = attrs.field(factory=list)
+    #: Rests that upstreams asked for.
+    rests: list[AskedRest] = attrs.field(factory=list)
     #: Routers that ended by themselves.
     died: list[str] = attrs.field(factory=list)
     recovered_after_s: float | None = None
--- a/toucanrudder/soak/runs.py
+++ b/toucanrudder/soak/runs.py
@@ -160,6 +160,8 @@
         "long": sum(call.is_long for call in record.calls),
         "cut": sum(1 for _ in oracles.sound_answers_whole(record)),
         "limited": sum(len(each.arrivals_s) for each in record.limits),
+        "told_leaving": len(record.stated_leaving),
+        "asked_for_rest": sum(len(each.refused) for each in record.rests),
         "stalls": sum(each.kind == "stall" for each in record.spans),
     }
 
--- a/toucanrudder/soak/tests/test_oracles.py
+++ b/toucanrudder/soak/tests/test_oracles.py
@@ -34,6 +34,26 @@
     return records.StatedLimit("i1", 1.5, 100.0, 110.0, list(arrivals_s))
 
 
+def sighting(at_s, request_id="c1"):
+    return records.Sighting(at_s, request_id, "i1")
+
+
+def rest(*arrivals_s):
+    arrivals = [sighting(at_s) for at_s in arrivals_s]
+    return records.AskedRest("i1", 3.0, [sighting(100.0)], arrivals)
+
+
+def sent_late(**fields):
+    """Return a call that reaches i1 after its router was told it leaves."""
+    late = call(request_id="c2", sent_s=104.0, ended_s=104.2)
+    return record(
+        [call(), late],
+        [run(), run("c2", 104.1)],
+        stated_leaving=[sighting(100.1)],
+        **fields,
+    )
+
+
 def record(calls=(), runs=(), **fields):
     return records.Record(list(calls), list(runs), **fields)
 
@@ -152,6 +172,14 @@
         oracles.limits_hold,
         record(limits=[limit(*[104.0 + n / 10 for n in range(15)])]),
     ),
+    "sent to one that said it leaves": (
+        oracles.stated_leaving_is_kept_to,
+        sent_late(),
+    ),
+    "three requests in a rest": (
+        oracles.rests_are_kept,
+        record([call()], rests=[rest(100.5, 101.0, 102.9)]),
+    ),
     "not served again": (oracles.recovers, record()),
     "ended by itself": (oracles.processes_live, record(died=["r1"])),
 }
@@ -168,6 +196,22 @@
 
 
 ALLOWED = {
+    "sent to one that said it leaves, by a router that was paused": (
+        oracles.stated_leaving_is_kept_to,
+        sent_late(spans=[span("pause", "r1", 101.0, 102.0)]),
+    ),
+    "two requests in a rest, and others about it": (
+        oracles.rests_are_kept,
+        record([call()], rests=[rest(100.4, 101.0, 102.9, 103.0)]),
+    ),
+    "more in a rest, by a router that was killed": (
+        oracles.rests_are_kept,
+        record(
+            [call()],
+            rests=[rest(100.5, 101.0, 102.9)],
+            spans=[span("kill", "r1", 100.2, 100.4)],
+        ),
+    ),
     "as many as a stated limit allows": (
         oracles.limits_hold,
         record(limits=[limit(*[104.0 + n / 10 for n in range(14)])]),
--- a/toucanrudder/soak/tests/test_soak.py
+++ b/toucanrudder/soak/tests/test_soak.py
@@ -56,6 +56,25 @@
     assert result.figures["limited"] > 0
 
 
+STATEMENTS = {
+    "leaving": (plans.Fault.LEAVE, 3.0, "told_leaving"),
+    "rest": (plans.Fault.REST, 9.0, "asked_for_rest"),
+}
+
+
+@pytest.mark.parametrize(
+    ("fault", "for_s", "figure"), STATEMENTS.values(), ids=STATEMENTS
+)
+def test_what_upstreams_state_is_kept_to_under_load(
+    fault, for_s, figure, tmp_path
+):
+    size = runs.Size(length_s=14.0, callers=24)
+    steps = (plans.Step(1.0, fault, 0.5, for_s),)
+    result = runs.play(907, size, str(tmp_path), steps)
+    assert result.broken == []
+    assert result.figures[figure] > 0
+
+
 def test_a_plan_draws_each_kind_of_fault():
     drawn = {
         step.fault
