--- a/toucanrudder/forwarding/choosing.py
+++ b/toucanrudder/forwarding/choosing.py
@@ -319,9 +319,13 @@
             retry_after_s = STALE_WEIGHTS_RETRY_AFTER_S
         else:
             retry_after_s = self.retry_after_s(now_s)
+        obstacles = self.state.gate.obstacles(
+            (candidate.upstream for candidate in candidates), now_s
+        )
         return errors.RudderError(
             code,
-            "no upstream can accept the request now",
+            "no upstream can accept the request now"
+            + (f": {obstacles}" if obstacles else ""),
             step=retry_policy.STEP,
             peer=self.service,
             retry_after_s=retry_after_s,
--- a/toucanrudder/forwarding/statements/gate.py
+++ b/toucanrudder/forwarding/statements/gate.py
@@ -5,7 +5,9 @@
 No I/O.
 """
 
+import collections
 from collections.abc import Callable
+from collections.abc import Iterable
 import enum
 import math
 
@@ -93,6 +95,19 @@
             return Permission(resting_s, Obstacle.RESTING)
         return GIVEN
 
+    def obstacles(
+        self, upstreams: Iterable[model.Upstream], now_s: float
+    ) -> str:
+        """Return how many upstreams have which obstacle, for log lines."""
+        counts = collections.Counter(
+            permission.obstacle.value
+            for upstream in upstreams
+            if not (permission := self.permission(upstream, now_s)).is_given
+        )
+        return ", ".join(
+            f"{count} {obstacle}" for obstacle, count in sorted(counts.items())
+        )
+
     def take(self, upstream: model.Upstream, now_s: float) -> Permission:
         """Return the permission; if it is given, count a request as sent."""
         permission = self.permission(upstream, now_s)
--- a/toucanrudder/platform/tests/test_stated_rests.py
+++ b/toucanrudder/platform/tests/test_stated_rests.py
@@ -61,6 +61,7 @@
         answer = await clusters.send_request(router, path)
         assert answer.status == 503
         assert 4.0 <= float(answer.get(b"retry-after")) <= 9.0
+        assert b"1 resting" in answer.body
     assert refusing.refused == 1
 
 
