Believe the rest of a 429 only if it proves that nothing has run

A service's own 429 may concern one caller; it would have kept all callers of this router from the service. A 503 with Retry-After counts as before.

--- a/toucanrudder/platform/dialect.py
+++ b/toucanrudder/platform/dialect.py
@@ -27,9 +27,6 @@
 #: Statuses with which Not-Executed is believed; others contradict it.
 _NOT_RUN_STATUSES = frozenset({400, 421, 429, 503})
 
-#: Statuses of a refusal for want of room.
-_REFUSED_STATUSES = frozenset({429, 503})
-
 _EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 
 
@@ -163,9 +160,9 @@
             rate_limit_per_s=message.stated_number(answer, b"server-limit"),
             is_leaving=_text(answer, b"server-leaving") == "1"
             and not is_other,
-            rest_s=message.number(answer, b"retry-after")
-            if answer.status in _REFUSED_STATUSES and not is_other
-            else None,
+            rest_s=None
+            if is_other
+            else _parse_rest(answer, has_not_run=has_not_run),
             weights_version=int(version)
             if version and version.isascii() and version.isdecimal()
             else None,
@@ -189,6 +186,18 @@
         return match[1].decode("latin-1").strip() if match else None
 
 
+def _parse_rest(
+    answer: message.AnswerHead, *, has_not_run: bool
+) -> float | None:
+    """Return the rest that a refusal asks for.
+
+    A 429 that the request has run into may concern its caller alone.
+    """
+    if answer.status == 503 or (answer.status == 429 and has_not_run):
+        return message.number(answer, b"retry-after")
+    return None
+
+
 def _parse_load(text: str | None) -> model.Load | None:
     if text is None:
         return None
