Give engines and services of the project's own interface their rest

A refusal that proves that nothing has run and asks for rest keeps this router from the process until then, with no fallback; requests that find nothing else are refused with the time until the first rest ends, spread. A restarted process has asked for nothing. rests moves to admission, beside the caps, as both ways use it. The new tests failed before (no such field).

--- a/toucanrudder/filters/model_call.py
+++ b/toucanrudder/filters/model_call.py
@@ -117,6 +117,13 @@
         try:
             return await self._place()
         except errors.RudderError as error:
+            if error.retry_after_s is not None:
+                error.retry_after_s = self.exchange.state.retry_after_s(
+                    self.exchange.state.engines_of(
+                        self.exchange.request.model
+                    ),
+                    error.retry_after_s,
+                )
             # Placement runs nothing, but an earlier try may have run the
             # request, so "not run" would be wrong.
             if self.may_have_run:
@@ -222,7 +229,7 @@
             self.crashes += 1
         if failure.kind is failures.Kind.REJECTED:
             raise RejectedError(failure)
-        exchange.state.mark_unreachable(failure)
+        exchange.state.record_failure(failure)
         step = self._decide(failure)
         if isinstance(step, retries.Refuse):
             raise errors.RudderError(
--- a/toucanrudder/filters/service.py
+++ b/toucanrudder/filters/service.py
@@ -132,18 +132,14 @@
     """Return the untried instance of the service with the fewest calls."""
     state = exchange.state
     now_s = state.now_s()
-    usable = list(
-        state.usable_upstreams(
-            (
-                upstream
-                for upstream in exchange.document.upstreams
-                if upstream.kind == model.SERVICE
-                and upstream.pool == call.service.name
-                and upstream.name not in tried
-            ),
-            now_s,
-        )
-    )
+    instances = [
+        upstream
+        for upstream in exchange.document.upstreams
+        if upstream.kind == model.SERVICE
+        and upstream.pool == call.service.name
+    ]
+    untried = [each for each in instances if each.name not in tried]
+    usable = list(state.usable_upstreams(untried, now_s))
     if not usable:
         raise errors.RudderError(
             errors.Code.NO_UPSTREAM,
@@ -151,7 +147,7 @@
             step=STEP,
             peer=call.service.name,
             ran=ran,
-            retry_after_s=NO_UPSTREAM_RETRY_S,
+            retry_after_s=state.retry_after_s(instances, NO_UPSTREAM_RETRY_S),
         )
     state.rng.shuffle(usable)
     return min(
@@ -325,7 +321,7 @@
         try:
             return await send(upstream)
         except failures.UpstreamFailure as failure:
-            state.mark_unreachable(failure)
+            state.record_failure(failure)
             # Once a try may have run the call, "not run" is wrong even if
             # later tries provably did not run it.
             if failure.kind not in failures.PROVES_NOT_RUN:
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -14,6 +14,7 @@
 from toucanrudder import clock
 from toucanrudder import errors
 from toucanrudder import stalls
+from toucanrudder.admission import rests
 from toucanrudder.forwarding import cache as caches
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import placing
@@ -29,7 +30,6 @@
 from toucanrudder.forwarding.statements import brittleness
 from toucanrudder.forwarding.statements import gate as gates
 from toucanrudder.forwarding.statements import rate_limits
-from toucanrudder.forwarding.statements import rests
 from toucanrudder.forwarding.streams import directory
 from toucanrudder.forwarding.streams import origins
 from toucanrudder.forwarding.streams import resuming
--- a/toucanrudder/forwarding/statements/gate.py
+++ b/toucanrudder/forwarding/statements/gate.py
@@ -13,10 +13,10 @@
 
 import attrs
 
+from toucanrudder.admission import rests
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import registry as registries
 from toucanrudder.forwarding.statements import rate_limits
-from toucanrudder.forwarding.statements import rests
 
 
 class Obstacle(enum.Enum):
--- a/toucanrudder/router/state.py
+++ b/toucanrudder/router/state.py
@@ -21,6 +21,7 @@
 from toucanrudder import retries
 from toucanrudder import stalls
 from toucanrudder import store
+from toucanrudder.admission import rests
 from toucanrudder.controllers import configuration
 from toucanrudder.controllers import kv_transfer
 from toucanrudder.document import model
@@ -108,6 +109,7 @@
     stopping: bool = False
     exchange_soon: Callable[[], None] = lambda: None
     broadcast_urgent: Callable[[], Awaitable[None]] = _no_broadcast
+    asked_rests: rests.Rests = attrs.field(factory=rests.Rests)
     _budgets: dict[str, retries.RetryBudget] = attrs.field(factory=dict)
     _cached_index: _DocumentIndex | None = None
 
@@ -195,8 +197,37 @@
             and not self.instances.is_leaving(upstream.name, reported_state)
             and not upstream.drained
             and self.loads.is_reachable(upstream.name)
+            and self.rest_s(upstream) <= 0
         )
 
+    def _process(self, name: str) -> str:
+        """Return the identity of the upstream's process, as last reported."""
+        received = self.loads.get(name)
+        return f"{name}@{received.report.incarnation if received else ''}"
+
+    def rest_s(self, upstream: model.Upstream) -> float:
+        """Return for how long an upstream wants no request of this router."""
+        if self.asked_rests.is_empty:
+            return 0.0
+        return self.asked_rests.wait_s(
+            self._process(upstream.name), self.now_s()
+        )
+
+    def retry_after_s(
+        self, upstreams: Iterable[model.Upstream], least_s: float
+    ) -> float:
+        """Return after how many seconds a refused caller may return.
+
+        Parameters
+        ----------
+        upstreams : iterable of model.Upstream
+            Those that could serve the request.
+        least_s : float
+            The delay if they do not rest.
+        """
+        first_s = min(map(self.rest_s, upstreams), default=0.0)
+        return max(least_s, first_s * self.rng.uniform(1.0, 1.5))
+
     def usable_upstreams(
         self, upstreams: Iterable[model.Upstream], now_s: float
     ) -> tuple[model.Upstream, ...]:
@@ -227,13 +258,10 @@
         self, model_name: str, now_s: float
     ) -> tuple[model.Upstream, ...]:
         """Return the engines that may be given work for the model."""
-        return self.usable_upstreams(
-            self._configured_engines(model_name), now_s
-        )
+        return self.usable_upstreams(self.engines_of(model_name), now_s)
 
-    def _configured_engines(
-        self, model_name: str
-    ) -> tuple[model.Upstream, ...]:
+    def engines_of(self, model_name: str) -> tuple[model.Upstream, ...]:
+        """Return the configured engines that serve the model."""
         return tuple(
             upstream
             for upstream in self._index().upstreams.values()
@@ -305,8 +333,7 @@
             if can_run(engine)
         }
         configured = [
-            upstream.name
-            for upstream in self._configured_engines(request.model)
+            upstream.name for upstream in self.engines_of(request.model)
         ]
         fingerprint, wall_s = fingerprint_of(request), self.wall_s()
         # All routers rank the same configured engines.  The usable engines
@@ -388,13 +415,20 @@
         """Record that an engine process presumed dead has answered."""
         self.suspects.record_alive(upstream, incarnation, self.wall_s())
 
-    def mark_unreachable(self, failure: failures.UpstreamFailure) -> None:
-        """Use the upstream no more until a load poll succeeds.
+    def record_failure(self, failure: failures.UpstreamFailure) -> None:
+        """Record what a failure says of its upstream.
 
-        Only a refused connection counts; other failures change nothing.
+        After a refused connection the upstream is not used until a load poll
+        succeeds, and after a refusal not in the rest that it asks for.
         """
         if failure.connection_refused:
             self.loads.mark_unreachable(failure.upstream)
+        if failure.rest_s:
+            now_s = self.now_s()
+            self.asked_rests.expire(now_s)
+            self.asked_rests.record(
+                self._process(failure.upstream), failure.rest_s, now_s
+            )
 
 
 def fingerprint_of(request: requests.ModelRequest) -> str:
--- a/toucanrudder/router/tests/test_state.py
+++ b/toucanrudder/router/tests/test_state.py
@@ -1,3 +1,4 @@
+import random
 import types
 from unittest import mock
 
@@ -8,6 +9,7 @@
 from toucanrudder.messages import request as requests
 from toucanrudder.placement import types as placement_types
 from toucanrudder.router import state
+from toucanrudder.upstreams import failures
 from toucanrudder.upstreams import in_flight
 from toucanrudder.upstreams import loads
 
@@ -152,3 +154,31 @@
     _crash(router, suspect, crashed)
     trial = router.plan_trial(suspect, router.now_s())
     assert trial.upstream == expected
+
+
+def _usable(router):
+    engines = router.usable_engines("demo", router.now_s())
+    return {engine.name for engine in engines}
+
+
+def _refuse(router, name, rest_s):
+    router.record_failure(
+        failures.UpstreamFailure(
+            failures.Kind.REFUSED, name, "refused", rest_s=rest_s
+        )
+    )
+
+
+def test_an_engine_gets_nothing_in_the_rest_that_it_asks_for():
+    """Neither if no other is left; a restarted one has asked for nothing."""
+    router = _router()
+    router.rng = random.Random(1)
+    _refuse(router, "e0", 30.0)
+    assert _usable(router) == {"e1"}
+    _refuse(router, "e1", 20.0)
+    assert _usable(router) == set()
+    engines = router.engines_of("demo")
+    assert 19.0 < router.retry_after_s(engines, 0.25) < 30.0
+    report = loads.LoadReport("e0", "e0-second")
+    router.loads.record_report("e0", report, router.now_s())
+    assert _usable(router) == {"e0"}
--- a/toucanrudder/soak/mutants.py
+++ b/toucanrudder/soak/mutants.py
@@ -188,7 +188,7 @@
     ),
     Mutant(
         "upstreams do not get the rest that they ask for",
-        "forwarding/statements/rests.py",
+        "admission/rests.py",
         "        return rest.wait_s(now_s) if rest else 0.0\n",
         "        return 0.0\n",
     ),
--- a/toucanrudder/upstreams/failures.py
+++ b/toucanrudder/upstreams/failures.py
@@ -51,6 +51,8 @@
         Whether the upstream's host refused the connection.
     incarnation : str
         Incarnation in the upstream's response, or empty.
+    rest_s : float
+        Seconds for which a refusing upstream wants no request of this router.
     """
 
     kind: Kind
@@ -60,6 +62,7 @@
     body: bytes = b""
     connection_refused: bool = False
     incarnation: str = ""
+    rest_s: float = 0.0
 
     def __str__(self) -> str:
         return f"{self.kind.value} at {self.upstream}: {self.message}"
--- a/toucanrudder/upstreams/sending.py
+++ b/toucanrudder/upstreams/sending.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 import contextlib
+import math
 
 import aiohttp
 
@@ -48,6 +49,15 @@
         ) from error
 
 
+def rest_s(response: aiohttp.ClientResponse) -> float:
+    """Return the rest in seconds that a refusal asks for; 0 for none."""
+    try:
+        asked_s = float(response.headers.get("Retry-After", ""))
+    except ValueError:
+        return 0.0
+    return asked_s if 0.0 < asked_s < math.inf else 0.0
+
+
 def without_resend(name: str):
     """Return a client middleware that prevents aiohttp from resending.
 
--- a/toucanrudder/upstreams/service.py
+++ b/toucanrudder/upstreams/service.py
@@ -114,6 +114,7 @@
                     upstream.name,
                     headers.get(_IDENTITY, ""),
                     response.headers.get(_IDENTITY),
+                    sending.rest_s(response),
                 )
             yield response
         finally:
@@ -121,7 +122,7 @@
 
 
 def _refusal_failure(
-    name: str, sent_id: str, repeated_id: str | None
+    name: str, sent_id: str, repeated_id: str | None, rest_s: float
 ) -> failures.UpstreamFailure:
     # A service need not repeat the identity.  If it repeats another one, the
     # response belongs to another call and proves nothing about this one.
@@ -129,4 +130,6 @@
         return failures.UpstreamFailure(
             failures.Kind.CROSSED, name, "refusal of another request"
         )
-    return failures.UpstreamFailure(failures.Kind.REFUSED, name, "refused")
+    return failures.UpstreamFailure(
+        failures.Kind.REFUSED, name, "refused", rest_s=rest_s
+    )
--- a/toucanrudder/upstreams/tests/test_refusals.py
+++ b/toucanrudder/upstreams/tests/test_refusals.py
@@ -97,3 +97,23 @@
             with pytest.raises(failures.UpstreamFailure) as caught:
                 await call_engine(session, upstream)
     assert (caught.value.ran, paths) == (UNKNOWN, [])
+
+
+RESTS = [("2.5", 2.5), ("0", 0.0), ("-1", 0.0), ("inf", 0.0), ("soon", 0.0)]
+
+
+@pytest.mark.parametrize("send", [call_service, call_engine])
+@pytest.mark.parametrize(("text", "rest_s"), RESTS)
+async def test_the_rest_that_a_refusal_asks_for_is_read(send, text, rest_s):
+    headers = {
+        "X-Not-Run": "1",
+        "X-Request-Id": REQUEST_ID,
+        "Retry-After": text,
+    }
+    async with (
+        aiohttp.ClientSession() as session,
+        serving((503, headers)) as (upstream, _),
+    ):
+        with pytest.raises(failures.UpstreamFailure) as caught:
+            await send(session, upstream)
+    assert caught.value.rest_s == rest_s
