Do not wait for the body of an engine's refusal on the own interface

One of four cases of the new test failed before, that of an engine whose body never begins; one that comes slowly was read in part, and services were not waited for.

--- a/toucanrudder/upstreams/engine.py
+++ b/toucanrudder/upstreams/engine.py
@@ -167,7 +167,9 @@
         try:
             _check_identity(response, name, engine_id)
             if response.status != 200:
-                body = await _error_body(response, self._headers_timeout_s)
+                body = b""
+                if not _is_refusal(response):
+                    body = await _error_body(response, self._headers_timeout_s)
                 raise _failure_of(response, name, body)
             yield EngineResponse(
                 incarnation=response.headers.get("X-Incarnation", ""),
@@ -194,6 +196,11 @@
         )
 
 
+def _is_refusal(response) -> bool:
+    """Whether the head proves that the request has not run."""
+    return response.status == 503 and response.headers.get("X-Not-Run") == "1"
+
+
 async def _error_body(response, timeout_s: float) -> bytes:
     try:
         async with stalls.timeout(timeout_s):
@@ -204,7 +211,7 @@
 
 def _failure_of(response, name: str, body: bytes) -> failures.UpstreamFailure:
     status = response.status
-    if status == 503 and response.headers.get("X-Not-Run") == "1":
+    if _is_refusal(response):
         kind = failures.Kind.REFUSED
     elif status == 404 and response.method == "GET":
         kind = failures.Kind.LOST
--- a/toucanrudder/upstreams/tests/test_refusals.py
+++ b/toucanrudder/upstreams/tests/test_refusals.py
@@ -1,3 +1,4 @@
+import asyncio
 import contextlib
 
 import aiohttp
@@ -117,3 +118,40 @@
         with pytest.raises(failures.UpstreamFailure) as caught:
             await send(session, upstream)
     assert caught.value.rest_s == rest_s
+
+
+@contextlib.asynccontextmanager
+async def refusing_without_end(content):
+    """Yield an upstream whose refusals have a body without end."""
+
+    async def handle(request):
+        headers = {"X-Not-Run": "1", "X-Request-Id": REQUEST_ID}
+        response = web.StreamResponse(status=503, headers=headers)
+        await response.prepare(request)
+        while True:
+            await response.write(content)
+            await asyncio.sleep(0.02)
+
+    app = web.Application()
+    app.router.add_route("*", ANY_PATH, handle)
+    runner = web.AppRunner(app, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    address = "{}:{}".format(*runner.addresses[0][:2])
+    try:
+        yield model.Upstream("u", model.ENGINE, address, "z", "p")
+    finally:
+        await runner.cleanup()
+
+
+@pytest.mark.parametrize("content", [b"x", b""])
+@pytest.mark.parametrize("send", [call_service, call_engine])
+async def test_a_refusal_counts_though_its_body_never_ends(send, content):
+    async with (
+        aiohttp.ClientSession() as session,
+        refusing_without_end(content) as upstream,
+        asyncio.timeout(1.0),
+    ):
+        with pytest.raises(failures.UpstreamFailure) as caught:
+            await send(session, upstream)
+    assert caught.value.ran is NOT_RUN
