--- a/toucanrudder/admission/rests.py
+++ b/toucanrudder/admission/rests.py
@@ -68,6 +68,9 @@
         """Whether no upstream has to be left alone, or tried."""
         return not self._rests
 
+    def __contains__(self, upstream: str) -> bool:
+        return upstream in self._rests
+
     def record(self, upstream: str, for_s: float, now_s: float) -> bool:
         """Record a rest; return whether it ends later than a known one.
 
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -496,13 +496,19 @@
     def _permitted(
         self, candidates: Sequence[placing.Candidate], now_s: float
     ) -> Sequence[placing.Candidate]:
-        """Return the candidates that may be sent a request now."""
+        """Return the candidates that may be sent a request now.
+
+        Those that leave are left for `placing.usable_candidates`.
+        """
         if self.gate.is_open:
             return candidates
+        # Few upstreams state something, and there may be a thousand.
+        has_statement = self.gate.has_statement
         return [
             candidate
             for candidate in candidates
-            if self.gate.permission(candidate.upstream, now_s).is_given
+            if not has_statement(candidate.upstream.incarnation)
+            or self.gate.permission(candidate.upstream, now_s).is_given
         ]
 
     def candidates(
--- a/toucanrudder/forwarding/statements/gate.py
+++ b/toucanrudder/forwarding/statements/gate.py
@@ -124,6 +124,10 @@
         """Whether no registered upstream has stated anything but leaving."""
         return self.limits.is_empty and self.rests.is_empty
 
+    def has_statement(self, incarnation: str) -> bool:
+        """Whether an upstream has stated anything but leaving."""
+        return incarnation in self.rests or incarnation in self.limits
+
     def has_limit(self, upstream: model.Upstream, now_s: float) -> bool:
         """Whether routers keep to a rate at an upstream."""
         name = upstream.incarnation
--- a/toucanrudder/forwarding/statements/rate_limits.py
+++ b/toucanrudder/forwarding/statements/rate_limits.py
@@ -129,6 +129,9 @@
         """Whether no upstream has stated a limit recently."""
         return not self._statements
 
+    def __contains__(self, upstream: str) -> bool:
+        return upstream in self._statements
+
     def record(
         self, upstream: str, rate_per_s: float | None, now_s: float
     ) -> bool:
