Do not charge a router of the soak with requests that others hand over for it

The stand-in cannot tell who sends, so the check passes over a service while a limit shares its upstreams among routers; the test of rest alone has none. An oracle's row shows what is allowed.

--- a/toucanrudder/soak/faults.py
+++ b/toucanrudder/soak/faults.py
@@ -250,7 +250,9 @@
             if upstream.standin.service == soaking.PLAIN_SERVICE
         ]
         standin = plain[int(step.draw * len(plain))]
-        limit = records.StatedLimit(standin.incarnation, LIMIT_PER_S)
+        limit = records.StatedLimit(
+            standin.incarnation, standin.service, LIMIT_PER_S
+        )
         self._site.record.limits.append(limit)
         standin.limit = limit
         await asyncio.sleep(step.for_s)
@@ -279,7 +281,9 @@
         if upstream is None:
             return
         standin = upstream.standin
-        standin.rest = records.AskedRest(standin.incarnation, REST_S)
+        standin.rest = records.AskedRest(
+            standin.incarnation, standin.service, REST_S
+        )
         self._site.record.rests.append(standin.rest)
         await asyncio.sleep(step.for_s)
         standin.rest = None
--- a/toucanrudder/soak/oracles.py
+++ b/toucanrudder/soak/oracles.py
@@ -56,6 +56,9 @@
 REST_COUNTS_AFTER_S = 0.5
 MOST_IN_REST = 2
 
+#: Time after the end of a limit in which routers still share it.
+LIMIT_RAMP_S = 4.0
+
 #: Disturbances after which a router may not know what upstreams state.
 ROUTER_DISTURBANCES = frozenset(
     {"term", "kill", "start", "pause", "standstill", "stall"}
@@ -331,6 +334,22 @@
             yield f"{run.request_id} sent {late_s:.2f} s late to a leaving one"
 
 
+def _may_be_handed_over(
+    record: records.Record, service: str, from_s: float, until_s: float
+) -> bool:
+    """Whether routers may have sent requests for each other.
+
+    They do while an upstream of the service states a limit, and until its
+    end has been forgotten.
+    """
+    return any(
+        limit.service == service
+        and limit.from_s < until_s
+        and from_s < limit.until_s + LIMIT_RAMP_S
+        for limit in record.limits
+    )
+
+
 def rests_are_kept(record: records.Record) -> Iterator[str]:
     """A router leaves an upstream alone that asked it for rest."""
     routers = {call.request_id: call.router for call in record.calls}
@@ -344,8 +363,12 @@
                 and routers.get(each.request_id) == router
                 for each in rest.arrivals
             )
-            if count > MOST_IN_REST and _is_undisturbed(
-                record, router, refused.at_s, until_s
+            if (
+                count > MOST_IN_REST
+                and _is_undisturbed(record, router, refused.at_s, until_s)
+                and not _may_be_handed_over(
+                    record, rest.service, refused.at_s, until_s
+                )
             ):
                 yield f"{rest.incarnation} got {count} requests in a rest"
                 break
--- a/toucanrudder/soak/records.py
+++ b/toucanrudder/soak/records.py
@@ -170,7 +170,7 @@
 
     Parameters
     ----------
-    incarnation : str
+    incarnation, service : str
         The upstream.
     rate_per_s : float
         Requests per second that it took from all routers.
@@ -181,6 +181,7 @@
     """
 
     incarnation: str
+    service: str
     rate_per_s: float
     from_s: float = float("inf")
     until_s: float = float("inf")
@@ -210,7 +211,7 @@
 
     Parameters
     ----------
-    incarnation : str
+    incarnation, service : str
         The upstream.
     rest_s : float
         Seconds that it asked for.
@@ -219,6 +220,7 @@
     """
 
     incarnation: str
+    service: str
     rest_s: float
     refused: list[Sighting] = attrs.field(factory=list)
     arrivals: list[Sighting] = attrs.field(factory=list)
--- a/toucanrudder/soak/tests/test_oracles.py
+++ b/toucanrudder/soak/tests/test_oracles.py
@@ -31,7 +31,9 @@
 
 
 def limit(*arrivals_s):
-    return records.StatedLimit("i1", 1.5, 100.0, 110.0, list(arrivals_s))
+    return records.StatedLimit(
+        "i1", "desk", 1.5, 100.0, 110.0, list(arrivals_s)
+    )
 
 
 def sighting(at_s, request_id="c1"):
@@ -40,7 +42,7 @@
 
 def rest(*arrivals_s):
     arrivals = [sighting(at_s) for at_s in arrivals_s]
-    return records.AskedRest("i1", 3.0, [sighting(100.0)], arrivals)
+    return records.AskedRest("i1", "desk", 3.0, [sighting(100.0)], arrivals)
 
 
 def sent_late(**fields):
@@ -212,6 +214,14 @@
             spans=[span("kill", "r1", 100.2, 100.4)],
         ),
     ),
+    "more in a rest, while routers hand requests over for a limit": (
+        oracles.rests_are_kept,
+        record(
+            [call()],
+            limits=[limit()],
+            rests=[rest(100.5, 101.0, 102.9)],
+        ),
+    ),
     "as many as a stated limit allows": (
         oracles.limits_hold,
         record(limits=[limit(*[104.0 + n / 10 for n in range(14)])]),
