Decide outside the platform package whose rest and departure an answer states

Cause: which refusals ask for rest, and whether an answer of another process counts, was decided in platform/dialect.py.

The dialect states what the head says; forwarding/statements/answers.py decides whether it holds for the upstream that was asked. The identity of a start of a process, which is no platform's either, is in the model.

--- a/toucanrudder/forwarding/attempts/attempt.py
+++ b/toucanrudder/forwarding/attempts/attempt.py
@@ -15,6 +15,7 @@
 from toucanrudder.forwarding.attempts import relaying
 from toucanrudder.forwarding.attempts import retry_policy
 from toucanrudder.forwarding.attempts import silence as silences
+from toucanrudder.forwarding.statements import answers
 from toucanrudder.forwarding.statements import brittleness
 from toucanrudder.forwarding.statements import gate
 from toucanrudder.http1 import client
@@ -84,11 +85,6 @@
     return retry_policy.FailureKind.FULL if facts.has_not_run else None
 
 
-def _is_genuine(facts: dialects.AnswerFacts) -> bool:
-    """Whether an answer is the upstream's own, as far as it shows."""
-    return facts.is_sealed or _proof_not_run(facts) is not None
-
-
 def _answer_identity(
     facts: dialects.AnswerFacts,
 ) -> retry_policy.AnswerIdentity:
@@ -402,10 +398,11 @@
             self.execution.call, upstream, head
         )
         self.evidence.identity = _answer_identity(facts)
-        if facts.rest_s is not None:
+        rest_s = answers.asked_rest_s(head.status, facts)
+        if rest_s is not None:
             # The connection is one process's, so it is its wish even if it
             # refuses another request than this one.
-            self.state.record_rest(upstream, facts.rest_s, clock.now_s())
+            self.state.record_rest(upstream, rest_s, clock.now_s())
         if not _matches_request(facts, reused=connection.reused):
             # The answer's load and weights are ignored: if they were those
             # of another engine, this one would count as having the new
@@ -444,7 +441,7 @@
         self.state.brittle.record(
             upstream.service, facts.refusals_per_s, now_s
         )
-        if facts.is_leaving and _is_genuine(facts):
+        if answers.states_leaving(facts):
             self.state.record_answered_leaving(upstream.incarnation)
         if not facts.is_other_process:
             self.state.record_rate_limit(upstream, facts.rate_limit_per_s)
--- a/toucanrudder/forwarding/dialect.py
+++ b/toucanrudder/forwarding/dialect.py
@@ -62,6 +62,8 @@
         Whether the upstream proves that it has not run the request.
     is_other_process : bool
         Whether another process answered.
+    names_other_process : bool
+        Whether it carries the name of another process.
     has_other_weights : bool
         Whether the upstream did not run it because its weights differ.
     is_sealed : bool
@@ -78,15 +80,16 @@
         None if it does not say so, NaN if that cannot be read.
     is_leaving : bool
         Whether the upstream announces to leave.
-    rest_s : float or None
-        Seconds for which a refusing upstream wants no request of this router;
-        None if it does not say so.
+    retry_after_s : float or None
+        Seconds after which a refused request may be sent again; None if it
+        does not say so.
     """
 
     is_for_request: bool
     names_no_request: bool = False
     has_not_run: bool = False
     is_other_process: bool = False
+    names_other_process: bool = False
     has_other_weights: bool = False
     is_sealed: bool = False
     load: model.Load | None = None
@@ -94,7 +97,7 @@
     refusals_per_s: float | None = None
     rate_limit_per_s: float | None = None
     is_leaving: bool = False
-    rest_s: float | None = None
+    retry_after_s: float | None = None
 
 
 class Dialect(abc.ABC):
--- a/toucanrudder/forwarding/model.py
+++ b/toucanrudder/forwarding/model.py
@@ -223,6 +223,20 @@
         return self.configuration.generation
 
 
+def incarnation(name: str, started_at_ms: int) -> str:
+    """Return an identity that differs for each start of an upstream.
+
+    A restarted process keeps its name but loses its cache and runs, so
+    state recorded for the previous start must not apply to it.
+
+    Examples
+    --------
+    >>> incarnation("u", 1700), incarnation("u", 0)
+    ('u@1700', 'u')
+    """
+    return f"{name}@{started_at_ms}" if started_at_ms else name
+
+
 @attrs.frozen
 class Upstream:
     """One process that serves requests, as it registered itself.
--- a/toucanrudder/platform/dialect.py
+++ b/toucanrudder/platform/dialect.py
@@ -145,24 +145,20 @@
         )
         instance = _text(answer, b"instance-id")
         is_expected = instance == upstream.name
-        is_other_process = answer.status == 421 and not is_expected
-        is_other = is_other_process or instance not in (None, upstream.name)
         return dialect.AnswerFacts(
             is_for_request=answered_id == call.request_id,
             names_no_request=answered_id is None,
             has_not_run=has_not_run,
             # Both have status 421; Instance-Id tells them apart.
-            is_other_process=is_other_process,
+            is_other_process=answer.status == 421 and not is_expected,
             has_other_weights=answer.status == 421 and is_expected,
+            names_other_process=instance not in (None, upstream.name),
             is_sealed=answer.get(b"server-seal") is not None,
             load=_parse_load(_text(answer, b"server-load")),
             refusals_per_s=message.number(answer, b"server-brittle"),
             rate_limit_per_s=message.stated_number(answer, b"server-limit"),
-            is_leaving=_text(answer, b"server-leaving") == "1"
-            and not is_other,
-            rest_s=None
-            if is_other
-            else _parse_rest(answer, has_not_run=has_not_run),
+            is_leaving=_text(answer, b"server-leaving") == "1",
+            retry_after_s=message.number(answer, b"retry-after"),
             weights_version=int(version)
             if version and version.isascii() and version.isdecimal()
             else None,
@@ -186,18 +182,6 @@
         return match[1].decode("latin-1").strip() if match else None
 
 
-def _parse_rest(
-    answer: message.AnswerHead, *, has_not_run: bool
-) -> float | None:
-    """Return the rest that a refusal asks for.
-
-    A 429 that the request has run into may concern its caller alone.
-    """
-    if answer.status == 503 or (answer.status == 429 and has_not_run):
-        return message.number(answer, b"retry-after")
-    return None
-
-
 def _parse_load(text: str | None) -> model.Load | None:
     if text is None:
         return None
--- a/toucanrudder/platform/objects.py
+++ b/toucanrudder/platform/objects.py
@@ -125,7 +125,7 @@
     """
     entry = typed.read(records.Entry, stored.value, _object_path(stored))
     return model.Upstream(
-        incarnation=_incarnation(stored.name, entry.born),
+        incarnation=model.incarnation(stored.name, entry.born),
         name=stored.name,
         started_at_ms=entry.born,
         service=entry.service,
@@ -138,15 +138,6 @@
     )
 
 
-def _incarnation(name: str, started_at_ms: int) -> str:
-    """Return an identity that differs for each start of an upstream.
-
-    A restarted process keeps its name but loses its cache and runs, so
-    state recorded for the previous start must not apply to it.
-    """
-    return f"{name}@{started_at_ms}" if started_at_ms else name
-
-
 def weights_by_model(models: Iterable[records.LoadedModel]) -> dict[str, int]:
     """Map each model to the version of its weights."""
     return {loaded.name: loaded.version for loaded in models}
--- a/toucanrudder/platform/tests/test_stated_departures.py
+++ b/toucanrudder/platform/tests/test_stated_departures.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from toucanrudder.forwarding.statements import answers
 from toucanrudder.http1 import message
 from toucanrudder.platform import dialect
 from toucanrudder.platform.testing import cluster as clusters
@@ -35,9 +36,13 @@
 
 
 def test_leaving_of_another_process_at_the_address_is_ignored():
-    assert not read(421, (b"Instance-Id", b"v"), WORD).is_leaving
-    assert not read(421, WORD).is_leaving
-    assert read(421, (b"Instance-Id", b"u"), WORD).is_leaving
+    sealed = (b"Server-Seal", b"s")
+    other, asked = (b"Instance-Id", b"v"), (b"Instance-Id", b"u")
+    assert not answers.states_leaving(read(421, other, WORD))
+    assert not answers.states_leaving(read(421, WORD))
+    assert answers.states_leaving(read(421, asked, WORD))
+    assert not answers.states_leaving(read(200, other, sealed, WORD))
+    assert answers.states_leaving(read(200, sealed, WORD))
 
 
 async def leaves(upstream, run, answer):
--- a/toucanrudder/platform/tests/test_stated_rests.py
+++ b/toucanrudder/platform/tests/test_stated_rests.py
@@ -3,6 +3,7 @@
 import pytest
 
 from toucanrudder import clock
+from toucanrudder.forwarding.statements import answers
 from toucanrudder.http1 import message
 from toucanrudder.platform import dialect
 from toucanrudder.platform.testing import cluster as clusters
@@ -26,25 +27,30 @@
 ]
 
 
-def test_rest_of_a_refusal_by_429_needs_its_proof():
-    headers = ((b"Retry-After", b"1"), (b"Not-Executed", b"1"))
+def asked_rest_s(status, *headers):
     facts = dialect.PlatformDialect().answer_facts(
         dialect.model.Call("id", "h", "/"),
         dialect.model.Upstream("u", "s", "u:1"),
-        message.AnswerHead(429, headers),
+        message.AnswerHead(status, headers),
     )
-    assert facts.rest_s == 1.0
+    return answers.asked_rest_s(status, facts)
+
+
+def test_rest_of_a_refusal_by_429_needs_its_proof():
+    not_executed = (b"Not-Executed", b"1")
+    assert asked_rest_s(429, (b"Retry-After", b"1"), not_executed) == 1.0
+
+
+def test_rest_of_another_process_at_the_address_is_ignored():
+    rest = (b"Retry-After", b"1")
+    assert asked_rest_s(503, (b"Instance-Id", b"v"), rest) is None
+    assert asked_rest_s(503, (b"Instance-Id", b"u"), rest) == 1.0
 
 
 @pytest.mark.parametrize(("status", "text", "rest_s"), RESTS)
 def test_rest_is_read_leniently(status, text, rest_s):
     headers = () if text is None else ((b"Retry-After", text),)
-    facts = dialect.PlatformDialect().answer_facts(
-        dialect.model.Call("id", "h", "/"),
-        dialect.model.Upstream("u", "s", "u:1"),
-        message.AnswerHead(status, headers),
-    )
-    assert facts.rest_s == rest_s
+    assert asked_rest_s(status, *headers) == rest_s
 
 
 class Refusing:
--- a/toucanrudder/testing/virtual/workers.py
+++ b/toucanrudder/testing/virtual/workers.py
@@ -257,7 +257,7 @@
             is_sealed=True,
             rate_limit_per_s=message.stated_number(answer, b"limit"),
             is_leaving=answer.get(b"leaving") is not None,
-            rest_s=message.number(answer, b"rest"),
+            retry_after_s=message.number(answer, b"rest"),
         )
 
     def error_answer(self, error, request_id):
