Set up the fleets of the tests of statements in one place

The three modules on statements at size each had their own choice of upstreams, faults and set-up of a loaded fleet. They are now testing/virtual/faults.py and traffic.loaded_fleet.

--- a/toucanrudder/forwarding/statements/tests/test_departures_at_size.py
+++ b/toucanrudder/forwarding/statements/tests/test_departures_at_size.py
@@ -4,12 +4,12 @@
 
 import pytest
 
-from toucanrudder.testing.virtual import sites
+from toucanrudder.testing.virtual import faults
 from toucanrudder.testing.virtual import stores
 from toucanrudder.testing.virtual import timing
 from toucanrudder.testing.virtual import traffic
 
-STARTED_S = 6.0
+SERVICE = "llm"
 
 #: For how long upstreams leave.
 LEAVING_S = 9.0
@@ -18,74 +18,25 @@
 #: on must not send there what callers send it.
 DRAIN_S = 2.0
 
-#: Requests a second to a service, and its upstreams, by routers.
-FLEETS = {8: (26.0, 5), 82: (92.0, 30), 195: (180.0, 60)}
+routers_are_split = faults.split(after_s=2.0, for_s=4.0)
+routers_lose_their_upstreams = faults.cut(after_s=3.0, for_s=3.0)
+# The store is away for most of the time, or is an older copy.
+entries_lapse_and_return = faults.lapse(after_s=4.0, for_s=1.0)
 
 
-def one(workers):
-    return workers[:1]
-
-
-def half(workers):
-    return workers[::2]
-
-
-def all_of_them(workers):
-    return workers
-
-
-async def no_failure(fleet, leaving):
-    """No failure."""
-
-
-async def entries_lapse_and_return(fleet, leaving):
-    # The store is away for most of the time, or is an older copy.
-    await asyncio.sleep(4.0)
-    set_store(fleet, stores.Way.WELL)
-    for worker in leaving:
-        fleet.unregister(worker)
-    await asyncio.sleep(1.0)
-    for worker in leaving:
-        fleet.register(worker)
-
-
-async def routers_are_split(fleet, leaving):
-    await asyncio.sleep(2.0)
-    fleet.site.apart = set(fleet.site.names[::2])
-    await asyncio.sleep(4.0)
-    fleet.site.apart = set()
-
-
-async def routers_lose_their_upstreams(fleet, leaving):
-    await asyncio.sleep(3.0)
-    fleet.cut = set(fleet.site.names[::3])
-    await asyncio.sleep(3.0)
-    fleet.cut = set()
-
-
-def set_store(fleet, way):
-    for router in fleet.site.names:
-        fleet.site.store.treat(router, way)
-
-
-def run(routers, choose_leaving, failure, *, then=None, seed=907):
+def run(routers, choose_leaving, fault, *, then=None):
     """Return a fleet where upstreams have left, and the time it began."""
-    per_s, upstreams = FLEETS[routers]
 
     async def main():
-        site = sites.Site(seed, routers=routers, engine_count=1, zones=3)
-        fleet = traffic.Fleet(site, {"llm": upstreams})
-        with sites.unpacked():
-            fleet.start()
-            await asyncio.sleep(STARTED_S)
-            site.spawn(fleet.call("llm", per_s, seed=seed))
-            await asyncio.sleep(2.0)
-            set_store(fleet, stores.Way.SILENT)
-            leaving = choose_leaving(fleet.of_service("llm"))
-            began_s = site.now_s()
+        async with traffic.loaded_fleet(
+            routers, SERVICE, warm_up_s=2.0
+        ) as fleet:
+            faults.set_store(fleet, stores.Way.SILENT)
+            leaving = choose_leaving(fleet.of_service(SERVICE))
+            began_s = fleet.site.now_s()
             for worker in leaving:
                 worker.is_leaving = True
-            site.spawn(failure(fleet, leaving))
+            fleet.site.spawn(fault(fleet, leaving))
             await asyncio.sleep(LEAVING_S)
             if then is not None:
                 await then(fleet, leaving)
@@ -115,30 +66,30 @@
 
 
 CASES = [
-    (8, one, no_failure),
-    (8, half, no_failure),
-    (8, all_of_them, no_failure),
-    (8, half, entries_lapse_and_return),
-    (8, all_of_them, entries_lapse_and_return),
-    (8, half, routers_are_split),
-    (8, half, routers_lose_their_upstreams),
-    (82, half, entries_lapse_and_return),
-    (195, half, no_failure),
+    (8, faults.one, faults.no_fault),
+    (8, faults.half, faults.no_fault),
+    (8, faults.all_of_them, faults.no_fault),
+    (8, faults.half, entries_lapse_and_return),
+    (8, faults.all_of_them, entries_lapse_and_return),
+    (8, faults.half, routers_are_split),
+    (8, faults.half, routers_lose_their_upstreams),
+    (82, faults.half, entries_lapse_and_return),
+    (195, faults.half, faults.no_fault),
 ]
 
 
-@pytest.mark.parametrize(("routers", "choose_leaving", "failure"), CASES)
+@pytest.mark.parametrize(("routers", "choose_leaving", "fault"), CASES)
 def test_no_router_uses_an_upstream_that_has_told_it_that_it_leaves(
-    routers, choose_leaving, failure
+    routers, choose_leaving, fault
 ):
-    fleet, _ = run(routers, choose_leaving, failure)
+    fleet, _ = run(routers, choose_leaving, fault)
     assert fleet.statements
     assert late_arrivals(fleet) == []
 
 
 @pytest.mark.parametrize("routers", [8, 82])
 def test_all_routers_soon_know_what_one_was_told(routers):
-    fleet, _ = run(routers, half, no_failure)
+    fleet, _ = run(routers, faults.half, faults.no_fault)
     since_s = {}
     for word in fleet.statements:
         since_s.setdefault(word.upstream, word.at_s)
@@ -152,7 +103,7 @@
 
 
 def test_requests_are_refused_at_once_if_all_upstreams_leave():
-    fleet, began_s = run(8, all_of_them, no_failure)
+    fleet, began_s = run(8, faults.all_of_them, faults.no_fault)
     refused = [
         outcome
         for outcome in fleet.outcomes
@@ -165,13 +116,13 @@
 
 def test_a_process_that_starts_under_the_same_name_is_used():
     async def restart(fleet, leaving):
-        set_store(fleet, stores.Way.WELL)
+        faults.set_store(fleet, stores.Way.WELL)
         await asyncio.sleep(2.0)
         for worker in leaving:
             fleet.restart(worker)
         await asyncio.sleep(6.0)
 
-    fleet, began_s = run(8, half, no_failure, then=restart)
+    fleet, began_s = run(8, faults.half, faults.no_fault, then=restart)
     used = {
         arrival.upstream
         for arrival in fleet.arrivals
--- a/toucanrudder/forwarding/statements/tests/test_rate_limits_at_size.py
+++ b/toucanrudder/forwarding/statements/tests/test_rate_limits_at_size.py
@@ -5,11 +5,11 @@
 import attrs
 import pytest
 
-from toucanrudder.testing.virtual import sites
+from toucanrudder.testing.virtual import faults
 from toucanrudder.testing.virtual import timing
 from toucanrudder.testing.virtual import traffic
 
-STARTED_S = 6.0
+SERVICE = "llm"
 
 #: Time from the first answer that states a limit until the limit holds.
 CONTACT_S = 3.0
@@ -21,12 +21,13 @@
 WINDOW_S = 4.0
 OVERRUN, SLACK = 1.5, 5.0
 
-#: Requests a second to a service, and its upstreams, by routers.
-FLEETS = {8: (26.0, 5), 82: (92.0, 30)}
-
 #: Limits that upstreams state, in turns.
 LIMITS_PER_S = (1.3, 1.7, 0.4, 3.0)
 
+routers_are_split = faults.split(after_s=2.0, for_s=8.0)
+routers_lose_their_upstreams = faults.cut(after_s=4.0, for_s=4.0)
+half_of_the_routers_restart = faults.restart(4.0, 2.0)
+
 
 @attrs.frozen
 class Played:
@@ -38,70 +39,22 @@
     ended_s: float
 
 
-def one(workers):
-    return workers[:1]
-
-
-def half(workers):
-    return workers[::2]
-
-
-def all_of_them(workers):
-    return workers
-
-
-async def no_failure(fleet):
-    """No failure."""
-
-
-async def half_of_the_routers_restart(fleet):
-    site = fleet.site
-    for wait_s in (4.0, 2.0):
-        await asyncio.sleep(wait_s)
-        restarted = site.names[::2]
-        for router in restarted:
-            site.kill_router(router)
-        await asyncio.sleep(0.5)
-        for router in restarted:
-            site.start_router(router)
-
-
-async def routers_are_split(fleet):
-    await asyncio.sleep(2.0)
-    fleet.site.apart = set(fleet.site.names[::2])
-    await asyncio.sleep(8.0)
-    fleet.site.apart = set()
-
-
-async def routers_lose_their_upstreams(fleet):
-    await asyncio.sleep(4.0)
-    fleet.cut = set(fleet.site.names[::3])
-    await asyncio.sleep(4.0)
-    fleet.cut = set()
-
-
-def run(routers, choose_limited, failure, *, factor=1.0, seed=907):
-    per_s, upstreams = FLEETS[routers]
-
+def run(routers, choose_limited, fault, *, factor=1.0):
     async def main():
-        site = sites.Site(seed, routers=routers, engine_count=1, zones=3)
-        fleet = traffic.Fleet(site, {"llm": upstreams})
-        with sites.unpacked():
-            fleet.start()
-            await asyncio.sleep(STARTED_S)
-            site.spawn(fleet.call("llm", factor * per_s, seed=seed))
-            await asyncio.sleep(4.0)
-            stated_s = site.now_s()
-            limited = choose_limited(fleet.of_service("llm"))
+        async with traffic.loaded_fleet(
+            routers, SERVICE, warm_up_s=4.0, factor=factor
+        ) as fleet:
+            stated_s = fleet.site.now_s()
+            limited = choose_limited(fleet.of_service(SERVICE))
             for number, worker in enumerate(limited):
                 worker.limit_per_s = LIMITS_PER_S[number % len(LIMITS_PER_S)]
-            site.spawn(failure(fleet))
+            fleet.site.spawn(fault(fleet, limited))
             await asyncio.sleep(STATED_S)
             played = Played(
                 fleet,
                 {worker.name: worker.limit_per_s for worker in limited},
                 stated_s,
-                site.now_s(),
+                fleet.site.now_s(),
             )
             for worker in limited:
                 worker.limit_per_s = None
@@ -143,24 +96,24 @@
 
 
 CASES = [
-    (8, one, no_failure, 1.0),
-    (8, half, no_failure, 1.0),
-    (8, all_of_them, no_failure, 1.0),
-    (8, all_of_them, no_failure, 4.0),
-    (8, half, half_of_the_routers_restart, 1.0),
-    (8, all_of_them, half_of_the_routers_restart, 4.0),
-    (8, all_of_them, routers_are_split, 4.0),
-    (8, half, routers_lose_their_upstreams, 1.0),
-    (82, half, no_failure, 1.0),
-    (82, all_of_them, routers_are_split, 1.0),
+    (8, faults.one, faults.no_fault, 1.0),
+    (8, faults.half, faults.no_fault, 1.0),
+    (8, faults.all_of_them, faults.no_fault, 1.0),
+    (8, faults.all_of_them, faults.no_fault, 4.0),
+    (8, faults.half, half_of_the_routers_restart, 1.0),
+    (8, faults.all_of_them, half_of_the_routers_restart, 4.0),
+    (8, faults.all_of_them, routers_are_split, 4.0),
+    (8, faults.half, routers_lose_their_upstreams, 1.0),
+    (82, faults.half, faults.no_fault, 1.0),
+    (82, faults.all_of_them, routers_are_split, 1.0),
 ]
 
 
 @pytest.mark.parametrize(
-    ("routers", "choose_limited", "failure", "factor"), CASES
+    ("routers", "choose_limited", "fault", "factor"), CASES
 )
 def test_upstreams_get_no_more_than_they_say_they_take(
-    routers, choose_limited, failure, factor
+    routers, choose_limited, fault, factor
 ):
-    played = run(routers, choose_limited, failure, factor=factor)
+    played = run(routers, choose_limited, fault, factor=factor)
     assert max(overruns(played).values()) <= 1.0
--- a/toucanrudder/forwarding/statements/tests/test_rests_at_size.py
+++ b/toucanrudder/forwarding/statements/tests/test_rests_at_size.py
@@ -6,11 +6,11 @@
 import attrs
 import pytest
 
-from toucanrudder.testing.virtual import sites
+from toucanrudder.testing.virtual import faults
 from toucanrudder.testing.virtual import timing
 from toucanrudder.testing.virtual import traffic
 
-STARTED_S = 6.0
+SERVICE = "llm"
 
 #: For how long upstreams take one request at a time, and work on it.
 FULL_S, WORK_S = 8.0, 0.5
@@ -19,8 +19,10 @@
 #: that are allowed in it.
 REST_S, UNTIL_COUNTED_S, ALLOWED = 2.5, 0.5, 2
 
-#: Requests a second to a service, and its upstreams, by routers.
-FLEETS = {8: (26.0, 5), 82: (92.0, 30)}
+routers_are_split = faults.split(after_s=2.0, for_s=20.0)
+entries_lapse_and_return = faults.repeated(
+    faults.lapse(after_s=0.7, for_s=0.1)
+)
 
 
 @attrs.frozen
@@ -40,56 +42,19 @@
         ]
 
 
-def one(workers):
-    return workers[:1]
-
-
-def half(workers):
-    return workers[::2]
-
-
-def all_of_them(workers):
-    return workers
-
-
-async def no_failure(fleet, full):
-    """No failure."""
-
-
-async def entries_lapse_and_return(fleet, full):
-    while True:
-        await asyncio.sleep(0.7)
-        for worker in full:
-            fleet.unregister(worker)
-        await asyncio.sleep(0.1)
-        for worker in full:
-            fleet.register(worker)
-
-
-async def routers_are_split(fleet, full):
-    await asyncio.sleep(2.0)
-    fleet.site.apart = set(fleet.site.names[::2])
-
-
-def run(routers, choose_full, failure, *, rest_s=REST_S, seed=907):
-    per_s, upstreams = FLEETS[routers]
-
+def run(routers, choose_full, fault, *, rest_s=REST_S):
     async def main():
-        site = sites.Site(seed, routers=routers, engine_count=1, zones=3)
-        fleet = traffic.Fleet(site, {"llm": upstreams})
-        with sites.unpacked():
-            fleet.start()
-            await asyncio.sleep(STARTED_S)
-            site.spawn(fleet.call("llm", per_s, seed=seed))
-            await asyncio.sleep(2.0)
-            began_s = site.now_s()
-            full = choose_full(fleet.of_service("llm"))
+        async with traffic.loaded_fleet(
+            routers, SERVICE, warm_up_s=2.0
+        ) as fleet:
+            began_s = fleet.site.now_s()
+            full = choose_full(fleet.of_service(SERVICE))
             for worker in full:
                 worker.max_requests, worker.work_s = 1, WORK_S
                 worker.rest_s = rest_s
-            site.spawn(failure(fleet, full))
+            fleet.site.spawn(fault(fleet, full))
             await asyncio.sleep(FULL_S)
-            ended_s = site.now_s()
+            ended_s = fleet.site.now_s()
             for worker in full:
                 worker.max_requests, worker.work_s = None, 0.02
             await asyncio.sleep(4.0)
@@ -113,27 +78,25 @@
 
 
 CASES = [
-    (8, one, no_failure),
-    (8, half, no_failure),
-    (8, all_of_them, no_failure),
-    (8, half, entries_lapse_and_return),
-    (8, half, routers_are_split),
-    (82, half, no_failure),
-    (82, all_of_them, no_failure),
+    (8, faults.one, faults.no_fault),
+    (8, faults.half, faults.no_fault),
+    (8, faults.all_of_them, faults.no_fault),
+    (8, faults.half, entries_lapse_and_return),
+    (8, faults.half, routers_are_split),
+    (82, faults.half, faults.no_fault),
+    (82, faults.all_of_them, faults.no_fault),
 ]
 
 
-@pytest.mark.parametrize(("routers", "choose_full", "failure"), CASES)
-def test_upstreams_get_the_rest_that_they_ask_for(
-    routers, choose_full, failure
-):
-    played = run(routers, choose_full, failure)
+@pytest.mark.parametrize(("routers", "choose_full", "fault"), CASES)
+def test_upstreams_get_the_rest_that_they_ask_for(routers, choose_full, fault):
+    played = run(routers, choose_full, fault)
     assert played.fleet.statements
     assert most_in_a_rest(played.fleet) <= ALLOWED
 
 
 def test_requests_are_refused_at_once_if_all_upstreams_rest():
-    played = run(8, all_of_them, no_failure, rest_s=20.0)
+    played = run(8, faults.all_of_them, faults.no_fault, rest_s=20.0)
     refused = [
         outcome for outcome in played.outcomes() if outcome.status == 503
     ]
@@ -144,7 +107,7 @@
 
 def test_refusals_name_the_end_of_the_first_rest_and_spread():
     """Callers that all return at one moment are refused again."""
-    played = run(8, all_of_them, no_failure)
+    played = run(8, faults.all_of_them, faults.no_fault)
     delays_s = [
         outcome.retry_after_s
         for outcome in played.outcomes()
--- a/toucanrudder/testing/virtual/traffic.py
+++ b/toucanrudder/testing/virtual/traffic.py
@@ -1,7 +1,9 @@
 """Callers, and fleets of routers before plain services, on virtual time."""
 
 import asyncio
+from collections.abc import AsyncIterator
 from collections.abc import Callable
+import contextlib
 import functools
 import itertools
 import random
@@ -19,6 +21,12 @@
 #: repeated and one for those that may not.
 SERVICES = ("desk", "llm")
 
+#: Time by which all routers know all upstreams.
+STARTED_S = 6.0
+
+#: Requests a second to a service, and its upstreams, by routers.
+LOADS = {8: (26.0, 5), 82: (92.0, 30), 195: (180.0, 60)}
+
 
 def _routes(timeout_s: float, objective_s: float) -> tuple[model.Route, ...]:
     return tuple(
@@ -275,3 +283,38 @@
             kind = "once" if rng.random() < once_share else "idempotent"
             router = choose(rng, self.site.names)
             self.site.spawn(self.send(router, f"/{service}/{kind}/x"))
+
+
+@contextlib.asynccontextmanager
+async def loaded_fleet(
+    routers: int,
+    service: str,
+    *,
+    warm_up_s: float,
+    factor: float = 1.0,
+    seed: int = 907,
+) -> AsyncIterator[Fleet]:
+    """Yield a fleet with one service, which callers keep busy.
+
+    Parameters
+    ----------
+    routers : int
+        Their number, of `LOADS`.
+    service : str
+        The service.
+    warm_up_s : float
+        For how long it has been called.
+    factor : float
+        Requests, relative to `LOADS`.
+    seed : int
+        Seed of the callers.
+    """
+    per_s, upstreams = LOADS[routers]
+    site = sites.Site(seed, routers=routers, engine_count=1, zones=3)
+    fleet = Fleet(site, {service: upstreams})
+    with sites.unpacked():
+        fleet.start()
+        await asyncio.sleep(STARTED_S)
+        site.spawn(fleet.call(service, factor * per_s, seed=seed))
+        await asyncio.sleep(warm_up_s)
+        yield fleet
