End silences of streams from engines by complete new events only

Callers of the project's own interface waited without end for a stream whose engine sends bytes but no events. The class of the fault is the one of the upstreams' endless bodies: activity was taken for progress, here each chunk that a read of the stream returned.

The time limit now spans reads until a new event is complete. Comments do not count either: an engine that computes a long prompt accepts each reconnection.

--- a/toucanrudder/relay/attempt.py
+++ b/toucanrudder/relay/attempt.py
@@ -183,7 +183,7 @@
             self._is_resume_dropped = (
                 way is _Way.RESUME
                 and failure.kind is failures.Kind.SILENT
-                and failure.message != failures.NO_BYTES_IN_TIME
+                and failure.message != failures.NO_PROGRESS_IN_TIME
             )
             return _Way.RESUME
         if way is _Way.RESUME and self._is_request_lost(failure):
@@ -218,32 +218,42 @@
     async def _relay_events(self, content: aiohttp.StreamReader) -> None:
         self.sequencer.reset_connection()
         while not self.sequencer.done:
-            chunk = await self._read(content)
-            if not chunk:
-                # Closed before [DONE], so the answer is incomplete.
-                raise _ConnectionLost("connection closed before [DONE]")
-            events = self.sequencer.feed(chunk)
+            events = await self._next_events(content)
             if events:
                 self._record_progress()
                 await self.sink.write(events)
             self._check_sequence()
 
-    async def _read(self, content: aiohttp.StreamReader) -> bytes:
+    async def _next_events(self, content: aiohttp.StreamReader) -> bytes:
+        """Return the next new events; none if the sequence is broken.
+
+        Only complete new events end a silence: an engine in trouble may
+        send bytes without end.
+        """
         # A network device that dropped the connection's state yields
         # neither data nor an error.  Only a timeout detects this, and only
         # a new connection gets through.
         try:
             # Data that is already buffered is read without starting a timer.
-            chunk = content.read_nowait()
-            if chunk:
-                return chunk
+            events = self.sequencer.feed(content.read_nowait())
+            if events:
+                return events
             async with stalls.timeout(self.limits.silence_s(self._has_events)):
-                return await content.readany()
+                while not events and not self.sequencer.is_broken:
+                    events = await self._feed_next(content)
+                return events
         except TimeoutError as error:
-            raise _ConnectionLost(failures.NO_BYTES_IN_TIME) from error
+            raise _ConnectionLost(failures.NO_PROGRESS_IN_TIME) from error
         except (aiohttp.ClientError, OSError) as error:
             raise _ConnectionLost(repr(error)) from error
 
+    async def _feed_next(self, content: aiohttp.StreamReader) -> bytes:
+        chunk = await content.readany()
+        if not chunk:
+            # Closed before [DONE], so the answer is incomplete.
+            raise _ConnectionLost("connection closed before [DONE]")
+        return self.sequencer.feed(chunk)
+
     def _check_sequence(self) -> None:
         try:
             self.sequencer.check()
@@ -268,7 +278,7 @@
         # An engine that computes a long prompt is silent but accepts each
         # reconnection, and must not be abandoned: only the first-token
         # deadline applies.  All other reconnections are counted.
-        if self._has_events or reason != failures.NO_BYTES_IN_TIME:
+        if self._has_events or reason != failures.NO_PROGRESS_IN_TIME:
             self._reconnects_without_event += 1
         if self._reconnects_without_event > MAX_RECONNECTS_WITHOUT_EVENT:
             # Behind a load balancer, connections to a dead engine are not
--- a/toucanrudder/relay/sequencer.py
+++ b/toucanrudder/relay/sequencer.py
@@ -103,6 +103,11 @@
             self._error = error
         return b"".join(new_events)
 
+    @property
+    def is_broken(self) -> bool:
+        """Whether an invalid event was received, for which `check` raises."""
+        return self._error is not None
+
     def check(self) -> None:
         """Raise if an invalid event was received.
 
--- a/toucanrudder/relay/tests/test_attempts.py
+++ b/toucanrudder/relay/tests/test_attempts.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import itertools
 import random
 
 import pytest
@@ -39,6 +40,21 @@
         return failures.UpstreamFailure(kind, UPSTREAM.name, "reset")
 
 
+def make_attempt(client):
+    deadline_s = asyncio.get_running_loop().time() + 10
+    return attempts.Attempt(
+        client=client,
+        upstream=UPSTREAM,
+        call=engine.EngineCall("r1", "/v1/completions", {}, 1, ""),
+        sequencer=relay.Sequencer(b"r1"),
+        sink=sinks.WholeSink(),
+        limits=attempts.Limits(1.0, 0.01, deadline_s),
+        incarnation="",
+        rng=random.Random(1),
+        on_first_event=lambda: None,
+    )
+
+
 SENT = ("start", Kind.SILENT)
 LOST_AT_ENGINE = ("resume", Kind.LOST)
 FAILED = [
@@ -58,18 +74,51 @@
 ):
     """A refused resend does not prove that the first request did not run."""
     client = FailingClient(*planned_failures)
-    deadline_s = asyncio.get_running_loop().time() + 10
-    attempt = attempts.Attempt(
-        client=client,
-        upstream=UPSTREAM,
-        call=engine.EngineCall("r1", "/v1/completions", {}, 1, ""),
-        sequencer=relay.Sequencer(b"r1"),
-        sink=sinks.WholeSink(),
-        limits=attempts.Limits(1.0, 0.01, deadline_s),
-        incarnation="",
-        rng=random.Random(1),
-        on_first_event=lambda: None,
-    )
     with pytest.raises(failures.UpstreamFailure) as caught:
-        await attempt.run()
+        await make_attempt(client).run()
     assert (caught.value.ran, client.planned_failures) == (ran, [])
+
+
+class Trickle:
+    """Content that arrives in pieces, one each 20 ms."""
+
+    def __init__(self, pieces):
+        self.pieces = iter(pieces)
+
+    def read_nowait(self):
+        return b""
+
+    async def readany(self):
+        await asyncio.sleep(0.02)
+        return next(self.pieces, b"")
+
+
+class EndlessClient:
+    """Client of an engine whose first connections never end an event."""
+
+    def __init__(self, endless, connections):
+        self.endless, self.connections = endless, connections
+        self.opened = 0
+
+    @contextlib.asynccontextmanager
+    async def start(self, upstream, call, fresh=False):
+        yield self._response(b"id: 1\ndata: r1\n\n")
+
+    @contextlib.asynccontextmanager
+    async def resume(self, upstream, engine_id, after):
+        yield self._response(b"")
+
+    def _response(self, first):
+        self.opened += 1
+        pieces = [b"id: 2\ndata: r1\n\nid: 3\ndata: [DONE]\n\n"]
+        if self.opened <= self.connections:
+            pieces = itertools.chain([first], itertools.repeat(self.endless))
+        return engine.EngineResponse("i", "w", Trickle(pieces))
+
+
+@pytest.mark.parametrize("endless", [b"x", b": still here\n\n"])
+async def test_an_event_that_never_ends_is_silence(endless):
+    attempt = make_attempt(EndlessClient(endless, connections=1))
+    async with asyncio.timeout(2 * attempts.MIN_SILENT_S):
+        await attempt.run()
+    assert attempt.client.opened == 2
--- a/toucanrudder/upstreams/failures.py
+++ b/toucanrudder/upstreams/failures.py
@@ -22,7 +22,7 @@
 
 
 #: Message of a failure by timeout, as opposed to a broken connection.
-NO_BYTES_IN_TIME = "no bytes arrived in time"
+NO_PROGRESS_IN_TIME = "no progress in time"
 
 #: After these, the engine process is presumed to have crashed.
 PRESUMES_CRASH = frozenset({Kind.CRASHED, Kind.BROKEN})
--- a/toucanrudder/upstreams/sending.py
+++ b/toucanrudder/upstreams/sending.py
@@ -41,7 +41,7 @@
         ) from error
     except TimeoutError as error:
         raise failures.UpstreamFailure(
-            failures.Kind.SILENT, name, failures.NO_BYTES_IN_TIME
+            failures.Kind.SILENT, name, failures.NO_PROGRESS_IN_TIME
         ) from error
     except (aiohttp.ClientError, OSError) as error:
         raise failures.UpstreamFailure(
