Show that two attempts may both meet an upstream that never ends its answer

What callers see: a request that may be repeated gets 504, outcome unknown, although half of the upstreams are sound. It needs requests of the same moment, before any silence has been judged: an upstream counts as silent from the judgement on, and requests judged milliseconds apart choose their second upstream among those whose silence is judged next.

Not mended: which upstreams have unanswered requests as old as the silent one is not known where the attempt is chosen.

--- a/toucanrudder/platform/tests/test_endless_bytes.py
+++ b/toucanrudder/platform/tests/test_endless_bytes.py
@@ -60,10 +60,13 @@
     return answer, asyncio.get_running_loop().time() - began_s
 
 
-async def start(cluster, endless):
-    troubled, sound = [await cluster.server() for _ in range(2)]
-    troubled.default_behaviour = endless
-    return await cluster.router(), troubled, sound
+async def start(cluster, endless, upstreams=2):
+    """Return a router, every other upstream of which answers so."""
+    for number in range(upstreams):
+        upstream = await cluster.server()
+        if number % 2 == 0:
+            upstream.default_behaviour = endless
+    return await cluster.router()
 
 
 def all_ended(endless):
@@ -76,7 +79,7 @@
     cluster, name, path
 ):
     endless = REFUSALS[name]
-    router, _, _ = await start(cluster, endless)
+    router = await start(cluster, endless)
     answers = await send_all(router, path)
     assert {answer.status for answer, _ in answers} == {200}
     assert max(after_s for _, after_s in answers) < ANSWER_S
@@ -85,13 +88,39 @@
 
 async def test_a_body_that_never_ends_is_silence(cluster):
     endless = Endless(200)
-    router, _, _ = await start(cluster, endless)
+    router = await start(cluster, endless)
     answers = await send_all(router, b"/r/x")
     assert {answer.body for answer, _ in answers} == {b"done"}
     assert max(after_s for _, after_s in answers) < ANSWER_S
     await clusters.wait_until(lambda: all_ended(endless))
 
 
+async def test_upstreams_whose_bodies_never_end_are_left_alone(cluster):
+    endless = Endless(200)
+    router = await start(cluster, endless, upstreams=8)
+    await send_all(router, b"/r/x")
+    answers = await send_all(router, b"/r/x", count=60)
+    assert {answer.body for answer, _ in answers} == {b"done"}
+    assert max(after_s for _, after_s in answers) < ANSWER_S
+    await clusters.wait_until(lambda: all_ended(endless))
+
+
+async def test_no_second_attempt_goes_to_another_silent_upstream(cluster):
+    """A request with two attempts would fail beside sound upstreams."""
+    router = await start(cluster, Endless(200), upstreams=8)
+    answers = await send_all(router, b"/r/x")
+    assert {answer.status for answer, _ in answers} == {200}
+
+
+async def test_refusals_of_many_upstreams_count_though_no_body_ends(cluster):
+    endless = Endless(503, NOT_EXECUTED)
+    router = await start(cluster, endless, upstreams=8)
+    answers = await send_all(router, b"/w/x", count=60)
+    assert {answer.status for answer, _ in answers} == {200}
+    assert max(after_s for _, after_s in answers) < ANSWER_S
+    await clusters.wait_until(lambda: endless.begun == endless.ended)
+
+
 async def test_an_event_that_never_ends_is_silence(cluster):
     begun = []
 
