Make attempts beside a silent one at upstreams that answer

What callers saw: with half of eight upstreams that never end their answers, twelve requests of the same moment, up to three got 504 with the outcome unknown: both of their attempts met such an upstream.

Cause: an upstream counts as failing from the judgement of a silence on. The attempt beside the first answer to be judged was chosen before the others of the same milliseconds were, and among upstreams that had not been used at all.

Each upstream's state now holds since when none of its expected answers has made progress, and when it last completed one. An attempt beside a silent one goes to upstreams that have completed an answer lately, then to those that are not quiet, then to any.

--- a/toucanrudder/forwarding/attempts/attempt.py
+++ b/toucanrudder/forwarding/attempts/attempt.py
@@ -206,7 +206,7 @@
                 raise
         if failure is not None:
             raise failure
-        self.state.upstream_stats.record_success(name)
+        self.state.upstream_stats.record_success(name, clock.now_s())
         self._record_answered()
 
     def _record_answered(self) -> None:
@@ -305,7 +305,7 @@
         self.execution.used_connections.append(connection)
         self.execution.record_attempt(upstream)
         connection.send(head, self.execution.request.body)
-        self.silence.record_progress()
+        self.silence.record_sent()
         self.is_sent = True
 
     def _take_permission(self, upstream: model.Upstream) -> None:
--- a/toucanrudder/forwarding/attempts/silence.py
+++ b/toucanrudder/forwarding/attempts/silence.py
@@ -11,6 +11,7 @@
 from toucanrudder import clock
 from toucanrudder import stalls
 from toucanrudder.forwarding import model
+from toucanrudder.forwarding import upstream_states
 from toucanrudder.forwarding.attempts import relaying
 from toucanrudder.forwarding.attempts import retry_policy
 from toucanrudder.http1 import client
@@ -61,12 +62,22 @@
     _progress_at_s: float = 0.0
     _progress_running_s: float = 0.0
 
+    @property
+    def _upstream(self) -> upstream_states.UpstreamState:
+        attempt = self.attempt
+        return attempt.state.upstream_stats.of(attempt.target)
+
     @property
     def _evidence(self) -> retry_policy.Evidence:
         return self.attempt.evidence
 
+    def record_sent(self) -> None:
+        """Record that the request was sent."""
+        self.record_progress()
+        self._upstream.record_sent(self._progress_at_s)
+
     def record_progress(self) -> None:
-        """Record that the request was sent, or that something arrived."""
+        """Record that something of use to the caller arrived."""
         self._progress_at_s = clock.now_s()
         self._progress_running_s = stalls.running_s()
         self.attempt.is_silent, self.lost_since_s = False, None
@@ -114,6 +125,7 @@
                 async with stalls.timeout(wait_s):
                     part = await read()
                 self.record_progress()
+                self._upstream.record_progress(self._progress_at_s)
                 return part
             except TimeoutError:
                 wait_s = await self._judge(connection, timeout_s)
--- a/toucanrudder/forwarding/choosing.py
+++ b/toucanrudder/forwarding/choosing.py
@@ -14,6 +14,7 @@
 from toucanrudder.forwarding import state as states
 from toucanrudder.forwarding.attempts import attempt as attempts
 from toucanrudder.forwarding.attempts import retry_policy
+from toucanrudder.forwarding.attempts import silence
 from toucanrudder.forwarding.handover import choice as handover_choice
 from toucanrudder.forwarding.statements import rate_limits
 from toucanrudder.forwarding.streams import resuming
@@ -204,6 +205,9 @@
             usable = untried
             if self.route.repetition is model.Repetition.RESUMABLE:
                 usable = self._of_same_software(untried)
+            usable = placing.answering_candidates(
+                usable, now_s, self._silence_s()
+            )
         else:
             usable = untried or usable
         if not usable:
@@ -232,6 +236,13 @@
             self.state.zone, usable, now_s=now_s, rng=self.state.rng
         )
 
+    def _silence_s(self) -> float:
+        """Return the time without progress after which answers are judged."""
+        return max(
+            attempts.FIRST_PART_TIMEOUT_OBJECTIVES * self.route.objective_s,
+            silence.MIN_SILENCE_S,
+        )
+
     def _of_same_software(
         self, candidates: list[placing.Candidate]
     ) -> list[placing.Candidate]:
--- a/toucanrudder/forwarding/placing.py
+++ b/toucanrudder/forwarding/placing.py
@@ -38,6 +38,12 @@
 #: of the half second until a running request ends.
 WAITING_COST_S = 0.13
 
+#: Times without progress of an upstream, relative to the time after which
+#: answers are judged: from the first on it is not preferred, and up to the
+#: second its last complete answer shows that it answers.
+QUIET_SHARE = 0.5
+ANSWERED_SHARE = 2.0
+
 #: Share of an engine's slots beyond which a request would have to wait.
 FULL_SHARE = 0.9
 
@@ -224,6 +230,37 @@
     ]
 
 
+def answering_candidates(
+    candidates: Sequence[Candidate], now_s: float, silence_s: float
+) -> Sequence[Candidate]:
+    """Return the candidates to make an attempt at beside a silent one.
+
+    Others may have met the same fault, and their answers are not judged yet.
+    So upstreams that have completed an answer meanwhile go first, then those
+    of which no answer is late.
+
+    Parameters
+    ----------
+    candidates : sequence of Candidate
+        The usable ones of a service.
+    now_s : float
+        Monotonic time.
+    silence_s : float
+        Time without progress, in seconds, after which answers are judged.
+    """
+    expected = [
+        candidate
+        for candidate in candidates
+        if candidate.state.quiet_s(now_s) < QUIET_SHARE * silence_s
+    ]
+    answering = [
+        candidate
+        for candidate in expected
+        if now_s - candidate.state.answered_at_s < ANSWERED_SHARE * silence_s
+    ]
+    return answering or expected or candidates
+
+
 def with_room(
     candidates: Iterable[Candidate],
     owners: brittleness.SlotOwners,
--- a/toucanrudder/forwarding/statements/tests/test_brittle_services.py
+++ b/toucanrudder/forwarding/statements/tests/test_brittle_services.py
@@ -193,7 +193,7 @@
         self.served += 1
         router.stats.of(name).requests -= 1
         router.stats.record_load(name, load, now_s)
-        router.stats.record_success(name)
+        router.stats.record_success(name, now_s)
 
     def failed(self, now_s, upstream, router, tries):
         name = upstream.entry.incarnation
--- a/toucanrudder/forwarding/upstream_states.py
+++ b/toucanrudder/forwarding/upstream_states.py
@@ -50,6 +50,11 @@
     last_peer_order_s : float
         Monotonic time of a peer's last message that it orders the upstream
         to load weights.
+    quiet_since_s : float or None
+        Monotonic time since which no answer to this router has made progress;
+        None while none is expected.
+    answered_at_s : float
+        Monotonic time of its last complete answer to this router.
     """
 
     requests: int = 0
@@ -63,6 +68,23 @@
     refused_at_s: float = float("-inf")
     avoided_until_s: float = 0.0
     last_peer_order_s: float = float("-inf")
+    quiet_since_s: float | None = None
+    answered_at_s: float = float("-inf")
+
+    def record_sent(self, now_s: float) -> None:
+        """Record that an answer is expected."""
+        if self.quiet_since_s is None:
+            self.quiet_since_s = now_s
+
+    def record_progress(self, now_s: float) -> None:
+        """Record that an answer has made progress."""
+        self.quiet_since_s = now_s
+
+    def quiet_s(self, now_s: float) -> float:
+        """Return for how long no expected answer has made progress."""
+        if self.quiet_since_s is None:
+            return 0.0
+        return now_s - self.quiet_since_s
 
     def has_recent_load(self, now_s: float) -> bool:
         """Return whether the last reported load still counts."""
@@ -119,6 +141,8 @@
         finally:
             tracked.prefill_done()
             state.requests -= 1
+            if not state.requests:
+                state.quiet_since_s = None
 
     def record_load(
         self, incarnation: str, load: model.Load, now_s: float
@@ -127,9 +151,10 @@
         state = self.of(incarnation)
         state.load, state.load_at_s = load, now_s
 
-    def record_success(self, incarnation: str) -> None:
+    def record_success(self, incarnation: str, now_s: float) -> None:
         """Record a complete answer."""
         state = self.of(incarnation)
+        state.answered_at_s = now_s
         state.failures_in_row = 0
         state.backoff_until_s = 0.0
         state.failure_share *= 1.0 - FAILURE_SMOOTHING
