Say in one place when an answer without a first part is judged

The choice of an attempt beside a silent one worked out anew the time that the attempt itself waits. first_part_timeout_s stands beside the judgement now and serves both.

--- a/toucanrudder/forwarding/attempts/attempt.py
+++ b/toucanrudder/forwarding/attempts/attempt.py
@@ -36,11 +36,6 @@
 #: sent again.
 MAX_IDLE_RUN_ONCE_S = 0.5
 
-#: Timeout until the first part of an answer, as a multiple of the route's
-#: latency objective, after which a repeatable request may be sent to another
-#: upstream as well.
-FIRST_PART_TIMEOUT_OBJECTIVES = 3.0
-
 #: Silence, as a multiple of the route's longest allowed gap between events,
 #: after which another attempt may be made beside a stream, or its engine is
 #: asked for a report.
@@ -381,7 +376,7 @@
             return None
         if self.execution.possible_runs() >= self.route.max_upstreams:
             return None
-        return FIRST_PART_TIMEOUT_OBJECTIVES * self.route.objective_s
+        return silences.first_part_timeout_s(self.route)
 
     async def _receive(
         self, connection, upstream, tracked
--- a/toucanrudder/forwarding/attempts/silence.py
+++ b/toucanrudder/forwarding/attempts/silence.py
@@ -24,6 +24,11 @@
 #: Least seconds of silence before an answer is judged.
 MIN_SILENCE_S = 0.15
 
+#: Timeout until the first part of an answer, as a multiple of the route's
+#: latency objective, after which a repeatable request may be sent to another
+#: upstream as well.
+FIRST_PART_TIMEOUT_OBJECTIVES = 3.0
+
 #: Seconds for which an engine must report that a run has ended, or has sent
 #: events that have not arrived.  Its reports overtake events, by two TCP
 #: retransmissions at least, and are some tenths of a second old.
@@ -38,6 +43,13 @@
 )
 
 
+def first_part_timeout_s(route: model.Route) -> float:
+    """Return the time after which an answer without a part is judged."""
+    return max(
+        FIRST_PART_TIMEOUT_OBJECTIVES * route.objective_s, MIN_SILENCE_S
+    )
+
+
 @attrs.define(eq=False)
 class SilenceJudge:
     """Judges the answer of one attempt while it makes no progress.
--- a/toucanrudder/forwarding/choosing.py
+++ b/toucanrudder/forwarding/choosing.py
@@ -206,7 +206,7 @@
             if self.route.repetition is model.Repetition.RESUMABLE:
                 usable = self._of_same_software(untried)
             usable = placing.answering_candidates(
-                usable, now_s, self._silence_s()
+                usable, now_s, silence.first_part_timeout_s(self.route)
             )
         else:
             usable = untried or usable
@@ -236,13 +236,6 @@
             self.state.zone, usable, now_s=now_s, rng=self.state.rng
         )
 
-    def _silence_s(self) -> float:
-        """Return the time without progress after which answers are judged."""
-        return max(
-            attempts.FIRST_PART_TIMEOUT_OBJECTIVES * self.route.objective_s,
-            silence.MIN_SILENCE_S,
-        )
-
     def _of_same_software(
         self, candidates: list[placing.Candidate]
     ) -> list[placing.Candidate]:
