Share the spread of retry delays and the reading of Retry-After

Both interfaces spread the delay of callers over half of the time until the first upstream may be asked, each with a factor of its own, and read a Retry-After each with a check of its own. rests.retry_after_s and message.parse_number serve both. Delays, and the values that are taken for none, stay as they were.

--- a/toucanrudder/admission/rests.py
+++ b/toucanrudder/admission/rests.py
@@ -8,6 +8,8 @@
 request is sent as a trial, and more once it is answered.
 """
 
+import random
+
 import attrs
 
 #: Longest rest that is kept; a longer one is asked for again by then.
@@ -17,6 +19,10 @@
 #: were refused together do not return together.
 SPREAD_SHARE = 0.1
 
+#: Part of the time until the first upstream may be sent a request by which
+#: the delays of callers differ, so that they do not return at one moment.
+RETRY_SPREAD_SHARE = 0.5
+
 #: Time after which an unanswered trial does not keep back other requests.
 TRIAL_S = 0.5
 
@@ -118,3 +124,21 @@
             for name, rest in self._rests.items()
             if now_s < rest.until_s + MAX_REST_S
         }
+
+
+def retry_after_s(wait_s: float, rng: random.Random) -> float:
+    """Return after how many seconds a refused caller may return.
+
+    Parameters
+    ----------
+    wait_s : float
+        Time until the first of them may be sent a request.
+    rng : random.Random
+        Spreads the delays.
+
+    Examples
+    --------
+    >>> 2.0 <= retry_after_s(2.0, random.Random(1)) <= 3.0
+    True
+    """
+    return wait_s * rng.uniform(1.0, 1.0 + RETRY_SPREAD_SHARE)
--- a/toucanrudder/forwarding/choosing.py
+++ b/toucanrudder/forwarding/choosing.py
@@ -8,6 +8,7 @@
 
 from toucanrudder import clock
 from toucanrudder import errors
+from toucanrudder.admission import rests
 from toucanrudder.forwarding import cache_feed
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import placing
@@ -28,10 +29,6 @@
 #: free within about its mean service time.
 RETRY_AFTER_S = 0.25
 
-#: Part of the time until the first upstream may be sent a request by which
-#: the delays of callers differ, so that they do not return at one moment.
-RETRY_SPREAD_SHARE = 0.5
-
 #: The delay while the weights of all engines are too old: the first engine
 #: that is loading has new ones after about half a second.
 STALE_WEIGHTS_RETRY_AFTER_S = 0.5
@@ -287,8 +284,7 @@
         wait_s = self._wait_s(now_s)
         if wait_s <= RETRY_AFTER_S or math.isinf(wait_s):
             return RETRY_AFTER_S
-        spread_s = self.state.rng.uniform(0.0, RETRY_SPREAD_SHARE * wait_s)
-        return round(wait_s + spread_s, 3)
+        return round(rests.retry_after_s(wait_s, self.state.rng), 3)
 
     def _stated_rates(self, now_s: float) -> list[float]:
         """Return the stated rates if all upstreams that stay state one."""
--- a/toucanrudder/http1/message.py
+++ b/toucanrudder/http1/message.py
@@ -77,11 +77,22 @@
     >>> number(AnswerHead(200, ((b"A", b"1.5"), (b"B", b"-1"))), b"a")
     1.5
     """
+    return parse_number(head.get(name) or b"")
+
+
+def parse_number(text: bytes | str) -> float | None:
+    """Return a finite number from zero; None for any other text.
+
+    Examples
+    --------
+    >>> parse_number("1.5"), parse_number(b"-1"), parse_number("soon")
+    (1.5, None, None)
+    """
     try:
-        value = float(head.get(name) or b"")
+        value = float(text)
     except ValueError:
         return None
-    return value if 0 <= value < float("inf") else None
+    return value if 0 <= value < math.inf else None
 
 
 def stated_number(head: RequestHead | AnswerHead, name: bytes) -> float | None:
--- a/toucanrudder/router/state.py
+++ b/toucanrudder/router/state.py
@@ -226,7 +226,7 @@
             The delay if they do not rest.
         """
         first_s = min(map(self.rest_s, upstreams), default=0.0)
-        return max(least_s, first_s * self.rng.uniform(1.0, 1.5))
+        return max(least_s, rests.retry_after_s(first_s, self.rng))
 
     def usable_upstreams(
         self, upstreams: Iterable[model.Upstream], now_s: float
--- a/toucanrudder/upstreams/sending.py
+++ b/toucanrudder/upstreams/sending.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Iterator
 import contextlib
-import math
 
 import aiohttp
 
+from toucanrudder.http1 import message
 from toucanrudder.upstreams import failures
 
 
@@ -51,11 +51,7 @@
 
 def rest_s(response: aiohttp.ClientResponse) -> float:
     """Return the rest in seconds that a refusal asks for; 0 for none."""
-    try:
-        asked_s = float(response.headers.get("Retry-After", ""))
-    except ValueError:
-        return 0.0
-    return asked_s if 0.0 < asked_s < math.inf else 0.0
+    return message.parse_number(response.headers.get("Retry-After", "")) or 0.0
 
 
 def without_resend(name: str):
