--- a/toucanrudder/relay/attempt.py
+++ b/toucanrudder/relay/attempt.py
@@ -235,7 +235,8 @@
         # a new connection gets through.
         try:
             # Data that is already buffered is read without starting a timer.
-            events = self.sequencer.feed(content.read_nowait())
+            chunk = content.read_nowait()
+            events = self.sequencer.feed(chunk) if chunk else b""
             if events:
                 return events
             async with stalls.timeout(self.limits.silence_s(self._has_events)):
