Read the heads of answers in tests in one place

Four modules built the same call, upstream and answer to ask the dialect what a head states. platform/testing/heads.py does it; tables and assertions are as before.

--- a/toucanrudder/platform/tests/test_brittle_upstreams.py
+++ b/toucanrudder/platform/tests/test_brittle_upstreams.py
@@ -3,9 +3,8 @@
 import pytest
 
 from toucanrudder import clock
-from toucanrudder.http1 import message
-from toucanrudder.platform import dialect
 from toucanrudder.platform.testing import cluster as clusters
+from toucanrudder.platform.testing import heads
 
 BRITTLE = (b"Server-Brittle", b"4")
 
@@ -58,9 +57,5 @@
 
 @pytest.mark.parametrize(("text", "limit"), LIMITS)
 def test_limit_is_read_leniently(text, limit):
-    facts = dialect.PlatformDialect().answer_facts(
-        dialect.model.Call("id", "h", "/"),
-        dialect.model.Upstream("u", "s", "u:1"),
-        message.AnswerHead(200, ((b"Server-Brittle", text),)),
-    )
+    facts = heads.read_facts(200, (b"Server-Brittle", text))
     assert facts.refusals_per_s == limit
--- a/toucanrudder/platform/tests/test_limited_upstreams.py
+++ b/toucanrudder/platform/tests/test_limited_upstreams.py
@@ -5,9 +5,8 @@
 
 import pytest
 
-from toucanrudder.http1 import message
-from toucanrudder.platform import dialect
 from toucanrudder.platform.testing import cluster as clusters
+from toucanrudder.platform.testing import heads
 
 LIMITS = [
     (b"1.7", 1.7),
@@ -25,11 +24,7 @@
 @pytest.mark.parametrize(("text", "limit"), LIMITS)
 def test_limit_is_read_leniently(text, limit):
     headers = () if text is None else ((b"Server-Limit", text),)
-    facts = dialect.PlatformDialect().answer_facts(
-        dialect.model.Call("id", "h", "/"),
-        dialect.model.Upstream("u", "s", "u:1"),
-        message.AnswerHead(200, headers),
-    )
+    facts = heads.read_facts(200, *headers)
     assert facts.rate_limit_per_s == pytest.approx(limit, nan_ok=True)
 
 
--- a/toucanrudder/platform/tests/test_stated_departures.py
+++ b/toucanrudder/platform/tests/test_stated_departures.py
@@ -5,22 +5,13 @@
 import pytest
 
 from toucanrudder.forwarding.statements import answers
-from toucanrudder.http1 import message
-from toucanrudder.platform import dialect
 from toucanrudder.platform.testing import cluster as clusters
+from toucanrudder.platform.testing import heads
 from toucanrudder.platform.testing import standins
 
 WORD = (b"Server-Leaving", b"1")
 
 
-def read(status, *headers):
-    return dialect.PlatformDialect().answer_facts(
-        dialect.model.Call("id", "h", "/"),
-        dialect.model.Upstream("u", "s", "u:1", name="u"),
-        message.AnswerHead(status, headers),
-    )
-
-
 LEAVING = [
     ((b"Server-Leaving", b"1"), True),
     ((b"Server-Leaving", b" 1 "), True),
@@ -32,17 +23,19 @@
 
 @pytest.mark.parametrize(("header", "expected"), LEAVING)
 def test_leaving_is_read(header, expected):
-    assert read(200, header).is_leaving is expected
+    assert heads.read_facts(200, header).is_leaving is expected
 
 
 def test_leaving_of_another_process_at_the_address_is_ignored():
     sealed = (b"Server-Seal", b"s")
     other, asked = (b"Instance-Id", b"v"), (b"Instance-Id", b"u")
-    assert not answers.states_leaving(read(421, other, WORD))
-    assert not answers.states_leaving(read(421, WORD))
-    assert answers.states_leaving(read(421, asked, WORD))
-    assert not answers.states_leaving(read(200, other, sealed, WORD))
-    assert answers.states_leaving(read(200, sealed, WORD))
+    assert not answers.states_leaving(heads.read_facts(421, other, WORD))
+    assert not answers.states_leaving(heads.read_facts(421, WORD))
+    assert answers.states_leaving(heads.read_facts(421, asked, WORD))
+    assert not answers.states_leaving(
+        heads.read_facts(200, other, sealed, WORD)
+    )
+    assert answers.states_leaving(heads.read_facts(200, sealed, WORD))
 
 
 async def leaves(upstream, run, answer):
--- a/toucanrudder/platform/tests/test_stated_rests.py
+++ b/toucanrudder/platform/tests/test_stated_rests.py
@@ -4,9 +4,8 @@
 
 from toucanrudder import clock
 from toucanrudder.forwarding.statements import answers
-from toucanrudder.http1 import message
-from toucanrudder.platform import dialect
 from toucanrudder.platform.testing import cluster as clusters
+from toucanrudder.platform.testing import heads
 from toucanrudder.platform.testing import standins
 
 RESTS = [
@@ -28,12 +27,7 @@
 
 
 def asked_rest_s(status, *headers):
-    facts = dialect.PlatformDialect().answer_facts(
-        dialect.model.Call("id", "h", "/"),
-        dialect.model.Upstream("u", "s", "u:1"),
-        message.AnswerHead(status, headers),
-    )
-    return answers.asked_rest_s(status, facts)
+    return answers.asked_rest_s(status, heads.read_facts(status, *headers))
 
 
 def test_rest_of_a_refusal_by_429_needs_its_proof():
