--- a/toucanrudder/soak/plans.py
+++ b/toucanrudder/soak/plans.py
@@ -156,41 +156,54 @@
     return tuple(steps)
 
 
+def _generator(seed: int, fault: str) -> random.Random:
+    """Return a generator for one fault, so that other draws stay as they are.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the plan.
+    fault : str
+        Name of the fault.
+    """
+    return random.Random(f"{fault} of {seed}")
+
+
+def _time_s(rng: random.Random, latest_s: float) -> float:
+    """Return a time between the calm at the beginning and another one."""
+    return rng.uniform(CALM_S, max(CALM_S, latest_s))
+
+
 def _standstill_steps(seed: int, length_s: float) -> Iterator[Step]:
-    # Its own generator, so that the other draws stay as they are.
-    rng = random.Random(f"standstills of {seed}")
+    rng = _generator(seed, "standstills")
     for fault in (Fault.STANDSTILL, Fault.UPSTREAM_STANDSTILL):
-        at_s = rng.uniform(CALM_S, max(CALM_S, length_s - QUIET_END_S))
+        at_s = _time_s(rng, length_s - QUIET_END_S)
         for_s = rng.uniform(*STANDSTILL_S)
         yield Step(at_s, fault, rng.random(), for_s)
 
 
 def limit_step(seed: int, length_s: float) -> Step:
     """Return the step from which an upstream states a limit for a while."""
-    # Its own generator, so that the other draws stay as they are.
-    rng = random.Random(f"limit of {seed}")
-    at_s = rng.uniform(CALM_S, max(CALM_S, length_s / 4))
+    rng = _generator(seed, "limit")
+    at_s = _time_s(rng, length_s / 4)
     return Step(at_s, Fault.LIMIT, rng.random(), length_s / 2)
 
 
 def leave_step(seed: int, length_s: float) -> Step:
     """Return the step from which an upstream's answers say that it leaves."""
-    # Its own generator, so that the other draws stay as they are.
-    rng = random.Random(f"leave of {seed}")
-    at_s = rng.uniform(CALM_S, max(CALM_S, length_s / 3))
+    rng = _generator(seed, "leave")
+    at_s = _time_s(rng, length_s / 3)
     return Step(at_s, Fault.LEAVE, rng.random(), rng.uniform(1.0, 3.0))
 
 
 def rest_step(seed: int, length_s: float) -> Step:
     """Return the step from which an upstream asks for rest for a while."""
-    # Its own generator, so that the other draws stay as they are.
-    rng = random.Random(f"rest of {seed}")
-    at_s = rng.uniform(CALM_S, max(CALM_S, length_s / 3))
+    rng = _generator(seed, "rest")
+    at_s = _time_s(rng, length_s / 3)
     return Step(at_s, Fault.REST, rng.random(), length_s / 2)
 
 
 def _part_step(seed: int, length_s: float) -> Step:
-    # Its own generator, so that the other draws stay as they are.
-    rng = random.Random(f"part of {seed}")
-    at_s = rng.uniform(CALM_S, max(CALM_S, length_s / 2))
+    rng = _generator(seed, "part")
+    at_s = _time_s(rng, length_s / 2)
     return Step(at_s, Fault.POISON_PART, rng.random(), 0.0)
