Share set-up, splits and restarts of virtual fleets among tests

The loaded fleet of the tests of statements was a third copy of the set-up of the tests of cuts and of the retry budget, and its splits and restarts were copies of those beside caps and the retry budget. Fleet.serving, Site.split_routers and Site.restart_routers serve all. Seeds, times, bounds and cases are as before.

--- a/toucanrudder/forwarding/tests/test_capping.py
+++ b/toucanrudder/forwarding/tests/test_capping.py
@@ -89,36 +89,23 @@
 
 async def a_third_is_cut_off(site):
     await asyncio.sleep(3.0)
-    site.apart = set(site.names[::3])
-    await asyncio.sleep(4.0)
-    site.apart = set()
+    await site.split_routers(site.names[::3], for_s=4.0)
 
 
 async def all_start_again_at_once(site):
     await asyncio.sleep(4.0)
-    for router in site.names:
-        site.kill_router(router)
-    await asyncio.sleep(1.0)
-    for router in site.names:
-        site.start_router(router)
+    await site.restart_routers(site.names, down_s=1.0)
 
 
 async def half_are_killed(site):
     await asyncio.sleep(4.0)
-    killed = site.names[::2]
-    for router in killed:
-        site.kill_router(router)
-    await asyncio.sleep(2.0)
-    for router in killed:
-        site.start_router(router)
+    await site.restart_routers(site.names[::2], down_s=2.0)
 
 
 async def all_start_again_in_turn(site):
     for router in site.names:
         await asyncio.sleep(16.0 / site.routers)
-        site.kill_router(router)
-        await asyncio.sleep(0.1)
-        site.start_router(router)
+        await site.restart_routers([router], down_s=0.1)
 
 
 FAULTS = [
--- a/toucanrudder/forwarding/tests/test_cut_off_zones.py
+++ b/toucanrudder/forwarding/tests/test_cut_off_zones.py
@@ -54,11 +54,7 @@
         site = sites.Site(seed, routers=routers, engine_count=1, zones=zones)
         fleet = traffic.Fleet(site, upstreams)
         fleet.is_refused = is_refused
-        with sites.unpacked():
-            fleet.start()
-            await asyncio.sleep(STARTED_S)
-            for number, (service, per_s) in enumerate(rates.items()):
-                site.spawn(fleet.call(service, per_s, seed=seed + number))
+        async with fleet.serving(rates, seed=seed, started_s=STARTED_S):
             await asyncio.sleep(2.0)
             cut = fleet.cut = choose_cut(site)
             await asyncio.sleep(CUT_S)
--- a/toucanrudder/forwarding/tests/test_retry_budget.py
+++ b/toucanrudder/forwarding/tests/test_retry_budget.py
@@ -33,9 +33,7 @@
 
 async def split_in_two(site):
     await asyncio.sleep(FROM_S)
-    site.apart = set(site.names[::2])
-    await asyncio.sleep(UNTIL_S - FROM_S)
-    site.apart = set()
+    await site.split_routers(site.names[::2], for_s=UNTIL_S - FROM_S)
 
 
 async def each_alone(site):
@@ -45,36 +43,32 @@
     site.alone = set()
 
 
-async def restart(site, routers):
-    for router in routers:
-        site.kill_router(router)
-    await asyncio.sleep(DOWN_S)
-    for router in routers:
-        site.start_router(router)
-
-
 async def most_restarted_twice(site):
     for wait_s in (FROM_S, 4.0):
         await asyncio.sleep(wait_s)
-        await restart(site, site.names[: 3 * site.routers // 5])
+        await site.restart_routers(
+            site.names[: 3 * site.routers // 5], down_s=DOWN_S
+        )
 
 
 async def all_restarted_twice(site):
     for wait_s in (FROM_S, 6.0):
         await asyncio.sleep(wait_s)
-        await restart(site, site.names)
+        await site.restart_routers(site.names, down_s=DOWN_S)
 
 
 async def split_and_restarted(site):
     site.spawn(split_in_two(site))
     await asyncio.sleep(FROM_S + 3.0)
-    await restart(site, site.names[: 3 * site.routers // 5])
+    await site.restart_routers(
+        site.names[: 3 * site.routers // 5], down_s=DOWN_S
+    )
 
 
 async def one_half_restarted_in_a_split(site):
     site.spawn(split_in_two(site))
     await asyncio.sleep(FROM_S + 1.0)
-    await restart(site, site.names[::2])
+    await site.restart_routers(site.names[::2], down_s=DOWN_S)
 
 
 async def all_at_once(site):
@@ -109,10 +103,9 @@
         fleet = traffic.Fleet(site, {"llm": 5}, **fleet_settings)
         for worker in fleet.of_service("llm"):
             worker.is_failing = True
-        with sites.unpacked():
-            fleet.start()
-            await asyncio.sleep(STARTED_S)
-            site.spawn(fleet.call("llm", per_s, seed=seed, once_share=0.0))
+        async with fleet.serving(
+            {"llm": per_s}, seed=seed, started_s=STARTED_S, once_share=0.0
+        ):
             site.spawn(failure(site))
             await asyncio.sleep(SERVING_S)
         return fleet
--- a/toucanrudder/testing/virtual/faults.py
+++ b/toucanrudder/testing/virtual/faults.py
@@ -11,6 +11,9 @@
 from toucanrudder.testing.virtual import traffic
 from toucanrudder.testing.virtual import workers
 
+#: Time until a killed router is started again.
+DOWN_S = 0.5
+
 Fault = Callable[[traffic.Fleet, list[workers.Worker]], Awaitable[None]]
 
 
@@ -40,9 +43,7 @@
 
     async def routers_are_split(fleet, concerned):
         await asyncio.sleep(after_s)
-        fleet.site.apart = set(fleet.site.names[::2])
-        await asyncio.sleep(for_s)
-        fleet.site.apart = set()
+        await fleet.site.split_routers(fleet.site.names[::2], for_s=for_s)
 
     return routers_are_split
 
@@ -88,15 +89,11 @@
     """Return a fault that restarts half of the routers after each wait."""
 
     async def half_of_the_routers_restart(fleet, concerned):
-        site = fleet.site
         for wait_s in waits_s:
             await asyncio.sleep(wait_s)
-            restarted = site.names[::2]
-            for router in restarted:
-                site.kill_router(router)
-            await asyncio.sleep(0.5)
-            for router in restarted:
-                site.start_router(router)
+            await fleet.site.restart_routers(
+                fleet.site.names[::2], down_s=DOWN_S
+            )
 
     return half_of_the_routers_restart
 
--- a/toucanrudder/testing/virtual/sites.py
+++ b/toucanrudder/testing/virtual/sites.py
@@ -463,6 +463,24 @@
         if node is not None:
             node.end()
 
+    async def restart_routers(
+        self, routers: Sequence[str], *, down_s: float
+    ) -> None:
+        """End processes at once, and start all of them after a while."""
+        for router in routers:
+            self.kill_router(router)
+        await asyncio.sleep(down_s)
+        for router in routers:
+            self.start_router(router)
+
+    async def split_routers(
+        self, routers: Sequence[str], *, for_s: float
+    ) -> None:
+        """Keep routers from all others for a while."""
+        self.apart = set(routers)
+        await asyncio.sleep(for_s)
+        self.apart = set()
+
     def state_of(self, router: str):
         """Return a router's tables."""
         return self.nodes[self._address(router)].daemon.state
--- a/toucanrudder/testing/virtual/traffic.py
+++ b/toucanrudder/testing/virtual/traffic.py
@@ -265,6 +265,42 @@
             )
         )
 
+    @contextlib.asynccontextmanager
+    async def serving(
+        self,
+        rates_per_s: dict[str, float],
+        *,
+        seed: int,
+        started_s: float = STARTED_S,
+        once_share: float = 0.5,
+    ) -> AsyncIterator[None]:
+        """Start all routers, and call the services some time later.
+
+        Parameters
+        ----------
+        rates_per_s : dict of str to float
+            Requests per second by service.
+        seed : int
+            Seed of the callers of the first service; others have the next.
+        started_s : float
+            Time until the first request.
+        once_share : float
+            Share of requests that may not be repeated.
+        """
+        with sites.unpacked():
+            self.start()
+            await asyncio.sleep(started_s)
+            for number, (service, per_s) in enumerate(rates_per_s.items()):
+                self.site.spawn(
+                    self.call(
+                        service,
+                        per_s,
+                        seed=seed + number,
+                        once_share=once_share,
+                    )
+                )
+            yield
+
     async def call(
         self,
         service: str,
@@ -312,9 +348,6 @@
     per_s, upstreams = LOADS[routers]
     site = sites.Site(seed, routers=routers, engine_count=1, zones=3)
     fleet = Fleet(site, {service: upstreams})
-    with sites.unpacked():
-        fleet.start()
-        await asyncio.sleep(STARTED_S)
-        site.spawn(fleet.call(service, factor * per_s, seed=seed))
+    async with fleet.serving({service: factor * per_s}, seed=seed):
         await asyncio.sleep(warm_up_s)
         yield fleet
