Refuse requests beyond a spent cap at once while its owners are silent

Cause: a request whose cap's owners do not answer was tried again every 0.1 s for up to half of its objective, also if an owner had said a moment before that the balance is spent.

Change: an owner's refusal is remembered until the time at which it expects to grant again. Until then a request that neither an owner nor the own share admits is refused at once, with that time as Retry-After.

Result: the new test fails before (it waits) and passes with it.

--- a/toucanrudder/forwarding/capping.py
+++ b/toucanrudder/forwarding/capping.py
@@ -173,6 +173,8 @@
         self._shares = caps.ReserveLimiter(bounds, rng)
         self._fleet_size = fleet_size.FleetSize(bounds.window_s)
         self._refusals: dict[tuple[str, str], _Refusal] = {}
+        # When a balance is expected to suffice again, by an owner's word.
+        self._spent_until_s: dict[str, float] = {}
         self._backoff_until_s: dict[str, float] = {}
         self._refreshed_s: float | None = None
         self._tasks: set[asyncio.Task] = set()
@@ -247,15 +249,25 @@
     async def _decide(
         self, organisation: str, cap: caps.Cap, cost: float, wait_s: float
     ) -> caps.Decision:
-        """Decide; retry for a while if no owner can be asked."""
+        """Decide; retry for a while if no owner can be asked.
+
+        The retry is left out while a balance is known to be spent.
+        """
         until_s = clock.now_s() + min(wait_s, MAX_OWNERLESS_WAIT_S)
         while True:
             decision = await self._ask_owners(organisation, cap, cost)
             if decision is not None:
                 return decision
             decision = self._take_from_share(organisation, cap, cost)
-            is_refused = decision.outcome is caps.Outcome.REFUSED
-            if not is_refused or clock.now_s() >= until_s:
+            if decision.outcome is not caps.Outcome.REFUSED:
+                return decision
+            now_s = clock.now_s()
+            spent_s = self._spent_until_s.get(organisation, now_s) - now_s
+            if spent_s > 0:
+                # Owners that are overloaded by its requests do not answer.
+                wait_s = round(max(spent_s, decision.wait_s), 3)
+                return attrs.evolve(decision, wait_s=wait_s)
+            if now_s >= until_s:
                 return decision
             await asyncio.sleep(OWNERLESS_POLL_INTERVAL_S)
 
@@ -274,7 +286,11 @@
             if decision.outcome is not caps.Outcome.REFUSED:
                 return decision
             refusals.append(decision)
-        return min(refusals, key=lambda refusal: refusal.wait_s, default=None)
+        if not refusals:
+            return None
+        refusal = min(refusals, key=lambda refusal: refusal.wait_s)
+        self._spent_until_s[organisation] = clock.now_s() + refusal.wait_s
+        return refusal
 
     async def _ask_owner(
         self, owner: Member, organisation: str, cap: caps.Cap, cost: float
@@ -384,4 +400,5 @@
             if not self._owners.include_self(name):
                 self._ledger.drop(name)
         self._refusals.clear()
+        self._spent_until_s.clear()
         self._backoff_until_s.clear()
--- a/toucanrudder/forwarding/tests/test_capping.py
+++ b/toucanrudder/forwarding/tests/test_capping.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import random
+import time
 
 import attrs
 import pytest
 
 from toucanrudder import errors
 from toucanrudder.admission import caps
+from toucanrudder.forwarding import capping
 from toucanrudder.forwarding import model
 from toucanrudder.testing.virtual import sites
 from toucanrudder.testing.virtual import timing
@@ -196,3 +198,36 @@
     # Routers that lost their balances or cannot ask an owner decide alone.
     caller, _ = run_scenario(seed, 65, organisation, rate_factor, fault)
     assert caller.max_in_window() <= BOUNDS.window_limit(organisation.cap)
+
+
+async def test_a_spent_cap_is_refused_at_once_while_its_owners_are_silent():
+    """Requests beyond a cap must not wait for owners that they overload."""
+    refusal = caps.Decision(caps.Outcome.REFUSED, 2.0)
+    answers = [refusal, refusal]
+
+    async def ask(address, organisation, units, is_settlement):
+        return answers.pop() if answers else None
+
+    members = [capping.Member(f"r{n}", f"10.0.0.{n}:1") for n in range(3)]
+    gate = capping.CapGate(
+        caps.Bounds(window_s=8.0, slack=3_000.0, overrun=0.0),
+        members=lambda: members,
+        is_settled=lambda: True,
+        ask=ask,
+        organisation_of=lambda name: sites.SMALL,
+        rng=random.Random(1),
+    )
+    prompt = model.Prompt("m", prompt_tokens=12_000)
+    waits_s = []
+    for pause_s in (0.0, capping.MAX_REFUSAL_REUSE_S):
+        await asyncio.sleep(pause_s)
+        began_s = time.monotonic()
+        with pytest.raises(errors.RudderError) as refused:
+            async with gate.admitted(
+                sites.SMALL, prompt, lambda: 1, wait_s=5.0
+            ):
+                pass
+        waits_s.append(time.monotonic() - began_s)
+        assert refused.value.code is errors.Code.LIMIT_EXCEEDED
+    assert max(waits_s) < capping.OWNERLESS_POLL_INTERVAL_S
+    assert refused.value.retry_after_s == pytest.approx(1.9, abs=0.1)
