Read the slowness that upstreams state with their load

Cause: the reader of the load header took exactly three figures. An answer with a fourth, how long work takes there now, gave no load at all, so the router went on as if the upstream had said nothing; and a negative count or one with a sign was taken as it stood.

Change: three or four unsigned figures of at most six digits; the fourth is kept as the upstream's slowness, relative to the usual time. 0 percent says nothing about it. Anything else is no load.

--- a/toucanrudder/forwarding/model.py
+++ b/toucanrudder/forwarding/model.py
@@ -351,11 +351,21 @@
 
 @attrs.frozen
 class Load:
-    """Load that an upstream reports with an answer."""
+    """Load that an upstream reports with an answer.
+
+    Parameters
+    ----------
+    running, waiting, slots : int
+        Requests that run and that wait there, and how many can run at once.
+    slowness : float or None
+        How long work takes there at this moment, relative to its usual time;
+        None if the upstream does not say so.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowness: float | None = None
 
 
 @attrs.frozen
--- a/toucanrudder/platform/dialect.py
+++ b/toucanrudder/platform/dialect.py
@@ -29,6 +29,9 @@
 
 _EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 
+#: A figure of the load header; a longer one is no count.
+_COUNT = re.compile(r"[0-9]{1,6}")
+
 
 def _bad_header(name: str) -> errors.RudderError:
     return errors.RudderError(
@@ -183,10 +186,23 @@
 
 
 def _parse_load(text: str | None) -> model.Load | None:
-    if text is None:
-        return None
-    try:
-        running, waiting, slots = (int(count) for count in text.split(","))
-    except ValueError:
+    """Return the load in a header; None if it cannot be read.
+
+    The figures are the running and waiting requests and the slots; a fourth
+    says how long work takes there now, in percent of the usual time.
+
+    Examples
+    --------
+    >>> _parse_load("3,1,8,250")
+    Load(running=3, waiting=1, slots=8, slowness=2.5)
+    >>> _parse_load("3,1,8").slowness, _parse_load("-1,0,8")
+    (None, None)
+    """
+    figures = [figure.strip() for figure in (text or "").split(",")]
+    if len(figures) not in (3, 4) or not all(
+        _COUNT.fullmatch(figure) for figure in figures
+    ):
         return None
-    return model.Load(running, waiting, slots)
+    running, waiting, slots, *percent = map(int, figures)
+    slowness = percent[0] / 100 if percent and percent[0] else None
+    return model.Load(running, waiting, slots, slowness)
