--- /dev/null
+++ b/toucanrudder/costs/__init__.py
@@ -0,0 +1,4 @@
+"""What requests cost the upstreams, learned from their answers.
+
+Decisions and estimates only; no I/O.
+"""
