Let choices weigh the expected time at each upstream

Cause: the choices take all upstreams of a service as equally fast.

Change: where usual times and the cost of each candidate are given, the choice goes by the expected time to the first event, or to the answer of a plain request; two drawn from the nearly best decide. Without them nothing changes. Costs of engines and the plain choice are modules of their own now; placing.py is shorter than it was. Nothing gives the costs yet.

--- /dev/null
+++ b/toucanrudder/costs/ties.py
@@ -0,0 +1,46 @@
+"""Choice among expected times that are nearly equal.  No I/O.
+
+Many routers choose from nearly the same picture of the servers at the same
+time.  If each took the best, all would take the same.
+"""
+
+from collections.abc import Sequence
+import random
+
+#: Times this much above the best one, relative to it and in seconds, are as
+#: good as it.
+TIE_SHARE = 0.2
+TIE_S = 0.003
+
+
+def choose(times_s: Sequence[float], rng: random.Random) -> tuple[int, int]:
+    """Return the places of the chosen time and of the best of the others.
+
+    The chosen one is the lower of two drawn from those near the best.
+
+    Parameters
+    ----------
+    times_s : sequence of float
+        Expected times in seconds, at least one.
+    rng : random.Random
+        Draws the two.
+
+    Examples
+    --------
+    >>> choose([0.1, 0.5, 0.3], random.Random(1))
+    (0, 2)
+    >>> choose([0.1], random.Random(1))
+    (0, 0)
+    """
+    best_s = min(times_s)
+    limit_s = best_s * (1 + TIE_SHARE) + TIE_S
+    near = [place for place, time_s in enumerate(times_s) if time_s <= limit_s]
+    if len(near) > 2:
+        near = rng.sample(near, 2)
+    chosen = min(near, key=lambda place: (times_s[place], rng.random()))
+    other = min(
+        (place for place in range(len(times_s)) if place != chosen),
+        key=times_s.__getitem__,
+        default=chosen,
+    )
+    return chosen, other
--- a/toucanrudder/forwarding/choosing.py
+++ b/toucanrudder/forwarding/choosing.py
@@ -12,6 +12,7 @@
 from toucanrudder.forwarding import cache_feed
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import placing
+from toucanrudder.forwarding import plain_choice
 from toucanrudder.forwarding import state as states
 from toucanrudder.forwarding.attempts import attempt as attempts
 from toucanrudder.forwarding.attempts import retry_policy
@@ -229,7 +230,7 @@
                 choice, candidates, now_s
             )
             return choice
-        return placing.choose_for_plain(
+        return plain_choice.choose_for_plain(
             self.state.zone, usable, now_s=now_s, rng=self.state.rng
         )
 
--- a/toucanrudder/forwarding/placing.py
+++ b/toucanrudder/forwarding/placing.py
@@ -20,7 +20,11 @@
 
 import attrs
 
+from toucanrudder.costs import request_costs
+from toucanrudder.costs import ties
+from toucanrudder.costs import work
 from toucanrudder.forwarding import cache
+from toucanrudder.forwarding import engine_costs
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import rollout
 from toucanrudder.forwarding import speeds
@@ -30,35 +34,12 @@
 from toucanrudder.membership import routers
 from toucanrudder.placement import rendezvous
 
-#: Cost in seconds of one more running request to the others on the engine:
-#: it lengthens a decode step by about 0.011 ms, over some 80 steps.
-RUNNING_COST_S = 0.001
-
-#: The same for a request that waits there for memory or a slot: its share
-#: of the half second until a running request ends.
-WAITING_COST_S = 0.13
-
 #: Times without progress of an upstream, relative to the time after which
 #: answers are judged: from the first on it is not preferred, and up to the
 #: second its last complete answer shows that it answers.
 QUIET_SHARE = 0.5
 ANSWERED_SHARE = 2.0
 
-#: Share of an engine's slots beyond which a request would have to wait.
-FULL_SHARE = 0.9
-
-#: Cost of an engine whose weights have been superseded for longer than
-#: STALE_AFTER_S: its answer is worth a fifth less, which callers rate
-#: higher than about 300 ms of waiting.
-STALE_WEIGHTS_COST_S = 0.3
-STALE_AFTER_S = 1.2
-
-#: Cost of an engine whose weights have been superseded for less than that.
-#: A request that runs while its engine loads new weights is paused, and
-#: its output after the change is worth nothing.  The cost is lower, as most
-#: requests end before the change.
-SUPERSEDED_WEIGHTS_COST_S = 0.1
-
 #: Fraction of the bound on the age of weights from which an engine gets
 #: work only if there is no other: its answers are worth nothing at the end
 #: of that time, and lose worth long before.
@@ -73,9 +54,6 @@
 #: until a running request ends, and two may be ahead in the queue.
 QUEUED_CUTOFF_MARGIN_S = 2.0
 
-#: Cost of a retry, charged for each failed request where one in five fails.
-FAILURE_COST_S = 1.0
-
 #: Fraction of a prompt's uncached shared tokens that is credited to its
 #: home: other routers send there too and have probably had them prefilled.
 HOME_CREDIT = 0.9
@@ -87,11 +65,6 @@
 #: to be as large as the current one, if it is to hold a backup as well.
 BACKUP_MEMORY_SHARE = 0.15
 
-#: Load difference, as a share of the slots, below which a request without
-#: a prompt stays in its zone: crossing costs a millisecond or two each way.
-ZONE_SHARE = 0.17
-
-
 DEFAULT_SPEEDS = speeds.EngineSpeeds()
 
 
@@ -109,6 +82,8 @@
         Seconds since its weights were superseded; 0 for the newest.
     peer_prefill_tokens, peer_requests : int
         Work that other routers have sent there, as reported by them.
+    cost : request_costs.ServerCost or None
+        What is expected of it; None if its service is not uneven.
     """
 
     upstream: model.Upstream
@@ -116,6 +91,7 @@
     weights_age_s: float = 0.0
     peer_prefill_tokens: int = 0
     peer_requests: int = 0
+    cost: request_costs.ServerCost | None = None
 
     def requests(self, now_s: float) -> float:
         """Return the number of requests there, of all routers."""
@@ -126,6 +102,30 @@
         return state.requests + others
 
 
+@attrs.frozen
+class Outlook:
+    """What was expected of a chosen upstream and of the best other one.
+
+    Parameters
+    ----------
+    expected_s : float
+        Time to the first event, or to the answer if the request is plain.
+    time_factor, slowness, work_left_s : float
+        What it was reckoned from.
+    second : str
+        Incarnation of the best other one; empty if there was none.
+    second_s : float
+        Time expected there.
+    """
+
+    expected_s: float
+    time_factor: float
+    slowness: float
+    work_left_s: float
+    second: str = ""
+    second_s: float = 0.0
+
+
 @attrs.frozen
 class Choice:
     """The chosen upstream and the reason for it.
@@ -148,6 +148,8 @@
         For the log.
     candidates : int
         Number of upstreams that it was chosen from.
+    outlook : Outlook or None
+        What was expected; None if its service is not uneven.
     """
 
     upstream: model.Upstream
@@ -157,6 +159,26 @@
     save_to: str = ""
     reason: str = ""
     candidates: int = 1
+    outlook: Outlook | None = None
+
+
+def outlook(
+    candidates: Sequence[Candidate],
+    times_s: Sequence[float],
+    place: int,
+    other: int,
+) -> Outlook:
+    """Return what was expected of two of the candidates, by their places."""
+    cost = candidates[place].cost
+    has_other = other != place
+    return Outlook(
+        times_s[place],
+        cost.view.time_factor,
+        cost.view.slowness,
+        cost.work_left_s,
+        candidates[other].upstream.incarnation if has_other else "",
+        times_s[other] if has_other else 0.0,
+    )
 
 
 def time_to_cutoff_s(
@@ -346,7 +368,7 @@
     best = min(
         others,
         key=lambda candidate: (
-            _engine_cost(candidate, speed, now_s),
+            engine_costs.cost_tokens(candidate, speed, now_s),
             candidate.upstream.zone == chosen.zone,
         ),
     )
@@ -396,6 +418,8 @@
     speed: speeds.EngineSpeeds = DEFAULT_SPEEDS,
     engines_report_cache: bool = False,
     now_s: float,
+    times: work.UsualTimes | None = None,
+    rng: random.Random | None = None,
 ) -> Choice:
     """Choose an engine for a prompt.
 
@@ -417,6 +441,11 @@
         Whether engines report evictions to this router.
     now_s : float
         Monotonic time.
+    times : work.UsualTimes or None
+        Usual times of the service's prompts; None where all engines are
+        taken as equally fast.
+    rng : random.Random or None
+        Chooses among nearly equal engines, if there are usual times.
     """
     options = _options(prompt, cache_scope, candidates, index)
     copying = (
@@ -428,19 +457,32 @@
     _copy_from_store(options, prompt, cache_scope, store, index, speed)
     shared_tokens = sum(part.tokens for part in prompt.shared_parts)
 
-    def cost(option: _Option) -> tuple[float, int]:
+    def tokens(option: _Option) -> float:
         tokens = option.missing_tokens(prompt) + (
             option.copy_cost * option.copy_tokens
         )
         if option.rank == 0:
             available = option.cached_tokens + option.copy_tokens
             tokens -= HOME_CREDIT * max(0, shared_tokens - available)
-        return (
-            tokens + _engine_cost(option.candidate, speed, now_s),
-            option.rank,
-        )
+        return tokens
 
-    best = min(options, key=cost)
+    def cost(option: _Option) -> tuple[float, int]:
+        engine = engine_costs.cost_tokens(option.candidate, speed, now_s)
+        return tokens(option) + engine, option.rank
+
+    expected = None
+    if times is None:
+        best = min(options, key=cost)
+    else:
+        times_s = [
+            engine_costs.first_event_s(
+                option.candidate, tokens(option), times, now_s
+            )
+            for option in options
+        ]
+        place, other = ties.choose(times_s, rng)
+        best = options[place]
+        expected = outlook(candidates, times_s, place, other)
     home = next(option.candidate for option in options if option.rank == 0)
     return Choice(
         best.candidate.upstream,
@@ -451,6 +493,7 @@
         f"cached {best.cached_tokens}, copied {best.copy_tokens}, "
         f"rank {best.rank}",
         len(candidates),
+        expected,
     )
 
 
@@ -658,55 +701,3 @@
         option.copy_tokens = fetched
         option.copy_from = store.address
         option.copy_cost = costs[store.zone == upstream.zone]
-
-
-def _engine_cost(
-    candidate: Candidate, speed: speeds.EngineSpeeds, now_s: float
-) -> float:
-    """Return the cost of an engine's queue and state, in prefilled tokens."""
-    state = candidate.state
-    running = candidate.requests(now_s)
-    cost_s = RUNNING_COST_S * running
-    beyond = running - FULL_SHARE * max(1, candidate.upstream.slots)
-    if beyond > 0:
-        cost_s += WAITING_COST_S * beyond
-    if state.failure_share:
-        cost_s += 5 * FAILURE_COST_S * state.failure_share**2
-    if candidate.weights_age_s > STALE_AFTER_S:
-        cost_s += STALE_WEIGHTS_COST_S
-    elif candidate.weights_age_s > 0:
-        cost_s += SUPERSEDED_WEIGHTS_COST_S
-    queued_tokens = state.prefill_tokens + candidate.peer_prefill_tokens
-    return queued_tokens + cost_s * speed.prefill_tokens_per_s
-
-
-def choose_for_plain(
-    zone: str,
-    candidates: Sequence[Candidate],
-    *,
-    now_s: float,
-    rng: random.Random,
-) -> Choice:
-    """Choose an upstream for a request without a prompt.
-
-    Parameters
-    ----------
-    zone : str
-        This router's availability zone.
-    candidates : sequence of Candidate
-        At least one.
-    now_s : float
-        Monotonic time.
-    rng : random.Random
-        Breaks ties; otherwise all routers would choose the same upstream
-        at once.
-    """
-
-    def cost(candidate: Candidate) -> tuple[float, float]:
-        share = candidate.requests(now_s) / max(1, candidate.upstream.slots)
-        if candidate.upstream.zone != zone:
-            share += ZONE_SHARE
-        return share + 5 * candidate.state.failure_share, rng.random()
-
-    best = min(candidates, key=cost)
-    return Choice(best.upstream, reason="load", candidates=len(candidates))
--- a/toucanrudder/forwarding/statements/tests/test_brittle_services.py
+++ b/toucanrudder/forwarding/statements/tests/test_brittle_services.py
@@ -13,6 +13,7 @@
 
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import placing
+from toucanrudder.forwarding import plain_choice
 from toucanrudder.forwarding import upstream_states
 from toucanrudder.forwarding.handover import choice
 from toucanrudder.forwarding.statements import brittleness
@@ -148,7 +149,7 @@
     def send(self, now_s, number, usable, tries):
         router = self.routers[number]
         router.brittle.merge("app", REFUSALS_PER_S, now_s)
-        chosen = placing.choose_for_plain(
+        chosen = plain_choice.choose_for_plain(
             "z", usable, now_s=now_s, rng=self.rng
         )
         upstream = self.upstreams[int(chosen.upstream.name[1:])]
--- a/toucanrudder/forwarding/tests/test_decisions.py
+++ b/toucanrudder/forwarding/tests/test_decisions.py
@@ -8,6 +8,7 @@
 from toucanrudder.forwarding import cache
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import placing
+from toucanrudder.forwarding import plain_choice
 from toucanrudder.forwarding import registry
 from toucanrudder.forwarding import rollout
 from toucanrudder.forwarding import routing
@@ -388,7 +389,7 @@
 
 def test_a_plain_request_goes_to_the_least_loaded_upstream():
     rng = random.Random(1)
-    chosen = placing.choose_for_plain(
+    chosen = plain_choice.choose_for_plain(
         "za",
         [candidate("i1", requests=4), candidate("i2", zone="zb")],
         now_s=10.0,
@@ -400,7 +401,7 @@
 def test_a_plain_request_stays_in_its_zone_at_similar_load():
     rng = random.Random(1)
     chosen = {
-        placing.choose_for_plain(
+        plain_choice.choose_for_plain(
             "zb",
             [candidate("i1", requests=1), candidate("i2", 1, "zb")],
             now_s=10.0,
--- a/toucanrudder/forwarding/tests/test_placing_cost.py
+++ b/toucanrudder/forwarding/tests/test_placing_cost.py
@@ -7,6 +7,7 @@
 import pytest
 
 from toucanrudder.forwarding import cache
+from toucanrudder.forwarding import engine_costs
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import placing
 from toucanrudder.forwarding import speeds
@@ -190,7 +191,7 @@
         tokens += option.cost * option.copied
         if rank == 0:
             tokens -= placing.HOME_CREDIT * max(0, shared - available)
-        engine = placing._engine_cost(option.candidate, speed, NOW_S)
+        engine = engine_costs.cost_tokens(option.candidate, speed, NOW_S)
         return tokens + engine, rank
 
     options = [
