Learn costs from answers and share them by heartbeats

Cause: the answers of one process reach one router only every few seconds.

Change: attempts at uneven services teach the time factor, the slowness and the forecasts; only the upstream's part of an answer is timed. Heartbeats carry with each upstream's load its work left, the sender's own estimate and the newest stated slowness with its age. The choice uses them only for services where an upstream has stated a slowness. Placed says what was expected and of which other upstream.

--- a/toucanrudder/costs/request_costs.py
+++ b/toucanrudder/costs/request_costs.py
@@ -5,9 +5,11 @@
 an upstream has stated a slowness, and those configured to be.
 """
 
+from collections.abc import Container
 from collections.abc import Hashable
 from collections.abc import Iterable
 from collections.abc import Mapping
+import heapq
 import math
 
 import attrs
@@ -94,6 +96,8 @@
         self._times: dict[str, works.UsualTimes] = {}
         self._own = works.OwnWork()
         self._peers = works.PeerWork()
+        self._told_at: dict[str, int] = {}
+        self._beat = 0
 
     def is_uneven(self, service: str) -> bool:
         """Whether costs are used for a service."""
@@ -259,6 +263,29 @@
         ran_s = (now_s - running.sent_at_s) / view.slowness
         self._seconds.record_censored(running.keys, ran_s)
 
+    def take_told(
+        self, now_s: float, preferred: Container[str], count: int
+    ) -> dict[str, servers.Told]:
+        """Return what to tell a peer of at most this many processes.
+
+        Besides the preferred ones, those with the newest statements go
+        first, and the others in turn.
+        """
+        told = {entry.upstream: entry for entry in self.servers.own(now_s)}
+        if len(told) <= count:
+            return told
+
+        def urgency(name: str) -> tuple[bool, float, int]:
+            entry = told[name]
+            is_stated = entry.slowness is not None
+            age_s = entry.slowness_age_s if is_stated else math.inf
+            return name not in preferred, age_s, self._told_at.get(name, 0)
+
+        self._beat += 1
+        chosen = heapq.nsmallest(count, told, key=urgency)
+        self._told_at.update(dict.fromkeys(chosen, self._beat))
+        return {name: told[name] for name in chosen}
+
     def told_work_s(self, now_s: float) -> dict[str, float]:
         """Return this router's own work left by process, to tell peers."""
         return {
@@ -312,6 +339,8 @@
         """Forget all other processes."""
         self.servers.retain(incarnations)
         self._peers.retain(incarnations)
+        for name in set(self._told_at) - set(incarnations):
+            del self._told_at[name]
         for service, names in list(self._stating.items()):
             names &= set(incarnations)
             if not names:
--- a/toucanrudder/costs/servers.py
+++ b/toucanrudder/costs/servers.py
@@ -284,7 +284,7 @@
     def merge(
         self, sender: str, entries: Iterable[Told], now_s: float
     ) -> None:
-        """Replace what a peer told before.
+        """Replace what a peer told before of these processes.
 
         Parameters
         ----------
@@ -295,10 +295,12 @@
         now_s : float
             Monotonic time.
         """
-        self._forget_sender(sender)
-        by_name = {entry.upstream: entry for entry in entries}
-        for name, entry in by_name.items():
-            server = self._of(name)
+        _, by_name = self._told.pop(sender, (0.0, {}))
+        for entry in entries:
+            server = self._of(entry.upstream)
+            if entry.upstream in by_name:
+                self._add(server, by_name[entry.upstream], -1)
+            by_name[entry.upstream] = entry
             self._add(server, entry, 1)
             if entry.slowness is not None:
                 server.state(entry.slowness, now_s - entry.slowness_age_s)
--- a/toucanrudder/forwarding/attempts/attempt.py
+++ b/toucanrudder/forwarding/attempts/attempt.py
@@ -12,6 +12,7 @@
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import placing
 from toucanrudder.forwarding import state as states
+from toucanrudder.forwarding.attempts import cost_learning
 from toucanrudder.forwarding.attempts import relaying
 from toucanrudder.forwarding.attempts import retry_policy
 from toucanrudder.forwarding.attempts import silence as silences
@@ -104,6 +105,20 @@
     return facts.is_for_request
 
 
+def _outlook_fields(outlook: placing.Outlook | None) -> dict[str, object]:
+    """Return what the log says of the expected time of a choice."""
+    if outlook is None:
+        return {}
+    return {
+        "expected_s": outlook.expected_s,
+        "time_factor": outlook.time_factor,
+        "slowness": outlook.slowness,
+        "work_left_s": outlook.work_left_s,
+        "second": outlook.second,
+        "second_s": outlook.second_s,
+    }
+
+
 @attrs.define(eq=False)
 class Attempt:
     """One attempt of a request at a chosen upstream.
@@ -143,6 +158,14 @@
     silence: silences.SilenceJudge = attrs.field(
         default=attrs.Factory(silences.SilenceJudge, takes_self=True)
     )
+    costs: cost_learning.AttemptCosts = attrs.field(
+        default=attrs.Factory(
+            lambda self: cost_learning.AttemptCosts(
+                self.execution, self.choice
+            ),
+            takes_self=True,
+        )
+    )
 
     @property
     def target(self) -> str:
@@ -180,9 +203,12 @@
         choice = self.choice
         upstream = choice.upstream
         name = self.execution.upstream = upstream.incarnation
-        with self.state.upstream_stats.track_request(
-            name, choice.missing_tokens
-        ) as tracked:
+        with (
+            self.costs.counted(),
+            self.state.upstream_stats.track_request(
+                name, choice.missing_tokens
+            ) as tracked,
+        ):
             try:
                 async with self._connection(upstream) as connection:
                     self._send(connection, choice)
@@ -301,6 +327,7 @@
         self.execution.record_attempt(upstream)
         connection.send(head, self.execution.request.body)
         self.silence.record_sent()
+        self.costs.record_sent()
         self.is_sent = True
 
     def _take_permission(self, upstream: model.Upstream) -> None:
@@ -356,6 +383,7 @@
                     self.state.registry.for_service(self.execution.service)
                 ),
                 routers=self.state.live_routers(),
+                **_outlook_fields(choice.outlook),
             )
         )
 
@@ -431,6 +459,13 @@
             self.state.upstream_stats.record_load(
                 upstream.incarnation, facts.load, now_s
             )
+            if facts.load.slowness is not None:
+                self.state.costs.record_stated(
+                    upstream.service,
+                    upstream.incarnation,
+                    facts.load.slowness,
+                    now_s,
+                )
         if _proof_not_run(facts) is None:
             self.state.asked_rests.record_served(upstream.incarnation, now_s)
         self.state.brittle.record(
@@ -468,6 +503,7 @@
         body = await self.silence.wait_for(
             reader.read, connection, self._first_part_timeout_s()
         )
+        self.costs.record_answer(head.status)
         # Without proof that the request has not run, a status that would
         # tell the caller so is not relayed.
         is_reliable = facts.is_sealed and head.status not in NOT_RUN_STATUSES
@@ -482,6 +518,7 @@
 
     async def _relay_stream(self, connection, head, upstream, tracked) -> None:
         def record_prompt_read() -> None:
+            self.costs.record_first_event()
             self.execution.claim_answer(self)
             self.execution.set_origin(upstream.software_version)
             if tracked.prefill_tokens:
@@ -495,6 +532,7 @@
             lambda: self._next_stream_events(connection, reader),
             record_prompt_read,
         )
+        self.costs.record_stream_end()
 
     def _record_prompt_read(
         self, upstream: model.Upstream, unread_tokens: int
--- a/toucanrudder/forwarding/choosing.py
+++ b/toucanrudder/forwarding/choosing.py
@@ -15,6 +15,7 @@
 from toucanrudder.forwarding import plain_choice
 from toucanrudder.forwarding import state as states
 from toucanrudder.forwarding.attempts import attempt as attempts
+from toucanrudder.forwarding.attempts import cost_learning
 from toucanrudder.forwarding.attempts import retry_policy
 from toucanrudder.forwarding.attempts import silence
 from toucanrudder.forwarding.handover import choice as handover_choice
@@ -214,6 +215,7 @@
             store = self.state.store_for(
                 self.call.prompt, self.execution.cache_scope(), now_s
             )
+            costs = self.state.costs
             choice = placing.choose_for_prompt(
                 self.call.prompt,
                 self.execution.cache_scope(),
@@ -225,15 +227,30 @@
                     self.state.live_routers()
                 ),
                 now_s=now_s,
+                times=costs.times(self.service)
+                if costs.is_uneven(self.service)
+                else None,
+                rng=self.state.rng,
             )
             self.execution.copy_upstream = self._choose_copy_upstream(
                 choice, candidates, now_s
             )
             return choice
         return plain_choice.choose_for_plain(
-            self.state.zone, usable, now_s=now_s, rng=self.state.rng
+            self.state.zone,
+            usable,
+            now_s=now_s,
+            rng=self.state.rng,
+            work_s=self._plain_work_s(),
         )
 
+    def _plain_work_s(self) -> float | None:
+        """Return the likely work of a plain request, if it is to count."""
+        costs = self.state.costs
+        if not costs.is_uneven(self.service):
+            return None
+        return costs.plain_forecast(cost_learning.keys(self.execution)).mean
+
     def _of_same_software(
         self, candidates: list[placing.Candidate]
     ) -> list[placing.Candidate]:
--- a/toucanrudder/forwarding/peering.py
+++ b/toucanrudder/forwarding/peering.py
@@ -9,6 +9,7 @@
 
 from toucanrudder import clock
 from toucanrudder import stalls
+from toucanrudder.forwarding import cost_gossip
 from toucanrudder.forwarding import state as states
 from toucanrudder.forwarding.streams import directory
 from toucanrudder.membership import routers
@@ -216,11 +217,8 @@
         return messages.FleetSize(*self.state.known_fleet.largest(now_s))
 
     def loads(self) -> tuple[messages.UpstreamLoad, ...]:
-        """Return this router's own requests at upstreams."""
-        return tuple(
-            messages.UpstreamLoad(name, tokens, requests)
-            for name, tokens, requests in self.state.upstream_stats.in_use()
-        )
+        """Return this router's own requests at upstreams, and their speed."""
+        return cost_gossip.told_loads(self.state, clock.now_s())
 
 
 def _served_span(served: messages.Served, now_s: float) -> continuity.Span:
@@ -283,6 +281,9 @@
         on_upstream_news=lambda heartbeat, _: gossip.merge(
             heartbeat, clock.now_s()
         ),
+        on_loads=lambda heartbeat, _: cost_gossip.merge(
+            state, heartbeat, clock.now_s()
+        ),
     )
     node = nodes.Node(
         state.name,
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -3,7 +3,6 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Collection
-from collections.abc import Iterable
 from collections.abc import Sequence
 import contextlib
 import itertools
@@ -15,6 +14,7 @@
 from toucanrudder import errors
 from toucanrudder import stalls
 from toucanrudder.admission import rests
+from toucanrudder.costs import request_costs
 from toucanrudder.forwarding import cache as caches
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import placing
@@ -25,6 +25,7 @@
 from toucanrudder.forwarding import speeds
 from toucanrudder.forwarding import stores
 from toucanrudder.forwarding import upstream_states
+from toucanrudder.forwarding import weights_ages
 from toucanrudder.forwarding.attempts import retry_window
 from toucanrudder.forwarding.handover import contact as contacts
 from toucanrudder.forwarding.statements import brittleness
@@ -148,13 +149,18 @@
     peer_contacts: contacts.PeerContacts = attrs.field(
         factory=contacts.PeerContacts
     )
-    newest_weights: dict[str, "WeightsHistory"] = attrs.field(factory=dict)
+    newest_weights: dict[str, weights_ages.WeightsHistory] = attrs.field(
+        factory=dict
+    )
     peer_loads: peers_loads.PeerLoads = attrs.field(
         factory=lambda: peers_loads.PeerLoads(PEER_LOADS_KEPT_S)
     )
     prefill_speeds: speeds.PrefillSpeeds = attrs.field(
         factory=speeds.PrefillSpeeds
     )
+    costs: request_costs.RequestCosts = attrs.field(
+        factory=request_costs.RequestCosts
+    )
     crash_counts: poison.CrashCounts = attrs.field(factory=poison.CrashCounts)
     fetch_engine_report: Callable[
         [model.Upstream], Awaitable[rollout.EngineReport | None]
@@ -405,7 +411,9 @@
         self, name: str, version: int, now_s: float
     ) -> bool:
         """Record a model's newest version; return whether it is new."""
-        history = self.newest_weights.setdefault(name, WeightsHistory(name))
+        history = self.newest_weights.setdefault(
+            name, weights_ages.WeightsHistory(name)
+        )
         if version <= history.version:
             return False
         history.record(version, now_s)
@@ -417,6 +425,11 @@
         history = self.newest_weights[name]
         return history.age_s(upstream.weights.get(name, 0), clock.now_s())
 
+    def retain(self, incarnations: set[str]) -> None:
+        """Drop what is known of other upstream processes."""
+        self.upstream_stats.retain(incarnations)
+        self.costs.retain(incarnations)
+
     def engines(self) -> list[model.Upstream]:
         """Return the upstreams of all services that are engines."""
         configuration = self.configuration
@@ -525,8 +538,11 @@
         upstreams = self.registry.for_service(service)
         if origin is not None:
             upstreams = tuple(filter(origin.allows, upstreams))
-        ages_s = _weights_ages_s(upstreams, newest)
+        ages_s = weights_ages.ages_s(upstreams, newest, clock.now_s())
         peer_work = self.peer_loads.totals(now_s)
+        is_uneven = self.costs.is_uneven(service)
+        # Unlike peers' loads, statements age while the host is suspended.
+        costs_at_s = clock.now_s()
         candidates = []
         for upstream in upstreams:
             name = upstream.incarnation
@@ -539,66 +555,7 @@
                     ages_s.get(version, 0.0),
                     work.prefill_tokens,
                     work.requests,
+                    self.costs.cost(name, costs_at_s) if is_uneven else None,
                 )
             )
         return candidates
-
-
-def _weights_ages_s(
-    upstreams: Iterable[model.Upstream], newest: "WeightsHistory | None"
-) -> dict[int, float]:
-    """Return how long each version in use has been superseded."""
-    if newest is None:
-        return {}
-    now_s = clock.now_s()
-    versions = {
-        upstream.weights.get(newest.model, newest.version)
-        for upstream in upstreams
-    }
-    return {version: newest.age_s(version, now_s) for version in versions}
-
-
-#: Versions of one model that are kept; any older one is too old anyway.
-MAX_VERSIONS = 32
-
-
-@attrs.define
-class WeightsHistory:
-    """Newest weights version of a model and when each version was published.
-
-    Parameters
-    ----------
-    model : str
-        The model's name.
-    version : int
-        Newest version; versions only rise.
-    named_at_s : dict of int to float
-        Monotonic time at which this router learned of each version.
-
-    Examples
-    --------
-    >>> history = WeightsHistory("m")
-    >>> history.record(2, 10.0); history.record(3, 14.0)
-    >>> history.age_s(1, 15.0), history.age_s(2, 15.0), history.age_s(3, 15.0)
-    (5.0, 1.0, 0.0)
-    """
-
-    model: str
-    version: int = 0
-    named_at_s: dict[int, float] = attrs.field(factory=dict)
-
-    def record(self, version: int, now_s: float) -> None:
-        """Record a published version."""
-        if version <= self.version:
-            return
-        self.version = version
-        self.named_at_s[version] = now_s
-        while len(self.named_at_s) > MAX_VERSIONS:
-            del self.named_at_s[min(self.named_at_s)]
-
-    def age_s(self, version: int, now_s: float) -> float:
-        """Return how long a version has been superseded; 0 if it is not."""
-        later_at_s = [
-            at_s for later, at_s in self.named_at_s.items() if later > version
-        ]
-        return now_s - min(later_at_s) if later_at_s else 0.0
--- a/toucanrudder/forwarding/store_watch.py
+++ b/toucanrudder/forwarding/store_watch.py
@@ -382,7 +382,7 @@
             filter(None, upstreams), now_s
         ):
             _record_upstream_change(upstream, absence.value)
-        self._state.upstream_stats.retain(registry.incarnations)
+        self._state.retain(registry.incarnations)
         self._state.streams.observe(now_s)
 
     def _on_synced(self, now_s: float, due_s: float) -> None:
@@ -411,7 +411,7 @@
         absence = registry.remove(known.incarnation, now_s)
         if absence is not None:
             _record_upstream_change(known, absence.value)
-        self._state.upstream_stats.retain(registry.incarnations)
+        self._state.retain(registry.incarnations)
 
     def expire_missing(self, now_s: float) -> None:
         """Drop upstreams still missing after the grace period."""
@@ -420,7 +420,7 @@
         for upstream in dropped:
             _record_upstream_change(upstream, registries.Absence.GONE.value)
         if dropped:
-            self._state.upstream_stats.retain(registry.incarnations)
+            self._state.retain(registry.incarnations)
 
     def _on_registered(self, upstream: model.Upstream) -> None:
         registry = self._state.registry
@@ -437,7 +437,7 @@
         registry.put(upstream)
         if known is None:
             # Drops the state of an earlier start under the same name.
-            self._state.upstream_stats.retain(registry.incarnations)
+            self._state.retain(registry.incarnations)
         self._observe_software(upstream)
 
     def _observe_software(self, upstream: model.Upstream) -> None:
--- a/toucanrudder/observability/decisions.py
+++ b/toucanrudder/observability/decisions.py
@@ -188,6 +188,9 @@
 
     ``resume_after`` is the ID of the event after which a stream goes on, and
     ``resumes`` the caller's request that received the stream's first event.
+    Where upstreams are uneven, ``expected_s`` is the time to the first event
+    or plain answer that was expected there, reckoned from ``time_factor``,
+    ``slowness`` and ``work_left_s``; ``second`` is the best other upstream.
     """
 
     request_id: str
@@ -214,6 +217,12 @@
     candidates: int
     known: int
     routers: int
+    expected_s: float | None = None
+    time_factor: float | None = None
+    slowness: float | None = None
+    work_left_s: float | None = None
+    second: str = ""
+    second_s: float | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/toucanrudder/peers/messages.py
+++ b/toucanrudder/peers/messages.py
@@ -23,6 +23,13 @@
 MAX_PREFILL_TOKENS = 1_000_000_000
 MAX_REQUESTS = 1_000_000
 
+#: The same of work left in seconds, of a time factor and its inverse, of the
+#: weight of samples, and of a stated slowness.
+MAX_WORK_S = 100_000.0
+MAX_TIME_FACTOR = 1_000.0
+MAX_SAMPLES = 1_000_000.0
+MAX_SLOWNESS_PERCENT = 1_000_000
+
 
 class BadHeartbeat(Exception):
     """A heartbeat without a sender, or with an invalid value."""
@@ -40,11 +47,26 @@
         Prompt tokens sent there without a first token yet.
     requests : int
         Requests in flight there.
+    work_s : float
+        Usual seconds of their work that are left.
+    time_factor, samples : float
+        Time for a unit of work there relative to the usual one, by the
+        router's own samples, and their weight.
+    slowness : float or None
+        The newest stated slowness that the router knows, its own or passed
+        on; None if it knows none.
+    slowness_age_s : float
+        Seconds since it was stated.
     """
 
     upstream: str
     prefill_tokens: int
     requests: int
+    work_s: float = 0.0
+    time_factor: float = 1.0
+    samples: float = 0.0
+    slowness: float | None = None
+    slowness_age_s: float = 0.0
 
 
 @attrs.frozen
@@ -251,14 +273,7 @@
     return peers_pb2.Heartbeat(
         sender=_member_to_wire(heartbeat.sender),
         generation=heartbeat.generation,
-        loads=[
-            peers_pb2.UpstreamLoad(
-                upstream=load.upstream,
-                prefill_tokens=load.prefill_tokens,
-                requests=load.requests,
-            )
-            for load in heartbeat.loads
-        ],
+        loads=[_load_to_wire(load) for load in heartbeat.loads],
         quarantine=[
             peers_pb2.QuarantineEntry(
                 kind=record.kind.value,
@@ -470,15 +485,43 @@
     )
 
 
+def _load_to_wire(load: UpstreamLoad) -> peers_pb2.UpstreamLoad:
+    message = peers_pb2.UpstreamLoad(
+        upstream=load.upstream,
+        prefill_tokens=load.prefill_tokens,
+        requests=load.requests,
+        work_s=load.work_s,
+    )
+    if load.samples:
+        message.time_factor = load.time_factor
+        message.samples = load.samples
+    if load.slowness is not None:
+        message.slowness_percent = round(100 * load.slowness)
+        message.slowness_age_s = load.slowness_age_s
+    return message
+
+
 def _load_from_wire(message: peers_pb2.UpstreamLoad) -> UpstreamLoad:
+    percent = message.slowness_percent
     load = UpstreamLoad(
-        message.upstream, message.prefill_tokens, message.requests
+        message.upstream,
+        message.prefill_tokens,
+        message.requests,
+        _duration_s(message.work_s),
+        _duration_s(message.time_factor) if message.samples else 1.0,
+        _duration_s(message.samples),
+        percent / 100 if percent else None,
+        _duration_s(message.slowness_age_s),
     )
     if (
         load.prefill_tokens > MAX_PREFILL_TOKENS
         or load.requests > MAX_REQUESTS
+        or load.work_s > MAX_WORK_S
+        or load.samples > MAX_SAMPLES
+        or percent > MAX_SLOWNESS_PERCENT
+        or not 1 / MAX_TIME_FACTOR <= load.time_factor <= MAX_TIME_FACTOR
     ):
-        raise ValueError("the load at an upstream is implausibly large")
+        raise ValueError("the load at an upstream is implausible")
     return load
 
 
--- a/toucanrudder/peers/node.py
+++ b/toucanrudder/peers/node.py
@@ -76,6 +76,9 @@
         routers.
     on_upstream_news : callable
         Given a peer's heartbeat and the monotonic time.
+    on_loads : callable
+        Given a complete heartbeat, not one with urgent news only, and the
+        monotonic time.
     """
 
     loads: Callable[[], tuple[messages.UpstreamLoad, ...]] = tuple
@@ -108,6 +111,9 @@
     on_upstream_news: Callable[[messages.Heartbeat, float], None] = (
         lambda heartbeat, now_s: None
     )
+    on_loads: Callable[[messages.Heartbeat, float], None] = (
+        lambda heartbeat, now_s: None
+    )
 
 
 class Document(Protocol):
@@ -267,6 +273,7 @@
         self.receive_urgent(heartbeat, now_s, wall_s)
         self._receive_gossip(heartbeat, now_s)
         self._loads.replace(sender.name, heartbeat.loads, now_s)
+        self._hooks.on_loads(heartbeat, now_s)
         self._hooks.on_hot_prefixes(
             sender.name,
             heartbeat.hot_prefixes,
