Keep the reading of stated loads out of the platform's package

What the figures mean holds for any wire format, so the reader stands with the other statements of upstreams.

--- a/toucanrudder/platform/dialect.py
+++ b/toucanrudder/platform/dialect.py
@@ -8,6 +8,7 @@
 from toucanrudder.forwarding import dialect
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import routing
+from toucanrudder.forwarding.statements import stated_loads
 from toucanrudder.http1 import message
 
 STEP = "read"
@@ -29,9 +30,6 @@
 
 _EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 
-#: A figure of the load header; a longer one is no count.
-_COUNT = re.compile(r"[0-9]{1,6}")
-
 
 def _bad_header(name: str) -> errors.RudderError:
     return errors.RudderError(
@@ -157,7 +155,7 @@
             has_other_weights=answer.status == 421 and is_expected,
             names_other_process=instance not in (None, upstream.name),
             is_sealed=answer.get(b"server-seal") is not None,
-            load=_parse_load(_text(answer, b"server-load")),
+            load=stated_loads.read(_text(answer, b"server-load")),
             refusals_per_s=message.number(answer, b"server-brittle"),
             rate_limit_per_s=message.stated_number(answer, b"server-limit"),
             is_leaving=_text(answer, b"server-leaving") == "1",
@@ -183,26 +181,3 @@
         """Return the ID of one complete event of a stream, if it has one."""
         match = _EVENT_ID.search(event)
         return match[1].decode("latin-1").strip() if match else None
-
-
-def _parse_load(text: str | None) -> model.Load | None:
-    """Return the load in a header; None if it cannot be read.
-
-    The figures are the running and waiting requests and the slots; a fourth
-    says how long work takes there now, in percent of the usual time.
-
-    Examples
-    --------
-    >>> _parse_load("3,1,8,250")
-    Load(running=3, waiting=1, slots=8, slowness=2.5)
-    >>> _parse_load("3,1,8").slowness, _parse_load("-1,0,8")
-    (None, None)
-    """
-    figures = [figure.strip() for figure in (text or "").split(",")]
-    if len(figures) not in (3, 4) or not all(
-        _COUNT.fullmatch(figure) for figure in figures
-    ):
-        return None
-    running, waiting, slots, *percent = map(int, figures)
-    slowness = percent[0] / 100 if percent and percent[0] else None
-    return model.Load(running, waiting, slots, slowness)
