Tell peers of replaced and refusing engines, and of engines' weights

Cause: in a large fleet each router asks a given engine only every few seconds, so every router met for itself each engine that had crashed and been replaced at its address, that refused while it loaded weights, or that had other weights than the registry listed.

Change: an answer that names another process takes the one that was asked out of use, and peers are told; an engine that refuses again is left alone for longer, and peers are told from the second refusal on; weights that an engine states are told to peers for three seconds, and at once where a request has met them. Only a router's own findings are told.

--- a/toucanrudder/forwarding/attempts/attempt.py
+++ b/toucanrudder/forwarding/attempts/attempt.py
@@ -12,6 +12,7 @@
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import placing
 from toucanrudder.forwarding import state as states
+from toucanrudder.forwarding import upstream_news
 from toucanrudder.forwarding.attempts import cost_learning
 from toucanrudder.forwarding.attempts import relaying
 from toucanrudder.forwarding.attempts import retry_policy
@@ -138,6 +139,8 @@
         Whether the request may have been sent.
     is_silent : bool
         Whether its answer has made no progress for too long.
+    is_replaced : bool
+        Whether another process has answered at the upstream's address.
     silence : silences.SilenceJudge
         Judges its answer while that makes no progress.
     """
@@ -152,6 +155,7 @@
     sent_at_s: float = 0.0
     sent_parts: tuple[tuple[str, int], ...] = ()
     was_presumed_dead: bool = False
+    is_replaced: bool = False
     evidence: retry_policy.Evidence = attrs.field(
         factory=retry_policy.Evidence
     )
@@ -248,6 +252,8 @@
         name = upstream.incarnation
         if kind is retry_policy.FailureKind.FULL:
             self._record_full(name, now_s)
+        elif self.is_replaced:
+            self._record_replaced(upstream, now_s)
         elif kind is retry_policy.FailureKind.FAILED:
             self.state.upstream_stats.record_error(name)
         elif kind is retry_policy.FailureKind.OTHER_WEIGHTS:
@@ -267,10 +273,21 @@
         # The next request may arrive at any router.
         self.state.tell_crashes()
 
+    def _record_replaced(self, upstream: model.Upstream, now_s: float) -> None:
+        name = upstream.incarnation
+        self.state.upstream_stats.record_failure(name, now_s)
+        for_s = upstream_news.replaced_for_s(upstream)
+        if for_s:
+            self.state.upstream_stats.record_full(name, now_s, for_s)
+            self.state.tell_full(name, for_s)
+
     def _record_full(self, name: str, now_s: float) -> None:
         limit_per_s = self.state.brittle.limit_per_s(
             self.execution.service, now_s
         )
+        if limit_per_s is None and self.prompt is not None:
+            self._record_refusing_engine(name, now_s)
+            return
         if limit_per_s is None:
             self.state.upstream_stats.record_full(name, now_s, FULL_BACKOFF_S)
             return
@@ -278,6 +295,14 @@
         self.state.upstream_stats.record_full(name, now_s, for_s)
         self.state.tell_full(name, for_s)
 
+    def _record_refusing_engine(self, name: str, now_s: float) -> None:
+        """Leave an engine alone that refuses, as it loads or has a queue."""
+        refusals = self.state.upstream_stats.count_refusal(name)
+        for_s = upstream_news.refusal_s(refusals)
+        self.state.upstream_stats.record_full(name, now_s, for_s)
+        if refusals >= upstream_news.TOLD_REFUSALS:
+            self.state.tell_full(name, for_s)
+
     def _connection(self, upstream: model.Upstream):
         max_idle_s = float("inf")
         if self.route.repetition is model.Repetition.ONCE:
@@ -438,6 +463,7 @@
         connection.keep_for_s = pool.keep_for_s(head.headers)
         not_run = _proof_not_run(facts)
         if not_run is not None:
+            self.is_replaced = facts.names_other_process
             await self._drain_body(connection)
             return relaying.AttemptFailed(not_run)
         if head.status < 300 and not facts.is_sealed:
@@ -476,7 +502,7 @@
         if not facts.is_other_process:
             self.state.record_rate_limit(upstream, facts.rate_limit_per_s)
         if facts.weights_version is not None and self.prompt:
-            self.state.registry.update_weights(
+            self.state.record_engine_weights(
                 upstream.incarnation,
                 self.prompt.model,
                 facts.weights_version,
--- a/toucanrudder/forwarding/loading.py
+++ b/toucanrudder/forwarding/loading.py
@@ -230,7 +230,7 @@
             if report is None:
                 continue
             version = report.weights.get(task.model, 0)
-            self._state.registry.update_weights(name, task.model, version)
+            self._state.record_engine_weights(name, task.model, version)
             if version >= task.version or not report.is_busy:
                 break
         decisions.record(
--- a/toucanrudder/forwarding/orders.py
+++ b/toucanrudder/forwarding/orders.py
@@ -354,9 +354,11 @@
         try:
             report = await self._loader.request_report(upstream)
             for name, version in (report.weights if report else {}).items():
-                self._state.registry.update_weights(
+                if self._state.record_engine_weights(
                     upstream.incarnation, name, version
-                )
+                ):
+                    # Each router would else ask for the weights itself.
+                    self._state.tell_weights()
         finally:
             self._refreshing.discard(upstream.incarnation)
 
@@ -452,7 +454,7 @@
             await asyncio.sleep(loading.POLL_INTERVAL_S)
             return None
         version = report.weights.get(task.model, 0)
-        self._state.registry.update_weights(
+        self._state.record_engine_weights(
             task.upstream.incarnation, task.model, version
         )
         return report if version < task.version else None
--- a/toucanrudder/forwarding/peering.py
+++ b/toucanrudder/forwarding/peering.py
@@ -145,12 +145,27 @@
                     entry.upstream, now_s, entry.for_s
                 )
 
+    def engine_weights(
+        self, now_s: float
+    ) -> tuple[messages.EngineWeights, ...]:
+        """Return the weights that engines have stated to this router."""
+        return tuple(
+            messages.EngineWeights(
+                stated.incarnation, stated.model, stated.version
+            )
+            for stated in self.state.weights_news.current(now_s)
+        )
+
     def merge(self, heartbeat: messages.Heartbeat, now_s: float) -> None:
         """Merge the upstream information of a peer's heartbeat."""
         for weights in heartbeat.weights:
             self.state.record_weights_version(
                 weights.model, weights.version, now_s
             )
+        for engine in heartbeat.engine_weights:
+            self.state.registry.update_weights(
+                engine.upstream, engine.model, engine.version
+            )
         for name in heartbeat.leaving_upstreams:
             if self.state.record_leaving(name, heartbeat.sender.name):
                 self.announce_leaving(name, now_s)
@@ -278,6 +293,7 @@
         software=lambda _: state.streams.news(clock.now_s()),
         fleet=lambda _: gossip.fleet(clock.now_s()),
         limited=lambda _: gossip.limited(clock.now_s()),
+        engine_weights=lambda _: gossip.engine_weights(clock.now_s()),
         on_upstream_news=lambda heartbeat, _: gossip.merge(
             heartbeat, clock.now_s()
         ),
@@ -320,6 +336,7 @@
 
     state.tell_leaving = tell_leaving
     state.tell_limits = client.start_broadcast
+    state.tell_weights = client.start_broadcast
     state.wait_for_first_news = functools.partial(
         client.wait_for_first_news, FIRST_NEWS_TIMEOUT_S
     )
--- a/toucanrudder/forwarding/registry.py
+++ b/toucanrudder/forwarding/registry.py
@@ -238,14 +238,15 @@
 
     def update_weights(
         self, incarnation: str, name: str, version: int
-    ) -> None:
-        """Record the weights version that an upstream reported."""
+    ) -> bool:
+        """Record the weights of an upstream; return whether they are newer."""
         entry = self._entries.get(incarnation)
         if entry is None or entry.upstream.weights.get(name, 0) >= version:
-            return
+            return False
         weights = {**entry.upstream.weights, name: version}
         entry.upstream = attrs.evolve(entry.upstream, weights=weights)
         self._by_service = None
+        return True
 
     def get(self, incarnation: str) -> model.Upstream | None:
         """Return an upstream by its incarnation."""
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -24,6 +24,7 @@
 from toucanrudder.forwarding import routing
 from toucanrudder.forwarding import speeds
 from toucanrudder.forwarding import stores
+from toucanrudder.forwarding import upstream_news
 from toucanrudder.forwarding import upstream_states
 from toucanrudder.forwarding import weights_ages
 from toucanrudder.forwarding.attempts import retry_window
@@ -100,6 +101,8 @@
         Waits until a router that has just started knows what peers know.
     tell_limits : callable
         Tells peers at once which limits upstreams state.
+    tell_weights : callable
+        Tells peers at once which weights engines have stated.
     tell_leaving : callable
         Given an upstream's incarnation, tells peers at once that it leaves.
     gate : gates.UpstreamGate
@@ -152,6 +155,9 @@
     newest_weights: dict[str, weights_ages.WeightsHistory] = attrs.field(
         factory=dict
     )
+    weights_news: upstream_news.WeightsNews = attrs.field(
+        factory=upstream_news.WeightsNews
+    )
     peer_loads: peers_loads.PeerLoads = attrs.field(
         factory=lambda: peers_loads.PeerLoads(PEER_LOADS_KEPT_S)
     )
@@ -176,6 +182,7 @@
     )
     asked_rests: rests.Rests = attrs.field(factory=rests.Rests)
     tell_limits: Callable[[], object] = lambda: None
+    tell_weights: Callable[[], object] = lambda: None
     tell_leaving: Callable[[str], object] = lambda incarnation: None
     gate: gates.UpstreamGate = attrs.field(
         default=attrs.Factory(
@@ -420,6 +427,15 @@
         decisions.record(decisions.WeightsNamed(model=name, version=version))
         return True
 
+    def record_engine_weights(
+        self, incarnation: str, name: str, version: int
+    ) -> bool:
+        """Record weights that an engine states; return whether it is news."""
+        is_news = self.registry.update_weights(incarnation, name, version)
+        if is_news:
+            self.weights_news.record(incarnation, name, version, clock.now_s())
+        return is_news
+
     def weights_age_s(self, upstream: model.Upstream, name: str) -> float:
         """Return how long an engine's weights have been superseded."""
         history = self.newest_weights[name]
--- a/toucanrudder/forwarding/upstream_states.py
+++ b/toucanrudder/forwarding/upstream_states.py
@@ -45,6 +45,8 @@
     refused_at_s : float
         Monotonic time of its last refusal for want of room, by this
         router's or a peer's word.
+    refusals_in_row : int
+        Refusals of this router's requests since its last answer.
     avoided_until_s : float
         Monotonic time until which it gets no work as it loads weights.
     last_peer_order_s : float
@@ -66,6 +68,7 @@
     failure_share: float = 0.0
     full_until_s: float = 0.0
     refused_at_s: float = float("-inf")
+    refusals_in_row: int = 0
     avoided_until_s: float = 0.0
     last_peer_order_s: float = float("-inf")
     quiet_since_s: float | None = None
@@ -155,7 +158,7 @@
         """Record a complete answer."""
         state = self.of(incarnation)
         state.answered_at_s = now_s
-        state.failures_in_row = 0
+        state.failures_in_row = state.refusals_in_row = 0
         state.backoff_until_s = 0.0
         state.failure_share *= 1.0 - FAILURE_SMOOTHING
 
@@ -191,6 +194,12 @@
             if state.requests
         ]
 
+    def count_refusal(self, incarnation: str) -> int:
+        """Count a refusal of an own request; return how many in a row."""
+        state = self.of(incarnation)
+        state.refusals_in_row += 1
+        return state.refusals_in_row
+
     def record_full(
         self, incarnation: str, now_s: float, for_s: float
     ) -> None:
--- a/toucanrudder/peers/messages.py
+++ b/toucanrudder/peers/messages.py
@@ -182,6 +182,25 @@
     age_s: float
 
 
+@attrs.frozen
+class EngineWeights:
+    """Weights that an engine has stated to the sender itself.
+
+    Parameters
+    ----------
+    upstream : str
+        Identity of the process.
+    model : str
+        The model's name.
+    version : int
+        Version of its weights; versions of a process only rise.
+    """
+
+    upstream: str
+    model: str
+    version: int
+
+
 @attrs.frozen
 class FleetSize:
     """A number of routers that were live at one time.
@@ -244,6 +263,8 @@
         Largest number of live routers that the sender knows of.
     limited : tuple of Limited
         Upstream processes that state, or stated, how many requests they take.
+    engine_weights : tuple of EngineWeights
+        Weights that engines have stated to the sender recently.
     """
 
     sender: routers.Member
@@ -266,6 +287,7 @@
     software: SoftwareNews = SoftwareNews()
     fleet: FleetSize | None = None
     limited: tuple[Limited, ...] = ()
+    engine_weights: tuple[EngineWeights, ...] = ()
 
 
 def to_wire(heartbeat: Heartbeat) -> peers_pb2.Heartbeat:
@@ -324,6 +346,14 @@
             )
             for limited in heartbeat.limited
         ],
+        engine_weights=[
+            peers_pb2.EngineWeights(
+                upstream=engine.upstream,
+                model=engine.model,
+                version=engine.version,
+            )
+            for engine in heartbeat.engine_weights
+        ],
     )
 
 
@@ -385,6 +415,10 @@
                 _limited_from_wire(limited)
                 for limited in message.limited[:MAX_LOADS]
             ),
+            engine_weights=tuple(
+                EngineWeights(engine.upstream, engine.model, engine.version)
+                for engine in message.engine_weights[:MAX_LOADS]
+            ),
         )
     except ValueError as error:
         raise BadHeartbeat(str(error)) from error
--- a/toucanrudder/peers/node.py
+++ b/toucanrudder/peers/node.py
@@ -65,6 +65,8 @@
         time.
     leaving_upstreams, avoided, unreached, brittle, full, limited : callable
         Given the monotonic time, return these fields of the heartbeat.
+    engine_weights : callable
+        Given the monotonic time, returns the weights that engines stated.
     registry : callable
         Given the monotonic time, returns when the registry served calls.
     weights : callable
@@ -102,6 +104,9 @@
     brittle: Callable[[float], tuple[messages.Brittle, ...]] = lambda now_s: ()
     full: Callable[[float], tuple[messages.Avoided, ...]] = lambda now_s: ()
     limited: Callable[[float], tuple[messages.Limited, ...]] = lambda now_s: ()
+    engine_weights: Callable[[float], tuple[messages.EngineWeights, ...]] = (
+        lambda now_s: ()
+    )
     registry: Callable[[float], messages.Served | None] = lambda now_s: None
     weights: Callable[[], tuple[messages.Weights, ...]] = tuple
     software: Callable[[float], messages.SoftwareNews] = lambda now_s: (
@@ -261,6 +266,7 @@
             software=self._hooks.software(now_s),
             fleet=self._hooks.fleet(now_s),
             limited=self._hooks.limited(now_s),
+            engine_weights=self._hooks.engine_weights(now_s),
         )
 
     def receive(
