Answer from the quarantine without concluding from all entries

What callers saw: nothing at once; when many engines crash together, routers spend their processor time on conclusions about crashes.

Cause: each new entry made all conclusions void, and the next question of any request, whether it is poison, or its engine presumed dead, or a part of it blocked, drew them again from all entries. For each part that may be blocked, all crashes were counted anew.

Change: entries are indexed by fingerprint, and engines that have answered by process. The crashes of a request, and whether a process is presumed dead, are read from these; a request without crashes is free. Parts are joined only where a content can have enough crashes in sequence, and crashes in a span of time are counted in a sorted list. Expired entries are looked for only once one can have expired. A known entry is recognised before it is merged.

The kept conclusions had one inexactness: a crash counted against a request until the next entry came, even if a part that explains it was blocked by the passing of time before. The number of crashes no longer lags in this way.

Ruled out: keeping conclusions for a short time. A block that is drawn later may need more crashes, as it is kept by what was concluded before.

--- a/toucanrudder/forwarding/poison.py
+++ b/toucanrudder/forwarding/poison.py
@@ -107,7 +107,7 @@
 
     def is_poison(self, fingerprint_: str, wall_s: float) -> bool:
         """Whether the request must not be sent to any upstream."""
-        return self.count(fingerprint_, wall_s) >= MAX_CRASHES
+        return self.suspicions.has_crashes(fingerprint_, MAX_CRASHES, wall_s)
 
     def record_blocked(self, wall_s: float) -> None:
         """Log the parts that were blocked since the last call."""
--- a/toucanrudder/quarantine/evidence.py
+++ b/toucanrudder/quarantine/evidence.py
@@ -101,6 +101,8 @@
     ----------
     suspects : dict
         The parts with crashes that count.
+    suspects_by_content : dict
+        The same in groups of those that differ by organisation only.
     seen_at_s : dict
         When each crash happened, or became known if that was earlier.
     alive : set
@@ -108,14 +110,21 @@
     """
 
     def __init__(
-        self, is_vouched: Callable[[str, float], bool], max_entries: int
+        self,
+        is_vouched: Callable[[str, float], bool],
+        max_entries: int,
     ):
         self._is_vouched = is_vouched
         self._max_entries = max_entries
+        self._crash_count = 0
+        # No entry expires earlier.
+        self._next_expiry_s = float("inf")
         self._evidence: dict[str, Evidence] = {}
         self._parts_at: dict[Process, set[str]] = {}
         self._owned: dict[str, set[str]] = {}
         self.suspects: dict[str, Suspect] = {}
+        self.suspects_by_content: dict[str, dict[str, Suspect]] = {}
+        self._most_steps: dict[str, int] = {}
         self.seen_at_s: dict[Process, float] = {}
         self.alive: set[Process] = set()
 
@@ -148,9 +157,19 @@
         self._update_suspects(self.parts_at(process))
 
     def merge(
-        self, entries: Iterable[entry_types.Entry], now_s: float
+        self,
+        entries: Iterable[entry_types.Entry],
+        now_s: float,
     ) -> bool:
-        """Merge entries; return whether any was new."""
+        """Merge entries; return whether any was new.
+
+        Parameters
+        ----------
+        entries : iterable of entry.Entry
+            The entries.
+        now_s : float
+            Unix time.
+        """
         changed = {
             entry.fingerprint
             for entry in entries
@@ -163,39 +182,73 @@
         return bool(changed)
 
     def _merge_entry(self, entry: entry_types.Entry, now_s: float) -> bool:
-        evidence = self._of(entry.fingerprint)
         if entry.kind is not entry_types.Kind.CRASH:
-            is_new = entry.sequence > evidence.cleared
-            evidence.cleared = max(evidence.cleared, entry.sequence)
-            evidence.cleared_at_s = max(evidence.cleared_at_s, entry.at_s)
-            return is_new
+            return self._merge_clearance(entry)
         vouched = entry.is_vouched or self._is_vouched(
             entry.fingerprint, now_s
         )
+        evidence = self._of(entry.fingerprint)
         known = evidence.crashes.get(entry.crash)
-        merged = attrs.evolve(entry, is_vouched=vouched)
-        if known is not None:
+        if known is None:
+            merged = attrs.evolve(entry, is_vouched=vouched)
+            self._crash_count += 1
+        elif (
+            entry.at_s >= known.at_s
+            and entry.sequence <= known.sequence
+            and known.is_vouched >= vouched
+        ):
+            return False
+        else:
             merged = attrs.evolve(
                 known,
                 at_s=min(known.at_s, entry.at_s),
                 sequence=max(known.sequence, entry.sequence),
                 is_vouched=known.is_vouched or vouched,
             )
-        if merged == known:
-            return False
         evidence.crashes[entry.crash] = merged
         self._parts_at.setdefault(entry.crash, set()).add(entry.fingerprint)
         # A router that has just started hears of crashes long after them.
         self.seen_at_s.setdefault(entry.crash, min(now_s, entry.at_s))
+        self._expire_at(merged.at_s + EXPIRY_S)
         return True
 
+    def _merge_clearance(self, entry: entry_types.Entry) -> bool:
+        evidence = self._of(entry.fingerprint)
+        is_new = entry.sequence > evidence.cleared
+        if not is_new and entry.at_s <= evidence.cleared_at_s:
+            return False
+        evidence.cleared = max(evidence.cleared, entry.sequence)
+        evidence.cleared_at_s = max(evidence.cleared_at_s, entry.at_s)
+        self._expire_at(evidence.cleared_at_s + CLEARANCE_KEPT_S)
+        return is_new
+
+    def _expire_at(self, at_s: float) -> None:
+        self._next_expiry_s = min(self._next_expiry_s, at_s)
+
     def _update_suspects(self, parts: Iterable[str]) -> None:
         for part in parts:
             suspect = self._suspect(part)
+            content = entry_types.content_of(part)
+            group = self.suspects_by_content.setdefault(content, {})
             if suspect is None:
                 self.suspects.pop(part, None)
+                group.pop(part, None)
             else:
                 self.suspects[part] = suspect
+                group[part] = suspect
+            if group:
+                self._most_steps[content] = _most_steps(group.values())
+            else:
+                del self.suspects_by_content[content]
+                self._most_steps.pop(content, None)
+
+    def contents_with_steps(self, steps: int) -> list[str]:
+        """Return the contents that may have as many crashes in sequence."""
+        return [
+            content
+            for content, most in self._most_steps.items()
+            if most >= steps
+        ]
 
     def _suspect(self, part: str) -> Suspect | None:
         evidence = self._evidence.get(part)
@@ -226,18 +279,25 @@
 
     def expire(self, now_s: float) -> None:
         """Drop entries that have expired."""
+        if now_s < self._next_expiry_s:
+            return
+        self._next_expiry_s = float("inf")
         for part, evidence in list(self._evidence.items()):
             for process, entry in list(evidence.crashes.items()):
                 if now_s - entry.at_s >= EXPIRY_S:
                     self._drop(part, process)
-            if (
-                not evidence.crashes
-                and now_s - evidence.cleared_at_s > CLEARANCE_KEPT_S
-            ):
+                else:
+                    self._expire_at(entry.at_s + EXPIRY_S)
+            if evidence.crashes:
+                continue
+            if now_s - evidence.cleared_at_s > CLEARANCE_KEPT_S:
                 self._remove(part)
+            else:
+                self._expire_at(evidence.cleared_at_s + CLEARANCE_KEPT_S)
 
     def _drop(self, part: str, process: Process) -> None:
         del self._evidence[part].crashes[process]
+        self._crash_count -= 1
         self._update_suspects([part])
         present = self._parts_at[process]
         present.discard(part)
@@ -247,8 +307,7 @@
     def _evict(self) -> None:
         if len(self._evidence) > 2 * self._max_entries:
             self._drop_empty()
-        count = sum(len(e.crashes) for e in self._evidence.values())
-        if count <= self._max_entries:
+        if self._crash_count <= self._max_entries:
             return
         ranked = list(self._ranked_entries())
         keep_count = self._max_entries * 7 // 8
@@ -284,12 +343,19 @@
     ) -> list[entry_types.Entry]:
         entries = list(evidence.crashes.values())
         if evidence.cleared:
-            entries.append(
-                entry_types.Entry(
-                    entry_types.Kind.CLEARED,
-                    part,
-                    evidence.cleared_at_s,
-                    sequence=evidence.cleared,
-                )
-            )
+            entries.append(_clearance(part, evidence))
         return entries
+
+
+def _clearance(part: str, evidence: Evidence) -> entry_types.Entry:
+    return entry_types.Entry(
+        entry_types.Kind.CLEARED,
+        part,
+        evidence.cleared_at_s,
+        sequence=evidence.cleared,
+    )
+
+
+def _most_steps(suspects: Iterable[Suspect]) -> int:
+    """Return the most steps that suspects can have when they are joined."""
+    return len({step for each in suspects for step in each.live.values()})
--- a/toucanrudder/quarantine/parts.py
+++ b/toucanrudder/quarantine/parts.py
@@ -13,9 +13,11 @@
 clocks are compared.
 """
 
+import bisect
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Sequence
 
 import attrs
 
@@ -107,7 +109,8 @@
     ):
         self._requests_at = requests_at
         self._evidence = evidence_tables.EvidenceTable(
-            self._is_vouched_here, max_entries
+            self._is_vouched_here,
+            max_entries,
         )
         self._vouched_at_s: dict[str, float] = {}
         self._blocked: dict[str, _Block] = {}
@@ -219,9 +222,17 @@
         self._is_current = False
 
     def merge(
-        self, entries: Iterable[entry_types.Entry], now_s: float
+        self,
+        entries: Iterable[entry_types.Entry],
+        now_s: float,
     ) -> bool:
-        """Merge entries; return whether any was new."""
+        """Merge entries; return whether any was new.
+
+        Parameters
+        ----------
+        entries, now_s
+            As for `EvidenceTable.merge`.
+        """
         if not self._evidence.merge(entries, now_s):
             return False
         self._is_current = False
@@ -294,35 +305,50 @@
         return self._blocked
 
     def _conclude(self, now_s: float) -> dict[str, _Block]:
-        owned: dict[str, list[evidence_tables.Suspect]] = {}
-        for suspect in self._evidence.suspects.values():
-            if now_s - suspect.last_crash_s < BLOCK_S:
-                content = entry_types.content_of(suspect.part)
-                owned.setdefault(content, []).append(suspect)
-        suspects = {
-            content: evidence_tables.join(content, members)
-            for content, members in owned.items()
-        }
+        candidates = []
+        for content in self._evidence.contents_with_steps(MAX_SEQUENCE):
+            suspect = self._joined(content, now_s)
+            if suspect is not None and suspect.steps >= MAX_SEQUENCE:
+                candidates.append(suspect)
         blocked: dict[str, _Block] = {}
         explained: set[Process] = set()
+        unexplained_s = self._crash_times(explained)
         for suspect in sorted(
-            (s for s in suspects.values() if s.steps >= MAX_SEQUENCE),
+            candidates,
             key=lambda s: (*(-int(rank) for rank in s.strength), s.part),
         ):
             left = self._settled(
                 evidence_tables.without(suspect, explained), now_s
             )
-            if left.steps < self._needed_steps(left, explained):
+            if left.steps < self._needed_steps(left, unexplained_s):
                 continue
-            group = self._indistinguishable(left, suspects, explained, now_s)
+            group = self._indistinguishable(left, explained, now_s)
             if group is not None:
                 block = _Block(suspect, group)
-                for part in _own_suspects(owned[suspect.part]):
+                for part in _own_suspects(self._members(suspect.part, now_s)):
                     blocked[part] = block
                 explained |= set(suspect.live)
+                unexplained_s = self._crash_times(explained)
                 self._check_again_at(suspect.last_crash_s + BLOCK_S)
         return blocked
 
+    def _members(
+        self, content: str, now_s: float
+    ) -> list[evidence_tables.Suspect]:
+        """Return the suspects with a content that may be blocked."""
+        group = self._evidence.suspects_by_content.get(content, {})
+        return [
+            suspect
+            for suspect in group.values()
+            if now_s - suspect.last_crash_s < BLOCK_S
+        ]
+
+    def _joined(
+        self, content: str, now_s: float
+    ) -> evidence_tables.Suspect | None:
+        members = self._members(content, now_s)
+        return evidence_tables.join(content, members) if members else None
+
     def _check_again_at(self, at_s: float) -> None:
         self._valid_until_s = min(self._valid_until_s, at_s)
 
@@ -339,10 +365,26 @@
                 self._check_again_at(seen_s + SETTLE_S)
         return attrs.evolve(suspect, live=settled)
 
+    def _crash_times(self, explained: Collection[Process]) -> list[float]:
+        """Return in order when the crashes happened that are unexplained."""
+        return sorted(
+            at_s
+            for process, at_s in self._evidence.seen_at_s.items()
+            if process not in explained and process not in self._evidence.alive
+        )
+
     def _needed_steps(
-        self, suspect: evidence_tables.Suspect, explained: Collection[Process]
+        self, suspect: evidence_tables.Suspect, unexplained_s: Sequence[float]
     ) -> int:
-        """Return the crashes in sequence after which a suspect is blocked."""
+        """Return the crashes in sequence after which a suspect is blocked.
+
+        Parameters
+        ----------
+        suspect : Suspect
+            A part without the crashes that are explained.
+        unexplained_s : sequence of float
+            As `_crash_times` returns.
+        """
         seen_s = [
             self._evidence.seen_at_s[process] for process in suspect.live
         ]
@@ -353,11 +395,8 @@
             return MAX_SEQUENCE
         if suspect.is_vouched:
             return MAX_DOUBTED_SEQUENCE
-        crashes = sum(
-            min(seen_s) <= at_s <= max(seen_s)
-            for process, at_s in self._evidence.seen_at_s.items()
-            if process not in explained and process not in self._evidence.alive
-        )
+        first = bisect.bisect_left(unexplained_s, min(seen_s))
+        crashes = bisect.bisect_right(unexplained_s, max(seen_s)) - first
         if crashes > len(suspect.live):
             return MAX_DOUBTED_SEQUENCE
         return MAX_SEQUENCE
@@ -365,7 +404,6 @@
     def _indistinguishable(
         self,
         suspect: evidence_tables.Suspect,
-        suspects: dict[str, evidence_tables.Suspect],
         explained: Collection[Process],
         now_s: float,
     ) -> frozenset[str] | None:
@@ -385,12 +423,11 @@
                 for each in processes
             )
         )
+        joined = [self._joined(content, now_s) for content in present]
         rivals = [
-            self._settled(
-                evidence_tables.without(suspects[content], explained), now_s
-            )
-            for content in present
-            if content in suspects
+            self._settled(evidence_tables.without(each, explained), now_s)
+            for each in joined
+            if each is not None
         ]
         if any(rival.strength > suspect.strength for rival in rivals):
             return None
--- a/toucanrudder/quarantine/suspects.py
+++ b/toucanrudder/quarantine/suspects.py
@@ -85,7 +85,6 @@
     suspects: tuple[str, ...]
     ranked: tuple[str, ...]
     crashes: frozenset[tuple[str, str]]
-    crashes_of: dict[str, set[tuple[str, str]]]
     first_crash_s: float
     last_crash_s: float
     until_s: float
@@ -109,6 +108,11 @@
     round_s : float
         Seconds of a round when there are more suspects than engines.
 
+    Attributes
+    ----------
+    parts : parts.PartTracker
+        Parts of prompts.
+
     Examples
     --------
     >>> tracker = SuspectTracker()
@@ -134,8 +138,12 @@
         self._settle_s = settle_s
         self._round_s = round_s
         self._entries: dict[tuple, entry_types.Entry] = {}
+        self._by_fingerprint: dict[str, set[tuple]] = {}
         self._conclusions: _Conclusions | None = None
         self._requests_at: dict[tuple[str, str], set[str]] = {}
+        self._alive: dict[tuple[str, str], set[tuple]] = {}
+        # No entry expires earlier.
+        self._next_expiry_s = float("inf")
         self.parts = part_trackers.PartTracker(
             lambda process: self._requests_at.get(process, ())
         )
@@ -147,7 +155,33 @@
 
     def crash_count(self, fingerprint: str, now_s: float) -> int:
         """Return the crashes of a request that no part explains."""
-        return len(self._current(now_s).crashes_of.get(fingerprint, ()))
+        self._expire(now_s)
+        crashes = self._crashes_of(fingerprint)
+        return len(crashes - self.parts.explained(now_s)) if crashes else 0
+
+    def has_crashes(self, fingerprint: str, count: int, now_s: float) -> bool:
+        """Whether a request has at least as many crashes."""
+        self._expire(now_s)
+        # Most requests have too few, whatever parts explain of them.
+        return (
+            len(self._crashes_of(fingerprint)) >= count
+            and self.crash_count(fingerprint, now_s) >= count
+        )
+
+    def _crashes_of(self, fingerprint: str) -> set[tuple[str, str]]:
+        """Return the crashes of a request, also those that parts explain."""
+        keys = self._by_fingerprint.get(fingerprint, ())
+        known = [self._entries[key] for key in keys]
+        released_s = _latest(known, entry_types.Kind.RELEASED).get(
+            fingerprint, float("-inf")
+        )
+        return {
+            entry.crash
+            for entry in known
+            if entry.kind is entry_types.Kind.CRASH
+            and entry.crash not in self._alive
+            and entry.at_s > released_s
+        }
 
     def standing(self, fingerprint: str, now_s: float) -> Standing:
         """Return whether the request is free, a suspect or quarantined.
@@ -164,6 +198,9 @@
         Standing
             The standing of the request.
         """
+        self._expire(now_s)
+        if not self._crashes_of(fingerprint):
+            return Standing.FREE
         conclusions = self._current(now_s)
         if fingerprint in conclusions.quarantined:
             return Standing.QUARANTINED
@@ -286,7 +323,9 @@
         self, upstream: str, incarnation: str, now_s: float
     ) -> bool:
         """Whether the engine process is presumed to have crashed."""
-        return (upstream, incarnation) in self._current(now_s).crashes
+        self._expire(now_s)
+        process = (upstream, incarnation)
+        return process in self._requests_at and process not in self._alive
 
     def record_alive(
         self, upstream: str, incarnation: str, now_s: float
@@ -334,7 +373,9 @@
         self.merge([entry_types.Entry(kind, fingerprint, now_s)], now_s)
 
     def merge(
-        self, entries: Iterable[entry_types.Entry], now_s: float
+        self,
+        entries: Iterable[entry_types.Entry],
+        now_s: float,
     ) -> bool:
         """Merge entries of another router.
 
@@ -354,23 +395,34 @@
         for entry in entries:
             if entry.sequence:
                 of_parts.append(entry)
-                continue
-            if abs(now_s - entry.at_s) >= self._expiry_s:
-                continue
-            known = self._entries.get(entry.key)
-            merged = entry if known is None else _merge(known, entry)
-            if merged != known:
-                self._insert(merged)
-                has_new = True
-        has_new |= self.parts.merge(of_parts, now_s)
+            elif abs(now_s - entry.at_s) < self._expiry_s:
+                has_new |= self._merge_entry(entry)
+        if of_parts:
+            has_new |= self.parts.merge(of_parts, now_s)
         if has_new:
             self._conclusions = None
             self._evict_oldest()
         return has_new
 
+    def _merge_entry(self, entry: entry_types.Entry) -> bool:
+        known = self._entries.get(entry.key)
+        merged = entry
+        if known is not None and known != entry:
+            merged = _merge(known, entry)
+        if merged == known:
+            return False
+        self._insert(merged)
+        return True
+
     def _insert(self, entry: entry_types.Entry) -> None:
-        self._entries[entry.key] = entry
+        key = entry.key
+        self._entries[key] = entry
+        self._by_fingerprint.setdefault(entry.fingerprint, set()).add(key)
+        self._next_expiry_s = min(
+            self._next_expiry_s, entry.at_s + self._expiry_s
+        )
         if entry.kind is entry_types.Kind.ALIVE:
+            self._alive.setdefault(entry.crash, set()).add(key)
             self.parts.record_alive(entry.crash)
         if entry.kind is entry_types.Kind.CRASH:
             present = self._requests_at.setdefault(entry.crash, set())
@@ -378,12 +430,13 @@
 
     def _remove(self, key: tuple) -> None:
         entry = self._entries.pop(key)
+        _discard(self._by_fingerprint, entry.fingerprint, key)
         if entry.kind is entry_types.Kind.ALIVE:
-            self.parts.forget_alive(entry.crash)
-        present = self._requests_at.get(entry.crash, set())
-        present.discard(entry.fingerprint)
-        if not present:
-            self._requests_at.pop(entry.crash, None)
+            _discard(self._alive, entry.crash, key)
+            if entry.crash not in self._alive:
+                self.parts.forget_alive(entry.crash)
+        if entry.kind is entry_types.Kind.CRASH:
+            _discard(self._requests_at, entry.crash, entry.fingerprint)
 
     def entries(
         self, now_s: float, since_s: float = float("-inf")
@@ -450,6 +503,8 @@
             self._remove(entry.key)
 
     def _expire(self, now_s: float) -> None:
+        if now_s < self._next_expiry_s:
+            return
         expired = [
             key
             for key, entry in self._entries.items()
@@ -459,6 +514,9 @@
             self._remove(key)
         if expired:
             self._conclusions = None
+        times = (entry.at_s for entry in self._entries.values())
+        self._next_expiry_s = min(times, default=float("inf"))
+        self._next_expiry_s += self._expiry_s
 
     def _current(self, now_s: float) -> _Conclusions:
         if self._conclusions is None or now_s >= self._conclusions.until_s:
@@ -473,6 +531,13 @@
         return self._conclusions
 
 
+def _discard(index: dict[object, set], name: object, member: object) -> None:
+    """Remove a member from a group, and the group with its last one."""
+    index[name].discard(member)
+    if not index[name]:
+        del index[name]
+
+
 def _merge(a: entry_types.Entry, b: entry_types.Entry) -> entry_types.Entry:
     """Merge two entries with the same key; commutative and idempotent."""
     if a.kind is entry_types.Kind.CRASH:
@@ -527,15 +592,11 @@
         ]
     )
     oldest_s = min((e.at_s for e in entries), default=float("inf"))
-    crashes_of: dict[str, set[tuple[str, str]]] = {}
-    for entry in crashes:
-        crashes_of.setdefault(entry.fingerprint, set()).add(entry.crash)
     return _Conclusions(
         quarantined=frozenset(quarantined),
         suspects=suspects,
         ranked=ranked,
         crashes=frozenset(known_crashes),
-        crashes_of=crashes_of,
         first_crash_s=min(times, default=now_s),
         last_crash_s=max(times, default=now_s),
         until_s=oldest_s + expiry_s,
