Send a peer only the quarantine entries that it has not said it has

What callers saw: nothing at once; when many engines crash together, routers spend nearly all processor time and much of their links on entries that their peers know already.

Cause: each heartbeat, and each urgent message to 32 peers, carried all entries of the last 30 s. The cost grew with crashes times exchanges. Entries of parts were cut at 128 for each message, so that routers did not even all get to know the same.

Change: quarantine.log keeps the entries in the order in which they were learned or changed here, and which peers hold them just so. A heartbeat says up to which position of the receiver's log the sender has all entries, and up to which position of its own log the receiver has them with this message; both name the process that they are for. A peer is sent what comes after the position that it stated itself, without what it sent. A lost message moves no position; a restarted router is another process. Urgent messages carry the sender's own new entries and move no position.

Ruled out: digests of the sets, which need more rounds and a pass over all entries; rumours with a counter, which may miss a router for good.

--- a/toucanrudder/forwarding/peering.py
+++ b/toucanrudder/forwarding/peering.py
@@ -280,6 +280,7 @@
         loads=gossip.loads,
         weights=gossip.weights,
         quarantine=state.crash_counts.suspicions.entries,
+        quarantine_log=state.crash_counts.suspicions.log,
         on_quarantine=state.crash_counts.suspicions.merge,
         leaving=lambda: state.stopping,
         # Peers are timed by a clock that stops while the host is suspended;
--- a/toucanrudder/membership/routers.py
+++ b/toucanrudder/membership/routers.py
@@ -370,6 +370,17 @@
             for name, entry in self._entries.items()
         )
 
+    def knows(self, name: str) -> bool:
+        """Return whether a router is remembered, live or dead."""
+        return name in self._entries
+
+    def peer_at(self, address: str, now_s: float) -> Member | None:
+        """Return the live router at an address, if one is known."""
+        return next(
+            (peer for peer in self.peers(now_s) if peer.address == address),
+            None,
+        )
+
     def silence_s(self, name: str, now_s: float) -> float:
         """Return the seconds since a known router's beat last rose."""
         return now_s - self._entries[name].last_heard_s
--- a/toucanrudder/peers/client.py
+++ b/toucanrudder/peers/client.py
@@ -532,7 +532,12 @@
     async def _exchange(self, address: str) -> None:
         self._busy.add(address)
         try:
-            heartbeat = self._node.heartbeat(stalls.running_s(), time.time())
+            now_s = stalls.running_s()
+            heartbeat = self._node.heartbeat(
+                now_s,
+                time.time(),
+                receiver=self._node.table.peer_at(address, now_s),
+            )
             async with self._channels.stub_for(address) as stub:
                 answer = await stub.Exchange(
                     messages.to_wire(heartbeat), timeout=self._deadline_s
--- a/toucanrudder/peers/messages.py
+++ b/toucanrudder/peers/messages.py
@@ -217,6 +217,26 @@
     age_s: float
 
 
+@attrs.frozen
+class QuarantinePositions:
+    """How far two routers have each other's quarantine entries.
+
+    Parameters
+    ----------
+    receiver : int
+        Digest key of the process of the receiver that is meant.
+    seen : int
+        Position of its log up to which the sender has all entries.
+    position : int or None
+        Position of the sender's log up to which the receiver has all entries
+        with this message; None if that is unknown.
+    """
+
+    receiver: int
+    seen: int
+    position: int | None = None
+
+
 @attrs.frozen
 class Heartbeat:
     """Periodic message of one router to another.
@@ -265,6 +285,9 @@
         Upstream processes that state, or stated, how many requests they take.
     engine_weights : tuple of EngineWeights
         Weights that engines have stated to the sender recently.
+    quarantine_positions : QuarantinePositions or None
+        How far sender and receiver have each other's quarantine entries;
+        None if the sender does not know the receiver, or cannot say.
     """
 
     sender: routers.Member
@@ -288,6 +311,7 @@
     fleet: FleetSize | None = None
     limited: tuple[Limited, ...] = ()
     engine_weights: tuple[EngineWeights, ...] = ()
+    quarantine_positions: QuarantinePositions | None = None
 
 
 def to_wire(heartbeat: Heartbeat) -> peers_pb2.Heartbeat:
@@ -354,6 +378,7 @@
             )
             for engine in heartbeat.engine_weights
         ],
+        **_positions_to_wire(heartbeat.quarantine_positions),
     )
 
 
@@ -419,11 +444,39 @@
                 EngineWeights(engine.upstream, engine.model, engine.version)
                 for engine in message.engine_weights[:MAX_LOADS]
             ),
+            quarantine_positions=_positions_from_wire(message),
         )
     except ValueError as error:
         raise BadHeartbeat(str(error)) from error
 
 
+def _positions_to_wire(
+    positions: QuarantinePositions | None,
+) -> dict[str, int | None]:
+    if positions is None:
+        return {}
+    return {
+        "quarantine_receiver": positions.receiver,
+        "quarantine_seen": positions.seen,
+        "quarantine_position": positions.position,
+    }
+
+
+def _positions_from_wire(
+    message: peers_pb2.Heartbeat,
+) -> QuarantinePositions | None:
+    if not message.HasField("quarantine_receiver"):
+        return None
+    position = None
+    # Entries that are not read must be sent again.
+    is_whole = len(message.quarantine) <= MAX_QUARANTINE
+    if is_whole and message.HasField("quarantine_position"):
+        position = message.quarantine_position
+    return QuarantinePositions(
+        message.quarantine_receiver, message.quarantine_seen, position
+    )
+
+
 def _avoided_to_wire(entries: Iterable[Avoided]) -> list[peers_pb2.Avoided]:
     return [
         peers_pb2.Avoided(upstream=entry.upstream, for_s=entry.for_s)
--- a/toucanrudder/peers/node.py
+++ b/toucanrudder/peers/node.py
@@ -13,8 +13,10 @@
 from toucanrudder.observability import metrics
 from toucanrudder.peers import loads as peer_loads
 from toucanrudder.peers import messages
+from toucanrudder.peers import positions as peer_positions
 from toucanrudder.prefix import request_rates
 from toucanrudder.quarantine import entry
+from toucanrudder.quarantine import log as entry_logs
 
 LOG = logging.getLogger(__name__)
 
@@ -32,8 +34,9 @@
 #: Hot prefixes in one heartbeat.
 MAX_HOT_PREFIXES = 32
 
-#: Age up to which quarantine entries go into each heartbeat, by the wall
-#: clock.  Older ones were sent before, or are requested with `want_all`.
+#: Age up to which quarantine entries go into a heartbeat to a peer that has
+#: not said which ones it has, by the wall clock.  Older ones are requested
+#: with `want_all`.
 RECENT_ENTRY_S = 30.0
 
 #: One in this many heartbeats requests all quarantine entries.
@@ -51,6 +54,9 @@
     quarantine : callable
         Given the wall clock and a time of it, returns the quarantine entries
         since then, and older ones that peers must not lack.
+    quarantine_log : callable
+        Given the wall clock, returns the log of the quarantine entries, or
+        None if there is none.
     leaving : callable
         Returns whether this router is stopping.
     hot_prefixes : callable
@@ -59,7 +65,8 @@
     total_rate_per_s : callable
         Given the monotonic time, returns this router's own request rate.
     on_quarantine : callable
-        Given a peer's quarantine entries and the wall clock.
+        Given a peer's quarantine entries, the wall clock and the digest key
+        of the peer's process.
     on_hot_prefixes : callable
         Given a peer's name, hot prefixes and total rate, and the monotonic
         time.
@@ -88,12 +95,15 @@
     quarantine: Callable[[float, float], tuple[entry.Entry, ...]] = (
         lambda wall_s, since_s: ()
     )
+    quarantine_log: Callable[[float], entry_logs.EntryLog | None] = (
+        lambda wall_s: None
+    )
     hot_prefixes: Callable[
         [int, float], tuple[request_rates.HotPrefix, ...]
     ] = lambda count, now_s: ()
     total_rate_per_s: Callable[[float], float] = lambda now_s: 0.0
-    on_quarantine: Callable[[tuple[entry.Entry, ...], float], object] = (
-        lambda entries, wall_s: None
+    on_quarantine: Callable[[tuple[entry.Entry, ...], float, int], object] = (
+        lambda entries, wall_s, source: None
     )
     on_hot_prefixes: Callable[
         [str, tuple[request_rates.HotPrefix, ...], float, float], None
@@ -175,6 +185,10 @@
         self._beat = 0
         self._heartbeats = 0
         self._generations: dict[str, int] = {}
+        self._positions = peer_positions.QuarantinePositions(
+            routers.digest_key(name, incarnation)
+        )
+        self._told_position = 0
         table.set_own_identity(name, incarnation)
 
     def generations(self, now_s: float) -> dict[str, int]:
@@ -203,6 +217,7 @@
         now_s: float,
         wall_s: float,
         *,
+        receiver: routers.Member | None = None,
         all_entries: bool = False,
         wanted: Sequence[int] = (),
     ) -> messages.Heartbeat:
@@ -212,8 +227,11 @@
         ----------
         now_s, wall_s : float
             Monotonic time and wall clock.
+        receiver : routers.Member or None
+            The peer that it is for, if known.
         all_entries : bool
-            Whether to send all quarantine entries, as the peer requested.
+            Whether a peer of which it is not known which quarantine entries
+            it has has requested all.
         wanted : sequence of int
             Digest keys of routers that the peer requested.
         """
@@ -222,7 +240,8 @@
         ) + self.table.members_by_key(wanted[:MAX_WANTED], now_s)
         self._heartbeats += 1
         return attrs.evolve(
-            self.urgent_heartbeat(now_s, wall_s, all_entries=all_entries),
+            self._next_heartbeat(now_s),
+            **self._quarantine_for(receiver, wall_s, all_entries),
             loads=self._hooks.loads(),
             hot_prefixes=self._hooks.hot_prefixes(MAX_HOT_PREFIXES, now_s),
             total_rate_per_s=self._hooks.total_rate_per_s(now_s),
@@ -232,19 +251,56 @@
             wanted=self.table.missing_keys(MAX_WANTED, now_s),
         )
 
+    def _quarantine_for(
+        self, receiver: routers.Member | None, wall_s: float, all_entries: bool
+    ) -> dict[str, object]:
+        """Return the fields of a heartbeat about quarantine entries."""
+        self._positions.forget_unless(self.table.knows)
+        log = self._hooks.quarantine_log(wall_s)
+        acknowledged = positions = None
+        if log is not None and receiver is not None:
+            key = peer_positions.key_of(receiver)
+            acknowledged = self._positions.acknowledged(receiver)
+            positions = messages.QuarantinePositions(
+                key, self._positions.seen(receiver)
+            )
+        if acknowledged is not None:
+            extract = log.after(acknowledged, key, messages.MAX_QUARANTINE)
+            return {
+                "quarantine": extract.entries,
+                "quarantine_positions": attrs.evolve(
+                    positions, position=extract.position
+                ),
+            }
+        since_s = float("-inf") if all_entries else wall_s - RECENT_ENTRY_S
+        return {
+            "quarantine": self._hooks.quarantine(wall_s, since_s),
+            "quarantine_positions": positions,
+        }
+
     def urgent_heartbeat(
-        self, now_s: float, wall_s: float, *, all_entries: bool = False
+        self, now_s: float, wall_s: float
     ) -> messages.Heartbeat:
         """Return the next heartbeat with its urgent fields only.
 
+        Of quarantine entries it has those that this router has observed
+        since the last one; exchanges bring peers what they miss of them.
+
         Parameters
         ----------
-        now_s, wall_s, all_entries
-            As for `heartbeat`.
+        now_s, wall_s : float
+            Monotonic time and wall clock.
         """
+        log = self._hooks.quarantine_log(wall_s)
+        if log is None:
+            entries = self._hooks.quarantine(wall_s, wall_s - RECENT_ENTRY_S)
+        else:
+            news = log.own_after(self._told_position, messages.MAX_QUARANTINE)
+            entries, self._told_position = news.entries, news.position
+        return attrs.evolve(self._next_heartbeat(now_s), quarantine=entries)
+
+    def _next_heartbeat(self, now_s: float) -> messages.Heartbeat:
         self._beat += 1
-        since_s = float("-inf") if all_entries else wall_s - RECENT_ENTRY_S
-        entries = self._hooks.quarantine(wall_s, since_s)
         return messages.Heartbeat(
             sender=routers.Member(
                 self.name,
@@ -255,7 +311,6 @@
                 self.zone,
             ),
             generation=self.generation(),
-            quarantine=entries,
             leaving_upstreams=self._hooks.leaving_upstreams(now_s),
             avoided=self._hooks.avoided(now_s),
             unreached=self._hooks.unreached(now_s),
@@ -278,6 +333,9 @@
             return
         self.receive_urgent(heartbeat, now_s, wall_s)
         self._receive_gossip(heartbeat, now_s)
+        log = self._hooks.quarantine_log(wall_s)
+        if log is not None:
+            self._positions.receive(heartbeat, log.position)
         self._loads.replace(sender.name, heartbeat.loads, now_s)
         self._hooks.on_loads(heartbeat, now_s)
         self._hooks.on_hot_prefixes(
@@ -304,7 +362,9 @@
             zone=sender.zone,
         )
         self._generations[sender.name] = heartbeat.generation
-        self._hooks.on_quarantine(heartbeat.quarantine, wall_s)
+        self._hooks.on_quarantine(
+            heartbeat.quarantine, wall_s, peer_positions.key_of(sender)
+        )
         self._hooks.on_upstream_news(heartbeat, now_s)
 
     def _receive_gossip(
--- a/toucanrudder/peers/server.py
+++ b/toucanrudder/peers/server.py
@@ -136,6 +136,7 @@
             self._node.heartbeat(
                 now_s,
                 wall_s,
+                receiver=heartbeat.sender,
                 all_entries=heartbeat.want_all,
                 wanted=heartbeat.wanted,
             )
--- a/toucanrudder/peers/tests/test_peers.py
+++ b/toucanrudder/peers/tests/test_peers.py
@@ -48,7 +48,7 @@
                 quarantine=lambda _, since_s: tuple(
                     each for each in self.entries if each.at_s >= since_s
                 ),
-                on_quarantine=lambda new, _: self.entries.extend(
+                on_quarantine=lambda new, *_: self.entries.extend(
                     each for each in new if each not in self.entries
                 ),
                 on_hot_prefixes=lambda peer, *report: self.hot.update(
--- a/toucanrudder/quarantine/evidence.py
+++ b/toucanrudder/quarantine/evidence.py
@@ -9,6 +9,7 @@
 import attrs
 
 from toucanrudder.quarantine import entry as entry_types
+from toucanrudder.quarantine import log as entry_logs
 
 #: Age at which entries expire.
 EXPIRY_S = 7200.0
@@ -96,6 +97,8 @@
         answered here a short time before.
     max_entries : int
         Crashes that are kept; those that prove least are evicted first.
+    log : log.EntryLog
+        Where entries are recorded in the order in which they become known.
 
     Attributes
     ----------
@@ -113,9 +116,11 @@
         self,
         is_vouched: Callable[[str, float], bool],
         max_entries: int,
+        log: entry_logs.EntryLog,
     ):
         self._is_vouched = is_vouched
         self._max_entries = max_entries
+        self._log = log
         self._crash_count = 0
         # No entry expires earlier.
         self._next_expiry_s = float("inf")
@@ -160,6 +165,7 @@
         self,
         entries: Iterable[entry_types.Entry],
         now_s: float,
+        source: int | None = None,
     ) -> bool:
         """Merge entries; return whether any was new.
 
@@ -169,21 +175,25 @@
             The entries.
         now_s : float
             Unix time.
+        source : int or None
+            Digest key of the peer that sent them; None for this router's.
         """
         changed = {
             entry.fingerprint
             for entry in entries
             if abs(now_s - entry.at_s) < EXPIRY_S
-            and self._merge_entry(entry, now_s)
+            and self._merge_entry(entry, now_s, source)
         }
         if changed:
             self._update_suspects(changed)
             self._evict()
         return bool(changed)
 
-    def _merge_entry(self, entry: entry_types.Entry, now_s: float) -> bool:
+    def _merge_entry(
+        self, entry: entry_types.Entry, now_s: float, source: int | None
+    ) -> bool:
         if entry.kind is not entry_types.Kind.CRASH:
-            return self._merge_clearance(entry)
+            return self._merge_clearance(entry, source)
         vouched = entry.is_vouched or self._is_vouched(
             entry.fingerprint, now_s
         )
@@ -197,6 +207,7 @@
             and entry.sequence <= known.sequence
             and known.is_vouched >= vouched
         ):
+            self._log.add_holder(entry, source)
             return False
         else:
             merged = attrs.evolve(
@@ -210,18 +221,32 @@
         # A router that has just started hears of crashes long after them.
         self.seen_at_s.setdefault(entry.crash, min(now_s, entry.at_s))
         self._expire_at(merged.at_s + EXPIRY_S)
+        self._record(merged, entry, source)
         return True
 
-    def _merge_clearance(self, entry: entry_types.Entry) -> bool:
+    def _merge_clearance(
+        self, entry: entry_types.Entry, source: int | None
+    ) -> bool:
         evidence = self._of(entry.fingerprint)
         is_new = entry.sequence > evidence.cleared
         if not is_new and entry.at_s <= evidence.cleared_at_s:
+            self._log.add_holder(entry, source)
             return False
         evidence.cleared = max(evidence.cleared, entry.sequence)
         evidence.cleared_at_s = max(evidence.cleared_at_s, entry.at_s)
         self._expire_at(evidence.cleared_at_s + CLEARANCE_KEPT_S)
+        self._record(_clearance(entry.fingerprint, evidence), entry, source)
         return is_new
 
+    def _record(
+        self,
+        merged: entry_types.Entry,
+        received: entry_types.Entry,
+        source: int | None,
+    ) -> None:
+        holder = source if merged == received else None
+        self._log.record(merged, holder, is_own=source is None)
+
     def _expire_at(self, at_s: float) -> None:
         self._next_expiry_s = min(self._next_expiry_s, at_s)
 
@@ -271,7 +296,9 @@
         return self._evidence[part]
 
     def _remove(self, part: str) -> None:
-        del self._evidence[part]
+        evidence = self._evidence.pop(part)
+        if evidence.cleared:
+            self._log.discard(_clearance(part, evidence))
         content = entry_types.content_of(part)
         self._owned[content].discard(part)
         if not self._owned[content]:
@@ -296,7 +323,7 @@
                 self._expire_at(evidence.cleared_at_s + CLEARANCE_KEPT_S)
 
     def _drop(self, part: str, process: Process) -> None:
-        del self._evidence[part].crashes[process]
+        self._log.discard(self._evidence[part].crashes.pop(process))
         self._crash_count -= 1
         self._update_suspects([part])
         present = self._parts_at[process]
--- a/toucanrudder/quarantine/parts.py
+++ b/toucanrudder/quarantine/parts.py
@@ -23,6 +23,7 @@
 
 from toucanrudder.quarantine import entry as entry_types
 from toucanrudder.quarantine import evidence as evidence_tables
+from toucanrudder.quarantine import log as entry_logs
 
 #: Crashes in sequence after which a part is blocked.
 MAX_SEQUENCE = 3
@@ -91,6 +92,8 @@
         Given a process that crashed, returns the requests in flight there.
     max_entries : int
         Crashes that are kept; those that prove least are evicted first.
+    log : log.EntryLog or None
+        Where entries are recorded in the order in which they become known.
 
     Examples
     --------
@@ -106,11 +109,13 @@
         self,
         requests_at: Callable[[Process], Collection[str]] = _no_requests,
         max_entries: int = MAX_ENTRIES,
+        log: entry_logs.EntryLog | None = None,
     ):
         self._requests_at = requests_at
         self._evidence = evidence_tables.EvidenceTable(
             self._is_vouched_here,
             max_entries,
+            entry_logs.EntryLog() if log is None else log,
         )
         self._vouched_at_s: dict[str, float] = {}
         self._blocked: dict[str, _Block] = {}
@@ -225,15 +230,16 @@
         self,
         entries: Iterable[entry_types.Entry],
         now_s: float,
+        source: int | None = None,
     ) -> bool:
         """Merge entries; return whether any was new.
 
         Parameters
         ----------
-        entries, now_s
+        entries, now_s, source
             As for `EvidenceTable.merge`.
         """
-        if not self._evidence.merge(entries, now_s):
+        if not self._evidence.merge(entries, now_s, source):
             return False
         self._is_current = False
         return True
--- a/toucanrudder/quarantine/suspects.py
+++ b/toucanrudder/quarantine/suspects.py
@@ -16,6 +16,7 @@
 import attrs
 
 from toucanrudder.quarantine import entry as entry_types
+from toucanrudder.quarantine import log as entry_logs
 from toucanrudder.quarantine import parts as part_trackers
 
 #: Age at which an entry expires.
@@ -144,8 +145,9 @@
         self._alive: dict[tuple[str, str], set[tuple]] = {}
         # No entry expires earlier.
         self._next_expiry_s = float("inf")
+        self._log = entry_logs.EntryLog()
         self.parts = part_trackers.PartTracker(
-            lambda process: self._requests_at.get(process, ())
+            lambda process: self._requests_at.get(process, ()), log=self._log
         )
 
     @property
@@ -376,6 +378,7 @@
         self,
         entries: Iterable[entry_types.Entry],
         now_s: float,
+        source: int | None = None,
     ) -> bool:
         """Merge entries of another router.
 
@@ -385,6 +388,8 @@
             Entries, in any order; known ones may be among them.
         now_s : float
             Unix time.
+        source : int or None
+            Digest key of the peer that sent them; None for this router's.
 
         Returns
         -------
@@ -396,22 +401,27 @@
             if entry.sequence:
                 of_parts.append(entry)
             elif abs(now_s - entry.at_s) < self._expiry_s:
-                has_new |= self._merge_entry(entry)
+                has_new |= self._merge_entry(entry, source)
         if of_parts:
-            has_new |= self.parts.merge(of_parts, now_s)
+            has_new |= self.parts.merge(of_parts, now_s, source)
         if has_new:
             self._conclusions = None
             self._evict_oldest()
         return has_new
 
-    def _merge_entry(self, entry: entry_types.Entry) -> bool:
+    def _merge_entry(
+        self, entry: entry_types.Entry, source: int | None
+    ) -> bool:
         known = self._entries.get(entry.key)
         merged = entry
         if known is not None and known != entry:
             merged = _merge(known, entry)
         if merged == known:
+            self._log.add_holder(entry, source)
             return False
         self._insert(merged)
+        holder = source if merged == entry else None
+        self._log.record(merged, holder, is_own=source is None)
         return True
 
     def _insert(self, entry: entry_types.Entry) -> None:
@@ -430,6 +440,7 @@
 
     def _remove(self, key: tuple) -> None:
         entry = self._entries.pop(key)
+        self._log.discard(entry)
         _discard(self._by_fingerprint, entry.fingerprint, key)
         if entry.kind is entry_types.Kind.ALIVE:
             _discard(self._alive, entry.crash, key)
@@ -438,6 +449,13 @@
         if entry.kind is entry_types.Kind.CRASH:
             _discard(self._requests_at, entry.crash, entry.fingerprint)
 
+    def log(self, now_s: float) -> entry_logs.EntryLog:
+        """Return the log of the entries that have not expired."""
+        self._expire(now_s)
+        # Blocks begin at their time also where no requests arrive.
+        self.parts.explained(now_s)
+        return self._log
+
     def entries(
         self, now_s: float, since_s: float = float("-inf")
     ) -> tuple[entry_types.Entry, ...]:
--- a/toucanrudder/quarantine/tests/test_cheap_answers.py
+++ b/toucanrudder/quarantine/tests/test_cheap_answers.py
@@ -91,10 +91,12 @@
         self.cheap.parts = part_trackers.PartTracker(
             lambda process: self.cheap._requests_at.get(process, ()),
             max_entries,
+            self.cheap._log,
         )
         self.full.parts = FullParts(
             lambda process: self.full._requests_at.get(process, ()),
             max_entries,
+            self.full._log,
         )
 
     def step(self):
@@ -110,8 +112,7 @@
         # What is blocked depends on when it was asked for, and on which
         # requests and signs of life had expired by then.
         for tracker in (self.cheap, self.full):
-            tracker._expire(self.now_s)
-            tracker.parts.all_blocked(self.now_s)
+            tracker.log(self.now_s)
 
     def _both(self, method, *arguments):
         for tracker in (self.cheap, self.full):
@@ -132,7 +133,7 @@
     def _merge(self):
         entries = [self._entry() for _ in range(self.rng.randint(1, 5))]
         for tracker in (self.cheap, self.full):
-            tracker.merge(entries, self.now_s)
+            tracker.merge(entries, self.now_s, source=self.rng.randrange(3))
 
     def _entry(self):
         at_s = self.now_s - self.rng.choice([0.0, 0.3, 4.0, 700.0, 3500.0])
@@ -256,6 +257,10 @@
     assert set(history.cheap.entries(history.now_s)) == set(
         history.full.entries(history.now_s)
     )
+    log = history.cheap.log(history.now_s)
+    logged = log.after(0, receiver=-1, limit=10_000).entries
+    assert set(logged) == set(history.cheap.entries(history.now_s))
+    assert len(logged) == len(log)
 
 
 def test_histories_have_blocked_parts_and_convicted_requests():
--- a/toucanrudder/router/peering.py
+++ b/toucanrudder/router/peering.py
@@ -55,6 +55,7 @@
     return nodes.HeartbeatHooks(
         loads=lambda: _own_loads(state),
         quarantine=state.suspects.entries,
+        quarantine_log=state.suspects.log,
         hot_prefixes=state.prefix_rates.hottest,
         total_rate_per_s=state.prefix_rates.own_total_rate_per_s,
         on_quarantine=state.suspects.merge,
