Tell peers of crashes only when there are new ones

What callers saw: nothing at once; each attempt that broke made its router tell 32 peers, also when it had nothing to tell.

Cause: a broken attempt started urgent news whether or not it had added an entry. Further attempts at a process that is known to have crashed, or at one without a name, add none.

Change: news of crashes is sent if this router has observed entries since its last urgent message. Where a caller is made to wait until peers know of a crash, it also waits for a message that is already under way.

The test has 20 broken attempts with a new crash and 20 without: 1 message to the peer.

--- a/toucanrudder/forwarding/peering.py
+++ b/toucanrudder/forwarding/peering.py
@@ -328,7 +328,7 @@
         client.start_broadcast()
 
     state.tell_full = tell_full
-    state.tell_crashes = client.start_broadcast
+    state.tell_crashes = client.start_telling_crashes
     state.tell_contact = client.start_broadcast
 
     def tell_leaving(incarnation: str) -> None:
--- a/toucanrudder/peers/client.py
+++ b/toucanrudder/peers/client.py
@@ -212,6 +212,7 @@
         self._last_exchange_s: dict[str, float] = {}
         self._tasks: set[asyncio.Task] = set()
         self._pending_broadcast: asyncio.Task | None = None
+        self._last_broadcast: asyncio.Task | None = None
         self._partners_of: tuple[routers.Member, ...] = ()
         self._ranked_partners: list[str] = []
 
@@ -263,8 +264,26 @@
         # A broadcast that was cancelled with all other tasks sends nothing.
         if self._pending_broadcast is None or self._pending_broadcast.done():
             self._pending_broadcast = self._spawn(self._broadcast_round())
+            self._last_broadcast = self._pending_broadcast
         return self._pending_broadcast
 
+    def start_telling_crashes(self) -> None:
+        """Start to tell peers of crashes, if some noted here are new."""
+        if self._node.has_quarantine_news(time.time()):
+            self.start_broadcast()
+
+    async def tell_crashes(self, within_s: float) -> None:
+        """Wait until peers have been told of the crashes noted here.
+
+        Parameters
+        ----------
+        within_s : float
+            As for `broadcast_urgent`.
+        """
+        self.start_telling_crashes()
+        if self._last_broadcast is not None:
+            await asyncio.wait([self._last_broadcast], timeout=within_s)
+
     async def _broadcast_round(self) -> None:
         await asyncio.sleep(BROADCAST_BATCHING_S)
         # Later calls may have news that this broadcast does not contain.
--- a/toucanrudder/peers/node.py
+++ b/toucanrudder/peers/node.py
@@ -278,6 +278,11 @@
             "quarantine_positions": positions,
         }
 
+    def has_quarantine_news(self, wall_s: float) -> bool:
+        """Whether `urgent_heartbeat` would tell of quarantine entries."""
+        log = self._hooks.quarantine_log(wall_s)
+        return log is not None and log.own_position > self._told_position
+
     def urgent_heartbeat(
         self, now_s: float, wall_s: float
     ) -> messages.Heartbeat:
--- a/toucanrudder/peers/tests/test_quarantine_exchange.py
+++ b/toucanrudder/peers/tests/test_quarantine_exchange.py
@@ -4,9 +4,12 @@
 transport between routers is simulated.
 """
 
+import asyncio
 import collections
+import contextlib
 import heapq
 import random
+import time
 
 import attrs
 import pytest
@@ -367,6 +370,17 @@
     assert (names(request), names(answer)) == (["a"], [])
 
 
+def test_news_of_crashes_is_pending_only_until_it_was_told():
+    one, other = one_and_other()
+    assert not one.node.has_quarantine_news(1.0)
+    record_crash(one, "a")
+    assert one.node.has_quarantine_news(1.0)
+    exchange(one, other)
+    assert not other.node.has_quarantine_news(1.0)
+    one.node.urgent_heartbeat(1.0, 1.0)
+    assert not one.node.has_quarantine_news(1.0)
+
+
 def test_positions_of_an_earlier_process_are_not_believed():
     one, other = one_and_other()
     record_crash(one, "a")
@@ -420,3 +434,71 @@
     one.node.table.peers(later_s)
     one.node.heartbeat(later_s, later_s)
     assert len(one.node._positions) == 0
+
+
+class Channels:
+    """A channel pool whose peers take urgent news when they are let."""
+
+    def __init__(self):
+        self.told = []
+        self.may_answer = asyncio.Event()
+        self.may_answer.set()
+
+    @contextlib.asynccontextmanager
+    async def stub_for(self, address):
+        yield self
+
+    async def Tell(self, heartbeat, timeout):
+        self.told.append(names(messages.from_wire(heartbeat)))
+        await self.may_answer.wait()
+
+
+def telling():
+    """Return a router with one peer, and what it tells the peer."""
+    one, _ = one_and_other()
+    one.client._channels = channels = Channels()
+    one.node.table.peers = lambda now_s: [
+        routers.Member("router-002", address(2), 1_002)
+    ]
+    return one, channels
+
+
+async def test_broken_attempts_without_a_new_crash_tell_peers_nothing():
+    """Attempts that break at once each told all peers of all crashes."""
+    one, channels = telling()
+    record_crash(one, "a", time.time())
+    for _ in range(20):
+        one.client.start_telling_crashes()
+    await one.client.tell_crashes(1.0)
+    assert channels.told == [["a"]]
+    for _ in range(20):
+        record_crash(one, "a", time.time())
+        one.client.start_telling_crashes()
+    await one.client.tell_crashes(1.0)
+    assert channels.told == [["a"]]
+    record_crash(one, "b", time.time())
+    await one.client.tell_crashes(1.0)
+    assert channels.told == [["a"], ["b"]]
+
+
+async def test_other_urgent_news_is_told_without_crashes():
+    one, channels = telling()
+    await one.client.broadcast_urgent(1.0)
+    assert channels.told == [[]]
+
+
+async def test_caller_waits_until_a_crash_told_for_another_is_known():
+    """The answer to its resend may come before peers know of the crash."""
+    one, channels = telling()
+    channels.may_answer.clear()
+    record_crash(one, "a", time.time())
+    first = asyncio.ensure_future(one.client.tell_crashes(30.0))
+    while not channels.told:
+        await asyncio.sleep(0)
+    second = asyncio.ensure_future(one.client.tell_crashes(30.0))
+    for _ in range(5):
+        await asyncio.sleep(0)
+    assert not second.done()
+    channels.may_answer.set()
+    await asyncio.wait_for(asyncio.gather(first, second), 30.0)
+    assert channels.told == [["a"]]
--- a/toucanrudder/router/peering.py
+++ b/toucanrudder/router/peering.py
@@ -37,9 +37,7 @@
         rng=state.rng,
     )
     state.exchange_soon = client.exchange_soon
-    state.broadcast_urgent = lambda: client.broadcast_urgent(
-        BROADCAST_TIMEOUT_S
-    )
+    state.broadcast_urgent = lambda: client.tell_crashes(BROADCAST_TIMEOUT_S)
     return peerings.Peering(node, client, credentials, settings.advertise)
 
 
