--- a/toucanrudder/costs/request_costs.py
+++ b/toucanrudder/costs/request_costs.py
@@ -28,7 +28,7 @@
 LOAD_DECAY_S = 0.3
 
 
-@attrs.frozen
+@attrs.define
 class ServerCost:
     """What is expected of one process for the next request.
 
@@ -139,8 +139,9 @@
             Seconds since it stated that.
         """
         view = self.servers.view(incarnation, now_s)
-        left_s = self._own.left_s(incarnation, view.stretch, now_s)
-        left_s += self._peers.left_s(incarnation, now_s)
+        left_s = self._peers.left_s(incarnation, now_s)
+        if self._own.has(incarnation):
+            left_s += self._own.left_s(incarnation, view.stretch, now_s)
         if stated_s:
             stated_s *= math.exp(-stated_age_s / LOAD_DECAY_S)
         return ServerCost(view, max(left_s, stated_s))
@@ -335,6 +336,20 @@
             now_s,
         )
 
+    def forecast_errors(self) -> dict[str, float]:
+        """Return the error of each kind of forecast, for metrics."""
+        return {
+            name: calibration.error()
+            for name, calibration in self.calibrations.items()
+        }
+
+    def forecast_biases(self) -> dict[str, float]:
+        """Return the bias of each kind of forecast, for metrics."""
+        return {
+            name: calibration.bias()
+            for name, calibration in self.calibrations.items()
+        }
+
     def retain(self, incarnations: set[str]) -> None:
         """Forget all other processes."""
         self.servers.retain(incarnations)
--- a/toucanrudder/costs/servers.py
+++ b/toucanrudder/costs/servers.py
@@ -58,9 +58,9 @@
 MAX_STATEMENTS = 100.0
 
 
-@attrs.frozen
+@attrs.define
 class ServerView:
-    """Present estimate for one process.
+    """Present estimate for one process; made for each candidate.
 
     Parameters
     ----------
@@ -70,25 +70,30 @@
         Its expected time now relative to its own usual one.
     samples : float
         Weight of the answers behind the time factor.
+    doubt : float
+        Ratio of the mean to the median of its time factor, which is larger
+        the fewer samples there are.
     """
 
     time_factor: float = 1.0
     slowness: float = 1.0
     samples: float = 0.0
+    doubt: float = 1.0
 
     @property
     def stretch(self) -> float:
-        """Expected time for a unit of work there now, 1 as usual.
+        """Expected time for a unit of work there now, 1 as usual."""
+        return self.time_factor * self.slowness * self.doubt
 
-        The mean of a log-normal distribution exceeds its median by half the
-        variance of the logarithm; little-known processes seem slower.
-        """
-        variance = SAMPLE_SPREAD**2 / (self.samples + PRIOR_SAMPLES)
-        return self.time_factor * self.slowness * math.exp(variance / 2)
+
+def _doubt(samples: float) -> float:
+    """Return the ratio of mean to median of a log-normal estimate."""
+    variance = SAMPLE_SPREAD**2 / (samples + PRIOR_SAMPLES)
+    return math.exp(variance / 2)
 
 
 #: View of a process of which nothing is known.
-USUAL = ServerView()
+USUAL = ServerView(doubt=_doubt(0.0))
 
 
 @attrs.frozen
@@ -142,6 +147,22 @@
     slowness_at_s: float = float("-inf")
     usual_slowness: float = 1.0
     statements: float = PRIOR_STATEMENTS
+    #: Time factor, samples and doubt; None after a change.
+    _lasting: tuple[float, float, float] | None = None
+
+    def lasting(self) -> tuple[float, float, float]:
+        """Return the time factor, its samples and the doubt in it."""
+        if self._lasting is None:
+            self._lasting = (
+                math.exp(self.log_factor),
+                self.samples,
+                _doubt(self.samples),
+            )
+        return self._lasting
+
+    def changed(self) -> None:
+        """Reckon the lasting figures anew when they are next asked for."""
+        self._lasting = None
 
     def decay(self, now_s: float) -> None:
         """Let own samples count less with their age."""
@@ -150,6 +171,7 @@
         self.own_log *= factor
         self.own_weight *= factor
         self.own_at_s = max(now_s, self.own_at_s)
+        self.changed()
 
     @property
     def samples(self) -> float:
@@ -247,11 +269,8 @@
         server = self._servers.get(incarnation)
         if server is None:
             return USUAL
-        return ServerView(
-            math.exp(server.log_factor),
-            server.slowness_now(now_s),
-            server.samples,
-        )
+        factor, samples, doubt = server.lasting()
+        return ServerView(factor, server.slowness_now(now_s), samples, doubt)
 
     def has_statement(self, incarnation: str) -> bool:
         """Whether the process has stated a slowness, here or to a peer."""
@@ -321,8 +340,7 @@
     def time_factors(self) -> Mapping[str, float]:
         """Return the time factors by process, for metrics."""
         return {
-            name: math.exp(server.log_factor)
-            for name, server in self._servers.items()
+            name: server.lasting()[0] for name, server in self._servers.items()
         }
 
     def _of(self, incarnation: str) -> _Server:
@@ -343,5 +361,6 @@
         weight = min(entry.samples, MAX_SAMPLES)
         log = math.log(entry.time_factor)
         log = min(max(log, -_MAX_LOG), _MAX_LOG)
+        server.changed()
         server.told_weight += sign * weight
         server.told_log += sign * weight * log
--- a/toucanrudder/costs/ties.py
+++ b/toucanrudder/costs/ties.py
@@ -9,7 +9,7 @@
 
 #: Times this much above the best one, relative to it and in seconds, are as
 #: good as it.
-TIE_SHARE = 0.2
+TIE_SHARE = 0.7
 TIE_S = 0.003
 
 
--- a/toucanrudder/costs/work.py
+++ b/toucanrudder/costs/work.py
@@ -162,6 +162,10 @@
         if not running:
             self._running.pop(incarnation, None)
 
+    def has(self, incarnation: str) -> bool:
+        """Whether a request of this router is at a process."""
+        return incarnation in self._running
+
     def left_s(self, incarnation: str, stretch: float, now_s: float) -> float:
         """Return the usual seconds of work left at a process.
 
@@ -190,6 +194,8 @@
 class _Average:
     value_s: float
     reports: int
+    known_s: float = -1.0
+    known_reports: int = -1
 
 
 class PeerWork:
@@ -215,6 +221,8 @@
         self._reports = 0
         self._share = 1.0
         self._heard_s = float("-inf")
+        self._decay = 1.0
+        self._decayed_at_s = math.nan
 
     def record(
         self, work_s: dict[str, float], others: int, now_s: float
@@ -232,6 +240,7 @@
         """
         self._reports += 1
         self._heard_s = now_s
+        self._decayed_at_s = math.nan
         self._share = 1.0 / max(1.0, AVERAGED_SHARE * others)
         for name, left_s in work_s.items():
             average = self._averages.setdefault(
@@ -241,15 +250,18 @@
                 self._share * others * left_s
             )
             average.reports = self._reports
+            average.known_reports = -1
 
     def left_s(self, incarnation: str, now_s: float) -> float:
         """Return the estimated work of all others at a process."""
         average = self._averages.get(incarnation)
         if average is None:
             return 0.0
-        silent_s = max(0.0, now_s - self._heard_s)
-        decay = math.exp(-silent_s / SILENCE_DECAY_S)
-        return decay * self._present_s(average)
+        if now_s != self._decayed_at_s:
+            silent_s = max(0.0, now_s - self._heard_s)
+            self._decay = math.exp(-silent_s / SILENCE_DECAY_S)
+            self._decayed_at_s = now_s
+        return self._decay * self._present_s(average)
 
     def retain(self, incarnations: set[str]) -> None:
         """Forget all other processes."""
@@ -257,5 +269,9 @@
             del self._averages[name]
 
     def _present_s(self, average: _Average) -> float:
-        kept = 1.0 - self._share
-        return average.value_s * kept ** (self._reports - average.reports)
+        if average.known_reports != self._reports:
+            kept = 1.0 - self._share
+            later = self._reports - average.reports
+            average.known_s = average.value_s * kept**later
+            average.known_reports = self._reports
+        return average.known_s
--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -331,6 +331,25 @@
             "Parts of prompts that are refused, as upstreams crashed at them",
             self.state.crash_counts.count_blocked,
         )
+        costs = self.state.costs
+        metrics.gauge(
+            "toucanrudder_time_factor",
+            "Learned time for a unit of work, relative to the usual one",
+            costs.servers.time_factors,
+            "upstream",
+        )
+        metrics.gauge(
+            "toucanrudder_forecast_error",
+            "Largest difference of forecast and seen shares, by decile",
+            costs.forecast_errors,
+            "forecast",
+        )
+        metrics.gauge(
+            "toucanrudder_forecast_bias",
+            "Mean forecast relative to the mean seen",
+            costs.forecast_biases,
+            "forecast",
+        )
         conf = self.conf.listen
         host, port = _host_port(conf.peers)
         entrypoint = aiomisc.entrypoint(
--- a/toucanrudder/observability/metrics.py
+++ b/toucanrudder/observability/metrics.py
@@ -36,13 +36,16 @@
 
 
 def gauge(
-    name: str, description: str, read: Callable[[], Mapping[str, int]]
+    name: str,
+    description: str,
+    read: Callable[[], Mapping[str, float]],
+    label: str = "state",
 ) -> None:
-    """Register a gauge by state that is read at each scrape."""
+    """Register a gauge by state, or other label, read at each scrape."""
 
     def observe(_) -> list[metrics.Observation]:
         return [
-            metrics.Observation(number, {"state": state})
+            metrics.Observation(number, {label: state})
             for state, number in read().items()
         ]
 
