--- a/toucanrudder/costs/request_costs.py
+++ b/toucanrudder/costs/request_costs.py
@@ -143,7 +143,7 @@
         if self._own.has(incarnation):
             left_s += self._own.left_s(incarnation, view.stretch, now_s)
         if stated_s:
-            stated_s *= math.exp(-stated_age_s / LOAD_DECAY_S)
+            stated_s *= math.exp(-max(0.0, stated_age_s) / LOAD_DECAY_S)
         return ServerCost(view, max(left_s, stated_s))
 
     def plain_forecast(self, keys: tuple[Hashable, ...]) -> forecasts.Forecast:
--- a/toucanrudder/costs/servers.py
+++ b/toucanrudder/costs/servers.py
@@ -185,7 +185,8 @@
     def slowness_now(self, now_s: float) -> float:
         if self.slowness is None:
             return 1.0
-        share = math.exp(-(now_s - self.slowness_at_s) / SLOWNESS_DECAY_S)
+        age_s = max(0.0, now_s - self.slowness_at_s)
+        share = math.exp(-age_s / SLOWNESS_DECAY_S)
         return self.usual_slowness + share * (
             self.slowness - self.usual_slowness
         )
--- a/toucanrudder/costs/tests/test_servers.py
+++ b/toucanrudder/costs/tests/test_servers.py
@@ -59,6 +59,12 @@
     assert slowness[2] == pytest.approx(usual, rel=0.01)
 
 
+def test_a_statement_that_seems_to_come_from_the_future_counts_as_new():
+    models = servers.ServerModels()
+    models.record_stated("e1", 2.5, 10_000.0)
+    assert models.view("e1", 0.0).slowness == 2.5
+
+
 def test_a_later_report_of_a_peer_replaces_its_earlier_one():
     models = servers.ServerModels()
     told = [servers.Told("e1", 2.0, 10.0)]
--- a/toucanrudder/costs/ties.py
+++ b/toucanrudder/costs/ties.py
@@ -13,7 +13,14 @@
 TIE_S = 0.003
 
 
-def choose(times_s: Sequence[float], rng: random.Random) -> tuple[int, int]:
+#: Routers from which on ties are as wide as that; a lone one has no others
+#: that choose at the same time.
+MANY_ROUTERS = 9
+
+
+def choose(
+    times_s: Sequence[float], rng: random.Random, router_count: int
+) -> tuple[int, int]:
     """Return the places of the chosen time and of the best of the others.
 
     The chosen one is the lower of two drawn from those near the best.
@@ -24,16 +31,19 @@
         Expected times in seconds, at least one.
     rng : random.Random
         Draws the two.
+    router_count : int
+        Number of routers that choose, this one included.
 
     Examples
     --------
-    >>> choose([0.1, 0.5, 0.3], random.Random(1))
+    >>> choose([0.1, 0.5, 0.3], random.Random(1), router_count=59)
     (0, 2)
-    >>> choose([0.1], random.Random(1))
+    >>> choose([0.1], random.Random(1), router_count=59)
     (0, 0)
     """
     best_s = min(times_s)
-    limit_s = best_s * (1 + TIE_SHARE) + TIE_S
+    width = min(1.0, (router_count - 1) / (MANY_ROUTERS - 1))
+    limit_s = best_s + width * (TIE_SHARE * best_s + TIE_S)
     near = [place for place, time_s in enumerate(times_s) if time_s <= limit_s]
     if len(near) > 2:
         near = rng.sample(near, 2)
--- a/toucanrudder/forwarding/choosing.py
+++ b/toucanrudder/forwarding/choosing.py
@@ -231,6 +231,7 @@
                 if costs.is_uneven(self.service)
                 else None,
                 rng=self.state.rng,
+                router_count=self.state.live_routers(),
             )
             self.execution.copy_upstream = self._choose_copy_upstream(
                 choice, candidates, now_s
@@ -242,6 +243,7 @@
             now_s=now_s,
             rng=self.state.rng,
             work_s=self._plain_work_s(),
+            router_count=self.state.live_routers(),
         )
 
     def _plain_work_s(self) -> float | None:
--- a/toucanrudder/forwarding/placing.py
+++ b/toucanrudder/forwarding/placing.py
@@ -420,6 +420,7 @@
     now_s: float,
     times: work.UsualTimes | None = None,
     rng: random.Random | None = None,
+    router_count: int = 1,
 ) -> Choice:
     """Choose an engine for a prompt.
 
@@ -446,6 +447,8 @@
         taken as equally fast.
     rng : random.Random or None
         Chooses among nearly equal engines, if there are usual times.
+    router_count : int
+        Number of routers that choose.
     """
     options = _options(prompt, cache_scope, candidates, index)
     copying = (
@@ -480,7 +483,7 @@
             )
             for option in options
         ]
-        place, other = ties.choose(times_s, rng)
+        place, other = ties.choose(times_s, rng, router_count)
         best = options[place]
         expected = outlook(candidates, times_s, place, other)
     home = next(option.candidate for option in options if option.rank == 0)
--- a/toucanrudder/forwarding/plain_choice.py
+++ b/toucanrudder/forwarding/plain_choice.py
@@ -23,6 +23,7 @@
     now_s: float,
     rng: random.Random,
     work_s: float | None = None,
+    router_count: int = 1,
 ) -> placing.Choice:
     """Choose an upstream for a request without a prompt.
 
@@ -40,9 +41,13 @@
     work_s : float or None
         Likely work of the request in usual seconds; None where all
         upstreams are taken as equally fast.
+    router_count : int
+        Number of routers that choose.
     """
     if work_s is not None:
-        return _choose_uneven(zone, candidates, work_s, now_s, rng)
+        return _choose_uneven(
+            zone, candidates, work_s, now_s, rng, router_count
+        )
 
     def cost(candidate: placing.Candidate) -> tuple[float, float]:
         share = candidate.requests(now_s) / max(1, candidate.upstream.slots)
@@ -62,6 +67,7 @@
     work_s: float,
     now_s: float,
     rng: random.Random,
+    router_count: int,
 ) -> placing.Choice:
     """Choose by the expected time to the answer."""
 
@@ -79,7 +85,7 @@
         )
 
     times_s = [expected_s(candidate) for candidate in candidates]
-    place, other = ties.choose(times_s, rng)
+    place, other = ties.choose(times_s, rng, router_count)
     return placing.Choice(
         candidates[place].upstream,
         reason="expected time",
