Keep near ties among engines that read as much

Cause: for a short prompt the time to read its shared part is a small part of the time to the first event, so engines that had to read it again counted as near ties of the one that had it.

--- a/toucanrudder/forwarding/placing.py
+++ b/toucanrudder/forwarding/placing.py
@@ -477,13 +477,12 @@
     if times is None:
         best = min(options, key=cost)
     else:
+        to_read = [tokens(option) for option in options]
         times_s = [
-            engine_costs.first_event_s(
-                option.candidate, tokens(option), times, now_s
-            )
-            for option in options
+            engine_costs.first_event_s(option.candidate, count, times, now_s)
+            for option, count in zip(options, to_read, strict=True)
         ]
-        place, other = ties.choose(times_s, rng, router_count)
+        place, other = ties.choose(times_s, rng, router_count, to_read)
         best = options[place]
         expected = outlook(candidates, times_s, place, other)
     home = next(option.candidate for option in options if option.rank == 0)
