Match calls to routes of services in the document's package

Whether a route takes a call was decided in the filter of service calls only. A check of a document needs the same rule, and may not depend on filters. document/routes.py holds it now, with its test and doctest; the filter uses it. The rule is as before.

--- a/toucanrudder/filters/service.py
+++ b/toucanrudder/filters/service.py
@@ -14,6 +14,7 @@
 from toucanrudder import clock
 from toucanrudder import errors
 from toucanrudder.document import model
+from toucanrudder.document import routes
 from toucanrudder.filters import body as bodies
 from toucanrudder.filters import deduplicate
 from toucanrudder.filters import exchange as exchanges
@@ -26,7 +27,6 @@
 
 STEP = "service"
 NO_UPSTREAM_RETRY_S = 1.0
-_SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 
 
 @attrs.frozen
@@ -51,41 +51,11 @@
     )
 
 
-def is_repeatable(target: model.Service, method: str, path: str) -> bool:
-    """Return whether a call may be run twice, per the first matching route.
-
-    Without a matching route, only HTTP's safe methods may be repeated, so
-    that a missing route cannot cause a booking to be made twice.
-
-    Examples
-    --------
-    >>> from toucanrudder.document import model
-    >>> from toucanrudder.filters import service
-    >>> target = model.Service(
-    ...     "booking", (model.Route("POST", "/quotes", True),))
-    >>> service.is_repeatable(target, "POST", "/quotes/7")
-    True
-    >>> service.is_repeatable(target, "POST", "/bookings")
-    False
-    """
-    for route in target.routes:
-        if route.method in ("*", method) and _is_under_prefix(
-            route.path_prefix, path
-        ):
-            return route.repeatable
-    return method in _SAFE_METHODS
-
-
-def _is_under_prefix(prefix: str, path: str) -> bool:
-    """Return whether the prefix's segments are the path's first ones."""
-    return path == prefix or path.startswith(prefix.rstrip("/") + "/")
-
-
 def _check_path(path: str) -> None:
     # The service may resolve "/quotes/../bookings" to "/bookings", while
     # the routes here match it as a repeatable quote, so that a booking
     # could be made twice.  No client has a reason to send such a path.
-    if not {".", ".."}.isdisjoint(path.split("/")):
+    if routes.has_dot_segments(path):
         raise errors.RudderError(
             errors.Code.INVALID_REQUEST,
             "the path has . or .. segments",
@@ -99,7 +69,7 @@
     target = find_service(exchange.document, http.match_info["name"])
     path = "/" + http.match_info["rest"]
     _check_path(path)
-    may_repeat = is_repeatable(target, http.method, path)
+    may_repeat = routes.is_repeatable(target, http.method, path)
     key = headers.single_value(http, headers.IDEMPOTENCY_KEY)
     if not may_repeat and key is None:
         raise errors.RudderError(
