Refuse documents that are nested too deeply as invalid

The validation of a document of some thousand nested lists ended in a RecursionError, and so did the command that read such a file. The first is now a problem at $, the second malformed_json with exit code 2.

--- a/toucanrudder/cli/files.py
+++ b/toucanrudder/cli/files.py
@@ -40,7 +40,7 @@
         data = json.loads(text)
     except OSError as error:
         raise _mistake(errors.Code.NOT_FOUND, str(error)) from error
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise _mistake(
             errors.Code.MALFORMED_JSON, f"{path}: {error}"
         ) from error
--- a/toucanrudder/document/validation.py
+++ b/toucanrudder/document/validation.py
@@ -78,8 +78,11 @@
     ...     [problem.path for problem in error.problems]
     ['$', '$.models']
     """
-    failures = list(_validator.iter_errors(data))
-    problems = list(_schema_problems(data, failures))
+    try:
+        failures = list(_validator.iter_errors(data))
+        problems = list(_schema_problems(data, failures))
+    except RecursionError:
+        raise _invalid([Problem("$", "is nested too deeply")]) from None
     if problems:
         document = _partial_document(data, failures)
     else:
@@ -87,8 +90,12 @@
     problems += _document_problems(document)
     if not problems:
         return document
+    raise _invalid(problems)
+
+
+def _invalid(problems: list[Problem]) -> DocumentInvalid:
     problems.sort(key=lambda problem: (problem.path, problem.message))
-    raise DocumentInvalid(
+    return DocumentInvalid(
         errors.Code.CONFIG_INVALID,
         f"{len(problems)} problems; first: {problems[0].path}: "
         f"{problems[0].message}",
