--- a/toucanrudder/costs/servers.py
+++ b/toucanrudder/costs/servers.py
@@ -32,7 +32,7 @@
 
 #: Samples that the usual speed is worth; with fewer own and told samples the
 #: estimate stays close to it.
-PRIOR_SAMPLES = 4.0
+PRIOR_SAMPLES = 15.0
 
 #: Standard deviation of the logarithm of one sample.
 SAMPLE_SPREAD = 0.5
@@ -214,7 +214,7 @@
     Examples
     --------
     >>> models = ServerModels()
-    >>> for n in range(60):
+    >>> for _ in range(600):
     ...     models.record_answer("e1", took_s=0.2, usual_s=0.1, now_s=0.0)
     >>> round(models.view("e1", 0.0).time_factor, 1)
     1.9
