--- a/toucanrudder/costs/work.py
+++ b/toucanrudder/costs/work.py
@@ -149,16 +149,17 @@
     """
 
     def __init__(self):
-        self._running: dict[str, set[RunningWork]] = {}
+        # In the order of their sending, so that sums do not differ by run.
+        self._running: dict[str, dict[RunningWork, None]] = {}
 
     def add(self, incarnation: str, work: RunningWork) -> None:
         """Count a request."""
-        self._running.setdefault(incarnation, set()).add(work)
+        self._running.setdefault(incarnation, {})[work] = None
 
     def remove(self, incarnation: str, work: RunningWork) -> None:
         """Count a request no more."""
-        running = self._running.get(incarnation, set())
-        running.discard(work)
+        running = self._running.get(incarnation, {})
+        running.pop(work, None)
         if not running:
             self._running.pop(incarnation, None)
 
