Let requests to crowded services wait in order

Cause: each request that found all upstreams full slept 25 ms at a time until half of its objective was over; nothing ordered those who waited.

Change: one line a service, ordered by fair.FairQueue (any int as a rank, a cost per entry); who cannot be served in its time is refused when that is known. The head gets the place that becomes free.

--- a/toucanrudder/admission/fair.py
+++ b/toucanrudder/admission/fair.py
@@ -1,12 +1,13 @@
 """Fair queueing of waiting requests.  No I/O."""
 
+import collections
+from collections.abc import Iterator
+import heapq
 import itertools
 
 import attrs
 import sortedcontainers
 
-from toucanrudder.messages import request
-
 #: Requests added to the service of a lane, when lanes are ordered, for each
 #: step of lower priority of its next request.
 CLASS_LEAD = 16.0
@@ -24,19 +25,22 @@
         Organisation that sent the request.
     weight : float
         The organisation's share relative to others.
-    priority : request.Priority
-        Priority class.
+    priority : int
+        Priority class or rank; the smaller goes first.
     deadline_s : float
         Monotonic time after which serving it is useless.
     arrived_s : float
         Monotonic time at which it began to wait.
+    cost : float
+        Service that it takes, in requests of the usual size.
     """
 
     organisation: str
     weight: float
-    priority: request.Priority
+    priority: int
     deadline_s: float
     arrived_s: float
+    cost: float = attrs.field(default=1.0, kw_only=True)
     _sequence: int = attrs.field(
         factory=itertools.count().__next__, init=False
     )
@@ -61,9 +65,7 @@
             key=lambda e: e.order_key
         )
     )
-    counts: list[int] = attrs.field(
-        factory=lambda: [0] * len(request.Priority)
-    )
+    counts: collections.Counter = attrs.field(factory=collections.Counter)
 
     def add(self, entry: Entry) -> None:
         self.entries.add(entry)
@@ -72,16 +74,26 @@
     def remove(self, entry: Entry) -> None:
         self.entries.remove(entry)
         self.counts[entry.priority] -= 1
+        if not self.counts[entry.priority]:
+            del self.counts[entry.priority]
 
-    def count_up_to(self, priority: request.Priority) -> int:
-        return sum(self.counts[: priority + 1])
+    def count_up_to(self, priority: int) -> int:
+        return sum(
+            count for each, count in self.counts.items() if each <= priority
+        )
 
     @property
     def order_key(self) -> tuple[float, str]:
-        return (
-            self.served + self.entries[0].priority * CLASS_LEAD,
-            self.name,
-        )
+        return _lane_key(self.served, self.entries[0]), self.name
+
+
+def _lane_key(served: float, first: Entry) -> float:
+    return served + first.priority * CLASS_LEAD
+
+
+def _served_by(entry: Entry) -> float:
+    """Return the service that a lane receives with an entry."""
+    return entry.cost / max(entry.weight, 1e-6)
 
 
 class FairQueue:
@@ -139,25 +151,60 @@
 
     def pop(self) -> Entry:
         """Remove and return the next request; the queue must not be empty."""
-        lane = self._order.pop(0)
-        entry = lane.entries[0]
-        lane.remove(entry)
-        self._length -= 1
+        entry = self._order[0].entries[0]
+        self.take(entry)
+        return entry
+
+    def take(self, entry: Entry) -> bool:
+        """Remove a request that is served; False if it is not in the queue."""
+        lane = self._without(entry)
+        if lane is None:
+            return False
         self._virtual_time = max(self._virtual_time, lane.served)
-        lane.served += 1.0 / max(entry.weight, 1e-6)
+        lane.served += _served_by(entry)
         self._put_back(lane)
-        return entry
+        return True
+
+    def in_order(self) -> Iterator[Entry]:
+        """Yield the requests as they would be served if no others came.
+
+        The queue must not change meanwhile.
+        """
+        heads = []
+        for lane in self._lanes.values():
+            entries = iter(lane.entries)
+            first = next(entries)
+            key = _lane_key(lane.served, first)
+            heads.append((key, lane.name, lane.served, first, entries))
+        heapq.heapify(heads)
+        while heads:
+            _, name, served, entry, entries = heads[0]
+            yield entry
+            served += _served_by(entry)
+            following = next(entries, None)
+            if following is None:
+                heapq.heappop(heads)
+                continue
+            key = _lane_key(served, following)
+            heapq.heapreplace(heads, (key, name, served, following, entries))
 
     def remove(self, entry: Entry) -> bool:
         """Remove a request; return False if it is not in the queue."""
+        lane = self._without(entry)
+        if lane is None:
+            return False
+        self._put_back(lane)
+        return True
+
+    def _without(self, entry: Entry) -> _Lane | None:
+        """Take an entry out; return its lane, or None if it is not there."""
         lane = self._lanes.get(entry.organisation)
         if lane is None or entry not in lane.entries:
-            return False
+            return None
         self._order.remove(lane)
         lane.remove(entry)
         self._length -= 1
-        self._put_back(lane)
-        return True
+        return lane
 
     def _put_back(self, lane: _Lane) -> None:
         if lane.entries:
@@ -173,17 +220,15 @@
                 if served > self._virtual_time
             }
 
-    def count_ahead(
-        self, organisation: str, priority: request.Priority
-    ) -> int:
+    def count_ahead(self, organisation: str, priority: int) -> int:
         """Estimate how many requests are served before a new one.
 
         Parameters
         ----------
         organisation : str
             Organisation of the new request.
-        priority : request.Priority
-            Its priority class.
+        priority : int
+            Its priority class or rank.
 
         Returns
         -------
--- a/toucanrudder/forwarding/choosing.py
+++ b/toucanrudder/forwarding/choosing.py
@@ -1,6 +1,5 @@
 """Choice of the upstream, or the peer, for the attempts of a request."""
 
-import asyncio
 import math
 from typing import TYPE_CHECKING
 
@@ -14,7 +13,7 @@
 from toucanrudder.forwarding import placing
 from toucanrudder.forwarding import plain_choice
 from toucanrudder.forwarding import state as states
-from toucanrudder.forwarding.attempts import attempt as attempts
+from toucanrudder.forwarding import waiting
 from toucanrudder.forwarding.attempts import cost_learning
 from toucanrudder.forwarding.attempts import retry_policy
 from toucanrudder.forwarding.attempts import silence
@@ -35,15 +34,6 @@
 #: that is loading has new ones after about half a second.
 STALE_WEIGHTS_RETRY_AFTER_S = 0.5
 
-#: Share of a caller's remaining time that a request may wait here; the
-#: rest leaves the caller time to retry.
-MAX_WAIT_SHARE = 0.25
-
-
-def max_wait_s(route: model.Route, remaining_s: float) -> float:
-    """Return how long a request may wait in the router before it is sent."""
-    return min(route.objective_s / 2, MAX_WAIT_SHARE * remaining_s)
-
 
 @attrs.define(eq=False)
 class UpstreamChooser:
@@ -143,26 +133,23 @@
         return [peer for peer in peers if peer.name in owners]
 
     async def choose_with_wait(self) -> placing.Choice:
-        """Choose an upstream; wait up to a limit while all are full.
+        """Choose an upstream; wait while others do, or while all are full.
 
-        Upstreams refuse for short times only, while they load weights or
-        a burst fills their queues.  Callers that were refused immediately
-        would all retry at once.
+        Callers that were refused immediately would all retry at once.
         """
-        wait_until_s = clock.now_s() + max_wait_s(
-            self.route, self.execution.remaining_s()
-        )
-        while True:
-            # Checked before the choice, so that a slow choice is not the last.
-            is_last = clock.now_s() >= wait_until_s
+        room = self.state.waiting
+        if not room.is_waiting(self.service):
             try:
                 return self.choose()
             except errors.RudderError as error:
-                is_full = error.code is errors.Code.QUEUE_FULL
-                if not is_full or is_last or self._is_full_until(wait_until_s):
+                if not waiting.is_full(error):
                     raise
-            await asyncio.sleep(attempts.FULL_BACKOFF_S / 2)
-            self.execution.refuse_if_quarantined()
+        waiter = waiting.waiter_for(self)
+        if self._is_full_until(waiter.deadline_s):
+            raise self.no_upstream_error()
+        choice = await room.choice(self.service, waiter)
+        self.execution.refuse_if_quarantined()
+        return choice
 
     def _wait_s(self, now_s: float) -> float:
         """Return the time until some upstream may be sent a request."""
@@ -207,10 +194,14 @@
             usable = placing.answering_candidates(
                 usable, now_s, silence.first_part_timeout_s(self.route)
             )
+        elif self.call.prompt is None and self.state.waiting.is_crowded(
+            self.service
+        ):
+            usable = self.state.waiting.with_places(untried or usable, now_s)
         else:
             usable = untried or usable
         if not usable:
-            raise self._no_upstream_error(candidates)
+            raise self.no_upstream_error()
         if self.call.prompt is not None:
             store = self.state.store_for(
                 self.call.prompt, self.execution.cache_scope(), now_s
@@ -295,15 +286,24 @@
             choice, self.call.prompt, engine, unlimited, now_s
         )
 
-    def retry_after_s(self, now_s: float) -> float:
-        """Return after how many seconds a refused caller may return."""
+    def retry_after_s(
+        self, now_s: float, expected_s: float | None = None
+    ) -> float:
+        """Return after how many seconds a refused caller may return.
+
+        `expected_s` is when room is expected for it, if it waited.
+        """
         if rates_per_s := self._stated_rates(now_s):
             return rate_limits.retry_after_s(
                 rates_per_s, self.state.live_routers(), self.state.rng
             )
         wait_s = self._wait_s(now_s)
         if wait_s <= RETRY_AFTER_S or math.isinf(wait_s):
-            return RETRY_AFTER_S
+            if expected_s is None:
+                return RETRY_AFTER_S
+            return waiting.retry_after_s(
+                expected_s, self.execution.remaining_s(), self.state.rng
+            )
         return round(rests.retry_after_s(wait_s, self.state.rng), 3)
 
     def _stated_rates(self, now_s: float) -> list[float]:
@@ -315,7 +315,8 @@
         ]
         return [] if None in rates_per_s else rates_per_s
 
-    def _no_upstream_error(self, candidates) -> errors.RudderError:
+    def no_upstream_error(self) -> errors.RudderError:
+        """Return the error of a request that no upstream can accept now."""
         if self.execution.progress.possible_runs:
             return retry_policy.final_error(
                 retry_policy.FailureKind.BROKEN,
@@ -323,12 +324,14 @@
                 self.service,
                 0.0,
             )
+        now_s = clock.now_s()
+        candidates, _ = self._candidates(now_s)
         if self.execution.origin is not None and all(
             candidate.upstream.is_leaving for candidate in candidates
         ):
             return resuming.gone_error(self.execution.origin)
         code, retry_after_s = errors.Code.QUEUE_FULL, RETRY_AFTER_S
-        now_s, bound_s = clock.now_s(), self.state.pace.bound_s
+        bound_s = self.state.pace.bound_s
         if not candidates:
             code = errors.Code.NO_UPSTREAM
         elif all(
--- a/toucanrudder/forwarding/forwarder.py
+++ b/toucanrudder/forwarding/forwarder.py
@@ -8,12 +8,12 @@
 from toucanrudder import clock
 from toucanrudder import errors
 from toucanrudder.forwarding import capping
-from toucanrudder.forwarding import choosing
 from toucanrudder.forwarding import dialect as dialects
 from toucanrudder.forwarding import execution as executions
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import routing
 from toucanrudder.forwarding import state as states
+from toucanrudder.forwarding import waiting
 from toucanrudder.forwarding.attempts import retry_policy
 from toucanrudder.http1 import server
 from toucanrudder.observability import decisions
@@ -158,7 +158,7 @@
             route_match.organisation,
             call.prompt,
             execution.possible_runs,
-            wait_s=choosing.max_wait_s(
+            wait_s=waiting.max_wait_s(
                 route, executions.time_limit_s(route, call)
             ),
         )
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -26,6 +26,7 @@
 from toucanrudder.forwarding import stores
 from toucanrudder.forwarding import upstream_news
 from toucanrudder.forwarding import upstream_states
+from toucanrudder.forwarding import waiting as waiting_rooms
 from toucanrudder.forwarding import weights_ages
 from toucanrudder.forwarding.attempts import retry_window
 from toucanrudder.forwarding.handover import contact as contacts
@@ -180,6 +181,9 @@
     limits: rate_limits.RateLimits = attrs.field(
         factory=rate_limits.RateLimits
     )
+    waiting: waiting_rooms.WaitingRoom = attrs.field(
+        default=attrs.Factory(waiting_rooms.WaitingRoom, takes_self=True)
+    )
     asked_rests: rests.Rests = attrs.field(factory=rests.Rests)
     tell_limits: Callable[[], object] = lambda: None
     tell_weights: Callable[[], object] = lambda: None
@@ -208,6 +212,8 @@
 
     def __attrs_post_init__(self):
         self.pool.on_connect = self.contact.record
+        self.upstream_stats.on_begin = self.waiting.record_begin
+        self.upstream_stats.on_end = self.waiting.record_end
 
     def _streams(self) -> resuming.StreamResumption:
         resumption = resuming.StreamResumption(
--- a/toucanrudder/forwarding/upstream_states.py
+++ b/toucanrudder/forwarding/upstream_states.py
@@ -1,5 +1,6 @@
 """Load and health of each upstream as seen by this router.  No I/O."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 
@@ -110,10 +111,19 @@
 
 
 class UpstreamStates:
-    """Upstream states by incarnation."""
+    """Upstream states by incarnation.
+
+    Attributes
+    ----------
+    on_begin, on_end : callable
+        Called with an upstream's incarnation when a request is sent there,
+        and when it has ended.
+    """
 
     def __init__(self):
         self._states: dict[str, UpstreamState] = {}
+        self.on_begin: Callable[[str], object] = lambda incarnation: None
+        self.on_end: Callable[[str], object] = lambda incarnation: None
 
     def of(self, incarnation: str) -> UpstreamState:
         """Return the state of a process."""
@@ -139,6 +149,7 @@
         state.requests += 1
         tracked = TrackedRequest(state, prefill_tokens)
         state.prefill_tokens += prefill_tokens
+        self.on_begin(incarnation)
         try:
             yield tracked
         finally:
@@ -146,6 +157,7 @@
             state.requests -= 1
             if not state.requests:
                 state.quiet_since_s = None
+            self.on_end(incarnation)
 
     def record_load(
         self, incarnation: str, load: model.Load, now_s: float
--- a/toucanrudder/observability/decisions.py
+++ b/toucanrudder/observability/decisions.py
@@ -376,6 +376,43 @@
     for_s: float
 
 
+@attrs.frozen(kw_only=True)
+class Waited:
+    """A request that had to wait for room gets a place.
+
+    ``rank`` is its urgency, 0 the most urgent; ``waiting`` says how many
+    requests it goes before.
+    """
+
+    request_id: str
+    service: str
+    organisation: str
+    rank: int
+    waited_s: float
+    left_s: float
+    waiting: int
+
+
+@attrs.frozen(kw_only=True)
+class WaitRefused:
+    """A request is not to wait for room, or not any longer.
+
+    ``ahead`` requests go before it; ``expected_s`` is the time until it
+    would have got a place, and ``left_s`` the time for which it may wait.
+    """
+
+    request_id: str
+    service: str
+    organisation: str
+    rank: int
+    reason: str
+    waited_s: float
+    left_s: float
+    expected_s: float
+    ahead: int
+    retry_after_s: float | None
+
+
 @attrs.frozen(kw_only=True)
 class Offered:
     """A peer has declined, or not answered, the offer of a request.
--- a/toucanrudder/testing/virtual/sites.py
+++ b/toucanrudder/testing/virtual/sites.py
@@ -79,7 +79,7 @@
         incarnation=f"{stored.name}@{spec['born_ms']}",
         service=spec.get("service", virtual_engines.SERVICE),
         address=spec["address"],
-        slots=virtual_engines.SLOTS,
+        slots=spec.get("slots", virtual_engines.SLOTS),
         is_leaving=spec["leaving"],
         weights=spec["weights"],
         name=stored.name,
--- a/toucanrudder/testing/virtual/traffic.py
+++ b/toucanrudder/testing/virtual/traffic.py
@@ -105,6 +105,8 @@
         Time until the answer.
     retry_after_s : float or None
         When the caller may return, if it was told.
+    path, key : str
+        What it asked for, and its API key.
     """
 
     at_s: float
@@ -113,6 +115,8 @@
     status: int
     after_s: float
     retry_after_s: float | None = None
+    path: str = ""
+    key: str = ""
 
 
 @attrs.define(eq=False)
@@ -125,6 +129,8 @@
         The routers.
     workers_by_service : dict of str to int
         How many upstreams each service has.
+    configured : model.Configuration
+        Configuration of the routers.
 
     Attributes
     ----------
@@ -146,6 +152,7 @@
 
     site: sites.Site
     workers_by_service: dict[str, int]
+    configured: model.Configuration = CONFIGURED
     arrivals: list[workers.Arrival] = attrs.field(factory=list)
     outcomes: list[Outcome] = attrs.field(factory=list)
     statements: list[workers.Statement] = attrs.field(factory=list)
@@ -157,7 +164,7 @@
     _ids: itertools.count = attrs.field(factory=itertools.count)
 
     def __attrs_post_init__(self):
-        self.site.configured = CONFIGURED
+        self.site.configured = self.configured
         self.site.dialect = workers.PlainDialect()
         self.site.on_start = self._connect_router
         for service, count in self.workers_by_service.items():
@@ -228,7 +235,9 @@
             lambda: router in self.cut,
         )
 
-    async def send(self, router: str, path: str, wait_s: float = 1.7) -> None:
+    async def send(
+        self, router: str, path: str, wait_s: float = 1.7, key: str = ""
+    ) -> None:
         """Send a request to a router and note what comes of it."""
         node = self.site.node_of(router)
         began_s = self.site.now_s()
@@ -244,6 +253,7 @@
             (
                 (b"id", request_id.encode()),
                 (b"wait", str(wait_s).encode()),
+                (b"key", key.encode()),
             ),
         )
         answer = CallerAnswer()
@@ -262,6 +272,8 @@
                 answer.status,
                 self.site.now_s() - began_s,
                 None if retry_after is None else float(retry_after),
+                path,
+                key,
             )
         )
 
--- a/toucanrudder/testing/virtual/workers.py
+++ b/toucanrudder/testing/virtual/workers.py
@@ -115,6 +115,7 @@
             "born_ms": self.born_ms,
             "leaving": False,
             "weights": {},
+            **({"slots": self.max_requests} if self.max_requests else {}),
         }
 
     def _record(self, arrival: Arrival, **said) -> None:
@@ -239,7 +240,7 @@
             request_id=head.get(b"id").decode(),
             host="h",
             path=head.target.decode(),
-            api_key=None,
+            api_key=(head.get(b"key") or b"").decode() or None,
             wait_s=float(head.get(b"wait")),
         )
 
