Divide the places of crowded services, and refuse in time

Cause: with a line at each router only, routers sent to slots that others were using; upstreams refused, retries were used up, and urgent requests lost their turn. Others waited although it could be known that they would not be served.

Change: while requests wait or are refused, each router uses its own part of the slots, divided alike by all from membership, and those that others leave by their last word. Newcomers are judged by what goes before them, the measured rate of places and more urgent arrivals; one whose rank fits is offered to up to two peers. Retry-After is when room is expected, spread, within half of what the caller has left. Lines are bounded by requests and bytes, in all and by organisation.

A test of crowds at one router failed with a first form: a refusal that the router's own requests explained kept it from idle slots. Such a refusal does not count now.

--- a/toucanrudder/admission/line.py
+++ b/toucanrudder/admission/line.py
@@ -21,6 +21,14 @@
 #: Smallest and largest cost of a request, in requests of the usual size.
 MIN_COST, MAX_COST = 0.01, 100.0
 
+#: Share of the time that a newcomer has within which it must be expected to
+#: be served, as places become free at irregular times.
+ENTRY_SHARE = 0.5
+
+#: The same for a request that has waited; it is above 1, so that a few others
+#: that come by chance do not turn away one that is about to be served.
+STAY_SHARE = 1.3
+
 #: Longest line of which all are judged whenever one comes; in a longer one
 #: they are judged at each tick.
 MAX_SWEPT = 64
@@ -89,6 +97,16 @@
 class Held:
     """What waits at one router, in all of its lines.
 
+    Parameters
+    ----------
+    bounds : Bounds
+        Most that may wait.
+
+    Attributes
+    ----------
+    requests, size_bytes : int
+        Of all organisations.
+
     Examples
     --------
     >>> held = Held(Bounds(requests=2))
@@ -100,27 +118,27 @@
     """
 
     bounds: Bounds = attrs.field(factory=Bounds)
-    _requests: dict[str, int] = attrs.field(factory=dict)
-    _bytes: dict[str, int] = attrs.field(factory=dict)
-    _all_requests: int = 0
-    _all_bytes: int = 0
+    _requests_by: dict[str, int] = attrs.field(factory=dict)
+    _bytes_by: dict[str, int] = attrs.field(factory=dict)
+    requests: int = 0
+    size_bytes: int = 0
 
     def add(self, waiter: Waiter, sign: int = 1) -> None:
         """Count a request that waits; with a sign of -1, not any more."""
         name = waiter.organisation
         size_bytes = sign * waiter.size_bytes
-        self._requests[name] = self._requests.get(name, 0) + sign
-        self._bytes[name] = self._bytes.get(name, 0) + size_bytes
-        self._all_requests += sign
-        self._all_bytes += size_bytes
-        if not self._requests[name]:
-            del self._requests[name], self._bytes[name]
+        self._requests_by[name] = self._requests_by.get(name, 0) + sign
+        self._bytes_by[name] = self._bytes_by.get(name, 0) + size_bytes
+        self.requests += sign
+        self.size_bytes += size_bytes
+        if not self._requests_by[name]:
+            del self._requests_by[name], self._bytes_by[name]
 
     def obstacle(self, waiter: Waiter) -> str | None:
         """Return the bound that keeps a request out; None if there is none."""
         name, share = waiter.organisation, self.bounds.organisation_share
-        requests = self._requests.get(name, 0) + 1
-        size_bytes = self._bytes.get(name, 0) + waiter.size_bytes
+        requests = self._requests_by.get(name, 0) + 1
+        size_bytes = self._bytes_by.get(name, 0) + waiter.size_bytes
         if requests > max(1, share * self.bounds.requests):
             return "requests of one organisation that wait"
         if size_bytes > share * self.bounds.size_bytes:
@@ -129,9 +147,9 @@
 
     def full(self) -> str | None:
         """Return the bound of all organisations that is reached, or None."""
-        if self._all_requests >= self.bounds.requests:
+        if self.requests >= self.bounds.requests:
             return "requests that wait"
-        if self._all_bytes >= self.bounds.size_bytes:
+        if self.size_bytes >= self.bounds.size_bytes:
             return "bytes that wait"
         return None
 
@@ -150,12 +168,16 @@
         Time until it would be served; inf if that is not known.
     ahead : int
         Requests that go before it.
+    fits : bool
+        Whether room frees more often than requests come that are at least
+        as urgent.
     """
 
     waiter: Waiter
     reason: str
     wait_s: float
     ahead: int
+    fits: bool = False
 
 
 #: Reasons other than a reached bound.
@@ -190,6 +212,7 @@
     held: Held
     flow: rates.Flow = attrs.field(factory=rates.Flow)
     _queue: fair.FairQueue = attrs.field(factory=fair.FairQueue)
+    _asked: rates.Arrivals = attrs.field(factory=rates.Arrivals)
     _arrivals: rates.Arrivals = attrs.field(factory=rates.Arrivals)
     _free: rates.FreeRate = attrs.field(factory=rates.FreeRate)
 
@@ -203,6 +226,7 @@
     def push(self, waiter: Waiter, now_s: float) -> list[Refusal]:
         """Add a request; return who has to leave for it, itself perhaps."""
         refusals = []
+        self._asked.record(waiter.organisation, waiter.priority, now_s)
         reason = self.held.obstacle(waiter)
         if reason and self.held.full():
             victim = self._queue.victim(waiter) if self._queue else None
@@ -239,19 +263,29 @@
         self._free.advance(now_s, bool(self._queue))
         refusals, ahead = [], 0
         estimate = self._estimate(now_s)
+        asked = self._asked.by_rank(now_s)
         for waiter in self._queue.in_order():
             wait_s = estimate.wait_s(
                 waiter.organisation, waiter.priority, ahead
             )
-            is_late = now_s >= waiter.deadline_s
-            if is_late or now_s + wait_s > waiter.deadline_s:
-                refusals.append(Refusal(waiter, NO_TIME, wait_s, ahead))
+            if self._is_hopeless(waiter, wait_s, now_s):
+                fits = asked.up_to_per_s(waiter.priority)
+                fits = fits <= 2.0 * estimate.free_per_s
+                refusals.append(Refusal(waiter, NO_TIME, wait_s, ahead, fits))
             else:
                 ahead += 1
         for refusal in refusals:
             self.remove(refusal.waiter)
         return refusals
 
+    def _is_hopeless(
+        self, waiter: Waiter, wait_s: float, now_s: float
+    ) -> bool:
+        left_s = waiter.deadline_s - now_s
+        is_new = waiter.arrived_s >= now_s
+        share = ENTRY_SHARE if is_new else STAY_SHARE
+        return left_s <= 0 or wait_s > share * left_s
+
     def wait_s(self, organisation: str, rank: int, now_s: float) -> float:
         """Return when a request that does not wait here would be served."""
         ahead = self._queue.count_ahead(organisation, rank)
@@ -268,7 +302,7 @@
         if len(self._queue) <= MAX_SWEPT:
             return self.sweep(now_s)
         refusal = self._refusal(waiter, NO_TIME, now_s)
-        if now_s + refusal.wait_s <= waiter.deadline_s:
+        if not self._is_hopeless(waiter, refusal.wait_s, now_s):
             return []
         self.remove(waiter)
         return [refusal]
--- a/toucanrudder/admission/rates.py
+++ b/toucanrudder/admission/rates.py
@@ -139,6 +139,11 @@
     ranks: list[int]
     totals_per_s: list[float]
 
+    def up_to_per_s(self, rank: int) -> float:
+        """Return the rate of requests that are at least as urgent."""
+        up_to = bisect.bisect_right(self.ranks, rank)
+        return self.totals_per_s[up_to - 1] if up_to else 0.0
+
     def more_urgent_per_s(
         self, organisation: str, rank: int
     ) -> tuple[float, float, int]:
--- a/toucanrudder/admission/rests.py
+++ b/toucanrudder/admission/rests.py
@@ -126,7 +126,11 @@
         }
 
 
-def retry_after_s(wait_s: float, rng: random.Random) -> float:
+def retry_after_s(
+    wait_s: float,
+    rng: random.Random,
+    spread_share: float = RETRY_SPREAD_SHARE,
+) -> float:
     """Return after how many seconds a refused caller may return.
 
     Parameters
@@ -135,10 +139,12 @@
         Time until the first of them may be sent a request.
     rng : random.Random
         Spreads the delays.
+    spread_share : float
+        Part of the time by which they differ.
 
     Examples
     --------
     >>> 2.0 <= retry_after_s(2.0, random.Random(1)) <= 3.0
     True
     """
-    return wait_s * rng.uniform(1.0, 1.0 + RETRY_SPREAD_SHARE)
+    return wait_s * rng.uniform(1.0, 1.0 + spread_share)
--- a/toucanrudder/forwarding/attempts/attempt.py
+++ b/toucanrudder/forwarding/attempts/attempt.py
@@ -282,6 +282,7 @@
             self.state.tell_full(name, for_s)
 
     def _record_full(self, name: str, now_s: float) -> None:
+        self.state.waiting.record_full(self.execution.service, now_s)
         limit_per_s = self.state.brittle.limit_per_s(
             self.execution.service, now_s
         )
--- a/toucanrudder/forwarding/choosing.py
+++ b/toucanrudder/forwarding/choosing.py
@@ -17,11 +17,10 @@
 from toucanrudder.forwarding.attempts import cost_learning
 from toucanrudder.forwarding.attempts import retry_policy
 from toucanrudder.forwarding.attempts import silence
-from toucanrudder.forwarding.handover import choice as handover_choice
+from toucanrudder.forwarding.handover import peers
 from toucanrudder.forwarding.statements import rate_limits
 from toucanrudder.forwarding.streams import resuming
 from toucanrudder.membership import routers
-from toucanrudder.peers import handovers
 
 if TYPE_CHECKING:
     from toucanrudder.forwarding import execution as executions
@@ -67,7 +66,7 @@
         """The request's head in the terms of the router."""
         return self.execution.call
 
-    def _candidates(self, now_s: float):
+    def candidates(self, now_s: float):
         """Return the upstreams that may get the request, and usable ones."""
         return self.state.usable_candidates(
             self.service,
@@ -76,61 +75,18 @@
             self.execution.origin,
         )
 
-    def choose_peer(self) -> routers.Member | None:
-        """Return the peer to hand the request over to; None if not needed.
-
-        A request that was handed over already is never handed on.
-        """
-        now_s = clock.now_s()
-        if self.execution.is_taken_over:
-            return None
-        if (
-            self.execution.origin
-            and self.execution.origin.software_version is None
-        ):
-            return None
-        if len(self.execution.request.body) > handovers.MAX_BODY_BYTES:
-            return None
-        if len(self.execution.tried_peers) >= handover_choice.MAX_OFFERS:
-            return None
-        if (
-            self.execution.unreached_attempts >= handover_choice.MAX_UNREACHED
-            or self.state.has_lost_contact(self.service, now_s)
-        ):
-            peers = self.state.peers()
-        elif (
-            len(self.execution.tried_peers)
-            < handover_choice.MAX_OFFERS_FOR_ROOM
-        ):
-            peers = self._owners_of_room(now_s)
-        else:
-            return None
-        return handover_choice.choose_peer(
-            peers,
-            service=self.service,
-            zone=self.state.zone,
-            contacts=self.state.peer_contacts,
-            excluded=self.execution.tried_peers,
-            now_s=now_s,
-            rng=self.state.rng,
-        )
-
-    def _owners_of_room(self, now_s: float) -> list[routers.Member]:
-        """Return peers that may have room if only this router has none."""
-        if not self.state.shares_room(self.service, now_s):
-            return []
-        candidates, usable = self._candidates(now_s)
-        if usable:
-            return []
-        not_full = placing.usable_candidates(
-            candidates, now_s, self.state.pace.bound_s
-        )
-        if not not_full:
-            return []
-        upstream = self.state.rng.choice(not_full).upstream
-        peers = self.state.peers()
-        owners = set(self.state.owners_of_room(upstream, now_s))
-        return [peer for peer in peers if peer.name in owners]
+    async def next_target(self) -> placing.Choice | routers.Member:
+        """Return the upstream, or the peer, for the next attempt."""
+        peer = peers.for_contact_or_room(self.execution)
+        if peer is not None:
+            return peer
+        try:
+            return await self.choose_with_wait()
+        except waiting.Crowded as crowded:
+            peer = peers.with_shorter_line(self.execution)
+            if peer is None:
+                raise crowded.error from None
+            return peer
 
     async def choose_with_wait(self) -> placing.Choice:
         """Choose an upstream; wait while others do, or while all are full.
@@ -176,7 +132,7 @@
             Whether an earlier attempt goes on.
         """
         now_s = clock.now_s()
-        candidates, usable = self._candidates(now_s)
+        candidates, usable = self.candidates(now_s)
         if self._begins_resumable_stream():
             usable = placing.lasting_candidates(
                 usable, self.state.streams.is_new
@@ -300,7 +256,11 @@
         wait_s = self._wait_s(now_s)
         if wait_s <= RETRY_AFTER_S or math.isinf(wait_s):
             if expected_s is None:
-                return RETRY_AFTER_S
+                if not self.state.waiting.is_waiting(self.service):
+                    return RETRY_AFTER_S
+                expected_s = self.state.waiting.expected_wait_s(
+                    self.service, self.execution.route_match
+                )
             return waiting.retry_after_s(
                 expected_s, self.execution.remaining_s(), self.state.rng
             )
@@ -325,7 +285,7 @@
                 0.0,
             )
         now_s = clock.now_s()
-        candidates, _ = self._candidates(now_s)
+        candidates, _ = self.candidates(now_s)
         if self.execution.origin is not None and all(
             candidate.upstream.is_leaving for candidate in candidates
         ):
--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -350,6 +350,11 @@
             costs.forecast_biases,
             "forecast",
         )
+        metrics.gauge(
+            "toucanrudder_waiting",
+            "Requests that wait for room, by service",
+            self.state.waiting.counts,
+        )
         conf = self.conf.listen
         host, port = _host_port(conf.peers)
         entrypoint = aiomisc.entrypoint(
--- a/toucanrudder/forwarding/execution.py
+++ b/toucanrudder/forwarding/execution.py
@@ -370,14 +370,13 @@
     ) -> attempts.Attempt | handing.HandOverAttempt:
         if step is retry_policy.Step.CONTINUE:
             return self._continuation()
-        peer = self.chooser.choose_peer()
-        if peer is not None:
+        target = await self.chooser.next_target()
+        if not isinstance(target, placing.Choice):
             self.copy_upstream = None
-            self.tried_peers.add(peer.name)
-            return handing.HandOverAttempt(self, peer)
-        choice = await self.chooser.choose_with_wait()
-        self.tried_incarnations.add(choice.upstream.incarnation)
-        return attempts.Attempt(self, choice)
+            self.tried_peers.add(target.name)
+            return handing.HandOverAttempt(self, target)
+        self.tried_incarnations.add(target.upstream.incarnation)
+        return attempts.Attempt(self, target)
 
     def cache_scope(self) -> str:
         """Return the organisation whose own cache is used; empty if shared."""
--- a/toucanrudder/forwarding/handover/handing.py
+++ b/toucanrudder/forwarding/handover/handing.py
@@ -9,8 +9,10 @@
 from toucanrudder import errors
 from toucanrudder import stalls
 from toucanrudder.forwarding import state as states
+from toucanrudder.forwarding import waiting
 from toucanrudder.forwarding.attempts import relaying
 from toucanrudder.forwarding.attempts import retry_policy
+from toucanrudder.forwarding.handover import choice
 from toucanrudder.membership import routers
 from toucanrudder.observability import decisions
 from toucanrudder.peers import handovers
@@ -238,7 +240,21 @@
             return event
 
     def _raise_if_retryable(self, error: errors.RudderError) -> None:
-        """Raise AttemptFailed if the peer reached no upstream either."""
+        """Raise AttemptFailed if another peer may serve the request."""
+        is_not_run = error.ran is errors.Ran.NOT_RUN
+        if error.code is errors.Code.QUEUE_FULL and is_not_run:
+            early_until_s = waiting.early_until_s(self.execution)
+            offers = len(self.execution.tried_peers)
+            if (
+                clock.now_s() > early_until_s
+                or offers >= choice.MAX_OFFERS_FOR_ROOM
+            ):
+                return
+            self.is_declined = True
+            self.evidence.unsent = "peer_without_room"
+            raise relaying.AttemptFailed(
+                retry_policy.FailureKind.FULL
+            ) from error
         is_unreached = error.code is errors.Code.UPSTREAM_NOT_REACHED
         if is_unreached and error.ran is errors.Ran.NOT_RUN:
             self._record_peer_lost()
--- a/toucanrudder/forwarding/upstream_states.py
+++ b/toucanrudder/forwarding/upstream_states.py
@@ -48,6 +48,8 @@
         router's or a peer's word.
     refusals_in_row : int
         Refusals of this router's requests since its last answer.
+    refused_beside : int
+        Requests of this router that were there then.
     avoided_until_s : float
         Monotonic time until which it gets no work as it loads weights.
     last_peer_order_s : float
@@ -70,6 +72,7 @@
     full_until_s: float = 0.0
     refused_at_s: float = float("-inf")
     refusals_in_row: int = 0
+    refused_beside: int = 0
     avoided_until_s: float = 0.0
     last_peer_order_s: float = float("-inf")
     quiet_since_s: float | None = None
@@ -219,6 +222,7 @@
         state = self.of(incarnation)
         state.full_until_s = max(state.full_until_s, now_s + for_s)
         state.refused_at_s = now_s
+        state.refused_beside = state.requests
 
 
 @attrs.define
--- a/toucanrudder/forwarding/waiting.py
+++ b/toucanrudder/forwarding/waiting.py
@@ -18,6 +18,7 @@
 from toucanrudder import errors
 from toucanrudder.admission import line as lines
 from toucanrudder.admission import rests
+from toucanrudder.admission import shares
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import placing
 from toucanrudder.observability import decisions
@@ -25,6 +26,8 @@
 
 if TYPE_CHECKING:
     from toucanrudder.forwarding import choosing
+    from toucanrudder.forwarding import execution as executions
+    from toucanrudder.forwarding import routing
     from toucanrudder.forwarding import state as states
 
 #: Interval of the checks of a service where requests wait, for what no event
@@ -35,11 +38,16 @@
 #: work while an answer travels.
 ALLOWANCE_SHARE = 0.1
 
-#: Time after a refusal in which a router uses only its own slots there.
-CAUTION_S = 1.0
+#: Share of the slots of others at an upstream below which what they use
+#: shows that they leave the rest.
+MOSTLY_IDLE_SHARE = 0.34
 
-#: Time after the last wait for room in which a router still keeps to its
-#: part of the slots.
+#: Time after a refusal by the requests of others in which a router uses only
+#: its own slots there.
+CAUTION_S = 5.0
+
+#: Time after the last wait or refusal for want of room in which a router keeps
+#: to its part of the slots.
 CROWDED_S = 1.0
 
 #: Share of a caller's remaining time that a request may wait here; the
@@ -51,10 +59,31 @@
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_SHARE = 0.5
 
+#: Part of the time until room is expected by which the delays of callers
+#: differ, as some of those who are refused together come back together.
+RETRY_SPREAD_SHARE = 1.0
+
+#: Share of a route's objective up to which a request that has waited is
+#: offered to a peer.
+EARLY_SHARE = 0.125
+
 #: Bytes that a waiting request holds beside its body.
 BASE_BYTES = 8_000
 
 
+@attrs.define
+class Crowded(Exception):
+    """A request cannot be served here in its time, but by a peer perhaps.
+
+    Parameters
+    ----------
+    error : errors.RudderError
+        The refusal if there is no such peer.
+    """
+
+    error: errors.RudderError
+
+
 @attrs.define(eq=False)
 class Waiter(lines.Waiter):
     """A request that waits, and what is done for it.
@@ -70,6 +99,8 @@
         Given a `lines.Refusal`, returns the error for the caller.
     is_bound : callable
         Whether it may be sent to a part of the upstreams only.
+    early_until_s : float
+        Monotonic time up to which a peer may still serve it in its time.
     """
 
     request_id: str = attrs.field(kw_only=True)
@@ -78,6 +109,7 @@
         kw_only=True
     )
     is_bound: Callable[[], bool] = attrs.field(kw_only=True)
+    early_until_s: float = attrs.field(kw_only=True)
     choice: asyncio.Future = attrs.field(factory=asyncio.Future, init=False)
 
 
@@ -97,7 +129,9 @@
     _granted: collections.Counter = attrs.field(factory=collections.Counter)
     _due: set[str] = attrs.field(factory=set)
     _ticking: set[str] = attrs.field(factory=set)
-    _waited_at_s: dict[str, float] = attrs.field(factory=dict)
+    _divided: dict[str, shares.OwnPlaces] = attrs.field(factory=dict)
+    _crowded_at_s: dict[str, float] = attrs.field(factory=dict)
+    _services: dict[str, str] = attrs.field(factory=dict)
 
     def line(self, service: str) -> lines.Line:
         """Return the line of a service."""
@@ -112,19 +146,19 @@
         return line is not None and len(line) > 0
 
     def expected_wait_s(
-        self, service: str, organisation: str, rank: int
+        self, service: str, match: "routing.RouteMatch"
     ) -> float:
-        """Return when room for a request is expected; 0 if none waits."""
-        if not self.is_waiting(service):
-            return 0.0
-        return self.line(service).wait_s(organisation, rank, clock.now_s())
+        """Return when room is expected for a request that does not wait."""
+        return self.line(service).wait_s(
+            _organisation_name(match), match.rank, clock.now_s()
+        )
 
     def is_crowded(self, service: str) -> bool:
-        """Whether requests wait for a service, or have a moment ago."""
-        if not self._waited_at_s:
+        """Whether requests wait or were refused, now or a moment ago."""
+        if not self._crowded_at_s:
             return False
-        waited_at_s = self._waited_at_s.get(service, -math.inf)
-        return clock.now_s() - waited_at_s < CROWDED_S
+        crowded_at_s = self._crowded_at_s.get(service, -math.inf)
+        return clock.now_s() - crowded_at_s < CROWDED_S
 
     def counts(self) -> dict[str, int]:
         """Return how many requests wait, by service."""
@@ -140,37 +174,56 @@
         Each router uses its own part of an upstream's slots, and those that
         seem unused.  A router without any part tries one request at a time.
         """
-        peers = self.state.peers()
-        own_slots = {
-            candidate.upstream.incarnation: self.state.slot_owners.own_slots(
-                candidate.upstream, peers
-            )
-            for candidate in candidates
-        }
-        if not any(own_slots.values()):
+        if not candidates:
+            return []
+        own = self._own_places(candidates[0].upstream.service)
+        if not any(own.values()) and _states_slots(candidates[0]):
             is_trying = any(map(self._own_requests, candidates))
             return [] if is_trying else list(candidates)
         return [
             candidate
             for candidate in candidates
-            if self._own_requests(candidate)
-            < own_slots[candidate.upstream.incarnation]
-            + int(ALLOWANCE_SHARE * candidate.upstream.slots)
-            or self._seems_unused(candidate, now_s)
+            if self._has_place(
+                candidate, own.get(candidate.upstream.incarnation, 0), now_s
+            )
         ]
 
+    def _has_place(
+        self, candidate: placing.Candidate, own_places: int, now_s: float
+    ) -> bool:
+        if not _states_slots(candidate):
+            return True
+        slots = candidate.upstream.slots
+        granted = self._granted[candidate.upstream.incarnation]
+        own_requests = candidate.state.requests + granted
+        if own_requests < own_places + int(ALLOWANCE_SHARE * slots):
+            return True
+        # One beside a full number of own requests says nothing of others.
+        is_others = candidate.state.refused_beside < slots
+        if is_others and now_s - candidate.state.refused_at_s < CAUTION_S:
+            return False
+        others = candidate.requests(now_s) - candidate.state.requests
+        are_idle = others < MOSTLY_IDLE_SHARE * (slots - own_places)
+        return are_idle and own_requests + others < slots
+
+    def _own_places(self, service: str) -> dict[str, int]:
+        divided = self._divided.get(service)
+        if divided is None:
+            divided = shares.OwnPlaces(self.state.name)
+            self._divided[service] = divided
+        return divided.at(
+            self.state.registry.for_service(service),
+            self.state.peers(),
+            clock.now_s(),
+        )
+
     def _own_requests(self, candidate: placing.Candidate) -> int:
         granted = self._granted[candidate.upstream.incarnation]
         return candidate.state.requests + granted
 
-    def _seems_unused(
-        self, candidate: placing.Candidate, now_s: float
-    ) -> bool:
-        if now_s - candidate.state.refused_at_s < CAUTION_S:
-            return False
-        granted = self._granted[candidate.upstream.incarnation]
-        total = candidate.requests(now_s) + granted
-        return total < candidate.upstream.slots
+    def record_full(self, service: str, now_s: float) -> None:
+        """Record that an upstream of a service has refused a request."""
+        self._crowded_at_s[service] = now_s
 
     def record_begin(self, incarnation: str) -> None:
         """Record that a request is sent to an upstream."""
@@ -178,16 +231,21 @@
             self._granted[incarnation] -= 1
         else:
             del self._granted[incarnation]
-        upstream = self.state.registry.get(incarnation)
-        if upstream is not None:
-            self.line(upstream.service).flow.record_begin(clock.now_s())
+        service = self._services.get(incarnation)
+        if service is None:
+            upstream = self.state.registry.get(incarnation)
+            service = upstream.service if upstream else ""
+            self._services[incarnation] = service
+        self.line(service).flow.record_begin(clock.now_s())
 
     def record_end(self, incarnation: str) -> None:
         """Record that a request at an upstream has ended."""
-        upstream = self.state.registry.get(incarnation)
-        if upstream is not None:
-            self.line(upstream.service).flow.record_end(clock.now_s())
-            self._wake(upstream.service)
+        service = self._services[incarnation]
+        if not self.state.upstream_stats.of(incarnation).requests:
+            # The upstream may leave the registry while requests run there.
+            del self._services[incarnation]
+        self.line(service).flow.record_end(clock.now_s())
+        self._wake(service)
 
     # Waiting.
 
@@ -198,9 +256,11 @@
         ------
         RudderError
             It will not be served in its time, or may not wait.
+        Crowded
+            The same, but a peer may serve it.
         """
         line, now_s = self.line(service), clock.now_s()
-        self._waited_at_s[service] = now_s
+        self._crowded_at_s[service] = now_s
         refusals = line.push(waiter, now_s)
         self._refuse(service, refusals)
         self._wake(service)
@@ -241,10 +301,15 @@
             if waiter.choice.done():
                 continue
             error = waiter.refusal(refusal)
-            waiter.choice.set_exception(error)
             waited_s = now_s - waiter.arrived_s
+            is_early = now_s <= waiter.early_until_s
+            is_offered = refusal.fits and is_early and is_full(error)
+            waiter.choice.set_exception(
+                Crowded(error) if is_offered else error
+            )
+            outcome = "offered" if is_offered else "refused"
             _wait_histogram().record(
-                waited_s, {"rank": waiter.priority, "outcome": "refused"}
+                waited_s, {"rank": waiter.priority, "outcome": outcome}
             )
             decisions.record(
                 decisions.WaitRefused(
@@ -279,7 +344,7 @@
         # failed on the way.
         self._granted.clear()
         if self.is_waiting(service):
-            self._waited_at_s[service] = clock.now_s()
+            self._crowded_at_s[service] = clock.now_s()
             self._serve(service)
             line = self.line(service)
             self._refuse(service, line.sweep(clock.now_s()))
@@ -316,6 +381,15 @@
         return False
 
 
+def _states_slots(candidate: placing.Candidate) -> bool:
+    """Whether it is known how much an upstream takes.
+
+    One slot is what an entry without a number says as well; such an upstream
+    is full when it has refused a request.
+    """
+    return candidate.upstream.slots > 1
+
+
 def is_full(error: Exception) -> bool:
     """Whether an error says that no upstream has room."""
     return (
@@ -358,15 +432,26 @@
 
     Examples
     --------
-    >>> 0.4 <= retry_after_s(0.4, 2.0, random.Random(1)) <= 0.6
+    >>> 0.4 <= retry_after_s(0.4, 2.0, random.Random(1)) <= 0.8
     True
     >>> retry_after_s(math.inf, 2.0, random.Random(1)) <= 1.0
     True
     """
     most_s = MAX_RETRY_AFTER_SHARE * max(0.0, remaining_s)
-    most_s /= 1.0 + rests.RETRY_SPREAD_SHARE
+    most_s /= 1.0 + RETRY_SPREAD_SHARE
     delay_s = min(max(wait_s, MIN_RETRY_AFTER_S), most_s)
-    return round(rests.retry_after_s(delay_s, rng), 3)
+    return round(rests.retry_after_s(delay_s, rng, RETRY_SPREAD_SHARE), 3)
+
+
+def _organisation_name(match: "routing.RouteMatch") -> str:
+    """Return whose share counts; callers without a key share one."""
+    return match.organisation.name if match.organisation else ""
+
+
+def early_until_s(execution: "executions.RequestExecution") -> float:
+    """Return until when a request may be offered to a peer for its room."""
+    objective_s = execution.route.objective_s
+    return execution.request.began_s + EARLY_SHARE * objective_s
 
 
 def waiter_for(chooser: "choosing.UpstreamChooser") -> Waiter:
@@ -390,7 +475,7 @@
         )
 
     return Waiter(
-        organisation=match.organisation.name if match.organisation else "",
+        organisation=_organisation_name(match),
         weight=1.0,
         priority=match.rank,
         deadline_s=now_s + max_wait_s(match.route, execution.remaining_s()),
@@ -401,6 +486,7 @@
         choose=choose,
         refusal=refusal,
         is_bound=lambda: execution.origin is not None,
+        early_until_s=early_until_s(execution),
     )
 
 
--- a/toucanrudder/observability/decisions.py
+++ b/toucanrudder/observability/decisions.py
@@ -567,6 +567,8 @@
     LimitStated,
     LeavingStated,
     RestRequested,
+    Waited,
+    WaitRefused,
     Offered,
     HandedOver,
     TakenOver,
--- a/toucanrudder/testing/virtual/workers.py
+++ b/toucanrudder/testing/virtual/workers.py
@@ -87,6 +87,8 @@
         Requests that it works on at once; it refuses others.
     work_s : float
         Time for which it works on one request.
+    tells_load : bool
+        Whether its answers tell its load.
     served : int
         Requests that it has worked on.
     """
@@ -104,8 +106,9 @@
     rest_s: float | None = None
     max_requests: int | None = None
     work_s: float = WORK_S
+    tells_load: bool = False
     served: int = 0
-    _running: int = 0
+    running: int = 0
 
     def entry(self) -> dict:
         """Return its entry in the registry."""
@@ -133,17 +136,19 @@
         if self.is_leaving:
             headers.append((b"leaving", b"1"))
             self._record(arrival, is_leaving=True)
-        if self.is_full or self._running == self.max_requests:
+        if self.is_full or self.running == self.max_requests:
             if self.rest_s is not None:
                 headers.append((b"rest", str(self.rest_s).encode()))
                 self._record(arrival, rest_s=self.rest_s)
             return message.AnswerHead(503, tuple(headers))
-        self._running += 1
+        self.running += 1
         try:
             await asyncio.sleep(self.work_s)
         finally:
-            self._running -= 1
+            self.running -= 1
         self.served += 1
+        if self.tells_load:
+            headers.append((b"load", str(self.running).encode()))
         status = 500 if self.is_failing else 200
         return message.AnswerHead(status, tuple(headers))
 
@@ -231,6 +236,10 @@
             self._exchange.cancel()
 
 
+def _load(running: float | None) -> model.Load | None:
+    return None if running is None else model.Load(int(running), 0, 0)
+
+
 class PlainDialect(dialect.Dialect):
     """Heads of virtual requests and answers: ID, time limit, limit."""
 
@@ -256,6 +265,7 @@
             is_for_request=answer.get(b"id") == call.request_id.encode(),
             has_not_run=answer.status == 503,
             is_sealed=True,
+            load=_load(message.number(answer, b"load")),
             rate_limit_per_s=message.stated_number(answer, b"limit"),
             is_leaving=answer.get(b"leaving") is not None,
             retry_after_s=message.number(answer, b"rest"),
