Tell news of upstreams in large fleets only

Cause: with 8 routers each asks each upstream every few hundred milliseconds, so what peers tell comes late, and the longer time for which a refusing engine is left alone only takes it out of use.

Change: routers tell each other of replaced and refusing upstreams and of engines' weights, and leave refusing engines alone for longer, in fleets of more than 16 routers only.

--- a/toucanrudder/forwarding/attempts/attempt.py
+++ b/toucanrudder/forwarding/attempts/attempt.py
@@ -252,7 +252,7 @@
         name = upstream.incarnation
         if kind is retry_policy.FailureKind.FULL:
             self._record_full(name, now_s)
-        elif self.is_replaced:
+        elif self.is_replaced and self._is_told():
             self._record_replaced(upstream, now_s)
         elif kind is retry_policy.FailureKind.FAILED:
             self.state.upstream_stats.record_error(name)
@@ -273,6 +273,9 @@
         # The next request may arrive at any router.
         self.state.tell_crashes()
 
+    def _is_told(self) -> bool:
+        return upstream_news.is_told(self.state.live_routers())
+
     def _record_replaced(self, upstream: model.Upstream, now_s: float) -> None:
         name = upstream.incarnation
         self.state.upstream_stats.record_failure(name, now_s)
@@ -286,7 +289,7 @@
         limit_per_s = self.state.brittle.limit_per_s(
             self.execution.service, now_s
         )
-        if limit_per_s is None and self.prompt is not None:
+        if limit_per_s is None and self.prompt is not None and self._is_told():
             self._record_refusing_engine(name, now_s)
             return
         if limit_per_s is None:
--- a/toucanrudder/forwarding/orders.py
+++ b/toucanrudder/forwarding/orders.py
@@ -13,6 +13,7 @@
 from toucanrudder.forwarding import rollout
 from toucanrudder.forwarding import state as states
 from toucanrudder.forwarding import turns
+from toucanrudder.forwarding import upstream_news
 from toucanrudder.leases import decision
 from toucanrudder.leases import holder
 from toucanrudder.observability import decisions
@@ -354,9 +355,11 @@
         try:
             report = await self._loader.request_report(upstream)
             for name, version in (report.weights if report else {}).items():
-                if self._state.record_engine_weights(
+                is_news = self._state.record_engine_weights(
                     upstream.incarnation, name, version
-                ):
+                )
+                routers = self._state.live_routers()
+                if is_news and upstream_news.is_told(routers):
                     # Each router would else ask for the weights itself.
                     self._state.tell_weights()
         finally:
--- a/toucanrudder/forwarding/peering.py
+++ b/toucanrudder/forwarding/peering.py
@@ -11,6 +11,7 @@
 from toucanrudder import stalls
 from toucanrudder.forwarding import cost_gossip
 from toucanrudder.forwarding import state as states
+from toucanrudder.forwarding import upstream_news
 from toucanrudder.forwarding.streams import directory
 from toucanrudder.membership import routers
 from toucanrudder.peers import client as peer_clients
@@ -149,6 +150,8 @@
         self, now_s: float
     ) -> tuple[messages.EngineWeights, ...]:
         """Return the weights that engines have stated to this router."""
+        if not upstream_news.is_told(self.state.live_routers()):
+            return ()
         return tuple(
             messages.EngineWeights(
                 stated.incarnation, stated.model, stated.version
--- a/toucanrudder/forwarding/upstream_news.py
+++ b/toucanrudder/forwarding/upstream_news.py
@@ -10,6 +10,10 @@
 
 from toucanrudder.forwarding import model
 
+#: Number of routers up to which each learns by its own attempts: it asks each
+#: upstream so often that news of peers would come later.
+MAX_SELF_TAUGHT_ROUTERS = 16
+
 #: Time for which a process is not used whose address another one serves:
 #: longer than a registry lists a process that it does not hear of.
 REPLACED_S = 10.0
@@ -30,6 +34,17 @@
 MAX_TOLD_ENGINES = 1024
 
 
+def is_told(routers: int) -> bool:
+    """Return whether so many routers tell each other what they have met.
+
+    Examples
+    --------
+    >>> is_told(8), is_told(59)
+    (False, True)
+    """
+    return routers > MAX_SELF_TAUGHT_ROUTERS
+
+
 def replaced_for_s(upstream: model.Upstream) -> float:
     """Return how long an upstream is not used after another one answered.
 
