Keep to the own places for a second after a refusal

Cause: after one refusal a router used only its own part of the slots for five seconds.

Change: one second, as long as a service counts as crowded.

--- a/toucanrudder/forwarding/waiting.py
+++ b/toucanrudder/forwarding/waiting.py
@@ -44,7 +44,7 @@
 
 #: Time after a refusal by the requests of others in which a router uses only
 #: its own slots there.
-CAUTION_S = 5.0
+CAUTION_S = 1.0
 
 #: Time after the last wait or refusal for want of room in which a router keeps
 #: to its part of the slots.
--- a/toucanrudder/soak/mutants.py
+++ b/toucanrudder/soak/mutants.py
@@ -158,8 +158,8 @@
     Mutant(
         "a poisonous request is not recognised",
         "forwarding/poison.py",
-        "return self.count(fingerprint_, wall_s) >= MAX_CRASHES",
-        "return False",
+        "self.suspicions.has_crashes(fingerprint_, MAX_CRASHES, wall_s)",
+        "False",
     ),
     Mutant(
         "parts of prompts are not held against crashes",
