Continue a run elsewhere only once its engine has ended it

Cause: retry_policy.next_step continues a run from its copy as soon as its connection breaks; only the finding that events are missing made the router ask the engine whether it had ended the run. Ruled out: a report that misleads (none was requested between break and continuation), and a second attempt beside a silent one (no AnswerSilent line).

Change: before any continuation the first engine is asked at once. Proof of the end is a refused connection while no other one is open, another process or a later start, or a report younger than the run's first event that neither lists the run nor has a queue. An engine out of reach for 0.6 s does not hold the run up. Without proof the stream is cut after the time for which its caller would wait. Runs at one engine share the requests. This works as a reset no longer counts as knowledge of the peer.

test_report_requests_are_spaced demanded a continuation although the engine never answers a request for its report. That proves nothing, so its engine now reports once the run is over; the bound on the requests is the same.

--- a/toucanrudder/forwarding/attempts/attempt.py
+++ b/toucanrudder/forwarding/attempts/attempt.py
@@ -227,7 +227,6 @@
                 raise relaying.AttemptFailed(_failure_kind(error)) from error
             except relaying.AttemptFailed:
                 self.silence.record_end()
-                await self.silence.wait_for_engine_stop()
                 raise
         if failure is not None:
             raise failure
--- a/toucanrudder/forwarding/attempts/silence.py
+++ b/toucanrudder/forwarding/attempts/silence.py
@@ -1,6 +1,5 @@
 """Judgement of answers that make no progress."""
 
-import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -34,9 +33,6 @@
 #: retransmissions at least, and are some tenths of a second old.
 CONFIRMATION_S = 0.7
 
-#: Seconds within which an engine must end a run whose connection was closed.
-ENGINE_STOP_TIMEOUT_S = 1.0
-
 _LOST = (
     retry_policy.SilenceFinding.NOT_LISTED,
     retry_policy.SilenceFinding.EVENTS_MISSING,
@@ -199,34 +195,3 @@
         if request_id in report.events:
             return retry_policy.SilenceFinding.EVENTS_MISSING
         return retry_policy.SilenceFinding.NOT_LISTED
-
-    async def wait_for_engine_stop(self) -> None:
-        """Wait until an engine whose events were lost has ended its run.
-
-        The run was still in progress at the last report, and not every
-        engine notices immediately that its connection was closed.  A
-        request that may run only once must not be continued from its copy
-        meanwhile; if the run does not end in time, the copy is not used.
-        """
-        if (
-            self._evidence.silence
-            is not retry_policy.SilenceFinding.EVENTS_MISSING
-        ):
-            return
-        execution = self.attempt.execution
-        try:
-            async with stalls.timeout(ENGINE_STOP_TIMEOUT_S):
-                while execution.can_continue_from_copy():
-                    if await self._has_run_ended():
-                        return
-                    await asyncio.sleep(MIN_SILENCE_S)
-        except TimeoutError:
-            execution.copy_upstream = None
-
-    async def _has_run_ended(self) -> bool:
-        attempt = self.attempt
-        report = await attempt.state.fetch_engine_report(
-            attempt.choice.upstream
-        )
-        request_id = attempt.execution.call.request_id
-        return report is not None and request_id not in report.events
--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -264,6 +264,7 @@
         )
         self.state.report_weights_mismatch = controller.refresh_weights
         self.state.fetch_engine_report = controller.request_report
+        self.state.reports.ask = self.engine_calls.ask_report
         return controller
 
     def _record_stall(self, for_s: float) -> None:
--- a/toucanrudder/forwarding/execution.py
+++ b/toucanrudder/forwarding/execution.py
@@ -14,6 +14,7 @@
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import placing
 from toucanrudder.forwarding import routing
+from toucanrudder.forwarding import run_ends
 from toucanrudder.forwarding import screening
 from toucanrudder.forwarding import state as states
 from toucanrudder.forwarding.attempts import attempt as attempts
@@ -291,12 +292,52 @@
         if self.race.running:
             self._try_beside(news.error.kind)
             return False
+        if step is retry_policy.Step.CONTINUE:
+            step = await self._step_after_run_end(news.attempt)
         if step is retry_policy.Step.GIVE_UP:
             await self._give_up(news.error, news.attempt)
             return True
         await self._begin_attempt(step)
         return False
 
+    async def _step_after_run_end(
+        self, attempt: attempts.Attempt
+    ) -> retry_policy.Step:
+        """Return the next step once a run has ended, or has not in time.
+
+        The same run must not go on at two engines.
+        """
+        upstream = attempt.choice.upstream
+        began_s = clock.now_s()
+        run_end = run_ends.RunEnd(
+            self.state.reports,
+            upstream,
+            self.call.request_id,
+            self.first_event_at_s,
+        )
+        silent_s = began_s - self.last_event_at_s
+        has_ended = False
+        with contextlib.suppress(TimeoutError):
+            async with stalls.timeout(
+                run_ends.max_wait_s(self.route, silent_s)
+            ):
+                has_ended = await run_end.wait(self.can_continue_from_copy)
+        decisions.record(
+            decisions.RunEndAwaited(
+                request_id=self.call.request_id,
+                upstream=upstream.incarnation,
+                events=self.progress.events,
+                run=run_end.state.value,
+                is_continued=has_ended,
+                replies=run_end.replies,
+                took_s=clock.now_s() - began_s,
+            )
+        )
+        if has_ended:
+            return retry_policy.Step.CONTINUE
+        self.copy_upstream = None
+        return retry_policy.Step.GIVE_UP
+
     def _try_beside(self, cause: retry_policy.FailureKind) -> None:
         """Make another attempt beside silent ones, if it is allowed.
 
--- a/toucanrudder/forwarding/loading.py
+++ b/toucanrudder/forwarding/loading.py
@@ -35,10 +35,17 @@
     """Calls to an engine other than callers' requests."""
 
     @abc.abstractmethod
+    async def ask_report(
+        self, upstream: model.Upstream, *, timeout_s: float
+    ) -> rollout.ReportReply:
+        """Return the engine's report, or why there is none."""
+
     async def report(
         self, upstream: model.Upstream, *, timeout_s: float
     ) -> rollout.EngineReport | None:
         """Return the engine's report; None if there was no answer."""
+        reply = await self.ask_report(upstream, timeout_s=timeout_s)
+        return reply.report
 
     @abc.abstractmethod
     async def load(
--- a/toucanrudder/forwarding/rollout.py
+++ b/toucanrudder/forwarding/rollout.py
@@ -10,6 +10,7 @@
 import attrs
 
 from toucanrudder.forwarding import model
+from toucanrudder.http1 import calls
 
 #: Fraction of a service's engines that load at once: normally, and when
 #: weights are urgent (see `Pace`).  More would remove too much capacity, and
@@ -70,6 +71,26 @@
     KEEP = "keep"
 
 
+class Contact(enum.Enum):
+    """What a request for a report found at an engine's address."""
+
+    REPORTED = "reported"
+    #: The process is alive, or may be, but gave no report.
+    NO_ANSWER = "no_answer"
+    #: A new connection was refused, and no earlier one is left.
+    REFUSED = "refused"
+    #: Another process has answered.
+    REPLACED = "replaced"
+    #: No connection could be opened in time.
+    NOT_REACHED = "not_reached"
+
+
+_CONTACT_BY_FAILURE = {
+    calls.Failure.REFUSED: Contact.REFUSED,
+    calls.Failure.NOT_REACHED: Contact.NOT_REACHED,
+}
+
+
 #: Most events of one request that may be in flight when an engine reports.
 MAX_EVENTS_IN_FLIGHT = 1
 
@@ -140,6 +161,49 @@
         return sent > received + MAX_EVENTS_IN_FLIGHT
 
 
+@attrs.frozen
+class ReportReply:
+    """Outcome of a request for an engine's report.
+
+    Parameters
+    ----------
+    contact : Contact
+        What was found at the engine's address.
+    report : EngineReport or None
+        The report, if there is one.
+    asked_at_s : float
+        Monotonic time of the request.
+    """
+
+    contact: Contact
+    report: EngineReport | None = None
+    asked_at_s: float = 0.0
+
+    @classmethod
+    def of(cls, report: EngineReport | None) -> "ReportReply":
+        """Return the reply of an engine that answers with a report or not."""
+        if report is None:
+            return cls(Contact.NO_ANSWER)
+        return cls(Contact.REPORTED, report)
+
+    @classmethod
+    def failed(
+        cls, failure: calls.Failure | None, is_replaced: bool = False
+    ) -> "ReportReply":
+        """Return a reply without a report.
+
+        Parameters
+        ----------
+        failure : calls.Failure or None
+            Why there was no answer; None if there was one.
+        is_replaced : bool
+            Whether another process has answered.
+        """
+        if is_replaced:
+            return cls(Contact.REPLACED)
+        return cls(_CONTACT_BY_FAILURE.get(failure, Contact.NO_ANSWER))
+
+
 #: Longest time for which an engine gets no new work before its order.
 #: With prefills of 0.2 to 0.5 s and answers of two to three seconds, few
 #: requests that the order would spoil are then left.
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -22,6 +22,7 @@
 from toucanrudder.forwarding import registry as registries
 from toucanrudder.forwarding import rollout
 from toucanrudder.forwarding import routing
+from toucanrudder.forwarding import run_ends
 from toucanrudder.forwarding import speeds
 from toucanrudder.forwarding import stores
 from toucanrudder.forwarding import upstream_news
@@ -172,6 +173,9 @@
     fetch_engine_report: Callable[
         [model.Upstream], Awaitable[rollout.EngineReport | None]
     ] = _no_report
+    reports: run_ends.SharedReports = attrs.field(
+        factory=run_ends.SharedReports
+    )
     report_weights_mismatch: Callable[[model.Upstream], None] = (
         lambda upstream: None
     )
--- a/toucanrudder/forwarding/tests/test_orders.py
+++ b/toucanrudder/forwarding/tests/test_orders.py
@@ -43,15 +43,17 @@
         self.engines = engines
         self.is_blocked = is_blocked
 
-    async def report(self, upstream, *, timeout_s):
+    async def ask_report(self, upstream, *, timeout_s):
         engine = self.engines.get(upstream.incarnation)
         if engine is None or engine.is_silent or self.is_blocked:
             await asyncio.sleep(timeout_s)
-            return None
+            return rollout.ReportReply.of(None)
         await asyncio.sleep(0.01)
         is_busy = clock.now_s() < engine.busy_until_s
         version = engine.weights - is_busy
-        return rollout.EngineReport({"m": version}, is_busy, orders=engine.seq)
+        return rollout.ReportReply.of(
+            rollout.EngineReport({"m": version}, is_busy, orders=engine.seq)
+        )
 
     async def load(self, task, report, *, timeout_s, **given):
         engine = self.engines[task.upstream.incarnation]
--- a/toucanrudder/http1/calls.py
+++ b/toucanrudder/http1/calls.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import contextlib
+import enum
 import functools
 import logging
 
@@ -18,6 +19,10 @@
 #: Largest response body that is buffered; a page of a list is at most 1 MB.
 MAX_ANSWER_BYTES = 8_388_608
 
+#: Longest part of a call's time in which a connection is opened, so that a
+#: peer that is not reached is told apart from one that does not answer.
+CONNECT_SHARE = 0.75
+
 _JSON = (b"Content-Type", b"application/json")
 
 
@@ -29,23 +34,36 @@
     """The response belongs to another request."""
 
 
+class Failure(enum.Enum):
+    """Why there is no response."""
+
+    #: A new connection was refused, and no earlier one is open.
+    REFUSED = "refused"
+    #: No connection could be opened in time.
+    NOT_REACHED = "not_reached"
+    NO_ANSWER = "no_answer"
+
+
 @attrs.frozen
 class Answer:
-    """A complete response.
+    """A complete response, or why there is none.
 
     Parameters
     ----------
     status : int
-        HTTP status code.
+        HTTP status code; 0 without a response.
     body : object
         Parsed JSON body; an empty dict if there was no body.
     headers : message.Headers
         Header fields.
+    failure : Failure or None
+        Set without a response.
     """
 
     status: int
     body: object
     headers: message.Headers = ()
+    failure: Failure | None = None
 
 
 def parse_json(content: bytes) -> object:
@@ -166,7 +184,9 @@
         _exchange,
         lambda: connections.connection(
             address,
-            connect_timeout_s=min(connect_timeout_s, timeout_s),
+            connect_timeout_s=min(
+                connect_timeout_s, CONNECT_SHARE * timeout_s
+            ),
             clock=clock,
         ),
         head,
@@ -183,6 +203,33 @@
             return await attempt()
 
 
+async def try_call(
+    connections: pool.ConnectionPool, address: str, *args, **kwargs
+) -> Answer:
+    """Return the response as `call`, or an answer that names the failure."""
+    try:
+        return await call(connections, address, *args, **kwargs)
+    except (client.ExchangeError, TimeoutError, Unreadable) as error:
+        LOG.info("no answer of %s to %s: %r", address, args, error)
+        is_connected = connections.is_connected(address)
+        return Answer(0, {}, failure=_failure(error, is_connected))
+
+
+@functools.singledispatch
+def _failure(error: Exception, is_connected: bool) -> Failure:
+    """Return what an error of a call says of its peer."""
+    return Failure.NO_ANSWER
+
+
+@_failure.register
+def _(error: client.ExchangeError, is_connected: bool) -> Failure:
+    if error.fault is client.Fault.CONNECT_TIMEOUT:
+        return Failure.NOT_REACHED
+    # A process that is alive may refuse connections beyond a limit.
+    is_refused = error.is_refused and not is_connected
+    return Failure.REFUSED if is_refused else Failure.NO_ANSWER
+
+
 async def _exchange(
     open_connection: Callable[
         [], contextlib.AbstractAsyncContextManager[client.UpstreamConnection]
--- a/toucanrudder/http1/client.py
+++ b/toucanrudder/http1/client.py
@@ -52,6 +52,11 @@
         self.sent = sent
         self.reused = reused
 
+    @property
+    def is_refused(self) -> bool:
+        """Whether nothing listens at the address."""
+        return isinstance(self.__cause__, ConnectionRefusedError)
+
 
 @attrs.frozen
 class Data:
@@ -187,15 +192,19 @@
     # Interface for exchanges.
 
     @property
-    def usable(self) -> bool:
-        """Whether another request can be sent on this connection."""
+    def is_open(self) -> bool:
+        """Whether neither side is known to have closed this connection."""
         return (
             self._fault is None
-            and not self._in_exchange
             and self._transport is not None
             and not self._transport.is_closing()
         )
 
+    @property
+    def usable(self) -> bool:
+        """Whether another request can be sent on this connection."""
+        return self.is_open and not self._in_exchange
+
     @property
     def sent(self) -> bool:
         """Whether a byte of the current request may have been sent."""
--- a/toucanrudder/http1/pool.py
+++ b/toucanrudder/http1/pool.py
@@ -70,8 +70,17 @@
         self.connect = connect
         self.on_connect: Callable[[str, bool, float], None] = _ignore_result
         self._idle: dict[str, list[client.UpstreamConnection]] = {}
+        self._in_use: dict[str, set[client.UpstreamConnection]] = {}
         self.opened = 0
 
+    def is_connected(self, address: str) -> bool:
+        """Return whether any connection to an address is still open."""
+        connections = (
+            *self._idle.get(address, ()),
+            *self._in_use.get(address, ()),
+        )
+        return any(connection.is_open for connection in connections)
+
     def _take_idle(
         self,
         address: str,
@@ -178,10 +187,15 @@
         if connection is None:
             connection = await self._open(address, connect_timeout_s, clock)
         is_complete = False
+        in_use = self._in_use.setdefault(address, set())
+        in_use.add(connection)
         try:
             yield connection
             is_complete = True
         finally:
+            in_use.discard(connection)
+            if not in_use and self._in_use.get(address) is in_use:
+                del self._in_use[address]
             if is_complete and connection.keep_for_s and connection.finish():
                 self._put_back(connection, clock())
             else:
--- a/toucanrudder/observability/decisions.py
+++ b/toucanrudder/observability/decisions.py
@@ -264,6 +264,23 @@
     stalled_s: float
 
 
+@attrs.frozen(kw_only=True)
+class RunEndAwaited:
+    """An engine was asked whether it has ended a run that broke off there.
+
+    ``run`` is the last finding: ``ended``, ``in_progress``, ``unknown`` or
+    ``not_reached``.  ``is_continued`` says whether its copy is continued.
+    """
+
+    request_id: str
+    upstream: str
+    events: int
+    run: str
+    is_continued: bool
+    replies: int
+    took_s: float
+
+
 @attrs.frozen(kw_only=True)
 class AnswerSilent:
     """All attempts of a request are silent; names what is done beside them.
@@ -561,6 +578,7 @@
     PartStoreSeen,
     Placed,
     TryEnded,
+    RunEndAwaited,
     AnswerSilent,
     CrashSuspected,
     PartBlocked,
--- a/toucanrudder/platform/orders.py
+++ b/toucanrudder/platform/orders.py
@@ -1,7 +1,6 @@
 """The router's own calls to engines: reports, load orders, cache events."""
 
 import functools
-import logging
 
 from toucanrudder import errors
 from toucanrudder.forwarding import cache
@@ -10,7 +9,6 @@
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import rollout
 from toucanrudder.http1 import calls
-from toucanrudder.http1 import client
 from toucanrudder.http1 import message
 from toucanrudder.http1 import pool
 from toucanrudder.platform import objects
@@ -18,8 +16,6 @@
 from toucanrudder.store import strange
 from toucanrudder.store import typed
 
-LOG = logging.getLogger(__name__)
-
 #: Added to the wait time of a call for cache events to get its timeout:
 #: a busy engine sends events late.
 EVENTS_MARGIN_S = 1.0
@@ -46,15 +42,20 @@
         self._pool = connections
         self._clock = clock
 
-    async def report(
+    async def ask_report(
         self, upstream: model.Upstream, *, timeout_s: float
-    ) -> rollout.EngineReport | None:
-        """Return the engine's report; None if the call failed."""
+    ) -> rollout.ReportReply:
+        """Return the engine's report, or why there is none."""
         answer = await self._call(b"GET", "/report", upstream, timeout_s)
         body = _read(records.Report, answer, upstream)
         if body is None:
-            return None
-        return rollout.EngineReport(
+            is_replaced = (
+                answer.status == 421
+                and message.first_value(answer.headers, b"instance-id")
+                != upstream.name.encode()
+            )
+            return rollout.ReportReply.failed(answer.failure, is_replaced)
+        report = rollout.EngineReport(
             started_at_ms=body.born,
             weights=objects.weights_by_model(body.models),
             is_busy=body.busy,
@@ -67,6 +68,7 @@
             events={run_id: count for run_id, _, count, _ in body.runs},
             memory_share=body.kv_used / (body.kv_total or 1),
         )
+        return rollout.ReportReply.of(report)
 
     async def load(
         self,
@@ -91,15 +93,14 @@
         answer = await self._call(
             b"POST", "/order", task.upstream, timeout_s, body=body
         )
-        status = answer.status if answer else None
-        if status == 412:
+        if answer.status == 412:
             raise errors.RudderError(
                 errors.Code.ORDER_FENCED,
                 "the engine has seen a higher fencing number",
                 step=loading.STEP,
                 peer=task.upstream.incarnation,
             )
-        return status in (200, 202)
+        return answer.status in (200, 202)
 
     async def cache_events(
         self, source: cache_feed.CacheSource, since: int, *, wait_s: float
@@ -131,31 +132,27 @@
         timeout_s: float,
         *extra: tuple[bytes, bytes],
         body: dict | None = None,
-    ) -> calls.Answer | None:
-        try:
-            return await calls.call(
-                self._pool,
-                peer.address,
-                method,
-                path,
-                body=body,
-                headers=(*extra, *_expected_instance(peer)),
-                timeout_s=timeout_s,
-                connect_timeout_s=CONNECT_TIMEOUT_S,
-                clock=self._clock,
-                foreign_header=b"request-id",
-            )
-        except (client.ExchangeError, TimeoutError, calls.Unreadable) as error:
-            LOG.info("no answer to %s: %r", path, error)
-            return None
+    ) -> calls.Answer:
+        return await calls.try_call(
+            self._pool,
+            peer.address,
+            method,
+            path,
+            body=body,
+            headers=(*extra, *_expected_instance(peer)),
+            timeout_s=timeout_s,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+            clock=self._clock,
+            foreign_header=b"request-id",
+        )
 
 
 def _read(
     record_type: type[typed.Made],
-    answer: calls.Answer | None,
+    answer: calls.Answer,
     source: cache_feed.CacheSource,
 ) -> typed.Made | None:
-    if answer is None or answer.status != 200:
+    if answer.status != 200:
         return None
     return strange.decode_or_none(
         typed.read, record_type, answer.body, source.address
--- a/toucanrudder/platform/testing/standins.py
+++ b/toucanrudder/platform/testing/standins.py
@@ -267,6 +267,8 @@
     reported_runs : dict of str to int
         Requests that its report lists as running, with the number of
         events produced.
+    queued : int
+        Requests that its report counts as waiting.
     copies : set of str
         Requests of which it holds a copy of another engine's run.
     born : int
@@ -302,6 +304,7 @@
         self.run_cancelled = asyncio.Event()
         self.default_behaviour: Behaviour = answers_normally
         self.reported_runs: dict[str, int] = {}
+        self.queued = 0
         self.copies: set[str] = set()
         self.report_requested = asyncio.Event()
         self.reset_runs = asyncio.Event()
@@ -338,6 +341,12 @@
     def _born_field(self) -> dict:
         return {"born": self.born} if self.born else {}
 
+    def crash(self) -> None:
+        """Refuse new connections and reset all others."""
+        self.listener._server.close()
+        for connection in list(self.listener.connections):
+            connection.abort()
+
     def restart(self) -> None:
         """Simulate a restart: same name, later start time, no state."""
         self.born = self.born + 1_000 if self.born else 1_700_000_000_000
@@ -399,7 +408,7 @@
             "busy": self.busy,
             "seq": len(self.orders),
             **self._born_field(),
-            "queued": 0,
+            "queued": self.queued,
             "active": len(self.reported_runs),
             "runs": [
                 [identity, 300, events, 5]
@@ -656,6 +665,66 @@
     answer.ended = True
 
 
+async def _begin_with_copy(upstream: Server, run: Run, answer) -> None:
+    """Send the first event and a copy."""
+    upstream.runs.append(run)
+    await answer.start(200, upstream.answer_headers(run))
+    await answer.write(event(1))
+    await asyncio.sleep(COPY_AFTER_S)
+    upstream.send_copy(run)
+
+
+async def resets_and_works_on(upstream: Server, run: Run, answer) -> None:
+    """Lose the answer by a reset; end the run some time after."""
+    await _begin_with_copy(upstream, run, answer)
+    upstream.reported_runs[run.request_id] = 1
+    asyncio.get_running_loop().call_later(
+        RUN_STOP_DELAY_S, upstream.reported_runs.pop, run.request_id
+    )
+    answer.abort()
+    answer.ended = True
+
+
+async def resets_and_never_ends(upstream: Server, run: Run, answer) -> None:
+    """Lose the answer by a reset; list the run from then on."""
+    await _begin_with_copy(upstream, run, answer)
+    upstream.reported_runs[run.request_id] = 1
+    answer.abort()
+    answer.ended = True
+
+
+async def resets_with_a_queue(upstream: Server, run: Run, answer) -> None:
+    """Lose the answer by a reset; list no run, but a queue."""
+    await _begin_with_copy(upstream, run, answer)
+    upstream.queued = 1
+    answer.abort()
+    answer.ended = True
+
+
+async def resets_without_reports(upstream: Server, run: Run, answer) -> None:
+    """Lose the answer by a reset; reset all report calls as well."""
+    await _begin_with_copy(upstream, run, answer)
+    upstream.before_report = [resets_report_call] * 99
+    answer.abort()
+    answer.ended = True
+
+
+async def crashes(upstream: Server, run: Run, answer) -> None:
+    """Send the first event and a copy, then end the process."""
+    await _begin_with_copy(upstream, run, answer)
+    upstream.crash()
+    await asyncio.Event().wait()
+
+
+async def restarts(upstream: Server, run: Run, answer) -> None:
+    """Send the first event and a copy, then start anew at the address."""
+    await _begin_with_copy(upstream, run, answer)
+    upstream.incarnation += "-next"
+    upstream.reported_runs[run.request_id] = 1
+    answer.abort()
+    answer.ended = True
+
+
 async def closes_after_silence(upstream: Server, run: Run, answer) -> None:
     """Send the first event and a copy, then reset after a silence."""
     upstream.runs.append(run)
--- /dev/null
+++ b/toucanrudder/platform/tests/test_broken_runs.py
@@ -0,0 +1,94 @@
+"""Whole requests: runs that may exist only once, and whose answer breaks."""
+
+import asyncio
+import time
+
+import pytest
+
+from toucanrudder.platform.testing import cluster as clusters
+from toucanrudder.platform.testing import standins
+
+#: Longest time of a stream whose engine was gone: without a pause of note.
+AT_ONCE_S = standins.COPY_AFTER_S + 0.4
+
+
+async def start_engines(cluster, first):
+    """Start two engines; the one that is tried first behaves so, once."""
+    engines = [await cluster.engine(), await cluster.engine()]
+    script = [first]
+    for each in engines:
+        each.behaviours = script
+    return engines
+
+
+def run_count(engines):
+    """Return how many runs the engines have begun."""
+    return sum(len(each.runs) for each in engines)
+
+
+async def test_run_is_not_continued_while_its_engine_works_on(cluster):
+    """Guards against two engines that work on one run after a reset."""
+    engines = await start_engines(cluster, standins.resets_and_works_on)
+    listed = []
+
+    async def checks_and_answers(engine, run, answer):
+        listed.extend(name for e in engines for name in e.reported_runs)
+        await standins.answers_normally(engine, run, answer)
+
+    for each in engines:
+        each.default_behaviour = checks_and_answers
+    router = await cluster.router()
+    answer = await clusters.send_request(router, b"/once/x")
+    assert (answer.is_whole, answer.body) == (True, clusters.EVENTS)
+    assert run_count(engines) == 2
+    assert not listed
+
+
+@pytest.mark.parametrize("first", ["crashes", "restarts"])
+async def test_run_of_an_engine_that_is_gone_continues_at_once(cluster, first):
+    """Guards against streams that wait for the report of a dead process."""
+    engines = await start_engines(cluster, getattr(standins, first))
+    router = await cluster.router()
+    began_s = time.monotonic()
+    answer = await clusters.send_request(router, b"/once/x")
+    assert (answer.is_whole, answer.body) == (True, clusters.EVENTS)
+    assert time.monotonic() - began_s < AT_ONCE_S
+    assert run_count(engines) == 2
+
+
+@pytest.mark.parametrize(
+    "first",
+    ["resets_and_never_ends", "resets_with_a_queue", "resets_without_reports"],
+)
+async def test_run_is_given_up_without_proof_of_its_end(cluster, first):
+    """Guards against a continuation on the mere word of a reset."""
+    engines = await start_engines(cluster, getattr(standins, first))
+    router = await cluster.router()
+    began_s = time.monotonic()
+    answer = await clusters.send_request(router, b"/once/x")
+    assert (answer.is_whole, answer.body) == (False, standins.event(1))
+    assert time.monotonic() - began_s < 2.5
+    assert run_count(engines) == 1
+
+
+async def test_runs_that_break_together_share_requests_for_reports(cluster):
+    """Guards against a flood of requests for reports after a crash."""
+    engines = await start_engines(cluster, standins.answers_normally)
+    asked = []
+    routers = await cluster.routers(1)
+    script = [standins.resets_and_works_on] * 8
+    for each in engines:
+        each.behaviours = script
+    report = routers[0].state.reports.ask
+
+    async def count(upstream, *, timeout_s):
+        asked.append(upstream.incarnation)
+        return await report(upstream, timeout_s=timeout_s)
+
+    routers[0].state.reports.ask = count
+    answers = await asyncio.gather(
+        *(clusters.send_request(routers[0], b"/once/x") for _ in range(8))
+    )
+    assert all(each.is_whole for each in answers)
+    # Once per interval and engine, for as long as the runs go on.
+    assert len(asked) <= 2 * (standins.RUN_STOP_DELAY_S / 0.1 + 3)
--- a/toucanrudder/platform/tests/test_platform.py
+++ b/toucanrudder/platform/tests/test_platform.py
@@ -461,7 +461,8 @@
 
 
 async def test_report_requests_are_spaced(cluster):
-    # The configured event gap is 0, so reports are due at all times.
+    # The configured event gap is 0, so reports are due at all times.  The
+    # engine gives reports again once it has ended the run.
     routes = [
         each | {"target_gap_ms": 0}
         for each in clusters.CONFIGURATION["routes"]
@@ -470,13 +471,24 @@
         "config", "main", clusters.CONFIGURATION | {"routes": routes}
     )
     engines = [await cluster.engine(), await cluster.engine()]
-    set_first_behaviour(engines, standins.closes_after_silence)
+    asked = []
+
+    async def resets_report_call(engine, answer):
+        asked.append(engine)
+        await standins.resets_report_call(engine, answer)
+
+    async def closes_after_silence(engine, run, answer):
+        await standins.closes_after_silence(engine, run, answer)
+        for each in engines:
+            each.before_report.clear()
+
+    set_first_behaviour(engines, closes_after_silence)
     for each in engines:
-        each.before_report = [standins.resets_report_call] * 99
+        each.before_report = [resets_report_call] * 99
     router = await cluster.router()
     answer = await clusters.send_request(router, b"/once/x")
     assert (answer.is_whole, answer.body) == (True, clusters.EVENTS)
-    assert min(len(each.before_report) for each in engines) > 89
+    assert 0 < len(asked) < 10
 
 
 async def test_run_continues_elsewhere_after_its_connection_breaks(cluster):
--- a/toucanrudder/testing/virtual/sites.py
+++ b/toucanrudder/testing/virtual/sites.py
@@ -124,12 +124,12 @@
         # Another start at the address says that it is not the one meant.
         return engine if engine.name == upstream.name else None
 
-    async def report(
+    async def ask_report(
         self, upstream: model.Upstream, *, timeout_s: float
-    ) -> rollout.EngineReport | None:
-        """Return the engine's report; None if it gave none."""
+    ) -> rollout.ReportReply:
+        """Return the engine's report, if it gives one."""
         engine = await self._reached(upstream, timeout_s)
-        return engine.report() if engine else None
+        return rollout.ReportReply.of(engine.report() if engine else None)
 
     async def load(
         self,
