Share no parts that an organisation left before it was isolated

Cause: isolation gave the organisation a salt of its own, but the salt of all others stayed as it was, and engines find parts by the salt alone. On a related path a request kept the organisation as it was on arrival, so one that waited during the change was sent with the old salt. Ruled out: a router with an old configuration, as no request of the isolated organisation bore the shared salt after the change.

Change: the shared salt names the set of isolated organisations, so it never holds a part of one of them, and routers that start later make the same salt without any history. The scope is that of the configuration in force when a request is sent.

Three rows of test_parts_left_before_an_isolation_are_not_used and test_waiting_request_uses_the_scope_in_force fail without the change of routing.py and execution.py. What a change of the set costs in cache hits was not measured.

--- a/toucanrudder/forwarding/attempts/attempt.py
+++ b/toucanrudder/forwarding/attempts/attempt.py
@@ -154,6 +154,7 @@
     is_silent: bool = False
     sent_at_s: float = 0.0
     sent_parts: tuple[tuple[str, int], ...] = ()
+    sent_salt: str = ""
     was_presumed_dead: bool = False
     is_replaced: bool = False
     evidence: retry_policy.Evidence = attrs.field(
@@ -325,6 +326,7 @@
     ) -> None:
         upstream = choice.upstream
         copy_upstream = self.execution.copy_upstream
+        self.sent_salt = self._cache_salt(upstream)
         head = self.execution.dialect.upstream_request(
             self.execution.request.head,
             self.execution.request.body,
@@ -332,7 +334,7 @@
             dialects.Instructions(
                 upstream=upstream,
                 remaining_s=self.execution.remaining_s(),
-                salt=self._cache_salt(upstream),
+                salt=self.sent_salt,
                 weights_version=self._weights_version(upstream),
                 resume_after=self.execution.last_event_id,
                 fetch_from=choice.copy_from,
@@ -577,7 +579,7 @@
         if self.prompt is not None:
             self.state.cache.add_parts(
                 upstream.incarnation,
-                self._cache_salt(upstream),
+                self.sent_salt,
                 self.prompt.parts,
             )
 
--- a/toucanrudder/forwarding/cache.py
+++ b/toucanrudder/forwarding/cache.py
@@ -17,7 +17,7 @@
     """Return the salt of an engine's cache keys.
 
     The version prevents copies between engines with different weights; the
-    scope separates the cache of an isolated organisation.
+    scope separates organisations that share no cache.
 
     Examples
     --------
--- a/toucanrudder/forwarding/execution.py
+++ b/toucanrudder/forwarding/execution.py
@@ -420,11 +420,15 @@
         return attempts.Attempt(self, target)
 
     def cache_scope(self) -> str:
-        """Return the organisation whose own cache is used; empty if shared."""
+        """Return the scope in which cached parts are shared.
+
+        It is that of the configuration in force, as the request may have
+        waited since it was matched.
+        """
         organisation = self.route_match.organisation
-        if organisation is not None and organisation.is_isolated:
-            return organisation.name
-        return ""
+        return self.state.table().cache_scope(
+            organisation.name if organisation else None
+        )
 
     def _handle_failure(
         self,
--- a/toucanrudder/forwarding/routing.py
+++ b/toucanrudder/forwarding/routing.py
@@ -5,6 +5,7 @@
 import attrs
 
 from toucanrudder import errors
+from toucanrudder.forwarding import cache_scopes
 from toucanrudder.forwarding import model
 
 STEP = "route"
@@ -99,6 +100,9 @@
             organisation.name: organisation
             for organisation in configuration.organisations
         }
+        self._shared_scope = cache_scopes.shared_scope(
+            configuration.organisations
+        )
         self._ranks = _ranks(configuration)
         self.resumable_timeouts_s = _resumable_timeouts_s(configuration)
 
@@ -106,6 +110,22 @@
         """Return the organisation with this name."""
         return self._organisations.get(name)
 
+    def cache_scope(self, organisation: str | None) -> str:
+        """Return the scope in which requests share cached parts.
+
+        Parameters
+        ----------
+        organisation : str or None
+            Name of the sender, which may have been removed since; None on
+            routes that need none.
+        """
+        if organisation is None:
+            return self._shared_scope
+        known = self._organisations.get(organisation)
+        if known is None or known.is_isolated:
+            return cache_scopes.own_scope(organisation)
+        return self._shared_scope
+
     def route(self, host: str, path: str) -> model.Route | None:
         """Return the route with the longest prefix of the path.
 
--- a/toucanrudder/platform/tests/test_platform.py
+++ b/toucanrudder/platform/tests/test_platform.py
@@ -697,6 +697,87 @@
     assert north != south
 
 
+async def salts_of_requests(router, engine):
+    """Return the salts of a request of each organisation."""
+    engine.runs.clear()
+    for name in ("north", "south"):
+        await clusters.send_request(
+            router, b"/s/x", Authorization=f"Bearer key-of-{name}"
+        )
+    return [run.headers["cache-salt"] for run in engine.runs]
+
+
+async def isolate(cluster, router, number, isolated):
+    """Put a configuration that isolates these organisations into force."""
+    tenants = [
+        each | {"isolated": each["name"] in isolated}
+        for each in clusters.CONFIGURATION["tenants"]
+    ]
+    changed = {"version": number, "tenants": tenants}
+    cluster.store.put("config", "main", clusters.CONFIGURATION | changed)
+    await clusters.wait_until(lambda: router.state.generation == number)
+
+
+#: Sets of isolated organisations, one configuration each.
+ISOLATED = {
+    "later isolated": [[], ["north"]],
+    "isolated twice": [[], ["north"], [], ["north"]],
+    "one after the other": [[], ["north"], ["north", "south"], ["south"]],
+}
+
+
+@pytest.mark.parametrize("isolated", ISOLATED.values(), ids=ISOLATED.keys())
+async def test_parts_left_before_an_isolation_are_not_used(cluster, isolated):
+    """Guards against parts that an organisation left before it was isolated.
+
+    Each salt is used by those that are not isolated, or by a single one.
+    """
+    engine = await cluster.engine()
+    router = await cluster.router()
+    makers = {}
+    for number, names in enumerate(isolated, 10):
+        await isolate(cluster, router, number, names)
+        salts = await salts_of_requests(router, engine)
+        for name, salt in zip(("north", "south"), salts, strict=True):
+            others = makers.setdefault(salt, set()) - {name}
+            makers[salt].add(name)
+            assert not others or not ({name} | others) & set(names)
+
+
+async def test_routers_make_the_same_salts_after_a_restart(cluster):
+    """Guards against salts that depend on what a router has seen."""
+    engine = await cluster.engine()
+    first = await cluster.router()
+    await isolate(cluster, first, 10, [])
+    await isolate(cluster, first, 11, ["north"])
+    second = await cluster.router("r2")
+    assert await salts_of_requests(first, engine) == await salts_of_requests(
+        second, engine
+    )
+
+
+async def test_waiting_request_uses_the_scope_in_force(cluster, monkeypatch):
+    """Guards against parts of requests that waited during a change."""
+    engine = await cluster.engine()
+    router = await cluster.router()
+    next_target = choosing.UpstreamChooser.next_target
+    may_choose = asyncio.Event()
+
+    async def wait(chooser):
+        await may_choose.wait()
+        return await next_target(chooser)
+
+    monkeypatch.setattr(choosing.UpstreamChooser, "next_target", wait)
+    waiting = asyncio.ensure_future(clusters.send_request(router, b"/s/x"))
+    await clusters.wait_until(lambda: router.state.open_requests)
+    await isolate(cluster, router, 10, ["north"])
+    may_choose.set()
+    await waiting
+    await clusters.send_request(router, b"/s/x")
+    before, after = (run.headers["cache-salt"] for run in engine.runs)
+    assert before == after
+
+
 async def test_disconnected_caller_cancels_the_run(cluster):
     # The caller disconnects during the run.  The engine's connection must
     # be closed, or it would continue the run in vain.
