--- a/toucanrudder/platform/tests/test_software_versions.py
+++ b/toucanrudder/platform/tests/test_software_versions.py
@@ -16,6 +16,9 @@
 STREAMS = 24
 CUT_STREAMS = 8
 
+#: Time by which a router is certainly past the window of its start.
+WINDOW_SLACK_S = 1.0
+
 
 def breaks_first(behaviour):
     """Return a behaviour for new streams; others are answered normally."""
@@ -76,7 +79,7 @@
     connection.abort()
 
 
-async def take_up(router, number):
+async def take_up(router, number, **fields):
     """Resume a stream after its first event."""
     return await clusters.send_request(
         router,
@@ -85,6 +88,7 @@
         Prompt_Prefix=prompt_of(number),
         Last_Event_Id="1",
         Resumes=f"stream{number}",
+        **fields,
     )
 
 
@@ -193,6 +197,49 @@
         assert len(versions_of(engines, *ids)) == 1
 
 
+#: Versions that serve before and after all routers restart, how long the
+#: caller says that it waits, and whether its stream goes on.
+RESTARTS = {
+    "both versions stay": (("v1", "v2"), ("v1", "v2"), "20000", False),
+    "the old one is gone": (("v1", "v2"), ("v2",), "20000", False),
+    "replaced meanwhile": (("v1",), ("v2",), "20000", False),
+    "no wait is stated": (("v1",), ("v2",), None, False),
+    "one version": (("v1",), ("v1",), "3000", True),
+}
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "wait_ms", "goes_on"),
+    RESTARTS.values(),
+    ids=RESTARTS.keys(),
+)
+async def test_stream_begun_before_all_routers_restart_is_not_joined(
+    cluster, tmp_path, before, after, wait_ms, goes_on
+):
+    """Guards against streams joined from two versions after a restart."""
+    engines = await start_engines(cluster, before)
+    set_behaviour(engines, hangs_after_event)
+    async with contextlib.AsyncExitStack() as stack:
+        mortal = clusters.Cluster(tmp_path, stack)
+        mortal.store = cluster.store
+        first = await mortal.router("r0")
+        await receive_first_event(first, 0)
+    (begun_at,) = versions_of(engines, "stream0")
+    for engine in engines:
+        if engine.software_version not in after:
+            cluster.store.delete("servers", engine.incarnation)
+    for version in set(after) - set(before):
+        engines.append(await cluster.engine(version))
+    router = await cluster.router()
+    streams = router.state.streams
+    until_s = clock.now_s() + streams.window_s("engines") + WINDOW_SLACK_S
+    await clusters.wait_until(lambda: clock.now_s() > until_s)
+    answer = await take_up(router, 0, Deadline_Ms=wait_ms)
+    assert answer.is_whole
+    assert versions_of(engines, "next0") <= {begun_at}
+    assert (answer.status == 200) is goes_on
+
+
 def is_refused_at_once(answer, code):
     """Whether an answer says that the request was not run, and why."""
     return answer.status == 503 and code in answer.body
