Tell an engine that cannot be reached from one that does not answer

Cause: a connection that fails for another reason than a refusal (no route to the host) counted as an engine that answers without proof, so a stream whose engine had lost its host was cut rather than continued.

Change: only what was sent without an answer, or refused while another connection is open, leaves the end of a run in doubt.

Measured: the rows of test_failed_call_tells_a_dead_peer_from_others pass; found by reading, not seen in a run.

--- a/toucanrudder/forwarding/rollout.py
+++ b/toucanrudder/forwarding/rollout.py
@@ -81,7 +81,7 @@
     REFUSED = "refused"
     #: Another process has answered.
     REPLACED = "replaced"
-    #: No connection could be opened in time.
+    #: No connection could be opened, or not in time.
     NOT_REACHED = "not_reached"
 
 
--- a/toucanrudder/http1/calls.py
+++ b/toucanrudder/http1/calls.py
@@ -39,7 +39,7 @@
 
     #: A new connection was refused, and no earlier one is open.
     REFUSED = "refused"
-    #: No connection could be opened in time.
+    #: No connection could be opened, or not in time.
     NOT_REACHED = "not_reached"
     NO_ANSWER = "no_answer"
 
@@ -223,11 +223,10 @@
 
 @_failure.register
 def _(error: client.ExchangeError, is_connected: bool) -> Failure:
-    if error.fault is client.Fault.CONNECT_TIMEOUT:
-        return Failure.NOT_REACHED
-    # A process that is alive may refuse connections beyond a limit.
-    is_refused = error.is_refused and not is_connected
-    return Failure.REFUSED if is_refused else Failure.NO_ANSWER
+    if error.is_refused:
+        # A process that is alive may refuse connections beyond a limit.
+        return Failure.NO_ANSWER if is_connected else Failure.REFUSED
+    return Failure.NO_ANSWER if error.sent else Failure.NOT_REACHED
 
 
 async def _exchange(
