Leave the store's connect timeout as it was

Cause: the shorter time for opening a connection, which tells engines out of reach from those that do not answer, was set in the call that the store's client uses as well.

Change: it is set for calls to engines only. The tests of the store and of calls pass as before.

--- a/toucanrudder/http1/calls.py
+++ b/toucanrudder/http1/calls.py
@@ -184,9 +184,7 @@
         _exchange,
         lambda: connections.connection(
             address,
-            connect_timeout_s=min(
-                connect_timeout_s, CONNECT_SHARE * timeout_s
-            ),
+            connect_timeout_s=min(connect_timeout_s, timeout_s),
             clock=clock,
         ),
         head,
@@ -204,11 +202,25 @@
 
 
 async def try_call(
-    connections: pool.ConnectionPool, address: str, *args, **kwargs
+    connections: pool.ConnectionPool,
+    address: str,
+    *args,
+    timeout_s: float,
+    connect_timeout_s: float,
+    **kwargs,
 ) -> Answer:
     """Return the response as `call`, or an answer that names the failure."""
     try:
-        return await call(connections, address, *args, **kwargs)
+        return await call(
+            connections,
+            address,
+            *args,
+            timeout_s=timeout_s,
+            connect_timeout_s=min(
+                connect_timeout_s, CONNECT_SHARE * timeout_s
+            ),
+            **kwargs,
+        )
     except (client.ExchangeError, TimeoutError, Unreadable) as error:
         LOG.info("no answer of %s to %s: %r", address, args, error)
         is_connected = connections.is_connected(address)
