Take no version for the only one while old streams may return

Cause: what a caller states when it takes its stream up is what is left of its wait, so the window that the mend before derived from it was too short for one that had waited long: of a wait of 20 s with 2 s left, 7 s were assumed, and its stream was joined from two versions.

Change: the window is the route's timeout and the longest time for which callers take streams up again, two minutes. It decides alike whether a version counts as the only one, whether records go to peers, and how long they are kept; waits that routers happen to see are not used any more.

The model on virtual time states how long its callers wait, as long as the timeout, which routers assumed before; its checks are the same. The row of a single version became a test of its own, with that wait.

The price, records sent for two minutes after a start or a new version, was not measured.

--- a/toucanrudder/forwarding/streams/resuming.py
+++ b/toucanrudder/forwarding/streams/resuming.py
@@ -22,9 +22,9 @@
 #: Allowed beside the time limits of requests: connections, clocks' drift.
 WINDOW_MARGIN_S = 1.0
 
-#: Longest wait of a caller that extends the time for which streams are
-#: remembered; bounds what callers can ask of this router's memory.  Assumed of
-#: callers that state none.
+#: Longest time for which callers take a stream up again.  What a caller states
+#: when it returns is what is left of its wait, so it does not bound the age of
+#: its stream.
 MAX_WAIT_S = 120.0
 
 #: ``Retry-After`` if none of the routers that may know a stream answered:
@@ -44,11 +44,6 @@
     return origins.stream_key(organisation, match.call.stream_id)
 
 
-def wait_s(call: model.Call) -> float:
-    """Return for how long a caller may take its stream up again."""
-    return MAX_WAIT_S if call.wait_s is None else min(call.wait_s, MAX_WAIT_S)
-
-
 @attrs.define(eq=False)
 class StreamResumption:
     """Knows what began streams, and which upstreams may continue them.
@@ -63,6 +58,8 @@
         Origins of streams.
     has_silent_peer : callable
         Returns whether a router fell silent that was not stopping.
+    max_wait_s : float
+        Longest time for which callers take a stream up again.
     """
 
     registry: registries.Registry
@@ -72,7 +69,7 @@
     software: software_versions.SoftwareVersions = attrs.field(
         factory=software_versions.SoftwareVersions
     )
-    _longest_wait_s: float = 0.0
+    max_wait_s: float = MAX_WAIT_S
 
     # What is known of upstreams' software.
 
@@ -102,27 +99,15 @@
             return news
         return attrs.evolve(news, complete_for_s=None)
 
-    def sole_version(
-        self, service: str, now_s: float, wait_s: float | None = None
-    ) -> str | None:
+    def sole_version(self, service: str, now_s: float) -> str | None:
         """Return the software that has begun all streams of a service.
 
         None if there may have been several versions.
-
-        Parameters
-        ----------
-        service : str
-            The service.
-        now_s : float
-            Monotonic time.
-        wait_s : float or None
-            For how long the callers in question wait; None for all callers
-            of this router.
         """
         if not self.is_current(now_s):
             return None
         return self.software.sole_version(
-            service, self.window_s(service, wait_s), now_s
+            service, self.window_s(service), now_s
         )
 
     def is_new(self, upstream: model.Upstream) -> bool:
@@ -131,20 +116,12 @@
             upstream.service, upstream.software_version, clock.now_s()
         )
 
-    def window_s(self, service: str, wait_s: float | None = None) -> float:
-        """Return how long after its start a stream may still be taken up.
-
-        Parameters
-        ----------
-        service : str
-            Service of the stream.
-        wait_s : float or None
-            For how long its caller waits; None for the longest known.
-        """
+    def window_s(self, service: str) -> float:
+        """Return how long after its start a stream may still be taken up."""
         timeout_s = self.timeouts_s().get(service, 0.0)
-        if wait_s is None:
-            wait_s = self._longest_wait_s
-        window_s = timeout_s + max(timeout_s, wait_s) + WINDOW_MARGIN_S
+        window_s = (
+            timeout_s + max(timeout_s, self.max_wait_s) + WINDOW_MARGIN_S
+        )
         return min(window_s, messages.MAX_KEPT_S)
 
     def shared_services(self, now_s: float) -> set[str]:
@@ -182,11 +159,9 @@
         key = key_of(match)
         if key is None:
             return
-        caller_wait_s = wait_s(match.call)
-        self._longest_wait_s = max(self._longest_wait_s, caller_wait_s)
         service = upstream.service
         is_shared = len(match.route.services) > 1 or (
-            self.sole_version(service, now_s, caller_wait_s) is None
+            self.sole_version(service, now_s) is None
         )
         self.directory.record(
             messages.OriginRecord(
@@ -194,7 +169,7 @@
                 service,
                 upstream.software_version,
                 order,
-                self.window_s(service, caller_wait_s),
+                self.window_s(service),
             ),
             now_s,
             is_shared=is_shared,
@@ -220,7 +195,7 @@
             finding = directories.Finding(record)
         origin = _origin(finding.record)
         if origin is None:
-            source, origin = "sole version", self._sole_origin(match, began_s)
+            source, origin = "sole version", self._sole_origin(route, began_s)
         if origin is None and key is not None:
             source, finding = "owners", await self.directory.find(key)
             origin = _origin(finding.record)
@@ -244,13 +219,12 @@
         return origin
 
     def _sole_origin(
-        self, match: routing.RouteMatch, now_s: float
+        self, route: model.Route, now_s: float
     ) -> origins.Origin | None:
-        if len(match.route.services) != 1:
+        if len(route.services) != 1:
             return None
-        (service,) = match.route.services
-        # Other callers' waits say nothing of when this stream began.
-        version = self.sole_version(service, now_s, wait_s(match.call))
+        (service,) = route.services
+        version = self.sole_version(service, now_s)
         return None if version is None else origins.Origin(service, version)
 
 
--- a/toucanrudder/forwarding/streams/tests/test_software.py
+++ b/toucanrudder/forwarding/streams/tests/test_software.py
@@ -34,6 +34,7 @@
         registry,
         lambda: {SERVICE: TIMEOUT_S},
         directory.OriginDirectory("r", tuple, lambda now_s: set()),
+        max_wait_s=TIMEOUT_S,
     )
 
 
--- a/toucanrudder/platform/tests/test_software_versions.py
+++ b/toucanrudder/platform/tests/test_software_versions.py
@@ -16,8 +16,11 @@
 STREAMS = 24
 CUT_STREAMS = 8
 
-#: Time by which a router is certainly past the window of its start.
-WINDOW_SLACK_S = 1.0
+#: Time after a restart that is longer than two timeouts of the route.
+AFTER_RESTART_S = 8.0
+
+#: Wait of callers in tests in which streams cannot be taken up for long.
+SHORT_WAIT_S = 3.0
 
 
 def breaks_first(behaviour):
@@ -197,26 +200,22 @@
         assert len(versions_of(engines, *ids)) == 1
 
 
-#: Versions that serve before and after all routers restart, how long the
-#: caller says that it waits, and whether its stream goes on.
+#: Versions that serve before and after all routers restart, and for how long
+#: the caller says that it still waits when it returns.
 RESTARTS = {
-    "both versions stay": (("v1", "v2"), ("v1", "v2"), "20000", False),
-    "the old one is gone": (("v1", "v2"), ("v2",), "20000", False),
-    "replaced meanwhile": (("v1",), ("v2",), "20000", False),
-    "no wait is stated": (("v1",), ("v2",), None, False),
-    "one version": (("v1",), ("v1",), "3000", True),
+    "both versions stay": (("v1", "v2"), ("v1", "v2"), "20000"),
+    "the old one is gone": (("v1", "v2"), ("v2",), "20000"),
+    "replaced meanwhile": (("v1",), ("v2",), "20000"),
+    "little wait is left": (("v1",), ("v2",), "2000"),
+    "no wait is stated": (("v1",), ("v2",), None),
 }
 
 
-@pytest.mark.parametrize(
-    ("before", "after", "wait_ms", "goes_on"),
-    RESTARTS.values(),
-    ids=RESTARTS.keys(),
-)
-async def test_stream_begun_before_all_routers_restart_is_not_joined(
-    cluster, tmp_path, before, after, wait_ms, goes_on
-):
-    """Guards against streams joined from two versions after a restart."""
+async def begin_before_restart(cluster, tmp_path, before, after):
+    """Begin a stream, then change the versions and start a new router.
+
+    Return the engines and the router, after more than two timeouts.
+    """
     engines = await start_engines(cluster, before)
     set_behaviour(engines, hangs_after_event)
     async with contextlib.AsyncExitStack() as stack:
@@ -224,20 +223,40 @@
         mortal.store = cluster.store
         first = await mortal.router("r0")
         await receive_first_event(first, 0)
-    (begun_at,) = versions_of(engines, "stream0")
     for engine in engines:
         if engine.software_version not in after:
             cluster.store.delete("servers", engine.incarnation)
     for version in set(after) - set(before):
         engines.append(await cluster.engine(version))
     router = await cluster.router()
-    streams = router.state.streams
-    until_s = clock.now_s() + streams.window_s("engines") + WINDOW_SLACK_S
+    until_s = clock.now_s() + AFTER_RESTART_S
     await clusters.wait_until(lambda: clock.now_s() > until_s)
+    return engines, router
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "wait_ms"), RESTARTS.values(), ids=RESTARTS.keys()
+)
+async def test_stream_begun_before_all_routers_restart_is_not_joined(
+    cluster, tmp_path, before, after, wait_ms
+):
+    """Guards against streams joined from two versions after a restart."""
+    engines, router = await begin_before_restart(
+        cluster, tmp_path, before, after
+    )
     answer = await take_up(router, 0, Deadline_Ms=wait_ms)
-    assert answer.is_whole
-    assert versions_of(engines, "next0") <= {begun_at}
-    assert (answer.status == 200) is goes_on
+    assert is_refused_at_once(answer, b"stream_origin_unknown")
+    assert not versions_of(engines, "next0")
+
+
+async def test_stream_of_a_single_version_goes_on_after_a_restart(
+    cluster, tmp_path
+):
+    """Guards against streams that are refused for good after a restart."""
+    _, router = await begin_before_restart(cluster, tmp_path, ("v1",), ("v1",))
+    router.state.streams.max_wait_s = SHORT_WAIT_S
+    answer = await take_up(router, 0)
+    assert (answer.status, answer.is_whole) == (200, True)
 
 
 def is_refused_at_once(answer, code):
@@ -294,6 +313,8 @@
     monkeypatch.setattr(resuming, "WINDOW_MARGIN_S", -5.5)
     await start_engines(cluster, ("v1", "v1"))
     routers = await cluster.routers(3)
+    for each in routers:
+        each.state.streams.max_wait_s = SHORT_WAIT_S
     await clusters.wait_until(
         lambda: all(
             each.state.streams.sole_version("engines", clock.now_s())
