Say by which configuration a request is handled, and how old it is

Cause: a router that follows the configuration late could not be told from one that handles a request by the configuration of its arrival. Lines of refusals, answers and taken over requests named no generation, and those of placements and hand-overs named the one in force, not that of the match. Nothing said how old a router's news of the configuration was.

Change: these lines name the generation that the request was matched by. ConfigurationTaken says when the store last answered the watch and for how long a peer was known to be ahead; ConfigurationBehind says who is ahead. Two gauges show the same before a caller sees it. No logic is changed.

--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -186,11 +186,14 @@
         if not self.state.offer(document.configuration):
             return False
         self.document = document
+        news, now_s = self.state.generation_news, clock.now_s()
         decisions.record(
             decisions.ConfigurationTaken(
                 generation=document.generation,
                 previous=previous,
                 source=source,
+                confirmed_age_s=news.confirmed_age_s(now_s),
+                behind_s=news.record_taken(document.generation, now_s),
             )
         )
         return True
@@ -322,6 +325,16 @@
             "Other routers, as this one has heard of them",
             lambda: self.peering.node.table.count_by_state(stalls.running_s()),
         )
+        metrics.gauge(
+            "toucanrudder_configuration_generation",
+            "Generation in force, and the newest that a peer has",
+            self.state.generation_news.generations,
+        )
+        metrics.gauge(
+            "toucanrudder_configuration_age_seconds",
+            "Since the store answered, and since a peer has a newer one",
+            lambda: self.state.generation_news.ages_s(clock.now_s()),
+        )
         metrics.gauge(
             "toucanrudder_upstreams",
             "Upstreams in use; missing: believed though not registered",
--- a/toucanrudder/forwarding/execution.py
+++ b/toucanrudder/forwarding/execution.py
@@ -182,6 +182,7 @@
                 longest_gap_s=self.longest_gap_s,
                 objective_s=self.route.objective_s,
                 event_gap_s=self.route.event_gap_s,
+                generation=self.route_match.generation,
             )
         )
         kind = self.route.repetition.value
--- a/toucanrudder/forwarding/forwarder.py
+++ b/toucanrudder/forwarding/forwarder.py
@@ -127,7 +127,9 @@
     ) -> None:
         call = self.dialect.read_call(request.head)
         summary.request_id = call.request_id
-        route_match = self.state.table().match(call)
+        table = self.state.table()
+        summary.generation = table.configuration.generation
+        route_match = table.match(call)
         route = route_match.route
         summary.route, summary.kind = route.name, route.repetition.value
         self._refuse_if_cut_by_stop(route, call)
@@ -210,6 +212,7 @@
                 after_s=after_s,
                 peer=error.peer,
                 detail=error.message,
+                generation=summary.generation,
             )
         )
         if answer.started:
@@ -226,4 +229,5 @@
     request_id: str = ""
     route: str = ""
     kind: str = "unknown"
+    generation: int = 0
     attempt_count: Callable[[], int] = lambda: 0
--- a/toucanrudder/forwarding/handover/handing.py
+++ b/toucanrudder/forwarding/handover/handing.py
@@ -172,7 +172,8 @@
                 attempt=execution.attempt_count,
                 waited_s=clock.now_s() - request.began_s,
                 left_s=execution.remaining_s(),
-                generation=self.state.generation,
+                generation=execution.route_match.generation,
+                current_generation=self.state.generation,
             )
         )
         # From here on the peer may have sent the request to an upstream.
--- a/toucanrudder/forwarding/handover/taking.py
+++ b/toucanrudder/forwarding/handover/taking.py
@@ -165,6 +165,10 @@
                     attempts=execution.attempt_count if execution else 0,
                     after_s=clock.now_s() - began_s,
                     taken=self.taken,
+                    offered_generation=offer.generation,
+                    generation=execution.route_match.generation
+                    if execution
+                    else 0,
                 )
             )
 
--- a/toucanrudder/forwarding/peering.py
+++ b/toucanrudder/forwarding/peering.py
@@ -14,6 +14,7 @@
 from toucanrudder.forwarding import upstream_news
 from toucanrudder.forwarding.streams import directory
 from toucanrudder.membership import routers
+from toucanrudder.observability import decisions
 from toucanrudder.peers import client as peer_clients
 from toucanrudder.peers import messages
 from toucanrudder.peers import node as nodes
@@ -161,6 +162,7 @@
 
     def merge(self, heartbeat: messages.Heartbeat, now_s: float) -> None:
         """Merge the upstream information of a peer's heartbeat."""
+        self._note_generation(heartbeat, now_s)
         for weights in heartbeat.weights:
             self.state.record_weights_version(
                 weights.model, weights.version, now_s
@@ -203,6 +205,20 @@
         if avoided:
             self._avoided_by_peer[sender] = set(avoided)
 
+    def _note_generation(
+        self, heartbeat: messages.Heartbeat, now_s: float
+    ) -> None:
+        news = self.state.generation_news
+        if news.record_heard(heartbeat.generation, now_s):
+            decisions.record(
+                decisions.ConfigurationBehind(
+                    generation=self.state.generation,
+                    peer_generation=heartbeat.generation,
+                    peer=heartbeat.sender.name,
+                    confirmed_age_s=news.confirmed_age_s(now_s),
+                )
+            )
+
     def _merge_store_outages(
         self, heartbeat: messages.Heartbeat, now_s: float
     ) -> None:
--- a/toucanrudder/forwarding/routing.py
+++ b/toucanrudder/forwarding/routing.py
@@ -25,12 +25,15 @@
         Its sender; None on a public route or without configured keys.
     rank : int
         Its place in the order of urgency; 0 is the most urgent.
+    generation : int
+        Generation of the configuration that it was matched by.
     """
 
     call: model.Call
     route: model.Route
     organisation: model.Organisation | None
     rank: int = 0
+    generation: int = 0
 
 
 def _urgency(
@@ -181,7 +184,9 @@
     def _matched(self, call, route, organisation) -> RouteMatch:
         level = organisation.priority if organisation else None
         rank = self._ranks[_urgency(level, route.priority)]
-        return RouteMatch(call, route, organisation, rank)
+        return RouteMatch(
+            call, route, organisation, rank, self.configuration.generation
+        )
 
 
 def pick_service(route: model.Route, rng: random.Random) -> str:
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -16,6 +16,7 @@
 from toucanrudder.admission import rests
 from toucanrudder.costs import request_costs
 from toucanrudder.forwarding import cache as caches
+from toucanrudder.forwarding import generations
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import placing
 from toucanrudder.forwarding import poison
@@ -111,6 +112,8 @@
         Says whether an upstream may be sent a request now.
     is_settled : callable
         Returns whether all live routers are probably known.
+    generation_news : generations.GenerationNews
+        How current the configuration is.
     known_fleet : fleet_size.FleetSize
         Recent numbers of live routers.
     has_unknown_seeds : callable
@@ -201,6 +204,9 @@
         )
     )
     is_settled: Callable[[], bool] = lambda: True
+    generation_news: generations.GenerationNews = attrs.field(
+        factory=generations.GenerationNews
+    )
     known_fleet: fleet_size.FleetSize = attrs.field(
         factory=fleet_size.FleetSize
     )
--- a/toucanrudder/forwarding/store_watch.py
+++ b/toucanrudder/forwarding/store_watch.py
@@ -299,7 +299,11 @@
                 self._store,
                 kinds.configuration,
                 feeds.FeedCallbacks(
-                    self._on_documents, _for_each_change(self._on_documents)
+                    self._on_documents,
+                    _for_each_change(self._on_documents),
+                    on_confirmed=lambda now_s, _: (
+                        self._state.generation_news.record_confirmed(now_s)
+                    ),
                 ),
                 lambda: configuration_wait_s(
                     wait_s, self._state.live_routers()
--- a/toucanrudder/observability/decisions.py
+++ b/toucanrudder/observability/decisions.py
@@ -46,11 +46,28 @@
 
 @attrs.frozen(kw_only=True)
 class ConfigurationTaken:
-    """This router has put a newer configuration into force."""
+    """This router has put a newer configuration into force.
+
+    ``source`` is the store or the address of a peer.  ``confirmed_age_s`` is
+    the time since the store last answered this router's watch, and
+    ``behind_s`` the time since a peer first said that it had a newer one.
+    """
 
     generation: int
     previous: int
     source: str
+    confirmed_age_s: float | None
+    behind_s: float
+
+
+@attrs.frozen(kw_only=True)
+class ConfigurationBehind:
+    """A peer has a newer configuration than this router."""
+
+    generation: int
+    peer_generation: int
+    peer: str
+    confirmed_age_s: float | None
 
 
 @attrs.frozen(kw_only=True)
@@ -188,6 +205,8 @@
 
     ``resume_after`` is the ID of the event after which a stream goes on, and
     ``resumes`` the caller's request that received the stream's first event.
+    The request was matched by the configuration of ``generation``; the one in
+    force now is ``current_generation``.
     Where upstreams are uneven, ``expected_s`` is the time to the first event
     or plain answer that was expected there, reckoned from ``time_factor``,
     ``slowness`` and ``work_left_s``; ``second`` is the best other upstream.
@@ -205,6 +224,7 @@
     waited_s: float
     left_s: float
     generation: int
+    current_generation: int
     weights_version: int | None
     weights_age_s: float
     prompt_tokens: int
@@ -451,7 +471,11 @@
 
 @attrs.frozen(kw_only=True)
 class HandedOver:
-    """A peer has accepted a request whose service is not reached from here."""
+    """A peer has accepted a request whose service is not reached from here.
+
+    The request was matched by the configuration of ``generation``; the one in
+    force now is ``current_generation``.
+    """
 
     request_id: str
     route: str
@@ -462,13 +486,15 @@
     waited_s: float
     left_s: float
     generation: int
+    current_generation: int
 
 
 @attrs.frozen(kw_only=True)
 class TakenOver:
     """The work on a request that a peer had handed over has ended.
 
-    The peer logs what its caller received.
+    The peer logs what its caller received.  Its configuration was
+    ``offered_generation``; the request was matched by ``generation`` here.
     """
 
     request_id: str
@@ -479,6 +505,8 @@
     attempts: int
     after_s: float
     taken: int
+    offered_generation: int
+    generation: int
 
 
 @attrs.frozen(kw_only=True)
@@ -499,7 +527,11 @@
 
 @attrs.frozen(kw_only=True)
 class Answered:
-    """A caller received the complete answer of an upstream."""
+    """A caller received the complete answer of an upstream.
+
+    ``generation`` is that of the configuration that the request was matched
+    by.
+    """
 
     request_id: str
     route: str
@@ -512,11 +544,16 @@
     longest_gap_s: float
     objective_s: float
     event_gap_s: float
+    generation: int
 
 
 @attrs.frozen(kw_only=True)
 class Refused:
-    """A caller received an error from the router itself."""
+    """A caller received an error from the router itself.
+
+    ``generation`` is that of the configuration that the request was compared
+    with; 0 if it was refused before.
+    """
 
     request_id: str
     route: str
@@ -527,6 +564,7 @@
     after_s: float
     peer: str
     detail: str
+    generation: int
 
 
 @attrs.frozen(kw_only=True)
@@ -563,6 +601,7 @@
     Stopped,
     Reloaded,
     ConfigurationTaken,
+    ConfigurationBehind,
     StoreLost,
     StoreRegained,
     UpstreamSeen,
--- a/toucanrudder/observability/tests/test_lines.py
+++ b/toucanrudder/observability/tests/test_lines.py
@@ -22,6 +22,7 @@
     longest_gap_s=0.2,
     objective_s=0.4,
     event_gap_s=0.4,
+    generation=3,
 )
 REFUSED = decisions.Refused(
     request_id="id2",
@@ -33,6 +34,7 @@
     after_s=0.1,
     peer="i1",
     detail="no upstream could take the request",
+    generation=3,
 )
 
 
