Show two ways in which all or some routers follow late

What callers saw: requests were run by a service that only an older version of the configuration allows, past its bound.

Two of the hypotheses happen here, in one process with five routers:

- A version whose answers to all watches are lost is in force nowhere until the wait of a watch and its margin are over: a change ends all watches at the same time, and all begin again after the same delay.
- A router whose own watch is silent learns of a version from peers.
It asks one of them for the document, for 5 s if that one does not answer.

--- a/toucanrudder/platform/testing/cluster.py
+++ b/toucanrudder/platform/testing/cluster.py
@@ -93,7 +93,7 @@
     [store]
     address = {store}
     timeout_s = 0.5
-    watch_wait_s = 1.0
+    watch_wait_s = {watch_wait_s}
     [retries]
     slack = 1000000
     [shutdown]
@@ -103,7 +103,15 @@
 
 
 class Cluster:
-    """A store, upstreams and routers of one test."""
+    """A store, upstreams and routers of one test.
+
+    Attributes
+    ----------
+    watch_wait_s : float
+        Seconds for which routers' watches of the store wait.
+    """
+
+    watch_wait_s = 1.0
 
     def __init__(self, tmp_path, stack):
         self.tmp_path = tmp_path
@@ -142,7 +150,10 @@
         """Return the settings of a router."""
         path = self.tmp_path / f"{name}.ini"
         text = textwrap.dedent(SETTINGS).format(
-            name=name, seeds=seeds, store=self.store.address
+            name=name,
+            seeds=seeds,
+            store=self.store.address,
+            watch_wait_s=self.watch_wait_s,
         )
         path.write_text(text)
         return loading.load(str(path), forwarding.GROUPS)
--- a/toucanrudder/platform/testing/standins.py
+++ b/toucanrudder/platform/testing/standins.py
@@ -92,6 +92,8 @@
     mode : str
         ``well``, ``busy`` (503 without effect), ``silent`` (no answer) or
         ``lost`` (writes take effect without an answer).
+    lost_watches : set of str
+        Kinds whose watches get nothing further once they have an answer.
     """
 
     def __init__(self):
@@ -102,6 +104,7 @@
         self.oldest_revision = 0
         self.calls = 0
         self.read_calls: list[tuple[str, dict]] = []
+        self.lost_watches: set[str] = set()
         self._objects: dict[tuple[str, str], dict] = {}
         self._log: list[tuple[int, str, dict, bool]] = []
         self._changed = asyncio.Event()
@@ -222,6 +225,8 @@
             ]
             left_s = until_s - time.monotonic()
             if events or left_s <= 0 or self.mode != "well":
+                if kind in self.lost_watches:
+                    await asyncio.Event().wait()
                 return 200, {"events": events, "current_rev": self.revision}
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(left_s):
--- /dev/null
+++ b/toucanrudder/platform/tests/test_late_configurations.py
@@ -0,0 +1,100 @@
+"""Routers whose watches of the configuration say nothing further."""
+
+import asyncio
+import time
+
+import pytest
+
+from toucanrudder.peers import server
+from toucanrudder.platform.testing import cluster as clusters
+from toucanrudder.store import interface
+
+#: Time after its acknowledgement by which a version must be in force.
+BOUND_S = 2.0
+
+#: Enough for the store to handle a write that it has received.
+HANDLED_S = 0.1
+
+ROUTERS = 5
+
+
+def put_version(cluster, version):
+    cluster.store.put(
+        "config", "main", {**clusters.CONFIGURATION, "version": version}
+    )
+
+
+async def late_routers(routers, version):
+    """Return the names of the routers without a version at the bound."""
+    until_s = time.monotonic() + BOUND_S
+    while True:
+        late = [
+            each.state.name
+            for each in routers
+            if each.state.generation < version
+        ]
+        if not late or time.monotonic() > until_s:
+            return late
+        await asyncio.sleep(0.01)
+
+
+async def test_no_version_is_late_if_all_watches_lose_their_answers(cluster):
+    cluster.watch_wait_s = 5.0
+    routers = await cluster.routers(ROUTERS)
+    put_version(cluster, 4)
+    assert not await late_routers(routers, 4)
+    # All routers watch again, after the delay in which changes are batched.
+    await asyncio.sleep(0.5)
+    cluster.store.lost_watches.add("config")
+    put_version(cluster, 5)
+    await asyncio.sleep(HANDLED_S)
+    cluster.store.lost_watches.clear()
+    assert not await late_routers(routers, 5)
+
+
+def never_answer_watches(router, monkeypatch):
+    """Let a router's watches of the configuration end without an answer."""
+    store = router.platform.store
+    changes = store.changes
+
+    async def watch(kind, position, *, wait_s):
+        if kind != "config":
+            return await changes(kind, position, wait_s=wait_s)
+        await asyncio.sleep(wait_s + 1.0)
+        raise interface.StoreUnavailable("no answer")
+
+    monkeypatch.setattr(store, "changes", watch)
+
+
+def never_give_documents(names, monkeypatch):
+    """Let routers answer heartbeats, but no request for their document."""
+    get_document = server.PeersService.GetDocument
+
+    async def answer(service, request, context):
+        if service._node.name in names:
+            await asyncio.Event().wait()
+        return await get_document(service, request, context)
+
+    monkeypatch.setattr(server.PeersService, "GetDocument", answer)
+
+
+SILENT_PEERS = {"none": 0, "one of four": 1, "two of four": 2, "three": 3}
+
+
+@pytest.mark.parametrize(
+    "silent", SILENT_PEERS.values(), ids=SILENT_PEERS.keys()
+)
+async def test_no_version_is_late_beside_peers_that_give_no_document(
+    cluster, monkeypatch, silent
+):
+    cluster.watch_wait_s = 20.0
+    never_give_documents(
+        [f"r{number + 1}" for number in range(silent)], monkeypatch
+    )
+    routers = await cluster.routers(ROUTERS)
+    never_answer_watches(routers[-1], monkeypatch)
+    # The first version ends the watch that was open before.
+    for version in range(4, 10):
+        put_version(cluster, version)
+        assert not await late_routers(routers, version), version
+        await asyncio.sleep(HANDLED_S)
