Ask another peer for a newer document while one does not answer

What callers saw: requests handled as only an older configuration allows, at a router whose own watch says nothing further.

Cause: such a router learns of a version from peers. It asked one of them for the document, for up to 5 s, and nobody else meanwhile; the next heartbeat could choose the same peer again. The class: one question at a time to somebody who may be silent.

Change: DocumentFetcher notes all peers that are ahead. While none has answered, one more is asked each 0.2 s, eight at most; the others are cancelled once the document is in force. A peer that failed is asked again only after its next heartbeat. The deadline for a large document stays.

--- a/toucanrudder/peers/client.py
+++ b/toucanrudder/peers/client.py
@@ -23,6 +23,7 @@
 from toucanrudder.peers import cap_messages
 from toucanrudder.peers import changes
 from toucanrudder.peers import credentials as peer_credentials
+from toucanrudder.peers import documents
 from toucanrudder.peers import handovers
 from toucanrudder.peers import messages
 from toucanrudder.peers import node as nodes
@@ -204,7 +205,9 @@
         self._rng = rng
         self._channels = ChannelPool(credentials)
         self._busy: set[str] = set()
-        self._fetching = False
+        self._documents = documents.DocumentFetcher(
+            node.generation, self._fetch, self._spawn, rng
+        )
         self._own_addresses: set[str] = set()
         self._urgent = asyncio.Event()
         self._first_news = asyncio.Event()
@@ -448,8 +451,7 @@
     def handle_heartbeat(self, heartbeat: messages.Heartbeat) -> None:
         """Note a received heartbeat; fetch the sender's document if newer."""
         self._last_exchange_s[heartbeat.sender.address] = stalls.running_s()
-        if heartbeat.generation > self._node.generation():
-            self._start_fetch(heartbeat.sender.address)
+        self._documents.record(heartbeat.sender.address, heartbeat.generation)
 
     async def run(self) -> None:
         """Exchange heartbeats until cancelled."""
@@ -573,8 +575,7 @@
         self._last_exchange_s[address] = stalls.running_s()
         self._node.receive(answer, stalls.running_s(), time.time())
         self._first_news.set()
-        if answer.generation > self._node.generation():
-            self._start_fetch(address)
+        self._documents.record(address, answer.generation)
 
     async def _handle_failure(self, address: str, error: Exception) -> None:
         reason = "unreadable_answer"
@@ -588,11 +589,6 @@
         # would keep using it; after this the next call opens a new one.
         await self._channels.discard(address)
 
-    def _start_fetch(self, address: str) -> None:
-        if not self._fetching:
-            self._fetching = True
-            self._spawn(self._fetch(address))
-
     async def _fetch(self, address: str) -> None:
         try:
             async with self._channels.stub_for(address) as stub:
@@ -608,5 +604,3 @@
             # version cannot read.
             nodes.count_refusal("unreadable_document")
             LOG.exception("document of a peer cannot be read")
-        finally:
-            self._fetching = False
--- /dev/null
+++ b/toucanrudder/peers/documents.py
@@ -0,0 +1,89 @@
+"""Which peers are asked for a newer document."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import random
+
+#: Time without an answer after which another peer is asked as well.  The
+#: deadline of a call allows for a large document from a busy peer.
+HEDGE_DELAY_S = 0.2
+
+#: Peers that are asked at one time.
+MAX_FETCHES = 8
+
+
+class DocumentFetcher:
+    """Asks peers that have a newer document, until it is in force here.
+
+    One peer is asked first.  While none has answered, another one is asked
+    after each `HEDGE_DELAY_S`, since a peer may answer heartbeats and not the
+    request for its document.
+
+    Parameters
+    ----------
+    generation : callable
+        Returns the generation in force here.
+    fetch : callable
+        Asks the peer at an address, and takes its document.
+    spawn : callable
+        Starts a task that ends with the client.
+    rng : random.Random
+        Chooses among the peers that are ahead.
+    """
+
+    def __init__(
+        self,
+        generation: Callable[[], int],
+        fetch: Callable[[str], Awaitable[None]],
+        spawn: Callable[..., asyncio.Task],
+        rng: random.Random,
+    ):
+        self._generation = generation
+        self._fetch = fetch
+        self._spawn = spawn
+        self._rng = rng
+        self._ahead: dict[str, int] = {}
+        self._task: asyncio.Task | None = None
+
+    def record(self, address: str, generation: int) -> None:
+        """Note the generation of a peer; begin to ask if it is newer."""
+        if generation <= self._generation():
+            self._ahead.pop(address, None)
+            return
+        self._ahead[address] = generation
+        if self._task is None or self._task.done():
+            self._task = self._spawn(self._run())
+
+    async def _run(self) -> None:
+        running: dict[str, asyncio.Task] = {}
+        try:
+            while self._drop_outdated():
+                idle = [each for each in self._ahead if each not in running]
+                if idle and len(running) < MAX_FETCHES:
+                    address = self._rng.choice(idle)
+                    running[address] = asyncio.ensure_future(
+                        self._fetch(address)
+                    )
+                await asyncio.wait(
+                    running.values(),
+                    timeout=HEDGE_DELAY_S,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                for address in [a for a, t in running.items() if t.done()]:
+                    del running[address]
+                    # Asked again only if its next heartbeat is still ahead.
+                    self._ahead.pop(address, None)
+        finally:
+            for task in running.values():
+                task.cancel()
+
+    def _drop_outdated(self) -> bool:
+        """Drop peers that are not ahead; return whether some are."""
+        current = self._generation()
+        self._ahead = {
+            address: generation
+            for address, generation in self._ahead.items()
+            if generation > current
+        }
+        return bool(self._ahead)
