Spread the ends of watches, and pass a configuration on at once

What callers saw: requests handled as only an older configuration allows, at any router of a fleet at the same time.

Cause: a change ends the watches of all routers, which begin again after the same delay with the same wait. The wait grows with the fleet because one of many has a fresh answer soon; but as they end together, none has one before the wait and its margin are over, 21 s at 87 routers, if the answers to a change are lost and the channels stay open. A router that learned of a version told peers with its next heartbeats only. The class: periods that a common event aligns are taken for independent ones.

Change: the first watch after a change, or after the start, lasts (rank + 1)/routers of the wait, so that one ends each wait/routers seconds. The wait is bounded so that this is half a second at most, also in small fleets. A router that puts a configuration into force exchanges heartbeats at once, whatever its source. The own interface draws its first wait after a change, and tells peers at once as well.

Store calls: the wait of the watch on the configuration is 4 s in place of 5 s at eight routers and as before from ten on; one watch per change is shorter.

--- a/toucanrudder/controllers/configuration.py
+++ b/toucanrudder/controllers/configuration.py
@@ -23,6 +23,7 @@
 ABSENT_POLL_S = 0.5
 RESOLVE_TIMEOUT_S = 10.0
 MAX_APPLY_IDS = 64
+MIN_FIRST_WAIT_SHARE = 0.1
 
 logger = logging.getLogger(__name__)
 
@@ -77,6 +78,7 @@
         self._apply_ids: dict[int, str] = {}
         self._version = 0
         self._stored_generation: int | None = 0
+        self._has_common_start = True
 
     @property
     def current(self) -> model.Accepted | None:
@@ -248,12 +250,18 @@
     async def _watch(self) -> None:
         loop = asyncio.get_running_loop()
         started_s = loop.time()
+        wait_s = self._watch_wait_s
+        if self._has_common_start:
+            # A change ends the watches of all routers at the same time.  If
+            # the answers to the next ones are lost, one should end soon.
+            wait_s *= self._rng.uniform(MIN_FIRST_WAIT_SHARE, 1.0)
         stored_object = await self._store.watch(
-            KIND, NAME, self._version, wait_s=self._watch_wait_s
+            KIND, NAME, self._version, wait_s=wait_s
         )
+        self._has_common_start = stored_object is not None
         if stored_object is not None:
             self._handle_object(stored_object)
-        elif loop.time() - started_s < self._watch_wait_s / 2:
+        elif loop.time() - started_s < wait_s / 2:
             # The object does not exist, so the watch returned at once.
             # Without a delay this would become a busy loop.
             self._version, self._stored_generation = 0, 0
--- a/toucanrudder/controllers/feeds.py
+++ b/toucanrudder/controllers/feeds.py
@@ -91,6 +91,10 @@
         Returns how many routers watch the kind.
     is_wanted : callable
         Returns whether this router is one of them.
+    first_wait_s : callable
+        Returns the seconds that the first watch after a change waits, or
+        None if it waits as long as any other.  A change ends the watches of
+        all followers at the same time.
     """
 
     def __init__(
@@ -104,6 +108,7 @@
         rng: random.Random,
         followers: Callable[[], int] = lambda: 1,
         is_wanted: Callable[[], bool] = lambda: True,
+        first_wait_s: Callable[[], float | None] = lambda: None,
     ):
         self._source = source
         self.kind = kind
@@ -113,6 +118,8 @@
         self._rng = rng
         self._followers = followers
         self._is_wanted = is_wanted
+        self._first_wait_s = first_wait_s
+        self._has_common_start = True
         self._position: feed.Position | None = None
         self._failures = 0
         self._outage_start_s = 0.0
@@ -143,11 +150,10 @@
             self._callbacks.on_snapshot(snapshot.objects, now_s)
             self._confirm(now_s)
             self._position = snapshot.position
+            self._has_common_start = True
             return
-        # After a failure, ask without waiting, to notice a recovery soon.
-        wait_s = 0.0 if self._failures else self._wait_s()
         changes = await self._source.changes(
-            self.kind, self._position, wait_s=wait_s
+            self.kind, self._position, wait_s=self._next_wait_s()
         )
         now_s = self._record_success()
         for change in changes.changes:
@@ -155,8 +161,21 @@
         self._confirm(now_s)
         self._position = changes.position
         if changes.changes:
+            self._has_common_start = True
             await asyncio.sleep(batching_delay_s(self._followers()))
 
+    def _next_wait_s(self) -> float:
+        if self._failures:
+            # Without waiting, to notice a recovery soon.
+            return 0.0
+        first_wait_s = None
+        if self._has_common_start:
+            first_wait_s = self._first_wait_s()
+        if first_wait_s is None:
+            return self._wait_s()
+        self._has_common_start = False
+        return first_wait_s
+
     def _confirm(self, now_s: float) -> None:
         due_s = now_s + MAX_BATCHING_S + self._wait_s()
         self._callbacks.on_confirmed(now_s, due_s)
--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -196,6 +196,8 @@
                 behind_s=news.record_taken(document.generation, now_s),
             )
         )
+        # The watches of all peers may have lost their answers.
+        self.peering.client.exchange_soon()
         return True
 
     async def avoid(self, incarnation: str, for_s: float) -> None:
--- a/toucanrudder/forwarding/store_watch.py
+++ b/toucanrudder/forwarding/store_watch.py
@@ -35,6 +35,9 @@
 #: connection; the wait only bounds the delay if both fail.
 MAX_WATCH_WAIT_S = 20.0
 
+#: Longest time without an answer to any router's watch of the configuration.
+MAX_ANSWER_INTERVAL_S = 0.5
+
 #: Largest number of routers for which the batching delay of changes grows,
 #: which limits it to a quarter of a second: in a large fleet changes are
 #: batched twice on their way.
@@ -82,11 +85,38 @@
 
     Examples
     --------
-    >>> configuration_wait_s(5.0, 8), configuration_wait_s(5.0, 400)
+    >>> configuration_wait_s(5.0, 1), configuration_wait_s(5.0, 8)
+    (0.5, 4.0)
+    >>> configuration_wait_s(5.0, 16), configuration_wait_s(5.0, 400)
     (5.0, 20.0)
     """
     wait_s = usual_s * routers / BASE_WAIT_ROUTERS
-    return min(max(usual_s, wait_s), max(usual_s, MAX_WATCH_WAIT_S))
+    least_s = min(usual_s, routers * MAX_ANSWER_INTERVAL_S)
+    return min(max(least_s, wait_s), max(usual_s, MAX_WATCH_WAIT_S))
+
+
+def first_wait_s(wait_s: float, rank: int, routers: int) -> float:
+    """Return how long a router's first watch after a change waits.
+
+    The watches of all routers begin again at the same time.  Their ends are
+    spread over the wait, so that one router has an answer soon if those to
+    all pending watches are lost.
+
+    Parameters
+    ----------
+    wait_s : float
+        Wait of later watches.
+    rank : int
+        Number of routers that precede this one.
+    routers : int
+        Number of live routers.
+
+    Examples
+    --------
+    >>> [first_wait_s(5.0, rank, 4) for rank in range(4)]
+    [1.25, 2.5, 3.75, 5.0]
+    """
+    return wait_s * (rank + 1) / routers
 
 
 class StoreWatch:
@@ -281,7 +311,7 @@
 
     def controllers(self) -> list[feeds.FeedController]:
         """Return a controller for each watched kind."""
-        kinds, wait_s = self._kinds, self._wait_s
+        kinds = self._kinds
         upstreams = fanout.FanoutFeed(
             self._store,
             self._upstream_log,
@@ -305,9 +335,8 @@
                         self._state.generation_news.record_confirmed(now_s)
                     ),
                 ),
-                lambda: configuration_wait_s(
-                    wait_s, self._state.live_routers()
-                ),
+                self._configuration_wait_s,
+                first_wait_s=self._first_configuration_wait_s,
             ),
             self._controller(
                 upstreams,
@@ -348,6 +377,20 @@
             is_wanted=self._watches_lease,
         )
 
+    def _configuration_wait_s(self) -> float:
+        if not self.has_converged():
+            return self._wait_s
+        return configuration_wait_s(self._wait_s, self._state.live_routers())
+
+    def _first_configuration_wait_s(self) -> float | None:
+        if not self.has_converged():
+            return None
+        return first_wait_s(
+            self._configuration_wait_s(),
+            self.takeover_rank(),
+            len(self.live_router_names()),
+        )
+
     def _controller(
         self,
         source: feed.KindFeed,
@@ -355,6 +398,7 @@
         callbacks: feeds.FeedCallbacks,
         wait_s: Callable[[], float] | None = None,
         is_wanted: Callable[[], bool] = lambda: True,
+        first_wait_s: Callable[[], float | None] = lambda: None,
     ) -> feeds.FeedController:
         return feeds.FeedController(
             source,
@@ -367,6 +411,7 @@
                 self._state.live_routers(), MAX_BATCHING_ROUTERS
             ),
             is_wanted=is_wanted,
+            first_wait_s=first_wait_s,
         )
 
     # Callbacks of the watches.
--- a/toucanrudder/platform/tests/test_late_configurations.py
+++ b/toucanrudder/platform/tests/test_late_configurations.py
@@ -41,6 +41,9 @@
 async def test_no_version_is_late_if_all_watches_lose_their_answers(cluster):
     cluster.watch_wait_s = 5.0
     routers = await cluster.routers(ROUTERS)
+    await clusters.wait_until(
+        lambda: all(each.store_watch.has_converged() for each in routers)
+    )
     put_version(cluster, 4)
     assert not await late_routers(routers, 4)
     # All routers watch again, after the delay in which changes are batched.
--- a/toucanrudder/router/peering.py
+++ b/toucanrudder/router/peering.py
@@ -37,6 +37,8 @@
         rng=state.rng,
     )
     state.exchange_soon = client.exchange_soon
+    # The watches of all peers may have lost their answers.
+    state.configuration.subscribe(lambda accepted: client.exchange_soon())
     state.broadcast_urgent = lambda: client.tell_crashes(BROADCAST_TIMEOUT_S)
     return peerings.Peering(node, client, credentials, settings.advertise)
 
