Replace a watch of the configuration that misses what peers know

What callers saw: requests handled as only an older configuration allows.

Change: a second after a document of a peer, a watch that has not answered since is ended as failed; the next call asks without waiting. WatchReplaced says so. A healthy store is not asked more often: its answer to the same change comes within that second.

--- a/toucanrudder/controllers/feeds.py
+++ b/toucanrudder/controllers/feeds.py
@@ -120,10 +120,15 @@
         self._is_wanted = is_wanted
         self._first_wait_s = first_wait_s
         self._has_common_start = True
+        self._has_missed_news = asyncio.Event()
         self._position: feed.Position | None = None
         self._failures = 0
         self._outage_start_s = 0.0
 
+    def recheck(self) -> None:
+        """Replace the pending watch, which has missed news of others."""
+        self._has_missed_news.set()
+
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
@@ -152,9 +157,7 @@
             self._position = snapshot.position
             self._has_common_start = True
             return
-        changes = await self._source.changes(
-            self.kind, self._position, wait_s=self._next_wait_s()
-        )
+        changes = await self._watch(self._position, self._next_wait_s())
         now_s = self._record_success()
         for change in changes.changes:
             self._callbacks.on_change(change, now_s)
@@ -164,6 +167,26 @@
             self._has_common_start = True
             await asyncio.sleep(batching_delay_s(self._followers()))
 
+    async def _watch(
+        self, position: feed.Position, wait_s: float
+    ) -> feed.Changes:
+        """Return the changes of a watch, which `recheck` ends as failed."""
+        self._has_missed_news.clear()
+        watch = asyncio.ensure_future(
+            self._source.changes(self.kind, position, wait_s=wait_s)
+        )
+        missed = asyncio.ensure_future(self._has_missed_news.wait())
+        try:
+            await asyncio.wait(
+                (watch, missed), return_when=asyncio.FIRST_COMPLETED
+            )
+            if watch.done():
+                return watch.result()
+        finally:
+            watch.cancel()
+            missed.cancel()
+        raise interface.StoreUnavailable("the watch has missed a change")
+
     def _next_wait_s(self) -> float:
         if self._failures:
             # Without waiting, to notice a recovery soon.
--- a/toucanrudder/controllers/tests/test_feeds.py
+++ b/toucanrudder/controllers/tests/test_feeds.py
@@ -78,3 +78,13 @@
     waits_s = [None, FIRST_WAIT_S]
     async with following([()], lambda: waits_s.pop(0)) as (source, _):
         assert source.waits_s == [WAIT_S, FIRST_WAIT_S]
+
+
+async def test_watch_that_misses_news_of_others_is_replaced_at_once():
+    async with following([]) as (source, controller):
+        source.answers = [()]
+        source.pending.clear()
+        controller.recheck()
+        async with asyncio.timeout(1.0):
+            await source.pending.wait()
+        assert source.waits_s == [FIRST_WAIT_S, 0.0, WAIT_S]
--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -198,6 +198,8 @@
         )
         # The watches of all peers may have lost their answers.
         self.peering.client.exchange_soon()
+        if source == "peer":
+            self.store_watch.expect_configuration()
         return True
 
     async def avoid(self, incarnation: str, for_s: float) -> None:
--- a/toucanrudder/forwarding/generations.py
+++ b/toucanrudder/forwarding/generations.py
@@ -63,6 +63,13 @@
             return None
         return now_s - self._confirmed_at_s
 
+    def is_confirmed_since(self, since_s: float) -> bool:
+        """Return whether the store has answered the watch since a time."""
+        return (
+            self._confirmed_at_s is not None
+            and self._confirmed_at_s >= since_s
+        )
+
     def generations(self) -> dict[str, float]:
         """Return the generations of the metric."""
         return {
--- a/toucanrudder/forwarding/store_watch.py
+++ b/toucanrudder/forwarding/store_watch.py
@@ -1,5 +1,6 @@
 """Watches of the store's objects that a forwarding router depends on."""
 
+import asyncio
 from collections.abc import Callable
 import random
 
@@ -38,6 +39,9 @@
 #: Longest time without an answer to any router's watch of the configuration.
 MAX_ANSWER_INTERVAL_S = 0.5
 
+#: Time after a peer's document in which a healthy watch has answered too.
+RECHECK_DELAY_S = 1.0
+
 #: Largest number of routers for which the batching delay of changes grows,
 #: which limits it to a quarter of a second: in a large fleet changes are
 #: batched twice on their way.
@@ -175,6 +179,7 @@
         self._has_read_weights = self._has_read_lease = False
         self._duties: set[str] = set()
         self._upstream_log = fanout.ChangeLog()
+        self._configuration: feeds.FeedController | None = None
         peering.logs = {kinds.upstreams: self._upstream_log}
 
     # Division of work among the routers.
@@ -324,20 +329,21 @@
                 self._upstreams_convergence
             ),
         )
-        return [
-            self._controller(
-                self._store,
-                kinds.configuration,
-                feeds.FeedCallbacks(
-                    self._on_documents,
-                    _for_each_change(self._on_documents),
-                    on_confirmed=lambda now_s, _: (
-                        self._state.generation_news.record_confirmed(now_s)
-                    ),
+        self._configuration = self._controller(
+            self._store,
+            kinds.configuration,
+            feeds.FeedCallbacks(
+                self._on_documents,
+                _for_each_change(self._on_documents),
+                on_confirmed=lambda now_s, _: (
+                    self._state.generation_news.record_confirmed(now_s)
                 ),
-                self._configuration_wait_s,
-                first_wait_s=self._first_configuration_wait_s,
             ),
+            self._configuration_wait_s,
+            first_wait_s=self._first_configuration_wait_s,
+        )
+        return [
+            self._configuration,
             self._controller(
                 upstreams,
                 kinds.upstreams,
@@ -377,6 +383,25 @@
             is_wanted=self._watches_lease,
         )
 
+    def expect_configuration(self) -> None:
+        """Replace the watch unless it answers soon after a peer's document."""
+        asyncio.get_running_loop().call_later(
+            RECHECK_DELAY_S, self._recheck_configuration, clock.now_s()
+        )
+
+    def _recheck_configuration(self, since_s: float) -> None:
+        news = self._state.generation_news
+        if news.is_confirmed_since(since_s):
+            return
+        decisions.record(
+            decisions.WatchReplaced(
+                kind=self._kinds.configuration,
+                generation=self._state.generation,
+                confirmed_age_s=news.confirmed_age_s(clock.now_s()),
+            )
+        )
+        self._configuration.recheck()
+
     def _configuration_wait_s(self) -> float:
         if not self.has_converged():
             return self._wait_s
--- a/toucanrudder/observability/decisions.py
+++ b/toucanrudder/observability/decisions.py
@@ -70,6 +70,15 @@
     confirmed_age_s: float | None
 
 
+@attrs.frozen(kw_only=True)
+class WatchReplaced:
+    """A watch of the store did not tell of a change that peers know."""
+
+    kind: str
+    generation: int
+    confirmed_age_s: float | None
+
+
 @attrs.frozen(kw_only=True)
 class StoreLost:
     """Calls to the store for objects of one kind fail."""
@@ -602,6 +611,7 @@
     Reloaded,
     ConfigurationTaken,
     ConfigurationBehind,
+    WatchReplaced,
     StoreLost,
     StoreRegained,
     UpstreamSeen,
--- a/toucanrudder/platform/tests/test_late_configurations.py
+++ b/toucanrudder/platform/tests/test_late_configurations.py
@@ -5,7 +5,9 @@
 
 import pytest
 
+from toucanrudder import clock
 from toucanrudder.peers import server
+from toucanrudder.platform import objects
 from toucanrudder.platform.testing import cluster as clusters
 from toucanrudder.store import interface
 
@@ -101,3 +103,28 @@
         put_version(cluster, version)
         assert not await late_routers(routers, version), version
         await asyncio.sleep(HANDLED_S)
+
+
+async def test_silent_watch_is_replaced_after_news_of_a_peer(cluster):
+    """A router does not depend on its peers for the rest of a long wait."""
+    cluster.watch_wait_s = 20.0
+    routers = await cluster.routers(3)
+    cluster.store.lost_watches.add("config")
+    put_version(cluster, 4)
+    await asyncio.sleep(HANDLED_S)
+    cluster.store.lost_watches.clear()
+    # A peer learns of it, as if its watch had been open a moment later.
+    document = objects.read_document(
+        (
+            await routers[0].platform.store.snapshot("config", timeout_s=1.0)
+        ).objects[0]
+    )
+    taken_s = clock.now_s()
+    routers[0].offer(document)
+    assert not await late_routers(routers, 4)
+    async with asyncio.timeout(BOUND_S):
+        while not all(
+            each.state.generation_news.is_confirmed_since(taken_s)
+            for each in routers
+        ):
+            await asyncio.sleep(0.01)
