Rely on no news of software that waited while a router stood still

What callers saw, reported of a system like ours: while workers of a new version joined, one router stood still for seconds. Streams begun on these workers through other routers broke, were taken up at that one and went on at a worker of another version.

Cause, three ways to the same mistake, an age that leaves out the time in which the router did not run: - Its registry had not answered for longer than it may, so it asked whether all peers are heard; that is counted in running time, in which no peer had fallen silent. The version it knew counted as the only one until its next tick. - A heartbeat that was sent before the standstill and read after it counted as sent a moment ago, and vouched for the old list. - A router that had just started took all versions for equally old, so it began streams at the newest one before a router cut off a moment before counted its own news as old.

--- a/toucanrudder/forwarding/peering.py
+++ b/toucanrudder/forwarding/peering.py
@@ -19,7 +19,6 @@
 from toucanrudder.peers import messages
 from toucanrudder.peers import node as nodes
 from toucanrudder.peers import peering as peerings
-from toucanrudder.store import continuity
 
 #: Seconds for which a leaving upstream is announced after it was last known
 #: to leave; while it is registered it always is.
@@ -174,7 +173,7 @@
         for name in heartbeat.leaving_upstreams:
             if self.state.record_leaving(name, heartbeat.sender.name):
                 self.announce_leaving(name, now_s)
-        self.state.streams.software.merge(heartbeat.software, now_s)
+        self.state.streams.merge(heartbeat.software, heartbeat.registry, now_s)
         self._merge_store_outages(heartbeat, now_s)
         self._merge_brittle(heartbeat, now_s)
         self._merge_limits(heartbeat, now_s)
@@ -191,10 +190,6 @@
             for entry in heartbeat.avoided
             if entry.upstream in known
         }
-        if heartbeat.registry is not None:
-            self.state.registry.add_served_span(
-                _served_span(heartbeat.registry, now_s)
-            )
         sender = heartbeat.sender.name
         for name in self._avoided_by_peer.pop(sender, set()) - set(avoided):
             self.state.upstream_stats.avoid(name, now_s)
@@ -255,11 +250,6 @@
         return cost_gossip.told_loads(self.state, clock.now_s())
 
 
-def _served_span(served: messages.Served, now_s: float) -> continuity.Span:
-    until_s = now_s - served.age_s
-    return continuity.Span(until_s - served.for_s, until_s)
-
-
 def build(
     state: states.ForwardingState,
     gossip: Gossip,
--- a/toucanrudder/forwarding/streams/resuming.py
+++ b/toucanrudder/forwarding/streams/resuming.py
@@ -16,6 +16,7 @@
 from toucanrudder.observability import decisions
 from toucanrudder.peers import messages as peer_messages
 from toucanrudder.peers import origins as messages
+from toucanrudder.store import continuity
 
 STEP = "resume"
 
@@ -31,6 +32,10 @@
 #: another router may reach them.
 RETRY_AFTER_S = 0.1
 
+#: Time after a standstill within which the router reads what has come
+#: meanwhile.
+READING_S = 0.3
+
 #: Distance of the orders of two attempts of one router; a peer that takes a
 #: request over uses those in between.
 ORDERS_PER_ATTEMPT = 8
@@ -70,6 +75,9 @@
         factory=software_versions.SoftwareVersions
     )
     max_wait_s: float = MAX_WAIT_S
+    _observed_s: float | None = None
+    _standstill_s: float = 0.0
+    _resumed_s: float = float("-inf")
 
     # What is known of upstreams' software.
 
@@ -78,16 +86,64 @@
 
         Either the registry has answered some known router a short time ago,
         or it answers none, and all routers that could know more are heard.
+        None has been heard right after a standstill of this router.
         """
-        if not self.registry.has_listing:
+        if not self.registry.has_listing or self._stood_still(now_s):
             return False
         span = self.registry.served
         if span and now_s - span.until_s <= software_versions.MAX_NEWS_AGE_S:
             return True
+        if now_s - self._resumed_s <= software_versions.MAX_NEWS_AGE_S:
+            return False
         return not self.has_silent_peer()
 
+    def _stood_still(self, now_s: float) -> bool:
+        """Return whether this router has not run since it last observed."""
+        return (
+            self._observed_s is not None
+            and now_s - self._observed_s > software_versions.MAX_GAP_S
+        )
+
+    def reading_delay_s(self, now_s: float) -> float:
+        """Return how long what is read now may have waited unread."""
+        if self._observed_s is None:
+            return 0.0
+        delay_s = now_s - self._observed_s
+        if now_s - self._resumed_s <= READING_S:
+            delay_s = max(delay_s, self._standstill_s)
+        return delay_s
+
+    def merge(
+        self,
+        news: peer_messages.SoftwareNews,
+        served: peer_messages.Served | None,
+        now_s: float,
+    ) -> None:
+        """Merge what a peer knows of software and of the registry's answers.
+
+        Parameters
+        ----------
+        news : peer_messages.SoftwareNews
+            The versions that it has seen.
+        served : peer_messages.Served or None
+            Time span in which the registry answered calls.
+        now_s : float
+            Monotonic time.
+        """
+        self.software.merge(news, now_s)
+        if served is None:
+            return
+        until_s = now_s - self.reading_delay_s(now_s) - served.age_s
+        self.registry.add_served_span(
+            continuity.Span(until_s - served.for_s, until_s)
+        )
+
     def observe(self, now_s: float) -> None:
         """Record the software of the registered upstreams."""
+        if self._stood_still(now_s):
+            self._standstill_s = now_s - self._observed_s
+            self._resumed_s = now_s
+        self._observed_s = now_s
         self.software.observe(
             self.registry.upstreams(), now_s, is_current=self.is_current(now_s)
         )
--- a/toucanrudder/forwarding/streams/software.py
+++ b/toucanrudder/forwarding/streams/software.py
@@ -39,6 +39,7 @@
 class _Sighting:
     first_s: float
     last_s: float
+    started_at_ms: int = 0
 
 
 @attrs.define(eq=False)
@@ -96,6 +97,7 @@
             self._record(
                 upstream.service, upstream.software_version, now_s, now_s
             )
+            self._record_start(upstream)
         for seen in self._seen.values():
             _forget(seen, now_s - MAX_KEPT_S)
 
@@ -110,6 +112,14 @@
         elif len(seen) < MAX_VERSIONS:
             seen[version] = _Sighting(first_s, last_s)
 
+    def _record_start(self, upstream: model.Upstream) -> None:
+        """Keep the earliest start of an upstream of each version."""
+        seen = self._seen[upstream.service]
+        sighting = seen.get(upstream.software_version)
+        if sighting is not None and upstream.started_at_ms:
+            known_ms = sighting.started_at_ms or upstream.started_at_ms
+            sighting.started_at_ms = min(known_ms, upstream.started_at_ms)
+
     def merge(self, news: messages.SoftwareNews, now_s: float) -> None:
         """Merge what a peer has seen."""
         for each in news.versions:
@@ -163,13 +173,23 @@
     def is_new(self, service: str, version: str, now_s: float) -> bool:
         """Return whether some routers may not know of a version yet.
 
-        A router that has just started takes all versions for equally old.
+        A router that has just started has seen all versions since then; the
+        one whose upstreams have started last may be new.
         """
         seen = self._seen.get(service, {})
         sighting = seen.get(version)
-        first_s = now_s if sighting is None else sighting.first_s
-        oldest_s = min((each.first_s for each in seen.values()), default=now_s)
-        return oldest_s < first_s and now_s - first_s < NEW_VERSION_HOLD_S
+        if sighting is None:
+            return bool(seen)
+        if now_s - sighting.first_s >= NEW_VERSION_HOLD_S:
+            return False
+        return any(
+            other.first_s < sighting.first_s
+            or (
+                other.first_s == sighting.first_s
+                and 0 < other.started_at_ms < sighting.started_at_ms
+            )
+            for other in seen.values()
+        )
 
 
 def _forget(seen: dict[str, _Sighting], before_s: float) -> None:
--- a/toucanrudder/forwarding/streams/tests/test_software.py
+++ b/toucanrudder/forwarding/streams/tests/test_software.py
@@ -86,6 +86,78 @@
     assert started.sole_version(SERVICE, WINDOW_S, 9.0) is None
 
 
+def at_standstill(until_s=9.0):
+    """Return what a router knows that last ran at a time."""
+    registry = registries.Registry()
+    registry.replace([OLD], 0.0)
+    registry.add_served_span(continuity.Span(0.0, until_s))
+    streams = resumption(registry)
+    for tenth in range(round(until_s * 10) + 1):
+        streams.observe(tenth / 10)
+    return streams
+
+
+#: What a router reads first that has stood still from second 9 to 14.
+WAKING = {
+    "a stream that is taken up": lambda streams, told: None,
+    "the registered upstreams": lambda streams, told: streams.observe(14.0),
+    "news from before": lambda streams, told: streams.merge(*told, 14.0),
+    "news from before, after a tick": lambda streams, told: (
+        streams.observe(14.0),
+        streams.merge(*told, 14.1),
+    ),
+}
+
+
+@pytest.mark.parametrize("read_first", WAKING.values(), ids=WAKING.keys())
+def test_router_that_stood_still_relies_on_no_news_from_before(read_first):
+    streams = at_standstill()
+    assert streams.sole_version(SERVICE, 9.0) == "v1"
+    served = messages.Served(for_s=9.0, age_s=0.0)
+    read_first(streams, (at_standstill().news(9.0), served))
+    assert streams.sole_version(SERVICE, 14.1) is None
+
+
+def test_router_that_stood_still_relies_on_later_news():
+    streams = at_standstill()
+    streams.observe(14.0)
+    later = at_standstill(14.9)
+    streams.merge(
+        later.news(14.9), messages.Served(for_s=14.9, age_s=0.1), 15.0
+    )
+    assert streams.sole_version(SERVICE, 15.0) == "v1"
+
+
+STARTED = {
+    "v2 came last": (1000, 2000, ["v2"]),
+    "v1 came last": (2000, 1000, ["v1"]),
+    "not known": (0, 0, []),
+    "of one not known": (1000, 0, []),
+}
+
+
+@pytest.mark.parametrize(
+    ("old_ms", "new_ms", "expected"), STARTED.values(), ids=STARTED.keys()
+)
+def test_started_router_takes_the_version_that_came_last_for_new(
+    old_ms, new_ms, expected
+):
+    upstreams = [
+        attrs.evolve(OLD, started_at_ms=old_ms),
+        attrs.evolve(NEW, started_at_ms=new_ms),
+    ]
+    versions = observed((0, 1, upstreams))
+    for now_s, new in (
+        (1.0, expected),
+        (software.NEW_VERSION_HOLD_S + 0.1, []),
+    ):
+        assert new == [
+            each.software_version
+            for each in upstreams
+            if versions.is_new(SERVICE, each.software_version, now_s)
+        ]
+
+
 def test_peer_that_was_cut_off_does_not_vouch_for_its_list():
     versions = observed((0, 9, [OLD]))
     versions.observe([OLD], 9.0, is_current=False)
