Read a list beside an entry that is nested too deeply or too large

What callers saw, reported of a system like ours: another writer left one odd entry among those of the workers, very deeply nested, with a number too large, or with a port out of range. Routers stopped following the registry.

Cause: a list is parsed as a whole. The lenient parser, which takes over when the strict one fails, recurses over nested values and converts integers of any length, and fails at about 1,020 levels or 4,300 digits: the whole list was lost for as long as the entry was there. From 255 levels on, what was read could not be encoded again, so a reader failed its followers, and a configuration ended the task that watches it. Ports in other digits than ASCII passed, and one of 5,000 digits raised; a name that no header may hold got into heads.

Change: json_text parses leniently without recursion over what is deeper than 64 levels, and encodes without it; integers beyond 64 bits become infinity, which no record accepts. Ports have up to five ASCII digits, and names of upstreams are header values of up to 255 characters. The own interface's store reads by the same parser.

--- a/toucanrudder/addresses.py
+++ b/toucanrudder/addresses.py
@@ -3,6 +3,7 @@
 import ipaddress
 
 _PORTS = range(1, 65_536)
+_MAX_DIGITS = len(str(max(_PORTS)))
 
 
 def ip_of(
@@ -16,9 +17,12 @@
     (IPv4Address('10.0.0.1'), IPv6Address('::1'))
     >>> ip_of("10.0.0.1"), ip_of("host:80"), ip_of("10.0.0.1:0")
     (None, None, None)
+    >>> ip_of("10.0.0.1:\u0663") is None
+    True
     """
     host, _, port = text.rpartition(":")
-    if not port.isdecimal() or int(port) not in _PORTS:
+    is_number = port.isascii() and port.isdecimal()
+    if not is_number or len(port) > _MAX_DIGITS or int(port) not in _PORTS:
         return None
     try:
         return ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
--- a/toucanrudder/http1/calls.py
+++ b/toucanrudder/http1/calls.py
@@ -11,6 +11,7 @@
 
 from toucanrudder import stalls
 from toucanrudder.http1 import client
+from toucanrudder.http1 import json_text
 from toucanrudder.http1 import message
 from toucanrudder.http1 import pool
 
@@ -26,11 +27,7 @@
 _JSON = (b"Content-Type", b"application/json")
 
 
-class Unreadable(ValueError):
-    """The response body is too large or cannot be parsed."""
-
-
-class MismatchedAnswer(Unreadable):
+class MismatchedAnswer(json_text.Unreadable):
     """The response belongs to another request."""
 
 
@@ -66,71 +63,6 @@
     failure: Failure | None = None
 
 
-def parse_json(content: bytes) -> object:
-    """Parse JSON, leniently if it is not strictly valid.
-
-    If one object of a list holds bytes that are not UTF-8, a strict parser
-    rejects the whole list on every attempt, and no change in it is seen any
-    more.  The lenient parser replaces these bytes by characters that occur
-    in no name, so only that object is affected.  The result can be encoded
-    as strict JSON again, for peers that receive it.
-
-    Raises
-    ------
-    Unreadable
-        The lenient parser fails too.
-
-    Examples
-    --------
-    >>> parse_json(b'["a", "\\xff"]')[0]
-    'a'
-    """
-    if not content:
-        return {}
-    try:
-        return orjson.loads(content)
-    except ValueError:
-        LOG.info("response body is not strict JSON; parsing it leniently")
-    # Imported here because it is rarely needed and would slow down startup.
-    import json
-
-    try:
-        value = json.loads(content.decode(errors="replace"), strict=False)
-        return _to_strict_json(value)
-    except (ValueError, RecursionError) as error:
-        raise Unreadable(str(error)) from error
-
-
-@functools.singledispatch
-def _to_strict_json(value: object) -> object:
-    """Convert a leniently parsed value to one that strict JSON can encode."""
-    return value
-
-
-@_to_strict_json.register
-def _(value: str) -> str:
-    # JSON can escape a lone surrogate, but UTF-8 cannot encode it.
-    return value.encode(errors="replace").decode()
-
-
-@_to_strict_json.register
-def _(value: int) -> int | float:
-    return value if abs(value) < 2**63 else float("inf")
-
-
-@_to_strict_json.register
-def _(value: list) -> list:
-    return [_to_strict_json(item) for item in value]
-
-
-@_to_strict_json.register
-def _(value: dict) -> dict:
-    return {
-        _to_strict_json(key): _to_strict_json(item)
-        for key, item in value.items()
-    }
-
-
 async def call(
     connections: pool.ConnectionPool,
     address: str,
@@ -221,7 +153,11 @@
             ),
             **kwargs,
         )
-    except (client.ExchangeError, TimeoutError, Unreadable) as error:
+    except (
+        client.ExchangeError,
+        TimeoutError,
+        json_text.Unreadable,
+    ) as error:
         LOG.info("no answer of %s to %s: %r", address, args, error)
         is_connected = connections.is_connected(address)
         return Answer(0, {}, failure=_failure(error, is_connected))
@@ -256,7 +192,7 @@
             raise MismatchedAnswer("the response belongs to another request")
         connection.keep_for_s = pool.keep_for_s(answer.headers)
         received = await _read_body(connection)
-    return Answer(answer.status, parse_json(received), answer.headers)
+    return Answer(answer.status, json_text.parse(received), answer.headers)
 
 
 async def _read_body(connection: client.UpstreamConnection) -> bytes:
@@ -264,5 +200,5 @@
     while not isinstance(event := await connection.next_event(), client.End):
         received += event.content
         if len(received) > MAX_ANSWER_BYTES:
-            raise Unreadable("the response body is too large")
+            raise json_text.Unreadable("the response body is too large")
     return bytes(received)
--- a/toucanrudder/http1/tests/test_calls.py
+++ b/toucanrudder/http1/tests/test_calls.py
@@ -8,6 +8,7 @@
 import pytest
 
 from toucanrudder.http1 import calls
+from toucanrudder.http1 import json_text
 from toucanrudder.http1 import pool
 
 NOT_STRICT_JSON = {
@@ -27,7 +28,7 @@
     # An entry of another writer holds what the strict parser rejects.
     # Routers that read the registry for others encode it as strict JSON
     # again: if that failed, none of their followers would see any change.
-    orjson.dumps(calls.parse_json(content))
+    orjson.dumps(json_text.parse(content))
 
 
 @hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
@@ -39,8 +40,8 @@
 )
 def test_any_parsed_value_can_be_encoded(text):
     try:
-        value = calls.parse_json(text.encode())
-    except calls.Unreadable:
+        value = json_text.parse(text.encode())
+    except json_text.Unreadable:
         return
     orjson.dumps(value)
 
--- a/toucanrudder/peers/changes.py
+++ b/toucanrudder/peers/changes.py
@@ -2,6 +2,7 @@
 
 import orjson
 
+from toucanrudder.http1 import json_text
 from toucanrudder.peers import peers_pb2
 from toucanrudder.store import fanout
 from toucanrudder.store import feed
@@ -20,7 +21,7 @@
             peers_pb2.Change(
                 name=change.object.name,
                 version=change.object.version,
-                value_json=orjson.dumps(change.object.value),
+                value_json=json_text.encode(change.object.value),
                 is_deleted=change.is_deleted,
             )
             for change in reply.changes.changes
--- a/toucanrudder/platform/objects.py
+++ b/toucanrudder/platform/objects.py
@@ -5,6 +5,7 @@
 import orjson
 
 from toucanrudder.forwarding import model
+from toucanrudder.http1 import json_text
 from toucanrudder.platform import records
 from toucanrudder.store import interface
 from toucanrudder.store import typed
@@ -53,7 +54,7 @@
         return None
     return model.Document(
         read_configuration(stored.value, _object_path(stored)),
-        orjson.dumps(stored.value),
+        json_text.encode(stored.value),
     )
 
 
@@ -123,10 +124,13 @@
     MalformedObject
         The entry is invalid.
     """
+    name = typed.read(
+        records.Name, {"name": stored.name}, _object_path(stored)
+    ).name
     entry = typed.read(records.Entry, stored.value, _object_path(stored))
     return model.Upstream(
-        incarnation=model.incarnation(stored.name, entry.born),
-        name=stored.name,
+        incarnation=model.incarnation(name, entry.born),
+        name=name,
         started_at_ms=entry.born,
         service=entry.service,
         address=entry.address,
--- a/toucanrudder/platform/tests/test_records.py
+++ b/toucanrudder/platform/tests/test_records.py
@@ -7,7 +7,7 @@
 import pytest
 
 from toucanrudder.forwarding import model
-from toucanrudder.http1 import calls
+from toucanrudder.http1 import json_text
 from toucanrudder.platform import objects
 from toucanrudder.platform import records
 from toucanrudder.store import interface
@@ -285,8 +285,8 @@
 @hypothesis.given(content=strategies.binary(max_size=60))
 def test_unparsable_bytes_raise_one_error(content):
     try:
-        calls.parse_json(content)
-    except calls.Unreadable:
+        json_text.parse(content)
+    except json_text.Unreadable:
         return
 
 
@@ -294,7 +294,7 @@
     # The strict JSON parser rejects the whole list if one entry holds
     # invalid UTF-8, so no entry would be read any more.
     content = orjson.dumps({"items": [{"a": "good"}, {"a": "XX"}]})
-    parsed = calls.parse_json(content.replace(b"XX", b"\xff\xfe"))
+    parsed = json_text.parse(content.replace(b"XX", b"\xff\xfe"))
     assert parsed["items"][0] == {"a": "good"}
 
 
--- a/toucanrudder/store/http.py
+++ b/toucanrudder/store/http.py
@@ -2,11 +2,11 @@
 
 import collections
 import http
-import json
 import urllib.parse
 
 import aiohttp
 
+from toucanrudder.http1 import json_text
 from toucanrudder.observability import metrics
 from toucanrudder.store import interface
 
@@ -103,8 +103,8 @@
                 middlewares=(_send_once,),
                 **options,
             ) as response:
-                text = await response.text()
-                return response.status, _decode(response.status, text)
+                content = await response.read()
+                return response.status, _decode(response.status, content)
         except _NEVER_SENT as error:
             raise interface.StoreUnavailable(str(error)) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
@@ -249,10 +249,10 @@
         return _object(kind, body)
 
 
-def _decode(status: int, text: str) -> dict:
-    if status >= http.HTTPStatus.BAD_REQUEST or not text:
+def _decode(status: int, content: bytes) -> dict:
+    if status >= http.HTTPStatus.BAD_REQUEST or not content:
         return {}
-    body = json.loads(text)
+    body = json_text.parse(content)
     if not isinstance(body, dict):
         raise ValueError("response is not a JSON object")
     return body
--- a/toucanrudder/store/rest.py
+++ b/toucanrudder/store/rest.py
@@ -9,6 +9,7 @@
 from toucanrudder import clock
 from toucanrudder.http1 import calls
 from toucanrudder.http1 import client
+from toucanrudder.http1 import json_text
 from toucanrudder.http1 import message
 from toucanrudder.http1 import pool
 from toucanrudder.store import eras
@@ -22,7 +23,7 @@
 #: Statuses that prove that a call had no effect.
 _REJECTED = (429, 503)
 
-_NO_RESPONSE = (client.ExchangeError, TimeoutError, calls.Unreadable)
+_NO_RESPONSE = (client.ExchangeError, TimeoutError, json_text.Unreadable)
 
 
 @attrs.frozen
@@ -117,7 +118,7 @@
             if not error.sent:
                 raise interface.StoreUnavailable(str(error)) from error
             raise interface.OutcomeUnknown(str(error)) from error
-        except (TimeoutError, calls.Unreadable) as error:
+        except (TimeoutError, json_text.Unreadable) as error:
             raise interface.OutcomeUnknown(str(error)) from error
         except interface.MalformedObject as error:
             strange.log_malformed(error)
