Quote the name after which a list is read on

Cause: a list is continued after the last name of a page, which stood in the path as it is. With a name of another writer that holds a space or a line feed, the call could not be sent: the task that follows the registry failed and was started again each second, for good.

Change: the name is quoted.

Measured: the new test failed by its deadline before and passes.

--- a/toucanrudder/platform/store.py
+++ b/toucanrudder/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's metadata store."""
 
 import functools
+import urllib.parse
 
 from toucanrudder.platform import records
 from toucanrudder.store import feed
@@ -103,7 +104,8 @@
                 return feed.Snapshot(tuple(objects), position)
             if not objects:
                 raise interface.StoreUnavailable("page without valid objects")
-            path = f"/objects/{kind}?after={objects[-1].name}"
+            after = urllib.parse.quote(objects[-1].name, safe="")
+            path = f"/objects/{kind}?after={after}"
 
     async def changes(
         self, kind: str, position: feed.Position, *, wait_s: float
--- a/toucanrudder/platform/tests/test_strange_entries.py
+++ b/toucanrudder/platform/tests/test_strange_entries.py
@@ -108,3 +108,13 @@
     stored = interface.StoredObject("servers", name, 8, orjson.loads(entry()))
     with pytest.raises(interface.MalformedObject):
         objects.read_upstream(stored)
+
+
+async def test_list_is_read_on_after_a_strange_name(cluster):
+    """A name that ends a page of the list is quoted in the next call."""
+    for name in ("a", "b b\r\n?after=z&watch=1#"):
+        cluster.store.put("servers", name, orjson.Fragment(entry()))
+    servers = [await cluster.server() for _ in range(3)]
+    router = await cluster.router()
+    names = {each.name for each in router.state.registry.upstreams()}
+    assert names == {"a", *(each.incarnation for each in servers)}
