Spread the ends of the watches of weights as well

Six routers watch the weights that are named; a change ends their watches at the same time, and they begin again together. If the answers to a change are lost, no router knows of the new weights before the wait and its margin are over, 6 s.

Change: the first watch after a change lasts (rank + 1)/watchers of the wait.

--- a/toucanrudder/forwarding/store_watch.py
+++ b/toucanrudder/forwarding/store_watch.py
@@ -362,6 +362,7 @@
                     self._on_weights, _for_each_change(self._on_weights)
                 ),
                 is_wanted=self._watches_weights,
+                first_wait_s=self._first_weights_wait_s,
             ),
         ]
 
@@ -416,6 +417,13 @@
             len(self.live_router_names()),
         )
 
+    def _first_weights_wait_s(self) -> float | None:
+        if not self.has_converged():
+            return None
+        watchers = min(WEIGHTS_WATCHERS, len(self.live_router_names()))
+        rank = min(self.takeover_rank(), watchers - 1)
+        return first_wait_s(self._wait_s, rank, watchers)
+
     def _controller(
         self,
         source: feed.KindFeed,
--- a/toucanrudder/platform/tests/test_late_configurations.py
+++ b/toucanrudder/platform/tests/test_late_configurations.py
@@ -14,6 +14,9 @@
 #: Time after its acknowledgement by which a version must be in force.
 BOUND_S = 2.0
 
+#: Half of the shortest bound for new weights to be in place.
+WEIGHTS_BOUND_S = 3.0
+
 #: Enough for the store to handle a write that it has received.
 HANDLED_S = 0.1
 
@@ -128,3 +131,30 @@
             for each in routers
         ):
             await asyncio.sleep(0.01)
+
+
+async def test_no_weights_are_late_if_all_watches_lose_their_answers(cluster):
+    cluster.watch_wait_s = 5.0
+    routers = await cluster.routers(ROUTERS)
+    await clusters.wait_until(
+        lambda: all(each.store_watch.has_converged() for each in routers)
+    )
+
+    def put_weights(version):
+        spec = {"model": "m", "version": version}
+        cluster.store.put("versions", "m", spec)
+
+    def know_weights(version):
+        known = [each.state.newest_weights.get("m") for each in routers]
+        return all(each and each.version == version for each in known)
+
+    put_weights(2)
+    await clusters.wait_until(lambda: know_weights(2))
+    await asyncio.sleep(0.5)
+    cluster.store.lost_watches.add("versions")
+    put_weights(3)
+    await asyncio.sleep(HANDLED_S)
+    cluster.store.lost_watches.clear()
+    async with asyncio.timeout(WEIGHTS_BOUND_S):
+        while not know_weights(3):
+            await asyncio.sleep(0.01)
