Model routers that stand still or restart while a new version joins

The model of routers on virtual time has standstills, in which heartbeats wait unread, and restarts. No router takes a version for the only one while another begins streams at a newer one.

--- a/toucanrudder/forwarding/streams/tests/test_software.py
+++ b/toucanrudder/forwarding/streams/tests/test_software.py
@@ -180,6 +180,9 @@
     island: int = 0
     reaches_store: bool = True
     lives: bool = True
+    stopped_at_s: float | None = None
+    stopped_until_s: float = 0.0
+    unread: list = attrs.field(factory=list)
     heard_s: dict = attrs.field(factory=dict)
     registry: registries.Registry = attrs.field(factory=registries.Registry)
     streams: resuming.StreamResumption = attrs.field(init=False)
@@ -196,15 +199,38 @@
         )
         self.streams.observe(now_s)
 
-    def hear(self, peer, now_s):
-        self.heard_s[peer.name] = now_s
-        for name, heard_s in peer.heard_s.items():
+    @property
+    def runs(self):
+        return self.lives and self.stopped_at_s is None
+
+    def heartbeat(self, now_s):
+        """Return what this router tells a peer."""
+        span = self.registry.served
+        served = span and messages.Served(
+            for_s=span.until_s - span.since_s, age_s=now_s - span.until_s
+        )
+        news = self.streams.news(now_s)
+        return self.name, dict(self.heard_s), news, served
+
+    def hear(self, heartbeat, now_s):
+        sender, heard_s, news, served = heartbeat
+        self.heard_s[sender] = now_s
+        for name, at_s in heard_s.items():
             if name != self.name:
-                known_s = self.heard_s.get(name, heard_s)
-                self.heard_s[name] = max(known_s, heard_s)
-        self.streams.software.merge(peer.streams.news(now_s), now_s)
-        if peer.registry.served is not None:
-            self.registry.add_served_span(peer.registry.served)
+                known_s = self.heard_s.get(name, at_s)
+                self.heard_s[name] = max(known_s, at_s)
+        self.streams.merge(news, served, now_s)
+
+    def wake(self, now_s):
+        """Run again; the time of a standstill does not count as silence."""
+        stood_s = now_s - self.stopped_at_s
+        self.stopped_at_s = None
+        self.heard_s = {
+            name: at_s + stood_s for name, at_s in self.heard_s.items()
+        }
+        for heartbeat in self.unread:
+            self.hear(heartbeat, now_s)
+        self.unread.clear()
 
     def begins_streams_at_new(self, now_s):
         versions = self.streams.software
@@ -251,8 +277,8 @@
                 near = [p for p in living if p.island == router.island]
                 for peer in rng.sample(near, min(3, len(near))):
                     if peer is not router:
-                        router.hear(peer, now_s)
-                        peer.hear(router, now_s)
+                        router.hear(peer.heartbeat(now_s), now_s)
+                        peer.hear(router.heartbeat(now_s), now_s)
         certain = [
             router.name
             for router in living
@@ -264,6 +290,77 @@
     assert was_certain
 
 
+def stop(rng, routers, now_s):
+    """Let some routers stand still for a while."""
+    for router in rng.sample(routers, rng.choice((1, len(routers) // 2))):
+        router.stopped_at_s = now_s
+        router.stopped_until_s = now_s + rng.uniform(0.5, 9.0)
+
+
+def restart(rng, routers):
+    """Replace some routers by new processes under the same names."""
+    for router in rng.sample(routers, rng.choice((1, len(routers) // 2))):
+        if router.runs:
+            routers[router.name] = Router(router.name, router.island)
+
+
+def exchange(rng, routers, now_s):
+    """Let each router tell some others; one that stands still reads later."""
+    for router in [each for each in routers if each.runs]:
+        for peer in rng.sample(routers, min(3, len(routers))):
+            if peer is router:
+                continue
+            if peer.runs:
+                router.hear(peer.heartbeat(now_s), now_s)
+                peer.hear(router.heartbeat(now_s), now_s)
+            else:
+                peer.unread.append(router.heartbeat(now_s))
+
+
+@pytest.mark.parametrize(
+    ("size", "seed"), [(8, seed) for seed in range(60)] + [(82, 1), (82, 2)]
+)
+def test_no_router_that_stood_still_takes_a_version_for_single(size, seed):
+    rng = random.Random(seed)
+    routers = [Router(number) for number in range(size)]
+    old = attrs.evolve(OLD, started_at_ms=1_000)
+    new = attrs.evolve(NEW, started_at_ms=90_000)
+    new_at_s = rng.uniform(14.0, 20.0)
+    stops_s = [new_at_s + rng.uniform(-6.0, 6.0) for _ in range(3)]
+    restarts_s = [new_at_s + rng.uniform(-1.0, 4.0) for _ in range(2)]
+    was_certain = False
+    for tenth in range(round(LENGTH_S / STEP_S)):
+        now_s = tenth * STEP_S
+        store = [old, new] if now_s >= new_at_s else [old]
+        while stops_s and now_s >= min(stops_s):
+            stops_s.remove(min(stops_s))
+            stop(rng, [each for each in routers if each.runs], now_s)
+        while restarts_s and now_s >= min(restarts_s):
+            restarts_s.remove(min(restarts_s))
+            restart(rng, routers)
+        begins = any(
+            each.begins_streams_at_new(now_s) for each in routers if each.runs
+        )
+        certain = []
+        for router in routers:
+            if router.stopped_at_s is not None:
+                if now_s < router.stopped_until_s:
+                    continue
+                if rng.random() < 0.5:
+                    # A stream is taken up before anything else is read.
+                    certain.append(router.streams.sole_version(SERVICE, now_s))
+                router.wake(now_s)
+                certain.append(router.streams.sole_version(SERVICE, now_s))
+            router.step(store, now_s)
+            certain.append(router.streams.sole_version(SERVICE, now_s))
+        if tenth % round(GOSSIP_S / STEP_S) == 0:
+            exchange(rng, routers, now_s)
+        was_certain |= "v1" in certain
+        if begins:
+            assert "v1" not in certain
+    assert was_certain
+
+
 def test_news_of_software_survive_the_wire():
     news = observed((0, 5, [OLD, NEW]), (5, 9, [OLD])).news(9.0)
     wire = messages._software_to_wire(news)
