Ask fewer peers at once for a document, and silent ones last

A configuration can be hundreds of kilobytes, and links carry 5 Mbit/s: the time until another peer is asked grows by half each time, and five are asked at most, so that a router that is only slow does not fetch eight copies. A peer that gave no document the last time is asked after the others.

--- a/toucanrudder/peers/documents.py
+++ b/toucanrudder/peers/documents.py
@@ -3,22 +3,28 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Collection
 import random
 
-#: Time without an answer after which another peer is asked as well.  The
-#: deadline of a call allows for a large document from a busy peer.
+#: Time without an answer after which another peer is asked as well, and its
+#: growth with each one: a document may be large and the link slow.  The
+#: deadline of a call allows for a busy peer.
 HEDGE_DELAY_S = 0.2
+HEDGE_GROWTH = 1.5
 
 #: Peers that are asked at one time.
-MAX_FETCHES = 8
+MAX_FETCHES = 5
+
+#: Peers that are remembered for not having answered.
+MAX_UNANSWERED = 64
 
 
 class DocumentFetcher:
     """Asks peers that have a newer document, until it is in force here.
 
-    One peer is asked first.  While none has answered, another one is asked
-    after each `HEDGE_DELAY_S`, since a peer may answer heartbeats and not the
-    request for its document.
+    One peer is asked first.  While none has answered, others are asked as
+    well, since a peer may answer heartbeats and not the request for its
+    document.  Those that did not answer the last time come last.
 
     Parameters
     ----------
@@ -44,6 +50,7 @@
         self._spawn = spawn
         self._rng = rng
         self._ahead: dict[str, int] = {}
+        self._unanswered: set[str] = set()
         self._task: asyncio.Task | None = None
 
     def record(self, address: str, generation: int) -> None:
@@ -59,25 +66,34 @@
         running: dict[str, asyncio.Task] = {}
         try:
             while self._drop_outdated():
-                idle = [each for each in self._ahead if each not in running]
-                if idle and len(running) < MAX_FETCHES:
-                    address = self._rng.choice(idle)
+                address = self._next_peer(running)
+                if address is not None and len(running) < MAX_FETCHES:
                     running[address] = asyncio.ensure_future(
                         self._fetch(address)
                     )
                 await asyncio.wait(
                     running.values(),
-                    timeout=HEDGE_DELAY_S,
+                    timeout=HEDGE_DELAY_S * HEDGE_GROWTH ** (len(running) - 1),
                     return_when=asyncio.FIRST_COMPLETED,
                 )
                 for address in [a for a, t in running.items() if t.done()]:
                     del running[address]
+                    self._unanswered.discard(address)
                     # Asked again only if its next heartbeat is still ahead.
                     self._ahead.pop(address, None)
         finally:
+            self._unanswered |= set(running)
+            while len(self._unanswered) > MAX_UNANSWERED:
+                self._unanswered.pop()
             for task in running.values():
                 task.cancel()
 
+    def _next_peer(self, running: Collection[str]) -> str | None:
+        """Return a peer to ask, if there is another one."""
+        idle = [each for each in self._ahead if each not in running]
+        answering = [each for each in idle if each not in self._unanswered]
+        return self._rng.choice(answering or idle) if idle else None
+
     def _drop_outdated(self) -> bool:
         """Drop peers that are not ahead; return whether some are."""
         current = self._generation()
