--- a/toucanrudder/peers/client.py
+++ b/toucanrudder/peers/client.py
@@ -589,7 +589,8 @@
         # would keep using it; after this the next call opens a new one.
         await self._channels.discard(address)
 
-    async def _fetch(self, address: str) -> None:
+    async def _fetch(self, address: str) -> bool:
+        """Take a peer's document; return whether the peer answered."""
         try:
             async with self._channels.stub_for(address) as stub:
                 reply = await stub.GetDocument(
@@ -599,8 +600,10 @@
                 self._offer(self._decode(reply.accepted_json))
         except aio.AioRpcError as error:
             await self._handle_failure(address, error)
+            return False
         except Exception:
             # A peer of a newer version may have a document that this
             # version cannot read.
             nodes.count_refusal("unreadable_document")
             LOG.exception("document of a peer cannot be read")
+        return True
--- a/toucanrudder/peers/documents.py
+++ b/toucanrudder/peers/documents.py
@@ -31,7 +31,8 @@
     generation : callable
         Returns the generation in force here.
     fetch : callable
-        Asks the peer at an address, and takes its document.
+        Asks the peer at an address, and takes its document; returns whether
+        it answered.
     spawn : callable
         Starts a task that ends with the client.
     rng : random.Random
@@ -41,7 +42,7 @@
     def __init__(
         self,
         generation: Callable[[], int],
-        fetch: Callable[[str], Awaitable[None]],
+        fetch: Callable[[str], Awaitable[bool]],
         spawn: Callable[..., asyncio.Task],
         rng: random.Random,
     ):
@@ -77,16 +78,18 @@
                     return_when=asyncio.FIRST_COMPLETED,
                 )
                 for address in [a for a, t in running.items() if t.done()]:
-                    del running[address]
-                    self._unanswered.discard(address)
+                    self._record_end(address, running.pop(address).result())
                     # Asked again only if its next heartbeat is still ahead.
                     self._ahead.pop(address, None)
         finally:
-            self._unanswered |= set(running)
-            while len(self._unanswered) > MAX_UNANSWERED:
-                self._unanswered.pop()
-            for task in running.values():
+            for address, task in running.items():
                 task.cancel()
+                self._record_end(address, False)
+
+    def _record_end(self, address: str, is_answered: bool) -> None:
+        self._unanswered.discard(address)
+        if not is_answered and len(self._unanswered) < MAX_UNANSWERED:
+            self._unanswered.add(address)
 
     def _next_peer(self, running: Collection[str]) -> str | None:
         """Return a peer to ask, if there is another one."""
--- a/toucanrudder/peers/tests/test_documents.py
+++ b/toucanrudder/peers/tests/test_documents.py
@@ -35,6 +35,7 @@
                 self.cancelled.append(address)
         if behaviour != UNREADABLE:
             self.generation = max(self.generation, behaviour)
+        return True
 
 
 CASES = {
