Drop what may have waited unread, and leave other news as it was

Cause: the age that a heartbeat gains while it waits unread was taken from the last observation of the registry, which comes with each change of it as well.

Change: the daemon's tick alone tells a standstill. All others are merged as before.

--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -294,7 +294,7 @@
             self.state.fleet(now_s)
             self.state.asked_rests.expire(now_s)
             self.state.limits.retain(self.state.registry.incarnations, now_s)
-            self.state.streams.observe(now_s)
+            self.state.streams.tick(now_s)
             self.state.crash_counts.record_blocked(time.time())
 
     def controllers(self) -> list[tasks.TaskService]:
--- a/toucanrudder/forwarding/streams/resuming.py
+++ b/toucanrudder/forwarding/streams/resuming.py
@@ -32,8 +32,9 @@
 #: another router may reach them.
 RETRY_AFTER_S = 0.1
 
-#: Time after a standstill within which the router reads what has come
-#: meanwhile.
+#: Time between two ticks from which on heartbeats may have waited unread, and
+#: time after it within which the router reads them.
+UNREAD_S = 0.4
 READING_S = 0.3
 
 #: Distance of the orders of two attempts of one router; a peer that takes a
@@ -75,9 +76,9 @@
         factory=software_versions.SoftwareVersions
     )
     max_wait_s: float = MAX_WAIT_S
-    _observed_s: float | None = None
-    _standstill_s: float = 0.0
+    _ticked_s: float | None = None
     _resumed_s: float = float("-inf")
+    _read_old_until_s: float = float("-inf")
 
     # What is known of upstreams' software.
 
@@ -97,21 +98,17 @@
             return False
         return not self.has_silent_peer()
 
+    def _gap_s(self, now_s: float) -> float:
+        """Return the time since the last tick."""
+        return 0.0 if self._ticked_s is None else now_s - self._ticked_s
+
     def _stood_still(self, now_s: float) -> bool:
-        """Return whether this router has not run since it last observed."""
-        return (
-            self._observed_s is not None
-            and now_s - self._observed_s > software_versions.MAX_GAP_S
-        )
+        """Return whether this router has not run for a while."""
+        return self._gap_s(now_s) > software_versions.MAX_GAP_S
 
-    def reading_delay_s(self, now_s: float) -> float:
-        """Return how long what is read now may have waited unread."""
-        if self._observed_s is None:
-            return 0.0
-        delay_s = now_s - self._observed_s
-        if now_s - self._resumed_s <= READING_S:
-            delay_s = max(delay_s, self._standstill_s)
-        return delay_s
+    def _may_read_old_news(self, now_s: float) -> bool:
+        """Return whether what is read now may have waited unread."""
+        return self._gap_s(now_s) > UNREAD_S or now_s <= self._read_old_until_s
 
     def merge(
         self,
@@ -131,23 +128,28 @@
             Monotonic time.
         """
         self.software.merge(news, now_s)
-        if served is None:
+        if served is None or self._may_read_old_news(now_s):
             return
-        until_s = now_s - self.reading_delay_s(now_s) - served.age_s
+        until_s = now_s - served.age_s
         self.registry.add_served_span(
             continuity.Span(until_s - served.for_s, until_s)
         )
 
     def observe(self, now_s: float) -> None:
         """Record the software of the registered upstreams."""
-        if self._stood_still(now_s):
-            self._standstill_s = now_s - self._observed_s
-            self._resumed_s = now_s
-        self._observed_s = now_s
         self.software.observe(
             self.registry.upstreams(), now_s, is_current=self.is_current(now_s)
         )
 
+    def tick(self, now_s: float) -> None:
+        """Observe periodically; a late tick shows a standstill."""
+        if self._gap_s(now_s) > UNREAD_S:
+            self._read_old_until_s = now_s + READING_S
+        if self._stood_still(now_s):
+            self._resumed_s = now_s
+        self._ticked_s = now_s
+        self.observe(now_s)
+
     def news(self, now_s: float) -> peer_messages.SoftwareNews:
         """Return what peers are told of upstreams' software."""
         news = self.software.news(now_s)
--- a/toucanrudder/forwarding/streams/tests/test_software.py
+++ b/toucanrudder/forwarding/streams/tests/test_software.py
@@ -93,7 +93,7 @@
     registry.add_served_span(continuity.Span(0.0, until_s))
     streams = resumption(registry)
     for tenth in range(round(until_s * 10) + 1):
-        streams.observe(tenth / 10)
+        streams.tick(tenth / 10)
     return streams
 
 
@@ -101,9 +101,10 @@
 WAKING = {
     "a stream that is taken up": lambda streams, told: None,
     "the registered upstreams": lambda streams, told: streams.observe(14.0),
+    "a tick": lambda streams, told: streams.tick(14.0),
     "news from before": lambda streams, told: streams.merge(*told, 14.0),
     "news from before, after a tick": lambda streams, told: (
-        streams.observe(14.0),
+        streams.tick(14.0),
         streams.merge(*told, 14.1),
     ),
 }
@@ -120,7 +121,8 @@
 
 def test_router_that_stood_still_relies_on_later_news():
     streams = at_standstill()
-    streams.observe(14.0)
+    for tenth in range(140, 151):
+        streams.tick(tenth / 10)
     later = at_standstill(14.9)
     streams.merge(
         later.news(14.9), messages.Served(for_s=14.9, age_s=0.1), 15.0
@@ -197,7 +199,7 @@
         self.streams.has_silent_peer = lambda: any(
             now_s - heard_s > SILENT_S for heard_s in self.heard_s.values()
         )
-        self.streams.observe(now_s)
+        self.streams.tick(now_s)
 
     @property
     def runs(self):
--- a/toucanrudder/platform/objects.py
+++ b/toucanrudder/platform/objects.py
@@ -124,9 +124,7 @@
     MalformedObject
         The entry is invalid.
     """
-    name = typed.read(
-        records.Name, {"name": stored.name}, _object_path(stored)
-    ).name
+    name = typed.header_name(stored.name, _object_path(stored))
     entry = typed.read(records.Entry, stored.value, _object_path(stored))
     return model.Upstream(
         incarnation=model.incarnation(name, entry.born),
--- a/toucanrudder/platform/records.py
+++ b/toucanrudder/platform/records.py
@@ -7,9 +7,6 @@
 from toucanrudder.forwarding import model
 from toucanrudder.store import typed
 
-#: Longest name of an upstream.
-MAX_NAME_CHARACTERS = 255
-
 
 @attrs.frozen
 class Metadata:
@@ -68,18 +65,6 @@
     version: int = attrs.field(validator=typed.POSITIVE)
 
 
-@attrs.frozen
-class Name:
-    """Name of an upstream, which goes into a header."""
-
-    name: str = attrs.field(
-        validator=[
-            typed.HEADER_VALUE,
-            attrs.validators.max_len(MAX_NAME_CHARACTERS),
-        ]
-    )
-
-
 @attrs.frozen
 class Entry:
     """The registry entry that an upstream writes for itself."""
--- a/toucanrudder/store/typed.py
+++ b/toucanrudder/store/typed.py
@@ -22,6 +22,9 @@
 #: Largest accepted magnitude of a number: what fits into 63 bits.
 _MAX_MAGNITUDE = 2**63 - 1
 
+#: Longest name of an object that goes into a header.
+MAX_NAME_CHARACTERS = 255
+
 Made = typing.TypeVar("Made")
 
 
@@ -201,6 +204,19 @@
     return bool(value) and value.isprintable() and value.isascii()
 
 
+def header_name(name: str, source: str) -> str:
+    """Return a name that goes into a header.
+
+    Raises
+    ------
+    MalformedObject
+        It is too long, or no header may hold it.
+    """
+    if len(name) > MAX_NAME_CHARACTERS or not _is_header_value(name):
+        raise interface.MalformedObject(source, "not a name for a header")
+    return name
+
+
 #: ``IP:port``, or None.
 ADDRESS = attrs.validators.optional(validator(_is_address, "not an IP:port"))
 #: Non-empty printable ASCII, as allowed in a header.
