Spread the ends of watches after an outage of the store too

Cause: an outage ends the watches of all routers like a change, and they begin again within half a second of each other, so their ends were aligned for the whole wait after it.

Change: the first watch after a failure lasts as long as one after a change.

Measured: the new case of the waits failed before and passes; the tests of late configurations pass.

--- a/toucanrudder/controllers/feeds.py
+++ b/toucanrudder/controllers/feeds.py
@@ -92,9 +92,9 @@
     is_wanted : callable
         Returns whether this router is one of them.
     first_wait_s : callable
-        Returns the seconds that the first watch after a change waits, or
-        None if it waits as long as any other.  A change ends the watches of
-        all followers at the same time.
+        Returns the seconds that the first watch after a change or a failure
+        waits, or None if it waits as long as any other.  Both end the
+        watches of all followers at the same time.
     """
 
     def __init__(
@@ -214,6 +214,9 @@
                 )
             )
             self._callbacks.on_recovery(now_s)
+        if self._failures:
+            # An outage, like a change, ends the watches of all followers.
+            self._has_common_start = True
         self._failures = 0
         return now_s
 
