Make one wait of two, and keep a generation in one place

The first waits of the watches on the configuration and on the weights were the same formula twice; one method serves both. GenerationNews kept a copy of the generation in force, which the state has; it asks for it. Integers of lenient JSON are bounded where they are parsed, not a second time in what was parsed. A sighting of software keeps its earliest start itself. The page of events names the sources of a configuration as they are logged.

--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -193,7 +193,7 @@
                 previous=previous,
                 source=source,
                 confirmed_age_s=news.confirmed_age_s(now_s),
-                behind_s=news.record_taken(document.generation, now_s),
+                behind_s=news.record_taken(now_s),
             )
         )
         # The watches of all peers may have lost their answers.
--- a/toucanrudder/forwarding/generations.py
+++ b/toucanrudder/forwarding/generations.py
@@ -1,5 +1,7 @@
 """How current a router's configuration is.  No I/O."""
 
+from collections.abc import Callable
+
 import attrs
 
 
@@ -7,25 +9,30 @@
 class GenerationNews:
     """Tells a router that is up to date from one that follows late.
 
+    Parameters
+    ----------
+    in_force : callable
+        Returns the generation in force; 0 for none.
+
     Attributes
     ----------
-    generation : int
-        Generation in force; 0 for none.
     heard_generation : int
         Newest generation that a peer has said to have.
 
     Examples
     --------
-    >>> news = GenerationNews()
-    >>> news.record_taken(3, 10.0)
-    0.0
+    >>> generations = [3]
+    >>> news = GenerationNews(lambda: generations[-1])
     >>> news.record_heard(4, 11.0), news.record_heard(4, 11.5)
     (True, False)
-    >>> news.behind_s(12.0), news.record_taken(4, 12.0), news.behind_s(13.0)
-    (1.0, 1.0, 0.0)
+    >>> news.behind_s(12.0)
+    1.0
+    >>> generations.append(4)
+    >>> news.record_taken(12.0), news.behind_s(13.0)
+    (1.0, 0.0)
     """
 
-    generation: int = 0
+    in_force: Callable[[], int]
     heard_generation: int = 0
     _behind_since_s: float | None = None
     _confirmed_at_s: float | None = None
@@ -36,18 +43,20 @@
 
     def record_heard(self, generation: int, now_s: float) -> bool:
         """Record a peer's generation; return whether a newer one is news."""
-        if generation <= max(self.generation, self.heard_generation):
+        if generation <= self._newest():
             return False
         self.heard_generation = generation
         if self._behind_since_s is None:
             self._behind_since_s = now_s
         return True
 
-    def record_taken(self, generation: int, now_s: float) -> float:
-        """Record a new generation in force; return how late it is."""
+    def _newest(self) -> int:
+        return max(self.in_force(), self.heard_generation)
+
+    def record_taken(self, now_s: float) -> float:
+        """Record that a generation came into force; return how late."""
         late_s = self.behind_s(now_s)
-        self.generation = generation
-        if generation >= self.heard_generation:
+        if self.in_force() >= self.heard_generation:
             self._behind_since_s = None
         return late_s
 
@@ -72,10 +81,7 @@
 
     def generations(self) -> dict[str, float]:
         """Return the generations of the metric."""
-        return {
-            "in_force": self.generation,
-            "heard": max(self.generation, self.heard_generation),
-        }
+        return {"in_force": self.in_force(), "heard": self._newest()}
 
     def ages_s(self, now_s: float) -> dict[str, float]:
         """Return the ages of the metric."""
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -205,7 +205,10 @@
     )
     is_settled: Callable[[], bool] = lambda: True
     generation_news: generations.GenerationNews = attrs.field(
-        factory=generations.GenerationNews
+        default=attrs.Factory(
+            lambda self: generations.GenerationNews(lambda: self.generation),
+            takes_self=True,
+        )
     )
     known_fleet: fleet_size.FleetSize = attrs.field(
         factory=fleet_size.FleetSize
--- a/toucanrudder/forwarding/store_watch.py
+++ b/toucanrudder/forwarding/store_watch.py
@@ -99,7 +99,7 @@
     return min(max(least_s, wait_s), max(usual_s, MAX_WATCH_WAIT_S))
 
 
-def first_wait_s(wait_s: float, rank: int, routers: int) -> float:
+def first_wait_s(wait_s: float, rank: int, watchers: int) -> float:
     """Return how long a router's first watch after a change waits.
 
     The watches of all routers begin again at the same time.  Their ends are
@@ -111,16 +111,16 @@
     wait_s : float
         Wait of later watches.
     rank : int
-        Number of routers that precede this one.
-    routers : int
-        Number of live routers.
+        Number of watching routers that precede this one.
+    watchers : int
+        Number of routers that watch.
 
     Examples
     --------
     >>> [first_wait_s(5.0, rank, 4) for rank in range(4)]
     [1.25, 2.5, 3.75, 5.0]
     """
-    return wait_s * (rank + 1) / routers
+    return wait_s * (rank + 1) / watchers
 
 
 class StoreWatch:
@@ -340,7 +340,9 @@
                 ),
             ),
             self._configuration_wait_s,
-            first_wait_s=self._first_configuration_wait_s,
+            first_wait_s=lambda: self._first_wait_s(
+                self._configuration_wait_s()
+            ),
         )
         return [
             self._configuration,
@@ -362,7 +364,9 @@
                     self._on_weights, _for_each_change(self._on_weights)
                 ),
                 is_wanted=self._watches_weights,
-                first_wait_s=self._first_weights_wait_s,
+                first_wait_s=lambda: self._first_wait_s(
+                    self._wait_s, WEIGHTS_WATCHERS
+                ),
             ),
         ]
 
@@ -408,21 +412,18 @@
             return self._wait_s
         return configuration_wait_s(self._wait_s, self._state.live_routers())
 
-    def _first_configuration_wait_s(self) -> float | None:
-        if not self.has_converged():
-            return None
-        return first_wait_s(
-            self._configuration_wait_s(),
-            self.takeover_rank(),
-            len(self.live_router_names()),
-        )
+    def _first_wait_s(
+        self, wait_s: float, max_watchers: float = float("inf")
+    ) -> float | None:
+        """Return the wait of this router's first watch after a change.
 
-    def _first_weights_wait_s(self) -> float | None:
+        None while the other routers are not known.
+        """
         if not self.has_converged():
             return None
-        watchers = min(WEIGHTS_WATCHERS, len(self.live_router_names()))
+        watchers = min(max_watchers, len(self.live_router_names()))
         rank = min(self.takeover_rank(), watchers - 1)
-        return first_wait_s(self._wait_s, rank, watchers)
+        return first_wait_s(wait_s, rank, watchers)
 
     def _controller(
         self,
--- a/toucanrudder/forwarding/streams/software.py
+++ b/toucanrudder/forwarding/streams/software.py
@@ -41,6 +41,12 @@
     last_s: float
     started_at_ms: int = 0
 
+    def record_start(self, started_at_ms: int) -> None:
+        """Keep the earliest known start of an upstream; 0 is unknown."""
+        if started_at_ms:
+            known_ms = self.started_at_ms or started_at_ms
+            self.started_at_ms = min(known_ms, started_at_ms)
+
 
 @attrs.define(eq=False)
 class SoftwareVersions:
@@ -94,31 +100,25 @@
         elif was_suspended or self.complete_since_s == float("inf"):
             self.complete_since_s = now_s
         for upstream in upstreams:
-            self._record(
+            sighting = self._record(
                 upstream.service, upstream.software_version, now_s, now_s
             )
-            self._record_start(upstream)
+            sighting.record_start(upstream.started_at_ms)
         for seen in self._seen.values():
             _forget(seen, now_s - MAX_KEPT_S)
 
     def _record(
         self, service: str, version: str, first_s: float, last_s: float
-    ) -> None:
+    ) -> _Sighting:
         seen = self._seen.setdefault(service, {})
         sighting = seen.get(version)
-        if sighting is not None:
-            sighting.first_s = min(sighting.first_s, first_s)
-            sighting.last_s = max(sighting.last_s, last_s)
-        elif len(seen) < MAX_VERSIONS:
-            seen[version] = _Sighting(first_s, last_s)
-
-    def _record_start(self, upstream: model.Upstream) -> None:
-        """Keep the earliest start of an upstream of each version."""
-        seen = self._seen[upstream.service]
-        sighting = seen.get(upstream.software_version)
-        if sighting is not None and upstream.started_at_ms:
-            known_ms = sighting.started_at_ms or upstream.started_at_ms
-            sighting.started_at_ms = min(known_ms, upstream.started_at_ms)
+        if sighting is None:
+            sighting = _Sighting(first_s, last_s)
+            if len(seen) < MAX_VERSIONS:
+                seen[version] = sighting
+        sighting.first_s = min(sighting.first_s, first_s)
+        sighting.last_s = max(sighting.last_s, last_s)
+        return sighting
 
     def merge(self, news: messages.SoftwareNews, now_s: float) -> None:
         """Merge what a peer has seen."""
--- a/toucanrudder/http1/json_text.py
+++ b/toucanrudder/http1/json_text.py
@@ -16,8 +16,10 @@
 #: any known message, and below what parsers and encoders bear.
 MAX_NESTING = 64
 
-#: Digits of the integers that fit into 64 bits.
-MAX_INTEGER_DIGITS = 19
+#: Magnitude from which on integers are not kept, and characters of the longest
+#: one below.
+MAX_INTEGER = 2**63
+MAX_INTEGER_CHARACTERS = len(str(-MAX_INTEGER))
 
 _BRACKETS_AND_STRINGS = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
 
@@ -31,7 +33,7 @@
 
     Bytes that are not UTF-8 become characters that occur in no name, large
     integers become infinity, and what is nested too deeply becomes None, so
-    only the objects that hold them are affected.  The result can be encoded
+    only the objects that hold them are affected.  `encode` encodes the result
     as strict JSON again.
 
     Raises
@@ -79,9 +81,11 @@
 
 
 def _parse_integer(digits: str) -> int | float:
-    if len(digits.removeprefix("-")) > MAX_INTEGER_DIGITS:
-        return float("-inf" if digits.startswith("-") else "inf")
-    return int(digits)
+    if len(digits) <= MAX_INTEGER_CHARACTERS:
+        value = int(digits)
+        if abs(value) < MAX_INTEGER:
+            return value
+    return float("inf")
 
 
 def _without_deep_values(text: str) -> str:
@@ -129,11 +133,6 @@
     return value.encode(errors="replace").decode()
 
 
-@_to_strict.register
-def _(value: int) -> int | float:
-    return value if abs(value) < 2**63 else float("inf")
-
-
 @_to_strict.register
 def _(value: list) -> list:
     return [_to_strict(item) for item in value]
--- a/toucanrudder/observability/decisions.py
+++ b/toucanrudder/observability/decisions.py
@@ -48,9 +48,9 @@
 class ConfigurationTaken:
     """This router has put a newer configuration into force.
 
-    ``source`` is the store or the address of a peer.  ``confirmed_age_s`` is
-    the time since the store last answered this router's watch, and
-    ``behind_s`` the time since a peer first said that it had a newer one.
+    ``source`` is ``store`` or ``peer``.  ``confirmed_age_s`` is the time since
+    the store last answered this router's watch, and ``behind_s`` the time
+    since a peer first said that it had a newer one.
     """
 
     generation: int
