Share what tests do to reset connections and to register upstreams

Four started and registered an upstream with the same lines; Cluster.register does. The tests of late configurations share their start and the loss of answers. The tests of cut heads stop at each byte, no longer at each third.

--- a/toucanrudder/http1/tests/test_client.py
+++ b/toucanrudder/http1/tests/test_client.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import socket
-import struct
 import threading
 
 import h11
@@ -13,6 +12,7 @@
 from toucanrudder.http1 import client
 from toucanrudder.http1 import message
 from toucanrudder.http1 import pool
+from toucanrudder.testing import resets
 
 HEAD = message.RequestHead(b"GET", b"/x", ((b"Host", b"h"),))
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -48,10 +48,7 @@
         writer.write(data)
         await writer.drain()
         if reset:
-            sock = writer.get_extra_info("socket")
-            sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-            )
+            resets.reset_on_close(writer.get_extra_info("socket"))
             # The written bytes must arrive before the reset.
             await asyncio.sleep(0.05)
         writer.close()
@@ -257,9 +254,7 @@
 
 
 def reset(sock):
-    sock.setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-    )
+    resets.reset_on_close(sock)
     sock.close()
 
 
@@ -368,9 +363,7 @@
         accepted, _ = listener.accept()
         accepted.recv(4096)
         accepted.sendall(b"HTTP/1.1 200 OK\r\n\r\nabc")
-        accepted.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-        )
+        resets.reset_on_close(accepted)
         accepted.close()
 
     async def fault_of_truncated_answer():
--- a/toucanrudder/platform/testing/cluster.py
+++ b/toucanrudder/platform/testing/cluster.py
@@ -123,15 +123,19 @@
         await self.stack.enter_async_context(self.store.running())
         self.store.put("config", "main", CONFIGURATION)
 
+    async def register(self, server):
+        """Start an upstream and register it."""
+        await self.stack.enter_async_context(server.running())
+        self.store.put("servers", server.incarnation, server.entry())
+        return server
+
     async def server(
         self, service="desk", model="", zone="za", software_version="v1"
     ):
         """Start and register an upstream."""
         server = standins.Server(service, model, zone)
         server.software_version = software_version
-        await self.stack.enter_async_context(server.running())
-        self.store.put("servers", server.incarnation, server.entry())
-        return server
+        return await self.register(server)
 
     async def engine(self, software_version="v1"):
         """Start and register an engine."""
@@ -142,9 +146,7 @@
     async def raw_server(self, answer):
         """Start and register an upstream that answers with raw bytes."""
         server = standins.RawServer("desk", answer)
-        await self.stack.enter_async_context(server.running())
-        self.store.put("servers", server.incarnation, server.entry())
-        return server
+        return await self.register(server)
 
     def settings(self, name, seeds):
         """Return the settings of a router."""
--- a/toucanrudder/platform/tests/test_answers_without_length.py
+++ b/toucanrudder/platform/tests/test_answers_without_length.py
@@ -1,16 +1,12 @@
 """Answers that end with their connection, whole or cut."""
 
 import contextlib
-import socket
-import struct
 
 import pytest
 
 from toucanrudder.platform.testing import cluster as clusters
 from toucanrudder.platform.testing import standins
-
-#: Lets a close reset the connection instead of ending the stream.
-RESET = struct.pack("ii", 1, 0)
+from toucanrudder.testing import resets
 
 
 class ClosingServer(standins.RawServer):
@@ -48,8 +44,7 @@
             await writer.drain()
             if self.resets:
                 # The body is on its way before the connection is reset.
-                sock = writer.get_extra_info("socket")
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                resets.reset_on_close(writer.get_extra_info("socket"))
         writer.close()
 
 
@@ -85,9 +80,7 @@
     """Start an upstream that closes, and for engines one that resumes."""
     model = "m" if service == "engines" else ""
     server = ClosingServer(service, model, body, resets)
-    await cluster.stack.enter_async_context(server.running())
-    cluster.store.put("servers", server.incarnation, server.entry())
-    return server
+    return await cluster.register(server)
 
 
 async def check(cluster, routers, row, upstream):
--- a/toucanrudder/platform/tests/test_cut_heads.py
+++ b/toucanrudder/platform/tests/test_cut_heads.py
@@ -1,16 +1,12 @@
 """Answers of upstreams that stop in the middle and close."""
 
 import contextlib
-import socket
-import struct
 
 import pytest
 
 from toucanrudder.platform.testing import cluster as clusters
 from toucanrudder.platform.testing import standins
-
-#: Lets a close reset the connection instead of ending the stream.
-RESET = struct.pack("ii", 1, 0)
+from toucanrudder.testing import resets
 
 EVENTS = clusters.EVENTS
 FIELDS = b"Request-Id: %b\r\nServer-Seal: s\r\nServer-Load: 1,0,8\r\n"
@@ -103,20 +99,11 @@
                 writer.write(answer[: max(0, len(answer) - self.cut_off)])
                 await writer.drain()
                 if self.resets:
-                    sock = writer.get_extra_info("socket")
-                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                    resets.reset_on_close(writer.get_extra_info("socket"))
                 break
         writer.close()
 
 
-async def start(cluster, service, *args):
-    """Start and register a server that stops in its answers."""
-    server = CutServer(service, *args)
-    await cluster.stack.enter_async_context(server.running())
-    cluster.store.put("servers", server.incarnation, server.entry())
-    return server
-
-
 ANSWERS = {
     "with a length": with_length,
     "in chunks": in_chunks,
@@ -136,9 +123,9 @@
 
 
 async def check_all_cuts(router, server, path):
-    """Let an upstream stop at each third byte; check what callers get."""
+    """Let an upstream stop at each byte; check what callers get."""
     # Some bytes more than the shortest request ID leaves.
-    for cut_off in range(1, len(server.whole_answer(b"", server.body)) + 9, 3):
+    for cut_off in range(1, len(server.whole_answer(b"", server.body)) + 9):
         server.cut_off, server.stopped = cut_off, 0
         for each in range(1 + server.is_kept):
             received = await clusters.send_request(
@@ -157,7 +144,8 @@
     cluster, answer, end, route
 ):
     path, service, model, body = route
-    server = await start(cluster, service, model, answer, body, *end)
+    server = CutServer(service, model, answer, body, *end)
+    await cluster.register(server)
     await check_all_cuts(await cluster.router(), server, path)
 
 
@@ -166,9 +154,8 @@
     cluster, route
 ):
     path, service, model, body = route
-    server = await start(
-        cluster, service, model, with_length, body, False, False
-    )
+    server = CutServer(service, model, with_length, body, False, False)
+    await cluster.register(server)
     routers = await cluster.routers(2)
     with clusters.cut_off(routers[0], clusters.refuse):
         await check_all_cuts(routers[0], server, path)
--- a/toucanrudder/platform/tests/test_late_configurations.py
+++ b/toucanrudder/platform/tests/test_late_configurations.py
@@ -1,6 +1,7 @@
 """Routers whose watches of the configuration say nothing further."""
 
 import asyncio
+import contextlib
 import time
 
 import pytest
@@ -29,6 +30,27 @@
     )
 
 
+async def settled_routers(cluster):
+    """Return routers that know each other and watch for long."""
+    cluster.watch_wait_s = 5.0
+    routers = await cluster.routers(ROUTERS)
+    await clusters.wait_until(
+        lambda: all(each.store_watch.has_converged() for each in routers)
+    )
+    return routers
+
+
+@contextlib.asynccontextmanager
+async def answers_lost(cluster, kind):
+    """Lose the answers to watches that what is written here ends."""
+    cluster.store.lost_watches.add(kind)
+    try:
+        yield
+        await asyncio.sleep(HANDLED_S)
+    finally:
+        cluster.store.lost_watches.clear()
+
+
 async def late_routers(routers, version):
     """Return the names of the routers without a version at the bound."""
     until_s = time.monotonic() + BOUND_S
@@ -44,19 +66,13 @@
 
 
 async def test_no_version_is_late_if_all_watches_lose_their_answers(cluster):
-    cluster.watch_wait_s = 5.0
-    routers = await cluster.routers(ROUTERS)
-    await clusters.wait_until(
-        lambda: all(each.store_watch.has_converged() for each in routers)
-    )
+    routers = await settled_routers(cluster)
     put_version(cluster, 4)
     assert not await late_routers(routers, 4)
     # All routers watch again, after the delay in which changes are batched.
     await asyncio.sleep(0.5)
-    cluster.store.lost_watches.add("config")
-    put_version(cluster, 5)
-    await asyncio.sleep(HANDLED_S)
-    cluster.store.lost_watches.clear()
+    async with answers_lost(cluster, "config"):
+        put_version(cluster, 5)
     assert not await late_routers(routers, 5)
 
 
@@ -112,10 +128,8 @@
     """A router does not depend on its peers for the rest of a long wait."""
     cluster.watch_wait_s = 20.0
     routers = await cluster.routers(3)
-    cluster.store.lost_watches.add("config")
-    put_version(cluster, 4)
-    await asyncio.sleep(HANDLED_S)
-    cluster.store.lost_watches.clear()
+    async with answers_lost(cluster, "config"):
+        put_version(cluster, 4)
     # A peer learns of it, as if its watch had been open a moment later.
     document = objects.read_document(
         (
@@ -134,11 +148,7 @@
 
 
 async def test_no_weights_are_late_if_all_watches_lose_their_answers(cluster):
-    cluster.watch_wait_s = 5.0
-    routers = await cluster.routers(ROUTERS)
-    await clusters.wait_until(
-        lambda: all(each.store_watch.has_converged() for each in routers)
-    )
+    routers = await settled_routers(cluster)
 
     def put_weights(version):
         spec = {"model": "m", "version": version}
@@ -151,10 +161,8 @@
     put_weights(2)
     await clusters.wait_until(lambda: know_weights(2))
     await asyncio.sleep(0.5)
-    cluster.store.lost_watches.add("versions")
-    put_weights(3)
-    await asyncio.sleep(HANDLED_S)
-    cluster.store.lost_watches.clear()
+    async with answers_lost(cluster, "versions"):
+        put_weights(3)
     async with asyncio.timeout(WEIGHTS_BOUND_S):
         while not know_weights(3):
             await asyncio.sleep(0.01)
