Test strange objects of all kinds that are read

The tests of strange entries had lists and watches of the registry, readers and configurations. Now also weights and configurations beside strange objects, leases, reports, cache events and documents of peers, and a depth of 1,100. They pass; no code changes.

--- a/toucanrudder/platform/tests/test_strange_entries.py
+++ b/toucanrudder/platform/tests/test_strange_entries.py
@@ -4,12 +4,15 @@
 import pytest
 
 from toucanrudder.http1 import json_text
+from toucanrudder.leases import holder
 from toucanrudder.peers import changes
 from toucanrudder.platform import objects
+from toucanrudder.platform import records
 from toucanrudder.platform.testing import cluster as clusters
 from toucanrudder.store import fanout
 from toucanrudder.store import feed
 from toucanrudder.store import interface
+from toucanrudder.store import typed
 
 
 def nested(depth):
@@ -29,20 +32,26 @@
     return orjson.dumps({**upstream, **fields})
 
 
-#: Content of an entry that another writer left.
-STRANGE = {
+#: What no record of any kind can be read from.
+STRANGE_VALUES = {
     "nested 300 deep": nested(300),
+    "nested 1100 deep": nested(1100),
     "nested 1500 deep": nested(1500),
     "nested 100,000 deep": nested(100_000),
     "brackets in a string": b'{"service": "' + b"[" * 3000 + b'"}',
     "a number of 5,000 digits": b'{"slots": ' + b"9" * 5000 + b"}",
     "a number beyond floats": b'{"slots": 1e400}',
+    "bytes that are no text": b'{"service": "\xff"}',
+}
+
+#: Content of an entry that another writer left.
+STRANGE = {
+    **STRANGE_VALUES,
     "a port of 5 digits": entry(address="127.0.0.1:99999"),
     "a port of 5,000 digits": entry(address="127.0.0.1:" + "9" * 5000),
     "a port in other digits": entry(address="127.0.0.1:\u0663"),
     "a negative port": entry(address="127.0.0.1:-1"),
     "nested beside a sound entry": entry()[:-1] + b"," + nested(1500)[1:],
-    "bytes that are no text": b'{"service": "\xff"}',
 }
 
 
@@ -93,12 +102,51 @@
 
 
 @pytest.mark.parametrize("content", STRANGE.values(), ids=STRANGE.keys())
-def test_strange_configuration_is_malformed(content):
-    stored = interface.StoredObject(
-        "config", "main", 8, json_text.parse(content)
+async def test_weights_and_configuration_are_followed_beside_strange_ones(
+    cluster, content
+):
+    """Versions are learned though an object beside theirs is strange."""
+    router = await cluster.router()
+    for kind in ("versions", "config", holder.KIND):
+        cluster.store.put(kind, "a-strange", orjson.Fragment(content))
+    cluster.store.put("versions", "m", {"model": "m", "version": 2})
+    configuration = {**clusters.CONFIGURATION, "version": 4}
+    cluster.store.put("config", "main", configuration)
+    await clusters.wait_until(
+        lambda: (
+            "m" in router.state.newest_weights and router.state.generation == 4
+        )
     )
+
+
+#: Readers of objects and messages of other programs.
+READERS = {
+    "configuration": lambda value: objects.read_document(
+        interface.StoredObject("config", "main", 8, value)
+    ),
+    "weights": lambda value: objects.read_target_weights(
+        interface.StoredObject("versions", "m", 8, value)
+    ),
+    "report": lambda value: typed.read(records.Report, value, "engine"),
+    "cache events": lambda value: typed.read(
+        records.CacheNews, value, "engine"
+    ),
+}
+
+
+@pytest.mark.parametrize(
+    "content", STRANGE_VALUES.values(), ids=STRANGE_VALUES.keys()
+)
+@pytest.mark.parametrize("read", READERS.values(), ids=READERS.keys())
+def test_strange_object_is_malformed(read, content):
+    with pytest.raises(interface.MalformedObject):
+        read(json_text.parse(content))
+
+
+@pytest.mark.parametrize("content", STRANGE.values(), ids=STRANGE.keys())
+def test_strange_document_of_a_peer_is_malformed(content):
     with pytest.raises(interface.MalformedObject):
-        objects.read_document(stored)
+        objects.decode_document(content)
 
 
 @pytest.mark.parametrize(
