Show a document that does not come, and test what is added and removed

A peer that gave no document until another one did is counted and logged. Routes and keys that a version adds or removes are tested at five routers, with the answers to all watches lost: at the bound all of them handle requests by the newer version, in all four cases.

--- a/toucanrudder/peers/documents.py
+++ b/toucanrudder/peers/documents.py
@@ -4,8 +4,13 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Collection
+import logging
 import random
 
+from toucanrudder.peers import node as nodes
+
+LOG = logging.getLogger(__name__)
+
 #: Time without an answer after which another peer is asked as well, and its
 #: growth with each one: a document may be large and the link slow.  The
 #: deadline of a call allows for a busy peer.
@@ -85,6 +90,11 @@
             for address, task in running.items():
                 task.cancel()
                 self._record_end(address, False)
+                nodes.count_refusal("document_unanswered")
+                LOG.info(
+                    "peer gave no document; another one did",
+                    extra={"peer": address},
+                )
 
     def _record_end(self, address: str, is_answered: bool) -> None:
         self._unanswered.discard(address)
--- a/toucanrudder/platform/tests/test_late_configurations.py
+++ b/toucanrudder/platform/tests/test_late_configurations.py
@@ -24,10 +24,9 @@
 ROUTERS = 5
 
 
-def put_version(cluster, version):
-    cluster.store.put(
-        "config", "main", {**clusters.CONFIGURATION, "version": version}
-    )
+def put_version(cluster, version, **fields):
+    configuration = {**clusters.CONFIGURATION, **fields, "version": version}
+    cluster.store.put("config", "main", configuration)
 
 
 async def settled_routers(cluster):
@@ -76,6 +75,50 @@
     assert not await late_routers(routers, 5)
 
 
+WITHOUT_ROUTE = {
+    "routes": [
+        route
+        for route in clusters.CONFIGURATION["routes"]
+        if route["name"] != "read"
+    ]
+}
+WITHOUT_KEY = {"tenants": clusters.CONFIGURATION["tenants"][1:]}
+
+#: Fields of a version and of the next one, and status of a request by each.
+CHANGES = {
+    "a route is added": (WITHOUT_ROUTE, {}, 404, 200),
+    "a route is removed": ({}, WITHOUT_ROUTE, 200, 404),
+    "a key is added": (WITHOUT_KEY, {}, 401, 200),
+    "a key is removed": ({}, WITHOUT_KEY, 200, 401),
+}
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "old_status", "new_status"),
+    CHANGES.values(),
+    ids=CHANGES.keys(),
+)
+async def test_no_request_is_handled_by_an_older_version_past_the_bound(
+    cluster, before, after, old_status, new_status
+):
+    await cluster.server()
+    routers = await settled_routers(cluster)
+
+    async def statuses():
+        return {
+            (await clusters.send_request(router)).status for router in routers
+        }
+
+    put_version(cluster, 4, **before)
+    assert not await late_routers(routers, 4)
+    assert await statuses() == {old_status}
+    await asyncio.sleep(0.5)
+    async with answers_lost(cluster, "config"):
+        put_version(cluster, 5, **after)
+    await asyncio.sleep(BOUND_S - HANDLED_S)
+    assert await statuses() == {new_status}
+
+
 def never_answer_watches(router, monkeypatch):
     """Let a router's watches of the configuration end without an answer."""
     store = router.platform.store
