--- a/toucanrudder/soak/faults.py
+++ b/toucanrudder/soak/faults.py
@@ -6,6 +6,8 @@
 import signal
 import time
 
+import orjson
+
 from toucanrudder.platform.testing import soaking
 from toucanrudder.soak import callers as callers_
 from toucanrudder.soak import plans
@@ -26,6 +28,14 @@
 POISON_TRIES = 8
 POISON_PAUSE_S = 0.6
 
+#: Time after a change in which all routers have begun to watch again, and
+#: time in which the store handles a change.
+WATCH_AGAIN_S = 0.6
+HANDLED_S = 0.1
+
+#: Deepest nesting of a strange entry.
+MAX_DEPTH = 20_000
+
 #: Requests per second that an upstream in need takes.
 LIMIT_PER_S = 1.5
 
@@ -174,6 +184,22 @@
         with self._span("store forgets"):
             self._site.store.forget_history()
 
+    async def _watches_lost(self, step: plans.Step) -> None:
+        """Change the document, and lose all watches of the next change."""
+        store = self._site.store
+        self._site.change_document()
+        await asyncio.sleep(WATCH_AGAIN_S)
+        store.lost_watches.add("config")
+        self._site.change_document()
+        await asyncio.sleep(HANDLED_S)
+        store.lost_watches.clear()
+
+    async def _strange_entry(self, step: plans.Step) -> None:
+        """Leave an entry that cannot be read in the registry, for good."""
+        depth = int(step.draw * MAX_DEPTH)
+        content = b"[" * depth + b"]" * depth
+        self._site.store.put("servers", "i-0", orjson.Fragment(content))
+
     async def _store_cut(self, step: plans.Step) -> None:
         proxy = self._site.store_proxy
         with self._span("store cut"):
@@ -414,4 +440,6 @@
     plans.Fault.LIMIT: Injector._limit,
     plans.Fault.LEAVE: Injector._leave,
     plans.Fault.REST: Injector._rest,
+    plans.Fault.WATCHES_LOST: Injector._watches_lost,
+    plans.Fault.STRANGE_ENTRY: Injector._strange_entry,
 }
--- a/toucanrudder/soak/mutants.py
+++ b/toucanrudder/soak/mutants.py
@@ -192,6 +192,30 @@
         "        return rest.wait_s(now_s) if rest else 0.0\n",
         "        return 0.0\n",
     ),
+    Mutant(
+        "the watches of all routers end together",
+        "forwarding/store_watch.py",
+        "    return wait_s * (rank + 1) / watchers\n",
+        "    return wait_s\n",
+    ),
+    Mutant(
+        "a list is lost with an entry that is nested deeply",
+        "http1/json_text.py",
+        '_without_deep_values(content.decode(errors="replace"))',
+        'content.decode(errors="replace")',
+    ),
+    Mutant(
+        "news from before a standstill vouch for a version",
+        "forwarding/streams/resuming.py",
+        "if served is None or self._may_read_old_news(now_s):",
+        "if served is None:",
+    ),
+    Mutant(
+        "one peer at a time is asked for a document",
+        "peers/documents.py",
+        "MAX_FETCHES = 5",
+        "MAX_FETCHES = 1",
+    ),
     Mutant(
         "history that is gone is not read anew",
         "controllers/feeds.py",
--- a/toucanrudder/soak/plans.py
+++ b/toucanrudder/soak/plans.py
@@ -34,6 +34,8 @@
     LIMIT = "upstream limit"
     LEAVE = "upstream leaves unregistered"
     REST = "upstream rest"
+    WATCHES_LOST = "watches lost"
+    STRANGE_ENTRY = "strange entry"
 
 
 #: How often each comes, against the others.
@@ -119,6 +121,7 @@
             steps.append(limit_step(seed, length_s))
             steps.append(leave_step(seed, length_s))
             steps.append(rest_step(seed, length_s))
+            steps.extend(_store_steps(seed, length_s))
             return tuple(sorted(steps, key=_at_s))
         (fault,) = rng.choices(list(WEIGHTS), list(WEIGHTS.values()))
         for _ in range(rng.choice((1, 1, 1, 2, 3))):
@@ -203,6 +206,13 @@
     return Step(at_s, Fault.REST, rng.random(), length_s / 2)
 
 
+def _store_steps(seed: int, length_s: float) -> Iterator[Step]:
+    rng = _generator(seed, "store")
+    for fault in (Fault.WATCHES_LOST, Fault.STRANGE_ENTRY):
+        at_s = _time_s(rng, length_s / 2)
+        yield Step(at_s, fault, rng.random(), 0.0)
+
+
 def _part_step(seed: int, length_s: float) -> Step:
     rng = _generator(seed, "part")
     at_s = _time_s(rng, length_s / 2)
--- a/toucanrudder/soak/runs.py
+++ b/toucanrudder/soak/runs.py
@@ -40,6 +40,8 @@
         Callers that ask for long streams beside the others.
     faults_a_second : float
         On average.
+    watch_wait_s : float
+        Seconds for which routers' watches of the store wait.
     """
 
     length_s: float = 20.0
@@ -49,6 +51,7 @@
     callers: int = 12
     long_streams: int = 6
     faults_a_second: float = 0.8
+    watch_wait_s: float = 2.0
 
 
 @attrs.frozen
@@ -94,7 +97,7 @@
     record = records.Record()
     if steps is None:
         steps = plans.plan(seed, size.length_s, size.faults_a_second)
-    site = sites.Site(rng, folder, record)
+    site = sites.Site(rng, folder, record, size.watch_wait_s)
     async with site.running(size.routers, size.engines, size.desks):
         watch = asyncio.ensure_future(_watch(site, record))
         begin_s = time.monotonic()
--- a/toucanrudder/soak/site.py
+++ b/toucanrudder/soak/site.py
@@ -38,7 +38,7 @@
     [store]
     address = {store}
     timeout_s = 1.0
-    watch_wait_s = 2.0
+    watch_wait_s = {watch_wait_s}
     [shutdown]
     grace_s = {grace_s}
     notice_s = 1.0
@@ -148,11 +148,14 @@
         For settings and logs.
     record : records.Record
         What is seen.
+    watch_wait_s : float
+        Seconds for which routers' watches of the store wait.
     """
 
     rng: random.Random
     folder: pathlib.Path
     record: records.Record
+    watch_wait_s: float
     store: standins.Store = attrs.field(factory=standins.Store)
     store_proxy: proxies.Proxy | None = None
     routers: list[Router] = attrs.field(factory=list)
@@ -287,6 +290,7 @@
                 seeds=seeds,
                 store=self.store_proxy.address,
                 grace_s=oracles.GRACE_S,
+                watch_wait_s=self.watch_wait_s,
             )
             path.write_text(text)
             log = self.folder / f"{name}.log"
--- a/toucanrudder/soak/tests/test_soak.py
+++ b/toucanrudder/soak/tests/test_soak.py
@@ -75,6 +75,26 @@
     assert result.figures[figure] > 0
 
 
+def test_a_document_is_in_force_though_all_watches_are_lost(tmp_path):
+    size = runs.Size(length_s=14.0, routers=8, watch_wait_s=6.0)
+    steps = (plans.Step(4.0, plans.Fault.WATCHES_LOST, 0.5, 0.0),)
+    result = runs.play(907, size, str(tmp_path), steps)
+    assert result.broken == []
+    assert result.figures["runs"] > 0
+
+
+def test_upstreams_are_followed_beside_a_strange_entry(tmp_path):
+    size = runs.Size(length_s=14.0)
+    steps = (
+        plans.Step(1.0, plans.Fault.STRANGE_ENTRY, 0.5, 0.0),
+        plans.Step(3.0, plans.Fault.DRAIN, 0.2, 0.0),
+        plans.Step(5.0, plans.Fault.DRAIN, 0.7, 0.0),
+    )
+    result = runs.play(907, size, str(tmp_path), steps)
+    assert result.broken == []
+    assert result.figures["runs"] > 0
+
+
 def test_a_plan_draws_each_kind_of_fault():
     drawn = {
         step.fault
