--- a/toucanrudder/soak/faults.py
+++ b/toucanrudder/soak/faults.py
@@ -189,7 +189,7 @@
         store = self._site.store
         self._site.change_document()
         await asyncio.sleep(WATCH_AGAIN_S)
-        store.lost_watches.add("config")
+        store.lost_watches.add(soaking.DOCUMENT_KIND)
         self._site.change_document()
         await asyncio.sleep(HANDLED_S)
         store.lost_watches.clear()
@@ -198,7 +198,9 @@
         """Leave an entry that cannot be read in the registry, for good."""
         depth = int(step.draw * MAX_DEPTH)
         content = b"[" * depth + b"]" * depth
-        self._site.store.put("servers", "i-0", orjson.Fragment(content))
+        self._site.store.put(
+            soaking.UPSTREAM_KIND, "i-0", orjson.Fragment(content)
+        )
 
     async def _store_cut(self, step: plans.Step) -> None:
         proxy = self._site.store_proxy
