Close the connections of test servers with their event loop

Cause: servers of raw connections in the tests of http1 left streams open whose event loop had ended. The finalizer of such a stream raises; pytest's hook for it formats a traceback, for which Python 3.11 calls ast.parse; if the garbage is collected within another ast.parse, the depth that both count no longer balances. Which test met it depended on when the garbage was collected.

testing/servers.py now runs all servers of raw connections: their connections are closed with the block.

--- a/toucanrudder/http1/tests/test_calls.py
+++ b/toucanrudder/http1/tests/test_calls.py
@@ -10,6 +10,7 @@
 from toucanrudder.http1 import calls
 from toucanrudder.http1 import json_text
 from toucanrudder.http1 import pool
+from toucanrudder.testing import servers
 
 NOT_STRICT_JSON = {
     "lone surrogate": b'{"a": "\\ud800"}',
@@ -65,22 +66,20 @@
         )
         writer.close()
 
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    host, port = server.sockets[0].getsockname()
-    call = calls.call(
-        pool.ConnectionPool(),
-        f"{host}:{port}",
-        method,
-        "/x",
-        timeout_s=5,
-        connect_timeout_s=5,
-        clock=asyncio.get_running_loop().time,
-        foreign_header=b"x-named",
-    )
-    if expected_requests == 1:
-        with pytest.raises(calls.MismatchedAnswer):
-            await call
-    else:
-        assert (await call).status == 200
+    async with servers.running(serve) as address:
+        call = calls.call(
+            pool.ConnectionPool(),
+            address,
+            method,
+            "/x",
+            timeout_s=5,
+            connect_timeout_s=5,
+            clock=asyncio.get_running_loop().time,
+            foreign_header=b"x-named",
+        )
+        if expected_requests == 1:
+            with pytest.raises(calls.MismatchedAnswer):
+                await call
+        else:
+            assert (await call).status == 200
     assert len(heads) == expected_requests
-    server.close()
--- a/toucanrudder/http1/tests/test_client.py
+++ b/toucanrudder/http1/tests/test_client.py
@@ -13,6 +13,7 @@
 from toucanrudder.http1 import message
 from toucanrudder.http1 import pool
 from toucanrudder.testing import resets
+from toucanrudder.testing import servers
 
 HEAD = message.RequestHead(b"GET", b"/x", ((b"Host", b"h"),))
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -60,13 +61,8 @@
 @contextlib.asynccontextmanager
 async def running_upstream(*answers):
     upstream = Upstream(*answers)
-    server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
-    host, port = server.sockets[0].getsockname()
-    upstream.address = f"{host}:{port}"
-    try:
+    async with servers.running(upstream.serve) as upstream.address:
         yield upstream
-    finally:
-        server.close()
 
 
 async def exchange(connection):
@@ -338,20 +334,18 @@
         received.set_result(await reader.read())
         writer.close()
 
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    host, port = server.sockets[0].getsockname()
     connections = pool.ConnectionPool()
-    with pytest.raises(h11.LocalProtocolError):
-        async with connections.connection(
-            f"{host}:{port}",
-            connect_timeout_s=5,
-            clock=asyncio.get_running_loop().time,
-        ) as connection:
-            connection.send(head, body)
-    assert not connection.sent
-    async with asyncio.timeout(5):
-        assert await received == b""
-    server.close()
+    async with servers.running(serve) as address:
+        with pytest.raises(h11.LocalProtocolError):
+            async with connections.connection(
+                address,
+                connect_timeout_s=5,
+                clock=asyncio.get_running_loop().time,
+            ) as connection:
+                connection.send(head, body)
+        assert not connection.sent
+        async with asyncio.timeout(5):
+            assert await received == b""
 
 
 def test_a_reset_received_with_data_is_not_a_normal_end():
--- a/toucanrudder/http1/tests/test_slow_readers.py
+++ b/toucanrudder/http1/tests/test_slow_readers.py
@@ -1,13 +1,13 @@
 """Peers that do not read for a while are not taken for dead."""
 
 import asyncio
-import contextlib
 import socket
 import time
 
 from toucanrudder.http1 import client
 from toucanrudder.http1 import message
 from toucanrudder.http1 import server
+from toucanrudder.testing import servers
 
 #: Longer than the kernel waits for an acknowledgement otherwise.
 UNREAD_S = 4.5
@@ -66,16 +66,14 @@
     listening = socket.socket()
     listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
     listening.bind(("127.0.0.1", 0))
-    upstream = await asyncio.start_server(
-        reads_late, sock=listening, limit=1000
-    )
-    host, port = listening.getsockname()
-    connection = await client.connect(f"{host}:{port}", 1.0)
     length = str(len(CONTENT)).encode()
     head = message.RequestHead(
         b"POST", b"/", ((b"Host", b"h"), (b"Content-Length", length))
     )
-    with contextlib.closing(upstream):
+    async with servers.running(
+        reads_late, listening=listening, limit_bytes=1000
+    ) as address:
+        connection = await client.connect(address, 1.0)
         connection.send(head, CONTENT)
         async with asyncio.timeout(10):
             answer = await connection.next_event()
--- a/toucanrudder/platform/testing/standins.py
+++ b/toucanrudder/platform/testing/standins.py
@@ -21,6 +21,7 @@
 import orjson
 
 from toucanrudder.http1 import server
+from toucanrudder.testing import servers
 
 #: Time from the start of a run until its first copy is sent.
 COPY_AFTER_S = 0.4
@@ -508,13 +509,8 @@
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator["RawServer"]:
         """Serve during the block."""
-        listener = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = listener.sockets[0].getsockname()
-        self._address = f"{host}:{port}"
-        try:
+        async with servers.running(self._serve) as self._address:
             yield self
-        finally:
-            listener.close()
 
     async def _serve(self, reader, writer) -> None:
         self.connections.append(writer.get_extra_info("socket"))
--- a/toucanrudder/store/tests/test_stores.py
+++ b/toucanrudder/store/tests/test_stores.py
@@ -11,6 +11,7 @@
 from toucanrudder.store import http
 from toucanrudder.store import interface
 from toucanrudder.store import memory
+from toucanrudder.testing import servers
 
 OPTIONS = {"timeout_s": 5.0}
 
@@ -65,12 +66,12 @@
 @pytest.fixture
 async def raw_server():
     raw_server = RawServer()
-    server = await asyncio.start_server(raw_server.serve, "127.0.0.1", 0)
-    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-    async with sessions() as (session, fresh):
+    async with (
+        servers.running(raw_server.serve) as address,
+        sessions() as (session, fresh),
+    ):
         raw_server.store = http.HttpObjectStore(address, session, fresh)
         yield raw_server
-    server.close()
 
 
 WRITES = {
