Close the proxies' and the soak's connections with their event loop

Two sources: a proxy that ended before a new connection had been handled left it open, as the handler that would have closed it was cancelled before its first step; and a question for readiness that timed out left its stream to the collector.

--- a/toucanrudder/soak/site.py
+++ b/toucanrudder/soak/site.py
@@ -119,9 +119,9 @@
                 reader, writer = await asyncio.open_connection(
                     "127.0.0.1", self.ports[1]
                 )
-                writer.write(b"GET /ready HTTP/1.1\r\nHost: r\r\n\r\n")
-                line = await reader.readline()
-                writer.close()
+                with contextlib.closing(writer):
+                    writer.write(b"GET /ready HTTP/1.1\r\nHost: r\r\n\r\n")
+                    line = await reader.readline()
                 return b" 200 " in line
         except (OSError, TimeoutError):
             return False
--- a/toucanrudder/testing/proxy.py
+++ b/toucanrudder/testing/proxy.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from toucanrudder.testing import servers
+
 CHUNK_BYTES = 65536
 MATCH_BYTES = 256
 EVENT_START = re.compile(rb"(?:^|\n)id: (\d+)\n")
@@ -85,7 +87,6 @@
     connections: set[Connection] = attrs.field(factory=set)
     refusing: bool = False
     accepted: int = 0
-    _tasks: set[asyncio.Task] = attrs.field(factory=set)
 
     def add(self, rule: Rule) -> Rule:
         """Put a rule in force and return it."""
@@ -103,25 +104,11 @@
         for connection in list(self.connections):
             connection.abort()
 
-    def accept(
+    async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Forward a new connection until an end closes it."""
         self.accepted += 1
-        task = asyncio.ensure_future(self._handle(reader, writer))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def close(self) -> None:
-        """Break all connections and wait until they are gone."""
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-
-    async def _handle(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
         try:
             if not self.refusing:
                 await self._forward(reader, writer)
@@ -245,10 +232,5 @@
         Its `address` is what clients use.
     """
     proxy = Proxy(target)
-    server = await asyncio.start_server(proxy.accept, "127.0.0.1", 0)
-    proxy.address = "{}:{}".format(*server.sockets[0].getsockname()[:2])
-    try:
+    async with servers.running(proxy.serve) as proxy.address:
         yield proxy
-    finally:
-        server.close()
-        await proxy.close()
--- a/toucanrudder/testing/servers.py
+++ b/toucanrudder/testing/servers.py
@@ -41,6 +41,9 @@
     def accept(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if not server.is_serving():
+            writer.transport.abort()
+            return
         writers[asyncio.ensure_future(serve(reader, writer))] = writer
 
     if listening is None:
