Tell peers since when weights have been superseded

Cause: the age of superseded weights was counted from when this process had heard of the newer version, and neither the store nor peers said more.

Change: heartbeats carry the seconds since each of the newest versions was published; a router keeps the longest age that it has heard.

--- a/toucanrudder/forwarding/peering.py
+++ b/toucanrudder/forwarding/peering.py
@@ -166,6 +166,12 @@
             self.state.record_weights_version(
                 weights.model, weights.version, now_s
             )
+            for published in weights.published:
+                self.state.record_weights_version(
+                    weights.model,
+                    published.version,
+                    now_s - published.age_s,
+                )
         for engine in heartbeat.engine_weights:
             self.state.registry.update_weights(
                 engine.upstream, engine.model, engine.version
@@ -224,10 +230,18 @@
                     entry.upstream, now_s + entry.for_s
                 )
 
-    def weights(self) -> tuple[messages.Weights, ...]:
+    def weights(self, now_s: float) -> tuple[messages.Weights, ...]:
         """Return the newest weights versions known to this router."""
+        bound_s = self.state.pace.bound_s
         return tuple(
-            messages.Weights(history.model, history.version)
+            messages.Weights(
+                history.model,
+                history.version,
+                tuple(
+                    messages.PublishedVersion(version, age_s)
+                    for version, age_s in history.published(now_s, bound_s)
+                ),
+            )
             for history in self.state.newest_weights.values()
         )
 
@@ -287,7 +301,7 @@
     """
     sources = nodes.HeartbeatHooks(
         loads=gossip.loads,
-        weights=gossip.weights,
+        weights=lambda _: gossip.weights(clock.now_s()),
         quarantine=state.crash_counts.suspicions.entries,
         quarantine_log=state.crash_counts.suspicions.log,
         on_quarantine=state.crash_counts.suspicions.merge,
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -434,15 +434,31 @@
         )
 
     def record_weights_version(
-        self, name: str, version: int, now_s: float
+        self, name: str, version: int, at_s: float
     ) -> bool:
-        """Record a model's newest version; return whether it is new."""
+        """Record a version of a model's weights.
+
+        Parameters
+        ----------
+        name : str
+            The model's name.
+        version : int
+            The version.
+        at_s : float
+            Monotonic time at which it had been published.
+
+        Returns
+        -------
+        bool
+            Whether no version as new was known.
+        """
         history = self.newest_weights.setdefault(
             name, weights_ages.WeightsHistory(name)
         )
-        if version <= history.version:
+        is_new = version > history.version
+        history.record(version, at_s)
+        if not is_new:
             return False
-        history.record(version, now_s)
         decisions.record(decisions.WeightsNamed(model=name, version=version))
         return True
 
--- a/toucanrudder/peers/messages.py
+++ b/toucanrudder/peers/messages.py
@@ -18,6 +18,7 @@
 MAX_HOT = 256
 MAX_DIGEST = 1024
 MAX_SOFTWARE = 256
+MAX_VERSIONS = 32
 
 #: Largest plausible load of one router at one upstream.
 MAX_PREFILL_TOKENS = 1_000_000_000
@@ -104,12 +105,31 @@
     age_s: float
 
 
+@attrs.frozen
+class PublishedVersion:
+    """A version of weights and the seconds since it was published."""
+
+    version: int
+    age_s: float
+
+
 @attrs.frozen
 class Weights:
-    """The newest version of a model's weights named in the store."""
+    """The newest version of a model's weights named in the store.
+
+    Parameters
+    ----------
+    model : str
+        The model's name.
+    version : int
+        Its newest version.
+    published : tuple of PublishedVersion
+        Since when the newest versions have superseded others.
+    """
 
     model: str
     version: int
+    published: tuple[PublishedVersion, ...] = ()
 
 
 @attrs.frozen
@@ -342,10 +362,7 @@
         want_all=heartbeat.want_all,
         leaving_upstreams=heartbeat.leaving_upstreams,
         avoided=_avoided_to_wire(heartbeat.avoided),
-        weights=[
-            peers_pb2.Weights(model=weights.model, version=weights.version)
-            for weights in heartbeat.weights
-        ],
+        weights=[_weights_to_wire(weights) for weights in heartbeat.weights],
         registry=_served_to_wire(heartbeat.registry),
         digest_keys=heartbeat.digest.keys,
         digest_beats=heartbeat.digest.beats,
@@ -418,7 +435,7 @@
             leaving_upstreams=tuple(message.leaving_upstreams[:MAX_LOADS]),
             avoided=_avoided_from_wire(message.avoided),
             weights=tuple(
-                Weights(weights.model, weights.version)
+                _weights_from_wire(weights)
                 for weights in message.weights[:MAX_HOT]
             ),
             registry=_served_from_wire(message),
@@ -643,6 +660,30 @@
     )
 
 
+def _weights_to_wire(weights: Weights) -> peers_pb2.Weights:
+    return peers_pb2.Weights(
+        model=weights.model,
+        version=weights.version,
+        published=[
+            peers_pb2.PublishedVersion(
+                version=published.version, age_s=published.age_s
+            )
+            for published in weights.published
+        ],
+    )
+
+
+def _weights_from_wire(message: peers_pb2.Weights) -> Weights:
+    return Weights(
+        message.model,
+        message.version,
+        tuple(
+            PublishedVersion(published.version, _duration_s(published.age_s))
+            for published in message.published[:MAX_VERSIONS]
+        ),
+    )
+
+
 def _finite(value: float) -> float:
     if not math.isfinite(value):
         raise ValueError("a number is not finite")
--- a/toucanrudder/peers/node.py
+++ b/toucanrudder/peers/node.py
@@ -77,7 +77,8 @@
     registry : callable
         Given the monotonic time, returns when the registry served calls.
     weights : callable
-        Returns the newest weights versions named in the store.
+        Given the monotonic time, returns the newest weights versions named
+        in the store.
     software : callable
         Given the monotonic time, returns the software versions seen.
     fleet : callable
@@ -118,7 +119,7 @@
         lambda now_s: ()
     )
     registry: Callable[[float], messages.Served | None] = lambda now_s: None
-    weights: Callable[[], tuple[messages.Weights, ...]] = tuple
+    weights: Callable[[float], tuple[messages.Weights, ...]] = lambda now_s: ()
     software: Callable[[float], messages.SoftwareNews] = lambda now_s: (
         messages.SoftwareNews()
     )
@@ -322,7 +323,7 @@
             brittle=self._hooks.brittle(now_s),
             full=self._hooks.full(now_s),
             registry=self._hooks.registry(now_s),
-            weights=self._hooks.weights(),
+            weights=self._hooks.weights(now_s),
             software=self._hooks.software(now_s),
             fleet=self._hooks.fleet(now_s),
             limited=self._hooks.limited(now_s),
