Credit an answer to the process that gave it

Cause: any answer with the request's ID counted as a sign of life of the process that was asked, also a 421 by another process at its address, and withdrew the crash at all routers.

Change: an answer of another process states nothing about the one that was asked: neither life, nor load, slowness, weights, limits or departure.

--- a/toucanrudder/forwarding/attempts/attempt.py
+++ b/toucanrudder/forwarding/attempts/attempt.py
@@ -463,9 +463,10 @@
             # weights for its lifetime and would never be ordered to load
             # them.
             raise relaying.AttemptFailed(retry_policy.FailureKind.CROSSED)
-        self._update_from_answer(upstream, facts)
-        if facts.is_for_request and self.was_presumed_dead:
-            self._record_alive(upstream)
+        if not answers.is_of_other(facts):
+            self._update_from_answer(upstream, facts)
+            if facts.is_for_request:
+                self._record_alive(upstream)
         connection.keep_for_s = pool.keep_for_s(head.headers)
         not_run = _proof_not_run(facts)
         if not_run is not None:
@@ -481,7 +482,7 @@
 
     def _record_alive(self, upstream: model.Upstream) -> None:
         # Where restarts keep their name, another process may have answered.
-        if not upstream.started_at_ms:
+        if self.was_presumed_dead and not upstream.started_at_ms:
             self.state.crash_counts.record_alive(upstream, time.time())
             self.was_presumed_dead = False
 
@@ -505,8 +506,7 @@
         )
         if answers.states_leaving(facts):
             self.state.record_answered_leaving(upstream.incarnation)
-        if not facts.is_other_process:
-            self.state.record_rate_limit(upstream, facts.rate_limit_per_s)
+        self.state.record_rate_limit(upstream, facts.rate_limit_per_s)
         if facts.weights_version is not None and self.prompt:
             self.state.record_engine_weights(
                 upstream.incarnation,
--- a/toucanrudder/forwarding/statements/answers.py
+++ b/toucanrudder/forwarding/statements/answers.py
@@ -28,7 +28,7 @@
     is_genuine = (
         facts.is_sealed or facts.has_not_run or facts.has_other_weights
     )
-    return facts.is_leaving and is_genuine and not _is_of_other(facts)
+    return facts.is_leaving and is_genuine and not is_of_other(facts)
 
 
 def asked_rest_s(status: int, facts: dialect.AnswerFacts) -> float | None:
@@ -56,10 +56,9 @@
     is_asked = status == _OVERLOADED or (
         status == _TOO_MANY and facts.has_not_run
     )
-    return (
-        facts.retry_after_s if is_asked and not _is_of_other(facts) else None
-    )
+    return facts.retry_after_s if is_asked and not is_of_other(facts) else None
 
 
-def _is_of_other(facts: dialect.AnswerFacts) -> bool:
+def is_of_other(facts: dialect.AnswerFacts) -> bool:
+    """Whether another process has answered at the upstream's address."""
     return facts.is_other_process or facts.names_other_process
--- a/toucanrudder/platform/tests/test_broken_runs.py
+++ b/toucanrudder/platform/tests/test_broken_runs.py
@@ -92,3 +92,31 @@
     assert all(each.is_whole for each in answers)
     # Once per interval and engine, for as long as the runs go on.
     assert len(asked) <= 2 * (standins.RUN_STOP_DELAY_S / 0.1 + 3)
+
+
+async def names_another_process(upstream, run, answer):
+    headers = (
+        (b"Request-Id", run.request_id.encode()),
+        (b"Instance-Id", b"i-other"),
+    )
+    await answer.send_whole(421, headers, b"")
+
+
+@pytest.mark.parametrize(
+    "behaviour", (names_another_process, standins.answers_as_other_instance)
+)
+async def test_answer_of_another_process_does_not_withdraw_a_crash(
+    cluster, behaviour
+):
+    """Guards against requests that crash engines without end."""
+    engine = await cluster.engine()
+    engine.behaviours = [standins.resets]
+    router = await cluster.router()
+    await clusters.send_request(router, b"/once/x")
+    upstream = router.state.registry.get(engine.incarnation)
+    crash_counts = router.state.crash_counts
+    assert crash_counts.is_presumed_dead(upstream, time.time())
+    engine.behaviours = [behaviour] * 9
+    await clusters.send_request(router, b"/s/y")
+    assert len(engine.behaviours) < 9
+    assert crash_counts.is_presumed_dead(upstream, time.time())
