Wait at least a poll where a stall timer's time is not quite up

Cause: the clock of the time in which a process runs is the loop's time less the stalls so far. Their difference is rounded, so at a timer's end a rest of less than the loop's time can show may be left; the timer was started again for that rest, at the same instant, without end where time passes only while nothing is left to do. With a real clock the timer spins until the clock moves.

Evidence: a trace of the loop showed 1,900,000 turns at one instant and the timer due at that instant.

--- a/toucanrudder/stalls.py
+++ b/toucanrudder/stalls.py
@@ -124,7 +124,10 @@
     def _check(self) -> None:
         left_s = self._ends_s - self._clock()
         if left_s > 0:
-            self._handle = self._loop.call_later(left_s, self._check)
+            # The two clocks may differ by less than the loop's can show.
+            self._handle = self._loop.call_later(
+                max(left_s, POLL_S), self._check
+            )
         elif not self._has_polled:
             # What has arrived by now must be read before time is up.
             self._has_polled = True
--- a/toucanrudder/tests/test_stalls.py
+++ b/toucanrudder/tests/test_stalls.py
@@ -9,6 +9,7 @@
 import uvloop
 
 from toucanrudder import stalls
+from toucanrudder.testing.virtual import timing
 
 LIMIT_S = 0.2
 
@@ -77,3 +78,24 @@
     time.sleep(3 * LIMIT_S)  # noqa: ASYNC251
     await asyncio.sleep(0)
     assert stalls.running_s() - before_s <= stalls.TICK_S
+
+
+@pytest.mark.parametrize("stalled_s", (0.1, 1 / 3, 7.7, 123.456))
+def test_timer_ends_though_its_clock_is_rounded(stalled_s):
+    """Guards against a timer that waits for less than a clock can show."""
+    readings = []
+
+    async def main():
+        loop = asyncio.get_running_loop()
+
+        def running_s():
+            readings.append(loop.time())
+            assert readings.count(readings[-1]) < 9
+            return readings[-1] - stalled_s
+
+        for delay_ms in range(1, 300):
+            ended = asyncio.Event()
+            stalls.Timer(delay_ms / 1000, ended.set, clock=running_s)
+            await ended.wait()
+
+    timing.run(main)
