Keep a model's newest version once in a heartbeat

The newest version stood in a heartbeat beside the ages of the versions that it heads, and was recorded twice with each heartbeat. It is the first of them now; on the wire it stays for older routers, whose version counts as just published, as before. 218 tests of peers, weights, late configurations, starts and the soak pass.

--- a/toucanrudder/forwarding/peering.py
+++ b/toucanrudder/forwarding/peering.py
@@ -163,9 +163,6 @@
         """Merge the upstream information of a peer's heartbeat."""
         self._note_generation(heartbeat, now_s)
         for weights in heartbeat.weights:
-            self.state.record_weights_version(
-                weights.model, weights.version, now_s
-            )
             for published in weights.published:
                 self.state.record_weights_version(
                     weights.model,
@@ -236,7 +233,6 @@
         return tuple(
             messages.Weights(
                 history.model,
-                history.version,
                 tuple(
                     messages.PublishedVersion(version, age_s)
                     for version, age_s in history.published(now_s, bound_s)
--- a/toucanrudder/peers/messages.py
+++ b/toucanrudder/peers/messages.py
@@ -115,21 +115,18 @@
 
 @attrs.frozen
 class Weights:
-    """The newest version of a model's weights named in the store.
+    """The newest versions of a model's weights named in the store.
 
     Parameters
     ----------
     model : str
         The model's name.
-    version : int
-        Its newest version.
     published : tuple of PublishedVersion
-        Since when the newest versions have superseded others.
+        Its newest versions, the newest one first.
     """
 
     model: str
-    version: int
-    published: tuple[PublishedVersion, ...] = ()
+    published: tuple[PublishedVersion, ...]
 
 
 @attrs.frozen
@@ -663,7 +660,7 @@
 def _weights_to_wire(weights: Weights) -> peers_pb2.Weights:
     return peers_pb2.Weights(
         model=weights.model,
-        version=weights.version,
+        version=weights.published[0].version,
         published=[
             peers_pb2.PublishedVersion(
                 version=published.version, age_s=published.age_s
@@ -674,13 +671,13 @@
 
 
 def _weights_from_wire(message: peers_pb2.Weights) -> Weights:
+    published = tuple(
+        PublishedVersion(each.version, _duration_s(each.age_s))
+        for each in message.published[:MAX_VERSIONS]
+    )
+    # Older routers tell no ages.
     return Weights(
-        message.model,
-        message.version,
-        tuple(
-            PublishedVersion(published.version, _duration_s(published.age_s))
-            for published in message.published[:MAX_VERSIONS]
-        ),
+        message.model, published or (PublishedVersion(message.version, 0.0),)
     )
 
 
