Share framed answers, calls of the clients and waits of tests

The answers that break off were built twice, for the platform's interface and the own one; testing/answers.py frames them for both. The clients' calls stood in two modules of upstreams/tests. Three loops waited as wait_until does, with another bound, which is an argument now; and a test reckoned the age of weights beside the state that does.

--- a/toucanrudder/platform/testing/cluster.py
+++ b/toucanrudder/platform/testing/cluster.py
@@ -190,9 +190,9 @@
         yield cluster
 
 
-async def wait_until(condition):
+async def wait_until(condition, within_s=DEADLINE_S):
     """Wait until a condition holds; fail after the deadline."""
-    async with asyncio.timeout(DEADLINE_S):
+    async with asyncio.timeout(within_s):
         while not condition():
             await asyncio.sleep(0.01)
 
--- a/toucanrudder/platform/tests/test_cut_heads.py
+++ b/toucanrudder/platform/tests/test_cut_heads.py
@@ -6,44 +6,13 @@
 
 from toucanrudder.platform.testing import cluster as clusters
 from toucanrudder.platform.testing import standins
+from toucanrudder.testing import answers
 from toucanrudder.testing import resets
 
 EVENTS = clusters.EVENTS
 FIELDS = b"Request-Id: %b\r\nServer-Seal: s\r\nServer-Load: 1,0,8\r\n"
 
 
-def with_length(request_id, body):
-    return (
-        b"HTTP/1.1 200 OK\r\n"
-        + FIELDS % request_id
-        + b"Content-Length: %d\r\n\r\n" % len(body)
-        + body
-    )
-
-
-def in_chunks(request_id, body):
-    half = len(body) // 2
-    chunks = b"".join(
-        b"%x\r\n%b\r\n" % (len(part), part)
-        for part in (body[:half], body[half:])
-        if part
-    )
-    return (
-        b"HTTP/1.1 200 OK\r\n"
-        + FIELDS % request_id
-        + b"Transfer-Encoding: chunked\r\n\r\n"
-        + chunks
-        + b"0\r\nX-Trailer: a\r\n\r\n"
-    )
-
-
-def after_interim_answers(request_id, body):
-    return (
-        b"HTTP/1.1 100 Continue\r\n\r\n"
-        b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
-    ) + with_length(request_id, body)
-
-
 def value_of(head, name):
     """Return the value of a header field, or nothing."""
     return (head.lower().partition(name + b": ")[2].split() or [b""])[0]
@@ -56,8 +25,8 @@
     ----------
     service, model : str
         What it serves.
-    answer : callable
-        Given a request ID and a body, returns the whole answer.
+    framing : callable
+        Given header fields and a body, returns a whole answer.
     body : bytes
         Body of each answer.
     resets, is_kept : bool
@@ -65,14 +34,18 @@
         answer on each connection before.
     """
 
-    def __init__(self, service, model, answer, body, resets, is_kept):
+    def __init__(self, service, model, framing, body, resets, is_kept):
         super().__init__(service, lambda server, request: b"")
         self.model = model
         self.body, self.resets, self.is_kept = body, resets, is_kept
-        self.whole_answer = answer
+        self.framing = framing
         self.cut_off = 0
         self.stopped = 0
 
+    def whole_answer(self, request_id, body):
+        """Return the answer that is broken off."""
+        return self.framing(FIELDS % request_id, body)
+
     def rest(self, last_event_id):
         """Return the body, or what is left of it after an event."""
         if not last_event_id:
@@ -104,11 +77,6 @@
         writer.close()
 
 
-ANSWERS = {
-    "with a length": with_length,
-    "in chunks": in_chunks,
-    "after interim answers": after_interim_answers,
-}
 ENDS = {
     "closed": (False, False),
     "reset": (True, False),
@@ -139,12 +107,14 @@
 
 @pytest.mark.parametrize("route", ROUTES.values(), ids=ROUTES.keys())
 @pytest.mark.parametrize("end", ENDS.values(), ids=ENDS.keys())
-@pytest.mark.parametrize("answer", ANSWERS.values(), ids=ANSWERS.keys())
+@pytest.mark.parametrize(
+    "framing", answers.FRAMINGS.values(), ids=answers.FRAMINGS.keys()
+)
 async def test_answer_that_stops_at_any_byte_is_not_passed_on_as_whole(
-    cluster, answer, end, route
+    cluster, framing, end, route
 ):
     path, service, model, body = route
-    server = CutServer(service, model, answer, body, *end)
+    server = CutServer(service, model, framing, body, *end)
     await cluster.register(server)
     await check_all_cuts(await cluster.router(), server, path)
 
@@ -154,7 +124,7 @@
     cluster, route
 ):
     path, service, model, body = route
-    server = CutServer(service, model, with_length, body, False, False)
+    server = CutServer(service, model, answers.with_length, body, False, False)
     await cluster.register(server)
     routers = await cluster.routers(2)
     with clusters.cut_off(routers[0], clusters.refuse):
--- a/toucanrudder/platform/tests/test_late_configurations.py
+++ b/toucanrudder/platform/tests/test_late_configurations.py
@@ -182,12 +182,13 @@
     taken_s = clock.now_s()
     routers[0].offer(document)
     assert not await late_routers(routers, 4)
-    async with asyncio.timeout(BOUND_S):
-        while not all(
+    await clusters.wait_until(
+        lambda: all(
             each.state.generation_news.is_confirmed_since(taken_s)
             for each in routers
-        ):
-            await asyncio.sleep(0.01)
+        ),
+        within_s=BOUND_S,
+    )
 
 
 async def test_no_weights_are_late_if_all_watches_lose_their_answers(cluster):
@@ -206,6 +207,6 @@
     await asyncio.sleep(0.5)
     async with answers_lost(cluster, "versions"):
         put_weights(3)
-    async with asyncio.timeout(WEIGHTS_BOUND_S):
-        while not know_weights(3):
-            await asyncio.sleep(0.01)
+    await clusters.wait_until(
+        lambda: know_weights(3), within_s=WEIGHTS_BOUND_S
+    )
--- a/toucanrudder/platform/tests/test_weights_ages.py
+++ b/toucanrudder/platform/tests/test_weights_ages.py
@@ -1,7 +1,5 @@
 """Engines whose weights were superseded before a router started."""
 
-import asyncio
-
 import pytest
 
 from toucanrudder import clock
@@ -11,12 +9,6 @@
 TOLD_S = 3.0
 
 
-def weights_age_s(router):
-    """Return for how long a router counts the first weights as superseded."""
-    history = router.state.newest_weights.get("m")
-    return history.age_s(1, clock.now_s()) if history else 0.0
-
-
 @pytest.mark.parametrize("newer", ((2,), (2, 3)), ids=("one", "two"))
 async def test_started_router_sends_nothing_to_weights_past_their_bound(
     cluster, newer
@@ -32,9 +24,14 @@
         first.state.record_weights_version("m", version, at_s)
         at_s = clock.now_s()
     second = await cluster.router("r2", first.peering.node.address)
-    async with asyncio.timeout(TOLD_S):
-        while weights_age_s(second) < bound_s:
-            await asyncio.sleep(0.01)
+    upstream = first.state.registry.get(engine.incarnation)
+    await clusters.wait_until(
+        lambda: (
+            "m" in second.state.newest_weights
+            and second.state.weights_age_s(upstream, "m") >= bound_s
+        ),
+        within_s=TOLD_S,
+    )
     answer = await clusters.send_request(second, b"/s/x")
     assert answer.status == 503
     assert b"weights_too_old" in answer.body
--- a/toucanrudder/upstreams/tests/test_refusals.py
+++ b/toucanrudder/upstreams/tests/test_refusals.py
@@ -3,16 +3,13 @@
 
 import aiohttp
 from aiohttp import web
-import multidict
 import pytest
 
 from toucanrudder.document import model
 from toucanrudder.errors import codes
-from toucanrudder.upstreams import engine
 from toucanrudder.upstreams import failures
-from toucanrudder.upstreams import service
+from toucanrudder.upstreams.tests import client_calls
 
-REQUEST_ID = "r1"
 ANY_PATH = "/{path:.*}"
 NOT_RUN, UNKNOWN = codes.Ran.NOT_RUN, codes.Ran.UNKNOWN
 
@@ -39,30 +36,14 @@
         await runner.cleanup()
 
 
-async def call_service(session, upstream):
-    headers = multidict.CIMultiDict({"X-Request-Id": REQUEST_ID})
-    client = service.ServiceClient(session, 5.0)
-    async with client.call(
-        upstream, "POST", "/b", headers=headers, body=b"", timeout_s=5.0
-    ):
-        pass
-
-
-async def call_engine(session, upstream):
-    client = engine.EngineClient(session, session, 5.0, 5.0)
-    call = engine.EngineCall(REQUEST_ID, "/v1/completions", {}, 1, "")
-    async with client.start(upstream, call):
-        pass
-
-
 REFUSALS = [
     # send, identity in the refusal, what the refusal proves
-    (call_service, REQUEST_ID, NOT_RUN),
-    (call_service, None, NOT_RUN),
-    (call_service, "another", UNKNOWN),
-    (call_engine, REQUEST_ID, NOT_RUN),
-    (call_engine, None, UNKNOWN),
-    (call_engine, "another", UNKNOWN),
+    (client_calls.call_service, client_calls.REQUEST_ID, NOT_RUN),
+    (client_calls.call_service, None, NOT_RUN),
+    (client_calls.call_service, "another", UNKNOWN),
+    (client_calls.call_engine, client_calls.REQUEST_ID, NOT_RUN),
+    (client_calls.call_engine, None, UNKNOWN),
+    (client_calls.call_engine, "another", UNKNOWN),
 ]
 
 
@@ -87,7 +68,7 @@
     """A redirect is not followed: its target's refusal would be taken as proof
     that the engine did not run the request.
     """
-    own = {"X-Request-Id": REQUEST_ID}
+    own = {"X-Request-Id": client_calls.REQUEST_ID}
     async with (
         aiohttp.ClientSession() as session,
         serving((503, own | {"X-Not-Run": "1"})) as (other, paths),
@@ -96,19 +77,21 @@
         headers = own | {"Location": f"http://{address}/v1/completions"}
         async with serving((307, headers)) as (upstream, _):
             with pytest.raises(failures.UpstreamFailure) as caught:
-                await call_engine(session, upstream)
+                await client_calls.call_engine(session, upstream)
     assert (caught.value.ran, paths) == (UNKNOWN, [])
 
 
 RESTS = [("2.5", 2.5), ("0", 0.0), ("-1", 0.0), ("inf", 0.0), ("soon", 0.0)]
 
 
-@pytest.mark.parametrize("send", [call_service, call_engine])
+@pytest.mark.parametrize(
+    "send", [client_calls.call_service, client_calls.call_engine]
+)
 @pytest.mark.parametrize(("text", "rest_s"), RESTS)
 async def test_the_rest_that_a_refusal_asks_for_is_read(send, text, rest_s):
     headers = {
         "X-Not-Run": "1",
-        "X-Request-Id": REQUEST_ID,
+        "X-Request-Id": client_calls.REQUEST_ID,
         "Retry-After": text,
     }
     async with (
@@ -125,7 +108,7 @@
     """Yield an upstream whose refusals have a body without end."""
 
     async def handle(request):
-        headers = {"X-Not-Run": "1", "X-Request-Id": REQUEST_ID}
+        headers = {"X-Not-Run": "1", "X-Request-Id": client_calls.REQUEST_ID}
         response = web.StreamResponse(status=503, headers=headers)
         await response.prepare(request)
         while True:
@@ -145,7 +128,9 @@
 
 
 @pytest.mark.parametrize("content", [b"x", b""])
-@pytest.mark.parametrize("send", [call_service, call_engine])
+@pytest.mark.parametrize(
+    "send", [client_calls.call_service, client_calls.call_engine]
+)
 async def test_a_refusal_counts_though_its_body_never_ends(send, content):
     async with (
         aiohttp.ClientSession() as session,
