--- a/toucanrudder/peers/tests/test_peers.py
+++ b/toucanrudder/peers/tests/test_peers.py
@@ -326,6 +326,15 @@
     total_rate_per_s=2.5,
     members=(routers.Member("r2", "b:1", 5, 6),),
     want_all=True,
+    weights=(
+        messages.Weights(
+            "m",
+            (
+                messages.PublishedVersion(3, 0.5),
+                messages.PublishedVersion(2, 9.25),
+            ),
+        ),
+    ),
 )
 
 
@@ -335,6 +344,15 @@
     assert messages.from_wire(parsed) == HEARTBEAT
 
 
+def test_weights_of_a_peer_that_tells_no_ages_count_as_just_published():
+    wire = messages.to_wire(HEARTBEAT)
+    del wire.weights[0].published[:]
+    published = messages.PublishedVersion(3, 0.0)
+    assert messages.from_wire(wire).weights == (
+        messages.Weights("m", (published,)),
+    )
+
+
 @pytest.mark.parametrize(
     "change",
     [
@@ -342,6 +360,11 @@
         {"sender": routers.Member("r1", "", 1)},
         {"total_rate_per_s": float("nan")},
         {"hot_prefixes": (request_rates.HotPrefix(b"k", float("inf")),)},
+        {
+            "weights": (
+                messages.Weights("m", (messages.PublishedVersion(3, -1.0),)),
+            )
+        },
     ],
 )
 def test_a_bad_heartbeat_is_refused(change):
