Run tests that measure a process apart from the others

An option rather than -m, since a run that is narrowed by -m does not look for lines of KNOWN-RED.txt whose test is gone. toucanrudder/testing/crowds.py has the clients: whole bodies, bodies that stop short of their end, chunks of any size, bodies far beyond the limit, heads without end; and what a process has at most had in memory, what waits unread in its sockets, and its open descriptors.

--- a/Makefile
+++ b/Makefile
@@ -28,8 +28,10 @@
 	$(PYTHON) -m ruff check .
 	$(PYTHON) -m flake8 toucanrudder
 
+# Tests that measure a process run one at a time, apart from the others.
 unit: env
-	$(PYTHON) -m pytest -n $(WORKERS)
+	$(PYTHON) -m pytest -n $(WORKERS) --alone=exclude
+	$(PYTHON) -m pytest --alone=only
 
 format: env
 	$(PYTHON) -m ruff format .
--- a/conftest.py
+++ b/conftest.py
@@ -1,3 +1,7 @@
 """What all tests of the project share."""
 
-pytest_plugins = ["toucanrudder.testing.known_reds", "pytester"]
+pytest_plugins = [
+    "toucanrudder.testing.alone",
+    "toucanrudder.testing.known_reds",
+    "pytester",
+]
--- /dev/null
+++ b/toucanrudder/testing/crowds.py
@@ -0,0 +1,224 @@
+"""Crowds of clients that keep to no limit, on connections of their own."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterable
+import contextlib
+import pathlib
+
+#: Bytes of a client that are sent in one piece where nothing else is said.
+PIECE_BYTES = 65_536
+
+#: Pause between two bytes of a client that sends one at a time.
+TRICKLE_PAUSE_S = 0.1
+
+Behaviour = Callable[
+    [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
+]
+
+
+async def _send(
+    writer: asyncio.StreamWriter, head: bytes, pieces: Iterable[bytes]
+) -> None:
+    writer.write(head)
+    for piece in pieces:
+        writer.write(piece)
+        await writer.drain()
+
+
+def _pieces(length: int, piece_bytes: int) -> Iterable[bytes]:
+    piece = b"x" * piece_bytes
+    for _ in range(length // piece_bytes):
+        yield piece
+    yield piece[: length % piece_bytes]
+
+
+def states_length(
+    head: bytes,
+    stated_bytes: int,
+    sent_bytes: int,
+    piece_bytes: int = PIECE_BYTES,
+) -> Behaviour:
+    """Return a client that states a body's length and sends a part of it.
+
+    Parameters
+    ----------
+    head : bytes
+        Head of the request, without its last empty line.
+    stated_bytes, sent_bytes : int
+        Length that the head states, and what is sent of it.
+    piece_bytes : int
+        Bytes of each piece that is sent.
+    """
+    head += b"Content-Length: %d\r\n\r\n" % stated_bytes
+
+    async def behave(reader, writer):
+        await _send(writer, head, _pieces(sent_bytes, piece_bytes))
+
+    return behave
+
+
+def sends_chunks(
+    head: bytes, body_bytes: int, chunk_bytes: int, *, is_whole: bool = False
+) -> Behaviour:
+    """Return a client that sends chunks of one size.
+
+    Parameters
+    ----------
+    head : bytes
+        Head of the request, without its last empty line.
+    body_bytes : int
+        Bytes that the chunks hold together.
+    chunk_bytes : int
+        Bytes of each chunk.
+    is_whole : bool
+        Whether it sends the last, empty chunk as well.
+    """
+    head += b"Transfer-Encoding: chunked\r\n\r\n"
+    chunk = b"%x\r\n" % chunk_bytes + b"x" * chunk_bytes + b"\r\n"
+    chunks_per_piece = max(1, PIECE_BYTES // len(chunk))
+    count = body_bytes // chunk_bytes
+
+    def pieces():
+        for _ in range(count // chunks_per_piece):
+            yield chunk * chunks_per_piece
+        yield chunk * (count % chunks_per_piece)
+        if is_whole:
+            yield b"0\r\n\r\n"
+
+    async def behave(reader, writer):
+        await _send(writer, head, pieces())
+
+    return behave
+
+
+def sends_one_chunk(
+    head: bytes, stated_bytes: int, sent_bytes: int
+) -> Behaviour:
+    """Return a client that states a chunk and sends a part of it."""
+    head += b"Transfer-Encoding: chunked\r\n\r\n%x\r\n" % stated_bytes
+
+    async def behave(reader, writer):
+        await _send(writer, head, _pieces(sent_bytes, PIECE_BYTES))
+
+    return behave
+
+
+def trickles(
+    head: bytes, stated_bytes: int, sent_bytes: int, trickled_bytes: int
+) -> Behaviour:
+    """Return a client that sends much at once, then a byte at a time."""
+    begin = states_length(head, stated_bytes, sent_bytes)
+
+    async def behave(reader, writer):
+        await begin(reader, writer)
+        for _ in range(trickled_bytes):
+            await asyncio.sleep(TRICKLE_PAUSE_S)
+            await _send(writer, b"x", ())
+
+    return behave
+
+
+def sends(data: bytes) -> Behaviour:
+    """Return a client that sends these bytes."""
+
+    async def behave(reader, writer):
+        await _send(writer, data, ())
+
+    return behave
+
+
+def _stop_reading(writer: asyncio.StreamWriter) -> None:
+    with contextlib.suppress(RuntimeError):
+        writer.transport.pause_reading()
+
+
+async def _run_client(
+    address: str, behave: Behaviour, is_reading: bool, end: asyncio.Event
+) -> None:
+    host, _, port = address.rpartition(":")
+    try:
+        reader, writer = await asyncio.open_connection(host, int(port))
+    except OSError:
+        return
+    if not is_reading:
+        _stop_reading(writer)
+    try:
+        with contextlib.suppress(OSError):
+            await behave(reader, writer)
+        await end.wait()
+    finally:
+        writer.transport.abort()
+
+
+@contextlib.asynccontextmanager
+async def crowd(
+    address: str,
+    behave: Behaviour,
+    count: int,
+    *,
+    settle_s: float = 3.0,
+    is_reading: bool = True,
+) -> AsyncIterator[None]:
+    """Let clients send as they like, and keep their connections open.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:port`` to connect to.
+    behave : Behaviour
+        What each client does on its connection.
+    count : int
+        Number of clients.
+    settle_s : float
+        Time from their start until the block begins.
+    is_reading : bool
+        Whether they read what they are sent.
+
+    Yields
+    ------
+    None
+        They stay connected until the end of the block.
+    """
+    end = asyncio.Event()
+    clients = [
+        asyncio.ensure_future(_run_client(address, behave, is_reading, end))
+        for _ in range(count)
+    ]
+    try:
+        await asyncio.wait(clients, timeout=settle_s)
+        yield
+    finally:
+        end.set()
+        for client in clients:
+            client.cancel()
+        await asyncio.gather(*clients, return_exceptions=True)
+
+
+def peak_memory_bytes(pid: int) -> int:
+    """Return the most memory that a process has had resident."""
+    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
+        name, _, value = line.partition(":")
+        if name == "VmHWM":
+            return int(value.split()[0]) * 1024
+    raise ValueError(f"process {pid} states no peak of its memory")
+
+
+def unread_bytes(address: str) -> int:
+    """Return the bytes that wait unread in the sockets of a listener."""
+    host, _, port = address.rpartition(":")
+    octets = bytes(int(part) for part in reversed(host.split(".")))
+    local = f"{octets.hex()}:{int(port):04x}"
+    total = 0
+    for row in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
+        fields = row.lower().split()
+        if fields[1] == local and fields[3] != "0a":
+            total += int(fields[4].partition(":")[2], 16)
+    return total
+
+
+def open_descriptors(pid: int) -> int:
+    """Return how many descriptors a process has open."""
+    return len(list(pathlib.Path(f"/proc/{pid}/fd").iterdir()))
