Parse small chunks of a body in turns of the event loop

Cause: each chunk is an event of the parser, 3.4 us of a core on this machine, and all events of a read, 40,000 chunks in 256 KB, were handled when the bytes arrived; then those of the next connection.

Change: 64 events are handled when bytes arrive, more than any body without chunks needs. The parser and what it refuses are as before; small chunks are legal and stay so.

--- a/toucanrudder/http1/server.py
+++ b/toucanrudder/http1/server.py
@@ -13,6 +13,7 @@
 from toucanrudder import stalls
 from toucanrudder.http1 import message
 from toucanrudder.http1 import sockets
+from toucanrudder.http1 import turns
 
 LOG = logging.getLogger(__name__)
 
@@ -24,6 +25,10 @@
 #: retransmissions, and well below the time in which memory would fill up.
 WRITE_TIMEOUT_S = 10.0
 
+#: Events of the parser that are handled when bytes arrive; more than a body
+#: without chunks needs.  Those beyond wait for a turn.
+EVENTS_AT_ONCE = 64
+
 _SERVER_STATES_DONE = (h11.DONE, h11.MUST_CLOSE)
 
 
@@ -221,6 +226,7 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._closed = False
+        self._awaits_turn = False
         self.end_cause = EndCause.NONE
         self._written_bytes = 0
         self._bears_slow_reader = False
@@ -267,11 +273,9 @@
         self._update_read_deadline()
         if self._head is None:
             self._raw_head += data
-        try:
-            self._http.receive_data(data)
-            self._read_events()
-        except h11.RemoteProtocolError as error:
-            self._refuse(_refusal_for(error))
+        self._http.receive_data(data)
+        if not self._awaits_turn:
+            self.read_events(EVENTS_AT_ONCE)
 
     def eof_received(self) -> bool:
         """Treat the end of the caller's stream as a disconnect."""
@@ -306,22 +310,67 @@
         elif self._head is not None:
             self._set_timer(self._limits.idle_timeout_s, self._refuse_slow)
 
-    def _read_events(self) -> None:
-        while self._task is None and not self._closed:
-            event = self._http.next_event()
-            if event is h11.NEED_DATA:
-                self._send_continue_if_expected()
-                return
-            if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
-                return
-            if isinstance(event, h11.Request):
-                self._accept_head(event)
-            elif isinstance(event, h11.Data):
-                self._body += event.data
-                if len(self._body) > self._limits.max_body_bytes:
-                    self._refuse(Refusal.BODY_TOO_LARGE)
-            elif isinstance(event, h11.EndOfMessage):
-                self._start_handler()
+    def read_events(self, at_most: int) -> int:
+        """Handle what the parser has found; return the number of events.
+
+        A body may consist of chunks of one byte.  Reading pauses while events
+        are left, and they wait for their turn beside those of others.
+
+        Parameters
+        ----------
+        at_most : int
+            Number of events that are handled now.
+        """
+        for count in range(at_most):
+            try:
+                is_done = self._read_event()
+            except h11.RemoteProtocolError as error:
+                self._refuse(_refusal_for(error))
+                is_done = True
+            if is_done:
+                self._end_turns()
+                return count
+        if not self._awaits_turn:
+            self._awaits_turn = True
+            self._cancel_timer()
+            self._transport.pause_reading()
+            self._listener.turns.append(self)
+        return at_most
+
+    def _end_turns(self) -> None:
+        if not self._awaits_turn:
+            return
+        self._awaits_turn = False
+        if self._closed:
+            return
+        self._transport.resume_reading()
+        if self._task is None:
+            self._set_timer(self._limits.idle_timeout_s, self._refuse_slow)
+
+    @property
+    def awaits_turn(self) -> bool:
+        """Whether events of the parser are left that can be handled."""
+        return self._awaits_turn and not self._closed
+
+    def _read_event(self) -> bool:
+        """Handle one event; return whether more bytes are needed first."""
+        if self._task is not None or self._closed:
+            return True
+        event = self._http.next_event()
+        if event is h11.NEED_DATA:
+            self._send_continue_if_expected()
+            return True
+        if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+            return True
+        if isinstance(event, h11.Request):
+            self._accept_head(event)
+        elif isinstance(event, h11.Data):
+            self._body += event.data
+            if len(self._body) > self._limits.max_body_bytes:
+                self._refuse(Refusal.BODY_TOO_LARGE)
+        elif isinstance(event, h11.EndOfMessage):
+            self._start_handler()
+        return False
 
     def _send_continue_if_expected(self) -> None:
         if self._http.they_are_waiting_for_100_continue:
@@ -540,6 +589,7 @@
     def __init__(self, hooks: Hooks):
         self._hooks = hooks
         self._server: asyncio.Server | None = None
+        self.turns = turns.Turns()
         self.connections: set[CallerConnection] = set()
         self.address = ""
 
