Log at most one line a second for refusals of one kind

A request that is refused while it is read left a line each, so a crowd of clients decided how much was logged; the queue of lines is bounded, but lines of ordinary requests were dropped for those of the crowd. Now one line a second is written for each code, with the number of those left out; the counter toucanrudder_refusals has all of them, as before.

test_one_line_a_second_for_each_code: 2,000 refusals in two seconds make four lines; before, each made one.

--- a/toucanrudder/http1/server.py
+++ b/toucanrudder/http1/server.py
@@ -12,6 +12,7 @@
 
 from toucanrudder import stalls
 from toucanrudder.http1 import message
+from toucanrudder.http1 import refusal_log
 from toucanrudder.http1 import sockets
 from toucanrudder.http1 import turns
 
@@ -402,7 +403,7 @@
         if self._closed:
             return
         self._hooks.refused(refusal)
-        LOG.info("request refused: %s", refusal.code)
+        self._listener.refusals.record(refusal.code, self._hooks.clock())
         body = self._hooks.refusal_body(refusal)
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             with contextlib.suppress(h11.LocalProtocolError):
@@ -590,6 +591,7 @@
         self._hooks = hooks
         self._server: asyncio.Server | None = None
         self.turns = turns.Turns()
+        self.refusals = refusal_log.RefusalLog()
         self.connections: set[CallerConnection] = set()
         self.address = ""
 
