Read on for a second from a client that is refused

What callers saw: a client whose request is refused while it still sends got a reset in place of the refusal, and could not know that it had not run or that it should not come back.

Cause: the connection was closed right after the refusal. A close with unread bytes, or bytes that arrive afterwards, resets the connection.

Change: the end of the answer is sent, what still arrives is read and dropped for one second at most, then the connection is closed. It holds nothing meanwhile but itself.

--- a/toucanrudder/http1/server.py
+++ b/toucanrudder/http1/server.py
@@ -30,6 +30,10 @@
 #: without chunks needs.  Those beyond wait for a turn.
 EVENTS_AT_ONCE = 64
 
+#: Seconds for which the rest of a refused request is read and dropped.  A
+#: close with unread bytes resets the connection, and the refusal may be lost.
+LINGER_S = 1.0
+
 _SERVER_STATES_DONE = (h11.DONE, h11.MUST_CLOSE)
 
 
@@ -416,9 +420,24 @@
                     status_code=refusal.status, headers=headers
                 )
                 self._transport.write(self._http.send(response) + body)
+        is_whole = self._http.their_state in _SERVER_STATES_DONE
         self._closed = True
+        self._reset_request()
         self._cancel_timer()
-        self._transport.close()
+        if is_whole:
+            self._transport.close()
+        else:
+            self._linger()
+
+    def _linger(self) -> None:
+        """Drop the rest of a refused request, so that its client reads on."""
+        # The parser holds what it has not parsed.
+        self._http = self._new_parser()
+        if self._awaits_turn:
+            self._transport.resume_reading()
+        with contextlib.suppress(OSError, RuntimeError):
+            self._transport.write_eof()
+        self._set_timer(LINGER_S, self.abort)
 
     # Serving.
 
