Bound what callers of the forwarding router hold in memory

What callers saw: a process ended, out of memory, while clients sent many bodies of legal size at once, whole or just short of their end, in pieces or chunks, or bodies far beyond the limit; with it all other callers' requests.

Cause: each limit held for one request only. A body was collected before anything else was looked at, in an array that was copied as it grew; heads stood twice; up to 64 KiB could be pipelined behind each request; requests under way kept their bodies; the kernel kept megabytes more for a socket that was not read. Nobody counted the sum, and no listener was excepted.

Change: one account for all listeners of a process says what each connection holds: head, body, also while its request is under way or handed over by a peer, pipelined bytes, what is not parsed, what its client has not read. It is computed from what is there, so that no way out can forget to give back. Beyond it connections give way: the largest first, the oldest among those of similar size, so bodies that stop short of their end go before a small request that has just come. Who is being read gets 503 memory_full, not run, with a spread Retry-After. Requests under way are not touched; large ones may take three quarters of the memory. Readiness and metrics accept no body.

--- a/toucanrudder/errors/codes.py
+++ b/toucanrudder/errors/codes.py
@@ -39,6 +39,7 @@
     STORE_UNAVAILABLE = "store_unavailable"
     LIMIT_EXCEEDED = "limit_exceeded"
     QUEUE_FULL = "queue_full"
+    MEMORY_FULL = "memory_full"
     WEIGHTS_TOO_OLD = "weights_too_old"
     DEADLINE_UNMET = "deadline_unmet"
     NO_UPSTREAM = "no_upstream"
@@ -109,6 +110,7 @@
         http.HTTPStatus.TOO_MANY_REQUESTS, "rate_limit_error"
     ),
     Code.QUEUE_FULL: _UNAVAILABLE,
+    Code.MEMORY_FULL: _UNAVAILABLE,
     Code.WEIGHTS_TOO_OLD: _UNAVAILABLE,
     Code.DEADLINE_UNMET: _UNAVAILABLE,
     Code.NO_UPSTREAM: _UNAVAILABLE,
--- a/toucanrudder/errors/tests/test_not_run.py
+++ b/toucanrudder/errors/tests/test_not_run.py
@@ -273,6 +273,8 @@
     tested |= {"deadline_unmet", "limit_exceeded", "not_configured"}
     # The decision table of retries covers both of its outcomes.
     tested |= {"retry_budget_spent"}
+    # Tested with crowds of clients.
+    tested |= {"memory_full"}
     # Tested with engines that lag behind new weights.
     tested |= {"weights_too_old"}
     known = tested | set(TESTED_ELSEWHERE) | NOT_FOR_CALLERS
--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -14,14 +14,17 @@
 
 import aiomisc
 import attrs
+import orjson
 from oslo_config import cfg
 import uvloop
 
 from toucanrudder import clock
 from toucanrudder import errors
+from toucanrudder import resources
 from toucanrudder import stalls
 from toucanrudder import tasks
 from toucanrudder.admission import caps
+from toucanrudder.admission import rests
 from toucanrudder.forwarding import cache_feed
 from toucanrudder.forwarding import capping
 from toucanrudder.forwarding import dialect as dialects
@@ -35,6 +38,7 @@
 from toucanrudder.forwarding.attempts import retry_window
 from toucanrudder.forwarding.handover import monitoring
 from toucanrudder.forwarding.handover import taking
+from toucanrudder.http1 import account as accounts
 from toucanrudder.http1 import message
 from toucanrudder.http1 import server
 from toucanrudder.leases import decision
@@ -61,6 +65,14 @@
 #: Poll interval for the end of all requests during a planned stop.
 DRAIN_POLL_S = 0.05
 
+#: Step of refusals of requests that have not been read in full.
+READ_STEP = "read"
+
+#: Shortest time after which a client that was refused for lack of memory may
+#: return, and the part of it by which these times differ.
+MEMORY_RETRY_AFTER_S = 0.5
+MEMORY_RETRY_SPREAD_SHARE = 2.0
+
 #: Interval of the check for upstreams that stay missing.
 MISSING_CHECK_S = 0.2
 
@@ -147,19 +159,20 @@
         self.state.is_settled = self.store_watch.has_converged
         self.gate = self._cap_gate()
         self.peering.answer_cap = self.gate.answer
+        self.state.account = accounts.Account(self._bounds)
         self.receiver = taking.HandOverReceiver(self.state, platform.dialect)
         self.peering.take_over = self.receiver.handle
         self.forwarder = forwarder.Forwarder(
             self.state, platform.dialect, self.gate
         )
-        self.request_listener = server.Listener(
-            self._hooks(self.forwarder.handle)
+        self.request_listener = self._listener(
+            self.forwarder.handle, self._limits
         )
-        self.readiness_listener = server.Listener(
-            self._hooks(self._answer_readiness)
+        self.readiness_listener = self._listener(
+            self._answer_readiness, self._bodiless_limits
         )
-        self.metrics_listener = server.Listener(
-            self._hooks(self._answer_metrics)
+        self.metrics_listener = self._listener(
+            self._answer_metrics, self._bodiless_limits
         )
 
     def _cap_gate(self) -> capping.CapGate:
@@ -209,16 +222,42 @@
 
     # Listeners.
 
-    def _hooks(self, handle) -> server.Hooks:
+    def _listener(self, handle, limits) -> server.Listener:
+        hooks = self._hooks(handle, limits)
+        return server.Listener(hooks, self.state.account)
+
+    def _bounds(self) -> accounts.Bounds:
+        limits = self.conf.limits
+        return accounts.bounds_for(
+            limits.memory_mb * resources.BYTES_PER_MB
+            or resources.memory_bytes(),
+            limits.max_descriptors or resources.max_descriptors(),
+            self._limits().max_body_bytes,
+        )
+
+    def _memory_refusal(self) -> tuple[float, bytes]:
+        delay_s = rests.retry_after_s(
+            MEMORY_RETRY_AFTER_S, self.rng, MEMORY_RETRY_SPREAD_SHARE
+        )
+        error = errors.RudderError(
+            errors.Code.MEMORY_FULL,
+            "callers occupy the memory that they may",
+            step=READ_STEP,
+            retry_after_s=round(delay_s, 3),
+        )
+        return delay_s, orjson.dumps(error.as_body())
+
+    def _hooks(self, handle, limits) -> server.Hooks:
         return server.Hooks(
             handle=handle,
-            limits=self._limits,
+            limits=limits,
             closing=lambda: self.state.stopping,
             refusal_body=_refusal_body,
             refused=lambda refusal: metrics.count_refusal(
-                refusal.code, "read"
+                refusal.code, READ_STEP
             ),
             clock=clock.now_s,
+            memory_refusal=self._memory_refusal,
         )
 
     def _limits(self) -> server.Limits:
@@ -227,6 +266,9 @@
             return server.Limits()
         return server.Limits(**attrs.asdict(configuration.limits))
 
+    def _bodiless_limits(self) -> server.Limits:
+        return attrs.evolve(self._limits(), max_body_bytes=0)
+
     async def _answer_readiness(self, request, answer: server.Answer) -> None:
         is_ready = self.state.is_ready
         text = b"ok\n" if is_ready else b"not ready\n"
@@ -373,6 +415,16 @@
             "Requests that wait for room, by service",
             self.state.waiting.counts,
         )
+        metrics.gauge(
+            "toucanrudder_caller_memory_bytes",
+            "What connections of callers hold, and what they may hold",
+            self.state.account.memory_bytes,
+        )
+        metrics.gauge(
+            "toucanrudder_caller_connections",
+            "Connections of callers, and how many there may be",
+            self.state.account.connection_counts,
+        )
         conf = self.conf.listen
         host, port = _host_port(conf.peers)
         entrypoint = aiomisc.entrypoint(
@@ -429,8 +481,6 @@
 
 @functools.cache
 def _refusal_body(refusal: server.Refusal) -> bytes:
-    import orjson
-
     codes = {
         server.Refusal.BODY_TOO_LARGE: errors.Code.BODY_TOO_LARGE,
         server.Refusal.SLOW: errors.Code.BODY_TOO_SLOW,
@@ -438,7 +488,7 @@
     error = errors.RudderError(
         codes.get(refusal, errors.Code.INVALID_REQUEST),
         refusal.code.replace("_", " "),
-        step="read",
+        step=READ_STEP,
     )
     return orjson.dumps(error.as_body())
 
--- a/toucanrudder/forwarding/handover/taking.py
+++ b/toucanrudder/forwarding/handover/taking.py
@@ -104,8 +104,8 @@
 
     def _receiver(self, offer: handovers.Offer) -> choice.Receiver:
         now_s = clock.now_s()
-        has_room = True
-        if self.state.shares_room(offer.service, now_s):
+        has_room = self.state.account.has_room(offer.body_bytes)
+        if has_room and self.state.shares_room(offer.service, now_s):
             _, usable = self.state.usable_candidates(
                 offer.service, None, now_s
             )
@@ -129,7 +129,8 @@
         self.taken += 1
         self._taken_bytes += offer.body_bytes
         try:
-            yield
+            with self.state.account.reserved(offer.body_bytes):
+                yield
         finally:
             self.taken -= 1
             self._taken_bytes -= offer.body_bytes
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -38,6 +38,7 @@
 from toucanrudder.forwarding.streams import directory
 from toucanrudder.forwarding.streams import origins
 from toucanrudder.forwarding.streams import resuming
+from toucanrudder.http1 import account as accounts
 from toucanrudder.http1 import pool as pools
 from toucanrudder.membership import fleet_size
 from toucanrudder.membership import routers
@@ -120,6 +121,8 @@
         Returns whether an address of the settings is that of no live router.
     started_s : float
         Monotonic time at which this process started.
+    account : accounts.Account
+        What callers occupy of the instance's memory.
     """
 
     name: str
@@ -192,6 +195,7 @@
         default=attrs.Factory(waiting_rooms.WaitingRoom, takes_self=True)
     )
     asked_rests: rests.Rests = attrs.field(factory=rests.Rests)
+    account: accounts.Account = attrs.field(factory=accounts.unbounded)
     tell_limits: Callable[[], object] = lambda: None
     tell_weights: Callable[[], object] = lambda: None
     tell_leaving: Callable[[str], object] = lambda incarnation: None
--- /dev/null
+++ b/toucanrudder/http1/account.py
@@ -0,0 +1,307 @@
+"""Account of the memory and connections that callers occupy.
+
+A client may send bodies without end, stop short of the end of many, or read
+none of its answers.  The account bounds the sum of what all connections of a
+process hold, and gives up the least useful ones once that is too much.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Mapping
+import contextlib
+import functools
+from typing import Protocol
+
+import attrs
+
+#: Memory of a connection beside the bytes that it holds.
+CONNECTION_BYTES = 8_192
+
+#: Share of the instance's memory that callers may occupy.
+MEMORY_SHARE = 1 / 8
+
+#: Share of the descriptors that callers' connections may take.  Each request
+#: under way needs another one for its upstream.
+DESCRIPTOR_SHARE = 0.45
+
+#: Share of the memory that requests with large bodies may occupy while they
+#: are under way, so that small ones still find room.
+LARGE_SHARE = 0.75
+
+#: Largest body of a request that counts as small.
+SMALL_BODY_BYTES = 65_536
+
+#: Share of the memory that remains in use once room has been made, so that
+#: the holders are not compared anew for each byte.
+LOW_WATER_SHARE = 7 / 8
+
+
+@attrs.frozen
+class Bounds:
+    """What the connections of callers may occupy together.
+
+    Parameters
+    ----------
+    memory_bytes : int
+        Memory.
+    connections : int
+        Number of open connections.
+    """
+
+    memory_bytes: int
+    connections: int
+
+
+@functools.lru_cache(maxsize=16)
+def bounds_for(
+    memory_bytes: int, max_descriptors: int, max_body_bytes: int
+) -> Bounds:
+    """Return the bounds for an instance.
+
+    The largest body that a caller may send has room in any case.
+
+    Parameters
+    ----------
+    memory_bytes : int
+        Memory of the instance.
+    max_descriptors : int
+        Descriptors that the process may have open.
+    max_body_bytes : int
+        Largest body of a request.
+
+    Examples
+    --------
+    >>> bounds_for(128_000_000, 4_000, 1_000_000)
+    Bounds(memory_bytes=16000000, connections=1800)
+    >>> bounds_for(8_000_000, 100, 1_000_000).memory_bytes
+    1464405
+    """
+    body_bytes = max_body_bytes + SMALL_BODY_BYTES + 4 * CONNECTION_BYTES
+    return Bounds(
+        max(int(memory_bytes * MEMORY_SHARE), int(body_bytes / LARGE_SHARE)),
+        max(1, int(max_descriptors * DESCRIPTOR_SHARE)),
+    )
+
+
+@attrs.frozen
+class Usage:
+    """What one connection holds.
+
+    Parameters
+    ----------
+    held_bytes : int
+        Memory that it occupies.
+    since_s : float
+        Monotonic time in seconds at which it began to wait for its client.
+    is_revocable : bool
+        Whether it may be given up: no request of it is under way that
+        an upstream may run, or its client does not read the answer.
+    is_under_way : bool
+        Whether a whole request of it is being answered.
+    """
+
+    held_bytes: int
+    since_s: float = 0.0
+    is_revocable: bool = False
+    is_under_way: bool = False
+
+
+class Holder(Protocol):
+    """A connection that holds memory."""
+
+    def usage(self) -> Usage:
+        """Return what it holds now."""
+
+    def give_up(self, *, lingers: bool) -> None:
+        """Refuse its request, or close it; drop what it holds.
+
+        Parameters
+        ----------
+        lingers : bool
+            Whether it may stay open until its client has read the refusal.
+        """
+
+
+def revoked_for_memory(
+    usages: Mapping[Holder, Usage], excess_bytes: int
+) -> list[Holder]:
+    """Return the holders to give up until enough memory is free.
+
+    The largest go first, so that few lose their requests, and among those of
+    similar size the one that has waited for its client longest: bodies that
+    stop short of their end are older than those that still arrive.
+
+    Parameters
+    ----------
+    usages : mapping of Holder to Usage
+        What each holds.
+    excess_bytes : int
+        Memory to be freed.
+
+    Examples
+    --------
+    >>> usages = {
+    ...     "large": Usage(900, 5.0, True), "late": Usage(40, 9.0, True),
+    ...     "early": Usage(40, 1.0, True), "runs": Usage(999, 0.0)}
+    >>> revoked_for_memory(usages, 920)
+    ['large', 'early']
+    """
+    revocable = [
+        holder for holder, usage in usages.items() if usage.is_revocable
+    ]
+    revocable.sort(
+        key=lambda holder: (
+            -usages[holder].held_bytes.bit_length(),
+            usages[holder].since_s,
+        )
+    )
+    revoked = []
+    for holder in revocable:
+        if excess_bytes <= 0:
+            break
+        excess_bytes -= usages[holder].held_bytes
+        revoked.append(holder)
+    return revoked
+
+
+def admits(body_bytes: int, under_way: Iterable[Usage], limit: int) -> bool:
+    """Return whether a whole request may get under way.
+
+    Parameters
+    ----------
+    body_bytes : int
+        Length of its body.
+    under_way : iterable of Usage
+        What the requests hold that are under way.
+    limit : int
+        Memory that all may hold.
+
+    Examples
+    --------
+    >>> other = Usage(600_000, is_under_way=True)
+    >>> admits(500_000, [other], 1_000_000), admits(9_000, [other], 1_000_000)
+    (False, True)
+    """
+    if body_bytes > SMALL_BODY_BYTES:
+        limit *= LARGE_SHARE
+    return body_bytes + sum(each.held_bytes for each in under_way) <= limit
+
+
+class Account:
+    """Keeps the sum of what all connections of callers hold within bounds.
+
+    Parameters
+    ----------
+    bounds : callable
+        Returns the bounds in force.
+    """
+
+    def __init__(self, bounds: Callable[[], Bounds]):
+        self._bounds = bounds
+        self._usages: dict[Holder, Usage] = {}
+        self._held_bytes = 0
+        self._reserved_bytes = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory that is held, as far as it is known."""
+        return self._held_bytes + self._reserved_bytes
+
+    @property
+    def connections(self) -> int:
+        """Number of holders."""
+        return len(self._usages)
+
+    def memory_bytes(self) -> dict[str, int]:
+        """Return the memory that is held, and the bound."""
+        return {
+            "held": self.held_bytes,
+            "bound": self._bounds().memory_bytes,
+        }
+
+    def connection_counts(self) -> dict[str, int]:
+        """Return the number of connections, and the bound."""
+        return {
+            "open": self.connections,
+            "bound": self._bounds().connections,
+        }
+
+    def add(self, holder: Holder) -> None:
+        """Count a new connection."""
+        self._usages[holder] = Usage(0)
+        self.update(holder)
+
+    def update(self, holder: Holder) -> None:
+        """Count what a connection holds by now, and make room if needed."""
+        if holder not in self._usages:
+            return
+        self._set(holder, holder.usage())
+        self._make_room()
+
+    def _make_room(self) -> None:
+        limit = self._bounds().memory_bytes
+        if self.held_bytes <= limit:
+            return
+        self._refresh()
+        if self.held_bytes <= limit:
+            return
+        excess_bytes = self.held_bytes - int(limit * LOW_WATER_SHARE)
+        for revoked in revoked_for_memory(self._usages, excess_bytes):
+            self._give_up(revoked, lingers=True)
+
+    def remove(self, holder: Holder) -> None:
+        """Count a connection no more."""
+        usage = self._usages.pop(holder, None)
+        if usage is not None:
+            self._held_bytes -= usage.held_bytes
+
+    def admits(self, holder: Holder, body_bytes: int) -> bool:
+        """Return whether a connection's whole request may get under way."""
+        limit = self._bounds().memory_bytes - self._reserved_bytes
+        if not self._is_near(limit):
+            return True
+        self._refresh()
+        under_way = (
+            usage
+            for other, usage in self._usages.items()
+            if other is not holder and usage.is_under_way
+        )
+        return admits(body_bytes, under_way, limit)
+
+    def _is_near(self, limit: int) -> bool:
+        return self._held_bytes > limit * LARGE_SHARE
+
+    def has_room(self, size_bytes: int) -> bool:
+        """Return whether memory beside that of connections may be used."""
+        limit = self._bounds().memory_bytes * LARGE_SHARE
+        return self.held_bytes + size_bytes <= limit
+
+    @contextlib.contextmanager
+    def reserved(self, size_bytes: int) -> Iterator[None]:
+        """Count memory that is held for callers beside connections."""
+        self._reserved_bytes += size_bytes
+        try:
+            self._make_room()
+            yield
+        finally:
+            self._reserved_bytes -= size_bytes
+
+    def _set(self, holder: Holder, usage: Usage) -> None:
+        self._held_bytes += usage.held_bytes - self._usages[holder].held_bytes
+        self._usages[holder] = usage
+
+    def _refresh(self) -> None:
+        for holder in self._usages:
+            self._set(holder, holder.usage())
+
+    def _give_up(self, holder: Holder, *, lingers: bool) -> None:
+        holder.give_up(lingers=lingers)
+        if holder in self._usages:
+            self._set(holder, holder.usage())
+
+
+def unbounded() -> Account:
+    """Return an account without bounds."""
+    bounds = Bounds(2**62, 2**31)
+    return Account(lambda: bounds)
--- a/toucanrudder/http1/server.py
+++ b/toucanrudder/http1/server.py
@@ -6,12 +6,16 @@
 import contextlib
 import enum
 import logging
+import math
 
 import attrs
 import h11
 
 from toucanrudder import stalls
+from toucanrudder.http1 import account as accounts
+from toucanrudder.http1 import body as bodies
 from toucanrudder.http1 import message
+from toucanrudder.http1 import reads
 from toucanrudder.http1 import refusal_log
 from toucanrudder.http1 import sockets
 from toucanrudder.http1 import turns
@@ -65,6 +69,8 @@
     BODY_TOO_LARGE = ("body_too_large", 413)
     UNSUPPORTED = ("unsupported_coding", 501)
     SLOW = ("slow_request", 408)
+    #: Callers occupy all memory that they may.
+    MEMORY_FULL = ("memory_full", 503)
 
     @property
     def code(self) -> str:
@@ -132,6 +138,9 @@
         Called with each refusal.
     clock : callable
         Returns the monotonic time in seconds.
+    memory_refusal : callable
+        Returns after how many seconds a client may return that is refused
+        for lack of memory, and the response body that says so.
     """
 
     handle: Callable[[Request, "Answer"], Awaitable[None]]
@@ -140,6 +149,7 @@
     refusal_body: Callable[[Refusal], bytes]
     refused: Callable[[Refusal], None]
     clock: Callable[[], float]
+    memory_refusal: Callable[[], tuple[float, bytes]] = lambda: (1.0, b"")
 
 
 class Answer:
@@ -209,7 +219,7 @@
         self._connection.abort()
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(reads.BoundedReads):
     """One connection from a caller.
 
     Parameters
@@ -231,7 +241,9 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._closed = False
+        self._lost = False
         self._awaits_turn = False
+        self._since_s = hooks.clock()
         self.end_cause = EndCause.NONE
         self._written_bytes = 0
         self._bears_slow_reader = False
@@ -245,9 +257,11 @@
     def _reset_request(self) -> None:
         self._head: h11.Request | None = None
         self._raw_head = bytearray()
-        self._body = bytearray()
+        self._body = bodies.BodyBuffer()
         self._began_s: float | None = None
         self._pipelined_bytes = 0
+        self._request_bytes = 0
+        self._since_s = self._hooks.clock()
 
     @property
     def idle(self) -> bool:
@@ -262,6 +276,7 @@
         sockets.enable_dead_peer_detection(transport)
         self._listener.connections.add(self)
         self._set_timer(self._limits.idle_timeout_s, self.abort)
+        self._listener.account.add(self)
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes of the current request, or buffer pipelined ones."""
@@ -274,6 +289,7 @@
                 # No legitimate client pipelines that much.  Pausing reads
                 # instead would hide that the caller disconnects.
                 self.abort()
+            self._listener.account.update(self)
             return
         self._update_read_deadline()
         if self._head is None:
@@ -281,6 +297,7 @@
         self._http.receive_data(data)
         if not self._awaits_turn:
             self.read_events(EVENTS_AT_ONCE)
+        self._listener.account.update(self)
 
     def eof_received(self) -> bool:
         """Treat the end of the caller's stream as a disconnect."""
@@ -292,14 +309,18 @@
             self.end_cause = _end_cause(error)
         self._closed = True
         self._cancel_timer()
+        self._lost = True
         self._writable.set()
         self._listener.connections.discard(self)
         if self._task is not None:
             self._task.cancel()
+        else:
+            self._listener.account.remove(self)
 
     def pause_writing(self) -> None:
         """Block writers until the caller has caught up."""
         self._writable.clear()
+        self._since_s = self._hooks.clock()
 
     def resume_writing(self) -> None:
         """Unblock writers."""
@@ -309,7 +330,7 @@
 
     def _update_read_deadline(self) -> None:
         if self._began_s is None:
-            self._began_s = self._hooks.clock()
+            self._began_s = self._since_s = self._hooks.clock()
             self._limits = self._hooks.limits()
             self._set_timer(self._limits.head_timeout_s, self._refuse_slow)
         elif self._head is not None:
@@ -346,6 +367,7 @@
         if not self._awaits_turn:
             return
         self._awaits_turn = False
+        self._listener.account.update(self)
         if self._closed:
             return
         self._transport.resume_reading()
@@ -370,7 +392,7 @@
         if isinstance(event, h11.Request):
             self._accept_head(event)
         elif isinstance(event, h11.Data):
-            self._body += event.data
+            self._body.append(event.data)
             if len(self._body) > self._limits.max_body_bytes:
                 self._refuse(Refusal.BODY_TOO_LARGE)
         elif isinstance(event, h11.EndOfMessage):
@@ -393,6 +415,7 @@
             self._refuse(Refusal.HEAD_TOO_LARGE)
             return
         self._head = head
+        self._request_bytes = len(raw)
         self._raw_head.clear()
         length = message.first_value(tuple(head.headers), b"content-length")
         if length is not None and int(length) > self._limits.max_body_bytes:
@@ -403,31 +426,36 @@
     def _refuse_slow(self) -> None:
         self._refuse(Refusal.SLOW)
 
-    def _refuse(self, refusal: Refusal) -> None:
+    def _refuse(self, refusal: Refusal, *, lingers: bool = True) -> None:
         if self._closed:
             return
         self._hooks.refused(refusal)
         self._listener.refusals.record(refusal.code, self._hooks.clock())
-        body = self._hooks.refusal_body(refusal)
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             with contextlib.suppress(h11.LocalProtocolError):
-                headers = [
-                    (b"Content-Type", b"application/json"),
-                    (b"Content-Length", str(len(body)).encode()),
-                    (b"Connection", b"close"),
-                ]
-                response = h11.Response(
-                    status_code=refusal.status, headers=headers
-                )
-                self._transport.write(self._http.send(response) + body)
+                self._transport.write(self._refusal_answer(refusal))
         is_whole = self._http.their_state in _SERVER_STATES_DONE
         self._closed = True
         self._reset_request()
         self._cancel_timer()
-        if is_whole:
+        if lingers and not is_whole:
+            self._linger()
+        else:
             self._transport.close()
+
+    def _refusal_answer(self, refusal: Refusal) -> bytes:
+        headers = [(b"Content-Type", b"application/json")]
+        if refusal is Refusal.MEMORY_FULL:
+            delay_s, body = self._hooks.memory_refusal()
+            headers.append((b"Retry-After", f"{delay_s:.3f}".encode()))
         else:
-            self._linger()
+            body = self._hooks.refusal_body(refusal)
+        headers += [
+            (b"Content-Length", str(len(body)).encode()),
+            (b"Connection", b"close"),
+        ]
+        response = h11.Response(status_code=refusal.status, headers=headers)
+        return self._http.send(response) + body
 
     def _linger(self) -> None:
         """Drop the rest of a refused request, so that its client reads on."""
@@ -443,16 +471,19 @@
 
     def _start_handler(self) -> None:
         self._cancel_timer()
+        if not self._listener.account.admits(self, len(self._body)):
+            self._refuse(Refusal.MEMORY_FULL)
+            return
+        self._request_bytes += len(self._body)
         request = Request(
             message.RequestHead(
                 self._head.method,
                 self._head.target,
                 tuple(self._head.headers.raw_items()),
             ),
-            bytes(self._body),
+            self._body.take(),
             self._began_s,
         )
-        self._body = bytearray()
         self._task = asyncio.get_running_loop().create_task(
             self._run_handler(request)
         )
@@ -468,6 +499,8 @@
 
     def _handler_done(self, task: asyncio.Task) -> None:
         self._task = None
+        if self._lost:
+            self._listener.account.remove(self)
         if not task.cancelled() and task.exception() is not None:
             if not isinstance(task.exception(), CallerGone):
                 LOG.error("request handler failed", exc_info=task.exception())
@@ -500,6 +533,7 @@
             # next request apply to them.
             self._http = self._new_parser()
             self.data_received(pipelined)
+        self._listener.account.update(self)
 
     def with_connection_fields(
         self, headers: message.Headers
@@ -517,6 +551,9 @@
         data = b"".join(self._http.send(event) or b"" for event in events)
         self._transport.write(data)
         self._written_bytes += len(data)
+        unsent_bytes = self._transport.get_write_buffer_size()
+        if unsent_bytes > accounts.CONNECTION_BYTES:
+            self._listener.account.update(self)
         if (
             self._written_bytes > sockets.WINDOW_BYTES
             and not self._bears_slow_reader
@@ -534,6 +571,40 @@
         if self._closed:
             raise CallerGone("connection closed")
 
+    # Memory.
+
+    def usage(self) -> accounts.Usage:
+        """Return the memory that this connection holds."""
+        if self._lost and self._task is None:
+            return accounts.Usage(0)
+        held_bytes = (
+            accounts.CONNECTION_BYTES
+            + len(self._raw_head)
+            + len(self._body)
+            + len(self._http.trailing_data[0])
+            + self._request_bytes
+            # The handler that waits for its client holds the bytes as well.
+            + 2 * self._transport.get_write_buffer_size()
+        )
+        if self._awaits_turn:
+            held_bytes += sockets.RECEIVE_BUFFER_BYTES
+        is_under_way = self._task is not None
+        return accounts.Usage(
+            held_bytes,
+            -math.inf if self._closed else self._since_s,
+            is_revocable=not is_under_way or not self._writable.is_set(),
+            is_under_way=is_under_way,
+        )
+
+    def give_up(self, *, lingers: bool) -> None:
+        """Refuse the request that is being read, or close the connection."""
+        if self._closed or self._task is not None:
+            self.abort()
+        elif self._began_s is None:
+            self.close()
+        else:
+            self._refuse(Refusal.MEMORY_FULL, lingers=lingers)
+
     # Ending.
 
     def _set_timer(self, delay_s: float, callback: Callable[[], None]) -> None:
@@ -604,11 +675,15 @@
     ----------
     hooks : Hooks
         Callbacks for the connections.
+    account : account.Account or None
+        What the connections of all listeners of the process hold; None for
+        one of its own without bounds.
     """
 
-    def __init__(self, hooks: Hooks):
+    def __init__(self, hooks: Hooks, account: accounts.Account | None = None):
         self._hooks = hooks
         self._server: asyncio.Server | None = None
+        self.account = account or accounts.unbounded()
         self.turns = turns.Turns()
         self.refusals = refusal_log.RefusalLog()
         self.connections: set[CallerConnection] = set()
@@ -623,6 +698,7 @@
             port,
             backlog=1024,
         )
+        sockets.bound_receive_buffers(self._server)
         bound_address = self._server.sockets[0].getsockname()
         self.address = f"{bound_address[0]}:{bound_address[1]}"
 
--- /dev/null
+++ b/toucanrudder/http1/tests/test_account.py
@@ -0,0 +1,156 @@
+"""Tests of what connections of callers may hold together."""
+
+import attrs
+import pytest
+
+from toucanrudder.http1 import account as accounts
+
+LIMIT = 1_000_000
+
+
+@attrs.define(eq=False)
+class FakeHolder:
+    """A connection that holds what the test says."""
+
+    held_bytes: int = 0
+    since_s: float = 0.0
+    is_revocable: bool = True
+    is_under_way: bool = False
+    given_up: int = 0
+
+    def usage(self):
+        return accounts.Usage(
+            self.held_bytes,
+            self.since_s,
+            self.is_revocable,
+            self.is_under_way,
+        )
+
+    def give_up(self, *, lingers):
+        self.given_up += 1
+        self.held_bytes = 0
+
+
+def _account(connections=100):
+    bounds = accounts.Bounds(LIMIT, connections)
+    return accounts.Account(lambda: bounds)
+
+
+def _held(account, *holders):
+    for holder in holders:
+        account.add(holder)
+    return holders
+
+
+FRACTIONS = (0.001, 0.1, 0.3, 0.7)
+
+
+@pytest.mark.parametrize("fraction", FRACTIONS)
+def test_sum_never_exceeds_the_bound(fraction):
+    """Guards against many bodies of legal size that fill the memory."""
+    account = _account(connections=10_000)
+    holders = []
+    for number in range(2_000):
+        holder = FakeHolder(int(fraction * LIMIT), since_s=float(number))
+        account.add(holder)
+        holders.append(holder)
+        assert account.held_bytes <= LIMIT
+    assert holders[0].given_up
+    assert not holders[-1].given_up
+
+
+def test_small_request_outlives_a_crowd_that_stops_short():
+    """Guards against ordinary callers who pay for a crowd."""
+    account = _account()
+    crowd = _held(account, *(FakeHolder(200_000, float(n)) for n in range(4)))
+    small = FakeHolder(2_000, since_s=1.5)
+    account.add(small)
+    newest = FakeHolder(240_000, since_s=9.0)
+    account.add(newest)
+    assert [each.given_up for each in crowd] == [1, 0, 0, 0]
+    assert not small.given_up
+    assert not newest.given_up
+
+
+def test_request_under_way_is_not_given_up():
+    """Guards against an answer that is lost because others send much."""
+    account = _account()
+    running = FakeHolder(900_000, is_revocable=False, is_under_way=True)
+    reading = FakeHolder(200_000)
+    _held(account, running, reading)
+    assert not running.given_up
+    assert reading.given_up
+
+
+def test_memory_that_became_free_unnoticed_costs_no_connection():
+    """Guards against refusals for bytes that were sent long ago."""
+    account = _account()
+    slow, other = _held(account, FakeHolder(900_000), FakeHolder(50_000))
+    slow.held_bytes = 1_000
+    other.held_bytes = 300_000
+    account.update(other)
+    assert not slow.given_up
+    assert not other.given_up
+    assert account.held_bytes == 301_000
+
+
+UNDER_WAY = {
+    "small beside large ones": ((300_000, 300_000), 9_000, True),
+    "large beside large ones": ((300_000, 300_000), 300_000, False),
+    "large beside small ones": ((9_000,) * 10, 500_000, True),
+    "largest alone": ((), 700_000, True),
+    "small beside many small ones": ((50_000,) * 20, 9_000, False),
+}
+
+
+@pytest.mark.parametrize(
+    ("others", "body_bytes", "is_admitted"),
+    UNDER_WAY.values(),
+    ids=UNDER_WAY.keys(),
+)
+def test_room_is_kept_for_small_requests(others, body_bytes, is_admitted):
+    """Guards against large requests under way that refuse all others."""
+    account = _account()
+    for held_bytes in others:
+        account.add(
+            FakeHolder(held_bytes, is_revocable=False, is_under_way=True)
+        )
+    reading = FakeHolder(body_bytes, is_revocable=False)
+    account.add(reading)
+    assert account.admits(reading, body_bytes) is is_admitted
+
+
+def test_removed_connections_leave_nothing():
+    """Guards against an account that refuses everybody in the end."""
+    account = _account()
+    holders = _held(account, *(FakeHolder(9_000) for _ in range(50)))
+    with account.reserved(7_000):
+        assert account.held_bytes == 457_000
+        for holder in holders:
+            holder.held_bytes += 500
+            account.update(holder)
+            account.remove(holder)
+            account.remove(holder)
+            account.update(holder)
+    assert (account.held_bytes, account.connections) == (0, 0)
+
+
+MACHINES = {
+    "smallest instance": (88, 4_194_304, 11_000_000),
+    "larger instance": (552, 4_194_304, 69_000_000),
+    "body beyond the share": (88, 32 * 2**20, 44_870_314),
+}
+
+
+@pytest.mark.parametrize(
+    ("memory_mb", "max_body_bytes", "expected"),
+    MACHINES.values(),
+    ids=MACHINES.keys(),
+)
+def test_largest_body_always_has_room(memory_mb, max_body_bytes, expected):
+    """Guards against a body inside the limits that is never served."""
+    bounds = accounts.bounds_for(memory_mb * 10**6, 4_000, max_body_bytes)
+    assert bounds.memory_bytes == expected
+    held_bytes = max_body_bytes + accounts.CONNECTION_BYTES
+    under_way = [accounts.Usage(accounts.SMALL_BODY_BYTES // 4)]
+    assert accounts.admits(held_bytes, under_way, bounds.memory_bytes)
--- a/toucanrudder/settings/forwarding.py
+++ b/toucanrudder/settings/forwarding.py
@@ -127,5 +127,6 @@
     "weights": WEIGHTS,
     "caps": CAPS,
     "shutdown": SHUTDOWN,
+    "limits": options.LIMITS,
     "logging": options.LOGGING,
 }
--- a/toucanrudder/settings/options.py
+++ b/toucanrudder/settings/options.py
@@ -2,6 +2,27 @@
 
 from oslo_config import cfg
 
+LIMITS = (
+    cfg.IntOpt(
+        "memory_mb",
+        default=0,
+        min=0,
+        max=1_000_000,
+        help="Memory of this instance in megabytes; 0 for what the machine "
+        "has.  Callers may occupy an eighth of it; those beyond it are "
+        "refused with memory_full, or their connections are closed.",
+    ),
+    cfg.IntOpt(
+        "max_descriptors",
+        default=0,
+        min=0,
+        max=10_000_000,
+        help="Descriptors that the process may open; 0 for its resource "
+        "limit.  Callers' connections may take 45 in 100 of them; the "
+        "longest idle one is closed for a new one.",
+    ),
+)
+
 ROUTER = (
     cfg.StrOpt("name", required=True, help="Name of this router; unique."),
     cfg.StrOpt(
--- a/toucanrudder/testing/virtual/sites.py
+++ b/toucanrudder/testing/virtual/sites.py
@@ -412,6 +412,7 @@
                 silent_s=3.0,
             ),
             store=table(timeout_s=1.0, watch_wait_s=5.0),
+            limits=table(memory_mb=128, max_descriptors=4_000),
         )
 
     def start_router(self, router: str) -> None:
