Close the longest idle connection for a new one

What callers saw: with as many connections as the process has descriptors, new callers were closed at once, and the router could open no connection to the store, to peers or to upstreams either.

Cause: no listener counted its connections, so clients could take all descriptors of the process.

For a new one beyond them, that one is closed which has waited for its client longest: idle, or with an unfinished request, which is refused first as not run. Connections whose request is under way are not closed.

--- a/toucanrudder/http1/account.py
+++ b/toucanrudder/http1/account.py
@@ -165,6 +165,24 @@
     return revoked
 
 
+def revoked_for_connection(usages: Mapping[Holder, Usage]) -> Holder | None:
+    """Return the holder whose connection is closed for a new one.
+
+    Examples
+    --------
+    >>> revoked_for_connection({
+    ...     "runs": Usage(9), "idle": Usage(9, 4.0, True),
+    ...     "longer idle": Usage(9, 2.0, True)})
+    'longer idle'
+    """
+    revocable = [
+        holder for holder, usage in usages.items() if usage.is_revocable
+    ]
+    return min(
+        revocable, key=lambda holder: usages[holder].since_s, default=None
+    )
+
+
 def admits(body_bytes: int, under_way: Iterable[Usage], limit: int) -> bool:
     """Return whether a whole request may get under way.
 
@@ -228,9 +246,14 @@
         }
 
     def add(self, holder: Holder) -> None:
-        """Count a new connection."""
+        """Count a new connection; close another if there are too many."""
         self._usages[holder] = Usage(0)
         self.update(holder)
+        if len(self._usages) > self._bounds().connections:
+            self._refresh()
+            revoked = revoked_for_connection(self._usages)
+            if revoked is not None:
+                self._give_up(revoked, lingers=False)
 
     def update(self, holder: Holder) -> None:
         """Count what a connection holds by now, and make room if needed."""
--- a/toucanrudder/http1/tests/test_account.py
+++ b/toucanrudder/http1/tests/test_account.py
@@ -120,6 +120,19 @@
     assert account.admits(reading, body_bytes) is is_admitted
 
 
+def test_longest_idle_connection_makes_room_for_a_new_one():
+    """Guards against new callers that are turned away by idle ones."""
+    account = _account(connections=3)
+    running, idle, short = _held(
+        account,
+        FakeHolder(10, 0.0, is_revocable=False, is_under_way=True),
+        FakeHolder(10, since_s=2.0),
+        FakeHolder(10, since_s=1.0),
+    )
+    account.add(FakeHolder(10, since_s=3.0))
+    assert [each.given_up for each in (running, idle, short)] == [0, 0, 1]
+
+
 def test_removed_connections_leave_nothing():
     """Guards against an account that refuses everybody in the end."""
     account = _account()
--- a/toucanrudder/http1/tests/test_memory.py
+++ b/toucanrudder/http1/tests/test_memory.py
@@ -90,6 +90,7 @@
             recording.gate.clear()
         crowd = await _open_crowd(recording, 30, data)
         account = recording.listener.account
+        assert account.connections <= BOUNDS.connections + 1
         for _, writer in crowd:
             writer.transport.abort()
         await _wait_until(lambda: not account.connections)
--- a/toucanrudder/platform/tests/test_client_crowds.py
+++ b/toucanrudder/platform/tests/test_client_crowds.py
@@ -277,6 +277,28 @@
         await _check_after(running)
 
 
+async def test_crowd_leaves_descriptors_for_others(tmp_path):
+    """Guards against a router that reaches neither store nor upstreams."""
+    async with _running(
+        tmp_path, max_descriptors=MACHINE_DESCRIPTORS
+    ) as running:
+        behave = crowds.sends(READ)
+        async with crowds.crowd(running.address("callers"), behave, 400):
+            await _check_after(running)
+            assert crowds.open_descriptors(running.pid) < MACHINE_DESCRIPTORS
+            added = _route("added", "/added/", "desk")
+            routes = [*CONFIGURATION["routes"], added]
+            running.cluster.store.put(
+                "config",
+                "main",
+                CONFIGURATION | {"version": 4, "routes": routes},
+            )
+            async with asyncio.timeout(DEADLINE_S):
+                while await running.send(b"/added/x") != 200:
+                    await asyncio.sleep(0.1)
+        await _check_after(running)
+
+
 SINGLE = {
     "with a length": crowds.states_length(READ, ALL, ALL),
     "in pieces": crowds.states_length(READ, ALL, ALL, 4_096),
