Bound what clients of the own interface occupy

What callers saw: the same as at the forwarding router, at the other way in and at the operators' port: a process that runs out of memory or descriptors, or parses small chunks of some clients while all others wait.

Cause: bodies had a limit and a time each, and no sum; aiohttp buffers 128 KiB for each body that nobody reads, keeps heads several times, and parses all that a read brings, chunks of one byte too; pipelined bytes that are no request made an error message of each read, with the bytes in it; connections were not counted; the operators' handlers read bodies by themselves.

Change: each connection stands between its transport and aiohttp's protocol and takes part in the same account as those of the forwarding router, with the same rules. aiohttp is given bytes in turns of the event loop where they have many lines, no second piece of a request before its handler has begun, and none of a later request before the present one is answered. A body that is being read can be refused: memory_full, 503, not run, Retry-After. What a connection held is freed when it gives way, not when the event loop reports its end. The settings have [limits] here too; the operators' handlers read bodies by the same function, within 2 MiB and 20 s.

--- a/toucanrudder/admin/application.py
+++ b/toucanrudder/admin/application.py
@@ -2,14 +2,12 @@
 
 from aiohttp import web
 
+from toucanrudder.admin import handlers
 from toucanrudder.admin import middleware
 from toucanrudder.admin import openapi
 from toucanrudder.admin import operations
 from toucanrudder.admin import state
-
-# Twice the store's value size limit, so that validation, rather than aiohttp,
-# rejects an oversized document and reports the reason.
-MAX_BODY_BYTES = 2 * 1024 * 1024
+from toucanrudder.filters import connections
 
 
 async def _openapi(request: web.Request) -> web.Response:
@@ -25,8 +23,12 @@
         Callables of the serving daemon.
     """
     application = web.Application(
-        middlewares=[middleware.handle_errors, middleware.authenticate],
-        client_max_size=MAX_BODY_BYTES,
+        middlewares=[
+            connections.track_request,
+            middleware.handle_errors,
+            middleware.authenticate,
+        ],
+        client_max_size=handlers.MAX_BODY_BYTES,
     )
     application[middleware.STATE] = providers
     for operation in operations.OPERATIONS:
--- a/toucanrudder/admin/handlers.py
+++ b/toucanrudder/admin/handlers.py
@@ -18,6 +18,17 @@
 from toucanrudder.document import schema
 from toucanrudder.document import serialisation
 from toucanrudder.document import validation
+from toucanrudder.filters import bounded_body
+
+# Twice the store's value size limit, so that validation, rather than the
+# reading of the body, rejects an oversized document and reports the reason.
+MAX_BODY_BYTES = 2 * 1024 * 1024
+
+#: Seconds within which an operator must send a whole body.
+BODY_TIMEOUT_S = 20.0
+
+#: How often a document stands in memory while it is compared.
+DOCUMENT_COPIES = 3
 
 MAX_AUTHOR_CHARS = 128
 STORE_TIMEOUT_S = 2.0
@@ -39,7 +50,14 @@
 
 async def _json_object(request: web.Request) -> dict:
     try:
-        data = json.loads(await request.text())
+        data = json.loads(
+            await bounded_body.read(
+                request,
+                MAX_BODY_BYTES,
+                BODY_TIMEOUT_S,
+                copies=DOCUMENT_COPIES,
+            )
+        )
     except ValueError as error:
         raise errors.RudderError(
             errors.Code.MALFORMED_JSON, str(error), step=middleware.STEP
--- a/toucanrudder/filters/body.py
+++ b/toucanrudder/filters/body.py
@@ -1,4 +1,4 @@
-"""Filters that read a request body within limits and parse it."""
+"""Filters that read a request body and parse it."""
 
 import hashlib
 import json
@@ -7,9 +7,10 @@
 
 from toucanrudder import errors
 from toucanrudder import messages
-from toucanrudder import stalls
 from toucanrudder.document import model
+from toucanrudder.filters import bounded_body
 from toucanrudder.filters import chain
+from toucanrudder.filters import connections
 from toucanrudder.filters import exchange as exchanges
 from toucanrudder.filters import headers
 from toucanrudder.prefix import identity
@@ -21,45 +22,15 @@
     return errors.RudderError(code, message, step=STEP)
 
 
-async def read_bounded(
-    request: web.Request, max_bytes: int, timeout_s: float
-) -> bytes:
-    """Return the whole body, read within the size and time limits.
-
-    Raises
-    ------
-    RudderError
-        ``body_too_large`` or ``body_too_slow``.
-    """
-    too_large = _body_error(
-        errors.Code.BODY_TOO_LARGE, f"body exceeds {max_bytes} bytes"
-    )
-    if (request.content_length or 0) > max_bytes:
-        raise too_large
-    received = bytearray()
-    try:
-        # The deadline covers the whole body: a limit on the pauses between
-        # bytes would not stop a caller that sends one byte per second.
-        async with stalls.timeout(timeout_s):
-            async for chunk in request.content.iter_any():
-                received += chunk
-                if len(received) > max_bytes:
-                    raise too_large
-    except TimeoutError:
-        raise _body_error(
-            errors.Code.BODY_TOO_SLOW, f"body not sent within {timeout_s} s"
-        ) from None
-    return bytes(received)
-
-
 async def read_body(
     exchange: exchanges.Exchange, call_next: chain.Handler
 ) -> web.StreamResponse:
     """Read the body of a model request."""
-    exchange.raw = await read_bounded(
+    exchange.raw = await bounded_body.read(
         exchange.http,
         exchange.document.policy.max_body_bytes,
         exchange.state.conf.router.body_timeout_s,
+        copies=connections.MODEL_COPIES,
     )
     return await call_next(exchange)
 
@@ -186,4 +157,5 @@
         body_sha256=hashlib.sha256(exchange.raw).hexdigest(),
         first_token_by_s=exchange.arrived_s + wait_s,
     )
+    exchange.raw = b""
     return await call_next(exchange)
--- /dev/null
+++ b/toucanrudder/filters/connections.py
@@ -0,0 +1,364 @@
+"""Connections of the aiohttp listeners, bounded in memory and time."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+import math
+
+from aiohttp import web
+
+from toucanrudder import errors
+from toucanrudder.http1 import account as accounts
+from toucanrudder.http1 import reads
+from toucanrudder.http1 import sockets
+from toucanrudder.http1 import turns as parse_turns
+
+STEP = "read"
+
+#: Shortest time after which a client that was refused for lack of memory may
+#: return.
+RETRY_AFTER_S = 1.0
+
+#: Line feeds in a piece of a request that is parsed at once.  Chunks of one
+#: byte have one each, so that a piece may take long to parse.
+LINES_AT_ONCE = 64
+
+#: How often the body of a model request stands in memory: as its text, and in
+#: the request that is built for the engine.
+MODEL_COPIES = 2
+
+#: How often the head of a request stands in memory, in the fields that aiohttp
+#: makes of it.
+HEAD_COPIES = 3
+
+#: Bytes that a caller may pipeline while its current request is processed.
+MAX_PIPELINED_BYTES = 65_536
+
+#: Seconds for which the rest of a refused request is read and dropped.
+LINGER_S = 1.0
+
+#: Bytes of a body beyond which aiohttp stops to read until a handler has read
+#: half of them, and the most that it buffers.
+BUFFER_LIMIT_BYTES = 16_384
+BUFFERED_BYTES = 2 * BUFFER_LIMIT_BYTES + reads.READ_BYTES
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+def memory_full() -> errors.RudderError:
+    """Return the refusal of a request for lack of memory."""
+    return errors.RudderError(
+        errors.Code.MEMORY_FULL,
+        "callers occupy the memory that they may",
+        step=STEP,
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
+class _Transport:
+    """A connection's transport as aiohttp sees it.
+
+    Reading is paused while either side wants it paused.
+    """
+
+    def __init__(
+        self, transport: asyncio.Transport, connection: "CallerConnection"
+    ):
+        self._transport = transport
+        self._is_paused_within = self._is_paused_outside = False
+        self.connection = connection
+
+    def __getattr__(self, name: str):
+        return getattr(self._transport, name)
+
+    def pause_reading(self) -> None:
+        """Pause, as aiohttp's buffers are full."""
+        self._is_paused_within = True
+        self._update()
+
+    def resume_reading(self) -> None:
+        """Go on, as aiohttp's buffers have room."""
+        self._is_paused_within = False
+        self._update()
+
+    def hold_reading(self, is_held: bool) -> None:
+        """Pause while received bytes wait to be parsed."""
+        self._is_paused_outside = is_held
+        self._update()
+
+    def _update(self) -> None:
+        if self._transport.is_closing():
+            return
+        if self._is_paused_within or self._is_paused_outside:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+
+class CallerConnection(reads.BoundedReads):
+    """A connection whose bytes aiohttp parses in turns of the event loop.
+
+    Parameters
+    ----------
+    handler : asyncio.Protocol
+        aiohttp's protocol of the connection.
+    account : accounts.Account
+        What the connections of all listeners of the process hold.
+    turns : parse_turns.Turns
+        Turns of the listener's connections.
+    clock : callable
+        Returns the monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        handler: asyncio.Protocol,
+        account: accounts.Account,
+        turns: parse_turns.Turns,
+        clock: Callable[[], float],
+    ):
+        self._handler = handler
+        self._account = account
+        self._turns = turns
+        self._clock = clock
+        self._transport: _Transport | None = None
+        self._unparsed = bytearray()
+        self._lines = 0
+        self._received_bytes = 0
+        self._body_bytes = 0
+        self._is_in_turns = False
+        self._requests = 0
+        self._since_s = clock()
+        self._lost = self._is_dropped = False
+        self._is_writable = True
+        self._refuse_body: Callable[[], None] | None = None
+        self._is_body_read: Callable[[], bool] = lambda: False
+
+    # Callbacks of the transport.
+
+    def connection_made(self, transport) -> None:
+        """Count the connection, and let aiohttp serve it."""
+        self._transport = _Transport(transport, self)
+        sockets.enable_dead_peer_detection(transport)
+        self._handler.connection_made(self._transport)
+        self._account.add(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what needs little time; let the rest wait for a turn."""
+        if self._is_dropped:
+            return
+        lines = data.count(b"\n")
+        if not self._unparsed and self._is_parsed_at_once(data, lines):
+            self._received_bytes += len(data)
+            self._handler.data_received(data)
+        else:
+            self._unparsed += data
+            self._lines += lines
+            self._await_turn()
+        self._account.update(self)
+
+    def _is_parsed_at_once(self, data: bytes, lines: int) -> bool:
+        if self._is_answering or lines > LINES_AT_ONCE:
+            return False
+        # A handler must begin before more of its request is buffered.
+        return bool(self._requests) or len(data) < reads.READ_BYTES
+
+    def _await_turn(self) -> None:
+        if not self._is_answering:
+            self._transport.hold_reading(True)
+            if not self._is_in_turns:
+                self._is_in_turns = True
+                self._turns.append(self)
+        elif len(self._unparsed) > MAX_PIPELINED_BYTES:
+            self._abort()
+
+    @property
+    def _is_answering(self) -> bool:
+        """Whether further bytes belong to a later request."""
+        return bool(self._requests) and self._is_body_read()
+
+    def eof_received(self) -> bool | None:
+        """Pass on the end of the caller's stream."""
+        return None if self._is_dropped else self._handler.eof_received()
+
+    def connection_lost(self, error) -> None:
+        """Count the connection no more once no request is under way."""
+        self._lost = True
+        self._drop(error)
+        if not self._requests:
+            self._account.remove(self)
+
+    def _drop(self, error: Exception | None = None) -> None:
+        if self._is_dropped:
+            return
+        self._is_dropped = True
+        self._unparsed.clear()
+        self._received_bytes = 0
+        self._handler.connection_lost(error)
+
+    def _abort(self) -> None:
+        """Close the connection and free at once what it holds.
+
+        The event loop reports the loss only once it has read from all other
+        connections that have bytes.
+        """
+        self._transport.abort()
+        self._drop()
+
+    def pause_writing(self) -> None:
+        """Block writers until the caller has caught up."""
+        self._is_writable = False
+        self._since_s = self._clock()
+        if self._is_dropped:
+            return
+        self._handler.pause_writing()
+        self._account.update(self)
+
+    def resume_writing(self) -> None:
+        """Unblock writers."""
+        self._is_writable = True
+        if not self._is_dropped:
+            self._handler.resume_writing()
+
+    # Turns.
+
+    @property
+    def awaits_turn(self) -> bool:
+        """Whether received bytes are left that can be parsed."""
+        return self._is_in_turns
+
+    def read_events(self, at_most: int) -> int:
+        """Parse about as many lines; return how many."""
+        if self._is_answering or not self._unparsed:
+            self._end_turns()
+            return 1
+        length = min(len(self._unparsed), reads.READ_BYTES)
+        if self._lines > at_most:
+            share = max(1, len(self._unparsed) * at_most // self._lines)
+            length = min(length, share)
+        piece = bytes(self._unparsed[:length])
+        del self._unparsed[:length]
+        lines = piece.count(b"\n")
+        self._lines -= lines
+        self._received_bytes += length
+        self._handler.data_received(piece)
+        if not self._unparsed:
+            self._end_turns()
+        return max(1, lines)
+
+    def _end_turns(self) -> None:
+        self._is_in_turns = False
+        self._transport.hold_reading(False)
+        self._account.update(self)
+
+    # Memory.
+
+    def usage(self) -> accounts.Usage:
+        """Return the memory that this connection holds."""
+        if self._lost and not self._requests:
+            return accounts.Usage(0)
+        if self._requests:
+            unread_bytes = min(self._received_bytes, BUFFERED_BYTES)
+        else:
+            unread_bytes = HEAD_COPIES * self._received_bytes
+        held_bytes = (
+            accounts.CONNECTION_BYTES
+            + unread_bytes
+            + len(self._unparsed)
+            + self._body_bytes
+            + self._transport.get_write_buffer_size()
+        )
+        if self._is_in_turns:
+            held_bytes += sockets.RECEIVE_BUFFER_BYTES
+        return accounts.Usage(
+            held_bytes,
+            -math.inf if self._transport.is_closing() else self._since_s,
+            is_revocable=not self._is_answering or not self._is_writable,
+            is_under_way=self._is_answering,
+        )
+
+    def give_up(self, *, lingers: bool) -> None:
+        """Refuse the body that is being read, or close the connection."""
+        if self._refuse_body is None or not lingers:
+            self._abort()
+            return
+        refuse, self._refuse_body = self._refuse_body, None
+        self._body_bytes = self._received_bytes = 0
+        self._transport.hold_reading(True)
+        refuse()
+
+    # Requests.
+
+    @contextlib.contextmanager
+    def request(self, is_read: Callable[[], bool]) -> Iterator[None]:
+        """Count a request as under way during the block.
+
+        Parameters
+        ----------
+        is_read : callable
+            Returns whether its whole body has been read.
+        """
+        self._requests += 1
+        self._is_body_read = is_read
+        self._since_s = self._clock()
+        try:
+            yield
+        finally:
+            self._requests -= 1
+            self._body_bytes = 0
+            if is_read():
+                self._received_bytes = 0
+            self._since_s = self._clock()
+            self._transport.hold_reading(bool(self._unparsed))
+            if self._unparsed:
+                self._await_turn()
+            if self._lost and not self._requests:
+                self._account.remove(self)
+            else:
+                self._account.update(self)
+
+    @contextlib.contextmanager
+    def reading(self, refuse: Callable[[], None]) -> Iterator[None]:
+        """Let a body be refused during the block.
+
+        Parameters
+        ----------
+        refuse : callable
+            Makes the reader of the body raise the refusal.
+        """
+        self._refuse_body = refuse
+        try:
+            yield
+        finally:
+            self._refuse_body = None
+
+    def hold_body(self, size_bytes: int) -> None:
+        """Count what a body occupies by now."""
+        self._received_bytes = 0
+        self._body_bytes = size_bytes
+        self._account.update(self)
+
+    def admit(self, size_bytes: int) -> None:
+        """Raise RudderError if a whole request may not get under way."""
+        self.hold_body(size_bytes)
+        if not self._account.admits(self, size_bytes):
+            raise memory_full()
+
+
+def connection_of(request: web.Request) -> CallerConnection | None:
+    """Return a request's connection; None if its listener has no bounds."""
+    return getattr(request.transport, "connection", None)
+
+
+@web.middleware
+async def track_request(
+    request: web.Request, handler: Handler
+) -> web.StreamResponse:
+    """Count a request as under way while it is handled."""
+    connection = connection_of(request)
+    if connection is None:
+        return await handler(request)
+    with connection.request(request.content.at_eof):
+        return await handler(request)
--- a/toucanrudder/filters/service.py
+++ b/toucanrudder/filters/service.py
@@ -15,7 +15,7 @@
 from toucanrudder import errors
 from toucanrudder.document import model
 from toucanrudder.document import routes
-from toucanrudder.filters import body as bodies
+from toucanrudder.filters import bounded_body
 from toucanrudder.filters import deduplicate
 from toucanrudder.filters import exchange as exchanges
 from toucanrudder.filters import headers
@@ -77,7 +77,7 @@
             "this call is not repeatable and requires an Idempotency-Key",
             step=STEP,
         )
-    raw = await bodies.read_bounded(
+    raw = await bounded_body.read(
         http,
         target.max_body_bytes,
         exchange.state.conf.router.body_timeout_s,
--- /dev/null
+++ b/toucanrudder/filters/tests/test_connections.py
@@ -0,0 +1,160 @@
+"""Tests of bounded connections of the aiohttp listeners."""
+
+import asyncio
+import contextlib
+
+from aiohttp import web
+import pytest
+
+from toucanrudder import errors
+from toucanrudder.filters import bounded_body
+from toucanrudder.filters import connections
+from toucanrudder.filters import guard
+from toucanrudder.http1 import account as accounts
+from toucanrudder.router import services
+
+MAX_BODY_BYTES = 200_000
+BOUNDS = accounts.Bounds(600_000, 40)
+
+HEAD = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 150000\r\n\r\n"
+CHUNKED = b"POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+class Running:
+    """A listener whose handler reads the body, and may wait then."""
+
+    def __init__(self, bounds):
+        self.gate = asyncio.Event()
+        self.gate.set()
+        self.bodies = []
+        self.account = accounts.Account(lambda: bounds)
+        app = web.Application(middlewares=[connections.track_request])
+        app.router.add_post("/{path}", self.handle)
+        self.service = services.ListenService(
+            application=app,
+            host="127.0.0.1",
+            port=0,
+            account=self.account,
+        )
+
+    async def handle(self, request):
+        try:
+            body = await bounded_body.read(request, MAX_BODY_BYTES, 30.0)
+        except errors.RudderError as error:
+            return guard.error_response(error, "id")
+        self.bodies.append(body)
+        await self.gate.wait()
+        return web.Response(text="ok")
+
+    async def connect(self):
+        host, _, port = self.service.address.rpartition(":")
+        return await asyncio.open_connection(host, int(port))
+
+
+@contextlib.asynccontextmanager
+async def running_service(bounds=BOUNDS):
+    running = Running(bounds)
+    await running.service.start()
+    try:
+        yield running
+    finally:
+        running.gate.set()
+        await running.service.stop()
+
+
+async def _open_crowd(running, count, data):
+    crowd = []
+    for _ in range(count):
+        reader, writer = await running.connect()
+        writer.write(data)
+        crowd.append((reader, writer))
+    return crowd
+
+
+async def _wait_until(condition):
+    async with asyncio.timeout(20):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+async def test_refusal_for_lack_of_memory_says_when_to_return():
+    """Guards against a refusal that promises nothing."""
+    async with running_service() as running:
+        crowd = await _open_crowd(running, 6, HEAD + b"x" * 149_999)
+        answers = await asyncio.gather(
+            *(
+                asyncio.wait_for(reader.readuntil(b"}}"), 3)
+                for reader, _ in crowd
+            ),
+            return_exceptions=True,
+        )
+        refusals = [each for each in answers if isinstance(each, bytes)]
+        assert refusals
+        for answer in refusals:
+            assert answer.startswith(b"HTTP/1.1 503 ")
+            assert b"\r\nRetry-After: 1\r\n" in answer
+            assert b'"memory_full"' in answer
+            assert b'"not_run"' in answer
+        assert not running.bodies
+        for _, writer in crowd:
+            writer.transport.abort()
+
+
+async def test_others_are_served_while_small_chunks_are_parsed():
+    """Guards against a process that parses small chunks and nothing else."""
+    chunks = 20_000
+    async with running_service(accounts.Bounds(10**7, 40)) as running:
+        crowd = await _open_crowd(
+            running, 20, CHUNKED + b"1\r\nx\r\n" * chunks
+        )
+        for _, writer in crowd:
+            await writer.drain()
+        _, writer = await running.connect()
+        writer.write(b"POST /b HTTP/1.1\r\nHost: h\r\n\r\n")
+        await _wait_until(lambda: running.bodies)
+        assert running.bodies == [b""]
+        for _, writer in crowd:
+            writer.write(b"0\r\n\r\n")
+        await _wait_until(lambda: len(running.bodies) > 1)
+        assert running.bodies[1] == b"x" * chunks
+        for _, writer in crowd:
+            writer.transport.abort()
+
+
+ENDS = {
+    "whole": HEAD + b"x" * 150_000,
+    "just short": HEAD + b"x" * 149_999,
+    "head": HEAD[:-2],
+    "far too large": HEAD.replace(b"150000", b"9000000000") + b"x" * 150_000,
+    "malformed": b"GET\r\n\r\n",
+    "chunks": CHUNKED + b"1\r\nx\r\n" * 20_000,
+    "pipelined": HEAD + b"x" * 350_000,
+}
+
+
+@pytest.mark.parametrize("data", ENDS.values(), ids=ENDS.keys())
+@pytest.mark.parametrize("is_held", [False, True])
+async def test_account_is_empty_once_all_have_left(data, is_held):
+    """Guards against an account that refuses everybody in the end."""
+    async with running_service() as running:
+        if is_held:
+            running.gate.clear()
+        crowd = await _open_crowd(running, 30, data)
+        for _, writer in crowd:
+            with contextlib.suppress(OSError, TimeoutError):
+                await asyncio.wait_for(writer.drain(), 1)
+            writer.transport.abort()
+        running.gate.set()
+        await _wait_until(lambda: not running.account.connections)
+        assert running.account.held_bytes == 0
+
+
+async def test_requests_behind_one_another_are_all_served():
+    """Guards against pipelined bytes that are held back for good."""
+    async with running_service() as running:
+        reader, writer = await running.connect()
+        writer.write((HEAD + b"x" * 150_000) * 3)
+        for _ in range(3):
+            await asyncio.wait_for(reader.readuntil(b"ok"), 10)
+        assert [len(body) for body in running.bodies] == [150_000] * 3
+        writer.close()
--- a/toucanrudder/router/application.py
+++ b/toucanrudder/router/application.py
@@ -11,6 +11,7 @@
 from toucanrudder.filters import admit
 from toucanrudder.filters import body
 from toucanrudder.filters import chain
+from toucanrudder.filters import connections
 from toucanrudder.filters import dispatch
 from toucanrudder.filters import guard
 from toucanrudder.filters import headers
@@ -84,7 +85,9 @@
         return web.Response(text="ok\n")
 
     # The filters read the bodies and enforce their size limits.
-    app = web.Application(client_max_size=0)
+    app = web.Application(
+        client_max_size=0, middlewares=[connections.track_request]
+    )
     run_model = handler(MODEL_FILTERS, dispatch.dispatch)
     app.router.add_post("/v1/chat/completions", run_model)
     app.router.add_post("/v1/completions", run_model)
--- a/toucanrudder/router/daemon.py
+++ b/toucanrudder/router/daemon.py
@@ -16,6 +16,7 @@
 from toucanrudder import settings
 from toucanrudder.admin import application as admin_application
 from toucanrudder.observability import logs
+from toucanrudder.observability import metrics
 from toucanrudder.peers import peering as peerings
 from toucanrudder.router import admin_state
 from toucanrudder.router import application
@@ -108,12 +109,14 @@
     return {
         "address": services.ListenService(
             application=application.build(state),
+            account=state.account,
             host=str(conf.host),
             port=conf.port,
             stop_timeout_s=conf.stop_timeout_s,
         ),
         "admin_address": services.ListenService(
             application=admin,
+            account=state.account,
             host=str(conf.host),
             port=conf.admin_port,
             tls=admin_state.tls(state.conf),
@@ -129,6 +132,16 @@
     state: states.RouterState,
 ) -> AsyncIterator[dict[str, services.ListenService | peerings.PeerService]]:
     """Run the controllers and listeners; yield the listeners."""
+    metrics.gauge(
+        "toucanrudder_caller_memory_bytes",
+        "What connections of callers hold, and what they may hold",
+        state.account.memory_bytes,
+    )
+    metrics.gauge(
+        "toucanrudder_caller_connections",
+        "Connections of callers, and how many there may be",
+        state.account.connection_counts,
+    )
     peers = peering.peering(state)
     listeners = build_listeners(state, peers)
     entrypoint = aiomisc.entrypoint(
--- a/toucanrudder/router/state.py
+++ b/toucanrudder/router/state.py
@@ -18,6 +18,7 @@
 from toucanrudder import claims
 from toucanrudder import errors
 from toucanrudder import quarantine
+from toucanrudder import resources
 from toucanrudder import retries
 from toucanrudder import stalls
 from toucanrudder import store
@@ -25,6 +26,8 @@
 from toucanrudder.controllers import configuration
 from toucanrudder.controllers import kv_transfer
 from toucanrudder.document import model
+from toucanrudder.filters import connections
+from toucanrudder.http1 import account as accounts
 from toucanrudder.membership import instances
 from toucanrudder.membership import routers
 from toucanrudder.messages import request as requests
@@ -58,6 +61,7 @@
     accepted: model.Accepted
     organisations_by_digest: dict[str, model.Organisation]
     upstreams: dict[str, model.Upstream]
+    largest_held_bytes: int
 
 
 def _build_index(accepted: model.Accepted) -> _DocumentIndex:
@@ -70,6 +74,11 @@
             for digest in organisation.api_key_sha256s
         },
         {upstream.name: upstream for upstream in document.upstreams},
+        max(
+            connections.MODEL_COPIES * document.policy.max_body_bytes,
+            *(each.max_body_bytes for each in document.services),
+            0,
+        ),
     )
 
 
@@ -110,6 +119,11 @@
     exchange_soon: Callable[[], None] = lambda: None
     broadcast_urgent: Callable[[], Awaitable[None]] = _no_broadcast
     asked_rests: rests.Rests = attrs.field(factory=rests.Rests)
+    account: accounts.Account = attrs.field(
+        default=attrs.Factory(
+            lambda self: accounts.Account(self.caller_bounds), takes_self=True
+        )
+    )
     _budgets: dict[str, retries.RetryBudget] = attrs.field(factory=dict)
     _cached_index: _DocumentIndex | None = None
 
@@ -146,6 +160,19 @@
             index = self._cached_index = _build_index(accepted)
         return index
 
+    def caller_bounds(self) -> accounts.Bounds:
+        """Return what the connections of callers may occupy."""
+        limits = self.conf.limits
+        largest_bytes = 0
+        if self.configuration.current is not None:
+            largest_bytes = self._index().largest_held_bytes
+        return accounts.bounds_for(
+            limits.memory_mb * resources.BYTES_PER_MB
+            or resources.memory_bytes(),
+            limits.max_descriptors or resources.max_descriptors(),
+            largest_bytes,
+        )
+
     def document(self) -> model.Document:
         """Return the configuration in force."""
         return self._index().accepted.document
--- /dev/null
+++ b/toucanrudder/router/tests/test_client_crowds.py
@@ -0,0 +1,219 @@
+"""Crowds of clients that keep to no limit, before the own interface."""
+
+import asyncio
+import contextlib
+import json
+
+import aiohttp
+import attrs
+import pytest
+
+from toucanrudder.testing import crowds
+from toucanrudder.testing import fleet as fleets
+
+pytestmark = [pytest.mark.alone, pytest.mark.timeout(300)]
+
+#: Memory and descriptors of the instance, by the router's settings.
+MACHINE_MB = 88
+MACHINE_DESCRIPTORS = 300
+
+#: Memory beyond its own in calm that the process may take.
+GROWTH_BYTES = 20 * 2**20
+
+MODEL_BODY_BYTES = 4 * 2**20
+SERVICE_BODY_BYTES = 2**20
+
+DEADLINE_S = 60.0
+
+#: Time for which the service works on a call.
+SERVICE_DELAY_S = 5.0
+
+
+def _head(path, key="key-of-acme"):
+    return (
+        f"POST {path} HTTP/1.1\r\nHost: r\r\nAuthorization: Bearer {key}\r\n"
+    ).encode()
+
+
+@attrs.define(eq=False)
+class Running:
+    """A router's process with its upstreams."""
+
+    fleet: fleets.Fleet
+    calm_bytes: int = 0
+
+    @property
+    def process(self):
+        return self.fleet.routers[0].process
+
+    def address(self, listener):
+        return self.process.ready[listener]
+
+    def growth_bytes(self):
+        print(
+            "HWM",
+            crowds.peak_memory_bytes(self.process.pid) - self.calm_bytes,
+            crowds.unread_bytes(self.address("address")),
+        )
+        peak_bytes = crowds.peak_memory_bytes(self.process.pid)
+        return (
+            peak_bytes
+            - self.calm_bytes
+            + crowds.unread_bytes(self.address("address"))
+            + crowds.unread_bytes(self.address("admin_address"))
+        )
+
+    async def send(self, prompt="hello"):
+        """Send an ordinary request on a new connection."""
+        timeout = aiohttp.ClientTimeout(total=DEADLINE_S)
+        body = {"model": fleets.MODEL, "prompt": prompt, "max_tokens": 2}
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            async with session.post(
+                f"{self.fleet.routers[0].url}/v1/completions",
+                json=body,
+                headers=fleets.authorization(),
+            ) as response:
+                await response.read()
+                return response.status
+
+    async def serves(self):
+        """Whether an ordinary request is answered, if need be when retried."""
+        async with asyncio.timeout(DEADLINE_S):
+            while True:
+                with contextlib.suppress(aiohttp.ClientError):
+                    if await self.send() == 200:
+                        return True
+                await asyncio.sleep(0.1)
+
+
+@contextlib.asynccontextmanager
+async def _running(max_descriptors=4_000):
+    plan = fleets.Plan(
+        services=1,
+        routes=[{"method": "POST", "path_prefix": "/", "repeatable": True}],
+        service_options={"delay_s": SERVICE_DELAY_S},
+        settings={
+            "limits": {
+                "memory_mb": MACHINE_MB,
+                "max_descriptors": max_descriptors,
+            }
+        },
+    )
+    async with fleets.running(plan) as fleet:
+        running = Running(fleet)
+        assert await running.serves()
+        running.calm_bytes = crowds.peak_memory_bytes(running.process.pid)
+        yield running
+
+
+async def _check_after(running):
+    """Check what must hold while a crowd is there."""
+    assert await running.serves()
+    assert running.process.process.returncode is None
+    assert running.growth_bytes() < GROWTH_BYTES
+
+
+MODEL, SERVICE = _head("/v1/completions"), _head("/services/desk/x")
+UNKNOWN = _head("/v1/completions", "unknown")
+ALL, SERVICE_ALL = MODEL_BODY_BYTES, SERVICE_BODY_BYTES
+
+CROWDS = {
+    "whole bodies": (
+        60,
+        crowds.states_length(SERVICE, SERVICE_ALL, SERVICE_ALL),
+    ),
+    "whole bodies in large chunks": (
+        60,
+        crowds.sends_chunks(SERVICE, SERVICE_ALL, 65_536, is_whole=True),
+    ),
+    "just short": (24, crowds.states_length(MODEL, ALL, ALL - 1)),
+    "just short in pieces": (
+        24,
+        crowds.states_length(MODEL, ALL, ALL - 1, 4_096),
+    ),
+    "just short with unknown keys": (
+        200,
+        crowds.states_length(UNKNOWN, ALL, ALL - 1),
+    ),
+    "just short to a service": (
+        60,
+        crowds.states_length(SERVICE, SERVICE_ALL, SERVICE_ALL - 1),
+    ),
+    "large chunks": (24, crowds.sends_chunks(MODEL, ALL - 65_536, 65_536)),
+    "small chunks": (32, crowds.sends_chunks(MODEL, 2**20, 16)),
+    "chunks of one byte": (50, crowds.sends_chunks(MODEL, 2**14, 1)),
+    "far too large by its head": (
+        50,
+        crowds.states_length(MODEL, 1000 * ALL, 4 * ALL),
+    ),
+    "chunks without end": (50, crowds.sends_chunks(MODEL, 4 * ALL, 65_536)),
+    "heads without end": (
+        100,
+        crowds.sends(MODEL + (b"X: " + b"y" * 8_000 + b"\r\n") * 60),
+    ),
+    "bytes behind a request": (
+        200,
+        crowds.sends(SERVICE + b"Content-Length: 0\r\n\r\n" + b"x" * 200_000),
+    ),
+}
+
+
+@pytest.mark.parametrize(
+    ("count", "behave"), CROWDS.values(), ids=CROWDS.keys()
+)
+async def test_crowd_of_callers_ends_no_process(count, behave):
+    """Guards against a process that runs out of memory or hangs."""
+    async with _running() as running:
+        async with crowds.crowd(running.address("address"), behave, count):
+            await _check_after(running)
+        await _check_after(running)
+
+
+OPERATORS = {
+    "unknown token": _head("/validate", "unknown"),
+    "known token": _head("/validate", fleets.ADMIN_TOKEN),
+}
+
+
+@pytest.mark.parametrize("head", OPERATORS.values(), ids=OPERATORS.keys())
+async def test_crowd_at_the_operators_port_ends_no_process(head):
+    """Guards against a bound that only the callers' listener has."""
+    async with _running() as running:
+        behave = crowds.states_length(head, 2**21, 2**21 - 1)
+        async with crowds.crowd(running.address("admin_address"), behave, 40):
+            await _check_after(running)
+            url = f"{running.fleet.routers[0].admin_url}/healthz"
+            async with running.fleet.session.get(url) as response:
+                assert response.status == 200
+        await _check_after(running)
+
+
+async def test_crowd_leaves_descriptors_for_others():
+    """Guards against a router that reaches neither store nor upstreams."""
+    async with _running(max_descriptors=MACHINE_DESCRIPTORS) as running:
+        behave = crowds.sends(MODEL)
+        async with crowds.crowd(running.address("address"), behave, 400):
+            await _check_after(running)
+            pid = running.process.pid
+            assert crowds.open_descriptors(pid) < MACHINE_DESCRIPTORS
+        await _check_after(running)
+
+
+def _largest_body():
+    text = json.dumps({"model": fleets.MODEL, "prompt": "", "max_tokens": 1})
+    prompt = "x" * (MODEL_BODY_BYTES - len(text))
+    return text.replace('""', f'"{prompt}"').encode()
+
+
+async def test_largest_body_is_served_in_calm():
+    """Guards against a bound that a client inside the limits meets."""
+    async with _running() as running:
+        body = _largest_body()
+        assert len(body) == MODEL_BODY_BYTES
+        url = f"{running.fleet.routers[0].url}/v1/completions"
+        async with running.fleet.session.post(
+            url, data=body, headers=fleets.authorization()
+        ) as response:
+            await response.read()
+            assert response.status == 200
+        assert await running.serves()
--- a/toucanrudder/settings/options.py
+++ b/toucanrudder/settings/options.py
@@ -237,6 +237,7 @@
     "peers": PEERS,
     "upstreams": UPSTREAMS,
     "claims": CLAIMS,
+    "limits": LIMITS,
     "logging": LOGGING,
     "policy": POLICY,
 }
