Let crowds of clients that keep to no limit come in the soak

Each plan has one crowd, at a router that runs: whole bodies, bodies just short of their end, small chunks, chunks without end or heads without end. The check memory_is_bounded compares the most memory that the process has had before and after with what an instance of 88 MB, as the settings say, has left; the draws of the other faults are as before.

--- a/toucanrudder/platform/testing/soaking.py
+++ b/toucanrudder/platform/testing/soaking.py
@@ -111,6 +111,14 @@
     }
 
 
+def crowd_head() -> bytes:
+    """Return the begin of a head of clients that keep to no limit."""
+    return (
+        b"POST /read/crowd HTTP/1.1\r\nHost: soak.example\r\n"
+        b"Request-Id: crowd\r\nDeadline-Ms: 3000\r\n"
+    )
+
+
 def build_request(
     call: records.Call, organisation: str, part: int
 ) -> tuple[message.RequestHead, bytes]:
--- a/toucanrudder/soak/faults.py
+++ b/toucanrudder/soak/faults.py
@@ -13,6 +13,7 @@
 from toucanrudder.soak import plans
 from toucanrudder.soak import records
 from toucanrudder.soak import site as sites
+from toucanrudder.testing import crowds
 from toucanrudder.testing import proxy as proxies
 
 #: How long a leaving upstream still serves after its announcement.
@@ -122,6 +123,23 @@
             return None
         return steady[int(step.draw * len(steady))]
 
+    async def _client_crowd(self, step: plans.Step) -> None:
+        router = self._router(step)
+        if router is None:
+            return
+        kind, (count, behave) = random.Random(step.draw).choice(_CROWDS)
+        start, pid = router.starts, router.process.pid
+        before_bytes = crowds.peak_memory_bytes(pid)
+        async with crowds.crowd(
+            router.address, behave, count, settle_s=step.for_s
+        ):
+            pass
+        if router.lives and router.starts == start:
+            growth_bytes = crowds.peak_memory_bytes(pid) - before_bytes
+            self._site.record.crowds.append(
+                records.CrowdEffect(router.name, kind, growth_bytes)
+            )
+
     async def _end_router(self, number: int, step: plans.Step) -> None:
         router = self._router(step)
         if router is None:
@@ -417,6 +435,28 @@
     return act
 
 
+_HEAD = soaking.crowd_head()
+_LEGAL_BYTES = 4 * 2**20
+
+#: Clients of a crowd, and what each of them sends.
+_CROWDS = (
+    (
+        "whole bodies",
+        (24, crowds.states_length(_HEAD, _LEGAL_BYTES, _LEGAL_BYTES)),
+    ),
+    (
+        "just short",
+        (24, crowds.states_length(_HEAD, _LEGAL_BYTES, _LEGAL_BYTES - 1)),
+    ),
+    ("small chunks", (32, crowds.sends_chunks(_HEAD, 2**20, 16))),
+    ("chunks of one byte", (24, crowds.sends_chunks(_HEAD, 2**14, 1))),
+    (
+        "chunks without end",
+        (24, crowds.sends_chunks(_HEAD, 2 * _LEGAL_BYTES, 65_536)),
+    ),
+    ("heads without end", (200, crowds.sends(_HEAD + b"X: " + b"y" * 15_000))),
+)
+
 _ACTIONS = {
     plans.Fault.TERM: _end(signal.SIGTERM),
     plans.Fault.KILL: _end(signal.SIGKILL),
@@ -444,4 +484,5 @@
     plans.Fault.REST: Injector._rest,
     plans.Fault.WATCHES_LOST: Injector._watches_lost,
     plans.Fault.STRANGE_ENTRY: Injector._strange_entry,
+    plans.Fault.CLIENT_CROWD: Injector._client_crowd,
 }
--- a/toucanrudder/soak/mutants.py
+++ b/toucanrudder/soak/mutants.py
@@ -216,6 +216,12 @@
         "MAX_FETCHES = 5",
         "MAX_FETCHES = 1",
     ),
+    Mutant(
+        "what callers hold is not bounded",
+        "http1/account.py",
+        "for revoked in revoked_for_memory(self._usages, excess_bytes):",
+        "for revoked in ():",
+    ),
     Mutant(
         "history that is gone is not read anew",
         "controllers/feeds.py",
--- a/toucanrudder/soak/oracles.py
+++ b/toucanrudder/soak/oracles.py
@@ -70,6 +70,10 @@
 #: An answer that ends this much before its time limit may be due to it.
 LIMIT_SLACK_S = 0.1
 
+#: Memory that an instance of `site.MEMORY_MB` has left beside a router in
+#: calm.
+CROWD_GROWTH_BYTES = 20 * 2**20
+
 #: Within this time after the last fault callers are served again.
 RECOVERY_S = 12.0
 
@@ -374,6 +378,15 @@
                 break
 
 
+def memory_is_bounded(record: records.Record) -> Iterator[str]:
+    """No crowd of clients makes a router exceed its instance's memory."""
+    for each in record.crowds:
+        if each.growth_bytes > CROWD_GROWTH_BYTES:
+            yield (
+                f"{each.router} grew by {each.growth_bytes} bytes: {each.kind}"
+            )
+
+
 def recovers(record: records.Record) -> Iterator[str]:
     """After the last fault, callers are served again."""
     after_s = record.recovered_after_s
@@ -404,6 +417,7 @@
     limits_hold,
     stated_leaving_is_kept_to,
     rests_are_kept,
+    memory_is_bounded,
     recovers,
     processes_live,
 )
--- a/toucanrudder/soak/plans.py
+++ b/toucanrudder/soak/plans.py
@@ -36,6 +36,7 @@
     REST = "upstream rest"
     WATCHES_LOST = "watches lost"
     STRANGE_ENTRY = "strange entry"
+    CLIENT_CROWD = "client crowd"
 
 
 #: How often each comes, against the others.
@@ -122,6 +123,7 @@
             steps.append(leave_step(seed, length_s))
             steps.append(rest_step(seed, length_s))
             steps.extend(_store_steps(seed, length_s))
+            steps.append(_crowd_step(seed, length_s))
             return tuple(sorted(steps, key=_at_s))
         (fault,) = rng.choices(list(WEIGHTS), list(WEIGHTS.values()))
         for _ in range(rng.choice((1, 1, 1, 2, 3))):
@@ -213,6 +215,12 @@
         yield Step(at_s, fault, rng.random(), 0.0)
 
 
+def _crowd_step(seed: int, length_s: float) -> Step:
+    rng = _generator(seed, "client crowd")
+    at_s = _time_s(rng, length_s / 2)
+    return Step(at_s, Fault.CLIENT_CROWD, rng.random(), rng.uniform(1.0, 3.0))
+
+
 def _part_step(seed: int, length_s: float) -> Step:
     rng = _generator(seed, "part")
     at_s = _time_s(rng, length_s / 2)
--- a/toucanrudder/soak/records.py
+++ b/toucanrudder/soak/records.py
@@ -205,6 +205,25 @@
     incarnation: str
 
 
+@attrs.frozen
+class CrowdEffect:
+    """What a crowd of clients that keep to no limit made a router hold.
+
+    Parameters
+    ----------
+    router : str
+        The router.
+    kind : str
+        What the clients sent.
+    growth_bytes : int
+        Growth of the most memory that the process has had resident.
+    """
+
+    router: str
+    kind: str
+    growth_bytes: int
+
+
 @attrs.define
 class AskedRest:
     """A rest that an upstream asked for when it refused requests.
@@ -248,6 +267,8 @@
     stated_leaving: list[Sighting] = attrs.field(factory=list)
     #: Rests that upstreams asked for.
     rests: list[AskedRest] = attrs.field(factory=list)
+    #: What crowds of clients made of routers' memory.
+    crowds: list[CrowdEffect] = attrs.field(factory=list)
     #: Routers that ended by themselves.
     died: list[str] = attrs.field(factory=list)
     recovered_after_s: float | None = None
--- a/toucanrudder/soak/runs.py
+++ b/toucanrudder/soak/runs.py
@@ -165,6 +165,7 @@
         "limited": sum(len(each.arrivals_s) for each in record.limits),
         "told_leaving": len(record.stated_leaving),
         "asked_for_rest": sum(len(each.refused) for each in record.rests),
+        "crowds": len(record.crowds),
         "stalls": sum(each.kind == "stall" for each in record.spans),
     }
 
--- a/toucanrudder/soak/site.py
+++ b/toucanrudder/soak/site.py
@@ -22,6 +22,9 @@
 from toucanrudder.testing import processes
 from toucanrudder.testing import proxy as proxies
 
+#: Memory of each router's instance, by its settings.
+MEMORY_MB = 88
+
 #: The longest time that a router needs to start.
 START_S = 60.0
 
@@ -39,6 +42,8 @@
     address = {store}
     timeout_s = 1.0
     watch_wait_s = {watch_wait_s}
+    [limits]
+    memory_mb = {memory_mb}
     [shutdown]
     grace_s = {grace_s}
     notice_s = 1.0
@@ -290,6 +295,7 @@
                 seeds=seeds,
                 store=self.store_proxy.address,
                 grace_s=oracles.GRACE_S,
+                memory_mb=MEMORY_MB,
                 watch_wait_s=self.watch_wait_s,
             )
             path.write_text(text)
--- a/toucanrudder/soak/tests/test_soak.py
+++ b/toucanrudder/soak/tests/test_soak.py
@@ -95,6 +95,17 @@
     assert result.figures["runs"] > 0
 
 
+def test_crowds_of_clients_leave_memory_and_callers_alone(tmp_path):
+    size = runs.Size(length_s=14.0)
+    steps = tuple(
+        plans.Step(1.0 + 2.0 * number, plans.Fault.CLIENT_CROWD, draw, 2.0)
+        for number, draw in enumerate((0.1, 0.3, 0.5, 0.7, 0.9))
+    )
+    result = runs.play(907, size, str(tmp_path), steps)
+    assert result.broken == []
+    assert result.figures["crowds"] > 0
+
+
 def test_a_plan_draws_each_kind_of_fault():
     drawn = {
         step.fault
