Be ready only once the engines' processes are known

What callers saw: copies of a request that crashes engines, sent at once to four routers that had just started, crashed three engines where two are the bound.

Cause: a router was ready as soon as it had a configuration. Until its first poll of an engine it does not know the engine's process, so a crash there cannot be told from others and is not recorded; its copy was tried at a further engine. Traced: the router that had started last chose with no report of any engine, its copy went on to engine-2, while the trial of the others ended engine-0.

Change: /readyz answers 200 once each engine has been polled, or after a second or three intervals of the polls, whichever is longer, so that silent engines keep no router from serving.

--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -30,6 +30,7 @@
 from toucanrudder.forwarding import dialect as dialects
 from toucanrudder.forwarding import forwarder
 from toucanrudder.forwarding import loading
+from toucanrudder.forwarding import model
 from toucanrudder.forwarding import orders
 from toucanrudder.forwarding import peering
 from toucanrudder.forwarding import rollout
@@ -264,7 +265,7 @@
         configuration = self.state.configuration
         if configuration is None:
             return server.Limits()
-        return server.Limits(**attrs.asdict(configuration.limits))
+        return _server_limits(configuration.limits)
 
     def _bodiless_limits(self) -> server.Limits:
         return attrs.evolve(self._limits(), max_body_bytes=0)
@@ -479,6 +480,11 @@
     return host, int(port)
 
 
+@functools.lru_cache(maxsize=16)
+def _server_limits(limits: model.Limits) -> server.Limits:
+    return server.Limits(**attrs.asdict(limits))
+
+
 @functools.cache
 def _refusal_body(refusal: server.Refusal) -> bytes:
     codes = {
--- a/toucanrudder/http1/account.py
+++ b/toucanrudder/http1/account.py
@@ -237,6 +237,7 @@
         self._usages: dict[Holder, Usage] = {}
         self._held_bytes = 0
         self._reserved_bytes = 0
+        self._unavailable_bytes = 0
         self._answer_bytes = 0
         self._waiting: collections.deque[_Waiter] = collections.deque()
 
@@ -284,13 +285,21 @@
     def _make_room(self) -> None:
         limit = self._bounds().memory_bytes
         if self.held_bytes <= limit:
+            self._unavailable_bytes = 0
+        if self.held_bytes <= limit + self._unavailable_bytes:
             return
         self._refresh()
+        self._unavailable_bytes = 0
         if self.held_bytes <= limit:
             return
         excess_bytes = self.held_bytes - int(limit * LOW_WATER_SHARE)
         for revoked in revoked_for_memory(self._usages, excess_bytes):
             self._give_up(revoked, lingers=True)
+        if self.held_bytes > limit:
+            # Requests under way hold too much.  The holders are compared
+            # anew once they hold noticeably more, not with each byte.
+            step_bytes = int(limit * (1 - LOW_WATER_SHARE))
+            self._unavailable_bytes = self.held_bytes - limit + step_bytes
 
     def remove(self, holder: Holder) -> None:
         """Count a connection no more."""
--- a/toucanrudder/http1/server.py
+++ b/toucanrudder/http1/server.py
@@ -332,9 +332,9 @@
         if self._began_s is None:
             self._began_s = self._since_s = self._hooks.clock()
             self._limits = self._hooks.limits()
-            self._set_timer(self._limits.head_timeout_s, self._refuse_slow)
+            self._set_read_timer()
         elif self._head is not None:
-            self._set_timer(self._limits.idle_timeout_s, self._refuse_slow)
+            self._set_read_timer()
 
     def read_events(self, at_most: int) -> int:
         """Handle what the parser has found; return the number of events.
@@ -372,7 +372,16 @@
             return
         self._transport.resume_reading()
         if self._task is None:
-            self._set_timer(self._limits.idle_timeout_s, self._refuse_slow)
+            self._set_read_timer()
+
+    def _set_read_timer(self) -> None:
+        limits = self._limits
+        if self._began_s is None:
+            self._set_timer(limits.idle_timeout_s, self.abort)
+        elif self._head is None:
+            self._set_timer(limits.head_timeout_s, self._refuse_slow)
+        else:
+            self._set_timer(limits.idle_timeout_s, self._refuse_slow)
 
     @property
     def awaits_turn(self) -> bool:
--- a/toucanrudder/router/application.py
+++ b/toucanrudder/router/application.py
@@ -80,7 +80,7 @@
         return web.Response(text="ok\n")
 
     async def ready(request: web.Request) -> web.Response:
-        if state.stopping or state.configuration.current is None:
+        if not state.is_ready(state.now_s()):
             return web.Response(status=503, text="not ready\n")
         return web.Response(text="ok\n")
 
--- a/toucanrudder/router/state.py
+++ b/toucanrudder/router/state.py
@@ -49,6 +49,11 @@
 STEP = "state"
 NOT_CONFIGURED_RETRY_S = 1.0
 
+#: Intervals of load reports, and least seconds, within which a router that has
+#: started waits for the first report of each engine before it is ready.
+FIRST_POLLS = 3.0
+MIN_FIRST_POLLS_S = 1.0
+
 #: Retries that a newly started router may spend on one pool.  They cover a
 #: whole batch.
 INITIAL_RETRIES = 20.0
@@ -119,6 +124,7 @@
     exchange_soon: Callable[[], None] = lambda: None
     broadcast_urgent: Callable[[], Awaitable[None]] = _no_broadcast
     asked_rests: rests.Rests = attrs.field(factory=rests.Rests)
+    started_s: float = attrs.field(factory=stalls.running_s)
     account: accounts.Account = attrs.field(
         default=attrs.Factory(
             lambda self: accounts.Account(self.caller_bounds), takes_self=True
@@ -160,6 +166,29 @@
             index = self._cached_index = _build_index(accepted)
         return index
 
+    def is_ready(self, now_s: float) -> bool:
+        """Return whether the load balancer may send requests.
+
+        A crash of an engine whose process is unknown cannot be told from
+        others, and its requests would go on to crash further engines.  So a
+        router that has just started first asks each engine; one that does
+        not answer is waited for no longer than `FIRST_POLLS` intervals.
+        """
+        if self.stopping or self.configuration.current is None:
+            return False
+        wait_s = max(
+            MIN_FIRST_POLLS_S,
+            FIRST_POLLS * self.conf.upstreams.load_interval_s,
+        )
+        if now_s > self.started_s + wait_s:
+            return True
+        return all(
+            self.loads.get(upstream.name) is not None
+            or not self.loads.is_reachable(upstream.name)
+            for upstream in self.document().upstreams
+            if upstream.kind == model.ENGINE
+        )
+
     def caller_bounds(self) -> accounts.Bounds:
         """Return what the connections of callers may occupy."""
         limits = self.conf.limits
