--- a/toucanrudder/http1/server.py
+++ b/toucanrudder/http1/server.py
@@ -243,6 +243,7 @@
         self._closed = False
         self._lost = False
         self._awaits_turn = False
+        self._holds_much = False
         self._since_s = hooks.clock()
         self.end_cause = EndCause.NONE
         self._written_bytes = 0
@@ -289,7 +290,7 @@
                 # No legitimate client pipelines that much.  Pausing reads
                 # instead would hide that the caller disconnects.
                 self.abort()
-            self._listener.account.update(self)
+            self._count_memory()
             return
         self._update_read_deadline()
         if self._head is None:
@@ -297,7 +298,7 @@
         self._http.receive_data(data)
         if not self._awaits_turn:
             self.read_events(EVENTS_AT_ONCE)
-        self._listener.account.update(self)
+        self._count_memory()
 
     def eof_received(self) -> bool:
         """Treat the end of the caller's stream as a disconnect."""
@@ -542,7 +543,7 @@
             # next request apply to them.
             self._http = self._new_parser()
             self.data_received(pipelined)
-        self._listener.account.update(self)
+        self._count_memory()
 
     def with_connection_fields(
         self, headers: message.Headers
@@ -582,6 +583,19 @@
 
     # Memory.
 
+    def _count_memory(self) -> None:
+        """Tell the account what is held, unless it is as little as before."""
+        held_bytes = (
+            len(self._raw_head)
+            + len(self._body)
+            + self._request_bytes
+            + self._pipelined_bytes
+        )
+        holds_much = held_bytes > accounts.CONNECTION_BYTES
+        if holds_much or self._awaits_turn or self._holds_much:
+            self._holds_much = holds_much
+            self._listener.account.update(self)
+
     def usage(self) -> accounts.Usage:
         """Return the memory that this connection holds."""
         if self._lost and self._task is None:
