Keep the timeouts of the own interface's connections as they were

The wrapper had also set the forwarding router's socket options, whose timeout for unacknowledged bytes is shorter than [router] write_timeout_s, so a caller that reads slowly could have been reset. Found by reading. A crowd of bodies just short of their end is also sent to the port for other routers; it was bounded before.

--- a/toucanrudder/filters/connections.py
+++ b/toucanrudder/filters/connections.py
@@ -141,7 +141,6 @@
     def connection_made(self, transport) -> None:
         """Count the connection, and let aiohttp serve it."""
         self._transport = _Transport(transport, self)
-        sockets.enable_dead_peer_detection(transport)
         self._handler.connection_made(self._transport)
         self._account.add(self)
 
@@ -195,7 +194,7 @@
             return
         self._is_dropped = True
         self._unparsed.clear()
-        self._received_bytes = 0
+        self._lines = self._received_bytes = 0
         self._handler.connection_lost(error)
 
     def _abort(self) -> None:
--- a/toucanrudder/platform/tests/test_client_crowds.py
+++ b/toucanrudder/platform/tests/test_client_crowds.py
@@ -267,7 +267,7 @@
         await _check_after(running)
 
 
-@pytest.mark.parametrize("listener", ["ready", "metrics"])
+@pytest.mark.parametrize("listener", ["ready", "metrics", "peers"])
 async def test_crowd_at_another_listener_ends_no_process(tmp_path, listener):
     """Guards against a bound that only the callers' listener has."""
     async with _running(tmp_path) as running:
