--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -481,7 +481,7 @@
 
 
 @functools.lru_cache(maxsize=16)
-def _server_limits(limits: model.Limits) -> server.Limits:
+def _server_limits(limits: model.CallerLimits) -> server.Limits:
     return server.Limits(**attrs.asdict(limits))
 
 
