Spread the return of clients that the own interface refuses

Clients that were refused for lack of memory at the own interface were all told to return after one second, so those of a crowd would have returned together; now after 0.5 to 3 s, as at the forwarding router from 0.5 to 1.5.

--- a/toucanrudder/filters/connections.py
+++ b/toucanrudder/filters/connections.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 import contextlib
 import math
+import random
 
 from aiohttp import web
 
@@ -17,9 +18,9 @@
 
 STEP = "read"
 
-#: Shortest time after which a client that was refused for lack of memory may
-#: return.
-RETRY_AFTER_S = 1.0
+#: Times after which clients that were refused for lack of memory may return;
+#: they differ, so that those of a crowd do not return together.
+RETRY_AFTER_S = (0.5, 3.0)
 
 #: Line feeds in a piece of a request that is parsed at once.  Chunks of one
 #: byte have one each, so that a piece may take long to parse.
@@ -53,7 +54,7 @@
         errors.Code.MEMORY_FULL,
         "callers occupy the memory that they may",
         step=STEP,
-        retry_after_s=RETRY_AFTER_S,
+        retry_after_s=round(random.uniform(*RETRY_AFTER_S), 3),
     )
 
 
