Bound the exponent of all delays after failures in a row

What callers saw: at an upstream that had failed 1,024 times in a row each further request ended without an answer: no refusal, no other upstream, no word on whether it ran. In an outage of the store of some ten minutes the watches ended, and again each second after they were started anew.

Cause: base * 2 ** (failures - 1) is computed before it is limited; from the 1,025th failure on it raises OverflowError.

Change: one function for exponential backoff, whose exponent is limited to what the longest delay needs, in place of five forms of it.

--- a/toucanrudder/controllers/backoff.py
+++ b/toucanrudder/controllers/backoff.py
@@ -2,6 +2,8 @@
 
 import random
 
+from toucanrudder import backoff
+
 BASE_DELAY_S = 0.2
 MAX_DELAY_S = 2.0
 
@@ -24,5 +26,5 @@
     float
         Seconds, at most `MAX_DELAY_S`.
     """
-    max_delay_s = min(MAX_DELAY_S, BASE_DELAY_S * 2 ** min(failures - 1, 10))
+    max_delay_s = backoff.exponential_s(failures, BASE_DELAY_S, MAX_DELAY_S)
     return rng.uniform(max_delay_s / 2, max_delay_s)
--- a/toucanrudder/controllers/feeds.py
+++ b/toucanrudder/controllers/feeds.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from toucanrudder import backoff
 from toucanrudder import clock
 from toucanrudder.observability import decisions
 from toucanrudder.observability import metrics
@@ -232,6 +233,7 @@
             decisions.record(
                 decisions.StoreLost(kind=self.kind, error=str(error))
             )
-        pause_s = BASE_DELAY_S * 2 ** (self._failures - 2)
-        pause_s = min(pause_s, MAX_DELAY_S)
+        pause_s = backoff.exponential_s(
+            self._failures - 1, BASE_DELAY_S, MAX_DELAY_S
+        )
         await asyncio.sleep(pause_s * self._rng.uniform(0.75, 1.25))
--- a/toucanrudder/controllers/tests/test_feeds.py
+++ b/toucanrudder/controllers/tests/test_feeds.py
@@ -95,3 +95,13 @@
         async with asyncio.timeout(1.0):
             await source.pending.wait()
         assert source.waits_s == [FIRST_WAIT_S, 0.0, FIRST_WAIT_S]
+
+
+async def test_watch_goes_on_after_an_outage_of_any_length(monkeypatch):
+    """Guards against a watch that ends by the count of its failures."""
+    monkeypatch.setattr(feeds, "BASE_DELAY_S", 1e-9)
+    monkeypatch.setattr(feeds, "MAX_DELAY_S", 1e-9)
+    outage = [None] * 2_000
+    async with following([(), *outage, ()]) as (source, controller):
+        assert len(source.waits_s) > len(outage)
+        assert controller._failures == 0
--- a/toucanrudder/forwarding/upstream_news.py
+++ b/toucanrudder/forwarding/upstream_news.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from toucanrudder import backoff
 from toucanrudder.forwarding import model
 
 #: Number of routers up to which each learns by its own attempts: it asks each
@@ -72,8 +73,7 @@
     >>> [refusal_s(count) for count in (1, 2, 3, 9)]
     [0.05, 0.1, 0.2, 0.4]
     """
-    exponent = min(refusals_in_row, 16) - 1
-    return min(MIN_REFUSAL_S * 2**exponent, MAX_REFUSAL_S)
+    return backoff.exponential_s(refusals_in_row, MIN_REFUSAL_S, MAX_REFUSAL_S)
 
 
 @attrs.frozen
--- a/toucanrudder/forwarding/upstream_states.py
+++ b/toucanrudder/forwarding/upstream_states.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from toucanrudder import backoff
 from toucanrudder.forwarding import model
 
 #: Seconds after which a reported load is ignored: requests of the slowest
@@ -182,8 +183,9 @@
         state = self.of(incarnation)
         self.record_error(incarnation)
         state.failures_in_row += 1
-        backoff_s = MIN_BACKOFF_S * 2 ** (state.failures_in_row - 1)
-        state.backoff_until_s = now_s + min(backoff_s, MAX_BACKOFF_S)
+        state.backoff_until_s = now_s + backoff.exponential_s(
+            state.failures_in_row, MIN_BACKOFF_S, MAX_BACKOFF_S
+        )
 
     def record_error(self, incarnation: str) -> None:
         """Record an error response of the upstream itself."""
--- a/toucanrudder/retries/decision.py
+++ b/toucanrudder/retries/decision.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from toucanrudder import backoff
 from toucanrudder.errors import codes
 from toucanrudder.retries import budget as budgets
 
@@ -110,7 +111,7 @@
     float
         Seconds.
     """
-    ceiling_s = min(MAX_DELAY_S, BASE_DELAY_S * 2 ** (tries - 1))
+    ceiling_s = backoff.exponential_s(tries, BASE_DELAY_S, MAX_DELAY_S)
     return rng.uniform(0.0, ceiling_s)
 
 
