Leave room for other organisations beside a crowd's requests

What callers saw: while clients held many whole small requests under way, at a service that does not answer, all ordinary callers got 503 memory_full until those ended (27 of 27 while 1,500 clients with bodies of 2 KB were there; none before the crowd).

Cause: only requests of more than 64 KiB had a share of the memory, three quarters. Small ones could take all of it, whoever sent them, and requests under way are not interrupted.

Change: requests under way of one organisation and route, or service at the own interface, may hold seven times what is left free, large ones three times. So the bound is all but an eighth for a single group, shrinks as others need room, and always leaves some for a group that holds little. The groups are computed only once three quarters of the memory are in use.

Evidence: test_room_is_left_for_other_organisations, one or three crowds of requests of one or several sizes: 6 of 8 rows failed before.

--- a/toucanrudder/filters/body.py
+++ b/toucanrudder/filters/body.py
@@ -31,6 +31,7 @@
         exchange.document.policy.max_body_bytes,
         exchange.state.conf.router.body_timeout_s,
         copies=connections.MODEL_COPIES,
+        group=exchange.room_group("models"),
     )
     return await call_next(exchange)
 
--- a/toucanrudder/filters/bounded_body.py
+++ b/toucanrudder/filters/bounded_body.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Hashable
 import contextlib
 
 from aiohttp import web
@@ -20,6 +21,7 @@
     timeout_s: float,
     *,
     copies: int = 1,
+    group: Hashable = None,
 ) -> bytes:
     """Return the whole body of a request.
 
@@ -33,6 +35,8 @@
         Time within which it must be sent.
     copies : int
         How often it stands in memory while the request is under way.
+    group : hashable
+        What it has in common with the requests that it shares room with.
 
     Raises
     ------
@@ -49,7 +53,7 @@
             await _receive(request, received, max_bytes)
         connection = connections.connection_of(request)
         if connection is not None:
-            connection.admit(copies * len(received))
+            connection.admit(copies * len(received), group)
         return received.take()
     except TimeoutError:
         raise errors.RudderError(
--- a/toucanrudder/filters/connections.py
+++ b/toucanrudder/filters/connections.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Hashable
 from collections.abc import Iterator
 import contextlib
 import math
@@ -131,6 +132,7 @@
         self._body_bytes = 0
         self._is_in_turns = False
         self._requests = 0
+        self._group: Hashable = None
         self._since_s = clock()
         self._lost = self._is_dropped = False
         self._is_writable = True
@@ -279,6 +281,10 @@
             is_under_way=self._is_answering,
         )
 
+    def group(self) -> Hashable:
+        """Return what the request shares its room with."""
+        return self._group
+
     def give_up(self, *, lingers: bool) -> None:
         """Refuse the body that is being read, or close the connection."""
         if self._refuse_body is None or not lingers:
@@ -301,6 +307,7 @@
             Returns whether its whole body has been read.
         """
         self._requests += 1
+        self._group = None
         self._is_body_read = is_read
         self._since_s = self._clock()
         try:
@@ -340,8 +347,17 @@
         self._body_bytes = size_bytes
         self._account.update(self)
 
-    def admit(self, size_bytes: int) -> None:
-        """Raise RudderError if a whole request may not get under way."""
+    def admit(self, size_bytes: int, group: Hashable) -> None:
+        """Raise RudderError if a whole request may not get under way.
+
+        Parameters
+        ----------
+        size_bytes : int
+            What its body occupies.
+        group : hashable
+            What it has in common with the requests that it shares room with.
+        """
+        self._group = group
         self.hold_body(size_bytes)
         if not self._account.admits(self, size_bytes):
             raise memory_full()
--- a/toucanrudder/filters/exchange.py
+++ b/toucanrudder/filters/exchange.py
@@ -51,3 +51,14 @@
     def document(self) -> model.Document:
         """The configuration in force at the time of access."""
         return self.state.document()
+
+    def room_group(self, target: str) -> tuple[str, str]:
+        """Return what requests have in common that share room in memory.
+
+        Parameters
+        ----------
+        target : str
+            What they ask for.
+        """
+        organisation = self.organisation
+        return organisation.name if organisation else "", target
--- a/toucanrudder/filters/service.py
+++ b/toucanrudder/filters/service.py
@@ -81,6 +81,7 @@
         http,
         target.max_body_bytes,
         exchange.state.conf.router.body_timeout_s,
+        group=exchange.room_group(f"services/{target.name}"),
     )
     full_path = http.raw_path.split("/", 3)[3:]
     return ServiceCall(
--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -259,6 +259,7 @@
             ),
             clock=clock.now_s,
             memory_refusal=self._memory_refusal,
+            group=self.forwarder.group,
         )
 
     def _limits(self) -> server.Limits:
--- a/toucanrudder/forwarding/forwarder.py
+++ b/toucanrudder/forwarding/forwarder.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Hashable
+import contextlib
 
 import attrs
 
@@ -15,6 +17,7 @@
 from toucanrudder.forwarding import state as states
 from toucanrudder.forwarding import waiting
 from toucanrudder.forwarding.attempts import retry_policy
+from toucanrudder.http1 import message
 from toucanrudder.http1 import server
 from toucanrudder.observability import decisions
 from toucanrudder.observability import metrics
@@ -95,6 +98,17 @@
         self.dialect = dialect
         self.gate = gate
 
+    def group(self, head: message.RequestHead) -> Hashable:
+        """Return the organisation and the route of a request.
+
+        Requests that will be refused have none.
+        """
+        with contextlib.suppress(errors.RudderError):
+            match = self.state.table().match(self.dialect.read_call(head))
+            organisation = match.organisation
+            return organisation and organisation.name, match.route.name
+        return None
+
     async def handle(
         self, request: server.Request, answer: server.Answer
     ) -> None:
--- a/toucanrudder/http1/account.py
+++ b/toucanrudder/http1/account.py
@@ -9,7 +9,7 @@
 import collections
 from collections.abc import AsyncIterator
 from collections.abc import Callable
-from collections.abc import Iterable
+from collections.abc import Hashable
 from collections.abc import Iterator
 from collections.abc import Mapping
 import contextlib
@@ -28,9 +28,11 @@
 #: under way needs another one for its upstream.
 DESCRIPTOR_SHARE = 0.45
 
-#: Share of the memory that requests with large bodies may occupy while they
-#: are under way, so that small ones still find room.
-LARGE_SHARE = 0.75
+#: Share of the memory that the requests under way of one group may occupy if
+#: no other group holds any, and the same for large requests.  The more the
+#: other groups hold, the less it is, so that all of them find room.
+GROUP_SHARE = 7 / 8
+LARGE_SHARE = 3 / 4
 
 #: Share of the memory for answers that are read before they are passed on.
 ANSWER_SHARE = 1 / 4
@@ -122,6 +124,9 @@
     def usage(self) -> Usage:
         """Return what it holds now."""
 
+    def group(self) -> Hashable:
+        """Return what the requests have in common that share their room."""
+
     def give_up(self, *, lingers: bool) -> None:
         """Refuse its request, or close it; drop what it holds.
 
@@ -192,27 +197,39 @@
     )
 
 
-def admits(body_bytes: int, under_way: Iterable[Usage], limit: int) -> bool:
+def admits(
+    needed_bytes: int, group_bytes: int, under_way_bytes: int, limit: int
+) -> bool:
     """Return whether a whole request may get under way.
 
+    A group may hold a multiple of what is left free (a dynamic threshold):
+    its share shrinks as others need room, and there is room for a group that
+    holds little however much the others ask for.
+
     Parameters
     ----------
-    body_bytes : int
-        Length of its body.
-    under_way : iterable of Usage
-        What the requests hold that are under way.
+    needed_bytes : int
+        Memory of the request.
+    group_bytes, under_way_bytes : int
+        What the requests under way hold: those of its group, and all.
     limit : int
         Memory that all may hold.
 
     Examples
     --------
-    >>> other = Usage(600_000, is_under_way=True)
-    >>> admits(500_000, [other], 1_000_000), admits(9_000, [other], 1_000_000)
-    (False, True)
+    >>> admits(500_000, 600_000, 600_000, 1_000_000)
+    False
+    >>> admits(9_000, 870_000, 870_000, 1_000_000)
+    False
+    >>> admits(9_000, 0, 870_000, 1_000_000)
+    True
     """
-    if body_bytes > SMALL_BODY_BYTES:
-        limit *= LARGE_SHARE
-    return body_bytes + sum(each.held_bytes for each in under_way) <= limit
+    is_large = needed_bytes > SMALL_BODY_BYTES
+    share = LARGE_SHARE if is_large else GROUP_SHARE
+    free_bytes = limit - under_way_bytes - needed_bytes
+    if free_bytes < 0:
+        return False
+    return (group_bytes + needed_bytes) * (1 - share) <= free_bytes * share
 
 
 @attrs.frozen(eq=False)
@@ -310,18 +327,18 @@
     def admits(self, holder: Holder, body_bytes: int) -> bool:
         """Return whether a connection's whole request may get under way."""
         limit = self._bounds().memory_bytes - self._reserved_bytes
-        if not self._is_near(limit):
+        if self._held_bytes <= limit * LARGE_SHARE:
             return True
         self._refresh()
-        under_way = (
-            usage
-            for other, usage in self._usages.items()
-            if other is not holder and usage.is_under_way
-        )
-        return admits(body_bytes, under_way, limit)
-
-    def _is_near(self, limit: int) -> bool:
-        return self._held_bytes > limit * LARGE_SHARE
+        group = holder.group()
+        group_bytes = under_way_bytes = 0
+        for other, usage in self._usages.items():
+            if other is holder or not usage.is_under_way:
+                continue
+            under_way_bytes += usage.held_bytes
+            if other.group() == group:
+                group_bytes += usage.held_bytes
+        return admits(body_bytes, group_bytes, under_way_bytes, limit)
 
     def has_room(self, size_bytes: int) -> bool:
         """Return whether memory beside that of connections may be used."""
--- a/toucanrudder/http1/server.py
+++ b/toucanrudder/http1/server.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Hashable
 import contextlib
 import enum
 import logging
@@ -141,6 +142,9 @@
     memory_refusal : callable
         Returns after how many seconds a client may return that is refused
         for lack of memory, and the response body that says so.
+    group : callable
+        Returns what a request has in common with those that it shares room
+        with.
     """
 
     handle: Callable[[Request, "Answer"], Awaitable[None]]
@@ -150,6 +154,7 @@
     refused: Callable[[Refusal], None]
     clock: Callable[[], float]
     memory_refusal: Callable[[], tuple[float, bytes]] = lambda: (1.0, b"")
+    group: Callable[[message.RequestHead], Hashable] = lambda head: None
 
 
 class Answer:
@@ -256,7 +261,8 @@
         )
 
     def _reset_request(self) -> None:
-        self._head: h11.Request | None = None
+        self._head: message.RequestHead | None = None
+        self._group: Hashable = None
         self._raw_head = bytearray()
         self._body = bodies.BodyBuffer()
         self._began_s: float | None = None
@@ -424,10 +430,12 @@
             # reads.
             self._refuse(Refusal.HEAD_TOO_LARGE)
             return
-        self._head = head
+        self._head = message.RequestHead(
+            head.method, head.target, tuple(head.headers.raw_items())
+        )
         self._request_bytes = len(raw)
         self._raw_head.clear()
-        length = message.first_value(tuple(head.headers), b"content-length")
+        length = self._head.get(b"content-length")
         if length is not None and int(length) > self._limits.max_body_bytes:
             self._refuse(Refusal.BODY_TOO_LARGE)
             return
@@ -485,15 +493,7 @@
             self._refuse(Refusal.MEMORY_FULL)
             return
         self._request_bytes += len(self._body)
-        request = Request(
-            message.RequestHead(
-                self._head.method,
-                self._head.target,
-                tuple(self._head.headers.raw_items()),
-            ),
-            self._body.take(),
-            self._began_s,
-        )
+        request = Request(self._head, self._body.take(), self._began_s)
         self._task = asyncio.get_running_loop().create_task(
             self._run_handler(request)
         )
@@ -619,6 +619,12 @@
             is_under_way=is_under_way,
         )
 
+    def group(self) -> Hashable:
+        """Return what the request shares its room with."""
+        if self._group is None and self._head is not None:
+            self._group = self._hooks.group(self._head)
+        return self._group
+
     def give_up(self, *, lingers: bool) -> None:
         """Refuse the request that is being read, or close the connection."""
         if self._closed or self._task is not None:
--- a/toucanrudder/http1/tests/test_account.py
+++ b/toucanrudder/http1/tests/test_account.py
@@ -19,6 +19,7 @@
     is_revocable: bool = True
     is_under_way: bool = False
     given_up: int = 0
+    organisation: str = ""
 
     def usage(self):
         return accounts.Usage(
@@ -28,6 +29,9 @@
             self.is_under_way,
         )
 
+    def group(self):
+        return self.organisation
+
     def give_up(self, *, lingers):
         self.given_up += 1
         self.held_bytes = 0
@@ -122,6 +126,42 @@
     assert account.admits(reading, body_bytes) is is_admitted
 
 
+CROWDED = {
+    "one of small requests": (10_000,),
+    "one of middle-sized requests": (60_000,),
+    "one of all sizes": (300_000, 60_000, 2_000),
+    "several": (60_000, 30_000, 10_000, 2_000),
+}
+
+
+@pytest.mark.parametrize("sizes", CROWDED.values(), ids=CROWDED.keys())
+@pytest.mark.parametrize("crowds", [1, 3])
+def test_room_is_left_for_other_organisations(sizes, crowds):
+    """Guards against callers who are refused as others fill all room."""
+    account = _account(connections=10_000)
+    for size_bytes in sizes:
+        for number in range(2_000):
+            crowd = f"crowd-{number % crowds}"
+            _get_under_way(account, size_bytes, crowd)
+    admitted = [
+        _get_under_way(account, 2_000, f"organisation-{number}")
+        for number in range(10)
+    ]
+    assert all(admitted)
+    assert account.held_bytes <= LIMIT
+
+
+def _get_under_way(account, size_bytes, organisation):
+    holder = FakeHolder(size_bytes, organisation=organisation)
+    account.add(holder)
+    if account.admits(holder, size_bytes):
+        holder.is_under_way, holder.is_revocable = True, False
+        account.update(holder)
+        return True
+    account.remove(holder)
+    return False
+
+
 def test_longest_idle_connection_makes_room_for_a_new_one():
     """Guards against new callers that are turned away by idle ones."""
     account = _account(connections=3)
@@ -167,8 +207,10 @@
     bounds = accounts.bounds_for(memory_mb * 10**6, 4_000, max_body_bytes)
     assert bounds.memory_bytes == expected
     held_bytes = max_body_bytes + accounts.CONNECTION_BYTES
-    under_way = [accounts.Usage(accounts.SMALL_BODY_BYTES // 4)]
-    assert accounts.admits(held_bytes, under_way, bounds.memory_bytes)
+    other_bytes = accounts.SMALL_BODY_BYTES // 4
+    assert accounts.admits(
+        held_bytes, other_bytes, other_bytes, bounds.memory_bytes
+    )
 
 
 ANSWERS = {
