Count what a request under way needs beside its bytes

What callers saw: a crowd of small whole requests at an upstream that does not answer ended a process of a small instance, though each kept to all limits and their bytes were counted.

Cause: a request that is handled needs about 32 KB for its tasks, its log line and its connection to an upstream (6.4 MB for 200 at the forwarding router, 6.7 at the own interface), and was counted with 8 KiB.

Change: 32 KiB more are counted while a request is handled, and each start and end of one is told to the account, so that it need not look at all connections before it admits a request. As what is counted is nearer to what is there, callers may have half of what an instance has beyond 96 MB, where that is more than an eighth of its memory: a router of a deployment of seven used 52 MB at its peak. Readiness and metrics do not wait for room.

--- a/toucanrudder/filters/connections.py
+++ b/toucanrudder/filters/connections.py
@@ -274,6 +274,8 @@
         )
         if self._is_in_turns:
             held_bytes += sockets.RECEIVE_BUFFER_BYTES
+        if self._requests:
+            held_bytes += accounts.REQUEST_BYTES
         return accounts.Usage(
             held_bytes,
             -math.inf if self._transport.is_closing() else self._since_s,
@@ -310,6 +312,7 @@
         self._group = None
         self._is_body_read = is_read
         self._since_s = self._clock()
+        self._account.update(self)
         try:
             yield
         finally:
@@ -359,7 +362,7 @@
         """
         self._group = group
         self.hold_body(size_bytes)
-        if not self._account.admits(self, size_bytes):
+        if not self._account.admits(self, self.usage().held_bytes):
             raise memory_full()
 
 
--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -167,13 +167,13 @@
             self.state, platform.dialect, self.gate
         )
         self.request_listener = self._listener(
-            self.forwarder.handle, self._limits
+            self._hooks(self.forwarder.handle, self._limits)
         )
         self.readiness_listener = self._listener(
-            self._answer_readiness, self._bodiless_limits
+            self._bodiless_hooks(self._answer_readiness)
         )
         self.metrics_listener = self._listener(
-            self._answer_metrics, self._bodiless_limits
+            self._bodiless_hooks(self._answer_metrics)
         )
 
     def _cap_gate(self) -> capping.CapGate:
@@ -223,8 +223,7 @@
 
     # Listeners.
 
-    def _listener(self, handle, limits) -> server.Listener:
-        hooks = self._hooks(handle, limits)
+    def _listener(self, hooks: server.Hooks) -> server.Listener:
         return server.Listener(hooks, self.state.account)
 
     def _bounds(self) -> accounts.Bounds:
@@ -262,6 +261,11 @@
             group=self.forwarder.group,
         )
 
+    def _bodiless_hooks(self, handle) -> server.Hooks:
+        """Return the callbacks of a listener that answers without bodies."""
+        hooks = self._hooks(handle, self._bodiless_limits)
+        return attrs.evolve(hooks, needs_room=False)
+
     def _limits(self) -> server.Limits:
         configuration = self.state.configuration
         if configuration is None:
--- a/toucanrudder/http1/account.py
+++ b/toucanrudder/http1/account.py
@@ -18,10 +18,17 @@
 
 import attrs
 
-#: Memory of a connection beside the bytes that it holds.
+#: Memory of a connection beside the bytes that it holds, and of a request
+#: that is handled: its tasks, its log line, its connection to an upstream.
 CONNECTION_BYTES = 8_192
+REQUEST_BYTES = 32_768
 
-#: Share of the instance's memory that callers may occupy.
+#: Memory that a router needs for itself, and the share of the rest that
+#: callers may occupy.
+OWN_BYTES = 96_000_000
+REST_SHARE = 1 / 2
+
+#: Share of the instance's memory that they may occupy in any case.
 MEMORY_SHARE = 1 / 8
 
 #: Share of the descriptors that callers' connections may take.  Each request
@@ -40,8 +47,9 @@
 #: Longest answer that needs no room of its own.
 SMALL_ANSWER_BYTES = 16_384
 
-#: Largest body of a request that counts as small.
+#: Largest body of a request that counts as small, and what the request holds.
 SMALL_BODY_BYTES = 65_536
+SMALL_REQUEST_BYTES = SMALL_BODY_BYTES + CONNECTION_BYTES + REQUEST_BYTES
 
 #: Share of the memory that remains in use once room has been made, so that
 #: the holders are not compared anew for each byte.
@@ -85,12 +93,23 @@
     --------
     >>> bounds_for(128_000_000, 4_000, 1_000_000)
     Bounds(memory_bytes=16000000, connections=1800)
+    >>> bounds_for(300_000_000, 4_000, 1_000_000).memory_bytes
+    102000000
     >>> bounds_for(8_000_000, 100, 1_000_000).memory_bytes
-    1464405
+    1551786
     """
-    body_bytes = max_body_bytes + SMALL_BODY_BYTES + 4 * CONNECTION_BYTES
+    body_bytes = (
+        max_body_bytes
+        + SMALL_BODY_BYTES
+        + 4 * CONNECTION_BYTES
+        + 2 * REQUEST_BYTES
+    )
     return Bounds(
-        max(int(memory_bytes * MEMORY_SHARE), int(body_bytes / LARGE_SHARE)),
+        max(
+            int((memory_bytes - OWN_BYTES) * REST_SHARE),
+            int(memory_bytes * MEMORY_SHARE),
+            int(body_bytes / LARGE_SHARE),
+        ),
         max(1, int(max_descriptors * DESCRIPTOR_SHARE)),
     )
 
@@ -224,7 +243,7 @@
     >>> admits(9_000, 0, 870_000, 1_000_000)
     True
     """
-    is_large = needed_bytes > SMALL_BODY_BYTES
+    is_large = needed_bytes > SMALL_REQUEST_BYTES
     share = LARGE_SHARE if is_large else GROUP_SHARE
     free_bytes = limit - under_way_bytes - needed_bytes
     if free_bytes < 0:
@@ -324,12 +343,19 @@
         if usage is not None:
             self._held_bytes -= usage.held_bytes
 
-    def admits(self, holder: Holder, body_bytes: int) -> bool:
-        """Return whether a connection's whole request may get under way."""
+    def admits(self, holder: Holder, needed_bytes: int) -> bool:
+        """Return whether a connection's whole request may get under way.
+
+        Parameters
+        ----------
+        holder : Holder
+            The connection.
+        needed_bytes : int
+            What it will hold then.
+        """
         limit = self._bounds().memory_bytes - self._reserved_bytes
-        if self._held_bytes <= limit * LARGE_SHARE:
+        if self._held_bytes + needed_bytes <= limit * LARGE_SHARE:
             return True
-        self._refresh()
         group = holder.group()
         group_bytes = under_way_bytes = 0
         for other, usage in self._usages.items():
@@ -338,7 +364,7 @@
             under_way_bytes += usage.held_bytes
             if other.group() == group:
                 group_bytes += usage.held_bytes
-        return admits(body_bytes, group_bytes, under_way_bytes, limit)
+        return admits(needed_bytes, group_bytes, under_way_bytes, limit)
 
     def has_room(self, size_bytes: int) -> bool:
         """Return whether memory beside that of connections may be used."""
--- a/toucanrudder/http1/server.py
+++ b/toucanrudder/http1/server.py
@@ -145,6 +145,8 @@
     group : callable
         Returns what a request has in common with those that it shares room
         with.
+    needs_room : bool
+        Whether requests are refused while others hold all memory.
     """
 
     handle: Callable[[Request, "Answer"], Awaitable[None]]
@@ -155,6 +157,7 @@
     clock: Callable[[], float]
     memory_refusal: Callable[[], tuple[float, bytes]] = lambda: (1.0, b"")
     group: Callable[[message.RequestHead], Hashable] = lambda head: None
+    needs_room: bool = True
 
 
 class Answer:
@@ -332,6 +335,7 @@
     def resume_writing(self) -> None:
         """Unblock writers."""
         self._writable.set()
+        self._listener.account.update(self)
 
     # Reading.
 
@@ -489,7 +493,10 @@
 
     def _start_handler(self) -> None:
         self._cancel_timer()
-        if not self._listener.account.admits(self, len(self._body)):
+        needed_bytes = self.usage().held_bytes + accounts.REQUEST_BYTES
+        if self._hooks.needs_room and not self._listener.account.admits(
+            self, needed_bytes
+        ):
             self._refuse(Refusal.MEMORY_FULL)
             return
         self._request_bytes += len(self._body)
@@ -591,7 +598,9 @@
             + self._request_bytes
             + self._pipelined_bytes
         )
-        holds_much = held_bytes > accounts.CONNECTION_BYTES
+        holds_much = (
+            self._task is not None or held_bytes > accounts.CONNECTION_BYTES
+        )
         if holds_much or self._awaits_turn or self._holds_much:
             self._holds_much = holds_much
             self._listener.account.update(self)
@@ -612,6 +621,8 @@
         if self._awaits_turn:
             held_bytes += sockets.RECEIVE_BUFFER_BYTES
         is_under_way = self._task is not None
+        if is_under_way:
+            held_bytes += accounts.REQUEST_BYTES
         return accounts.Usage(
             held_bytes,
             -math.inf if self._closed else self._since_s,
--- a/toucanrudder/platform/tests/test_client_crowds.py
+++ b/toucanrudder/platform/tests/test_client_crowds.py
@@ -204,6 +204,11 @@
 
 CROWDS = {
     "whole bodies": (24, crowds.states_length(HOLD, ALL, ALL)),
+    "middle-sized whole bodies": (
+        400,
+        crowds.states_length(HOLD, 60_000, 60_000),
+    ),
+    "small whole bodies": (1_200, crowds.states_length(HOLD, 2_000, 2_000)),
     "just short": (24, crowds.states_length(READ, ALL, ALL - 1)),
     "just short in pieces": (
         24,
--- a/toucanrudder/router/tests/test_client_crowds.py
+++ b/toucanrudder/router/tests/test_client_crowds.py
@@ -126,6 +126,14 @@
         60,
         crowds.sends_chunks(SERVICE, SERVICE_ALL, 65_536, is_whole=True),
     ),
+    "middle-sized whole bodies": (
+        400,
+        crowds.states_length(SERVICE, 60_000, 60_000),
+    ),
+    "small whole bodies": (
+        1_200,
+        crowds.states_length(SERVICE, 2_000, 2_000),
+    ),
     "just short": (24, crowds.states_length(MODEL, ALL, ALL - 1)),
     "just short in pieces": (
         24,
--- a/toucanrudder/settings/options.py
+++ b/toucanrudder/settings/options.py
@@ -9,8 +9,9 @@
         min=0,
         max=1_000_000,
         help="Memory of this instance in megabytes; 0 for what the machine "
-        "has.  Callers may occupy an eighth of it; those beyond it are "
-        "refused with memory_full, or their connections are closed.",
+        "has.  Callers may occupy half of what it has beyond 96 MB, or an "
+        "eighth of it if that is more; those beyond are refused with "
+        "memory_full, or their connections are closed.",
     ),
     cfg.IntOpt(
         "max_descriptors",
