Drop the last piece of a refused body with its request

What callers saw: the own interface needed more than a small instance has left while 600 clients stopped just short of the end of bodies of 60 KB, though what was counted stayed within its bound.

Cause: the traceback of a refusal holds the frame that read the body, and its variable the last piece, up to 16 KiB. Such a traceback is part of a cycle, so it stays until the garbage collector comes by.

Change: the reader drops the piece once it is in the buffer, which a refusal empties.

--- a/toucanrudder/filters/bounded_body.py
+++ b/toucanrudder/filters/bounded_body.py
@@ -85,6 +85,8 @@
                 raise _too_large(max_bytes)
             if connection is not None:
                 connection.hold_body(len(received))
+            # The traceback of a refusal would keep the bytes.
+            del chunk
 
 
 @contextlib.asynccontextmanager
--- a/toucanrudder/router/tests/test_client_crowds.py
+++ b/toucanrudder/router/tests/test_client_crowds.py
@@ -134,6 +134,10 @@
         1_200,
         crowds.states_length(SERVICE, 2_000, 2_000),
     ),
+    "middle-sized bodies just short": (
+        600,
+        crowds.states_length(MODEL, 60_000, 59_999),
+    ),
     "just short": (24, crowds.states_length(MODEL, ALL, ALL - 1)),
     "just short in pieces": (
         24,
