Let what clients send behind their requests give way

What callers saw: clients whose requests are under way could each send 64 KiB more behind them, beyond what all connections may hold together: 200 of them hold 13 MB, and their requests as much again.

Cause: connections with a request under way are not interrupted, so what was sent behind it counted, and could not be freed.

Change: a connection that holds more than 8 KiB behind its request may be closed when the memory is needed, largest and oldest first as others.

Evidence: test_bytes_behind_a_request_give_way at both ways in failed before: the account stayed above its bound. A larger crowd, 300 clients with 200 KB, is new at the forwarding router; it passed before as well.

--- a/toucanrudder/filters/connections.py
+++ b/toucanrudder/filters/connections.py
@@ -289,7 +289,9 @@
         return accounts.Usage(
             held_bytes,
             -math.inf if self._transport.is_closing() else self._since_s,
-            is_revocable=not self._is_answering or not self._is_writable,
+            is_revocable=not self._is_answering
+            or not self._is_writable
+            or len(self._unparsed) > accounts.CONNECTION_BYTES,
             is_under_way=self._is_answering,
         )
 
--- a/toucanrudder/filters/tests/test_connections.py
+++ b/toucanrudder/filters/tests/test_connections.py
@@ -200,3 +200,23 @@
     writer.write(data)
     await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 10)
     writer.transport.abort()
+
+
+async def test_bytes_behind_a_request_give_way():
+    """Guards against clients that fill the memory behind their requests."""
+    async with running_service(accounts.Bounds(1_500_000, 40)) as running:
+        running.gate.clear()
+        request = b"POST /a HTTP/1.1\r\nHost: h\r\n\r\n"
+        ordinary = await _open_crowd(running, 3, request)
+        await _wait_until(lambda: len(running.bodies) == 3)
+        crowd = await _open_crowd(running, 25, request + HEAD + b"x" * 59_000)
+        for reader, _ in crowd[:3]:
+            with contextlib.suppress(ConnectionError):
+                assert await asyncio.wait_for(reader.read(), 10) == b""
+        assert running.account.held_bytes <= 1_500_000
+        running.gate.set()
+        for reader, writer in ordinary:
+            await asyncio.wait_for(reader.readuntil(b"ok"), 10)
+            writer.transport.abort()
+        for _, writer in crowd:
+            writer.transport.abort()
--- a/toucanrudder/http1/server.py
+++ b/toucanrudder/http1/server.py
@@ -626,7 +626,9 @@
         return accounts.Usage(
             held_bytes,
             -math.inf if self._closed else self._since_s,
-            is_revocable=not is_under_way or not self._writable.is_set(),
+            is_revocable=not is_under_way
+            or not self._writable.is_set()
+            or self._pipelined_bytes > accounts.CONNECTION_BYTES,
             is_under_way=is_under_way,
         )
 
--- a/toucanrudder/http1/tests/test_memory.py
+++ b/toucanrudder/http1/tests/test_memory.py
@@ -112,6 +112,29 @@
         writer.close()
 
 
+async def test_bytes_behind_a_request_give_way():
+    """Guards against clients that fill the memory behind their requests."""
+    async with running_server() as recording:
+        recording.gate.clear()
+        request = b"POST /a HTTP/1.1\r\nHost: h\r\n\r\n"
+        ordinary = await _open_crowd(recording, 2, request)
+        crowd = await _open_crowd(recording, 6, request)
+        await _wait_until(lambda: len(recording.requests) == 8)
+        for _, writer in crowd:
+            writer.write(b"x" * 60_000)
+        first, _ = crowd[0]
+        with contextlib.suppress(ConnectionError):
+            assert await asyncio.wait_for(first.read(), 10) == b""
+        account = recording.listener.account
+        assert account.held_bytes <= BOUNDS.memory_bytes
+        recording.gate.set()
+        for reader, writer in ordinary:
+            await asyncio.wait_for(reader.readuntil(b"\r\n\r\nok"), 10)
+            writer.transport.abort()
+        for _, writer in crowd:
+            writer.transport.abort()
+
+
 SPLITS = (1, 7, 16_384, 40_000, 100_000)
 
 
--- a/toucanrudder/platform/tests/test_client_crowds.py
+++ b/toucanrudder/platform/tests/test_client_crowds.py
@@ -247,6 +247,10 @@
         400,
         crowds.sends(HOLD + b"Content-Length: 0\r\n\r\n" + b"x" * 60_000),
     ),
+    "more bytes behind a request": (
+        300,
+        crowds.sends(HOLD + b"Content-Length: 0\r\n\r\n" + b"x" * 200_000),
+    ),
 }
 
 
