Parse one pipelined request at a time at the own interface

What callers saw: the own interface needed 29.4 MB for 100 clients that sent 1,500 short requests each behind one another, more than a small instance has left (21.0).

Cause: aiohttp parses all that it is given, up to 44 requests ahead of the one that is handled. Their fields need far more memory than their bytes, which are all that is counted. A head that cannot be parsed is quoted in an error whose traceback keeps it.

Change: a piece of bytes ends behind the first head if more follow, and nothing is parsed behind a head until its handler has begun; a body is parsed up to four ends of heads at once. Between two requests 4 KiB are parsed at once. What waits is kept in pieces of one size as bodies are, rather than in an array that grows.

--- a/toucanrudder/filters/connections.py
+++ b/toucanrudder/filters/connections.py
@@ -13,6 +13,7 @@
 
 from toucanrudder import errors
 from toucanrudder.http1 import account as accounts
+from toucanrudder.http1 import body as bodies
 from toucanrudder.http1 import reads
 from toucanrudder.http1 import sockets
 from toucanrudder.http1 import turns as parse_turns
@@ -27,6 +28,16 @@
 #: byte have one each, so that a piece may take long to parse.
 LINES_AT_ONCE = 64
 
+#: Bytes that are parsed at once between two requests.  The error of a head
+#: that cannot be parsed keeps them, and quotes them.
+HEAD_PIECE_BYTES = 4_096
+
+#: End of a head, and how many of them a piece of a body may have that is
+#: parsed at once.  Each may be that of a pipelined request, whose fields
+#: need far more memory than its bytes.
+HEAD_END = b"\r\n\r\n"
+HEADS_IN_BODY = 4
+
 #: How often the body of a model request stands in memory: as its text, and in
 #: the request that is built for the engine.
 MODEL_COPIES = 2
@@ -126,12 +137,13 @@
         self._turns = turns
         self._clock = clock
         self._transport: _Transport | None = None
-        self._unparsed = bytearray()
-        self._lines = 0
+        self._unparsed = bodies.BodyBuffer()
+        self._awaits_handler = False
         self._received_bytes = 0
         self._body_bytes = 0
         self._is_in_turns = False
         self._requests = 0
+        self._has_begun = False
         self._group: Hashable = None
         self._since_s = clock()
         self._lost = self._is_dropped = False
@@ -151,36 +163,63 @@
         """Parse what needs little time; let the rest wait for a turn."""
         if self._is_dropped:
             return
-        lines = data.count(b"\n")
-        if not self._unparsed and self._is_parsed_at_once(data, lines):
-            self._received_bytes += len(data)
-            self._handler.data_received(data)
-        else:
-            self._unparsed += data
-            self._lines += lines
+        if not self._unparsed and self._may_parse:
+            length = self._length_at_once(data, LINES_AT_ONCE)
+            self._parse(data[:length])
+            data = data[length:]
+        if data and not self._is_dropped:
+            self._unparsed.append(data)
             self._await_turn()
         self._account.update(self)
 
-    def _is_parsed_at_once(self, data: bytes, lines: int) -> bool:
-        if self._is_answering or lines > LINES_AT_ONCE:
-            return False
-        # A handler must begin before more of its request is buffered.
-        return bool(self._requests) or len(data) < reads.READ_BYTES
+    @property
+    def _may_parse(self) -> bool:
+        """Whether bytes that arrive belong to the present request.
+
+        Its handler must have begun before more than its head is parsed.
+        """
+        return not self._is_answering and not self._awaits_handler
+
+    def _length_at_once(self, data: bytes | bytearray, max_lines: int) -> int:
+        """Return how much of a piece is parsed at once."""
+        length = _end_of_lines(data, max_lines)
+        if self._requests or self._is_draining:
+            return _end_of_heads(data, length, HEADS_IN_BODY)
+        length = min(length, HEAD_PIECE_BYTES)
+        if data.count(HEAD_END, 0, length) > 1 or length < len(data):
+            return _end_of_heads(data, length, 1)
+        return length
+
+    def _parse(self, piece: bytes) -> None:
+        if not self._requests and not self._is_draining:
+            self._awaits_handler = HEAD_END in piece.lstrip(b"\r\n")
+        self._received_bytes += len(piece)
+        self._handler.data_received(piece)
 
     def _await_turn(self) -> None:
-        if not self._is_answering:
-            self._transport.hold_reading(True)
-            if not self._is_in_turns:
-                self._is_in_turns = True
-                self._turns.append(self)
-        elif len(self._unparsed) > MAX_PIPELINED_BYTES:
-            self._abort()
+        if self._is_answering:
+            # Without reading it would not be seen that the client leaves.
+            self._transport.hold_reading(False)
+            if len(self._unparsed) > MAX_PIPELINED_BYTES:
+                self._abort()
+            return
+        self._transport.hold_reading(True)
+        if not self._awaits_handler and not self._is_in_turns:
+            self._is_in_turns = True
+            self._turns.append(self)
 
     @property
     def _is_answering(self) -> bool:
         """Whether further bytes belong to a later request."""
         return bool(self._requests) and self._is_body_read()
 
+    @property
+    def _is_draining(self) -> bool:
+        """Whether the rest of a body is read whose request is over."""
+        return (
+            self._has_begun and not self._requests and not self._is_body_read()
+        )
+
     def eof_received(self) -> bool | None:
         """Pass on the end of the caller's stream."""
         return None if self._is_dropped else self._handler.eof_received()
@@ -207,7 +246,7 @@
             return
         self._is_dropped = True
         self._unparsed.clear()
-        self._lines = self._received_bytes = 0
+        self._received_bytes = 0
         self._handler.connection_lost(error)
 
     def _abort(self) -> None:
@@ -242,23 +281,16 @@
         return self._is_in_turns
 
     def read_events(self, at_most: int) -> int:
-        """Parse about as many lines; return how many."""
-        if self._is_answering or not self._unparsed:
+        """Parse at most as many lines; return how many."""
+        if not self._unparsed or not self._may_parse:
             self._end_turns()
             return 1
-        length = min(len(self._unparsed), reads.READ_BYTES)
-        if self._lines > at_most:
-            share = max(1, len(self._unparsed) * at_most // self._lines)
-            length = min(length, share)
-        piece = bytes(self._unparsed[:length])
-        del self._unparsed[:length]
-        lines = piece.count(b"\n")
-        self._lines -= lines
-        self._received_bytes += length
-        self._handler.data_received(piece)
-        if not self._unparsed:
+        length = self._length_at_once(self._unparsed.first, at_most)
+        piece = self._unparsed.take_first(length)
+        self._parse(piece)
+        if not self._unparsed or not self._may_parse:
             self._end_turns()
-        return max(1, lines)
+        return max(1, piece.count(b"\n"))
 
     def _end_turns(self) -> None:
         self._is_in_turns = False
@@ -321,9 +353,13 @@
             Returns whether its whole body has been read.
         """
         self._requests += 1
+        self._has_begun = True
+        self._awaits_handler = False
         self._group = None
         self._is_body_read = is_read
         self._since_s = self._clock()
+        if self._unparsed:
+            self._await_turn()
         self._account.update(self)
         try:
             yield
@@ -378,6 +414,33 @@
             raise memory_full()
 
 
+def _end_of_lines(data: bytes | bytearray, count: int) -> int:
+    """Return the length up to the end of the last of some lines.
+
+    Examples
+    --------
+    >>> _end_of_lines(b"a\\nb\\nc\\n", 2), _end_of_lines(b"a\\nb", 2)
+    (4, 3)
+    """
+    if data.count(b"\n") <= count:
+        return len(data)
+    end = 0
+    for _ in range(count):
+        end = data.find(b"\n", end) + 1
+    return end
+
+
+def _end_of_heads(data: bytes | bytearray, length: int, count: int) -> int:
+    """Return the length up to the end of some heads, at most as stated."""
+    end = 0
+    for _ in range(count):
+        end = data.find(HEAD_END, end, length)
+        if end < 0:
+            return length
+        end += len(HEAD_END)
+    return end
+
+
 def connection_of(request: web.Request) -> CallerConnection | None:
     """Return a request's connection; None if its listener has no bounds."""
     return getattr(request.transport, "connection", None)
--- a/toucanrudder/filters/tests/test_connections.py
+++ b/toucanrudder/filters/tests/test_connections.py
@@ -220,3 +220,20 @@
             writer.transport.abort()
         for _, writer in crowd:
             writer.transport.abort()
+
+
+async def test_pipelined_requests_are_parsed_one_by_one():
+    """Guards against fields of many requests that stand in memory at once."""
+    async with running_service(accounts.Bounds(10**7, 40)) as running:
+        running.gate.clear()
+        request = b"POST /a HTTP/1.1\r\nHost: h\r\n\r\n"
+        reader, writer = await running.connect()
+        writer.write(request * 300)
+        await _wait_until(lambda: running.bodies)
+        await asyncio.sleep(0.1)
+        (connection,) = running.account._usages
+        assert len(connection._handler._messages) <= 1
+        running.gate.set()
+        for _ in range(300):
+            await asyncio.wait_for(reader.readuntil(b"ok"), 10)
+        writer.close()
--- a/toucanrudder/platform/tests/test_client_crowds.py
+++ b/toucanrudder/platform/tests/test_client_crowds.py
@@ -200,6 +200,7 @@
 
 
 READ, HOLD, LARGE = _head("/r/x"), _head("/hold/x"), _head("/large/x")
+UNKNOWN_PATH = b"GET /unknown HTTP/1.1\r\nHost: app.example\r\n\r\n"
 ALL = MAX_BODY_BYTES
 
 CROWDS = {
@@ -251,6 +252,7 @@
         300,
         crowds.sends(HOLD + b"Content-Length: 0\r\n\r\n" + b"x" * 200_000),
     ),
+    "requests behind one another": (100, crowds.sends(UNKNOWN_PATH * 1_500)),
 }
 
 
--- a/toucanrudder/router/tests/test_client_crowds.py
+++ b/toucanrudder/router/tests/test_client_crowds.py
@@ -115,6 +115,7 @@
 
 MODEL, SERVICE = _head("/v1/completions"), _head("/services/desk/x")
 UNKNOWN = _head("/v1/completions", "unknown")
+UNKNOWN_PATH = b"GET /unknown HTTP/1.1\r\nHost: r\r\n\r\n"
 ALL, SERVICE_ALL = MODEL_BODY_BYTES, SERVICE_BODY_BYTES
 
 CROWDS = {
@@ -167,6 +168,7 @@
         200,
         crowds.sends(SERVICE + b"Content-Length: 0\r\n\r\n" + b"x" * 200_000),
     ),
+    "requests behind one another": (100, crowds.sends(UNKNOWN_PATH * 1_500)),
 }
 
 
