Count the fields of heads, and parse long heads in turns

What callers saw: 100 clients with whole heads of 60 KB and many short fields ended a process of an instance of 300 MB (growth 239 MB), with heads of 7 KB 300 clients one of 150 MB (92 MB); all others waited up to 2.6 s meanwhile. All of them keep to the limits.

Cause: a field needs a bit more than 200 bytes beside its own, in the parser and in the request, and only bytes were counted. A head is one event of the parser, 23 ms for 12,000 fields, and those of all connections were parsed when their last bytes came.

A head of more than 64 lines is parsed in turns of the event loop, one of many fields in each, and what it holds is counted before the next one is parsed. Waiting for turns does not extend the time for a head. The traceback of a head that cannot be parsed does not keep its connection any more.

--- a/toucanrudder/http1/server.py
+++ b/toucanrudder/http1/server.py
@@ -33,8 +33,13 @@
 WRITE_TIMEOUT_S = 10.0
 
 #: Events of the parser that are handled when bytes arrive; more than a body
-#: without chunks needs.  Those beyond wait for a turn.
+#: without chunks needs.  Those beyond wait for a turn, and so do heads of more
+#: lines.
 EVENTS_AT_ONCE = 64
+LINES_AT_ONCE = 64
+
+#: Memory of a field of a head beside its bytes.
+FIELD_BYTES = 256
 
 #: Seconds for which the rest of a refused request is read and dropped.  A
 #: close with unread bytes resets the connection, and the refusal may be lost.
@@ -268,6 +273,7 @@
         self._head: message.RequestHead | None = None
         self._group: Hashable = None
         self._raw_head = bytearray()
+        self._head_lines = 0
         self._body = bodies.BodyBuffer()
         self._began_s: float | None = None
         self._pipelined_bytes = 0
@@ -306,8 +312,11 @@
         self._update_read_deadline()
         if self._head is None:
             self._raw_head += data
+            self._head_lines += data.count(b"\n")
         self._http.receive_data(data)
-        if not self._awaits_turn:
+        if self._head is None and self._head_lines > LINES_AT_ONCE:
+            self._await_turn()
+        elif not self._awaits_turn:
             self.read_events(EVENTS_AT_ONCE)
         self._count_memory()
 
@@ -354,28 +363,39 @@
         """Handle what the parser has found; return the number of events.
 
         A body may consist of chunks of one byte.  Reading pauses while events
-        are left, and they wait for their turn beside those of others.
+        are left, and they wait for their turn beside those of others.  Each
+        field of a head counts as an event.
 
         Parameters
         ----------
         at_most : int
-            Number of events that are handled now.
+            Number of events that are handled now, the last one in full.
         """
-        for count in range(at_most):
+        handled = 0
+        while handled < at_most:
             try:
-                is_done = self._read_event()
+                events = self._read_event()
             except h11.RemoteProtocolError as error:
+                # The frames of the traceback refer to the error, and would
+                # keep this connection until they are collected.
+                error.__traceback__ = None
                 self._refuse(_refusal_for(error))
-                is_done = True
-            if is_done:
+                events = 0
+            if not events:
                 self._end_turns()
-                return count
-        if not self._awaits_turn:
-            self._awaits_turn = True
-            self._cancel_timer()
-            self._transport.pause_reading()
-            self._listener.turns.append(self)
-        return at_most
+                return handled
+            handled += events
+        self._await_turn()
+        self._count_memory()
+        return handled
+
+    def _await_turn(self) -> None:
+        if self._awaits_turn:
+            return
+        self._awaits_turn = True
+        self._cancel_timer()
+        self._transport.pause_reading()
+        self._listener.turns.append(self)
 
     def _end_turns(self) -> None:
         if not self._awaits_turn:
@@ -393,7 +413,10 @@
         if self._began_s is None:
             self._set_timer(limits.idle_timeout_s, self.abort)
         elif self._head is None:
-            self._set_timer(limits.head_timeout_s, self._refuse_slow)
+            end_s = self._began_s + limits.head_timeout_s
+            self._set_timer(
+                max(0.0, end_s - self._hooks.clock()), self._refuse_slow
+            )
         else:
             self._set_timer(limits.idle_timeout_s, self._refuse_slow)
 
@@ -402,25 +425,27 @@
         """Whether events of the parser are left that can be handled."""
         return self._awaits_turn and not self._closed
 
-    def _read_event(self) -> bool:
-        """Handle one event; return whether more bytes are needed first."""
+    def _read_event(self) -> int:
+        """Handle one event; return its weight, 0 if there is none."""
         if self._task is not None or self._closed:
-            return True
+            return 0
         event = self._http.next_event()
         if event is h11.NEED_DATA:
             self._send_continue_if_expected()
-            return True
+            return 0
         if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
-            return True
+            return 0
         if isinstance(event, h11.Request):
             self._accept_head(event)
-        elif isinstance(event, h11.Data):
+            return 1 + len(event.headers)
+        if isinstance(event, h11.Data):
             self._body.append(event.data)
             if len(self._body) > self._limits.max_body_bytes:
                 self._refuse(Refusal.BODY_TOO_LARGE)
         elif isinstance(event, h11.EndOfMessage):
             self._start_handler()
-        return False
+            return 1 + len(event.headers)
+        return 1
 
     def _send_continue_if_expected(self) -> None:
         if self._http.they_are_waiting_for_100_continue:
@@ -440,7 +465,7 @@
         self._head = message.RequestHead(
             head.method, head.target, tuple(head.headers.raw_items())
         )
-        self._request_bytes = len(raw)
+        self._request_bytes = len(raw) + FIELD_BYTES * len(head.headers)
         self._raw_head.clear()
         length = self._head.get(b"content-length")
         if length is not None and int(length) > self._limits.max_body_bytes:
--- a/toucanrudder/http1/tests/test_turns.py
+++ b/toucanrudder/http1/tests/test_turns.py
@@ -11,7 +11,11 @@
 CHUNKED = b"POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
 CHUNKS, CLIENTS = 20_000, 20
 
-LIMITS = server.Limits(max_body_bytes=10 * CHUNKS)
+#: A head of many fields, and of the size of the limit.
+FIELDS = 12_000
+LONG_HEAD = b"GET /c HTTP/1.1\r\nHost: h\r\n" + b"a:b\r\n" * FIELDS
+
+LIMITS = server.Limits(max_head_bytes=65_536, max_body_bytes=10 * CHUNKS)
 
 
 async def _whole_request(recording, target):
@@ -48,11 +52,11 @@
     await piecewise.listener.stop()
 
 
-async def _open_crowd(recording):
+async def _open_crowd(recording, data=CHUNKED + b"1\r\nx\r\n" * CHUNKS):
     writers = []
     for _ in range(CLIENTS):
         reader, writer = await test_server.open_connection(recording)
-        writer.write(CHUNKED + b"1\r\nx\r\n" * CHUNKS)
+        writer.write(data)
         writers.append((reader, writer))
     return writers
 
@@ -85,6 +89,26 @@
     ] * CLIENTS
 
 
+async def test_others_are_served_while_long_heads_are_parsed(recording):
+    """Guards against a process that parses heads and nothing else."""
+    crowd = await _open_crowd(recording, LONG_HEAD)
+    for _, writer in crowd:
+        await writer.drain()
+        writer.write(b"\r\n")
+    line = await _whole_request(recording, b"/ordinary")
+    assert line.startswith(b"HTTP/1.1 200 ")
+    targets = [request.head.target for request in recording.requests]
+    assert targets.index(b"/ordinary") < CLIENTS / 2
+    for reader, writer in crowd:
+        line = await asyncio.wait_for(reader.readline(), 60)
+        assert line.startswith(b"HTTP/1.1 200 ")
+        writer.close()
+    assert {len(each.head.headers) for each in recording.requests} == {
+        1,
+        1 + FIELDS,
+    }
+
+
 class FakeConnection:
     """A connection with a number of events."""
 
--- a/toucanrudder/platform/tests/test_client_crowds.py
+++ b/toucanrudder/platform/tests/test_client_crowds.py
@@ -231,6 +231,16 @@
         crowds.sends_one_chunk(READ, 1000 * ALL, 4 * ALL),
     ),
     "heads without end": (300, crowds.sends(READ + b"X: " + b"y" * 65_000)),
+    "heads of many fields": (
+        100,
+        crowds.sends(
+            HOLD + b"a:b\r\n" * 12_000 + b"Content-Length: 0\r\n\r\n"
+        ),
+    ),
+    "heads of some fields": (
+        300,
+        crowds.sends(HOLD + b"a:b\r\n" * 1_400 + b"Content-Length: 0\r\n\r\n"),
+    ),
     "a head and a trailer without end": (
         100,
         crowds.sends(
--- a/toucanrudder/router/tests/test_client_crowds.py
+++ b/toucanrudder/router/tests/test_client_crowds.py
@@ -154,6 +154,14 @@
         100,
         crowds.sends(MODEL + (b"X: " + b"y" * 8_000 + b"\r\n") * 60),
     ),
+    "heads of many fields": (
+        100,
+        crowds.sends(SERVICE + b"a:b\r\n" * 12_000 + b"\r\n"),
+    ),
+    "heads of some fields": (
+        300,
+        crowds.sends(SERVICE + b"a:b\r\n" * 100 + b"\r\n"),
+    ),
     "bytes behind a request": (
         200,
         crowds.sends(SERVICE + b"Content-Length: 0\r\n\r\n" + b"x" * 200_000),
