Count the values of a model request's JSON before it is parsed

Cause: a model request was counted with two copies of its bytes. "[]," needs 80 bytes once it is parsed, {"a":"b"} 240, and each character of a text with an emoji four, for a moment twice.

A request that needs more than any share gets under way beside no other of note, if the instance has as much left with what parsing needs beside; otherwise it is refused as not run before it is parsed. Bodies of operators are counted alike.

--- a/toucanrudder/admin/handlers.py
+++ b/toucanrudder/admin/handlers.py
@@ -18,6 +18,7 @@
 from toucanrudder.document import schema
 from toucanrudder.document import serialisation
 from toucanrudder.document import validation
+from toucanrudder.filters import body_size
 from toucanrudder.filters import bounded_body
 
 # Twice the store's value size limit, so that validation, rather than the
@@ -27,9 +28,6 @@
 #: Seconds within which an operator must send a whole body.
 BODY_TIMEOUT_S = 20.0
 
-#: How often a document stands in memory while it is compared.
-DOCUMENT_COPIES = 3
-
 MAX_AUTHOR_CHARS = 128
 STORE_TIMEOUT_S = 2.0
 
@@ -55,7 +53,7 @@
                 request,
                 MAX_BODY_BYTES,
                 BODY_TIMEOUT_S,
-                copies=DOCUMENT_COPIES,
+                need_of=body_size.need_of_json,
             )
         )
     except ValueError as error:
--- a/toucanrudder/filters/body.py
+++ b/toucanrudder/filters/body.py
@@ -8,9 +8,9 @@
 from toucanrudder import errors
 from toucanrudder import messages
 from toucanrudder.document import model
+from toucanrudder.filters import body_size
 from toucanrudder.filters import bounded_body
 from toucanrudder.filters import chain
-from toucanrudder.filters import connections
 from toucanrudder.filters import exchange as exchanges
 from toucanrudder.filters import headers
 from toucanrudder.prefix import identity
@@ -30,7 +30,7 @@
         exchange.http,
         exchange.document.policy.max_body_bytes,
         exchange.state.conf.router.body_timeout_s,
-        copies=connections.MODEL_COPIES,
+        need_of=body_size.need_of_json,
         group=exchange.room_group("models"),
     )
     return await call_next(exchange)
--- a/toucanrudder/filters/bounded_body.py
+++ b/toucanrudder/filters/bounded_body.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from collections.abc import Hashable
 import contextlib
 
@@ -10,17 +11,22 @@
 from toucanrudder import errors
 from toucanrudder import stalls
 from toucanrudder.filters import connections
+from toucanrudder.http1 import account as accounts
 from toucanrudder.http1 import body as bodies
 
 STEP = "body"
 
 
+def _need_of_bytes(body: bytes) -> accounts.Need:
+    return accounts.Need(len(body))
+
+
 async def read(
     request: web.Request,
     max_bytes: int,
     timeout_s: float,
     *,
-    copies: int = 1,
+    need_of: Callable[[bytes], accounts.Need] = _need_of_bytes,
     group: Hashable = None,
 ) -> bytes:
     """Return the whole body of a request.
@@ -33,8 +39,8 @@
         Largest body.
     timeout_s : float
         Time within which it must be sent.
-    copies : int
-        How often it stands in memory while the request is under way.
+    need_of : callable
+        Returns what memory the request needs for it.
     group : hashable
         What it has in common with the requests that it shares room with.
 
@@ -52,9 +58,10 @@
         async with stalls.timeout(timeout_s):
             await _receive(request, received, max_bytes)
         connection = connections.connection_of(request)
+        body = received.take()
         if connection is not None:
-            connection.admit(copies * len(received), group)
-        return received.take()
+            connection.admit(need_of(body), group)
+        return body
     except TimeoutError:
         raise errors.RudderError(
             errors.Code.BODY_TOO_SLOW,
--- a/toucanrudder/filters/connections.py
+++ b/toucanrudder/filters/connections.py
@@ -10,6 +10,7 @@
 import random
 
 from aiohttp import web
+import attrs
 
 from toucanrudder import errors
 from toucanrudder.http1 import account as accounts
@@ -37,10 +38,6 @@
 HEAD_END = b"\r\n\r\n"
 HEADS_IN_BODY = 4
 
-#: How often the body of a model request stands in memory: as its text, and in
-#: the request that is built for the engine.
-MODEL_COPIES = 2
-
 #: How often the head of a request stands in memory, in the fields that aiohttp
 #: makes of it.
 HEAD_COPIES = 3
@@ -397,19 +394,20 @@
         self._body_bytes = size_bytes
         self._account.update(self)
 
-    def admit(self, size_bytes: int, group: Hashable) -> None:
+    def admit(self, need: accounts.Need, group: Hashable) -> None:
         """Raise RudderError if a whole request may not get under way.
 
         Parameters
         ----------
-        size_bytes : int
-            What its body occupies.
+        need : accounts.Need
+            What its body needs.
         group : hashable
             What it has in common with the requests that it shares room with.
         """
         self._group = group
-        self.hold_body(size_bytes)
-        if not self._account.admits(self, self.usage().held_bytes):
+        self.hold_body(need.held_bytes)
+        total = attrs.evolve(need, held_bytes=self.usage().held_bytes)
+        if not self._account.admits(self, total):
             raise memory_full()
 
 
--- a/toucanrudder/http1/account.py
+++ b/toucanrudder/http1/account.py
@@ -147,6 +147,22 @@
     is_under_way: bool = False
 
 
+@attrs.frozen
+class Need:
+    """What a whole request needs to get under way.
+
+    Parameters
+    ----------
+    held_bytes : int
+        Memory that it will hold.
+    passing_bytes : int
+        Memory that it needs beside for a moment.
+    """
+
+    held_bytes: int
+    passing_bytes: int = 0
+
+
 class Holder(Protocol):
     """A connection that holds memory."""
 
@@ -276,6 +292,9 @@
     ----------
     bounds : callable
         Returns the bounds in force.
+    free_bytes : callable
+        Returns the memory that the instance has left, for a request that
+        needs more than its share and comes alone.
 
     Attributes
     ----------
@@ -283,8 +302,13 @@
         Bounds what waits in the sockets of the connections.
     """
 
-    def __init__(self, bounds: Callable[[], Bounds]):
+    def __init__(
+        self,
+        bounds: Callable[[], Bounds],
+        free_bytes: Callable[[], int] = lambda: 0,
+    ):
         self._bounds = bounds
+        self._free_bytes = free_bytes
         self.receive_buffers = receive_buffers.ReceiveBuffers(
             lambda: self._bounds().unread_bytes
         )
@@ -361,18 +385,14 @@
         if usage is not None:
             self._held_bytes -= usage.held_bytes
 
-    def admits(self, holder: Holder, needed_bytes: int) -> bool:
+    def admits(self, holder: Holder, need: Need) -> bool:
         """Return whether a connection's whole request may get under way.
 
-        Parameters
-        ----------
-        holder : Holder
-            The connection.
-        needed_bytes : int
-            What it will hold then.
+        One that needs more than any share gets under way alone, if the
+        instance has as much left.
         """
         limit = self._bounds().memory_bytes - self._reserved_bytes
-        if self._held_bytes + needed_bytes <= limit * LARGE_SHARE:
+        if self._held_bytes + need.held_bytes <= limit * LARGE_SHARE:
             return True
         group = holder.group()
         group_bytes = under_way_bytes = 0
@@ -382,7 +402,12 @@
             under_way_bytes += usage.held_bytes
             if other.group() == group:
                 group_bytes += usage.held_bytes
-        return admits(needed_bytes, group_bytes, under_way_bytes, limit)
+        if admits(need.held_bytes, group_bytes, under_way_bytes, limit):
+            return True
+        is_alone = under_way_bytes <= limit * (1 - GROUP_SHARE)
+        if not is_alone or need.held_bytes <= limit * LARGE_SHARE:
+            return False
+        return need.held_bytes + need.passing_bytes <= self._free_bytes()
 
     def has_room(self, size_bytes: int) -> bool:
         """Return whether memory beside that of connections may be used."""
--- a/toucanrudder/http1/server.py
+++ b/toucanrudder/http1/server.py
@@ -521,9 +521,9 @@
 
     def _start_handler(self) -> None:
         self._cancel_timer()
-        needed_bytes = self.usage().held_bytes + accounts.REQUEST_BYTES
+        need = accounts.Need(self.usage().held_bytes + accounts.REQUEST_BYTES)
         if self._hooks.needs_room and not self._listener.account.admits(
-            self, needed_bytes
+            self, need
         ):
             self._refuse(Refusal.MEMORY_FULL)
             return
--- a/toucanrudder/http1/tests/test_account.py
+++ b/toucanrudder/http1/tests/test_account.py
@@ -123,7 +123,8 @@
         )
     reading = FakeHolder(body_bytes, is_revocable=False)
     account.add(reading)
-    assert account.admits(reading, body_bytes) is is_admitted
+    need = accounts.Need(body_bytes)
+    assert account.admits(reading, need) is is_admitted
 
 
 CROWDED = {
@@ -155,7 +156,7 @@
     holder = FakeHolder(body_bytes, organisation=organisation)
     account.add(holder)
     needed_bytes = body_bytes + accounts.REQUEST_BYTES
-    is_admitted = account.admits(holder, needed_bytes)
+    is_admitted = account.admits(holder, accounts.Need(needed_bytes))
     if is_admitted:
         holder.held_bytes = needed_bytes
         holder.is_under_way, holder.is_revocable = True, False
@@ -218,6 +219,33 @@
     )
 
 
+ALONE = {
+    "alone": (0, 3 * LIMIT, True),
+    "beside a small one": (50_000, 3 * LIMIT, True),
+    "beside another large one": (500_000, 3 * LIMIT, False),
+    "larger than what is left": (0, 2 * LIMIT, False),
+}
+
+
+@pytest.mark.parametrize(
+    ("other_bytes", "free_bytes", "is_admitted"),
+    ALONE.values(),
+    ids=ALONE.keys(),
+)
+def test_request_beyond_all_shares_comes_alone(
+    other_bytes, free_bytes, is_admitted
+):
+    """Guards against a request that fits and is never served."""
+    bounds = accounts.Bounds(LIMIT, 100)
+    account = accounts.Account(lambda: bounds, lambda: free_bytes)
+    if other_bytes:
+        account.add(FakeHolder(other_bytes, 0.0, False, True))
+    holder = FakeHolder(2 * LIMIT, is_revocable=False)
+    account.add(holder)
+    need = accounts.Need(2 * LIMIT, passing_bytes=LIMIT)
+    assert account.admits(holder, need) is is_admitted
+
+
 ANSWERS = {
     "small": ((1_000,) * 50, 50),
     "as many as there is room for": ((50_000,) * 9, 5),
--- a/toucanrudder/resources.py
+++ b/toucanrudder/resources.py
@@ -2,6 +2,7 @@
 
 import functools
 import os
+import pathlib
 import resource
 
 BYTES_PER_MB = 1_000_000
@@ -18,3 +19,9 @@
     """Return how many descriptors this process may have open."""
     limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     return 2**20 if limit == resource.RLIM_INFINITY else limit
+
+
+def resident_bytes() -> int:
+    """Return the memory that this process has resident."""
+    pages = pathlib.Path("/proc/self/statm").read_text().split()[1]
+    return int(pages) * os.sysconf("SC_PAGE_SIZE")
--- a/toucanrudder/router/state.py
+++ b/toucanrudder/router/state.py
@@ -26,7 +26,7 @@
 from toucanrudder.controllers import configuration
 from toucanrudder.controllers import kv_transfer
 from toucanrudder.document import model
-from toucanrudder.filters import connections
+from toucanrudder.filters import body_size
 from toucanrudder.http1 import account as accounts
 from toucanrudder.membership import instances
 from toucanrudder.membership import routers
@@ -80,7 +80,7 @@
         },
         {upstream.name: upstream for upstream in document.upstreams},
         max(
-            connections.MODEL_COPIES * document.policy.max_body_bytes,
+            body_size.COPIES * document.policy.max_body_bytes,
             *(each.max_body_bytes for each in document.services),
             0,
         ),
@@ -127,7 +127,10 @@
     started_s: float = attrs.field(factory=stalls.running_s)
     account: accounts.Account = attrs.field(
         default=attrs.Factory(
-            lambda self: accounts.Account(self.caller_bounds), takes_self=True
+            lambda self: accounts.Account(
+                self.caller_bounds, self.free_memory_bytes
+            ),
+            takes_self=True,
         )
     )
     _budgets: dict[str, retries.RetryBudget] = attrs.field(factory=dict)
@@ -189,6 +192,14 @@
             if upstream.kind == model.ENGINE
         )
 
+    def _memory_bytes(self) -> int:
+        memory_mb = self.conf.limits.memory_mb
+        return memory_mb * resources.BYTES_PER_MB or resources.memory_bytes()
+
+    def free_memory_bytes(self) -> int:
+        """Return the memory that the instance has left."""
+        return self._memory_bytes() - resources.resident_bytes()
+
     def caller_bounds(self) -> accounts.Bounds:
         """Return what the connections of callers may occupy."""
         limits = self.conf.limits
@@ -196,8 +207,7 @@
         if self.configuration.current is not None:
             largest_bytes = self._index().largest_held_bytes
         return accounts.bounds_for(
-            limits.memory_mb * resources.BYTES_PER_MB
-            or resources.memory_bytes(),
+            self._memory_bytes(),
             limits.max_descriptors or resources.max_descriptors(),
             largest_bytes,
         )
--- a/toucanrudder/router/tests/test_client_crowds.py
+++ b/toucanrudder/router/tests/test_client_crowds.py
@@ -73,14 +73,14 @@
 
 
 @contextlib.asynccontextmanager
-async def _running(max_descriptors=4_000):
+async def _running(max_descriptors=4_000, memory_mb=MACHINE_MB):
     plan = fleets.Plan(
         services=1,
         routes=[{"method": "POST", "path_prefix": "/", "repeatable": True}],
         service_options={"delay_s": SERVICE_DELAY_S},
         settings={
             "limits": {
-                "memory_mb": MACHINE_MB,
+                "memory_mb": memory_mb,
                 "max_descriptors": max_descriptors,
             }
         },
@@ -103,6 +103,27 @@
     assert running.memory.growth_bytes() < GROWTH_BYTES
 
 
+def _largest_body():
+    text = json.dumps({"model": fleets.MODEL, "prompt": "", "max_tokens": 1})
+    prompt = "x" * (MODEL_BODY_BYTES - len(text))
+    return text.replace('""', f'"{prompt}"').encode()
+
+
+def _body_of_many_values(value=b'{"a":"b"},'):
+    """Return a body of the largest size with as many values as fit."""
+    text = json.dumps(
+        {"model": fleets.MODEL, "prompt": "p", "max_tokens": 1, "x": []}
+    ).encode()
+    count, rest = divmod(MODEL_BODY_BYTES - len(text) - 1, len(value))
+    return text.replace(b"[]", b"[" + value * count + b" " * rest + b"0]")
+
+
+def _sends_body(body):
+    return crowds.sends(
+        MODEL + b"Content-Length: %d\r\n\r\n" % len(body) + body
+    )
+
+
 MODEL, SERVICE = _head("/v1/completions"), _head("/services/desk/x")
 UNKNOWN = _head("/v1/completions", "unknown")
 UNKNOWN_PATH = b"GET /unknown HTTP/1.1\r\nHost: r\r\n\r\n"
@@ -121,6 +142,15 @@
         400,
         crowds.states_length(SERVICE, 60_000, 60_000),
     ),
+    "whole model requests": (24, _sends_body(_largest_body())),
+    "model requests of many values": (
+        2,
+        _sends_body(_body_of_many_values()),
+    ),
+    "model requests of empty lists": (
+        2,
+        _sends_body(_body_of_many_values(b"[],")),
+    ),
     "small whole bodies": (
         1_200,
         crowds.states_length(SERVICE, 2_000, 2_000),
@@ -223,16 +253,18 @@
         await _check_after(running)
 
 
-def _largest_body():
-    text = json.dumps({"model": fleets.MODEL, "prompt": "", "max_tokens": 1})
-    prompt = "x" * (MODEL_BODY_BYTES - len(text))
-    return text.replace('""', f'"{prompt}"').encode()
+LARGEST = {
+    "text": (MACHINE_MB, _largest_body()),
+    "many values": (300, _body_of_many_values()),
+}
 
 
-async def test_largest_body_is_served_in_calm():
+@pytest.mark.parametrize(
+    ("memory_mb", "body"), LARGEST.values(), ids=LARGEST.keys()
+)
+async def test_largest_body_is_served_in_calm(memory_mb, body):
     """Guards against a bound that a client inside the limits meets."""
-    async with _running() as running:
-        body = _largest_body()
+    async with _running(memory_mb=memory_mb) as running:
         assert len(body) == MODEL_BODY_BYTES
         url = f"{running.fleet.routers[0].url}/v1/completions"
         async with running.fleet.session.post(
