Continue runs only from memory that is proved to be of one version

Cause: whether an engine had loaded new weights under its runs was taken from the registry, which hears of them with the engine's next heartbeat. The stream's own events state the version, and were not read; an event can be lost in the crash all the same, and an order can be missed by a peer that is cut off, so neither is a proof that nothing was loaded.

Change: a stream that states other weights than it began with loses its copy. A run is continued only if its engine reported the old weights in the report that shows the end of the run, or no newer weights are published and this router would know. Engines load none that are not published. RunEndAwaited says what was known of the memory.

--- a/toucanrudder/forwarding/attempts/attempt.py
+++ b/toucanrudder/forwarding/attempts/attempt.py
@@ -508,9 +508,9 @@
             self.state.record_answered_leaving(upstream.incarnation)
         self.state.record_rate_limit(upstream, facts.rate_limit_per_s)
         if facts.weights_version is not None and self.prompt:
-            self.state.record_engine_weights(
-                upstream.incarnation,
-                self.prompt.model,
+            self.execution.record_stated_weights(
+                upstream,
+                self._weights_version(upstream),
                 facts.weights_version,
             )
 
@@ -595,4 +595,20 @@
             timeout_s = SILENCE_TIMEOUT_GAPS * self.route.event_gap_s
             if not self.execution.progress.events:
                 timeout_s = self._first_part_timeout_s()
-        return await self.silence.wait_for(reader.read, connection, timeout_s)
+        events = await self.silence.wait_for(
+            reader.read, connection, timeout_s
+        )
+        self._record_event_weights(events)
+        return events
+
+    def _record_event_weights(self, events: list[bytes]) -> None:
+        """Record new weights that the engine has loaded during the run."""
+        if self.prompt is None:
+            return
+        upstream = self.choice.upstream
+        for event in events:
+            version = self.execution.dialect.event_weights(event)
+            if version is not None:
+                self.execution.record_stated_weights(
+                    upstream, self._weights_version(upstream), version
+                )
--- a/toucanrudder/forwarding/dialect.py
+++ b/toucanrudder/forwarding/dialect.py
@@ -138,3 +138,7 @@
     @abc.abstractmethod
     def event_id(self, event: bytes) -> str | None:
         """Return the ID of one complete event of a stream, or None."""
+
+    @abc.abstractmethod
+    def event_weights(self, event: bytes) -> int | None:
+        """Return the weights version that an event states, or None."""
--- a/toucanrudder/forwarding/execution.py
+++ b/toucanrudder/forwarding/execution.py
@@ -1,6 +1,7 @@
 """Execution of one request with retries on other upstreams."""
 
 from collections.abc import Iterator
+from collections.abc import Mapping
 import contextlib
 import time
 
@@ -15,6 +16,7 @@
 from toucanrudder.forwarding import placing
 from toucanrudder.forwarding import routing
 from toucanrudder.forwarding import run_ends
+from toucanrudder.forwarding import run_memory
 from toucanrudder.forwarding import screening
 from toucanrudder.forwarding import state as states
 from toucanrudder.forwarding.attempts import attempt as attempts
@@ -323,18 +325,21 @@
                 run_ends.max_wait_s(self.route, silent_s)
             ):
                 has_ended = await run_end.wait(self.can_continue_from_copy)
+        memory = self._memory(run_end.last_weights)
+        may_continue = has_ended and memory is run_memory.Memory.UNCHANGED
         decisions.record(
             decisions.RunEndAwaited(
                 request_id=self.call.request_id,
                 upstream=upstream.incarnation,
                 events=self.progress.events,
                 run=run_end.state.value,
-                is_continued=has_ended,
+                memory=memory.value,
+                is_continued=may_continue,
                 replies=run_end.replies,
                 took_s=clock.now_s() - began_s,
             )
         )
-        if has_ended:
+        if may_continue:
             return retry_policy.Step.CONTINUE
         self.copy_upstream = None
         return retry_policy.Step.GIVE_UP
@@ -381,6 +386,8 @@
     ) -> attempts.Attempt | None:
         """Return an attempt elsewhere; None if there is none to be made."""
         if step is retry_policy.Step.CONTINUE:
+            if self._memory() is not run_memory.Memory.UNCHANGED:
+                return None
             return self._continuation() if self._spend_retry(cause) else None
         if step is retry_policy.Step.GIVE_UP:
             return None
@@ -584,6 +591,49 @@
         runner = self.state.registry.get(self.upstream)
         return runner is None or runner.weights == weights
 
+    def _memory(
+        self, last_weights: Mapping[str, int] | None = None
+    ) -> run_memory.Memory:
+        """Return what is known of the weights that made the run's memory.
+
+        Parameters
+        ----------
+        last_weights : mapping of str to int or None
+            Weights that its engine had after its end, by its own report.
+        """
+        if not self.copy_may_exist():
+            return run_memory.Memory.CHANGED
+        now_s = clock.now_s()
+        name = self.call.prompt.model
+        newest = self.state.newest_weights.get(name)
+        return run_memory.judge(
+            self.copy_upstream.weights.get(name, 0),
+            last_version=None
+            if last_weights is None
+            else last_weights.get(name, 0),
+            newest_version=newest.version if newest else 0,
+            is_current=self.state.streams.is_current(now_s),
+        )
+
+    def record_stated_weights(
+        self, upstream: model.Upstream, expected: int | None, stated: int
+    ) -> None:
+        """Record the weights that an answer states, in its head or later.
+
+        Parameters
+        ----------
+        upstream : model.Upstream
+            The engine.
+        expected, stated : int or None
+            Version that was asked for, and the one that is stated.
+        """
+        self.state.record_engine_weights(
+            upstream.incarnation, self.call.prompt.model, stated
+        )
+        if stated != expected:
+            # Its memory mixes both versions, and so does any copy of it.
+            self.copy_upstream = None
+
     async def _give_up(
         self,
         failure: relaying.AttemptFailed,
--- a/toucanrudder/forwarding/run_ends.py
+++ b/toucanrudder/forwarding/run_ends.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Mapping
 import enum
 
 import attrs
@@ -198,6 +199,9 @@
         What the last reply said.
     replies : int
         Replies so far.
+    last_weights : mapping of str to int or None
+        Versions by model that the engine had after the end of the run, by
+        its own report; None without one.
     """
 
     reports: SharedReports
@@ -206,6 +210,7 @@
     first_event_at_s: float
     state: RunState = RunState.UNKNOWN
     replies: int = 0
+    last_weights: Mapping[str, int] | None = None
     _unreached_since_s: float | None = None
 
     async def wait(self, may_continue: Callable[[], bool]) -> bool:
@@ -224,9 +229,20 @@
                 reply, self.upstream, self.request_id, self.first_event_at_s
             )
             if self.state is RunState.ENDED or self._is_out_of_reach(began_s):
+                self.last_weights = self._reported_weights(reply)
                 return may_continue()
         return False
 
+    def _reported_weights(
+        self, reply: rollout.ReportReply
+    ) -> Mapping[str, int] | None:
+        report = reply.report
+        if report is None or not self.upstream.is_same_start(
+            report.started_at_ms
+        ):
+            return None
+        return report.weights
+
     def _is_out_of_reach(self, asked_at_s: float) -> bool:
         if self.state is not RunState.NOT_REACHED:
             self._unreached_since_s = None
--- a/toucanrudder/observability/decisions.py
+++ b/toucanrudder/observability/decisions.py
@@ -298,13 +298,16 @@
     """An engine was asked whether it has ended a run that broke off there.
 
     ``run`` is the last finding: ``ended``, ``in_progress``, ``unknown`` or
-    ``not_reached``.  ``is_continued`` says whether its copy is continued.
+    ``not_reached``; ``memory`` says whether its engine made all of its
+    memory with the same weights: ``unchanged``, ``changed`` or ``unproved``.
+    ``is_continued`` says whether its copy is continued.
     """
 
     request_id: str
     upstream: str
     events: int
     run: str
+    memory: str
     is_continued: bool
     replies: int
     took_s: float
--- a/toucanrudder/platform/dialect.py
+++ b/toucanrudder/platform/dialect.py
@@ -29,6 +29,7 @@
 _NOT_RUN_STATUSES = frozenset({400, 421, 429, 503})
 
 _EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
+_EVENT_WEIGHTS = re.compile(rb"weight-versions:[ ]?(\d{1,18})[ ]*[\r\n]")
 
 
 def _bad_header(name: str) -> errors.RudderError:
@@ -181,3 +182,8 @@
         """Return the ID of one complete event of a stream, if it has one."""
         match = _EVENT_ID.search(event)
         return match[1].decode("latin-1").strip() if match else None
+
+    def event_weights(self, event: bytes) -> int | None:
+        """Return the weights version in the first line of an event."""
+        match = _EVENT_WEIGHTS.match(event)
+        return int(match[1]) if match else None
--- a/toucanrudder/platform/testing/standins.py
+++ b/toucanrudder/platform/testing/standins.py
@@ -666,7 +666,7 @@
     answer.ended = True
 
 
-async def _begin_with_copy(upstream: Server, run: Run, answer) -> None:
+async def begins_with_copy(upstream: Server, run: Run, answer) -> None:
     """Send the first event and a copy."""
     upstream.runs.append(run)
     await answer.start(200, upstream.answer_headers(run))
@@ -677,7 +677,7 @@
 
 async def resets_and_works_on(upstream: Server, run: Run, answer) -> None:
     """Lose the answer by a reset; end the run some time after."""
-    await _begin_with_copy(upstream, run, answer)
+    await begins_with_copy(upstream, run, answer)
     upstream.reported_runs[run.request_id] = 1
     asyncio.get_running_loop().call_later(
         RUN_STOP_DELAY_S, upstream.reported_runs.pop, run.request_id
@@ -688,7 +688,7 @@
 
 async def resets_and_never_ends(upstream: Server, run: Run, answer) -> None:
     """Lose the answer by a reset; list the run from then on."""
-    await _begin_with_copy(upstream, run, answer)
+    await begins_with_copy(upstream, run, answer)
     upstream.reported_runs[run.request_id] = 1
     answer.abort()
     answer.ended = True
@@ -696,7 +696,7 @@
 
 async def resets_with_a_queue(upstream: Server, run: Run, answer) -> None:
     """Lose the answer by a reset; list no run, but a queue."""
-    await _begin_with_copy(upstream, run, answer)
+    await begins_with_copy(upstream, run, answer)
     upstream.queued = 1
     answer.abort()
     answer.ended = True
@@ -704,7 +704,7 @@
 
 async def resets_without_reports(upstream: Server, run: Run, answer) -> None:
     """Lose the answer by a reset; reset all report calls as well."""
-    await _begin_with_copy(upstream, run, answer)
+    await begins_with_copy(upstream, run, answer)
     upstream.before_report = [resets_report_call] * 99
     answer.abort()
     answer.ended = True
@@ -712,14 +712,14 @@
 
 async def crashes(upstream: Server, run: Run, answer) -> None:
     """Send the first event and a copy, then end the process."""
-    await _begin_with_copy(upstream, run, answer)
+    await begins_with_copy(upstream, run, answer)
     upstream.crash()
     await asyncio.Event().wait()
 
 
 async def restarts(upstream: Server, run: Run, answer) -> None:
     """Send the first event and a copy, then start anew at the address."""
-    await _begin_with_copy(upstream, run, answer)
+    await begins_with_copy(upstream, run, answer)
     upstream.incarnation += "-next"
     upstream.reported_runs[run.request_id] = 1
     answer.abort()
--- a/toucanrudder/platform/tests/test_broken_runs.py
+++ b/toucanrudder/platform/tests/test_broken_runs.py
@@ -120,3 +120,73 @@
     await clusters.send_request(router, b"/s/y")
     assert len(engine.behaviours) < 9
     assert crash_counts.is_presumed_dead(upstream, time.time())
+
+
+async def loads_weights_and_crashes(upstream, run, answer):
+    """Make the second event with new weights, say so, then crash."""
+    await standins.begins_with_copy(upstream, run, answer)
+    upstream.version = 2
+    await answer.write(b"weight-versions: 2\n" + standins.event(2))
+    # The event must reach the router before the connection breaks.
+    await asyncio.sleep(standins.CATCH_UP_S)
+    upstream.crash()
+    await asyncio.Event().wait()
+
+
+async def loads_weights_and_dies_unheard(upstream, run, answer):
+    """Load new weights and crash before any event with them is sent."""
+    await standins.begins_with_copy(upstream, run, answer)
+    upstream.version = 2
+    upstream.crash()
+    await asyncio.Event().wait()
+
+
+async def test_run_is_not_continued_after_its_stream_states_new_weights(
+    cluster,
+):
+    """Guards against runs continued on old weights from mixed memory."""
+    engines = await start_engines(cluster, loads_weights_and_crashes)
+    router = await cluster.router()
+    answer = await clusters.send_request(router, b"/once/x")
+    assert not answer.is_whole
+    assert run_count(engines) == 1
+    registry = router.state.registry
+    versions = {each.version for each in engines}
+    assert versions == {1, 2}
+    assert {
+        registry.get(each.incarnation).weights["m"] for each in engines
+    } == versions
+
+
+async def name_weights(cluster, router, version):
+    """Publish weights that no engine loads while it is busy."""
+    cluster.store.put("versions", "m", {"model": "m", "version": version})
+    newest = router.state.newest_weights
+    await clusters.wait_until(
+        lambda: "m" in newest and newest["m"].version == version
+    )
+
+
+@pytest.mark.parametrize(
+    ("first", "newest", "is_whole"),
+    (
+        (loads_weights_and_dies_unheard, 2, False),
+        (standins.crashes, 2, False),
+        (standins.crashes, 1, True),
+        # Its own report shows the weights that the engine had at the end.
+        (standins.resets_and_works_on, 2, True),
+    ),
+    ids=("loaded", "unknown", "none newer", "reported"),
+)
+async def test_copy_is_continued_on_proof_of_its_weights(
+    cluster, first, newest, is_whole
+):
+    """Guards against a heartbeat's weights being taken for the present."""
+    engines = await start_engines(cluster, first)
+    for each in engines:
+        each.busy = True
+    router = await cluster.router()
+    await name_weights(cluster, router, newest)
+    answer = await clusters.send_request(router, b"/once/x")
+    assert answer.is_whole is is_whole
+    assert run_count(engines) == 1 + is_whole
--- a/toucanrudder/testing/virtual/workers.py
+++ b/toucanrudder/testing/virtual/workers.py
@@ -281,3 +281,7 @@
     def event_id(self, event: bytes) -> str | None:
         """Return None; there are no streams."""
         return None
+
+    def event_weights(self, event: bytes) -> int | None:
+        """Return None; there are no streams."""
+        return None
