Ask for keys because the configuration does, not because it holds some

Cause: RoutingTable.match asked for no key if no organisation had one. The version was in force, and a key that no version held was accepted too, so neither lateness nor a cached match explains it.

Change: Configuration.requires_keys follows from whether the configuration contains the field. An entry of the list that cannot be read costs that tenant its keys rather than the whole version, whose older keys all stayed good. An empty key is none. ConfigurationTaken says how many keys are valid.

--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -197,7 +197,8 @@
     def offer(self, document, source: str = "peer") -> bool:
         """Activate a document if it is newer; return whether it was."""
         previous = self.state.generation
-        if not self.state.offer(document.configuration):
+        configuration = document.configuration
+        if not self.state.offer(configuration):
             return False
         self.document = document
         news, now_s = self.state.generation_news, clock.now_s()
@@ -206,6 +207,9 @@
                 generation=document.generation,
                 previous=previous,
                 source=source,
+                api_keys=configuration.api_keys
+                if configuration.requires_keys
+                else None,
                 confirmed_age_s=news.confirmed_age_s(now_s),
                 behind_s=news.record_taken(now_s),
             )
--- a/toucanrudder/forwarding/model.py
+++ b/toucanrudder/forwarding/model.py
@@ -162,7 +162,7 @@
     """
 
     name: str
-    api_keys: frozenset[str] = attrs.field(repr=False)
+    api_keys: frozenset[str] = attrs.field(default=frozenset(), repr=False)
     priority: int | None = None
     is_isolated: bool = False
     rate_per_s: float = attrs.field(default=0.0, validator=_NOT_NEGATIVE)
@@ -192,7 +192,14 @@
 
 @attrs.frozen
 class Configuration:
-    """A complete configuration of one generation."""
+    """A complete configuration of one generation.
+
+    Parameters
+    ----------
+    requires_keys : bool
+        Whether requests need an API key, unless their route is public.  It
+        does not depend on how many keys there are.
+    """
 
     generation: int
     routes: tuple[Route, ...] = ()
@@ -200,6 +207,16 @@
     organisations: tuple[Organisation, ...] = ()
     limits: CallerLimits = CallerLimits()
     cache_stores: tuple[CacheStore, ...] = ()
+    requires_keys: bool = attrs.field(
+        default=attrs.Factory(
+            lambda self: bool(self.organisations), takes_self=True
+        )
+    )
+
+    @property
+    def api_keys(self) -> int:
+        """Number of API keys that are valid."""
+        return sum(len(each.api_keys) for each in self.organisations)
 
 
 @attrs.frozen
--- a/toucanrudder/forwarding/routing.py
+++ b/toucanrudder/forwarding/routing.py
@@ -22,7 +22,7 @@
     route : model.Route
         Its route.
     organisation : model.Organisation or None
-        Its sender; None on a public route or without configured keys.
+        Its sender; None on a public route, or if no keys are required.
     rank : int
         Its place in the order of urgency; 0 is the most urgent.
     generation : int
@@ -172,7 +172,7 @@
             raise errors.RudderError(
                 errors.Code.NOT_FOUND, "no route matches", step=STEP
             )
-        if route.is_public or not self._by_key:
+        if route.is_public or not self.configuration.requires_keys:
             return self._matched(call, route, None)
         organisation = self._by_key.get(call.api_key or "")
         if organisation is None:
--- a/toucanrudder/observability/decisions.py
+++ b/toucanrudder/observability/decisions.py
@@ -50,12 +50,14 @@
 
     ``source`` is ``store`` or ``peer``.  ``confirmed_age_s`` is the time since
     the store last answered this router's watch, and ``behind_s`` the time
-    since a peer first said that it had a newer one.
+    since a peer first said that it had a newer one.  ``api_keys`` is the
+    number of valid keys; null if requests need none.
     """
 
     generation: int
     previous: int
     source: str
+    api_keys: int | None
     confirmed_age_s: float | None
     behind_s: float
 
--- a/toucanrudder/platform/objects.py
+++ b/toucanrudder/platform/objects.py
@@ -8,6 +8,7 @@
 from toucanrudder.http1 import json_text
 from toucanrudder.platform import records
 from toucanrudder.store import interface
+from toucanrudder.store import strange
 from toucanrudder.store import typed
 
 #: Kinds of objects in the store; the configuration has only one object.
@@ -16,6 +17,9 @@
 UPSTREAM_KIND = "servers"
 WEIGHTS_KIND = "versions"
 
+#: Field of a configuration with which requests need an API key.
+TENANTS_FIELD = "tenants"
+
 _REPETITIONS = {
     "safe": model.Repetition.IDEMPOTENT,
     "unsafe": model.Repetition.ONCE,
@@ -52,10 +56,12 @@
     """
     if stored.name != CONFIGURATION_NAME:
         return None
-    return model.Document(
-        read_configuration(stored.value, _object_path(stored)),
-        json_text.encode(stored.value),
-    )
+    source = _object_path(stored)
+    configuration = read_configuration(stored.value, source)
+    try:
+        return model.Document(configuration, json_text.encode(stored.value))
+    except orjson.JSONEncodeError as error:
+        raise interface.MalformedObject(source, str(error)) from error
 
 
 def _object_path(stored: interface.StoredObject) -> str:
@@ -87,8 +93,14 @@
             for store in services
             if store.kv_store_addr is not None
         ),
-        organisations=record.tenants or (),
+        organisations=tuple(
+            strange.decode_valid(
+                lambda tenant: typed.read(model.Organisation, tenant, source),
+                record.tenants or (),
+            )
+        ),
         limits=record.limits or model.CallerLimits(),
+        requires_keys=TENANTS_FIELD in value,
     )
 
 
--- a/toucanrudder/platform/records.py
+++ b/toucanrudder/platform/records.py
@@ -113,6 +113,12 @@
     born: int = attrs.field(default=0, validator=typed.NOT_NEGATIVE)
 
 
+def _valid_keys(value: object) -> frozenset[str]:
+    """Return the API keys of a list; whatever else is there is no key."""
+    keys = value if isinstance(value, list) else ()
+    return frozenset(key for key in keys if isinstance(key, str) and key)
+
+
 _MS = 0.001
 _MBPS = 1e6
 
@@ -125,7 +131,9 @@
     link_bits_per_s=typed.wire_field("link_mbps", _MBPS),
 )
 typed.set_wire_fields(
-    model.Organisation, is_isolated=typed.wire_field("isolated")
+    model.Organisation,
+    is_isolated=typed.wire_field("isolated"),
+    api_keys=typed.own_field(_valid_keys),
 )
 typed.set_wire_fields(
     model.CallerLimits,
@@ -179,5 +187,5 @@
     version: int = attrs.field(validator=typed.POSITIVE)
     routes: tuple[Route, ...] | None = None
     services: tuple[Service, ...] | None = None
-    tenants: tuple[model.Organisation, ...] | None = None
+    tenants: list[typing.Any] | None = None
     limits: model.CallerLimits | None = None
--- a/toucanrudder/store/typed.py
+++ b/toucanrudder/store/typed.py
@@ -106,6 +106,13 @@
     )
 
 
+def own_field(
+    read_value: Callable[[object], typing.Any],
+) -> gen.AttributeOverride:
+    """Return the override for a field with a reader of its own."""
+    return gen.override(struct_hook=lambda value, _: read_value(value))
+
+
 def _record_hook(record_type: type, converter: cattrs.Converter) -> Callable:
     """Return a structure hook that accepts only a dict for the record.
 
