Let open connections follow limits that are raised

Cause: the limits are read at the first byte of each request, but the parser, which refuses a head that is not complete at its limit, was made when the connection was opened. New connections, bodies, and lowered limits followed, so neither a late version nor the connection's own copy explains it. The same class: a running timer kept its timeout, and a half-read request its limits.

Change: the parser is made anew at a request's first byte if the limit has changed; before a refusal for size or time the limits in force are asked.

--- a/toucanrudder/http1/server.py
+++ b/toucanrudder/http1/server.py
@@ -252,6 +252,7 @@
         self._http = self._new_parser()
         self._task: asyncio.Task | None = None
         self._timer: stalls.Timer | None = None
+        self._timeout_s = 0.0
         self._writable = asyncio.Event()
         self._writable.set()
         self._closed = False
@@ -265,8 +266,9 @@
         self._reset_request()
 
     def _new_parser(self) -> h11.Connection:
+        self._parsed_head_bytes = self._limits.max_head_bytes
         return h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._limits.max_head_bytes
+            h11.SERVER, max_incomplete_event_size=self._parsed_head_bytes
         )
 
     def _reset_request(self) -> None:
@@ -292,7 +294,7 @@
         self._transport = transport
         sockets.enable_dead_peer_detection(transport)
         self._listener.connections.add(self)
-        self._set_timer(self._limits.idle_timeout_s, self.abort)
+        self._set_read_timer()
         self._listener.account.receive_buffers.add(transport)
         self._listener.account.add(self)
 
@@ -355,6 +357,9 @@
         if self._began_s is None:
             self._began_s = self._since_s = self._hooks.clock()
             self._limits = self._hooks.limits()
+            if self._parsed_head_bytes != self._limits.max_head_bytes:
+                # The parser has no bytes of this request yet.
+                self._http = self._new_parser()
             self._set_read_timer()
         elif self._head is not None:
             self._set_read_timer()
@@ -379,7 +384,10 @@
                 # The frames of the traceback refer to the error, and would
                 # keep this connection until they are collected.
                 error.__traceback__ = None
-                self._refuse(_refusal_for(error))
+                refusal = _refusal_for(error)
+                if refusal is Refusal.HEAD_TOO_LARGE and self._reparse_head():
+                    continue
+                self._refuse(refusal)
                 events = 0
             if not events:
                 self._end_turns()
@@ -408,17 +416,49 @@
         if self._task is None:
             self._set_read_timer()
 
+    def _reparse_head(self) -> bool:
+        """Parse a head again if its limit was raised since its first byte."""
+        if self._head is not None or not self._raw_head:
+            return False
+        self._limits = self._hooks.limits()
+        if self._limits.max_head_bytes <= self._parsed_head_bytes:
+            return False
+        self._http = self._new_parser()
+        self._http.receive_data(bytes(self._raw_head))
+        return True
+
+    def _is_beyond(self, size_bytes: int, limit: str) -> bool:
+        """Whether a size exceeds a limit, by its name, of `Limits`."""
+        if size_bytes <= getattr(self._limits, limit):
+            return False
+        # It may have been raised since the request began.
+        self._limits = self._hooks.limits()
+        return size_bytes > getattr(self._limits, limit)
+
+    def _read_timeout_s(self) -> float:
+        """Return the timeout of what is being waited for."""
+        if self._began_s is None or self._head is not None:
+            return self._limits.idle_timeout_s
+        return self._limits.head_timeout_s
+
     def _set_read_timer(self) -> None:
-        limits = self._limits
-        if self._began_s is None:
-            self._set_timer(limits.idle_timeout_s, self.abort)
-        elif self._head is None:
-            end_s = self._began_s + limits.head_timeout_s
-            self._set_timer(
-                max(0.0, end_s - self._hooks.clock()), self._refuse_slow
-            )
+        delay_s = self._timeout_s = self._read_timeout_s()
+        if self._began_s is not None and self._head is None:
+            delay_s -= self._hooks.clock() - self._began_s
+        self._set_timer(max(0.0, delay_s), self._handle_read_timeout)
+
+    def _handle_read_timeout(self) -> None:
+        """Give up waiting, unless the timeout was raised meanwhile."""
+        self._limits = self._hooks.limits()
+        timeout_s = self._read_timeout_s()
+        raised_by_s = timeout_s - self._timeout_s
+        if raised_by_s > 0:
+            self._timeout_s = timeout_s
+            self._set_timer(raised_by_s, self._handle_read_timeout)
+        elif self._began_s is None:
+            self.abort()
         else:
-            self._set_timer(limits.idle_timeout_s, self._refuse_slow)
+            self._refuse(Refusal.SLOW)
 
     @property
     def awaits_turn(self) -> bool:
@@ -440,7 +480,7 @@
             return 1 + len(event.headers)
         if isinstance(event, h11.Data):
             self._body.append(event.data)
-            if len(self._body) > self._limits.max_body_bytes:
+            if self._is_beyond(len(self._body), "max_body_bytes"):
                 self._refuse(Refusal.BODY_TOO_LARGE)
         elif isinstance(event, h11.EndOfMessage):
             self._start_handler()
@@ -457,7 +497,7 @@
         if not _is_strict(raw, head):
             self._refuse(Refusal.MALFORMED)
             return
-        if raw.find(b"\r\n\r\n") > self._limits.max_head_bytes:
+        if self._is_beyond(raw.find(b"\r\n\r\n"), "max_head_bytes"):
             # The parser enforces its limit only if the head arrives in several
             # reads.
             self._refuse(Refusal.HEAD_TOO_LARGE)
@@ -468,13 +508,12 @@
         self._request_bytes = len(raw) + FIELD_BYTES * len(head.headers)
         self._raw_head.clear()
         length = self._head.get(b"content-length")
-        if length is not None and int(length) > self._limits.max_body_bytes:
+        if length is not None and self._is_beyond(
+            int(length), "max_body_bytes"
+        ):
             self._refuse(Refusal.BODY_TOO_LARGE)
             return
-        self._set_timer(self._limits.idle_timeout_s, self._refuse_slow)
-
-    def _refuse_slow(self) -> None:
-        self._refuse(Refusal.SLOW)
+        self._set_read_timer()
 
     def _refuse(self, refusal: Refusal, *, lingers: bool = True) -> None:
         if self._closed:
@@ -572,7 +611,8 @@
             return
         self._reset_request()
         pipelined = self._http.trailing_data[0]
-        self._set_timer(self._limits.idle_timeout_s, self.abort)
+        self._limits = self._hooks.limits()
+        self._set_read_timer()
         if pipelined:
             # A new parser reads the pipelined bytes, so that the limits of the
             # next request apply to them.
