Call services with the client that knows how a connection has ended

A status 000 or 099 was passed on.

Cause: the client library ends a body without a length at any loss of the connection, and takes any digits for a status. The relay loses no error: the library reports none.

Change: services are called with http1.client, which the platform's way uses for its upstreams. What a caller's request does not carry is not added any more (Accept-Encoding, User-Agent).

--- a/toucanrudder/filters/deduplicate.py
+++ b/toucanrudder/filters/deduplicate.py
@@ -6,7 +6,6 @@
 import contextlib
 import hashlib
 
-import aiohttp
 from aiohttp import web
 import attrs
 import multidict
@@ -17,6 +16,7 @@
 from toucanrudder.claims import decision
 from toucanrudder.filters import exchange as exchanges
 from toucanrudder.filters import headers
+from toucanrudder.upstreams import failures
 from toucanrudder.upstreams import service
 
 STEP = "service"
@@ -33,7 +33,7 @@
         Status, headers and the part of the body that was read.
     upstream : str
         Name of the instance.
-    unread : aiohttp.ClientResponse or None
+    unread : service.ServiceAnswer or None
         The open response if part of its body is still unread.
     resources : contextlib.AsyncExitStack
         Closes the open response.
@@ -41,7 +41,7 @@
 
     result: claims.Result
     upstream: str
-    unread: aiohttp.ClientResponse | None
+    unread: service.ServiceAnswer | None
     resources: contextlib.AsyncExitStack = attrs.field(
         factory=contextlib.AsyncExitStack
     )
@@ -142,17 +142,13 @@
         state.spawn(task.result().resources.aclose())
 
 
-async def read_answer(
-    response: aiohttp.ClientResponse, upstream: str
-) -> Answer:
+async def read_answer(response: service.ServiceAnswer) -> Answer:
     """Read a response up to the retention limit.
 
     Parameters
     ----------
-    response : aiohttp.ClientResponse
+    response : service.ServiceAnswer
         The open response.
-    upstream : str
-        Name of the instance that sent it.
 
     Raises
     ------
@@ -163,17 +159,17 @@
     body = bytearray()
     is_truncated = False
     try:
-        async for chunk in response.content.iter_any():
+        async for chunk in response.pieces():
             body += chunk
             if len(body) > claims.MAX_RESULT_BYTES:
                 is_truncated = True
                 break
-    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+    except failures.UpstreamFailure as error:
         raise errors.RudderError(
             errors.Code.UPSTREAM_FAILED,
             "the service's response was cut off",
             step=STEP,
-            peer=upstream,
+            peer=response.upstream,
             ran=errors.Ran.UNKNOWN,
         ) from error
     result = claims.Result(
@@ -181,7 +177,9 @@
         tuple(service.forwarded_headers(response.headers).items()),
         bytes(body),
     )
-    return Answer(result, upstream, response if is_truncated else None)
+    return Answer(
+        result, response.upstream, response if is_truncated else None
+    )
 
 
 def response_from_result(
--- a/toucanrudder/filters/service.py
+++ b/toucanrudder/filters/service.py
@@ -6,7 +6,6 @@
 import contextlib
 from typing import Any
 
-import aiohttp
 from aiohttp import web
 import attrs
 
@@ -132,7 +131,7 @@
     exchange: exchanges.Exchange,
     upstream: model.Upstream,
     call: ServiceCall,
-) -> AsyncIterator[aiohttp.ClientResponse]:
+) -> AsyncIterator[service.ServiceAnswer]:
     """Send the call to one instance and yield its open response.
 
     Raises
@@ -178,12 +177,11 @@
 async def _relay_response(
     exchange: exchanges.Exchange,
     peer: str,
-    answer: aiohttp.ClientResponse,
+    answer: service.ServiceAnswer,
     already_read: bytes = b"",
 ) -> web.StreamResponse:
     response = web.StreamResponse(
         status=answer.status,
-        reason=answer.reason,
         headers=service.forwarded_headers(answer.headers),
     )
     response.headers[headers.REQUEST_ID] = exchange.request_id
@@ -201,7 +199,7 @@
     try:
         if already_read:
             await write(already_read)
-        async for chunk in answer.content.iter_any():
+        async for chunk in answer.pieces():
             await write(chunk)
     except sinks.CallerGone:
         raise
@@ -271,7 +269,7 @@
             if failure.kind in failures.PROVES_NOT_RUN:
                 claim.mark_not_dispatched()
             raise
-        answer = await deduplicate.read_answer(response, upstream.name)
+        answer = await deduplicate.read_answer(response)
         answer.resources = stack.pop_all()
         return answer
 
--- a/toucanrudder/http1/client.py
+++ b/toucanrudder/http1/client.py
@@ -325,7 +325,9 @@
     try:
         async with stalls.timeout(timeout_s):
             _, protocol = await loop.create_connection(
-                lambda: UpstreamConnection(address), host, int(port)
+                lambda: UpstreamConnection(address),
+                host.strip("[]"),
+                int(port),
             )
     except TimeoutError as error:
         raise ExchangeError(Fault.CONNECT_TIMEOUT, sent=False) from error
--- a/toucanrudder/platform/tests/test_answers_without_length.py
+++ b/toucanrudder/platform/tests/test_answers_without_length.py
@@ -6,6 +6,7 @@
 
 from toucanrudder.platform.testing import cluster as clusters
 from toucanrudder.platform.testing import standins
+from toucanrudder.testing import early_answers
 from toucanrudder.testing import resets
 
 
@@ -123,3 +124,51 @@
     first, second = await cluster.routers(2)
     with clusters.cut_off(first, clusters.refuse):
         await check(cluster, [first, second], row, upstream)
+
+
+class EarlyServer(standins.RawServer):
+    """A service that answers an upload at once, and breaks off."""
+
+    def __init__(self, address):
+        super().__init__("desk", lambda server, request: b"")
+        self._address = address
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        yield self
+
+
+async def upload(cluster, end, status=b"200 OK"):
+    """Send uploads to a service that answers so; return the answers."""
+    sealed = b"Server-Seal: s\r\n"
+    async with early_answers.running(end, sealed, status) as address:
+        await cluster.register(EarlyServer(address))
+        limits = {"max_body_bytes": len(early_answers.UPLOAD)}
+        cluster.store.put(
+            "config",
+            "main",
+            {**clusters.CONFIGURATION, "version": 4, "limits": limits},
+        )
+        router = await cluster.router()
+        return [
+            await clusters.send_request(
+                router, path, method=b"POST", body=early_answers.UPLOAD
+            )
+            for path in (b"/w/x", b"/r/x") * 3
+        ]
+
+
+@pytest.mark.parametrize("name", early_answers.ENDS)
+async def test_early_answer_that_breaks_off_is_not_whole(cluster, name):
+    """Guards against a part of an answer that callers take for all."""
+    for answer in await upload(cluster, early_answers.ENDS[name]):
+        assert answer.status == 502 or not answer.is_whole
+
+
+@pytest.mark.parametrize("status", early_answers.NO_STATUSES)
+async def test_status_that_is_none_is_not_passed_on(cluster, status):
+    """Guards against statuses that callers cannot understand."""
+    for answer in await upload(
+        cluster, early_answers.end_in_order, status + b" Odd"
+    ):
+        assert answer.status == 502
--- a/toucanrudder/router/assembly.py
+++ b/toucanrudder/router/assembly.py
@@ -233,7 +233,7 @@
             connect_timeout_s,
             conf.upstreams.silent_event_s,
         ),
-        services=service.ServiceClient(sessions.fresh, connect_timeout_s),
+        services=service.ServiceClient(connect_timeout_s),
         loads=load_table,
         in_flight=in_flight_table,
         prefix_index=prefix_index,
--- a/toucanrudder/upstreams/engine.py
+++ b/toucanrudder/upstreams/engine.py
@@ -226,5 +226,5 @@
         status=status,
         body=body,
         incarnation=response.headers.get("X-Incarnation", ""),
-        rest_s=sending.rest_s(response) if status == 503 else 0.0,
+        rest_s=sending.rest_s(response.headers) if status == 503 else 0.0,
     )
--- a/toucanrudder/upstreams/sending.py
+++ b/toucanrudder/upstreams/sending.py
@@ -1,10 +1,12 @@
 """Sending of a request at most once, and translation of its errors."""
 
 from collections.abc import Iterator
+from collections.abc import Mapping
 import contextlib
 
 import aiohttp
 
+from toucanrudder.http1 import client
 from toucanrudder.http1 import message
 from toucanrudder.upstreams import failures
 
@@ -49,9 +51,27 @@
         ) from error
 
 
-def rest_s(response: aiohttp.ClientResponse) -> float:
+def failure_of(
+    error: client.ExchangeError, name: str
+) -> failures.UpstreamFailure:
+    """Return the failure of an exchange that did not end with an answer.
+
+    Parameters
+    ----------
+    error : client.ExchangeError
+        How the exchange ended.
+    name : str
+        Name of the upstream.
+    """
+    kind = failures.Kind.SILENT if error.sent else failures.Kind.NOT_REACHED
+    return failures.UpstreamFailure(
+        kind, name, str(error), connection_refused=error.is_refused
+    )
+
+
+def rest_s(headers: Mapping[str, str]) -> float:
     """Return the rest in seconds that a refusal asks for; 0 for none."""
-    return message.parse_number(response.headers.get("Retry-After", "")) or 0.0
+    return message.parse_number(headers.get("Retry-After", "")) or 0.0
 
 
 def without_resend(name: str):
