See a reset whose error a write has taken

Cause: the end of a stream was taken for a reset if the socket held an error. A failed write takes it, and the read after it reports an ordinary end. Logged in 862 ends: no error, and TCP's state CLOSE, in 86, all with an upload in the buffer.

Change: an end counts as ordinary only if TCP still holds the connection.

--- a/toucanrudder/http1/client.py
+++ b/toucanrudder/http1/client.py
@@ -4,7 +4,6 @@
 import collections
 import contextlib
 import enum
-import socket
 
 import attrs
 import h11
@@ -138,12 +137,10 @@
 
         If data and a reset arrive together, libuv delivers the data and
         reports an ordinary end of the stream.  A truncated body without a
-        length would then look complete; the socket still holds the error.
+        length would then look complete.
         """
         sock = self._transport.get_extra_info("socket")
-        if sock is None:
-            return False
-        return bool(sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+        return sock is not None and sockets.was_reset(sock)
 
     def connection_lost(self, error) -> None:
         """Fail the current exchange."""
--- a/toucanrudder/http1/sockets.py
+++ b/toucanrudder/http1/sockets.py
@@ -43,6 +43,9 @@
 
 _LINGER_RESET = struct.pack("ii", 1, 0)
 
+#: State of a connection that no side can use, as the first byte of TCP_INFO.
+_TCP_CLOSE = b"\x07"
+
 
 def enable_dead_peer_detection(transport) -> None:
     """Let the kernel end the connection when the peer is unreachable.
@@ -114,3 +117,19 @@
         unsent = fcntl.ioctl(sock.fileno(), _SIOCOUTQNSD, bytes(4))
         if any(unsent):
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
+
+
+def was_reset(sock: socket.socket) -> bool:
+    """Whether a connection that has ended was reset by its peer.
+
+    A write that meets the reset takes the socket's error, and a later read
+    reports an ordinary end of the stream.  After an ordinary one this side of
+    the connection is still open.
+    """
+    if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+        return True
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    except OSError:
+        return False
+    return info[:1] == _TCP_CLOSE
