Refuse statuses above 599 as no status of HTTP

Cause: the parser accepts 200 to 999. RFC 9110, section 15, ends at 599.

Change: such an answer counts as broken; the request may have run.

Evidence: the rows 600 and 999 fail before at both ways, none after.

--- a/toucanrudder/http1/client.py
+++ b/toucanrudder/http1/client.py
@@ -20,6 +20,10 @@
 MAX_HEAD_BYTES = 65_536
 
 
+#: Largest status of HTTP (RFC 9110, section 15).
+MAX_STATUS = 599
+
+
 class Fault(enum.Enum):
     """Why an exchange did not end with a complete response."""
 
@@ -165,6 +169,8 @@
             if self._bears_slow_reader:
                 sockets.end_slow_reader(self._transport)
                 self._bears_slow_reader = False
+            if event.status_code > MAX_STATUS:
+                raise h11.RemoteProtocolError("no status of HTTP")
             return message.AnswerHead(
                 event.status_code, tuple(event.headers.raw_items())
             )
--- a/toucanrudder/testing/early_answers.py
+++ b/toucanrudder/testing/early_answers.py
@@ -101,4 +101,4 @@
 }
 
 #: Statuses that are none of HTTP (RFC 9110, section 15).
-NO_STATUSES = (b"000", b"099", b"20", b"2000", b"abc")
+NO_STATUSES = (b"000", b"099", b"600", b"999", b"20", b"2000", b"abc")
