Bound the answers to calls that routers make themselves

A faulty upstream or store that sent bytes without end made the process of the own interface keep them all until the call's time was over: 1,148 MiB for a poll of a load report in its second, 11,969 MiB for an order to copy cached parts in ten (measured from outside).

Cause: the bodies were read whole, with a limit of time alone. At both ways nothing bounded the sum of many answers, of many unfinished events, or of the values that a small text becomes once it is parsed. Heads were bounded.

Change: http1.answer_room, used at both ways: a bound for an answer, one for all of a kind, one for the values of its JSON. The body of a refusal is dropped as it comes.

The stub session of test_loads answers with bytes, as the body is read by pieces now; its check is the same.

--- a/toucanrudder/controllers/cache_events.py
+++ b/toucanrudder/controllers/cache_events.py
@@ -12,6 +12,7 @@
 import attrs
 
 from toucanrudder.document import model
+from toucanrudder.http1 import answer_room
 from toucanrudder.observability import metrics
 from toucanrudder.prefix import cache_index
 
@@ -22,7 +23,10 @@
 READ_TIMEOUT_S = 5.0
 RECONNECT_DELAY_S = (0.2, 1.0)
 UPDATE_INTERVAL_S = 0.5
+
+#: Longest line of events, and what all lines may occupy while they are read.
 MAX_LINE_BYTES = 1_048_576
+MAX_LINES_BYTES = 8_388_608
 
 
 @attrs.define
@@ -72,6 +76,7 @@
         self._upstreams = upstreams
         self._rng = rng
         self._clock = clock
+        self._lines = answer_room.AnswerRoom(MAX_LINE_BYTES, MAX_LINES_BYTES)
         self._tasks: dict[tuple[str, str], asyncio.Task] = {}
 
     async def run(self) -> None:
@@ -126,12 +131,12 @@
         ) as response:
             response.raise_for_status()
             partial_line = b""
-            async for chunk in response.content.iter_any():
-                *lines, partial_line = (partial_line + chunk).split(b"\n")
-                if len(partial_line) > MAX_LINE_BYTES:
-                    raise ValueError("cache event line is too long")
-                for line in lines:
-                    self._handle_line(upstream.name, line, position)
+            with self._lines.reading() as partial:
+                async for chunk in response.content.iter_any():
+                    *lines, partial_line = (partial_line + chunk).split(b"\n")
+                    partial.hold(len(partial_line))
+                    for line in lines:
+                        self._handle_line(upstream.name, line, position)
 
     def _handle_line(
         self, upstream: str, line: bytes, position: "_Position"
--- a/toucanrudder/controllers/instances.py
+++ b/toucanrudder/controllers/instances.py
@@ -8,12 +8,17 @@
 import attrs
 
 from toucanrudder.controllers import backoff
+from toucanrudder.http1 import answer_room
 from toucanrudder.membership import instances
 from toucanrudder.observability import metrics
+from toucanrudder.upstreams import call_answers
 
 #: Shortest interval between two polls; it adds to the list's own lag.
 MIN_INTERVAL_S = 1.0
 
+#: Largest list: a few times that of 1,500 instances.
+MAX_LIST_BYTES = 4_194_304
+
 #: Polls a second by all routers together, a twentieth of the store's
 #: read rate, which grows more slowly than the number of routers.
 MAX_POLLS_PER_S = 100.0
@@ -64,6 +69,7 @@
         self._routers = routers
         self._timeout = aiohttp.ClientTimeout(total=timeout_s)
         self._rng = rng
+        self._answers = answer_room.AnswerRoom(MAX_LIST_BYTES, MAX_LIST_BYTES)
 
     async def run(self) -> None:
         """Poll until cancelled."""
@@ -92,7 +98,7 @@
         async with self._session.get(
             self._url, timeout=self._timeout, raise_for_status=True
         ) as response:
-            body = await response.json()
+            body = await call_answers.read_json(response, self._answers)
         names = {field.name for field in attrs.fields(instances.Instance)}
         return [
             instances.Instance(**{name: str(row[name]) for name in names})
--- a/toucanrudder/controllers/kv_transfer.py
+++ b/toucanrudder/controllers/kv_transfer.py
@@ -9,11 +9,13 @@
 import cachetools
 
 from toucanrudder.document import model
+from toucanrudder.http1 import answer_room
 from toucanrudder.observability import metrics
 from toucanrudder.placement import imports
 from toucanrudder.placement import rendezvous
 from toucanrudder.placement import types
 from toucanrudder.prefix import request_rates
+from toucanrudder.upstreams import call_answers
 
 #: Requests a second, over all routers, from which a prefix is worth
 #: exporting: below it the copy is out of use before it is imported.
@@ -34,6 +36,10 @@
 #: request then goes on without it.
 IMPORT_TIMEOUT_FACTOR = 3.0
 
+#: Largest answer to an order, and what all of them may occupy while they are
+#: read.
+MAX_ANSWER_BYTES = 65_536
+MAX_ANSWERS_BYTES = 1_048_576
 
 _CALL_ERRORS = (
     aiohttp.ClientError,
@@ -41,6 +47,9 @@
     OSError,
     ValueError,
     KeyError,
+    # A body that is no object, or a number beyond all integers.
+    TypeError,
+    OverflowError,
 )
 
 
@@ -95,6 +104,9 @@
         self._exported = cachetools.TTLCache(
             MAX_CACHED_KEYS, EXPORT_INTERVAL_S, clock
         )
+        self._answers = answer_room.AnswerRoom(
+            MAX_ANSWER_BYTES, MAX_ANSWERS_BYTES
+        )
         self._pending_imports: dict[tuple[str, bytes], asyncio.Future] = {}
 
     def hot_keys(
@@ -213,4 +225,4 @@
             timeout=aiohttp.ClientTimeout(total=timeout_s),
         ) as response:
             response.raise_for_status()
-            return await response.json()
+            return await call_answers.read_json(response, self._answers)
--- a/toucanrudder/controllers/loads.py
+++ b/toucanrudder/controllers/loads.py
@@ -8,6 +8,8 @@
 import aiohttp
 
 from toucanrudder.document import model
+from toucanrudder.http1 import answer_room
+from toucanrudder.upstreams import call_answers
 from toucanrudder.upstreams import loads
 
 LOG = logging.getLogger(__name__)
@@ -18,6 +20,10 @@
 
 MAX_CONCURRENT_POLLS = 32
 
+#: Largest load report, and what all of them may occupy while they are read.
+MAX_REPORT_BYTES = 131_072
+MAX_REPORTS_BYTES = 1_048_576
+
 #: Largest size of a report in bytes.
 MAX_REPORT_BYTES = 65_536
 
@@ -86,6 +92,9 @@
         self._rng = rng
         self._clock = clock
         self._semaphore = asyncio.Semaphore(MAX_CONCURRENT_POLLS)
+        self._answers = answer_room.AnswerRoom(
+            MAX_REPORT_BYTES, MAX_REPORTS_BYTES
+        )
         self._polling: set[str] = set()
         self._due_s: dict[str, float] = {}
 
@@ -149,11 +158,11 @@
             if response.status != 200:
                 raise ValueError(f"load report: HTTP status {response.status}")
             try:
-                return loads.parse(await response.json())
+                body = await call_answers.read_json(response, self._answers)
+                return loads.parse(body)
             except (LookupError, RecursionError) as error:
-                # An unknown character set, or a body nested too deeply.
                 # Unless converted, they would end the polls of all
-                # upstreams; decoding raises only ValueErrors otherwise.
+                # upstreams.
                 raise ValueError(f"not a load report: {error}") from error
 
     def _presumed_dead_incarnation(self, name: str) -> str:
--- a/toucanrudder/controllers/tests/test_loads.py
+++ b/toucanrudder/controllers/tests/test_loads.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import random
 from unittest import mock
 
@@ -52,8 +53,10 @@
             self.is_first = False
             await asyncio.sleep(FAULT_S)
             raise RuntimeError("fault")
-        report = {"name": url, "incarnation": "i"}
-        yield mock.Mock(status=200, json=mock.AsyncMock(return_value=report))
+        report = json.dumps({"name": url, "incarnation": "i"}).encode()
+        response = mock.MagicMock(status=200, content_length=len(report))
+        response.content.iter_any().__aiter__.return_value = [report]
+        yield response
 
 
 def test_all_upstreams_are_polled_again_after_a_restart():
--- a/toucanrudder/filters/body_size.py
+++ b/toucanrudder/filters/body_size.py
@@ -1,6 +1,7 @@
 """Memory that the JSON of a request needs once it is parsed."""
 
 from toucanrudder.http1 import account as accounts
+from toucanrudder.http1 import json_text
 
 #: How often a text of narrow characters stands in memory: as its bytes, and in
 #: its values.
@@ -10,12 +11,6 @@
 #: the value itself, and its key.
 VALUE_BYTES = 128
 
-#: Marks of which each value outside of strings has one before it.
-_MARKS = b",:[{"
-
-#: Length of the pieces that are looked at one by one.
-_PIECE_BYTES = 65_536
-
 #: Bytes of UTF-8 that no character beyond Latin-1, and none beyond the Basic
 #: Multilingual Plane, has.
 _NOT_BEYOND_LATIN_1 = bytes(range(0xC4))
@@ -39,7 +34,7 @@
     298
     """
     strings_bytes = _character_bytes(text) * len(text)
-    values_bytes = VALUE_BYTES * count_values(text)
+    values_bytes = VALUE_BYTES * json_text.count_values(text)
     # The text is decoded before it is parsed.
     return accounts.Need(
         len(text) + strings_bytes + values_bytes, strings_bytes
@@ -56,22 +51,3 @@
     if has_escapes:
         return 4 if any(escape in text for escape in _WIDE_ESCAPES) else 2
     return 2 if text.translate(None, _NOT_BEYOND_LATIN_1) else 1
-
-
-def count_values(text: bytes) -> int:
-    """Return how many values a JSON text has, or a few more.
-
-    Examples
-    --------
-    >>> count_values(b'{"a": [1, {}, "x, y: \\\\"[z"]}')
-    6
-    """
-    if b"\\" in text:
-        text = text.replace(b"\\\\", b"").replace(b'\\"', b"")
-    count, is_string = 0, False
-    for start in range(0, len(text), _PIECE_BYTES):
-        parts = text[start : start + _PIECE_BYTES].split(b'"')
-        outside = b"".join(parts[is_string::2])
-        count += len(outside) - len(outside.translate(None, _MARKS))
-        is_string ^= len(parts) % 2 == 0
-    return count
--- a/toucanrudder/filters/engine_try.py
+++ b/toucanrudder/filters/engine_try.py
@@ -149,6 +149,7 @@
             incarnation=self.decision.incarnation,
             rng=state.rng,
             on_first_event=on_first_event,
+            partial_events=state.engines.partial_events,
         )
         return attempt
 
--- a/toucanrudder/filters/resume.py
+++ b/toucanrudder/filters/resume.py
@@ -62,6 +62,7 @@
         incarnation="",
         rng=state.rng,
         on_first_event=lambda: None,
+        partial_events=state.engines.partial_events,
     )
 
 
--- a/toucanrudder/filters/tests/test_body_size.py
+++ b/toucanrudder/filters/tests/test_body_size.py
@@ -7,6 +7,7 @@
 import pytest
 
 from toucanrudder.filters import body_size
+from toucanrudder.http1 import json_text
 
 TEXTS = {
     "plain": {"prompt": "x" * 1_000_000},
@@ -77,6 +78,6 @@
     rng = random.Random(seed)
     value = [_random_value(rng, 4) for _ in range(3_000)]
     text = json.dumps(value).encode()
-    assert _count(value) <= body_size.count_values(text) + 1
+    assert _count(value) <= json_text.count_values(text) + 1
     plain = json.dumps(value, ensure_ascii=False).encode()
-    assert body_size.count_values(plain) == body_size.count_values(text)
+    assert json_text.count_values(plain) == json_text.count_values(text)
--- a/toucanrudder/forwarding/attempts/attempt.py
+++ b/toucanrudder/forwarding/attempts/attempt.py
@@ -517,7 +517,7 @@
     async def _drain_body(self, connection) -> None:
         try:
             async with stalls.timeout(DRAIN_TIMEOUT_S):
-                await relaying.BodyReader(connection.next_event).read()
+                await relaying.drop_body(connection.next_event)
         except (
             client.ExchangeError,
             relaying.AttemptFailed,
@@ -559,13 +559,14 @@
                 self._record_prompt_read(upstream, tracked.prefill_tokens)
                 tracked.prefill_done()
 
-        reader = relaying.EventReader(connection.next_event)
-        await relaying.relay_stream(
-            self.execution,
-            head,
-            lambda: self._next_stream_events(connection, reader),
-            record_prompt_read,
-        )
+        with self.state.partial_events.reading() as partial:
+            reader = relaying.EventReader(connection.next_event, partial)
+            await relaying.relay_stream(
+                self.execution,
+                head,
+                lambda: self._next_stream_events(connection, reader),
+                record_prompt_read,
+            )
         self.costs.record_stream_end()
 
     def _record_prompt_read(
--- a/toucanrudder/forwarding/attempts/relaying.py
+++ b/toucanrudder/forwarding/attempts/relaying.py
@@ -8,6 +8,7 @@
 
 from toucanrudder.forwarding import events
 from toucanrudder.forwarding.attempts import retry_policy
+from toucanrudder.http1 import answer_room
 from toucanrudder.http1 import client
 from toucanrudder.http1 import message
 
@@ -68,6 +69,26 @@
         return bytes(self._body)
 
 
+async def drop_body(next_event: NextEvent) -> None:
+    """Read the rest of an answer of no interest, and keep nothing of it.
+
+    Parameters
+    ----------
+    next_event : callable
+        Returns the next part of the answer.
+
+    Raises
+    ------
+    AttemptFailed
+        It is too large.
+    """
+    dropped_bytes = 0
+    while not isinstance(event := await next_event(), client.End):
+        dropped_bytes += len(event.content)
+        if dropped_bytes > MAX_BUFFERED_BYTES:
+            raise AttemptFailed(retry_policy.FailureKind.CROSSED)
+
+
 def buffer_bytes(head: message.AnswerHead) -> int:
     """Return how much memory an answer needs until it is complete."""
     length = message.number(head, b"content-length")
@@ -84,9 +105,12 @@
     ----------
     next_event : callable
         Returns the next part of the answer.
+    partial : answer_room.PartialAnswer
+        Holds room for the event that is being received.
     """
 
     next_event: NextEvent
+    partial: answer_room.PartialAnswer
     _splitter: events.EventSplitter = attrs.field(factory=events.EventSplitter)
 
     async def read(self) -> list[bytes]:
@@ -106,6 +130,7 @@
                 break
             try:
                 complete_events = self._splitter.feed(event.content)
+                self.partial.hold(len(self._splitter.rest))
             except ValueError:
                 raise AttemptFailed(retry_policy.FailureKind.CROSSED) from None
         return complete_events
--- a/toucanrudder/forwarding/handover/handing.py
+++ b/toucanrudder/forwarding/handover/handing.py
@@ -198,15 +198,16 @@
         try:
             head = await self._next_event(exchange)
             if head.status < 300 and self.execution.route.is_stream:
-                reader = relaying.EventReader(
-                    lambda: self._next_event(exchange)
-                )
-                await relaying.relay_stream(
-                    self.execution,
-                    head,
-                    reader.read,
-                    lambda: self._claim_stream(exchange),
-                )
+                with self.state.partial_events.reading() as partial:
+                    reader = relaying.EventReader(
+                        lambda: self._next_event(exchange), partial
+                    )
+                    await relaying.relay_stream(
+                        self.execution,
+                        head,
+                        reader.read,
+                        lambda: self._claim_stream(exchange),
+                    )
                 return
             room = self.state.account.answer_room(relaying.buffer_bytes(head))
             async with room:
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -16,6 +16,7 @@
 from toucanrudder.admission import rests
 from toucanrudder.costs import request_costs
 from toucanrudder.forwarding import cache as caches
+from toucanrudder.forwarding import events
 from toucanrudder.forwarding import generations
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import placing
@@ -39,6 +40,7 @@
 from toucanrudder.forwarding.streams import origins
 from toucanrudder.forwarding.streams import resuming
 from toucanrudder.http1 import account as accounts
+from toucanrudder.http1 import answer_room
 from toucanrudder.http1 import pool as pools
 from toucanrudder.membership import fleet_size
 from toucanrudder.membership import routers
@@ -57,6 +59,9 @@
 #: most requests have ended by then.
 PEER_LOADS_KEPT_S = 1.5
 
+#: What the unfinished events of all streams may occupy together.
+MAX_PARTIAL_EVENTS_BYTES = 8_388_608
+
 
 async def _no_news() -> None:
     """Wait for no peer; used until the calls to peers are set."""
@@ -123,6 +128,8 @@
         Monotonic time at which this process started.
     account : accounts.Account
         What callers occupy of the instance's memory.
+    partial_events : answer_room.AnswerRoom
+        Room for the unfinished events of all streams.
     """
 
     name: str
@@ -196,6 +203,11 @@
     )
     asked_rests: rests.Rests = attrs.field(factory=rests.Rests)
     account: accounts.Account = attrs.field(factory=accounts.unbounded)
+    partial_events: answer_room.AnswerRoom = attrs.field(
+        factory=lambda: answer_room.AnswerRoom(
+            events.MAX_EVENT_BYTES, MAX_PARTIAL_EVENTS_BYTES
+        )
+    )
     tell_limits: Callable[[], object] = lambda: None
     tell_weights: Callable[[], object] = lambda: None
     tell_leaving: Callable[[str], object] = lambda incarnation: None
--- a/toucanrudder/http1/calls.py
+++ b/toucanrudder/http1/calls.py
@@ -10,6 +10,7 @@
 import orjson
 
 from toucanrudder import stalls
+from toucanrudder.http1 import answer_room
 from toucanrudder.http1 import client
 from toucanrudder.http1 import json_text
 from toucanrudder.http1 import message
@@ -17,9 +18,6 @@
 
 LOG = logging.getLogger(__name__)
 
-#: Largest response body that is buffered; a page of a list is at most 1 MB.
-MAX_ANSWER_BYTES = 8_388_608
-
 #: Longest part of a call's time in which a connection is opened, so that a
 #: peer that is not reached is told apart from one that does not answer.
 CONNECT_SHARE = 0.75
@@ -122,6 +120,7 @@
         head,
         content,
         foreign_header,
+        connections.answers,
     )
     async with stalls.timeout(timeout_s):
         try:
@@ -184,6 +183,7 @@
     head: message.RequestHead,
     content: bytes,
     foreign_header: bytes | None,
+    room: answer_room.AnswerRoom,
 ) -> Answer:
     async with open_connection() as connection:
         connection.send(head, content)
@@ -191,14 +191,19 @@
         if foreign_header is not None and answer.get(foreign_header):
             raise MismatchedAnswer("the response belongs to another request")
         connection.keep_for_s = pool.keep_for_s(answer.headers)
-        received = await _read_body(connection)
-    return Answer(answer.status, json_text.parse(received), answer.headers)
-
-
-async def _read_body(connection: client.UpstreamConnection) -> bytes:
-    received = bytearray()
-    while not isinstance(event := await connection.next_event(), client.End):
-        received += event.content
-        if len(received) > MAX_ANSWER_BYTES:
-            raise json_text.Unreadable("the response body is too large")
-    return bytes(received)
+        body = await _read_body(connection, answer, room)
+    return Answer(answer.status, body, answer.headers)
+
+
+async def _read_body(
+    connection: client.UpstreamConnection,
+    answer: message.AnswerHead,
+    room: answer_room.AnswerRoom,
+) -> object:
+    with room.reading() as partial:
+        partial.expect(message.number(answer, b"content-length"))
+        while not isinstance(
+            event := await connection.next_event(), client.End
+        ):
+            partial.add(event.content)
+        return partial.parse()
--- a/toucanrudder/http1/json_text.py
+++ b/toucanrudder/http1/json_text.py
@@ -21,6 +21,12 @@
 MAX_INTEGER = 2**63
 MAX_INTEGER_CHARACTERS = len(str(-MAX_INTEGER))
 
+#: Marks of which each value outside of strings has one before it.
+_MARKS = b",:[{"
+
+#: Length of the pieces that are looked at one by one.
+_PIECE_BYTES = 65_536
+
 _BRACKETS_AND_STRINGS = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
 
 
@@ -80,6 +86,25 @@
         return orjson.dumps(_without_deep_items(value, MAX_NESTING))
 
 
+def count_values(text: bytes) -> int:
+    """Return how many values a JSON text has, or a few more.
+
+    Examples
+    --------
+    >>> count_values(b'{"a": [1, {}, "x, y: \\\\"[z"]}')
+    6
+    """
+    if b"\\" in text:
+        text = text.replace(b"\\\\", b"").replace(b'\\"', b"")
+    count, is_string = 0, False
+    for start in range(0, len(text), _PIECE_BYTES):
+        parts = text[start : start + _PIECE_BYTES].split(b'"')
+        outside = b"".join(parts[is_string::2])
+        count += len(outside) - len(outside.translate(None, _MARKS))
+        is_string ^= len(parts) % 2 == 0
+    return count
+
+
 def _parse_integer(digits: str) -> int | float:
     if len(digits) <= MAX_INTEGER_CHARACTERS:
         value = int(digits)
--- a/toucanrudder/http1/pool.py
+++ b/toucanrudder/http1/pool.py
@@ -6,6 +6,7 @@
 import contextlib
 import re
 
+from toucanrudder.http1 import answer_room
 from toucanrudder.http1 import client
 from toucanrudder.http1 import message
 
@@ -21,6 +22,11 @@
 #: few round trips between availability zones.
 MIN_TELLING_TIMEOUT_S = 0.1
 
+#: Largest answer to a call that a router makes itself, and what all of them
+#: may occupy while they are read; a page of a list is at most 1 MB.
+MAX_ANSWER_BYTES = 8_388_608
+MAX_ANSWERS_BYTES = 16_777_216
+
 #: Idle connections per address.
 MAX_IDLE_CONNECTIONS = 32
 
@@ -64,6 +70,8 @@
     on_connect : callable
         Given an address, whether a new connection to it could be opened,
         and the monotonic time.
+    answers : answer_room.AnswerRoom
+        Room for answers to calls that the router makes itself.
     """
 
     def __init__(self, connect=client.connect):
@@ -72,6 +80,9 @@
         self._idle: dict[str, list[client.UpstreamConnection]] = {}
         self._in_use: dict[str, set[client.UpstreamConnection]] = {}
         self.opened = 0
+        self.answers = answer_room.AnswerRoom(
+            MAX_ANSWER_BYTES, MAX_ANSWERS_BYTES
+        )
 
     def is_connected(self, address: str) -> bool:
         """Return whether any connection to an address is still open."""
--- a/toucanrudder/http1/tests/test_calls.py
+++ b/toucanrudder/http1/tests/test_calls.py
@@ -7,6 +7,7 @@
 import orjson
 import pytest
 
+from toucanrudder.http1 import answer_room
 from toucanrudder.http1 import calls
 from toucanrudder.http1 import json_text
 from toucanrudder.http1 import pool
@@ -83,3 +84,44 @@
         else:
             assert (await call).status == 200
     assert len(heads) == expected_requests
+
+
+async def test_many_answers_without_end_leave_room_for_a_sound_one():
+    """Guards against many answers of which each stays below its bound."""
+    connections = pool.ConnectionPool()
+    connections.answers = answer_room.AnswerRoom(100_000, 300_000)
+
+    async def serve(reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        if b" /sound " in head:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+        else:
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + b" " * 90_000)
+        await reader.read()
+
+    async with servers.running(serve) as address:
+
+        def call(path, timeout_s):
+            return calls.try_call(
+                connections,
+                address,
+                b"GET",
+                path,
+                timeout_s=timeout_s,
+                connect_timeout_s=5,
+                clock=asyncio.get_running_loop().time,
+            )
+
+        crowd = [
+            asyncio.ensure_future(call("/endless", 60)) for _ in range(20)
+        ]
+        async with asyncio.timeout(5):
+            while sum(each.done() for each in crowd) < 16:
+                await asyncio.sleep(0.01)
+        assert connections.answers.held_bytes <= 300_000
+        answer = await call("/sound", 5)
+        assert (answer.status, answer.body) == (200, {})
+        for each in crowd:
+            each.cancel()
+        await asyncio.wait(crowd)
+    assert connections.answers.held_bytes == 0
--- a/toucanrudder/platform/tests/test_endless_bytes.py
+++ b/toucanrudder/platform/tests/test_endless_bytes.py
@@ -5,6 +5,7 @@
 import pytest
 
 from toucanrudder.forwarding.attempts import retry_policy
+from toucanrudder.http1 import answer_room
 from toucanrudder.platform.testing import cluster as clusters
 from toucanrudder.platform.testing import standins
 
@@ -169,3 +170,35 @@
     upstream = router.state.registry.get(engine.incarnation)
     async with asyncio.timeout(CLOSE_S):
         assert await router.state.fetch_engine_report(upstream) is None
+
+
+async def test_events_without_end_of_all_streams_share_one_bound(cluster):
+    """Guards against many events of which each stays below its bound."""
+
+    async def sends_no_end(upstream, run, answer):
+        upstream.runs.append(run)
+        await answer.start(200, upstream.answer_headers(run))
+        await answer.write(standins.event(1) + b"x" * 90_000)
+        await asyncio.Event().wait()
+
+    engines = [await cluster.engine() for _ in range(2)]
+    for each in engines:
+        each.behaviours = [sends_no_end] * 6
+    router = await cluster.router()
+    room = answer_room.AnswerRoom(1_000_000, 300_000)
+    router.state.partial_events = room
+    held = []
+    hold = answer_room.PartialAnswer.hold
+
+    def record(partial, size_bytes):
+        hold(partial, size_bytes)
+        held.append(room.held_bytes)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(answer_room.PartialAnswer, "hold", record)
+        answers = await asyncio.gather(
+            *(clusters.send_request(router, b"/s/x") for _ in range(12))
+        )
+    assert any(each.body == clusters.EVENTS for each in answers)
+    assert 0 < max(held) <= 300_000
+    await clusters.wait_until(lambda: room.held_bytes == 0)
--- a/toucanrudder/relay/attempt.py
+++ b/toucanrudder/relay/attempt.py
@@ -12,6 +12,8 @@
 
 from toucanrudder import stalls
 from toucanrudder.document import model
+from toucanrudder.http1 import answer_room
+from toucanrudder.http1 import json_text
 from toucanrudder.relay import sequencer
 from toucanrudder.relay import sinks
 from toucanrudder.upstreams import engine
@@ -104,6 +106,8 @@
         Source of backoff jitter.
     on_first_event : callable
         Called without arguments when the first event arrives.
+    partial_events : answer_room.AnswerRoom
+        Room for the unfinished events of all attempts.
     """
 
     client: engine.EngineClient
@@ -115,6 +119,11 @@
     incarnation: str
     rng: random.Random
     on_first_event: Callable[[], None]
+    partial_events: answer_room.AnswerRoom = attrs.field(
+        factory=lambda: answer_room.AnswerRoom(
+            engine.MAX_PARTIAL_EVENTS_BYTES, engine.MAX_PARTIAL_EVENTS_BYTES
+        )
+    )
     answered_by: str = ""
     may_hold_stream: bool = False
     _reconnects_without_event: int = 0
@@ -217,14 +226,17 @@
 
     async def _relay_events(self, content: aiohttp.StreamReader) -> None:
         self.sequencer.reset_connection()
-        while not self.sequencer.done:
-            events = await self._next_events(content)
-            if events:
-                self._record_progress()
-                await self.sink.write(events)
-            self._check_sequence()
-
-    async def _next_events(self, content: aiohttp.StreamReader) -> bytes:
+        with self.partial_events.reading() as partial:
+            while not self.sequencer.done:
+                events = await self._next_events(content, partial)
+                if events:
+                    self._record_progress()
+                    await self.sink.write(events)
+                self._check_sequence()
+
+    async def _next_events(
+        self, content: aiohttp.StreamReader, partial: answer_room.PartialAnswer
+    ) -> bytes:
         """Return the next new events; none if the sequence is broken.
 
         Only complete new events end a silence: an engine in trouble may
@@ -236,24 +248,38 @@
         try:
             # Data that is already buffered is read without starting a timer.
             chunk = content.read_nowait()
-            events = self.sequencer.feed(chunk) if chunk else b""
+            events = self._feed(chunk, partial) if chunk else b""
             if events:
                 return events
             async with stalls.timeout(self.limits.silence_s(self._has_events)):
                 while not events and not self.sequencer.is_broken:
-                    events = await self._feed_next(content)
+                    events = await self._feed_next(content, partial)
                 return events
         except TimeoutError as error:
             raise _ConnectionLost(failures.NO_PROGRESS_IN_TIME) from error
         except (aiohttp.ClientError, OSError) as error:
             raise _ConnectionLost(repr(error)) from error
 
-    async def _feed_next(self, content: aiohttp.StreamReader) -> bytes:
+    async def _feed_next(
+        self, content: aiohttp.StreamReader, partial: answer_room.PartialAnswer
+    ) -> bytes:
         chunk = await content.readany()
         if not chunk:
             # Closed before [DONE], so the answer is incomplete.
             raise _ConnectionLost("connection closed before [DONE]")
-        return self.sequencer.feed(chunk)
+        return self._feed(chunk, partial)
+
+    def _feed(self, chunk: bytes, partial: answer_room.PartialAnswer) -> bytes:
+        events = self.sequencer.feed(chunk)
+        try:
+            partial.hold(self.sequencer.partial_bytes)
+        except json_text.Unreadable as error:
+            # Events that are complete count as relayed, so they go first.
+            if not events:
+                raise failures.UpstreamFailure(
+                    failures.Kind.ERROR, self.upstream.name, str(error)
+                ) from error
+        return events
 
     def _check_sequence(self) -> None:
         try:
--- a/toucanrudder/relay/sequencer.py
+++ b/toucanrudder/relay/sequencer.py
@@ -46,6 +46,11 @@
         self._partial = b""
         self._error: Exception | None = None
 
+    @property
+    def partial_bytes(self) -> int:
+        """Length of the event that is being received."""
+        return len(self._partial)
+
     def reset_connection(self) -> None:
         """Discard the partial event and error of a broken connection."""
         self._partial = b""
--- a/toucanrudder/relay/tests/test_attempts.py
+++ b/toucanrudder/relay/tests/test_attempts.py
@@ -8,6 +8,7 @@
 from toucanrudder import relay
 from toucanrudder.document import model
 from toucanrudder.errors import codes
+from toucanrudder.http1 import answer_room
 from toucanrudder.relay import attempt as attempts
 from toucanrudder.relay import sinks
 from toucanrudder.upstreams import engine
@@ -40,7 +41,7 @@
         return failures.UpstreamFailure(kind, UPSTREAM.name, "reset")
 
 
-def make_attempt(client):
+def make_attempt(client, **options):
     deadline_s = asyncio.get_running_loop().time() + 10
     return attempts.Attempt(
         client=client,
@@ -52,6 +53,7 @@
         incarnation="",
         rng=random.Random(1),
         on_first_event=lambda: None,
+        **options,
     )
 
 
@@ -122,3 +124,19 @@
     async with asyncio.timeout(2 * attempts.MIN_SILENT_S):
         await attempt.run()
     assert attempt.client.opened == 2
+
+
+async def test_events_without_end_of_all_streams_share_one_bound():
+    """Guards against many events of which each stays below its bound."""
+    room = answer_room.AnswerRoom(1_000_000, 200_000)
+
+    def attempt():
+        client = EndlessClient(b"x" * 60_000, connections=99)
+        return make_attempt(client, partial_events=room)
+
+    async with asyncio.timeout(5):
+        ended = await asyncio.gather(
+            *(attempt().run() for _ in range(8)), return_exceptions=True
+        )
+    assert all(isinstance(each, failures.UpstreamFailure) for each in ended)
+    assert room.held_bytes == 0
--- a/toucanrudder/store/http.py
+++ b/toucanrudder/store/http.py
@@ -6,12 +6,17 @@
 
 import aiohttp
 
-from toucanrudder.http1 import json_text
+from toucanrudder.http1 import answer_room
 from toucanrudder.observability import metrics
 from toucanrudder.store import interface
+from toucanrudder.upstreams import call_answers
 
 WATCH_MARGIN_S = 2.0
 
+#: Largest answer, and what all of them may occupy while they are read.
+MAX_ANSWER_BYTES = 8_388_608
+MAX_ANSWERS_BYTES = 16_777_216
+
 _REJECTED = (
     http.HTTPStatus.TOO_MANY_REQUESTS,
     http.HTTPStatus.SERVICE_UNAVAILABLE,
@@ -71,6 +76,9 @@
         self._base = f"http://{address}/objects"
         self._session = session
         self._fresh_session = fresh_session
+        self._answers = answer_room.AnswerRoom(
+            MAX_ANSWER_BYTES, MAX_ANSWERS_BYTES
+        )
 
     def _url(self, kind: str, name: str = "") -> str:
         url = f"{self._base}/{urllib.parse.quote(kind, safe='')}"
@@ -103,8 +111,7 @@
                 middlewares=(_send_once,),
                 **options,
             ) as response:
-                content = await response.read()
-                return response.status, _decode(response.status, content)
+                return response.status, await self._body(response)
         except _NEVER_SENT as error:
             raise interface.StoreUnavailable(str(error)) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
@@ -113,6 +120,14 @@
                 f"{type(error).__name__}: {error}"
             ) from error
 
+    async def _body(self, response: aiohttp.ClientResponse) -> dict:
+        if response.status >= http.HTTPStatus.BAD_REQUEST:
+            return {}
+        body = await call_answers.read_json(response, self._answers)
+        if not isinstance(body, dict):
+            raise ValueError("response is not a JSON object")
+        return body
+
     async def _read(
         self, url: str, timeout_s: float, **options
     ) -> tuple[int, dict]:
@@ -249,15 +264,6 @@
         return _object(kind, body)
 
 
-def _decode(status: int, content: bytes) -> dict:
-    if status >= http.HTTPStatus.BAD_REQUEST or not content:
-        return {}
-    body = json_text.parse(content)
-    if not isinstance(body, dict):
-        raise ValueError("response is not a JSON object")
-    return body
-
-
 def _version(body: dict) -> int:
     version = body.get("version")
     if not isinstance(version, int):
--- a/toucanrudder/upstreams/engine.py
+++ b/toucanrudder/upstreams/engine.py
@@ -8,12 +8,16 @@
 
 from toucanrudder import stalls
 from toucanrudder.document import model
+from toucanrudder.http1 import answer_room
 from toucanrudder.upstreams import failures
 from toucanrudder.upstreams import sending
 
 #: Cancelling only saves the engine work; no caller waits longer for it.
 CANCEL_TIMEOUT_S = 2.0
 
+#: What the unfinished events of all streams may occupy together.
+MAX_PARTIAL_EVENTS_BYTES = 8_388_608
+
 #: Most bytes of a rejection's body that are passed to the caller.
 MAX_ERROR_BYTES = 16_384
 
@@ -66,6 +70,11 @@
         Timeout of opening a connection.
     headers_timeout_s : float
         Timeout of receiving the response headers.
+
+    Attributes
+    ----------
+    partial_events : answer_room.AnswerRoom
+        Room for the unfinished events of all streams.
     """
 
     def __init__(
@@ -78,6 +87,9 @@
         self._session = session
         self._fresh = fresh_session
         self._headers_timeout_s = headers_timeout_s
+        self.partial_events = answer_room.AnswerRoom(
+            MAX_PARTIAL_EVENTS_BYTES, MAX_PARTIAL_EVENTS_BYTES
+        )
         self._timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=connect_timeout_s
         )
