Keep the platform's package to its names, and its names to it

What reads lists leniently and encodes values lies in store now; the stand-in is told the field's name.

--- a/toucanrudder/filters/tests/test_early_answers.py
+++ b/toucanrudder/filters/tests/test_early_answers.py
@@ -8,6 +8,8 @@
 from toucanrudder.testing import early_answers
 from toucanrudder.testing import fleet as fleets
 
+IDENTITY = b"x-request-id"
+
 ROUTES = [
     {"method": "POST", "path_prefix": "/quotes", "repeatable": True},
     {"method": "POST", "path_prefix": "/bookings", "repeatable": False},
@@ -57,7 +59,7 @@
 async def test_caller_sees_that_an_answer_has_broken_off(name):
     """Guards against a part of an answer that callers take for all."""
     async with (
-        early_answers.running(early_answers.ENDS[name]) as address,
+        early_answers.running(early_answers.ENDS[name], IDENTITY) as address,
         routed_to(address) as fleet,
     ):
         for _ in range(3):
@@ -72,7 +74,7 @@
 
 async def test_caller_gets_an_answer_that_ends_with_its_connection():
     async with (
-        early_answers.running(early_answers.end_in_order) as address,
+        early_answers.running(early_answers.end_in_order, IDENTITY) as address,
         routed_to(address) as fleet,
     ):
         for path, key in (("/quotes", None), ("/bookings", "key-1")):
@@ -86,7 +88,7 @@
     """Guards against statuses that callers cannot understand."""
     async with (
         early_answers.running(
-            early_answers.end_in_order, status=status + b" Odd"
+            early_answers.end_in_order, IDENTITY, status=status + b" Odd"
         ) as address,
         routed_to(address) as fleet,
     ):
--- a/toucanrudder/platform/objects.py
+++ b/toucanrudder/platform/objects.py
@@ -5,7 +5,6 @@
 import orjson
 
 from toucanrudder.forwarding import model
-from toucanrudder.http1 import json_text
 from toucanrudder.platform import records
 from toucanrudder.store import interface
 from toucanrudder.store import strange
@@ -17,9 +16,6 @@
 UPSTREAM_KIND = "servers"
 WEIGHTS_KIND = "versions"
 
-#: Field of a configuration with which requests need an API key.
-TENANTS_FIELD = "tenants"
-
 _REPETITIONS = {
     "safe": model.Repetition.IDEMPOTENT,
     "unsafe": model.Repetition.ONCE,
@@ -57,11 +53,10 @@
     if stored.name != CONFIGURATION_NAME:
         return None
     source = _object_path(stored)
-    configuration = read_configuration(stored.value, source)
-    try:
-        return model.Document(configuration, json_text.encode(stored.value))
-    except orjson.JSONEncodeError as error:
-        raise interface.MalformedObject(source, str(error)) from error
+    return model.Document(
+        read_configuration(stored.value, source),
+        strange.encode(stored.value, source),
+    )
 
 
 def _object_path(stored: interface.StoredObject) -> str:
@@ -93,14 +88,11 @@
             for store in services
             if store.kv_store_addr is not None
         ),
-        organisations=tuple(
-            strange.decode_valid(
-                lambda tenant: typed.read(model.Organisation, tenant, source),
-                record.tenants or (),
-            )
+        organisations=strange.read_valid(
+            model.Organisation, record.tenants or (), source
         ),
         limits=record.limits or model.CallerLimits(),
-        requires_keys=TENANTS_FIELD in value,
+        requires_keys="tenants" in value,
     )
 
 
--- a/toucanrudder/platform/records.py
+++ b/toucanrudder/platform/records.py
@@ -113,12 +113,6 @@
     born: int = attrs.field(default=0, validator=typed.NOT_NEGATIVE)
 
 
-def _valid_keys(value: object) -> frozenset[str]:
-    """Return the API keys of a list; whatever else is there is no key."""
-    keys = value if isinstance(value, list) else ()
-    return frozenset(key for key in keys if isinstance(key, str) and key)
-
-
 _MS = 0.001
 _MBPS = 1e6
 
@@ -133,7 +127,7 @@
 typed.set_wire_fields(
     model.Organisation,
     is_isolated=typed.wire_field("isolated"),
-    api_keys=typed.own_field(_valid_keys),
+    api_keys=typed.own_field(typed.texts_of),
 )
 typed.set_wire_fields(
     model.CallerLimits,
--- a/toucanrudder/platform/tests/test_answers_without_length.py
+++ b/toucanrudder/platform/tests/test_answers_without_length.py
@@ -141,7 +141,9 @@
 async def upload(cluster, end, status=b"200 OK"):
     """Send uploads to a service that answers so; return the answers."""
     sealed = b"Server-Seal: s\r\n"
-    async with early_answers.running(end, sealed, status) as address:
+    async with early_answers.running(
+        end, b"request-id", sealed, status
+    ) as address:
         await cluster.register(EarlyServer(address))
         limits = {"max_body_bytes": len(early_answers.UPLOAD)}
         cluster.store.put(
--- a/toucanrudder/store/strange.py
+++ b/toucanrudder/store/strange.py
@@ -7,8 +7,10 @@
 
 import cachetools
 
+from toucanrudder.http1 import json_text
 from toucanrudder.observability import metrics
 from toucanrudder.store import interface
+from toucanrudder.store import typed
 
 LOG = logging.getLogger(__name__)
 
@@ -46,6 +48,29 @@
         return None
 
 
+def encode(value: object, source: str) -> bytes:
+    """Return a parsed value as strict JSON.
+
+    Raises
+    ------
+    MalformedObject
+        It holds what JSON cannot.
+    """
+    try:
+        return json_text.encode(value)
+    except TypeError as error:
+        raise interface.MalformedObject(source, str(error)) from error
+
+
+def read_valid(
+    record_type: type[Read], items: Iterable[object], source: str
+) -> tuple[Read, ...]:
+    """Return the items as records, without the malformed ones."""
+    return tuple(
+        decode_valid(lambda item: typed.read(record_type, item, source), items)
+    )
+
+
 def decode_valid(
     decode: Callable[[object], Read], items: Iterable[object]
 ) -> list[Read]:
--- a/toucanrudder/store/typed.py
+++ b/toucanrudder/store/typed.py
@@ -113,6 +113,18 @@
     return gen.override(struct_hook=lambda value, _: read_value(value))
 
 
+def texts_of(value: object) -> frozenset[str]:
+    """Return the texts of a list that are not empty; all else is left out.
+
+    Examples
+    --------
+    >>> texts_of(["a", "", None, 7]), texts_of(None)
+    (frozenset({'a'}), frozenset())
+    """
+    items = value if isinstance(value, list) else ()
+    return frozenset(item for item in items if item and type(item) is str)
+
+
 def _record_hook(record_type: type, converter: cattrs.Converter) -> Callable:
     """Return a structure hook that accepts only a dict for the record.
 
--- a/toucanrudder/testing/early_answers.py
+++ b/toucanrudder/testing/early_answers.py
@@ -17,7 +17,10 @@
 
 @contextlib.asynccontextmanager
 async def running(
-    end: Callable, fields: bytes = b"", status: bytes = b"200 OK"
+    end: Callable,
+    identity: bytes,
+    fields: bytes = b"",
+    status: bytes = b"200 OK",
 ) -> AsyncIterator[str]:
     """Run an upstream; yield its address.
 
@@ -25,6 +28,8 @@
     ----------
     end : callable
         One of `ENDS`: ends the answer.
+    identity : bytes
+        Lower-case name of the header field that an answer repeats.
     fields : bytes
         Lines of header fields of each answer.
     status : bytes
@@ -35,7 +40,11 @@
         with contextlib.suppress(ConnectionError, EOFError):
             head = await reader.readuntil(b"\r\n\r\n")
             writer.write(
-                b"HTTP/1.1 " + status + b"\r\n" + _echo(head) + fields
+                b"HTTP/1.1 "
+                + status
+                + b"\r\n"
+                + _echo(head, identity + b":")
+                + fields
             )
             writer.write(b"\r\n" + PART)
             await end(reader, writer, head)
@@ -45,12 +54,12 @@
         yield address
 
 
-def _echo(head: bytes) -> bytes:
-    """Return the identity of a request as a line of its answer."""
-    for line in head.split(b"\r\n"):
-        if line.lower().startswith((b"request-id:", b"x-request-id:")):
-            return line + b"\r\n"
-    return b""
+def _echo(head: bytes, name: bytes) -> bytes:
+    """Return a field of a request's head as a line of its answer."""
+    lines = head.split(b"\r\n")
+    return b"".join(
+        line + b"\r\n" for line in lines if line.lower().startswith(name)
+    )
 
 
 async def _reset(writer) -> None:
