Take late requests in a stop only if their time limit fits

Cause: what is no stream was taken if six latency objectives were left until the end, whatever its route's timeout or its caller's deadline allowed. What was open at the end got no answer at all.

Change: three seconds after SIGTERM each request needs its whole time limit, as streams did. What is open at the end is answered with 504, or refused as not run if no upstream was sent it.

--- a/toucanrudder/forwarding/daemon.py
+++ b/toucanrudder/forwarding/daemon.py
@@ -482,6 +482,7 @@
             if not self.request_listener.busy and not self.receiver.taken:
                 return
         LOG.warning("requests are still open at the end of the grace period")
+        await self.state.stop_limits.end_all()
 
 
 def _host_port(address: str) -> tuple[str, int]:
--- a/toucanrudder/forwarding/forwarder.py
+++ b/toucanrudder/forwarding/forwarder.py
@@ -9,71 +9,20 @@
 
 from toucanrudder import clock
 from toucanrudder import errors
+from toucanrudder import stops
 from toucanrudder.forwarding import capping
 from toucanrudder.forwarding import dialect as dialects
 from toucanrudder.forwarding import execution as executions
+from toucanrudder.forwarding import late_requests
 from toucanrudder.forwarding import model
 from toucanrudder.forwarding import routing
 from toucanrudder.forwarding import state as states
 from toucanrudder.forwarding import waiting
-from toucanrudder.forwarding.attempts import retry_policy
 from toucanrudder.http1 import message
 from toucanrudder.http1 import server
 from toucanrudder.observability import decisions
 from toucanrudder.observability import metrics
 
-#: Remaining time until the end of a planned stop, as a multiple of a
-#: route's latency objective, for a request to be accepted: under overload
-#: of the engines, the 99th percentile is five objectives.
-DRAIN_OBJECTIVES = 6.0
-
-#: Seconds from the start of a planned stop within which streams are
-#: accepted that may outlast it.  The load balancer needs this long to stop
-#: sending; later requests arrive only on connections that stay open.
-DRAIN_LONG_STREAMS_S = 3.0
-
-
-def finishes_before_stop(
-    route: model.Route,
-    wait_s: float | None,
-    *,
-    stopping_for_s: float,
-    remaining_s: float,
-) -> bool:
-    """Return whether an answer will be complete before a planned stop.
-
-    A long stream that is accepted late in a planned stop would be cut when
-    the process ends, and might not be repeatable.  Its duration depends on
-    the engine, so once the load balancer has stopped sending, a stream is
-    accepted only if its whole time limit fits.  Others are refused as not
-    run, and callers send them to another router.
-
-    Parameters
-    ----------
-    route : model.Route
-        The request's route.
-    wait_s : float or None
-        How long its caller will wait.
-    stopping_for_s, remaining_s : float
-        Time since the start of the stop, and until its end.
-
-    Examples
-    --------
-    >>> stream = model.Route("r", "h", "/", (), is_stream=True,
-    ...     timeout_s=12.0, objective_s=0.4)
-    >>> finishes_before_stop(stream, None, stopping_for_s=1.0, remaining_s=6.6)
-    True
-    >>> finishes_before_stop(stream, None, stopping_for_s=4.7, remaining_s=2.9)
-    False
-    """
-    needs_s = DRAIN_OBJECTIVES * route.objective_s
-    if route.is_stream and stopping_for_s > DRAIN_LONG_STREAMS_S:
-        longest_s = route.timeout_s
-        if wait_s is not None:
-            longest_s = min(longest_s, wait_s)
-        needs_s = max(needs_s, longest_s)
-    return needs_s <= remaining_s
-
 
 class Forwarder:
     """Handles callers' requests.
@@ -116,7 +65,10 @@
         summary = _RequestSummary()
         self.state.open_requests += 1
         try:
-            await self._handle(request, answer, summary)
+            async with self.state.stop_limits.limited(
+                lambda: stops.cut_off_error(summary.possible_runs())
+            ):
+                await self._handle(request, answer, summary)
         except errors.RudderError as error:
             after_s = clock.now_s() - request.began_s
             await self._refuse(answer, error, summary, after_s)
@@ -170,6 +122,7 @@
             else routing.pick_service(route, self.state.rng)
         )
         summary.attempt_count = lambda: execution.attempt_count
+        summary.possible_runs = execution.possible_runs
         admitted = self.gate.admitted(
             route_match.organisation,
             call.prompt,
@@ -184,27 +137,22 @@
     def _refuse_if_cut_by_stop(
         self, route: model.Route, call: model.Call
     ) -> None:
-        """Refuse a request that would be cut at the end of a planned stop.
+        """Refuse a request that may be cut at the end of a planned stop.
 
         A caller that keeps its connection open is served as long as the
-        answer can be complete by then.  Later it is told at once to use
-        another router, instead of losing a request in progress.
+        answer is complete by then.  Later it is told at once to use another
+        router, instead of losing a request in progress.
         """
         if not self.state.stopping:
             return
         now_s = clock.now_s()
-        if not finishes_before_stop(
+        if not late_requests.finishes_before_stop(
             route,
             call.wait_s,
             stopping_for_s=now_s - self.state.stopping_since_s,
             remaining_s=self.state.stop_at_s - now_s,
         ):
-            raise errors.RudderError(
-                errors.Code.STOPPING,
-                "this router is stopping",
-                step=retry_policy.STEP,
-                retry_after_s=0.0,
-            )
+            raise stops.stopping_error()
 
     async def _refuse(
         self,
@@ -245,3 +193,4 @@
     kind: str = "unknown"
     generation: int = 0
     attempt_count: Callable[[], int] = lambda: 0
+    possible_runs: Callable[[], int] = lambda: 0
--- a/toucanrudder/forwarding/handover/taking.py
+++ b/toucanrudder/forwarding/handover/taking.py
@@ -9,6 +9,7 @@
 from toucanrudder import clock
 from toucanrudder import errors
 from toucanrudder import stalls
+from toucanrudder import stops
 from toucanrudder.forwarding import dialect as dialects
 from toucanrudder.forwarding import execution as executions
 from toucanrudder.forwarding import model
@@ -148,8 +149,11 @@
             execution = await self._execution(handed, answer, began_s, offer)
             exchange.possible_runs = execution.possible_runs
             answer.software_version = execution.software_version
+            limited = self.state.stop_limits.limited(
+                lambda: stops.cut_off_error(execution.possible_runs())
+            )
             with execution.screened():
-                async with exchange.shown_working():
+                async with exchange.shown_working(), limited:
                     await execution.run()
         except errors.RudderError as error:
             refusal = error.code.value
--- a/toucanrudder/forwarding/state.py
+++ b/toucanrudder/forwarding/state.py
@@ -13,6 +13,7 @@
 from toucanrudder import clock
 from toucanrudder import errors
 from toucanrudder import stalls
+from toucanrudder import stops
 from toucanrudder.admission import rests
 from toucanrudder.costs import request_costs
 from toucanrudder.forwarding import cache as caches
@@ -234,6 +235,7 @@
     stopping: bool = False
     stopping_since_s: float = float("inf")
     stop_at_s: float = float("inf")
+    stop_limits: stops.StopLimits = attrs.field(factory=stops.StopLimits)
     open_requests: int = 0
     _has_known_all: bool = False
     _table: routing.RoutingTable | None = None
