Refuse what may outlast a stop at the own interface as well

Cause: requests were taken until the very end of stop_timeout_s, and cut if the service manager waited no longer than it was told to.

Change: after drain_s a call needs its service's time limit, or a model request the deadline of its first token; the rest is refused as not run. What is open at the end is answered with 504 unless its answer has begun.

--- a/toucanrudder/router/application.py
+++ b/toucanrudder/router/application.py
@@ -21,6 +21,7 @@
 from toucanrudder.filters import rate_limit
 from toucanrudder.filters import resume
 from toucanrudder.filters import service
+from toucanrudder.filters import stop
 from toucanrudder.router import state as states
 
 #: Default bounds of aiohttp on the head of a request.
@@ -29,6 +30,7 @@
 
 MODEL_FILTERS = (
     guard.guard,
+    stop.end_with_the_router,
     identify.identify,
     body.read_body,
     body.parse,
@@ -37,7 +39,12 @@
     admit.admit,
 )
 PLAIN_FILTERS = (guard.guard, identify.identify)
-SERVICE_FILTERS = (guard.guard, identify.identify, rate_limit.check_rate_limit)
+SERVICE_FILTERS = (
+    guard.guard,
+    stop.end_with_the_router,
+    identify.identify,
+    rate_limit.check_rate_limit,
+)
 
 
 def _handler(
@@ -88,6 +95,7 @@
     app = web.Application(
         client_max_size=0, middlewares=[connections.track_request]
     )
+    app.on_response_prepare.append(stop.keep_begun_answer)
     run_model = handler(MODEL_FILTERS, dispatch.dispatch)
     app.router.add_post("/v1/chat/completions", run_model)
     app.router.add_post("/v1/completions", run_model)
--- a/toucanrudder/router/daemon.py
+++ b/toucanrudder/router/daemon.py
@@ -13,6 +13,7 @@
 from oslo_config import cfg
 import uvloop
 
+from toucanrudder import clock
 from toucanrudder import settings
 from toucanrudder.admin import application as admin_application
 from toucanrudder.observability import logs
@@ -169,15 +170,18 @@
     """Wait until no request is open and no more are coming.
 
     The router first reports that it is not ready and asks callers to close
-    their connections, but still serves requests that arrive: a planned stop
-    must neither refuse nor cut a request.
+    their connections, but still serves requests that arrive, as long as their
+    answers begin before the end: a planned stop must cut no request.
     """
     LOG.info("stopping")
     state.stopping = True
     conf = state.conf.router
+    state.stopping_since_s = clock.now_s()
+    state.stop_at_s = state.stopping_since_s + conf.stop_timeout_s
     try:
         async with asyncio.timeout(conf.stop_timeout_s):
             await state.exchanges.wait_idle(conf.drain_s)
     except TimeoutError:
         LOG.warning("requests still open after stop_timeout_s")
+        await state.stop_limits.end_all()
     await state.claims.drain(conf.drain_s)
--- a/toucanrudder/router/state.py
+++ b/toucanrudder/router/state.py
@@ -21,6 +21,7 @@
 from toucanrudder import resources
 from toucanrudder import retries
 from toucanrudder import stalls
+from toucanrudder import stops
 from toucanrudder import store
 from toucanrudder.admission import rests
 from toucanrudder.controllers import configuration
@@ -121,6 +122,9 @@
     instances: instances.InstanceTable
     kv_transfers: kv_transfer.KVTransferController | None = None
     stopping: bool = False
+    stopping_since_s: float = float("inf")
+    stop_at_s: float = float("inf")
+    stop_limits: stops.StopLimits = attrs.field(factory=stops.StopLimits)
     exchange_soon: Callable[[], None] = lambda: None
     broadcast_urgent: Callable[[], Awaitable[None]] = _no_broadcast
     asked_rests: rests.Rests = attrs.field(factory=rests.Rests)
--- a/toucanrudder/router/tests/test_planned_stop.py
+++ b/toucanrudder/router/tests/test_planned_stop.py
@@ -1,4 +1,5 @@
 import asyncio
+import signal
 
 import aiohttp
 import pytest
@@ -170,3 +171,63 @@
             await call
         await book(fleet, second.url, 7)
         assert len(await fleet.runs()) == 1
+
+
+#: Time for which the router waits for open requests, and what its service
+#: manager allows beyond.
+STOP_TIMEOUT_S = 4.0
+MANAGER_MARGIN_S = 0.5
+
+
+async def send_late(fleet, number, ends):
+    """Send a booking on a new connection; note how it ends."""
+    url = f"{fleet.routers[0].url}/services/desk/bookings"
+    headers = fleets.authorization() | {
+        "Idempotency-Key": f"late{number}",
+        "X-Request-Id": f"late{number}",
+        "Connection": "close",
+    }
+    try:
+        async with fleet.session.post(
+            url, data=b"x", headers=headers
+        ) as answer:
+            await answer.read()
+            ends[f"late{number}"] = answer.status
+    except aiohttp.ClientConnectorError:
+        ends[f"late{number}"] = "refused"
+    except aiohttp.ClientError:
+        ends[f"late{number}"] = "cut"
+
+
+@pytest.mark.parametrize("service_s", [0.8, 30.0])
+async def test_no_request_is_cut_at_the_end_of_a_stop(service_s):
+    """Guards against requests that are taken late and cut by the end."""
+    stopping = plan(routers=1, service_s=service_s)
+    stopping.settings["router"] |= {
+        "drain_s": 0.5,
+        "stop_timeout_s": STOP_TIMEOUT_S,
+    }
+    service = {"name": "desk", "routes": ROUTES, "timeout_s": 1.5}
+    if service_s > 1.5:
+        service["timeout_s"] = 60.0
+    stopping.document = {"services": [service]}
+    ends, tasks = {}, []
+    async with fleets.running(stopping) as fleet:
+        process = fleet.routers[0].process
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + STOP_TIMEOUT_S + MANAGER_MARGIN_S
+        process.signal(signal.SIGTERM)
+        while loop.time() < until_s:
+            number = len(tasks)
+            tasks.append(asyncio.ensure_future(send_late(fleet, number, ends)))
+            await asyncio.sleep(0.05)
+        await process.kill()
+        await asyncio.gather(*tasks)
+        runs = {
+            run["request_id"]
+            for run in (await fleet.journal("service-0"))["runs"]
+        }
+    assert runs
+    assert not {name for name in runs if ends[name] == "cut"}
+    # A refusal is a promise.
+    assert not {name for name in runs if ends[name] == 503}
