Take a reset connection for a sign of life

Cause: a call whose request had not been written yet counted as "not reached", also if its connection had been opened and reset. Seven of these in a row took the engine for out of reach, and that for the end of its run.

Change: "not reached" needs a connection that did not open, for another reason than a reset. All else is no answer, and proves no end.

--- a/toucanrudder/http1/calls.py
+++ b/toucanrudder/http1/calls.py
@@ -173,7 +173,7 @@
     if error.is_refused:
         # A process that is alive may refuse connections beyond a limit.
         return Failure.NO_ANSWER if is_connected else Failure.REFUSED
-    return Failure.NO_ANSWER if error.sent else Failure.NOT_REACHED
+    return Failure.NO_ANSWER if error.has_reached else Failure.NOT_REACHED
 
 
 async def _exchange(
--- a/toucanrudder/http1/client.py
+++ b/toucanrudder/http1/client.py
@@ -61,6 +61,17 @@
         """Whether nothing listens at the address."""
         return isinstance(self.__cause__, ConnectionRefusedError)
 
+    @property
+    def has_reached(self) -> bool:
+        """Whether something at the address took the connection, or reset it.
+
+        A process that takes no more connections opens them and resets them
+        at once, sometimes before they are seen as open.
+        """
+        if self.fault in (Fault.NOT_CONNECTED, Fault.CONNECT_TIMEOUT):
+            return isinstance(self.__cause__, ConnectionResetError)
+        return True
+
 
 @attrs.frozen
 class Data:
--- a/toucanrudder/http1/tests/test_call_failures.py
+++ b/toucanrudder/http1/tests/test_call_failures.py
@@ -33,6 +33,7 @@
 FAILURES = {
     "refused": (ConnectionRefusedError(), False, "refused"),
     "refused beyond a limit": (ConnectionRefusedError(), True, "no_answer"),
+    "reset while it opens": (ConnectionResetError(), False, "no_answer"),
     "no route": (OSError("no route to host"), False, "not_reached"),
     "timeout": (TimeoutError(), False, "not_reached"),
 }
@@ -60,3 +61,23 @@
         clock=time.monotonic,
     )
     assert (answer.status, answer.failure.value) == (0, failure)
+
+
+async def test_reset_of_an_opened_connection_proves_that_the_peer_lives():
+    """Guards against an engine out of reach because it resets connections."""
+
+    async def connect(address, timeout_s):
+        connection = client.UpstreamConnection(address)
+        connection._fail(client.Fault.RESET)
+        return connection
+
+    answer = await calls.try_call(
+        pool.ConnectionPool(connect),
+        ADDRESS,
+        b"GET",
+        "/x",
+        timeout_s=0.5,
+        connect_timeout_s=0.5,
+        clock=time.monotonic,
+    )
+    assert answer.failure is calls.Failure.NO_ANSWER
--- a/toucanrudder/platform/tests/test_broken_runs.py
+++ b/toucanrudder/platform/tests/test_broken_runs.py
@@ -1,12 +1,15 @@
 """Whole requests: runs that may exist only once, and whose answer breaks."""
 
 import asyncio
+import socket
 import time
 
 import pytest
 
 from toucanrudder.platform.testing import cluster as clusters
 from toucanrudder.platform.testing import standins
+from toucanrudder.testing import resets
+from toucanrudder.testing import servers
 
 #: Longest time of a stream whose engine was gone: without a pause of note.
 AT_ONCE_S = standins.COPY_AFTER_S + 0.4
@@ -190,3 +193,29 @@
     answer = await clusters.send_request(router, b"/once/x")
     assert answer.is_whole is is_whole
     assert run_count(engines) == 1 + is_whole
+
+
+async def test_run_is_not_continued_while_its_engine_resets_connections(
+    cluster,
+):
+    """Guards against a reset connection that counts as none."""
+
+    async def resets_all_and_works_on(upstream, run, answer):
+        await standins.begins_with_copy(upstream, run, answer)
+        upstream.crash()
+        host, port = upstream.address.rsplit(":", 1)
+        listening = socket.create_server((host, int(port)))
+        await cluster.stack.enter_async_context(
+            servers.running(resets_at_once, listening=listening)
+        )
+        await asyncio.Event().wait()
+
+    async def resets_at_once(reader, writer):
+        resets.reset_on_close(writer.get_extra_info("socket"))
+        writer.transport.abort()
+
+    engines = await start_engines(cluster, resets_all_and_works_on)
+    router = await cluster.router()
+    answer = await clusters.send_request(router, b"/once/x")
+    assert not answer.is_whole
+    assert run_count(engines) == 1
