State that the virtual fleets without tenants ask for no key

Their configuration is derived from one with organisations, and kept that it requires keys: 22 tests of whole virtual fleets got 401 in place of answers.

--- a/toucanrudder/testing/virtual/traffic.py
+++ b/toucanrudder/testing/virtual/traffic.py
@@ -49,6 +49,7 @@
     sites.CONFIGURED,
     routes=_routes(timeout_s=1.7, objective_s=0.16),
     organisations=(),
+    requires_keys=False,
     services={
         **sites.CONFIGURED.services,
         **{service: model.Service(service) for service in SERVICES},
