Refuse configurations with keys that nobody asks for

The virtual fleets without organisations state that they ask for no key. The test of the waiting line put two organisations into that configuration, which kept the statement: all requests counted as one caller's, and seven tests of test_waiting_load.py failed. The test states that keys are asked for, and a configuration that holds keys and asks for none is an error, so that the next such mistake is seen where it is made.

--- a/toucanrudder/forwarding/model.py
+++ b/toucanrudder/forwarding/model.py
@@ -213,6 +213,11 @@
         )
     )
 
+    @requires_keys.validator
+    def _check_keys(self, attribute, value):
+        if self.organisations and not value:
+            raise ValueError("organisations have keys that nobody asks for")
+
     @property
     def api_keys(self) -> int:
         """Number of API keys that are valid."""
--- a/toucanrudder/forwarding/tests/test_waiting_load.py
+++ b/toucanrudder/forwarding/tests/test_waiting_load.py
@@ -48,6 +48,7 @@
         model.Organisation(name, frozenset({f"key-of-{name}"}))
         for name in ("small", "large")
     ),
+    requires_keys=True,
 )
 
 
--- a/toucanrudder/platform/tests/test_api_keys.py
+++ b/toucanrudder/platform/tests/test_api_keys.py
@@ -102,3 +102,13 @@
             answer = await clusters.send_request(router, Authorization=key)
             assert answer.status == 401
     assert len(server.runs) == runs
+
+
+def test_keys_are_never_held_without_being_asked_for():
+    """A configuration with keys that asks for none would serve anybody."""
+    with pytest.raises(ValueError, match="keys that nobody asks for"):
+        model.Configuration(
+            generation=1,
+            organisations=(model.Organisation("north", ("key-of-north",)),),
+            requires_keys=False,
+        )
