Take no broken answer of the store or platform for an empty one

What was seen: an answer to a call for state at the own interface that was reset before its body looked like an empty object. A list of the store's objects was then empty, and a deletion counted as done. Statuses 000 and 099 counted as success in all such calls.

The HTTP library takes any end of the connection for the end of a body without a length, and any three digits for a status; an empty body was read as an empty object, and statuses were only compared with 400.

Change: one function reads these answers. It asks for a status of success, and for a whole value where nothing else shows the end of the body. A list must have its items.

The stand-in of a session in test_cache_events.py states its status, as real answers do.

--- a/toucanrudder/controllers/cache_events.py
+++ b/toucanrudder/controllers/cache_events.py
@@ -15,6 +15,7 @@
 from toucanrudder.http1 import answer_room
 from toucanrudder.observability import metrics
 from toucanrudder.prefix import cache_index
+from toucanrudder.upstreams import call_answers
 
 LOG = logging.getLogger(__name__)
 
@@ -28,6 +29,9 @@
 MAX_LINE_BYTES = 1_048_576
 MAX_LINES_BYTES = 8_388_608
 
+#: How the reading of a stream fails.
+FAILURES = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
+
 
 @attrs.define
 class _Position:
@@ -111,7 +115,7 @@
         while True:
             try:
                 await self._read_stream(upstream, position)
-            except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            except FAILURES:
                 metrics.counter(
                     "toucanrudder_event_streams_lost",
                     "Cache event streams that broke or fell silent",
@@ -129,7 +133,7 @@
             params={"after": str(position.sequence)},
             timeout=timeout,
         ) as response:
-            response.raise_for_status()
+            call_answers.check_success(response)
             partial_line = b""
             with self._lines.reading() as partial:
                 async for chunk in response.content.iter_any():
--- a/toucanrudder/controllers/instances.py
+++ b/toucanrudder/controllers/instances.py
@@ -23,6 +23,9 @@
 #: read rate, which grows more slowly than the number of routers.
 MAX_POLLS_PER_S = 100.0
 
+#: How a poll fails.
+FAILURES = (aiohttp.ClientError, OSError, KeyError, TypeError, ValueError)
+
 
 def poll_interval_s(routers: int) -> float:
     """Return the seconds between two polls of one router.
@@ -80,13 +83,7 @@
                 failures = 0
                 pause_s = poll_interval_s(self._routers())
                 await asyncio.sleep(pause_s * self._rng.uniform(0.75, 1.0))
-            except (
-                aiohttp.ClientError,
-                OSError,
-                KeyError,
-                TypeError,
-                ValueError,
-            ) as error:
+            except FAILURES as error:
                 failures += 1
                 metrics.counter(
                     "toucanrudder_instance_list_failures",
--- a/toucanrudder/controllers/kv_transfer.py
+++ b/toucanrudder/controllers/kv_transfer.py
@@ -41,7 +41,7 @@
 MAX_ANSWER_BYTES = 65_536
 MAX_ANSWERS_BYTES = 1_048_576
 
-_CALL_ERRORS = (
+CALL_ERRORS = (
     aiohttp.ClientError,
     TimeoutError,
     OSError,
@@ -181,7 +181,7 @@
                 upstream, "import", plan.blocks, store, timeout_s
             )
             tokens = int(answer["imported_tokens"])
-        except _CALL_ERRORS:
+        except CALL_ERRORS:
             _count("import_failed")
             tokens = 0
         imported = tokens // (plan.tokens // len(plan.blocks))
@@ -212,7 +212,7 @@
                 upstream, "export", keys, store, EXPORT_TIMEOUT_S
             )
             _count("exported")
-        except _CALL_ERRORS:
+        except CALL_ERRORS:
             self._exported.pop(keys[-1], None)
             _count("export_failed")
 
@@ -224,5 +224,4 @@
             json={"blocks": [key.hex() for key in keys], "store": store},
             timeout=aiohttp.ClientTimeout(total=timeout_s),
         ) as response:
-            response.raise_for_status()
             return await call_answers.read_json(response, self._answers)
--- a/toucanrudder/controllers/tests/test_cache_events.py
+++ b/toucanrudder/controllers/tests/test_cache_events.py
@@ -77,7 +77,7 @@
         lines = self.first_replies.pop(url, GOOD)
         if isinstance(lines, BaseException):
             raise lines
-        response = mock.Mock()
+        response = mock.Mock(status=200)
         response.content.iter_any = lambda: self._chunks(lines)
         yield response
 
--- a/toucanrudder/http1/answer_room.py
+++ b/toucanrudder/http1/answer_room.py
@@ -71,6 +71,11 @@
         self._content = bytearray()
         self._held_bytes = 0
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing of it has been kept."""
+        return not self._content
+
     def expect(self, size_bytes: int | None) -> None:
         """Check the size that an answer states, if it states one.
 
--- a/toucanrudder/store/http.py
+++ b/toucanrudder/store/http.py
@@ -121,7 +121,9 @@
             ) from error
 
     async def _body(self, response: aiohttp.ClientResponse) -> dict:
-        if response.status >= http.HTTPStatus.BAD_REQUEST:
+        if response.status == http.HTTPStatus.NOT_MODIFIED or (
+            400 <= response.status < 600
+        ):
             return {}
         body = await call_answers.read_json(response, self._answers)
         if not isinstance(body, dict):
@@ -235,7 +237,10 @@
             timeout_s,
             params={"prefix": prefix, "after": after, "limit": str(limit)},
         )
-        return [_object(kind, item) for item in body.get("items", ())]
+        items = body.get("items")
+        if not isinstance(items, list):
+            raise interface.StoreUnavailable("response has no items")
+        return [_object(kind, item) for item in items]
 
     async def watch(
         self,
--- a/toucanrudder/upstreams/engine.py
+++ b/toucanrudder/upstreams/engine.py
@@ -164,7 +164,7 @@
                 f"http://{upstream.address}/v1/requests/{engine_id}/cancel",
                 timeout=aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_S),
             ) as response:
-                return response.status < 300
+                return 200 <= response.status < 300
         except (aiohttp.ClientError, TimeoutError, OSError):
             return False
 
--- a/toucanrudder/upstreams/tests/test_endless_answers.py
+++ b/toucanrudder/upstreams/tests/test_endless_answers.py
@@ -71,21 +71,29 @@
     await controller._poll(engine(address))
 
 
-async def order_export(session, address):
-    controller = kv_transfer.KVTransferController(
+def transfer_controller(session):
+    return kv_transfer.KVTransferController(
         session,
         "r1",
         request_rates.PrefixRates(),
         lambda: ("r1",),
         asyncio.get_running_loop().time,
     )
+
+
+async def order_export(session, address):
+    controller = transfer_controller(session)
     await controller.export(engine(address), (b"a" * 16,), "vault")
 
 
-async def list_instances(session, address):
-    controller = instance_lists.InstanceController(
+def instance_controller(session, address):
+    return instance_lists.InstanceController(
         session, address, None, lambda: 1, 10.0, random.Random(1)
     )
+
+
+async def list_instances(session, address):
+    controller = instance_controller(session, address)
     with pytest.raises(ValueError, match="too large"):
         await controller._list()
 
@@ -102,10 +110,14 @@
         await store.create("claims", "c", {}, timeout_s=10.0)
 
 
-async def follow_cache(session, address):
-    controller = cache_events.CacheEventController(
+def cache_controller(session):
+    return cache_events.CacheEventController(
         session, None, tuple, random.Random(1), None
     )
+
+
+async def follow_cache(session, address):
+    controller = cache_controller(session)
     with pytest.raises(ValueError, match="too large"):
         position = cache_events._Position()
         await controller._read_stream(engine(address), position)
