Soak: documents that change limits and keys, statuses that are none

Each document of a soak takes a key away and raises or lowers the limit on heads; faulty upstreams also answer with status 666; a copy of a run knows which weights have made it. Three new checks look at it from outside, and one that was there at the memory of continued runs.

Five mutants bring the faults back. The classes of answers without end, of answers that break off (the soak's proxies pass on no reset) and of runs beside their engine have no check here; their tests stand in the packages.

--- a/toucanrudder/platform/testing/soaking.py
+++ b/toucanrudder/platform/testing/soaking.py
@@ -16,6 +16,13 @@
 ENGINES, PLAIN_SERVICE, MODEL = "engines", "desk", "m"
 API_KEYS = {"north": "key-of-north", "south": "key-of-south"}
 
+#: Organisation whose key each generation replaces.
+GUEST = "guest"
+
+#: Largest head in odd and in even generations, and one between both.
+HEAD_LIMITS_BYTES = {1: 16_384, 0: 65_536}
+LONG_HEAD_BYTES = 60_000
+
 #: Organisation that shares no cache with others.
 ISOLATED_ORGANISATION = "south"
 
@@ -48,6 +55,9 @@
     records.Kind.WRITE: "/write/x",
     records.Kind.POISON: "/write/poison",
     records.Kind.POISON_PART: "/again/x",
+    # Whatever reads it has accepted the head.
+    records.Kind.HEAD_PROBE: "/unknown/x",
+    records.Kind.KEY_PROBE: "/read/x",
 }
 
 
@@ -66,7 +76,10 @@
 
 
 def configuration(generation: int, cache_store: str) -> dict:
-    """Return a configuration with one additional route per generation."""
+    """Return a configuration with one additional route per generation.
+
+    The guest's key and the limit on heads change with each.
+    """
     extra_routes = [
         _route(f"/g{number}/", "safe", PLAIN_SERVICE)
         for number in range(1, generation + 1)
@@ -106,11 +119,25 @@
                 "api_keys": [key],
                 "isolated": name == ISOLATED_ORGANISATION,
             }
-            for name, key in API_KEYS.items()
+            for name, key in (
+                *API_KEYS.items(),
+                (GUEST, guest_key(generation)),
+            )
         ],
+        "limits": {"max_header_bytes": HEAD_LIMITS_BYTES[generation % 2]},
     }
 
 
+def guest_key(generation: int) -> str:
+    """Return the guest's key of one generation."""
+    return f"key-of-{GUEST}-{generation}"
+
+
+def may_be_long(generation: int) -> bool:
+    """Whether a generation lets heads of `LONG_HEAD_BYTES` pass."""
+    return HEAD_LIMITS_BYTES[generation % 2] > LONG_HEAD_BYTES
+
+
 def crowd_head() -> bytes:
     """Return the begin of a head of clients that keep to no limit."""
     return (
@@ -134,6 +161,11 @@
         "Deadline-Ms": str(int(call.limit_s * 1000)),
         "Authorization": f"Bearer {API_KEYS[organisation]}",
     }
+    if call.has_long_head:
+        headers["Padding"] = "x" * LONG_HEAD_BYTES
+    if call.kind is records.Kind.KEY_PROBE:
+        key = guest_key(call.generation - 1)
+        headers["Authorization"] = f"Bearer {key}"
     method, body = b"GET", b""
     if call.resumed_after:
         headers["Last-Event-Id"] = str(call.resumed_after)
@@ -208,15 +240,15 @@
         Record of the run.
     caches : dict
         Cached parts by address and key, of engines and of the cache store.
-    copies : set
-        Copies as address of the holder and request ID.
+    copies : dict
+        Weights that made each copy, by address of the holder and request ID.
     """
 
     record: records.Record
     caches: dict[str, dict[tuple[str, str], CachedPart]] = attrs.field(
         factory=dict
     )
-    copies: set[tuple[str, str]] = attrs.field(factory=set)
+    copies: dict[tuple[str, str], set[int]] = attrs.field(factory=dict)
 
 
 class Upstream(standins.Server):
@@ -342,24 +374,25 @@
     def record_run(self, run: standins.Run) -> None:
         """Record that a request begins to run, and faults of its headers."""
         source_copy = _named_copy(run)
-        is_continuation = source_copy in self.shared.copies
-        self.shared.copies.discard(source_copy)
+        made_by = self.shared.copies.pop(source_copy, None)
         self.shared.record.runs.append(
             records.Run(
                 run.request_id,
                 self.service,
                 self.incarnation,
                 time.monotonic(),
-                is_continuation,
-                tuple(self._request_faults(run)),
+                made_by is not None,
+                tuple(self._request_faults(run, made_by)),
             )
         )
 
-    def _request_faults(self, run: standins.Run):
+    def _request_faults(self, run: standins.Run, made_by: set[int] | None):
         if "expect-instance" not in run.headers:
             yield "no instance is expected"
-        if run.headers.get("tenant") not in API_KEYS:
+        if run.headers.get("tenant") not in (*API_KEYS, GUEST):
             yield "no organisation"
+        if made_by is not None and made_by != {self.version}:
+            yield "memory of other weights"
         if self.model:
             yield from self._cache_faults(run)
 
@@ -390,7 +423,7 @@
         """Record that the engine named by the run holds a copy of it."""
         copy = _copy_for(run)
         if copy[0]:
-            self.shared.copies.add(copy)
+            self.shared.copies[copy] = {self.version}
 
     async def serve(self, run: standins.Run, answer) -> None:
         """Run a request without faults."""
@@ -442,6 +475,8 @@
                 await asyncio.sleep(gap_s)
                 await self._goes.wait()
                 self.reported_runs[run.request_id] = number
+                if _copy_for(run) in self.shared.copies:
+                    self.shared.copies[_copy_for(run)].add(self.version)
                 text = (
                     f"id: {number}\n"
                     f"data: {run.request_id}@{self.software_version}\n\n"
@@ -452,7 +487,7 @@
             self.reported_runs.pop(run.request_id, None)
         events.put_nowait(None)
         # A copy of a run is freed when the run has ended.
-        self.shared.copies.discard(_copy_for(run))
+        self.shared.copies.pop(_copy_for(run), None)
 
 
 @attrs.frozen
@@ -492,6 +527,11 @@
     return behave
 
 
+async def answers_without_status(upstream, run, answer) -> None:
+    """Answer with three digits that are no status of HTTP."""
+    await answer.send_whole(666, upstream.answer_headers(run), b"trouble")
+
+
 #: What a faulty upstream does with some of its requests.
 FAULTY_BEHAVIOURS = (
     standins.sheds,
@@ -500,6 +540,7 @@
     _record_run_then(standins.answers_other_request),
     _record_run_then(standins.answers_unsealed),
     _record_run_then(standins.hangs),
+    _record_run_then(answers_without_status),
 )
 
 WEIGHTS_KIND = objects.WEIGHTS_KIND
--- a/toucanrudder/soak/callers.py
+++ b/toucanrudder/soak/callers.py
@@ -22,6 +22,16 @@
     records.Kind.WRITE: 3,
 }
 
+#: What each router is asked for in turn, on one connection.
+PROBES = (
+    records.Kind.PROBE,
+    records.Kind.HEAD_PROBE,
+    records.Kind.KEY_PROBE,
+)
+
+#: Time from a document that raises the limit on heads to the first long one.
+LONG_HEADS_AFTER_S = 2.8
+
 #: Part of the calls that are broken off early by their caller.
 LEAVE_SHARE = 0.03
 
@@ -186,15 +196,27 @@
             call = await self.ask(resumed, router)
 
     async def probe(self, until_s: float, pause_s: float) -> None:
-        """Ask all routers for the newest route until a time."""
+        """Ask all routers after the newest document until a time."""
         while time.monotonic() < until_s:
             for router in self._site.routers:
-                call = self.call(
-                    records.Kind.PROBE, router, self._site.generation
-                )
-                await self.ask(call, router)
+                for kind in PROBES:
+                    call = self.call(kind, router, self._site.generation)
+                    call.has_long_head = self._may_have_long_head(call)
+                    await self.ask(call, router)
             await asyncio.sleep(pause_s)
 
+    def _may_have_long_head(self, call: records.Call) -> bool:
+        """Whether a limit on heads is in force that was raised for long.
+
+        A refusal before would close the connection that must follow it.
+        """
+        since_s = self._site.record.acknowledged[call.generation]
+        return (
+            call.kind is records.Kind.HEAD_PROBE
+            and soaking.may_be_long(call.generation)
+            and time.monotonic() - since_s > LONG_HEADS_AFTER_S
+        )
+
 
 def _keep_s(head) -> float:
     """Return for how long a caller keeps a connection after an answer."""
--- a/toucanrudder/soak/mutants.py
+++ b/toucanrudder/soak/mutants.py
@@ -222,6 +222,44 @@
         "for revoked in revoked_for_memory(self._usages, excess_bytes):",
         "for revoked in ():",
     ),
+    Mutant(
+        "an open connection keeps its limit on heads",
+        "http1/server.py",
+        "max_incomplete_event_size=self._parsed_head_bytes\n",
+        "max_incomplete_event_size=self.__dict__.setdefault(\n"
+        '                "_first_bytes", self._parsed_head_bytes\n'
+        "            )\n",
+    ),
+    Mutant(
+        "keys that were taken away still hold",
+        "forwarding/state.py",
+        "        self._table = routing.RoutingTable(candidate)\n"
+        "        return True\n",
+        "        before = self._table\n"
+        "        self._table = routing.RoutingTable(candidate)\n"
+        "        if before:\n"
+        "            self._table._by_key = before._by_key | "
+        "self._table._by_key\n"
+        "        return True\n",
+    ),
+    Mutant(
+        "any three digits are a status",
+        "http1/client.py",
+        "MAX_STATUS = 599",
+        "MAX_STATUS = 999",
+    ),
+    Mutant(
+        "requests are taken late in a stop",
+        "forwarding/late_requests.py",
+        "        needs_s = max(needs_s, longest_s)\n",
+        "",
+    ),
+    Mutant(
+        "a heartbeat's weights are taken for the present",
+        "forwarding/run_memory.py",
+        "    if newest_version > version or not is_current:\n",
+        "    if False:\n",
+    ),
     Mutant(
         "history that is gone is not read anew",
         "controllers/feeds.py",
--- a/toucanrudder/soak/oracles.py
+++ b/toucanrudder/soak/oracles.py
@@ -9,6 +9,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterator
+import math
 
 from toucanrudder.soak import records
 
@@ -240,14 +241,48 @@
         seen = served[place]
         if call.generation <= seen and began_after > 0:
             yield f"{call.router} went back behind generation {seen}"
-        since_s = record.acknowledged[call.generation]
-        late_s = call.sent_s - since_s - APPLY_S - SLACK_S
-        if late_s > 0 and record.is_calm(
-            call.router, since_s, call.sent_s, CONTACT_S
-        ):
+        late_s = _late_s(record, call)
+        if late_s > 0:
             yield f"{call.router} was {late_s:.2f} s late with a document"
 
 
+def _late_s(record: records.Record, call: records.Call) -> float:
+    """Return for how long a probe's generation should have been in force.
+
+    It is 0 if the router may not know it yet.
+    """
+    since_s = record.acknowledged[call.generation]
+    late_s = call.sent_s - since_s - APPLY_S - SLACK_S
+    is_calm = record.is_calm(call.router, since_s, call.sent_s, CONTACT_S)
+    return max(0.0, late_s) if is_calm else 0.0
+
+
+def limits_in_force(record: records.Record) -> Iterator[str]:
+    """A raised limit holds on connections that were open before."""
+    for call in record.calls:
+        if not call.has_long_head or call.status != 431:
+            continue
+        next_s = record.acknowledged.get(call.generation + 1, math.inf)
+        if _late_s(record, call) > 0 and next_s > call.ended_s:
+            yield f"{call.router} refused a head within the limit"
+
+
+def keys_in_force(record: records.Record) -> Iterator[str]:
+    """Nobody is served with a key that was taken away."""
+    for call in record.calls:
+        if call.kind is records.Kind.KEY_PROBE and call.status == 200:
+            late_s = _late_s(record, call)
+            if late_s > 0:
+                yield f"{call.router} was {late_s:.2f} s late with a key"
+
+
+def statuses_exist(record: records.Record) -> Iterator[str]:
+    """Callers get no status that HTTP does not have."""
+    for call in record.calls:
+        if call.status is not None and not 100 <= call.status < 600:
+            yield f"{call.request_id} got status {call.status}"
+
+
 def retry_budget(record: records.Record) -> Iterator[str]:
     """Repeats stay within the bound that all routers share."""
     by_service = collections.defaultdict(list)
@@ -411,6 +446,9 @@
     stops_cut_nothing,
     sound_answers_whole,
     document_in_force,
+    limits_in_force,
+    keys_in_force,
+    statuses_exist,
     retry_budget,
     poison_is_stopped,
     bad_part_is_stopped,
--- a/toucanrudder/soak/records.py
+++ b/toucanrudder/soak/records.py
@@ -17,6 +17,10 @@
     WRITE = "write"
     #: Asks whether the newest route is known.
     PROBE = "probe"
+    #: Asks with a head as long as the newest document lets it be.
+    HEAD_PROBE = "head_probe"
+    #: Asks with a key of the document before the newest.
+    KEY_PROBE = "key_probe"
     #: A write under which each upstream process ends that runs it.
     POISON = "poison"
     #: A stream with a part at which each engine ends that begins to answer.
@@ -29,6 +33,8 @@
             Kind.STREAM_RESUMABLE,
             Kind.READ,
             Kind.PROBE,
+            Kind.HEAD_PROBE,
+            Kind.KEY_PROBE,
             Kind.POISON_PART,
         )
 
@@ -69,7 +75,7 @@
     left : bool
         Whether the caller has left before the end.
     generation : int
-        For a probe: the generation whose route was asked for.
+        For a probe: the newest generation, after which it asks.
     organisation : str
         Whose key it carries.
     stream_id : str
@@ -83,6 +89,8 @@
         Events of the whole stream that is asked for.
     limit_s : float
         Time limit that the request states.
+    has_long_head : bool
+        Whether its head is longer than every second document lets it be.
     """
 
     request_id: str
@@ -103,6 +111,7 @@
     software: set[str] = attrs.field(factory=set)
     length: int = EVENTS
     limit_s: float = 3.0
+    has_long_head: bool = False
 
     @property
     def is_long(self) -> bool:
--- a/toucanrudder/soak/runs.py
+++ b/toucanrudder/soak/runs.py
@@ -166,6 +166,7 @@
         "told_leaving": len(record.stated_leaving),
         "asked_for_rest": sum(len(each.refused) for each in record.rests),
         "crowds": len(record.crowds),
+        "long_heads": sum(call.has_long_head for call in record.calls),
         "stalls": sum(each.kind == "stall" for each in record.spans),
     }
 
--- a/toucanrudder/soak/tests/test_oracles.py
+++ b/toucanrudder/soak/tests/test_oracles.py
@@ -60,8 +60,34 @@
     return records.Record(list(calls), list(runs), **fields)
 
 
-def probe(status, generation, **fields):
-    return call(Kind.PROBE, status=status, generation=generation, **fields)
+def probe(status, generation, kind=Kind.PROBE, **fields):
+    return call(kind, status=status, generation=generation, **fields)
+
+
+def long_head(status, at_s=104.0):
+    """Return a head that is refused until a limit is raised at 100 s."""
+    return record(
+        [
+            probe(
+                status,
+                8,
+                Kind.HEAD_PROBE,
+                sent_s=at_s,
+                ended_s=at_s + 0.1,
+                has_long_head=True,
+            )
+        ],
+        acknowledged={8: 100.0},
+    )
+
+
+def former_key(status, at_s=104.0, **fields):
+    """Return a call with a key that is taken away at 100 s."""
+    return record(
+        [probe(status, 8, Kind.KEY_PROBE, sent_s=at_s, ended_s=at_s + 0.1)],
+        acknowledged={8: 100.0},
+        **fields,
+    )
 
 
 MANY = [(100.0 + n / 100, "desk", f"c{n % 2}") for n in range(80)]
@@ -126,6 +152,18 @@
         oracles.streams_whole,
         record([call(Kind.STREAM_RESUMABLE, resumed_after=2, events=[4, 5])]),
     ),
+    "refused by a limit that is not in force any more": (
+        oracles.limits_in_force,
+        long_head(431),
+    ),
+    "served with a key that is not in force any more": (
+        oracles.keys_in_force,
+        former_key(200),
+    ),
+    "a status that is none": (
+        oracles.statuses_exist,
+        record([call(status=666)]),
+    ),
     "another's answer": (oracles.own_answers, record([call(is_own=False)])),
     "asked wrongly": (
         oracles.asked_rightly,
@@ -198,6 +236,24 @@
 
 
 ALLOWED = {
+    "refused before a raised limit must be in force": (
+        oracles.limits_in_force,
+        long_head(431, at_s=102.0),
+    ),
+    "refused by the limit of a newer document": (
+        oracles.limits_in_force,
+        attrs.evolve(long_head(431), acknowledged={8: 100.0, 9: 104.05}),
+    ),
+    "served before a key must be taken away": (
+        oracles.keys_in_force,
+        former_key(200, at_s=102.0),
+    ),
+    "served with a former key by a router that was cut off": (
+        oracles.keys_in_force,
+        former_key(200, spans=[span("store cut", "", 101.0, 102.0)]),
+    ),
+    "refused with a former key": (oracles.keys_in_force, former_key(401)),
+    "a status of HTTP": (oracles.statuses_exist, record([call(status=502)])),
     "sent to one that said it leaves, by a router that was paused": (
         oracles.stated_leaving_is_kept_to,
         sent_late(spans=[span("pause", "r1", 101.0, 102.0)]),
--- a/toucanrudder/soak/tests/test_soak.py
+++ b/toucanrudder/soak/tests/test_soak.py
@@ -83,6 +83,17 @@
     assert result.figures["runs"] > 0
 
 
+def test_open_connections_follow_documents(tmp_path):
+    size = runs.Size(length_s=20.0)
+    steps = tuple(
+        plans.Step(1.0 + 6.0 * number, plans.Fault.DOCUMENT, 0.5, 0.0)
+        for number in range(4)
+    )
+    result = runs.play(907, size, str(tmp_path), steps)
+    assert result.broken == []
+    assert result.figures["long_heads"] > 0
+
+
 def test_upstreams_are_followed_beside_a_strange_entry(tmp_path):
     size = runs.Size(length_s=14.0)
     steps = (
