--- a/toucanrudder/platform/tests/test_client_crowds.py
+++ b/toucanrudder/platform/tests/test_client_crowds.py
@@ -348,7 +348,7 @@
 SENDS_CHUNKS = crowds.sends_chunks(READ, 2**14, 1)
 LEAVERS = {
     "closed": SENDS_CHUNKS,
-    "reset": crowds.resets(SENDS_CHUNKS),
+    "reset": crowds.and_resets(SENDS_CHUNKS),
     "a long head": crowds.sends(READ + b"a:b\r\n" * 12_000),
 }
 
--- a/toucanrudder/router/tests/test_client_crowds.py
+++ b/toucanrudder/router/tests/test_client_crowds.py
@@ -263,7 +263,7 @@
 SENDS_CHUNKS = crowds.sends_chunks(MODEL, 2**14, 1)
 LEAVERS = {
     "closed": SENDS_CHUNKS,
-    "reset": crowds.resets(SENDS_CHUNKS),
+    "reset": crowds.and_resets(SENDS_CHUNKS),
     "a long head": crowds.sends(MODEL + b"a:b\r\n" * 12_000),
 }
 
--- a/toucanrudder/testing/crowds.py
+++ b/toucanrudder/testing/crowds.py
@@ -8,12 +8,11 @@
 import contextlib
 import pathlib
 import re
-import socket
-import struct
 
 import attrs
 
 from toucanrudder.bench.capacity import isolation
+from toucanrudder.testing import resets
 
 #: Bytes of a client that are sent in one piece where nothing else is said.
 PIECE_BYTES = 65_536
@@ -26,9 +25,6 @@
 
 KIB_BYTES = 1_024
 
-#: Value of SO_LINGER by which a close resets the connection.
-_RESET = struct.pack("ii", 1, 0)
-
 Behaviour = Callable[
     [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
 ]
@@ -145,12 +141,11 @@
     return behave
 
 
-def resets(behave: Behaviour) -> Behaviour:
+def and_resets(behave: Behaviour) -> Behaviour:
     """Return a client that resets its connection in place of closing it."""
 
     async def behave_and_reset(reader, writer):
-        sock = writer.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        resets.reset_on_close(writer.get_extra_info("socket"))
         await behave(reader, writer)
 
     return behave_and_reset
--- a/toucanrudder/upstreams/tests/test_broken_call_answers.py
+++ b/toucanrudder/upstreams/tests/test_broken_call_answers.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import contextlib
-import socket
-import struct
 
 import pytest
 
@@ -12,12 +10,11 @@
 from toucanrudder.controllers import kv_transfer
 from toucanrudder.store import http as http_store
 from toucanrudder.store import interface
+from toucanrudder.testing import resets
 from toucanrudder.upstreams.tests import test_endless_answers
 
 DEADLINE_S = 5.0
 
-_RESET = struct.pack("ii", 1, 0)
-
 
 async def list_instances(session, address):
     return await test_endless_answers.instance_controller(
@@ -119,9 +116,7 @@
             await writer.drain()
             await asyncio.sleep(0.02)
             if is_reset:
-                writer.get_extra_info("socket").setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET
-                )
+                resets.reset_on_close(writer.get_extra_info("socket"))
         writer.close()
 
     return serve
