--- a/toucanrudder/platform/tests/test_client_crowds.py
+++ b/toucanrudder/platform/tests/test_client_crowds.py
@@ -30,12 +30,12 @@
 
 DEADLINE_S = 60.0
 
-#: Clients that leave, on a machine that has memory for all of them; time until
-#: nothing of theirs is left; share of a core that may be occupied then.
+#: Clients that leave, on a machine that has memory for all; descriptors and
+#: share of a core that may be left to them a second later.
 LEAVING = 400
 LARGE_MACHINE_MB = 1_000
-FREED_WITHIN_S = 1.0
-OCCUPIED_SHARE = 0.1
+LEFT_DESCRIPTORS = 20
+LEFT_SHARE = 0.1
 
 SETTINGS = """
     [router]
@@ -357,17 +357,11 @@
 async def test_clients_that_left_occupy_nothing(tmp_path, behave):
     """Guards against requests that are parsed on when nobody waits."""
     async with _running(tmp_path, memory_mb=LARGE_MACHINE_MB) as running:
-        pid = running.pid
-        calm_descriptors = crowds.open_descriptors(pid)
-        calm_share = await crowds.occupied_share(pid, 1.0)
-        async with crowds.crowd(
-            running.address("callers"), behave, LEAVING, settle_s=1.0
-        ):
-            pass
-        await asyncio.sleep(FREED_WITHIN_S)
-        assert crowds.open_descriptors(pid) < calm_descriptors + LEAVING / 20
-        share = await crowds.occupied_share(pid, 1.0)
-        assert share < calm_share + OCCUPIED_SHARE
+        descriptors, share = await crowds.occupied_after_leaving(
+            running.pid, running.address("callers"), behave, LEAVING
+        )
+        assert descriptors < LEFT_DESCRIPTORS
+        assert share < LEFT_SHARE
         assert await running.serves()
 
 
--- a/toucanrudder/testing/crowds.py
+++ b/toucanrudder/testing/crowds.py
@@ -357,8 +357,38 @@
     return len(list(pathlib.Path(f"/proc/{pid}/fd").iterdir()))
 
 
-async def occupied_share(pid: int, during_s: float) -> float:
-    """Return the share of a core that a process occupies for some time."""
+async def _occupied_share(pid: int) -> float:
+    """Return the share of a core that a process occupies for a second."""
     before_s = isolation.processor_s(pid)
-    await asyncio.sleep(during_s)
-    return (isolation.processor_s(pid) - before_s) / during_s
+    await asyncio.sleep(1.0)
+    return isolation.processor_s(pid) - before_s
+
+
+async def occupied_after_leaving(
+    pid: int, address: str, behave: Behaviour, count: int
+) -> tuple[int, float]:
+    """Return what a crowd occupies a second after it has left.
+
+    Parameters
+    ----------
+    pid : int
+        The process.
+    address : str
+        ``IP:port`` of its listener.
+    behave : Behaviour
+        What each client does before it leaves.
+    count : int
+        Number of clients.
+
+    Returns
+    -------
+    int, float
+        Descriptors, and the share of a core, beyond those in calm.
+    """
+    calm_descriptors = open_descriptors(pid)
+    calm_share = await _occupied_share(pid)
+    async with crowd(address, behave, count, settle_s=1.0):
+        pass
+    await asyncio.sleep(1.0)
+    descriptors = open_descriptors(pid) - calm_descriptors
+    return descriptors, await _occupied_share(pid) - calm_share
