--- a/toucanrudder/controllers/loads.py
+++ b/toucanrudder/controllers/loads.py
@@ -155,6 +155,8 @@
             f"http://{upstream.address}/load",
             timeout=aiohttp.ClientTimeout(total=POLL_TIMEOUT_S),
         ) as response:
+            if response.status != 200:
+                raise ValueError(f"load report: HTTP status {response.status}")
             try:
                 body = await call_answers.read_json(response, self._answers)
                 return loads.parse(body)
