Begin requests that arrive together by turns of the event loop

The alone test of 1,200 small whole bodies at the own interface grew by up to 21.4 MiB where 20 are the bound, now and then: all requests of a crowd that arrive in one turn were parsed and begun before the first could be refused, so the account saw them too late. A connection now claims the lines that it parses at once from what one turn may handle, and waits for a turn if they are used up.

--- a/toucanrudder/filters/connections.py
+++ b/toucanrudder/filters/connections.py
@@ -163,8 +163,9 @@
             return
         if not self._unparsed and self._may_parse:
             length = self._length_at_once(data, LINES_AT_ONCE)
-            self._parse(data[:length])
-            data = data[length:]
+            if self._turns.claim_events(data.count(b"\n", 0, length)):
+                self._parse(data[:length])
+                data = data[length:]
         if data and not self._is_dropped:
             self._unparsed.append(data)
             self._await_turn()
--- a/toucanrudder/filters/tests/test_connections.py
+++ b/toucanrudder/filters/tests/test_connections.py
@@ -13,6 +13,7 @@
 from toucanrudder.filters import connections
 from toucanrudder.filters import guard
 from toucanrudder.http1 import account as accounts
+from toucanrudder.http1 import turns
 from toucanrudder.router import services
 
 MAX_BODY_BYTES = 200_000
@@ -237,3 +238,32 @@
         for _ in range(300):
             await asyncio.wait_for(reader.readuntil(b"ok"), 10)
         writer.close()
+
+
+async def test_requests_that_arrive_together_begin_by_turns():
+    """Guards against a crowd that is refused only when all of it has begun."""
+    bounds = accounts.Bounds(10_000_000, 1_000)
+    data = HEAD.replace(b"150000", b"2000") + b"x" * 2_000
+    held_bytes = [0]
+    async with running_service(bounds) as running:
+        count = running.account.update
+
+        def count_and_record(holder):
+            count(holder)
+            held_bytes.append(running.account.held_bytes)
+
+        running.account.update = count_and_record
+        running.gate.clear()
+        crowd = await _open_crowd(running, 800, b"")
+        await _wait_until(lambda: running.account.connections == len(crowd))
+        for _, writer in crowd:
+            writer.write(data)
+        await _wait_until(lambda: running.bodies)
+        for _ in range(100):
+            await asyncio.sleep(0)
+        for _, writer in crowd:
+            writer.transport.abort()
+    # Those of one turn have begun while those of the next are parsed.
+    together = 2 * turns.EVENTS_PER_TURN / data.count(b"\n")
+    need_bytes = accounts.CONNECTION_BYTES + accounts.REQUEST_BYTES + 8_192
+    assert max(held_bytes) < bounds.memory_bytes + together * need_bytes
--- a/toucanrudder/http1/turns.py
+++ b/toucanrudder/http1/turns.py
@@ -37,6 +37,19 @@
     def __init__(self):
         self._waiting: collections.deque[Parsing] = collections.deque()
         self._is_scheduled = False
+        self._events = 0
+
+    def claim_events(self, events: int) -> bool:
+        """Return whether a connection may handle events without waiting.
+
+        It may while the events of the present turn last.  Otherwise many
+        requests that arrive at once all begin before one can be refused.
+        """
+        if self._events + events > EVENTS_PER_TURN:
+            return False
+        self._events += events
+        self._schedule()
+        return True
 
     def append(self, connection: Parsing) -> None:
         """Let a connection handle events in the next turns."""
@@ -44,18 +57,18 @@
         self._schedule()
 
     def _schedule(self) -> None:
-        if self._waiting and not self._is_scheduled:
+        if not self._is_scheduled and (self._waiting or self._events):
             self._is_scheduled = True
             asyncio.get_running_loop().call_soon(self._take_turn)
 
     def _take_turn(self) -> None:
         self._is_scheduled = False
-        events = 0
-        while self._waiting and events < EVENTS_PER_TURN:
+        self._events = 0
+        while self._waiting and self._events < EVENTS_PER_TURN:
             connection = self._waiting.popleft()
             if not connection.awaits_turn:
                 continue
-            events += connection.read_events(EVENTS_PER_CONNECTION)
+            self._events += connection.read_events(EVENTS_PER_CONNECTION)
             if connection.awaits_turn:
                 self._waiting.append(connection)
         self._schedule()
