Free at once what clients send behind requests that give way

The parser keeps pipelined bytes in one array that grows, and an aborted connection kept them until the event loop had read from all others; so a crowd was read from before any of it had ended. Bytes that arrive while a request is handled now wait in pieces of one size, and are dropped with the abort.

--- a/toucanrudder/http1/server.py
+++ b/toucanrudder/http1/server.py
@@ -263,6 +263,7 @@
         self.end_cause = EndCause.NONE
         self._written_bytes = 0
         self._bears_slow_reader = False
+        self._pipelined = bodies.BodyBuffer()
         self._reset_request()
 
     def _new_parser(self) -> h11.Connection:
@@ -278,7 +279,6 @@
         self._head_lines = 0
         self._body = bodies.BodyBuffer()
         self._began_s: float | None = None
-        self._pipelined_bytes = 0
         self._request_bytes = 0
         self._since_s = self._hooks.clock()
 
@@ -303,9 +303,8 @@
         if self._closed:
             return
         if self._task is not None:
-            self._pipelined_bytes += len(data)
-            self._http.receive_data(data)
-            if self._pipelined_bytes > MAX_PIPELINED_BYTES:
+            self._pipelined.append(data)
+            if len(self._pipelined) > MAX_PIPELINED_BYTES:
                 # No legitimate client pipelines that much.  Pausing reads
                 # instead would hide that the caller disconnects.
                 self.abort()
@@ -611,12 +610,17 @@
         )
         # A request that was read before the caller could know about the close
         # is still served.
-        has_pipelined_bytes = bool(self._http.trailing_data[0])
-        if is_announced or (self._hooks.closing() and not has_pipelined_bytes):
+        if is_announced or (
+            self._hooks.closing() and not self._has_next_request
+        ):
             self.close()
             return
         self._next_request()
 
+    @property
+    def _has_next_request(self) -> bool:
+        return bool(self._http.trailing_data[0] or self._pipelined)
+
     def _next_request(self) -> None:
         try:
             self._http.start_next_cycle()
@@ -624,7 +628,7 @@
             self.abort()
             return
         self._reset_request()
-        pipelined = self._http.trailing_data[0]
+        pipelined = self._http.trailing_data[0] + self._pipelined.take()
         self._limits = self._hooks.limits()
         self._set_read_timer()
         if pipelined:
@@ -678,7 +682,7 @@
             len(self._raw_head)
             + len(self._body)
             + self._request_bytes
-            + self._pipelined_bytes
+            + len(self._pipelined)
         )
         holds_much = (
             self._task is not None or held_bytes > accounts.CONNECTION_BYTES
@@ -696,6 +700,7 @@
             + len(self._raw_head)
             + len(self._body)
             + len(self._http.trailing_data[0])
+            + len(self._pipelined)
             + self._request_bytes
             # The handler that waits for its client holds the bytes as well.
             + 2 * self._transport.get_write_buffer_size()
@@ -708,7 +713,7 @@
             -math.inf if self._closed else self._since_s,
             is_revocable=not is_under_way
             or not self._writable.is_set()
-            or self._pipelined_bytes > accounts.CONNECTION_BYTES,
+            or len(self._pipelined) > accounts.CONNECTION_BYTES,
             is_under_way=is_under_way,
         )
 
@@ -751,6 +756,7 @@
             self.end_cause = EndCause.ABORTED
         self._closed = True
         self._cancel_timer()
+        self._pipelined.clear()
         if self._transport is not None:
             self._transport.abort()
 
--- a/toucanrudder/http1/tests/test_memory.py
+++ b/toucanrudder/http1/tests/test_memory.py
@@ -136,6 +136,29 @@
             writer.transport.abort()
 
 
+async def test_bytes_behind_a_request_are_free_at_once():
+    """Guards against a crowd that is read from before any of it has ended."""
+    async with running_server() as recording:
+        account = recording.listener.account
+        count, held_bytes = account.update, []
+
+        def count_and_record(holder):
+            count(holder)
+            held_bytes.append(account.held_bytes)
+
+        account.update = count_and_record
+        recording.gate.clear()
+        request = b"POST /a HTTP/1.1\r\nHost: h\r\n\r\n"
+        crowd = await _open_crowd(recording, 8, request)
+        await _wait_until(lambda: len(recording.requests) == 8)
+        for _, writer in crowd:
+            writer.write(b"x" * 16_384)
+        await _wait_until(lambda: account.connections < 8)
+        assert max(held_bytes) <= BOUNDS.memory_bytes
+        for _, writer in crowd:
+            writer.transport.abort()
+
+
 SPLITS = (1, 7, 16_384, 40_000, 100_000)
 
 
