Pass on an engine's rejection whole, or a reason of the router's own

Callers of the own interface got a part of an engine's 4xx body as a complete answer: the client passed on what one read returned, up to 16 KiB. So a body that broke off looked whole, and so did the first segment of a sound one that came in two. It is now read to its end; one that breaks off, is longer than 16 KiB, or has neither a length nor a whole JSON value is dropped, and the caller gets the engine's status with an error object of the router's.

--- a/toucanrudder/filters/dispatch.py
+++ b/toucanrudder/filters/dispatch.py
@@ -60,9 +60,22 @@
 
 def _rejection_response(failure, exchange) -> web.Response:
     metrics.count_refusal("rejected_by_engine", model_call.STEP)
-    return web.Response(
-        body=failure.body,
+    response_headers = {headers.REQUEST_ID: exchange.request_id}
+    if failure.body:
+        return web.Response(
+            body=failure.body,
+            status=failure.status,
+            content_type="application/json",
+            headers=response_headers,
+        )
+    error = errors.RudderError(
+        errors.Code.INVALID_REQUEST,
+        "the engine rejected the request and gave no whole reason",
+        step=model_call.STEP,
+        peer=failure.upstream,
+    )
+    return web.json_response(
+        error.as_body(exchange.request_id),
         status=failure.status,
-        content_type="application/json",
-        headers={headers.REQUEST_ID: exchange.request_id},
+        headers=response_headers,
     )
--- a/toucanrudder/filters/tests/test_early_answers.py
+++ b/toucanrudder/filters/tests/test_early_answers.py
@@ -7,6 +7,7 @@
 
 from toucanrudder.testing import early_answers
 from toucanrudder.testing import fleet as fleets
+from toucanrudder.testing import servers
 
 IDENTITY = b"x-request-id"
 
@@ -94,3 +95,54 @@
     ):
         assert (await post(fleet, "/quotes"))[0] in (502, 503, 504)
         assert (await post(fleet, "/bookings", "k"))[0] in (502, 503, 504)
+
+
+@contextlib.asynccontextmanager
+async def rejecting_engine(body, stated_bytes):
+    """Run an engine that rejects requests; yield its address."""
+
+    async def serve(reader, writer):
+        with contextlib.suppress(ConnectionError, EOFError):
+            head = await reader.readuntil(b"\r\n\r\n")
+            identity = early_answers.echo(head, IDENTITY + b":")
+            writer.write(
+                b"HTTP/1.1 400 Bad Request\r\n%sContent-Length: %d\r\n\r\n"
+                % (identity, stated_bytes)
+                + body
+            )
+        writer.close()
+
+    async with servers.running(serve) as address:
+        yield address
+
+
+REASON = b'{"error":{"message":"max_tokens is too large"}}'
+
+
+@pytest.mark.parametrize("sent_bytes", [len(REASON), 20])
+async def test_caller_gets_the_whole_reason_of_a_rejection_or_none(sent_bytes):
+    """Guards against a part of a reason that callers cannot parse."""
+    async with rejecting_engine(REASON[:sent_bytes], len(REASON)) as address:
+        plan = fleets.Plan(engines=1)
+        plan.document = {
+            "upstreams": [
+                {
+                    "name": "engine-0",
+                    "kind": "engine",
+                    "address": address,
+                    "zone": "zone-a",
+                    "pool": "llm",
+                    "models": [fleets.MODEL],
+                }
+            ]
+        }
+        async with fleets.running(plan) as fleet:
+            async with fleet.session.post(
+                f"{fleet.routers[0].url}/v1/completions",
+                json={"model": fleets.MODEL, "prompt": "p", "max_tokens": 2},
+                headers=fleets.authorization(),
+            ) as response:
+                assert response.status == 400, await response.text()
+                message = (await response.json())["error"]["message"]
+    is_whole = message == "max_tokens is too large"
+    assert is_whole == (sent_bytes == len(REASON))
--- a/toucanrudder/testing/early_answers.py
+++ b/toucanrudder/testing/early_answers.py
@@ -43,7 +43,7 @@
                 b"HTTP/1.1 "
                 + status
                 + b"\r\n"
-                + _echo(head, identity + b":")
+                + echo(head, identity + b":")
                 + fields
             )
             writer.write(b"\r\n" + PART)
@@ -54,7 +54,7 @@
         yield address
 
 
-def _echo(head: bytes, name: bytes) -> bytes:
+def echo(head: bytes, name: bytes) -> bytes:
     """Return a field of a request's head as a line of its answer."""
     lines = head.split(b"\r\n")
     return b"".join(
--- a/toucanrudder/upstreams/call_answers.py
+++ b/toucanrudder/upstreams/call_answers.py
@@ -30,6 +30,33 @@
     )
 
 
+async def read_rejection(
+    response: aiohttp.ClientResponse, max_bytes: int
+) -> bytes:
+    """Return the body of an answer that rejects a request.
+
+    Parameters
+    ----------
+    response : aiohttp.ClientResponse
+        The open answer.
+    max_bytes : int
+        Largest body.
+
+    Raises
+    ------
+    Unreadable
+        The body is too large, or may not be whole.
+    """
+    body = bytearray()
+    async for piece in response.content.iter_any():
+        body += piece
+        if len(body) > max_bytes:
+            raise json_text.Unreadable("the answer is too large")
+    if not _is_framed(response):
+        json_text.parse(bytes(body))
+    return bytes(body)
+
+
 async def read_json(
     response: aiohttp.ClientResponse, room: answer_room.AnswerRoom
 ) -> object:
--- a/toucanrudder/upstreams/engine.py
+++ b/toucanrudder/upstreams/engine.py
@@ -9,6 +9,8 @@
 from toucanrudder import stalls
 from toucanrudder.document import model
 from toucanrudder.http1 import answer_room
+from toucanrudder.http1 import json_text
+from toucanrudder.upstreams import call_answers
 from toucanrudder.upstreams import failures
 from toucanrudder.upstreams import sending
 
@@ -18,7 +20,7 @@
 #: What the unfinished events of all streams may occupy together.
 MAX_PARTIAL_EVENTS_BYTES = 8_388_608
 
-#: Most bytes of a rejection's body that are passed to the caller.
+#: Largest body of a rejection that is passed to the caller.
 MAX_ERROR_BYTES = 16_384
 
 
@@ -214,10 +216,16 @@
 
 
 async def _error_body(response, timeout_s: float) -> bytes:
+    """Return the body of a rejection; nothing of one that is not whole."""
     try:
         async with stalls.timeout(timeout_s):
-            return await response.content.read(MAX_ERROR_BYTES)
-    except (aiohttp.ClientError, TimeoutError, OSError):
+            return await call_answers.read_rejection(response, MAX_ERROR_BYTES)
+    except (
+        aiohttp.ClientError,
+        TimeoutError,
+        OSError,
+        json_text.Unreadable,
+    ):
         return b""
 
 
