Tell routers that had an earlier record of a stream of the later one

Its first attempt had failed at an engine of v2 without an event; the second began it at one of v1. In the 24 ms between both, the router had learned that a keeper of the record was stopping: no peer any more, so it was not told of the second attempt. It still served callers, and resumed the stream at v2 by its older record 140 ms later (lines Stopping, Placed and StreamResumed of the three routers).

A router now sends the record of an attempt also to all that it has sent one of the same stream to. test_keeper_that_stops_learns_of_later_attempts failed before.

--- a/toucanrudder/forwarding/streams/directory.py
+++ b/toucanrudder/forwarding/streams/directory.py
@@ -123,6 +123,10 @@
     ) -> None:
         """Record what is about to begin, or to continue, a stream.
 
+        Peers that have the record of an earlier attempt are told as well,
+        though they may be no keepers any more: one that is stopping still
+        serves callers.
+
         Parameters
         ----------
         record : messages.OriginRecord
@@ -132,21 +136,30 @@
         is_shared : bool
             Whether other routers may need it.
         """
+        superseded = self.table.holders(record.key)
         self.table.put(record, now_s)
+        entry = self.table.entry(record.key)
+        self._send(entry, superseded, now_s)
         if is_shared:
             self._refresh()
-            self._send_to_keepers(self.table.entry(record.key), now_s)
-
-    def _send_to_keepers(self, entry: origins.Entry, now_s: float) -> None:
-        """Send a record to its keepers, unless they have it."""
-        keepers = self._owners(entry.record.key)[:KEEPERS]
-        for keeper in keepers:
-            if _process_of(keeper) in entry.shared_with:
-                continue
-            pending = self._pending.setdefault(keeper.address, [])
+            self._send(entry, self._keepers(record.key), now_s)
+
+    def _send(
+        self,
+        entry: origins.Entry,
+        holders: frozenset[origins.Holder],
+        now_s: float,
+    ) -> None:
+        """Send a record to peers, unless they have it."""
+        for holder in holders - entry.shared_with:
+            pending = self._pending.setdefault(holder.address, [])
             pending.append(entry.at(now_s))
             self._due.set()
-        entry.shared_with |= frozenset(map(_process_of, keepers))
+        entry.shared_with |= holders
+
+    def _keepers(self, key: bytes) -> frozenset[origins.Holder]:
+        """Return the peers that are to have the record of a stream."""
+        return frozenset(map(_holder_of, self._owners(key)[:KEEPERS]))
 
     def _owners(self, key: bytes) -> list[routers.Member]:
         """Return the peers that own a key, by rank."""
@@ -171,7 +184,7 @@
             return
         for entry in self.table.entries(now_s):
             if entry.record.service in services:
-                self._send_to_keepers(entry, now_s)
+                self._send(entry, self._keepers(entry.record.key), now_s)
 
     async def find(self, key: bytes) -> Finding:
         """Return what began a stream; ask the owners of its key."""
@@ -203,8 +216,7 @@
         self._refresh()
         for record in records:
             # The router that sent it has sent it to the other keepers too.
-            keepers = map(_process_of, self._owners(record.key)[:KEEPERS])
-            self.table.put(record, now_s, frozenset(keepers))
+            self.table.put(record, now_s, self._keepers(record.key))
 
     def answer(self, key: bytes) -> messages.OriginRecord | None:
         """Return the record of a stream, if it is known here."""
@@ -220,7 +232,7 @@
                 await self._due.wait()
                 await asyncio.sleep(BATCHING_S)
                 self._due.clear()
-                self._send()
+                self._send_pending()
         finally:
             for task in [checking, *self._tasks]:
                 task.cancel()
@@ -233,7 +245,7 @@
             self.share(now_s, self.shared_services(now_s))
             await asyncio.sleep(CHECK_INTERVAL_S)
 
-    def _send(self) -> None:
+    def _send_pending(self) -> None:
         pending, self._pending = self._pending, {}
         for address, records in pending.items():
             for first in range(0, len(records), messages.MAX_RECORDS):
@@ -251,6 +263,7 @@
         ).add(len(records), {"kept": str(is_kept).lower()})
 
 
-def _process_of(member: routers.Member) -> str:
-    """Return the identity of a router's process; it ends with a restart."""
-    return f"{member.name}/{member.incarnation}"
+def _holder_of(member: routers.Member) -> origins.Holder:
+    return origins.Holder(
+        f"{member.name}/{member.incarnation}", member.address
+    )
--- a/toucanrudder/forwarding/streams/origins.py
+++ b/toucanrudder/forwarding/streams/origins.py
@@ -69,6 +69,22 @@
     ).digest()
 
 
+@attrs.frozen
+class Holder:
+    """A peer's process that has a record.
+
+    Parameters
+    ----------
+    process : str
+        Identity of the process; it ends with a restart.
+    address : str
+        ``IP:port`` for other routers.
+    """
+
+    process: str
+    address: str
+
+
 @attrs.define(eq=False)
 class Entry:
     """A record that is kept.
@@ -79,13 +95,13 @@
         The record.
     until_s : float
         Monotonic time at which it is dropped.
-    shared_with : frozenset of str
-        Processes of peers that have it, as far as this router knows.
+    shared_with : frozenset of Holder
+        Peers that have it, as far as this router knows.
     """
 
     record: messages.OriginRecord
     until_s: float
-    shared_with: frozenset[str] = frozenset()
+    shared_with: frozenset[Holder] = frozenset()
 
     def at(self, now_s: float) -> messages.OriginRecord:
         """Return the record with the time that is left."""
@@ -124,7 +140,7 @@
         self,
         record: messages.OriginRecord,
         now_s: float,
-        shared_with: frozenset[str] = frozenset(),
+        shared_with: frozenset[Holder] = frozenset(),
     ) -> None:
         """Keep a record, unless a later attempt of the stream is known."""
         until_s = now_s + record.kept_for_s
@@ -157,6 +173,11 @@
             if entry.until_s > now_s
         }
 
+    def holders(self, key: bytes) -> frozenset[Holder]:
+        """Return the peers that have a record of a stream."""
+        entry = self._entries.get(key)
+        return entry.shared_with if entry else frozenset()
+
     def entry(self, key: bytes) -> Entry:
         """Return what is kept of a stream; raise KeyError if nothing is."""
         return self._entries[key]
--- a/toucanrudder/forwarding/streams/tests/test_directory.py
+++ b/toucanrudder/forwarding/streams/tests/test_directory.py
@@ -98,7 +98,7 @@
                     each = self.directories[name]
                     each._refresh()
                     each.share(clock.now_s(), {"s"})
-                    each._send()
+                    each._send_pending()
                     await asyncio.gather(*each._tasks)
 
 
@@ -204,6 +204,32 @@
         assert finding.record.software_version == "v2"
 
 
+async def test_keeper_that_stops_learns_of_later_attempts():
+    """Guards against a stream that a stopping router takes up at the software
+    of an attempt that has failed.
+    """
+    fleet = Fleet(8)
+    began = fleet.directories["r0"]
+    key = record(0).key
+    began.record(record(0, 1, "v1"), clock.now_s(), is_shared=True)
+    await fleet.settle()
+    keepers = [
+        name
+        for name, each in fleet.directories.items()
+        if name != "r0" and each.answer(key)
+    ]
+    assert keepers
+    # Routers that stop are no peers any more, but serve callers for a while.
+    fleet.known = tuple(
+        member for member in fleet.members if member.name not in keepers
+    )
+    began.record(record(0, 9, "v2"), clock.now_s(), is_shared=True)
+    await fleet.settle()
+    for name in keepers:
+        finding = await fleet.directories[name].find(key)
+        assert finding.record.software_version == "v2"
+
+
 async def test_record_of_another_stream_is_not_taken_for_an_answer():
     fleet = Fleet(3)
 
