Soak: answers that break off or never end, and engines that reset

Two faults more in each plan, drawn apart from the others: an instance of a service breaks off its answers by a reset, without a length, or sends them without end; an engine resets all its connections and works on at its runs. Checks: own answers as before, routers' memory, no run continued while its engine is at work on it.

--- a/toucanrudder/platform/testing/soaking.py
+++ b/toucanrudder/platform/testing/soaking.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import os
+import random
 import re
 import time
 
@@ -12,6 +13,7 @@
 from toucanrudder.platform import objects
 from toucanrudder.platform.testing import standins
 from toucanrudder.soak import records
+from toucanrudder.testing import resets
 
 ENGINES, PLAIN_SERVICE, MODEL = "engines", "desk", "m"
 API_KEYS = {"north": "key-of-north", "south": "key-of-south"}
@@ -38,6 +40,13 @@
 LONG_EVENT_GAP_S = 0.1
 LOAD_TIME_S = 0.2
 
+#: Pieces of an answer without end: several times what a router may keep.
+ENDLESS_PIECES = 1_024
+ENDLESS_PIECE_BYTES = 65_536
+
+#: Times from a part of an answer to the reset behind it.
+RESET_DELAYS_S = (0.0, 0.001, 0.02)
+
 #: Routes of long streams: time limit, and longest allowed gap.
 _LONG_ROUTE = {"timeout_ms": 12_000, "target_gap_ms": 200, "max_attempts": 2}
 
@@ -242,6 +251,8 @@
         Cached parts by address and key, of engines and of the cache store.
     copies : dict
         Weights that made each copy, by address of the holder and request ID.
+    working : set
+        Runs whose engines are at work on them, by instance and request ID.
     """
 
     record: records.Record
@@ -249,6 +260,7 @@
         factory=dict
     )
     copies: dict[tuple[str, str], set[int]] = attrs.field(factory=dict)
+    working: set[tuple[str, str]] = attrs.field(factory=set)
 
 
 class Upstream(standins.Server):
@@ -281,6 +293,8 @@
         self.rest: records.AskedRest | None = None
         self.on_loaded: Callable[[], None] = lambda: None
         self._loading: asyncio.Task | None = None
+        self.keeps_runs = False
+        self._runs: set[asyncio.Task] = set()
 
     def entry(self) -> dict:
         """Return its registry entry, with its proxy's address."""
@@ -393,9 +407,17 @@
             yield "no organisation"
         if made_by is not None and made_by != {self.version}:
             yield "memory of other weights"
+        if made_by is not None and self._is_at_work_elsewhere(run):
+            yield "continued beside its engine"
         if self.model:
             yield from self._cache_faults(run)
 
+    def _is_at_work_elsewhere(self, run: standins.Run) -> bool:
+        return any(
+            request_id == run.request_id and incarnation != self.incarnation
+            for incarnation, request_id in self.shared.working
+        )
+
     def _cache_faults(self, run: standins.Run):
         """Yield faults of the cached parts that the run would use."""
         own = self.shared.caches.get(self.proxy_address, {})
@@ -456,20 +478,30 @@
         await answer.start(200, self.answer_headers(run))
         events: asyncio.Queue[_Event | None] = asyncio.Queue()
         making = asyncio.ensure_future(self._make_events(run, events))
+        self._runs.add(making)
+        making.add_done_callback(self._runs.discard)
         try:
             while (event := await events.get()) is not None:
                 await asyncio.sleep(event.arrives_s - time.monotonic())
                 await answer.write(event.text)
         finally:
-            making.cancel()
+            if not self.keeps_runs:
+                making.cancel()
         await answer.end()
 
+    def end_runs(self) -> None:
+        """End all runs, as the end of a process does."""
+        for making in self._runs:
+            making.cancel()
+
     async def _make_events(self, run: standins.Run, events) -> None:
         """Make the events of a run; its report counts them at once."""
         first = int(run.headers.get("last-event-id", 0)) + 1
         length = int(run.headers["token-counts"].partition(",")[2])
         is_long = length > records.EVENTS
         gap_s = LONG_EVENT_GAP_S if is_long else EVENT_GAP_S
+        work = (self.incarnation, run.request_id)
+        self.shared.working.add(work)
         try:
             for number in range(first, length + 1):
                 await asyncio.sleep(gap_s)
@@ -485,6 +517,7 @@
                 events.put_nowait(_Event(text.encode(), arrives_s))
         finally:
             self.reported_runs.pop(run.request_id, None)
+            self.shared.working.discard(work)
         events.put_nowait(None)
         # A copy of a run is freed when the run has ended.
         self.shared.copies.pop(_copy_for(run), None)
@@ -532,6 +565,37 @@
     await answer.send_whole(666, upstream.answer_headers(run), b"trouble")
 
 
+async def breaks_off(upstream, run, answer) -> None:
+    """Send a part of an answer without a length, then reset."""
+    upstream.record_run(run)
+    connection = answer._connection
+    fields = b"".join(
+        b"%s: %s\r\n" % field for field in upstream.answer_headers(run)
+    )
+    part = run.request_id.encode()[:-1]
+    connection._transport.write(
+        b"HTTP/1.1 200 OK\r\n" + fields + b"\r\n" + part
+    )
+    # The reset may come with what was written, or find it read.
+    await asyncio.sleep(random.Random(run.request_id).choice(RESET_DELAYS_S))
+    resets.reset_on_close(connection._transport.get_extra_info("socket"))
+    answer.abort()
+    answer.ended = True
+
+
+async def answers_without_end(upstream, run, answer) -> None:
+    """Send a body until its reader closes, or far more than it may keep."""
+    upstream.record_run(run)
+    await answer.start(200, upstream.answer_headers(run))
+    for _ in range(ENDLESS_PIECES):
+        await answer.write(bytes(ENDLESS_PIECE_BYTES))
+    answer.abort()
+    answer.ended = True
+
+
+#: What an upstream in trouble does with some of its answers.
+BROKEN_ANSWERS = (breaks_off, answers_without_end)
+
 #: What a faulty upstream does with some of its requests.
 FAULTY_BEHAVIOURS = (
     standins.sheds,
--- a/toucanrudder/soak/faults.py
+++ b/toucanrudder/soak/faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 import signal
 import time
@@ -101,7 +102,7 @@
     def _span(self, kind: str, target: str = ""):
         from_s = time.monotonic()
         spans = self._site.record.spans
-        spans.append(records.Span(kind, target, from_s, float("inf")))
+        spans.append(records.Span(kind, target, from_s, math.inf))
         place = len(spans) - 1
         try:
             yield
@@ -128,17 +129,11 @@
         if router is None:
             return
         kind, (count, behave) = random.Random(step.draw).choice(_CROWDS)
-        start, pid = router.starts, router.process.pid
-        before_bytes = crowds.peak_memory_bytes(pid)
-        async with crowds.crowd(
-            router.address, behave, count, settle_s=step.for_s
-        ):
-            pass
-        if router.lives and router.starts == start:
-            growth_bytes = crowds.peak_memory_bytes(pid) - before_bytes
-            self._site.record.crowds.append(
-                records.CrowdEffect(router.name, kind, growth_bytes)
-            )
+        with self._watched_memory([router], kind):
+            async with crowds.crowd(
+                router.address, behave, count, settle_s=step.for_s
+            ):
+                pass
 
     async def _end_router(self, number: int, step: plans.Step) -> None:
         router = self._router(step)
@@ -350,6 +345,70 @@
             await asyncio.sleep(step.for_s)
             upstream.standin.default_behaviour = soaking.answers_normally
 
+    async def _broken_answers(self, step: plans.Step) -> None:
+        """Add a service's instance whose answers break off, or never end.
+
+        It has no proxy, whose end of a connection is in order.
+        """
+        upstream = await self._site.add_upstream(
+            soaking.PLAIN_SERVICE, "za", has_proxy=False
+        )
+        rng = random.Random(step.draw)
+
+        async def behaves(standin, run, answer):
+            await rng.choice(soaking.BROKEN_ANSWERS)(standin, run, answer)
+
+        standin = upstream.standin
+        with self._span(step.fault.value, standin.incarnation):
+            standin.default_behaviour = behaves
+            with self._watched_memory(self._site.routers, step.fault.value):
+                await asyncio.sleep(step.for_s)
+            await self._site.end_upstream(upstream)
+
+    @contextlib.contextmanager
+    def _watched_memory(self, routers: list[sites.Router], kind: str):
+        """Note by how much routers grow that live through the block."""
+        before = [
+            (router, router.starts, _peak_memory_bytes(router))
+            for router in routers
+            if router.lives and not self._is_starting(router)
+        ]
+        yield
+        for router, start, before_bytes in before:
+            if router.lives and router.starts == start:
+                self._site.record.memory_growths.append(
+                    records.MemoryGrowth(
+                        router.name,
+                        kind,
+                        before_bytes,
+                        _peak_memory_bytes(router),
+                    )
+                )
+
+    def _is_starting(self, router: sites.Router) -> bool:
+        """Whether a process still grows to what it needs in calm."""
+        return any(
+            span.kind == "start"
+            and span.target == router.name
+            and span.until_s == math.inf
+            for span in self._site.record.spans
+        )
+
+    async def _resets(self, step: plans.Step) -> None:
+        """Let an engine reset all connections, and work on at its runs."""
+        engines = [
+            upstream
+            for upstream in self._site.upstreams
+            if upstream.standin.service == soaking.ENGINES
+        ]
+        upstream = engines[int(step.draw * len(engines))]
+        standin, proxy = upstream.standin, upstream.proxy
+        with self._span(step.fault.value, standin.incarnation):
+            standin.keeps_runs = proxy.resetting = True
+            proxy.cut()
+            await asyncio.sleep(step.for_s)
+            standin.keeps_runs = proxy.resetting = False
+
     async def _crash(self, step: plans.Step) -> None:
         upstream = self._upstream(step)
         if upstream is not None:
@@ -416,6 +475,10 @@
         self._site.name_weights()
 
 
+def _peak_memory_bytes(router: sites.Router) -> int:
+    return crowds.peak_memory_bytes(router.process.pid)
+
+
 def _software_version(step: plans.Step) -> str:
     """Return the software of the upstream that replaces another."""
     return random.Random(step.draw).choice(soaking.SOFTWARE_VERSIONS)
@@ -485,4 +548,6 @@
     plans.Fault.WATCHES_LOST: Injector._watches_lost,
     plans.Fault.STRANGE_ENTRY: Injector._strange_entry,
     plans.Fault.CLIENT_CROWD: Injector._client_crowd,
+    plans.Fault.BROKEN_ANSWERS: Injector._broken_answers,
+    plans.Fault.RESETS: Injector._resets,
 }
--- a/toucanrudder/soak/mutants.py
+++ b/toucanrudder/soak/mutants.py
@@ -260,6 +260,30 @@
         "    if newest_version > version or not is_current:\n",
         "    if False:\n",
     ),
+    Mutant(
+        "a reset ends an answer without a length",
+        "http1/client.py",
+        "return sock is not None and sockets.was_reset(sock)",
+        "return False",
+    ),
+    Mutant(
+        "whole answers have no bound",
+        "forwarding/attempts/relaying.py",
+        "            if len(self._body) > MAX_BUFFERED_BYTES:\n",
+        "            if False:\n",
+    ),
+    Mutant(
+        "a broken connection ends its run",
+        "forwarding/execution.py",
+        "has_ended = await run_end.wait(self.can_continue_from_copy)",
+        "has_ended = True",
+    ),
+    Mutant(
+        "a connection that is reset counts as not reached",
+        "http1/calls.py",
+        "Failure.NO_ANSWER if error.has_reached else",
+        "Failure.NO_ANSWER if error.sent else",
+    ),
     Mutant(
         "history that is gone is not read anew",
         "controllers/feeds.py",
--- a/toucanrudder/soak/plans.py
+++ b/toucanrudder/soak/plans.py
@@ -37,6 +37,8 @@
     WATCHES_LOST = "watches lost"
     STRANGE_ENTRY = "strange entry"
     CLIENT_CROWD = "client crowd"
+    BROKEN_ANSWERS = "upstream answers broken"
+    RESETS = "upstream resets"
 
 
 #: How often each comes, against the others.
@@ -124,6 +126,7 @@
             steps.append(rest_step(seed, length_s))
             steps.extend(_store_steps(seed, length_s))
             steps.append(_crowd_step(seed, length_s))
+            steps.extend(_answer_steps(seed, length_s))
             return tuple(sorted(steps, key=_at_s))
         (fault,) = rng.choices(list(WEIGHTS), list(WEIGHTS.values()))
         for _ in range(rng.choice((1, 1, 1, 2, 3))):
@@ -221,6 +224,13 @@
     return Step(at_s, Fault.CLIENT_CROWD, rng.random(), rng.uniform(1.0, 3.0))
 
 
+def _answer_steps(seed: int, length_s: float) -> Iterator[Step]:
+    rng = _generator(seed, "answers")
+    for fault in (Fault.BROKEN_ANSWERS, Fault.RESETS):
+        at_s = _time_s(rng, length_s / 2)
+        yield Step(at_s, fault, rng.random(), rng.uniform(1.5, 3.0))
+
+
 def _part_step(seed: int, length_s: float) -> Step:
     rng = _generator(seed, "part")
     at_s = _time_s(rng, length_s / 2)
--- a/toucanrudder/soak/records.py
+++ b/toucanrudder/soak/records.py
@@ -215,22 +215,23 @@
 
 
 @attrs.frozen
-class CrowdEffect:
-    """What a crowd of clients that keep to no limit made a router hold.
+class MemoryGrowth:
+    """What clients or upstreams that keep to no limit made a router hold.
 
     Parameters
     ----------
     router : str
         The router.
     kind : str
-        What the clients sent.
-    growth_bytes : int
-        Growth of the most memory that the process has had resident.
+        What was sent.
+    before_bytes, after_bytes : int
+        The most memory that the process had had resident by then.
     """
 
     router: str
     kind: str
-    growth_bytes: int
+    before_bytes: int
+    after_bytes: int
 
 
 @attrs.define
@@ -276,8 +277,8 @@
     stated_leaving: list[Sighting] = attrs.field(factory=list)
     #: Rests that upstreams asked for.
     rests: list[AskedRest] = attrs.field(factory=list)
-    #: What crowds of clients made of routers' memory.
-    crowds: list[CrowdEffect] = attrs.field(factory=list)
+    #: What clients and upstreams without limits made of routers' memory.
+    memory_growths: list[MemoryGrowth] = attrs.field(factory=list)
     #: Routers that ended by themselves.
     died: list[str] = attrs.field(factory=list)
     recovered_after_s: float | None = None
--- a/toucanrudder/soak/runs.py
+++ b/toucanrudder/soak/runs.py
@@ -165,7 +165,7 @@
         "limited": sum(len(each.arrivals_s) for each in record.limits),
         "told_leaving": len(record.stated_leaving),
         "asked_for_rest": sum(len(each.refused) for each in record.rests),
-        "crowds": len(record.crowds),
+        "memory_growths": len(record.memory_growths),
         "long_heads": sum(call.has_long_head for call in record.calls),
         "stalls": sum(each.kind == "stall" for each in record.spans),
     }
--- a/toucanrudder/soak/site.py
+++ b/toucanrudder/soak/site.py
@@ -232,8 +232,10 @@
         service: str,
         zone: str,
         software_version: str = soaking.SOFTWARE_VERSIONS[0],
+        *,
+        has_proxy: bool = True,
     ) -> Upstream:
-        """Start an upstream and register it."""
+        """Start an upstream and register it, at its proxy's address or own."""
         stack = contextlib.AsyncExitStack()
         standin = soaking.Upstream(self.shared, service, zone)
         standin.software_version = software_version
@@ -242,7 +244,7 @@
         proxy = await stack.enter_async_context(
             proxies.proxied(standin.address)
         )
-        standin.proxy_address = proxy.address
+        standin.proxy_address = proxy.address if has_proxy else standin.address
         found = Upstream(standin, proxy, stack)
         self.upstreams.append(found)
         standin.on_loaded = lambda: self._register_if_there(found)
@@ -273,12 +275,14 @@
         if upstream not in self.upstreams:
             return
         self.upstreams.remove(upstream)
+        upstream.standin.end_runs()
         await upstream.stack.aclose()
         standin = upstream.standin
         self.store.delete(soaking.UPSTREAM_KIND, standin.incarnation)
 
     async def _stop_upstreams(self) -> None:
         for upstream in self.upstreams:
+            upstream.standin.end_runs()
             await upstream.stack.aclose()
 
     # Routers.
--- a/toucanrudder/testing/proxy.py
+++ b/toucanrudder/testing/proxy.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from toucanrudder.testing import resets
 from toucanrudder.testing import servers
 
 CHUNK_BYTES = 65536
@@ -86,6 +87,7 @@
     rules: list[Rule] = attrs.field(factory=list)
     connections: set[Connection] = attrs.field(factory=set)
     refusing: bool = False
+    resetting: bool = False
     accepted: int = 0
 
     def add(self, rule: Rule) -> Rule:
@@ -110,7 +112,9 @@
         """Forward a new connection until an end closes it."""
         self.accepted += 1
         try:
-            if not self.refusing:
+            if self.resetting:
+                resets.reset_on_close(writer.get_extra_info("socket"))
+            elif not self.refusing:
                 await self._forward(reader, writer)
         except OSError:
             pass
