--- a/toucanrudder/filters/dispatch.py
+++ b/toucanrudder/filters/dispatch.py
@@ -73,6 +73,7 @@
         "the engine rejected the request and gave no whole reason",
         step=model_call.STEP,
         peer=failure.upstream,
+        ran=failure.ran,
     )
     return web.json_response(
         error.as_body(exchange.request_id),
