Begin a stream once no peer has the record of other software

Its first attempt was refused by an engine of v2, the second, 14 ms later, began it at one of v1. Records are sent without waiting for an answer, as an engine takes longer until its first event; on the busy machine the caller returned to a keeper after 163 ms that knew of the first attempt only, and resumed the stream at v2.

A router that has no record refuses the stream, so only a record of an earlier attempt can mislead.

--- a/toucanrudder/forwarding/attempts/relaying.py
+++ b/toucanrudder/forwarding/attempts/relaying.py
@@ -157,6 +157,8 @@
     """
     while complete_events := await next_events():
         on_events()
+        if not execution.answer.started:
+            await execution.wait_for_records()
         await _relay_events(execution, head, complete_events)
     if not execution.answer.started:
         await execution.start_stream(head)
--- a/toucanrudder/forwarding/execution.py
+++ b/toucanrudder/forwarding/execution.py
@@ -226,6 +226,10 @@
             self.route_match, upstream, order, clock.now_s()
         )
 
+    async def wait_for_records(self) -> None:
+        """Wait until peers know what begins the stream, if they knew other."""
+        await self.state.streams.settled(self.route_match)
+
     def record_stream_events(self) -> None:
         """Update the event timings after events were relayed."""
         now_s = clock.now_s()
--- a/toucanrudder/forwarding/streams/directory.py
+++ b/toucanrudder/forwarding/streams/directory.py
@@ -114,6 +114,7 @@
         factory=dict
     )
     _due: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _replacing: dict[bytes, asyncio.Future] = attrs.field(factory=dict)
     _tasks: set[asyncio.Task] = attrs.field(factory=set)
 
     # Streams of this router.
@@ -136,14 +137,47 @@
         is_shared : bool
             Whether other routers may need it.
         """
-        superseded = self.table.holders(record.key)
+        holders = self.table.holders(record.key)
+        is_other = self.table.contradicts(record)
         self.table.put(record, now_s)
         entry = self.table.entry(record.key)
-        self._send(entry, superseded, now_s)
+        if holders and is_other:
+            self._replace(entry, holders, now_s)
+        else:
+            self._send(entry, holders, now_s)
         if is_shared:
             self._refresh()
             self._send(entry, self._keepers(record.key), now_s)
 
+    def _replace(
+        self,
+        entry: origins.Entry,
+        holders: frozenset[origins.Holder],
+        now_s: float,
+    ) -> None:
+        """Send a record at once to peers that have one of other software."""
+        key, records = entry.record.key, [entry.at(now_s)]
+        entry.shared_with |= holders
+        replacing = asyncio.gather(
+            *(self._keep(holder.address, records) for holder in holders)
+        )
+        self._replacing[key] = replacing
+
+        def forget(replaced: asyncio.Future) -> None:
+            if self._replacing.get(key) is replaced:
+                del self._replacing[key]
+
+        replacing.add_done_callback(forget)
+
+    async def settled(self, key: bytes) -> None:
+        """Wait until no peer has a record of other software than the last.
+
+        A peer that does not answer in time is not waited for.
+        """
+        replacing = self._replacing.get(key)
+        if replacing is not None:
+            await asyncio.wait([replacing])
+
     def _send(
         self,
         entry: origins.Entry,
@@ -234,7 +268,7 @@
                 self._due.clear()
                 self._send_pending()
         finally:
-            for task in [checking, *self._tasks]:
+            for task in [checking, *self._tasks, *self._replacing.values()]:
                 task.cancel()
 
     async def _check(self) -> None:
--- a/toucanrudder/forwarding/streams/origins.py
+++ b/toucanrudder/forwarding/streams/origins.py
@@ -178,6 +178,11 @@
         entry = self._entries.get(key)
         return entry.shared_with if entry else frozenset()
 
+    def contradicts(self, record: messages.OriginRecord) -> bool:
+        """Return whether other software is recorded for the stream."""
+        entry = self._entries.get(record.key)
+        return entry is not None and not entry.record.is_same_software(record)
+
     def entry(self, key: bytes) -> Entry:
         """Return what is kept of a stream; raise KeyError if nothing is."""
         return self._entries[key]
--- a/toucanrudder/forwarding/streams/resuming.py
+++ b/toucanrudder/forwarding/streams/resuming.py
@@ -233,6 +233,16 @@
             is_shared=is_shared,
         )
 
+    async def settled(self, match: routing.RouteMatch) -> None:
+        """Wait until no router would take the stream up at other software.
+
+        Otherwise a caller that returns right after the first event may meet
+        one that knows of an earlier attempt only.
+        """
+        key = key_of(match)
+        if key is not None:
+            await self.directory.settled(key)
+
     async def find(self, match: routing.RouteMatch) -> origins.Origin | None:
         """Return what began a stream that a caller takes up; None if new.
 
--- a/toucanrudder/forwarding/streams/tests/test_directory.py
+++ b/toucanrudder/forwarding/streams/tests/test_directory.py
@@ -30,6 +30,8 @@
         self.known = tuple(self.members)
         self.calls = 0
         self.bytes = 0
+        self.may_keep = asyncio.Event()
+        self.may_keep.set()
         self.directories = {
             member.name: self._directory(member.name)
             for member in self.members
@@ -57,6 +59,7 @@
         return self.directories[name] if name in self.lives else None
 
     async def _keep(self, address, records):
+        await self.may_keep.wait()
         keeper = self._alive(address)
         if keeper is None:
             return False
@@ -230,6 +233,30 @@
         assert finding.record.software_version == "v2"
 
 
+@pytest.mark.parametrize(("version", "is_awaited"), [("v1", 0), ("v2", 1)])
+async def test_stream_waits_for_peers_that_have_other_software(
+    version, is_awaited
+):
+    """Guards against a caller that returns before the record of the attempt
+    that began its stream has arrived.
+    """
+    fleet = Fleet(8)
+    began = fleet.directories["r0"]
+    key = record(0).key
+    began.record(record(0, 1, "v1"), clock.now_s(), is_shared=True)
+    await fleet.settle()
+    keepers = [each for each in fleet.directories.values() if each.answer(key)]
+    fleet.may_keep.clear()
+    began.record(record(0, 9, version), clock.now_s(), is_shared=True)
+    waiting = asyncio.ensure_future(began.settled(key))
+    await asyncio.sleep(0.02)
+    assert waiting.done() != is_awaited
+    fleet.may_keep.set()
+    await asyncio.wait_for(waiting, DEADLINE_S)
+    for keeper in keepers:
+        assert keeper.answer(key).software_version == version
+
+
 async def test_record_of_another_stream_is_not_taken_for_an_answer():
     fleet = Fleet(3)
 
