Soak: reset broken answers whenever their stand-in ends

The stand-in was ended within the 20 ms between the part and the reset behind it, and closed in order, which is what ends a whole answer without a length (the router saw it leave the registry 2 ms later). Its connections are set to reset before anything is written.

--- a/toucanrudder/platform/testing/soaking.py
+++ b/toucanrudder/platform/testing/soaking.py
@@ -569,6 +569,8 @@
     """Send a part of an answer without a length, then reset."""
     upstream.record_run(run)
     connection = answer._connection
+    # Also if the upstream's process ends meanwhile.
+    resets.reset_on_close(connection._transport.get_extra_info("socket"))
     fields = b"".join(
         b"%s: %s\r\n" % field for field in upstream.answer_headers(run)
     )
@@ -578,7 +580,6 @@
     )
     # The reset may come with what was written, or find it read.
     await asyncio.sleep(random.Random(run.request_id).choice(RESET_DELAYS_S))
-    resets.reset_on_close(connection._transport.get_extra_info("socket"))
     answer.abort()
     answer.ended = True
 
